--- a/internal/store/job.go
+++ b/internal/store/job.go
@@ -7,7 +7,7 @@
 // Task is one task of a step.
 type Task struct {
 	_      struct{} `cbor:",toarray"`
-	Run    int // the highest run that was booked
+	Run    int      // the highest run that was booked
 	Fails  int
 	Done   bool
 	Saved  string
