--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -80,7 +81,8 @@
 
 	streams map[string]*link.Stream // by address, dialed
 	dialing map[string]time.Time
-	addrs   map[string]string // disk to address
+	addrs   map[string]string       // disk to address
+	back    map[string]*link.Stream // disk to the stream it came by
 	joined  time.Time
 
 	waits    map[uint64]waiter
@@ -106,6 +108,7 @@
 	leaveTil time.Time
 	hold     time.Duration
 	tracks   tracker
+	seeds    atomic.Pointer[[]string]
 }
 
 type claimed struct {
@@ -129,9 +132,10 @@
 	c := &Core{set: b.Setting, log: b.Log, held: h, dsk: d, seek: seek,
 		me: raft.Voter{Node: b.Setting.NodeName, Disk: h.ID, Addr: b.Setting.Inner()},
 		in: make(chan Event, 4096), jobs: make(chan disk.Job, tune.DiskInbox),
-		streams: map[string]*link.Stream{}, dialing: map[string]time.Time{}, addrs: map[string]string{},
+		streams: map[string]*link.Stream{}, dialing: map[string]time.Time{}, addrs: map[string]string{}, back: map[string]*link.Stream{},
 		waits: map[uint64]waiter{}, att: map[string]*attached{}, claims: map[string]claimed{},
 		hold: b.Setting.HoldFor(tune.Hold)}
+	c.Seeds(b.Setting.Seeds())
 	c.found.Least = 2*b.Setting.Tolerate.LostMachines + 1
 	if c.st, err = store.Load(h.Point.Data, limits(b.Setting)); err != nil {
 		return nil, err
@@ -164,6 +168,9 @@
 	return &raft.Point{Index: i, Term: t, Conf: c.node.ConfAt(i), Data: c.st.Save()}
 }
 
+// Seeds replaces the seeds.
+func (c *Core) Seeds(a []string) { c.seeds.Store(&a) }
+
 // Give takes events of accepted streams.
 func (c *Core) Give(e link.Event) { c.in <- Event{Link: &e} }
 
@@ -263,6 +270,9 @@
 			}
 			c.startNode(c.held.Point)
 		}
+		if c.addrOf(m.From) == "" {
+			c.back[m.From] = e.Stream
+		}
 		c.node.Step(m, time.Now())
 	case member.FrameAsk:
 		var a member.Ask
@@ -283,6 +293,10 @@
 	for _, m := range ms {
 		addr := c.addrOf(m.To)
 		if addr == "" {
+			// Why back on its own stream: a candidate knows no addresses yet.
+			if b := c.back[m.To]; b != nil {
+				b.Send(link.Frame{Kind: member.FrameRaft, Body: link.Pack(m)})
+			}
 			continue
 		}
 		s := c.streams[addr]
@@ -290,7 +304,11 @@
 			c.dial(ctx, addr)
 			continue
 		}
-		s.Send(link.Frame{Kind: member.FrameRaft, Body: link.Pack(m)})
+		if !s.Send(link.Frame{Kind: member.FrameRaft, Body: link.Pack(m)}) {
+			// Why here too: a stream may have ended before it was noted.
+			delete(c.streams, addr)
+			c.dial(ctx, addr)
+		}
 	}
 }
 
--- a/internal/core/found.go
+++ b/internal/core/found.go
@@ -29,7 +29,12 @@
 				x, stop := context.WithTimeout(ctx, time.Second)
 				c.seek.Ask(x, member.AskJoin, f.Me)
 				stop()
-			} else if f.Me.Disk != "" {
+			} else if f.Me.Disk == "" {
+				// Why often at first: seeds may start later than this one.
+				if i < 40 && i%4 == 1 || i%40 == 0 {
+					c.seek.Introduce(ctx, *c.seeds.Load())
+				}
+			} else {
 				c.tellSeeds(ctx, f)
 				if i%12 == 0 && len(f.Bound) == 0 {
 					// Why asked too: the core may have been founded while
@@ -72,7 +77,7 @@
 
 // tellSeeds announces to the first seed that answers.
 func (c *Core) tellSeeds(ctx context.Context, f member.Found) {
-	for _, a := range c.set.Seeds() {
+	for _, a := range *c.seeds.Load() {
 		p, ok := askOnce(ctx, a, f)
 		if !ok {
 			continue
--- a/internal/door/edge.go
+++ b/internal/door/edge.go
@@ -46,7 +46,12 @@
 
 func newEdge(b kernel.Base) (kernel.Plug, error) {
 	e := &Edge{set: b.Setting, log: b.Log, base: b, found: make(chan foundIn), pull: make(chan int64, 16)}
-	e.seek = member.NewSeeker(b.Log, b.Setting.Inner(), b.Setting.Seeds(), nil, e.onNews, nil)
+	self := ""
+	if b.Setting.Core() {
+		// Why only then: others need not know those that hold no state.
+		self = b.Setting.Inner()
+	}
+	e.seek = member.NewSeeker(b.Log, self, b.Setting.Seeds(), nil, e.onNews, nil)
 	if b.Setting.Core() {
 		c, err := core.New(b, e.seek)
 		if err != nil {
@@ -123,6 +128,9 @@
 		select {
 		case n := <-e.base.Reload:
 			e.seek.Seeds(n.Seeds())
+			if e.core != nil {
+				e.core.Seeds(n.Seeds())
+			}
 			continue
 		case <-ctx.Done():
 		}
@@ -156,6 +164,9 @@
 	r := member.Answer{Code: member.NotLead}
 	switch a.Kind {
 	case member.AskLead:
+		if len(a.Body) > 0 {
+			e.seek.Learn(string(a.Body))
+		}
 		v := member.View{Known: e.seek.Known()}
 		r = member.Answer{Code: 200, Body: link.Pack(v)}
 	case member.AskFound:
--- a/internal/member/seeker.go
+++ b/internal/member/seeker.go
@@ -50,6 +50,7 @@
 	found *found
 	seeds []string
 	know  chan []string
+	learn string
 }
 
 type found struct {
@@ -101,6 +102,24 @@
 	}
 }
 
+// Learn takes note of a core daemon's address.
+func (s *Seeker) Learn(addr string) { s.in <- event{learn: addr} }
+
+// Introduce tells the seeds that this core daemon is here. Seeds may hold no
+// state and know nobody after all were started anew.
+func (s *Seeker) Introduce(ctx context.Context, seeds []string) {
+	for _, a := range seeds {
+		if a == s.self {
+			continue
+		}
+		go func() {
+			if st, _, ok := s.lookAt(ctx, a); ok {
+				st.Close()
+			}
+		}()
+	}
+}
+
 // Run is the seeker's loop.
 func (s *Seeker) Run(ctx context.Context) error {
 	kernel.Loop(ctx, s.in, func(e event) { s.take(ctx, e) }, func(now time.Time) time.Duration { return s.rest(ctx, now) })
@@ -118,6 +137,8 @@
 		s.onLink(e.link)
 	case e.found != nil:
 		s.onFound(e.found)
+	case e.learn != "":
+		s.learn(e.learn)
 	case e.know != nil:
 		out := append([]string(nil), s.known...)
 		if s.lead != "" {
@@ -411,7 +432,7 @@
 	if err != nil {
 		return nil, View{}, false
 	}
-	st.Send(link.Frame{Kind: FrameAsk, Body: link.Pack(Ask{Kind: AskLead})})
+	st.Send(link.Frame{Kind: FrameAsk, Body: link.Pack(Ask{Kind: AskLead, Body: []byte(s.self)})})
 	t := time.NewTimer(tune.Vitals)
 	defer t.Stop()
 	select {
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -369,10 +369,14 @@
 	}
 }
 
-// Caught tells whether a candidate holds all that is settled.
+// near is how many entries a candidate may lack that are on their way.
+const near = 32
+
+// Caught tells whether a candidate holds what is settled, but for a few entries.
 func (n *Node) Caught(disk string) bool {
 	p := n.peers[disk]
-	return p != nil && !p.probing && p.match >= n.commit
+	// Why a little short of it: under load the newest entries are always under way.
+	return p != nil && !p.probing && p.match+near >= n.commit
 }
 
 // Silent is how long a member has not been heard.
