--- a/cmd/tealpond/main.go
+++ b/cmd/tealpond/main.go
@@ -46,7 +46,7 @@
 	for _, m := range kernel.Roles() {
 		cmd := app.Command(m.Role, "Run the role: "+m.About+".")
 		path := cmd.Flag("settings", "The settings file.").Envar(setting.EnvName).String()
-		level := cmd.Flag("log", "The least level that is logged: info, warn or error.").Default("info").Enum("info", "warn", "error")
+		level := cmd.Flag("log", "The least level that is logged: debug, info, warn or error.").Default("info").Enum("debug", "info", "warn", "error")
 		jobs[cmd.FullCommand()] = func() int { return daemon(m, *path, *level, bad) }
 	}
 	v := app.Command("version", "Print the version.")
@@ -74,7 +74,7 @@
 // quit is how kingpin's own ends, such as help, leave the parser.
 type quit struct{}
 
-var levels = map[string]int{"info": 0, "warn": 1, "error": 2}
+var levels = map[string]int{"debug": 0, "info": 1, "warn": 2, "error": 3}
 
 // leveled drops lines under a level.
 type leveled struct {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -14,6 +14,7 @@
 	"tealpond/internal/kernel"
 	"tealpond/internal/link"
 	"tealpond/internal/member"
+	"tealpond/internal/place"
 	"tealpond/internal/raft"
 	"tealpond/internal/setting"
 	"tealpond/internal/store"
@@ -104,10 +105,12 @@
 	wallOff  int64
 	wallSet  bool
 	checks   time.Time
+	roomAt   time.Time
 	leaving  []chan struct{}
 	leaveTil time.Time
 	hold     time.Duration
 	tracks   tracker
+	planner  place.Planner
 	seeds    atomic.Pointer[[]string]
 }
 
@@ -405,6 +408,11 @@
 			// Why dropped: only a leader gives orders.
 			c.st.Fresh()
 		}
+		for _, j := range c.st.Ended() {
+			if c.led {
+				c.logJob(j)
+			}
+		}
 		if w, ok := c.waits[e.Index]; ok {
 			delete(c.waits, e.Index)
 			for i, r := range w.reply {
--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -49,6 +49,7 @@
 		c.swap()
 		c.sweep(now)
 		c.tend(now)
+		c.logRoom(now)
 	}
 	if due := c.st.NextDue(); due > 0 {
 		if left := time.Duration(due-c.wall(now)) * time.Millisecond; left <= 0 {
@@ -59,7 +60,7 @@
 	}
 	if c.dirty && !c.booking {
 		c.dirty = false
-		if ps := place.Plan(c.st); len(ps) > 0 {
+		if ps := c.planner.Plan(c.st); len(ps) > 0 {
 			c.booking = true
 			c.add("book", &store.Book{Plans: ps}, func(store.Outcome, bool) { c.booking = false })
 		}
@@ -81,7 +82,7 @@
 	c.dirty, c.booking = true, false
 	c.swept, c.rebuilt = now, now
 	c.wallSet = false
-	c.tracks = tracker{}
+	c.tracks, c.planner = tracker{}, place.Planner{}
 	_ = c.log.Log("level", "info", "event", "core.lead", "term", c.node.Term(), "index", c.node.Applied())
 }
 
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -126,23 +126,131 @@
 	return out
 }
 
+// Planner makes plans and remembers, between them, how much room the urgent
+// needed lately.
+type Planner struct {
+	peaks map[peakKey]*peak
+}
+
+type peakKey struct {
+	service  string
+	priority int
+}
+
+// peak is the highest demand of one priority, sinking as it ages.
+type peak struct {
+	cpu float64
+	at  int64
+}
+
+// demand is the room that each priority of a service holds or waits for.
+func demand(s *store.Store, ws []want) map[peakKey]int64 {
+	out := map[peakKey]int64{}
+	for _, a := range s.Allocs {
+		if j := s.Jobs[a.Job]; j != nil {
+			out[peakKey{j.Service, j.Priority}] += a.CPU
+		}
+	}
+	for _, w := range ws {
+		out[peakKey{w.j.Service, w.j.Priority}] += int64(len(w.tasks)) * w.j.Steps[w.step].CPUUnits
+	}
+	return out
+}
+
+// note lets old peaks sink and raises them to the demand of now.
+func (p *Planner) note(now int64, d map[peakKey]int64) {
+	if p.peaks == nil {
+		p.peaks = map[peakKey]*peak{}
+	}
+	for k, v := range d {
+		if p.peaks[k] == nil {
+			p.peaks[k] = &peak{at: now}
+		}
+		_ = v
+	}
+	for k, q := range p.peaks {
+		q.cpu *= math.Exp(-float64(now-q.at) / float64(tune.PeakFade.Milliseconds()))
+		q.at = now
+		q.cpu = max(q.cpu, float64(d[k]))
+	}
+}
+
+// kept is the room that a priority must leave to those before it.
+func (p *Planner) kept(service string, priority int) float64 {
+	sum := 0.0
+	for k, q := range p.peaks {
+		if k.service == service && k.priority < priority {
+			sum += q.cpu
+		}
+	}
+	return sum
+}
+
 // Plan makes plans for what waits, as far as there is room.
-func Plan(s *store.Store) []store.Plan {
+func (p *Planner) Plan(s *store.Store) []store.Plan {
 	v := look(s)
+	ws := wants(s)
+	if len(ws) == 0 {
+		return nil
+	}
+	d := demand(s, ws)
+	p.note(s.Clock, d)
 	var out []store.Plan
 	left := tune.PlanTasks
-	for _, w := range wants(s) {
+	held := map[peakKey]int64{}
+	for _, a := range s.Allocs {
+		if j := s.Jobs[a.Job]; j != nil {
+			held[peakKey{j.Service, j.Priority}] += a.CPU
+		}
+	}
+	for _, w := range ws {
 		if left <= 0 {
 			break
 		}
 		left -= len(w.tasks)
-		if p := v.fit(w); len(p.Items) > 0 {
-			out = append(out, p)
+		k := peakKey{w.j.Service, w.j.Priority}
+		cpu := w.j.Steps[w.step].CPUUnits
+		if most := p.share(s, w); most >= 0 && cpu > 0 {
+			// Why fewer tasks and not none: what fits under the share runs.
+			n := int((most - held[k]) / cpu)
+			if held[k] == 0 {
+				n = max(n, 1)
+			}
+			if n <= 0 || n < len(w.tasks) && w.j.Gang(w.step) && held[k] > 0 {
+				continue
+			}
+			if n < len(w.tasks) && !w.j.Gang(w.step) {
+				w.tasks = w.tasks[:n]
+			}
+		}
+		if q := v.fit(w); len(q.Items) > 0 {
+			out = append(out, q)
+			held[k] += int64(len(q.Items)) * cpu
 		}
 	}
 	return out
 }
 
+// share is the room that tasks of this kind may hold at most, below 0 if any.
+// Long work that can wait leaves room for the urgent work that is foreseen.
+func (p *Planner) share(s *store.Store, w want) int64 {
+	st := w.j.Steps[w.step]
+	if st.EstimateMs < tune.LongTask.Milliseconds() {
+		return -1
+	}
+	kept := p.kept(w.j.Service, w.j.Priority)
+	if kept == 0 {
+		return -1
+	}
+	cpu, _ := s.Room(w.j.Service)
+	least := tune.ShareLeast
+	if w.slack < chain(w.j) {
+		// Why more: it misses its aim if it waits longer.
+		least = tune.ShareLate
+	}
+	return int64(max(float64(cpu)-kept, float64(cpu)*least))
+}
+
 func replan(s *store.Store, p store.Plan) (store.Plan, bool) {
 	j := s.Jobs[p.Job]
 	if j == nil || p.K >= len(j.Insts) {
--- a/internal/store/book.go
+++ b/internal/store/book.go
@@ -158,6 +158,7 @@
 	t.Run = run
 	t.Allocs = append(t.Allocs[:len(t.Allocs):len(t.Allocs)], id)
 	j.Began = true
+	in.Steps[step].Full = s.Clock
 	s.Allocs[id] = a
 	s.index(a)
 	s.delta(a, 1)
--- a/internal/store/job.go
+++ b/internal/store/job.go
@@ -19,6 +19,8 @@
 	_     struct{} `cbor:",toarray"`
 	Ready bool
 	Since int64 // on the store clock, when its turn came
+	Full  int64 // when a task of it was last booked
+	Over  int64 // when its last task ended
 	Left  int   // tasks not done
 	Fails int   // of the gang
 	Fell  int   // the gang's run that failed last
@@ -167,6 +169,7 @@
 		return
 	}
 	in.Left--
+	st.Over = s.Clock
 	if in.Left > 0 {
 		s.readySteps(j, in)
 		return
@@ -192,6 +195,7 @@
 
 func (s *Store) over(j *Job) {
 	j.EndedAt = max(s.Clock, 1)
+	s.ended = append(s.ended, j)
 	delete(s.open, j.ID)
 	delete(s.timed, j.ID)
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -42,6 +42,7 @@
 	timed  map[string]*Job
 	byWork map[string]map[uint64]*Alloc
 	fresh  []uint64
+	ended  []*Job
 	undo   *[]func()
 }
 
@@ -112,6 +113,13 @@
 	return out
 }
 
+// Ended hands out the jobs that ended since.
+func (s *Store) Ended() []*Job {
+	out := s.ended
+	s.ended = nil
+	return out
+}
+
 // NextDue is the true time at which the next timed run falls due, or 0.
 func (s *Store) NextDue() int64 {
 	due := int64(0)
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -132,4 +132,15 @@
 	AnswerTime = 40 * time.Millisecond
 	// PutTime bounds an operator's call; they move on after a second.
 	PutTime = 950 * time.Millisecond
+	// PeakFade is how fast a peak of urgent demand is forgotten: bursts last
+	// for seconds, and a long task blocks room for as long.
+	PeakFade = 6 * time.Second
+	// LongTask is the estimate from which a task must leave room to urgent
+	// ones; shorter ones give room back soon enough by themselves.
+	LongTask = 2 * time.Second
+	// ShareLeast is the part of the room that long work may hold whatever
+	// urgent work is foreseen, so that it never starves.
+	ShareLeast = 0.2
+	// ShareLate is that part once it would miss its aim.
+	ShareLate = 0.4
 )
