--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -188,6 +188,7 @@
 			return
 		}
 		o.Spec, o.Saved = j.Spec, a.Saved
+		o.EstMs, o.Lasts = j.Steps[a.Step].EstimateMs, j.Steps[a.Step].LongRunning
 	}
 	at.stream.Send(link.Frame{Kind: member.FrameOrder, Body: link.Pack(o)})
 }
--- a/internal/member/calls.go
+++ b/internal/member/calls.go
@@ -132,4 +132,6 @@
 	Run    int
 	Spec   string
 	Saved  string
+	EstMs  int64
+	Lasts  bool
 }
--- a/internal/order/side.go
+++ b/internal/order/side.go
@@ -39,6 +39,8 @@
 	asked  uint64 // number of the last look begun when its call was answered
 	missed int
 	pct    int
+	pctAt  time.Time // when pct last changed
+	begun  time.Time
 	saved  string
 	told   bool // its end or refusal is on its way to the leader
 }
@@ -54,10 +56,16 @@
 	clock    int64
 	clockAt  time.Time
 	until    int64 // granted, on the runner's clock
-	untilOut int64 // sent to it
-	seen     int64 // acknowledged ends
-	got      int64 // read ends
-	listed   bool  // lists were read under this fence
+	untilOut int64 // sent to it and answered
+	sent     int64 // the furthest that was ever sent, answered or not
+	silent   int   // calls in a row without an answer
+	heardAt  time.Time
+	sick     bool      // what the leader was told
+	sickTold bool      // an ask about it is under way
+	stuckAt  time.Time // when a run was last seen to stand still
+	seen     int64     // acknowledged ends
+	got      int64     // read ends
+	listed   bool      // lists were read under this fence
 	holding  bool
 	holdNo   uint64
 	holdFail int
@@ -219,6 +227,10 @@
 			return
 		}
 		l.fence, l.listed, l.drain = a.N, false, b.State == "draining"
+		l.sick, l.silent, l.heardAt = false, 0, s.now
+		// Why so far: a daemon that ordered this runner before us may have
+		// held it up to there.
+		l.sent = max(l.sent, s.clockNow(l)+tune.HoldReach.Milliseconds())
 		l.renewAt = time.Time{}
 		l.until = 0
 		l.holdFail = 0
@@ -273,6 +285,63 @@
 	}
 }
 
+// heard counts calls in a row that the runner left without an answer.
+func (s *Side) heard(l *life, r reply) {
+	if r.code == 0 {
+		l.silent++
+		return
+	}
+	l.silent, l.heardAt = 0, s.now
+}
+
+// dark tells whether the runner has fallen silent.
+func (s *Side) dark(l *life) bool {
+	return l.silent >= 2 && s.now.Sub(l.heardAt) > tune.Dark
+}
+
+// over tells whether all that was ever held at the silent runner has lapsed:
+// its clock may run slow, and never shows less than this.
+func (s *Side) lapsed(l *life) bool {
+	least := l.clock + int64(float64(s.now.Sub(l.clockAt).Milliseconds())/tune.HoldDrift)
+	return l.clock > 0 && least > l.sent+tune.LapseMargin.Milliseconds()
+}
+
+// care tells the leader when the runner is sick or well again, and closes
+// what a silent runner can no longer be running.
+func (s *Side) care(l *life) time.Duration {
+	dark := s.dark(l)
+	sick := dark || s.now.Sub(l.stuckAt) < tune.StuckPause
+	if sick != l.sick && !l.sickTold {
+		l.sickTold = true
+		_ = s.log.Log("level", "warn", "event", "runner.sick", "runner", l.id, "sick", sick, "dark", dark)
+		s.ask(member.AskElig, &store.Eligible{ID: l.id, Draining: l.drain, LeavesIn: s.leavesIn(l), Sick: sick}, time.Second, func(a member.Answer) {
+			l.sickTold = false
+			if a.Code == 200 {
+				l.sick = sick
+			}
+		})
+	}
+	if !dark {
+		if l.sick {
+			return 100 * time.Millisecond
+		}
+		return 0
+	}
+	gone := s.lapsed(l)
+	for _, r := range l.runs {
+		if r.told || r.busy && !gone {
+			continue
+		}
+		switch {
+		case r.rounds == 0 && r.st == wanted:
+			s.tell(l, r, "refused")
+		case gone:
+			s.tell(l, r, "lapsed")
+		}
+	}
+	return 50 * time.Millisecond
+}
+
 // clockNow is the runner's clock, estimated from the newest reading.
 func (s *Side) clockNow(l *life) int64 {
 	return l.clock + s.now.Sub(l.clockAt).Milliseconds()
@@ -318,7 +387,10 @@
 	if d := s.look(l); d > 0 && d < wake {
 		wake = d
 	}
-	if l.listed {
+	if d := s.care(l); d > 0 && d < wake {
+		wake = d
+	}
+	if l.listed && !s.dark(l) {
 		for k, r := range l.runs {
 			if d := s.move(l, k, r); d > 0 && d < wake {
 				wake = d
@@ -373,11 +445,15 @@
 	if l.telling > 0 {
 		// Why not while ends are unacknowledged: the look would return at
 		// once with the same ends; only a newer grant is worth it.
-		if l.until < l.untilOut+1500 {
-			return 0
+		gain := min(l.until, s.clockNow(l)+tune.HoldReach.Milliseconds()) - l.untilOut
+		if left := tune.HoldReach.Milliseconds()/2 - gain; left > 0 {
+			return max(time.Duration(left)*time.Millisecond, 50*time.Millisecond)
 		}
 		wait = 0
 	}
+	if len(l.runs) == 0 {
+		wait = tune.HoldQuiet
+	}
 	if !l.listed || l.until > 0 && l.untilOut == 0 {
 		wait = 0
 	}
@@ -387,18 +463,22 @@
 		}
 	}
 	h := wire.Hold{FenceNumber: l.fence, LastSeen: l.seen, WaitMs: wait.Milliseconds()}
-	if l.until > l.untilOut {
-		h.UntilMs = l.until
+	// Why short: when the runner falls silent, all that it held is over so
+	// much sooner, and a grant is there to prolong it.
+	if u := min(l.until, s.clockNow(l)+tune.HoldReach.Milliseconds()); l.clock > 0 && u > l.untilOut {
+		h.UntilMs = u
+		l.sent = max(l.sent, u)
 	}
 	l.holding, l.holdAt = true, s.now
 	l.holdNo++
 	no, fence := l.holdNo, l.fence
 	go func() {
-		x, stop := context.WithTimeout(s.ctx, wait+2*tune.OrderRound)
+		x, stop := context.WithTimeout(s.ctx, wait+tune.HoldSlack)
 		r := s.call.Call(x, l.id, "/-/hold", h)
 		stop()
 		s.later(func() {
 			l.holding = false
+			s.heard(l, r)
 			if s.cur != l || l.fence != fence {
 				return
 			}
@@ -446,7 +526,8 @@
 		if q.st == wanted || q.st == starting {
 			q.st = started
 		}
-		q.pct, q.missed = v.Percent, 0
+		q.missed = 0
+		s.progress(l, q, v)
 		if v.Saved != q.saved {
 			q.saved = v.Saved
 			saved = append(saved, v)
@@ -481,6 +562,29 @@
 	}
 }
 
+// progress notes how far a run is, and stops one that stands still.
+func (s *Side) progress(l *life, q *run, v wire.Run) {
+	if q.begun.IsZero() {
+		q.begun, q.pctAt = s.now, s.now
+	}
+	if v.Percent != q.pct {
+		q.pct, q.pctAt = v.Percent, s.now
+		return
+	}
+	still := s.now.Sub(q.pctAt)
+	// Why by its own pace: a slow worker's long task moves a point rarely.
+	pace := q.pctAt.Sub(q.begun) / time.Duration(max(q.pct, 1))
+	if q.pct == 0 {
+		pace = time.Duration(q.order.EstMs) * time.Millisecond / 100
+	}
+	if still < tune.StuckAfter || still < 8*pace || q.order.Lasts || q.stopIt || q.order.Worker == "" {
+		return
+	}
+	_ = s.log.Log("level", "warn", "event", "run.stuck", "task", v.Task, "run", v.Run, "percent", v.Percent, "still_ms", still.Milliseconds())
+	q.stopIt = true
+	l.stuckAt = s.now
+}
+
 // tellEnds has ends committed before they are acknowledged to the runner.
 func (s *Side) tellEnds(l *life, ends []wire.End, saved []wire.Run) {
 	top := int64(0)
@@ -573,7 +677,8 @@
 	if s.hands >= tune.OrderHands {
 		return 0
 	}
-	until := min(l.until, now+tune.OrderReach.Milliseconds())
+	until := min(l.until, now+tune.HoldReach.Milliseconds())
+	l.sent = max(l.sent, until)
 	r.open = max(r.open, until)
 	r.st = starting
 	r.rounds++
@@ -595,6 +700,7 @@
 		s.later(func() {
 			r.busy = false
 			s.hands--
+			s.heard(l, p)
 			if s.cur != l || l.fence != fence {
 				return
 			}
--- a/internal/store/eligible.go
+++ b/internal/store/eligible.go
@@ -7,6 +7,7 @@
 	Draining bool
 	LeavesIn int64
 	Gone     bool
+	Sick     bool // silent or standing still: no new work for now
 }
 
 func init() { register("eligible", func() Cmd { return &Eligible{} }) }
@@ -20,6 +21,7 @@
 	}
 	w.Ver++
 	w.Draining = c.Draining || c.Gone
+	w.Sick = c.Sick
 	w.LeavesAt = 0
 	if w.Draining && c.LeavesIn >= 0 {
 		w.LeavesAt = s.Clock + c.LeavesIn
--- a/internal/store/takeup.go
+++ b/internal/store/takeup.go
@@ -51,7 +51,7 @@
 	s.Last++
 	w.Fence = int64(s.Last)
 	w.Life, w.Service, w.Zone, w.Labels, w.Room = c.Life, c.Service, c.Zone, c.Labels, c.Room
-	w.Lost = false
+	w.Lost, w.Sick = false, false
 	w.Draining = c.Draining
 	w.LeavesAt = 0
 	if c.Draining && c.LeavesIn >= 0 {
--- a/internal/store/worker.go
+++ b/internal/store/worker.go
@@ -18,8 +18,9 @@
 	Life     string
 	Draining bool
 	LeavesAt int64 // on the store clock, 0 if it stays
-	Lost     bool  // its holds have surely lapsed
-	Dead     bool  // this life is over for good
+	Sick     bool
+	Lost     bool // its holds have surely lapsed
+	Dead     bool // this life is over for good
 	Ver      uint64
 	Seen     int64 // the highest end that was committed
 	ShunTill int64 // turned a start away lately
@@ -45,7 +46,7 @@
 }
 
 // Bookable is the predicate of eligibility.
-func (w *Worker) Bookable() bool { return !w.Draining && !w.Lost && !w.Dead }
+func (w *Worker) Bookable() bool { return !w.Draining && !w.Sick && !w.Lost && !w.Dead }
 
 // FreeCPU and FreeMem are max(0, allocatable - allocated).
 func (w *Worker) FreeCPU() int64 { return max(0, w.Room.CPUUnits-w.UsedCPU) }
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -70,7 +70,7 @@
 	// Renew is the pause between two grants asked for by a side daemon.
 	Renew = 1200 * time.Millisecond
 	// HoldWait is the waitMs of a look at a runner (at most 2,000).
-	HoldWait = 1800 * time.Millisecond
+	HoldWait = 900 * time.Millisecond
 	// HoldQuiet is the waitMs while nothing runs on the runner.
 	HoldQuiet = 2000 * time.Millisecond
 	// OrderRound bounds one start or stop at the runner; the runner is on
@@ -81,9 +81,21 @@
 	OrderRounds = 40
 	// OrderHands is the number of calls to a runner under way at once.
 	OrderHands = 4
-	// OrderReach is how far a start's own untilMs lies ahead at most: an
-	// unanswered start cannot take effect after that.
-	OrderReach = 3000 * time.Millisecond
+	// HoldReach is how far an untilMs that is sent lies ahead at most. A
+	// silent runner's work is over so soon; a restart of the side daemon,
+	// about a second, must fit in.
+	HoldReach = 2200 * time.Millisecond
+	// HoldSlack is added to waitMs for the answer to a look.
+	HoldSlack = 300 * time.Millisecond
+	// Dark is the silence after which two unanswered calls mean that the
+	// runner is gone, and not that orders are late.
+	Dark = 350 * time.Millisecond
+	// LapseMargin is added before a silent runner's work is deemed over.
+	LapseMargin = 100 * time.Millisecond
+	// StuckAfter is the least time without progress before a run is stopped.
+	StuckAfter = 700 * time.Millisecond
+	// StuckPause keeps a runner on which runs stood still out of plans.
+	StuckPause = 2500 * time.Millisecond
 
 	// Replans is how often a plan that lost a row is planned anew inside the
 	// same command.
