--- a/internal/core/asks.go
+++ b/internal/core/asks.go
@@ -235,7 +235,7 @@
 			if a == nil || a.lapsing {
 				// Why now: nothing was granted to it that could still run,
 				// and its silence is counted from here.
-				a = &attached{granted: time.Now(), pct: map[uint64]progress{}}
+				a = &attached{granted: time.Now(), heard: time.Now()}
 				c.att[t.ID] = a
 			}
 			a.stream = nil
@@ -260,6 +260,9 @@
 		r(member.Answer{Code: 400})
 		return
 	}
+	if a := c.att[e.Worker]; a != nil {
+		a.heard = time.Now()
+	}
 	c.add("ends", &e, outcome(r))
 }
 
@@ -280,6 +283,7 @@
 		return
 	}
 	a.granted = time.Now()
+	a.heard, a.ratio = a.granted, n.Ratio
 	if a.stream != s && s != nil {
 		a.stream = s
 		// Why all of them: what an earlier leader sent may be lost.
@@ -287,6 +291,5 @@
 			c.order(x)
 		}
 	}
-	c.watch(w, a, n.Runs)
 	r(member.Answer{Code: 200, N: c.hold.Milliseconds()})
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -55,14 +55,8 @@
 	granted time.Time
 	lapsing bool
 	gone    time.Time
-	pct     map[uint64]progress
-}
-
-type progress struct {
-	pct   int
-	since time.Time
-	first time.Time
-	start int
+	heard   time.Time
+	ratio   int64
 }
 
 // Core is the plug.
@@ -138,6 +132,9 @@
 		streams: map[string]*link.Stream{}, dialing: map[string]time.Time{}, addrs: map[string]string{}, back: map[string]*link.Stream{},
 		waits: map[uint64]waiter{}, att: map[string]*attached{}, claims: map[string]claimed{},
 		hold: b.Setting.HoldFor(tune.Hold)}
+	if f := b.Setting.Bounds.SpreadFactor; f > 0 {
+		place.Far = f
+	}
 	c.Seeds(b.Setting.Seeds())
 	c.found.Least = 2*b.Setting.Tolerate.LostMachines + 1
 	if c.st, err = store.Load(h.Point.Data, limits(b.Setting)); err != nil {
--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -10,7 +10,6 @@
 	"tealpond/internal/raft"
 	"tealpond/internal/store"
 	"tealpond/internal/tune"
-	"tealpond/internal/wire"
 )
 
 // tracker keeps what only a leader knows of candidates and swaps.
@@ -48,7 +47,8 @@
 		c.lapses(now)
 		c.swap()
 		c.sweep(now)
-		c.tend(now)
+		c.weigh(now)
+		c.dirty = c.dirty || len(c.planner.Quiet) > 0 || len(c.st.Allocs) > 0
 		c.logRoom(now)
 	}
 	if due := c.st.NextDue(); due > 0 {
@@ -76,7 +76,7 @@
 		if !w.Dead && !w.Lost {
 			// Why from here: grants aren't in the log, and the one before us
 			// may have given some until our election.
-			c.att[id] = &attached{granted: now, pct: map[uint64]progress{}}
+			c.att[id] = &attached{granted: now, heard: now}
 		}
 	}
 	c.dirty, c.booking = true, false
@@ -188,7 +188,11 @@
 			return
 		}
 		o.Spec, o.Saved = j.Spec, a.Saved
-		o.EstMs, o.Lasts = j.Steps[a.Step].EstimateMs, j.Steps[a.Step].LongRunning
+		st := j.Steps[a.Step]
+		o.EstMs, o.Lasts = st.EstimateMs, st.LongRunning
+		if st.NearTo != "" && !w.Has(st.NearTo) {
+			o.EstMs = int64(float64(o.EstMs) * place.Far)
+		}
 	}
 	at.stream.Send(link.Frame{Kind: member.FrameOrder, Body: link.Pack(o)})
 }
@@ -210,8 +214,27 @@
 	return c.wallOff + steady
 }
 
-// watch notes how runs get on.
-func (c *Core) watch(w *store.Worker, a *attached, runs []wire.Run) {}
-
-// tend looks after runs that need help.
-func (c *Core) tend(now time.Time) {}
+// weigh tells the placer which workers are quiet and how fast the others are.
+func (c *Core) weigh(now time.Time) {
+	quiet, speed := map[string]bool{}, map[string]float64{}
+	var all []int64
+	for id, a := range c.att {
+		if now.Sub(a.heard) > tune.Quiet || a.lapsing {
+			quiet[id] = true
+		}
+		if a.ratio > 0 {
+			all = append(all, a.ratio)
+		}
+	}
+	if len(all) >= 3 {
+		sort.Slice(all, func(a, b int) bool { return all[a] < all[b] })
+		mid := float64(max(all[len(all)/2], 1))
+		c.planner.Usual = mid / 100
+		for id, a := range c.att {
+			if a.ratio > 0 {
+				speed[id] = float64(a.ratio) / mid
+			}
+		}
+	}
+	c.planner.Quiet, c.planner.Speed = quiet, speed
+}
--- a/internal/member/calls.go
+++ b/internal/member/calls.go
@@ -119,7 +119,7 @@
 	_      struct{} `cbor:",toarray"`
 	Worker string
 	Fence  int64
-	Runs   []wire.Run
+	Ratio  int64 // its work takes so many hundredths of the estimates, 0 unknown
 }
 
 // Order is what the leader pushes to a side daemon.
@@ -132,6 +132,6 @@
 	Run    int
 	Spec   string
 	Saved  string
-	EstMs  int64
+	EstMs  int64 // its likely length on this worker at usual speed
 	Lasts  bool
 }
--- a/internal/order/side.go
+++ b/internal/order/side.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sort"
 	"strconv"
 	"time"
 
@@ -45,6 +46,12 @@
 	told   bool // its end or refusal is on its way to the leader
 }
 
+// sample is how long a run took, in hundredths of its estimate.
+type sample struct {
+	ratio int64
+	at    time.Time
+}
+
 // life is what is known of the runner's present life.
 type life struct {
 	id       string
@@ -63,9 +70,10 @@
 	sick     bool      // what the leader was told
 	sickTold bool      // an ask about it is under way
 	stuckAt  time.Time // when a run was last seen to stand still
-	seen     int64     // acknowledged ends
-	got      int64     // read ends
-	listed   bool      // lists were read under this fence
+	samples  []sample
+	seen     int64 // acknowledged ends
+	got      int64 // read ends
+	listed   bool  // lists were read under this fence
 	holding  bool
 	holdNo   uint64
 	holdFail int
@@ -407,13 +415,7 @@
 	if l.clock == 0 {
 		from = 0
 	}
-	var runs []wire.Run
-	for _, r := range l.runs {
-		if r.st == started {
-			runs = append(runs, wire.Run{Task: r.order.Task, Run: r.order.Run, Percent: r.pct})
-		}
-	}
-	s.ask(member.AskRenew, &member.Renew{Worker: l.id, Fence: l.fence, Runs: runs}, 3*time.Second, func(a member.Answer) {
+	s.ask(member.AskRenew, &member.Renew{Worker: l.id, Fence: l.fence, Ratio: s.ratio(l)}, 3*time.Second, func(a member.Answer) {
 		l.renewing = false
 		if s.cur != l || l.fence != fence {
 			return
@@ -513,6 +515,9 @@
 		if e.N > l.got {
 			l.got = e.N
 			fresh = append(fresh, e)
+			if q := l.runs[key(e.Task, e.Run)]; q != nil && e.How == "done" && !q.begun.IsZero() && q.order.EstMs > 0 && q.order.Saved == "" {
+				l.samples = append(l.samples, sample{s.now.Sub(q.begun).Milliseconds() * 100 / q.order.EstMs, s.now})
+			}
 		}
 	}
 	var saved []wire.Run
@@ -562,6 +567,38 @@
 	}
 }
 
+// ratio is the middle of how long runs took lately against their estimates.
+func (s *Side) ratio(l *life) int64 {
+	keep := l.samples[:0]
+	for _, m := range l.samples {
+		if s.now.Sub(m.at) < tune.SpeedSpan {
+			keep = append(keep, m)
+		}
+	}
+	l.samples = keep
+	var all []int64
+	for _, m := range keep {
+		all = append(all, m.ratio)
+	}
+	for _, r := range l.runs {
+		// Why also what still runs: on a slow worker little ends.
+		if r.st != started || r.begun.IsZero() || r.order.EstMs <= 0 {
+			continue
+		}
+		took := s.now.Sub(r.begun).Milliseconds()
+		if r.pct >= 5 {
+			all = append(all, r.pctAt.Sub(r.begun).Milliseconds()*100/int64(r.pct)*100/r.order.EstMs)
+		} else if took > 2*r.order.EstMs {
+			all = append(all, took*100/r.order.EstMs)
+		}
+	}
+	if len(all) < 3 {
+		return 0
+	}
+	sort.Slice(all, func(a, b int) bool { return all[a] < all[b] })
+	return max(all[len(all)/2], 1)
+}
+
 // progress notes how far a run is, and stops one that stands still.
 func (s *Side) progress(l *life, q *run, v wire.Run) {
 	if q.begun.IsZero() {
@@ -723,6 +760,9 @@
 	switch p.code {
 	case 200:
 		r.st, r.missed = started, 0
+		if r.begun.IsZero() {
+			r.begun, r.pctAt = s.now, s.now
+		}
 	case 0:
 		r.after = s.now.Add(min(time.Duration(r.rounds)*10*time.Millisecond, 300*time.Millisecond))
 	case 409:
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -12,9 +12,14 @@
 
 func init() { store.Replan = replan }
 
+// Far is how many times as long a task takes away from its data's rack
+// (spreadFactor; a daemon sets it from its settings).
+var Far = 1.5
+
 // view is the room that a plan has left.
 type view struct {
 	s    *store.Store
+	p    *Planner
 	ws   []*slot
 	rack map[string]string
 }
@@ -26,10 +31,10 @@
 	apart    map[string]int
 }
 
-func look(s *store.Store) *view {
-	v := &view{s: s}
+func look(s *store.Store, p *Planner) *view {
+	v := &view{s: s, p: p}
 	for _, w := range s.Workers {
-		if !w.Bookable() || w.ShunTill > s.Clock {
+		if !w.Bookable() || w.ShunTill > s.Clock || p != nil && p.Quiet[w.ID] {
 			continue
 		}
 		sl := &slot{w: w, cpu: w.FreeCPU(), mem: w.FreeMem()}
@@ -52,7 +57,12 @@
 	in    *store.Inst
 	step  int
 	tasks []store.Item
-	slack int64
+	slack int64 // to the aim
+	class int   // 0: can meet its aim, 1: can still be late, 2: too late
+	due   int64
+	// copies of runs in trouble go to none of the workers in not.
+	copies bool
+	not    map[string]bool
 }
 
 func chain(j *store.Job) int64 {
@@ -101,6 +111,7 @@
 					aim = int64(j.Stretch*float64(chain(j))) + j.TargetMs
 				}
 				w.slack = in.Born + aim - s.Clock
+				w.class, w.due = classOf(s.Clock, in.Born, aim, rest(j, in))
 				out = append(out, w)
 			}
 		}
@@ -109,11 +120,48 @@
 		if out[a].j.Priority != out[b].j.Priority {
 			return out[a].j.Priority < out[b].j.Priority
 		}
-		return out[a].slack < out[b].slack
+		if out[a].class != out[b].class {
+			return out[a].class < out[b].class
+		}
+		return out[a].due < out[b].due
 	})
 	return out
 }
 
+// classOf tells what a job can still earn, and by when. Why first those that
+// can meet their aim: one that is late already gains nothing by being sooner.
+func classOf(now, born, aim, rest int64) (int, int64) {
+	switch {
+	case now+rest <= born+aim:
+		return 0, born + aim - rest
+	case now+rest <= born+lateFactor*aim:
+		return 1, born + lateFactor*aim - rest
+	}
+	return 2, born
+}
+
+// lateFactor is how many times its aim a job may take and still count as late
+// (the rules' own figure).
+const lateFactor = 3
+
+// rest is the longest chain of estimates that is not yet done.
+func rest(j *store.Job, in *store.Inst) int64 {
+	best := int64(0)
+	ends := make([]int64, len(j.Steps))
+	for i, st := range j.Steps {
+		from := int64(0)
+		for _, d := range st.DependsOn {
+			from = max(from, ends[d])
+		}
+		ends[i] = from
+		if in.Steps[i].Left > 0 {
+			ends[i] += st.EstimateMs
+		}
+		best = max(best, ends[i])
+	}
+	return best
+}
+
 // gangTasks are all of a gang, or none while a member still holds its room.
 func gangTasks(st *store.StepState) []store.Item {
 	var out []store.Item
@@ -129,6 +177,11 @@
 // Planner makes plans and remembers, between them, how much room the urgent
 // needed lately.
 type Planner struct {
+	// Quiet workers get nothing new; Speed is how many times as long work
+	// takes on a worker as usual; Usual is that against the estimates.
+	Quiet map[string]bool
+	Speed map[string]float64
+	Usual float64
 	peaks map[peakKey]*peak
 }
 
@@ -188,8 +241,8 @@
 
 // Plan makes plans for what waits, as far as there is room.
 func (p *Planner) Plan(s *store.Store) []store.Plan {
-	v := look(s)
-	ws := wants(s)
+	v := look(s, p)
+	ws := append(wants(s), p.copies(s)...)
 	if len(ws) == 0 {
 		return nil
 	}
@@ -263,7 +316,7 @@
 			w.tasks = append(w.tasks, store.Item{Index: it.Index, Copy: it.Copy})
 		}
 	}
-	q := look(s).fit(w)
+	q := look(s, nil).fit(w)
 	return q, len(q.Items) > 0
 }
 
@@ -315,7 +368,7 @@
 			if sl.cpu < st.CPUUnits || sl.mem < st.MemMb || sl.gpu < st.GPUs || rack != "" && sl.w.Rack() != rack {
 				continue
 			}
-			if !v.s.Fits(w.j, w.step, sl.w) {
+			if w.not[sl.w.ID] || !v.s.Fits(w.j, w.step, sl.w) {
 				continue
 			}
 			if sl.w.LeavesAt > 0 && sl.w.LeavesAt < v.s.Clock+st.EstimateMs {
@@ -324,6 +377,9 @@
 			if st.ApartFrom > 0 && v.apart(sl, w, key) >= st.ApartFrom {
 				continue
 			}
+			if v.tooSlow(sl, w) {
+				continue
+			}
 			if c := v.cost(sl, w); c < score {
 				best, score = sl, c
 			}
@@ -368,15 +424,80 @@
 	return n
 }
 
+func (v *view) speed(sl *slot) float64 {
+	if v.p == nil {
+		return 1
+	}
+	// Why coarse: estimates are rough, and small differences are noise.
+	if f := v.p.Speed[sl.w.ID]; f > 1.5 {
+		return f
+	}
+	return 1
+}
+
+// tooSlow passes over a slow worker for a task that can meet its aim
+// elsewhere, a little later, but not there.
+func (v *view) tooSlow(sl *slot, w want) bool {
+	f := v.speed(sl)
+	if f < tune.SlowFrom || v.p == nil {
+		return false
+	}
+	est := float64(w.j.Steps[w.step].EstimateMs) * max(v.p.Usual, 0.5)
+	return w.copies || w.class == 0 && est*f > est+float64(max(w.slack-rest(w.j, w.in), 0))
+}
+
+// copies are tasks of steps that allow it whose only run is in trouble: on a
+// quiet or sick worker, or much longer under way than usual.
+func (p *Planner) copies(s *store.Store) []want {
+	var out []want
+	by := map[string]int{}
+	ids := make([]uint64, 0, len(s.Allocs))
+	for id := range s.Allocs {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(a, b int) bool { return ids[a] < ids[b] })
+	for _, id := range ids {
+		a := s.Allocs[id]
+		j := s.Jobs[a.Job]
+		if j == nil || !j.Steps[a.Step].Twice || j.Gang(a.Step) || j.Off || j.Failed {
+			continue
+		}
+		in := j.Insts[a.K]
+		t := &in.Steps[a.Step].Tasks[a.Index]
+		if t.Done || len(t.Allocs) != 1 {
+			continue
+		}
+		w := s.Workers[a.Worker]
+		st := j.Steps[a.Step]
+		usual := float64(st.EstimateMs) * max(p.Usual, 0.5)
+		if st.NearTo != "" && w != nil && !w.Has(st.NearTo) {
+			usual *= Far
+		}
+		age := float64(s.Clock - a.From)
+		bad := w == nil || !w.Bookable() && !w.Draining || p.Quiet[a.Worker] || a.Stopping
+		late := age > float64(tune.CopyLeast.Milliseconds()) && (age > tune.CopyAfter*usual || p.Speed[a.Worker] > tune.SlowFrom && age < usual)
+		if !bad && !late {
+			continue
+		}
+		k := store.TaskName(a.Job, a.K, a.Step, 0)
+		i, ok := by[k]
+		if !ok {
+			i = len(out)
+			by[k] = i
+			out = append(out, want{j: j, in: in, step: a.Step, copies: true, not: map[string]bool{}})
+		}
+		out[i].not[a.Worker] = true
+		out[i].tasks = append(out[i].tasks, store.Item{Index: a.Index, Copy: 1 - a.Copy})
+	}
+	return out
+}
+
 // cost is the time a task is likely to take there, and how full it gets.
 func (v *view) cost(sl *slot, w want) float64 {
 	st := w.j.Steps[w.step]
-	t := 1.0
-	if sl.w.Speed > 0 {
-		t = float64(sl.w.Speed) / 100
-	}
+	t := v.speed(sl)
 	if st.NearTo != "" && !sl.w.Has(st.NearTo) {
-		t *= 1.5
+		t *= Far
 	}
 	cpu := float64(sl.cpu-st.CPUUnits) / float64(max(sl.w.Room.CPUUnits, 1))
 	mem := float64(sl.mem-st.MemMb) / float64(max(sl.w.Room.MemMb, 1))
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -7,17 +7,17 @@
 const (
 	// Beat is how often a quiet leader tells followers that it lives. Five
 	// fit into the shortest election wait, so that lost ones do not matter.
-	Beat = 100 * time.Millisecond
+	Beat = 80 * time.Millisecond
 	// Elect is the shortest silence after which a follower runs for leader.
 	// Far above a slice of a shared processor, far below a hold.
-	Elect = 600 * time.Millisecond
+	Elect = 400 * time.Millisecond
 	// ElectSpread is added by lot, so that two do not run at once.
-	ElectSpread = 300 * time.Millisecond
+	ElectSpread = 200 * time.Millisecond
 	// LeaseShare is the part of Elect in which a leader trusts the answers
 	// of a majority; the rest covers drift between steady clocks.
 	LeaseShare = 0.85
 	// QuorumLoss is the silence of a majority after which a leader resigns.
-	QuorumLoss = 900 * time.Millisecond
+	QuorumLoss = 650 * time.Millisecond
 	// SilentVoter is how long a voter must be silent before a caught-up
 	// candidate may take its place; above any restart, below catchUpS.
 	SilentVoter = 2500 * time.Millisecond
@@ -52,23 +52,23 @@
 	Seek = 80 * time.Millisecond
 	// AskRound bounds one round of a call to the leader; a commit takes tens
 	// of milliseconds, so a longer silence means a leader in trouble.
-	AskRound = 700 * time.Millisecond
+	AskRound = 500 * time.Millisecond
 	// NoLeaderWait is how long a sender's call waits for a leader before it
 	// is turned away; an election takes about this long.
 	NoLeaderWait = 1300 * time.Millisecond
 	// Vitals is the pause after which a silent link to the leader is tested.
-	Vitals = 400 * time.Millisecond
+	Vitals = 250 * time.Millisecond
 
 	// Hold is the longest hold that is asked for; a shorter maxHoldMs rules.
 	// Longer than an election, short enough to free a lost worker's tasks.
-	Hold = 6000 * time.Millisecond
+	Hold = 3500 * time.Millisecond
 	// HoldDrift is how much slower a runner's clock may run (2%).
 	HoldDrift = 1.02
 	// HoldMargin is added before a silent worker's runs are deemed lapsed:
 	// kills at the runner and rounding take a moment.
 	HoldMargin = 250 * time.Millisecond
 	// Renew is the pause between two grants asked for by a side daemon.
-	Renew = 1200 * time.Millisecond
+	Renew = 400 * time.Millisecond
 	// HoldWait is the waitMs of a look at a runner (at most 2,000).
 	HoldWait = 900 * time.Millisecond
 	// HoldQuiet is the waitMs while nothing runs on the runner.
@@ -155,4 +155,17 @@
 	ShareLeast = 0.2
 	// ShareLate is that part once it would miss its aim.
 	ShareLate = 0.4
+	// Quiet is the silence of a side daemon after which its worker gets no
+	// new tasks; two renewals are lost by then.
+	Quiet = 900 * time.Millisecond
+	// SpeedSpan is how long a sample of a worker's speed counts.
+	SpeedSpan = 3 * time.Second
+	// SlowFrom is the factor from which a worker is passed over by tasks
+	// that would miss their aim on it.
+	SlowFrom = 2.0
+	// CopyAfter is how many times its usual length a run may take before a
+	// step that allows it gets a copy elsewhere.
+	CopyAfter = 2.2
+	// CopyLeast is the least age of a run that gets a copy.
+	CopyLeast = 250 * time.Millisecond
 )
