--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -190,50 +190,65 @@
 	priority int
 }
 
+// weight is an amount of both kinds of room.
+type weight struct{ cpu, mem float64 }
+
+func (w weight) add(cpu, mem int64, n int) weight {
+	return weight{w.cpu + float64(cpu)*float64(n), w.mem + float64(mem)*float64(n)}
+}
+
 // peak is the highest demand of one priority, sinking as it ages.
 type peak struct {
-	cpu float64
-	at  int64
+	weight
+	at int64
 }
 
-// demand is the room that each priority of a service holds or waits for.
-func demand(s *store.Store, ws []want) map[peakKey]int64 {
-	out := map[peakKey]int64{}
+// demand is the room that each priority of a service holds, and with what
+// waits for it.
+func demand(s *store.Store, ws []want) (held, all map[peakKey]weight) {
+	held, all = map[peakKey]weight{}, map[peakKey]weight{}
 	for _, a := range s.Allocs {
 		if j := s.Jobs[a.Job]; j != nil {
-			out[peakKey{j.Service, j.Priority}] += a.CPU
+			k := peakKey{j.Service, j.Priority}
+			held[k] = held[k].add(a.CPU, a.Mem, 1)
 		}
 	}
+	for k, v := range held {
+		all[k] = v
+	}
 	for _, w := range ws {
-		out[peakKey{w.j.Service, w.j.Priority}] += int64(len(w.tasks)) * w.j.Steps[w.step].CPUUnits
+		st := w.j.Steps[w.step]
+		k := peakKey{w.j.Service, w.j.Priority}
+		all[k] = all[k].add(st.CPUUnits, st.MemMb, len(w.tasks))
 	}
-	return out
+	return held, all
 }
 
 // note lets old peaks sink and raises them to the demand of now.
-func (p *Planner) note(now int64, d map[peakKey]int64) {
+func (p *Planner) note(now int64, all map[peakKey]weight) {
 	if p.peaks == nil {
 		p.peaks = map[peakKey]*peak{}
 	}
-	for k, v := range d {
+	for k := range all {
 		if p.peaks[k] == nil {
 			p.peaks[k] = &peak{at: now}
 		}
-		_ = v
 	}
 	for k, q := range p.peaks {
-		q.cpu *= math.Exp(-float64(now-q.at) / float64(tune.PeakFade.Milliseconds()))
+		f := math.Exp(-float64(now-q.at) / float64(tune.PeakFade.Milliseconds()))
 		q.at = now
-		q.cpu = max(q.cpu, float64(d[k]))
+		q.cpu = max(q.cpu*f, all[k].cpu)
+		q.mem = max(q.mem*f, all[k].mem)
 	}
 }
 
 // kept is the room that a priority must leave to those before it.
-func (p *Planner) kept(service string, priority int) float64 {
-	sum := 0.0
+func (p *Planner) kept(service string, priority int) weight {
+	sum := weight{}
 	for k, q := range p.peaks {
 		if k.service == service && k.priority < priority {
-			sum += q.cpu
+			sum.cpu += q.cpu
+			sum.mem += q.mem
 		}
 	}
 	return sum
@@ -246,30 +261,30 @@
 	if len(ws) == 0 {
 		return nil
 	}
-	d := demand(s, ws)
-	p.note(s.Clock, d)
+	held, all := demand(s, ws)
+	p.note(s.Clock, all)
 	var out []store.Plan
 	left := tune.PlanTasks
-	held := map[peakKey]int64{}
-	for _, a := range s.Allocs {
-		if j := s.Jobs[a.Job]; j != nil {
-			held[peakKey{j.Service, j.Priority}] += a.CPU
-		}
-	}
 	for _, w := range ws {
 		if left <= 0 {
 			break
 		}
 		left -= len(w.tasks)
 		k := peakKey{w.j.Service, w.j.Priority}
-		cpu := w.j.Steps[w.step].CPUUnits
-		if most := p.share(s, w); most >= 0 && cpu > 0 {
+		st := w.j.Steps[w.step]
+		if most, ok := p.share(s, w, held); ok {
 			// Why fewer tasks and not none: what fits under the share runs.
-			n := int((most - held[k]) / cpu)
-			if held[k] == 0 {
+			n := len(w.tasks)
+			if st.CPUUnits > 0 {
+				n = min(n, int((most.cpu-held[k].cpu)/float64(st.CPUUnits)))
+			}
+			if st.MemMb > 0 {
+				n = min(n, int((most.mem-held[k].mem)/float64(st.MemMb)))
+			}
+			if held[k].cpu == 0 {
 				n = max(n, 1)
 			}
-			if n <= 0 || n < len(w.tasks) && w.j.Gang(w.step) && held[k] > 0 {
+			if n <= 0 || n < len(w.tasks) && w.j.Gang(w.step) && held[k].cpu > 0 {
 				continue
 			}
 			if n < len(w.tasks) && !w.j.Gang(w.step) {
@@ -278,30 +293,47 @@
 		}
 		if q := v.fit(w); len(q.Items) > 0 {
 			out = append(out, q)
-			held[k] += int64(len(q.Items)) * cpu
+			held[k] = held[k].add(st.CPUUnits, st.MemMb, len(q.Items))
 		}
 	}
 	return out
 }
 
-// share is the room that tasks of this kind may hold at most, below 0 if any.
-// Long work that can wait leaves room for the urgent work that is foreseen.
-func (p *Planner) share(s *store.Store, w want) int64 {
+// share is the room that tasks of this kind may hold at most, if there is a
+// bound. Long work that can wait leaves room for the urgent work foreseen.
+func (p *Planner) share(s *store.Store, w want, held map[peakKey]weight) (weight, bool) {
 	st := w.j.Steps[w.step]
 	if st.EstimateMs < tune.LongTask.Milliseconds() {
-		return -1
+		return weight{}, false
 	}
 	kept := p.kept(w.j.Service, w.j.Priority)
-	if kept == 0 {
-		return -1
+	if kept.cpu == 0 {
+		return weight{}, false
+	}
+	room := weight{}
+	for _, x := range s.Workers {
+		if x.Service == w.j.Service && x.Bookable() {
+			room = room.add(x.Room.CPUUnits, x.Room.MemMb, 1)
+		}
 	}
-	cpu, _ := s.Room(w.j.Service)
 	least := tune.ShareLeast
 	if w.slack < chain(w.j) {
 		// Why more: it misses its aim if it waits longer.
 		least = tune.ShareLate
 	}
-	return int64(max(float64(cpu)-kept, float64(cpu)*least))
+	most := weight{max(room.cpu-kept.cpu, room.cpu*least), max(room.mem-kept.mem, room.mem*least)}
+	// Why whatever is foreseen: a job must not wait beside room that is
+	// mostly free (the rule LOST).
+	var others weight
+	for k, h := range held {
+		if k.service == w.j.Service && k.priority != w.j.Priority {
+			others.cpu += h.cpu
+			others.mem += h.mem
+		}
+	}
+	most.cpu = max(most.cpu, room.cpu*tune.ShareFree-others.cpu)
+	most.mem = max(most.mem, room.mem*tune.ShareFree-others.mem)
+	return most, true
 }
 
 func replan(s *store.Store, p store.Plan) (store.Plan, bool) {
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,364 @@
+package store
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"tealpond/internal/wire"
+)
+
+const testDesire = `{"configVersion":%d,"routeList":[{"name":"a","hostName":"h","pathPrefix":"/p/","kind":"writing","timeoutMs":1000,"targetMs":100,"priority":0,"targetService":"s","maxTries":2,"stretch":1.5}],"serviceList":[{"name":"s","guards":true}]}`
+
+// world is a state that commands reach through the log's own encoding.
+type world struct {
+	t   *testing.T
+	s   *Store
+	now int64
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, s: New(Limits{KeepJobMs: 1000, Replans: 2})}
+	w.run("replace", &Replace{Raw: []byte(fmt.Sprintf(testDesire, 1))})
+	return w
+}
+
+func (w *world) run(kind string, c Cmd) Outcome {
+	w.now += 10
+	raw := Encode(kind, c)
+	b := Batch{Clock: w.now, Wall: w.now, Cmds: []Raw{raw}}
+	return w.s.Run(pack(b))[0]
+}
+
+func (w *world) worker(id string, room wire.Room) *Worker {
+	w.run("takeup", &TakeUp{ID: id, Node: "n-" + id, Service: "s", Labels: []string{"a", "r1"}, Room: room, LeavesIn: -1})
+	return w.s.Workers[id]
+}
+
+func (w *world) job(id string, steps ...wire.Step) *Job {
+	w.t.Helper()
+	if o := w.run("handin", &HandIn{Host: "h", Path: "/p/" + id, ID: id, Job: wire.Job{JobSpec: "x", Steps: steps}}); o.Code != 200 {
+		w.t.Fatalf("hand-in: %v", o)
+	}
+	return w.s.Jobs[id]
+}
+
+func (w *world) book(job string, step int, whole bool, items ...Item) int64 {
+	return w.run("book", &Book{Plans: []Plan{{Job: job, Step: step, Whole: whole, Items: items}}}).N
+}
+
+func (w *world) end(worker, task string, run int, how string) {
+	w.run("ends", &Ends{Worker: worker, Fence: w.s.Workers[worker].Fence, Ends: []wire.End{{N: 1, Task: task, Run: run, How: how}}})
+}
+
+func TestTurnRefusesASecondRun(t *testing.T) {
+	w := newWorld(t)
+	a, b := w.worker("a", wire.Room{CPUUnits: 1000, MemMb: 1000}), w.worker("b", wire.Room{CPUUnits: 1000, MemMb: 1000})
+	w.job("j", wire.Step{TaskCount: 1, CPUUnits: 10})
+	if n := w.book("j", 0, false, Item{Worker: "a", Ver: a.Ver}); n != 0 {
+		t.Fatal("the first was refused")
+	}
+	if n := w.book("j", 0, false, Item{Worker: "b", Ver: b.Ver}); n != 1 || len(w.s.Allocs) != 1 {
+		t.Fatalf("lost %d, allocations %d", n, len(w.s.Allocs))
+	}
+	if b.UsedCPU != 0 {
+		t.Error("the lost row kept room")
+	}
+}
+
+func TestStoppingKeepsTurnAndRoom(t *testing.T) {
+	w := newWorld(t)
+	a := w.worker("a", wire.Room{CPUUnits: 20, MemMb: 10})
+	w.job("j", wire.Step{TaskCount: 1, CPUUnits: 15})
+	w.book("j", 0, false, Item{Worker: "a", Ver: a.Ver})
+	for id := range w.s.Allocs {
+		w.run("halt", &Halt{Allocs: []uint64{id}, Why: "test"})
+	}
+	if n := w.book("j", 0, false, Item{Worker: "a", Ver: a.Ver}); n != 1 || a.UsedCPU != 15 {
+		t.Fatal("a stopping run gave its room or turn away")
+	}
+	w.end("a", "j.0.0.0", 1, "stopped")
+	if a.UsedCPU != 0 || len(w.s.Allocs) != 0 {
+		t.Fatal("its end freed nothing")
+	}
+}
+
+func TestDrainBeatsAnOlderPlan(t *testing.T) {
+	w := newWorld(t)
+	a := w.worker("a", wire.Room{CPUUnits: 100, MemMb: 100})
+	w.job("j", wire.Step{TaskCount: 1})
+	ver := a.Ver
+	w.run("eligible", &Eligible{ID: "a", Draining: true, LeavesIn: 5000})
+	if n := w.book("j", 0, false, Item{Worker: "a", Ver: ver}); n != 1 {
+		t.Fatal("booked on a draining worker")
+	}
+}
+
+func TestGangIsBookedWholeOrNotAtAll(t *testing.T) {
+	w := newWorld(t)
+	a := w.worker("a", wire.Room{CPUUnits: 100, MemMb: 100})
+	b := w.worker("b", wire.Room{CPUUnits: 10, MemMb: 100})
+	w.job("j", wire.Step{TaskCount: 2, CPUUnits: 50, AllTogether: true})
+	if w.book("j", 0, true, Item{Index: 0, Worker: "a", Ver: a.Ver}, Item{Index: 1, Worker: "b", Ver: b.Ver}) != 1 {
+		t.Fatal("booked beyond the room")
+	}
+	if len(w.s.Allocs) != 0 || a.UsedCPU != 0 || w.s.Jobs["j"].Insts[0].Steps[0].Tasks[0].Run != 0 {
+		t.Fatal("the savepoint left something behind")
+	}
+	if w.book("j", 0, true, Item{Index: 0, Worker: "a", Ver: a.Ver}, Item{Index: 1, Worker: "a", Ver: a.Ver}) != 0 {
+		t.Fatal("a gang that fits was refused")
+	}
+	w.end("a", "j.0.0.0", 1, "done")
+	if word, _ := w.s.Status("j"); word != "done" {
+		t.Fatalf("one end counts for all, state %s", word)
+	}
+}
+
+func TestBudgetAndOrder(t *testing.T) {
+	w := newWorld(t)
+	a := w.worker("a", wire.Room{CPUUnits: 100, MemMb: 100})
+	w.job("j", wire.Step{TaskCount: 1}, wire.Step{TaskCount: 1, DependsOn: []int{0}})
+	w.book("j", 1, false, Item{Worker: "a", Ver: a.Ver})
+	if len(w.s.Allocs) != 0 {
+		t.Fatal("a step ran before the one it waits for")
+	}
+	for run := 1; run <= 2; run++ {
+		w.book("j", 0, false, Item{Worker: "a", Ver: a.Ver})
+		w.end("a", "j.0.0.0", run, "failed")
+	}
+	if word, _ := w.s.Status("j"); word != "failed" {
+		t.Fatalf("state %s after two failed runs", word)
+	}
+	w.book("j", 0, false, Item{Worker: "a", Ver: a.Ver})
+	if len(w.s.Allocs) != 0 {
+		t.Fatal("a third run was booked")
+	}
+}
+
+func TestSameIDFirstStands(t *testing.T) {
+	w := newWorld(t)
+	w.job("j", wire.Step{TaskCount: 1})
+	w.job("j", wire.Step{TaskCount: 7})
+	if n := w.s.Jobs["j"].Steps[0].TaskCount; n != 1 {
+		t.Fatalf("the second body stands: %d", n)
+	}
+}
+
+func TestRaceOfDesiredStates(t *testing.T) {
+	w := newWorld(t)
+	x, y := []byte(fmt.Sprintf(testDesire, 3)), []byte(fmt.Sprintf(testDesire, 4))
+	for _, c := range []struct {
+		base int64
+		raw  []byte
+		want int
+	}{{1, x, 200}, {1, y, 412}, {1, x, 200}, {3, []byte(fmt.Sprintf(testDesire, 2)), 400}, {3, y, 200}} {
+		if o := w.run("replace", &Replace{Base: c.base, Raw: c.raw}); o.Code != c.want {
+			t.Errorf("base %d: %d, want %d", c.base, o.Code, c.want)
+		}
+	}
+}
+
+func TestDeadLifeDoesNotComeBack(t *testing.T) {
+	w := newWorld(t)
+	a := w.worker("a", wire.Room{CPUUnits: 100, MemMb: 100})
+	w.job("j", wire.Step{TaskCount: 1})
+	w.book("j", 0, false, Item{Worker: "a", Ver: a.Ver})
+	w.run("takeup", &TakeUp{ID: "a2", Node: "n-a", Service: "s", LeavesIn: -1})
+	if len(w.s.Allocs) != 0 {
+		t.Fatal("a crashed life holds runs")
+	}
+	if o := w.run("takeup", &TakeUp{ID: "a", Node: "n-a", Service: "s", LeavesIn: -1}); o.Code != 409 {
+		t.Fatalf("a late beat took up a dead life: %d", o.Code)
+	}
+}
+
+func TestSavedTextGoesToTheNextRun(t *testing.T) {
+	w := newWorld(t)
+	a := w.worker("a", wire.Room{CPUUnits: 100, MemMb: 100})
+	w.job("j", wire.Step{TaskCount: 1, Checkpoints: true})
+	w.book("j", 0, false, Item{Worker: "a", Ver: a.Ver})
+	w.run("ends", &Ends{Worker: "a", Fence: a.Fence, Saved: []wire.Run{{Task: "j.0.0.0", Run: 1, Saved: "abc"}}})
+	w.run("lapse", &Lapse{IDs: []string{"a"}})
+	a = w.worker("a", wire.Room{CPUUnits: 100, MemMb: 100})
+	w.book("j", 0, false, Item{Worker: "a", Ver: a.Ver})
+	for _, x := range w.s.Allocs {
+		if x.Saved != "abc" || x.Run != 2 {
+			t.Fatalf("run %d starts from %q", x.Run, x.Saved)
+		}
+	}
+}
+
+func TestTimedJobFallsDue(t *testing.T) {
+	w := newWorld(t)
+	w.run("handin", &HandIn{Host: "h", Path: "/p/j", ID: "j", Job: wire.Job{Steps: []wire.Step{{TaskCount: 1}}, RunTimes: 3, FirstRunMs: 1000, IntervalMs: 500}})
+	j := w.s.Jobs["j"]
+	for _, c := range []struct{ wall, insts int64 }{{999, 0}, {1000, 1}, {1400, 1}, {2100, 3}} {
+		w.s.Advance(w.now, c.wall)
+		if int64(len(j.Insts)) != c.insts {
+			t.Errorf("at %d: %d times, want %d", c.wall, len(j.Insts), c.insts)
+		}
+	}
+}
+
+// faults tells what is wrong with a state, or nothing.
+func faults(s *Store) string {
+	cpu, mem := map[string]int64{}, map[string]int64{}
+	turns := map[string]int{}
+	for _, a := range s.Allocs {
+		cpu[a.Worker] += a.CPU
+		mem[a.Worker] += a.Mem
+		turns[fmt.Sprint(a.Task(), "#", a.Copy)]++
+	}
+	for k, n := range turns {
+		if n > 1 {
+			return fmt.Sprintf("%s runs %d times", k, n)
+		}
+	}
+	for id, w := range s.Workers {
+		if w.UsedCPU != cpu[id] || w.UsedMem != mem[id] || w.UsedCPU > w.Room.CPUUnits || w.UsedMem > w.Room.MemMb {
+			return fmt.Sprintf("%s: counter %d of %d, claims %d", id, w.UsedCPU, w.Room.CPUUnits, cpu[id])
+		}
+	}
+	for id, d := range s.Devices {
+		for i, x := range d.Books {
+			if s.Allocs[x.Alloc] == nil {
+				return fmt.Sprintf("%s: booked by nobody", id)
+			}
+			for _, y := range d.Books[i+1:] {
+				if x.From < y.To && y.From < x.To {
+					return fmt.Sprintf("%s: two bookings overlap", id)
+				}
+			}
+		}
+	}
+	was := map[string]Rollup{}
+	for k, r := range s.Rollups {
+		was[k] = *r
+	}
+	s.Rebuild()
+	for k, r := range s.Rollups {
+		if w := was[k]; w.CPUUsed != r.CPUUsed || w.MemUsed != r.MemUsed || w.GPUUsed != r.GPUUsed {
+			return fmt.Sprintf("rollup of %s by deltas %+v, rebuilt %+v", k, w, *r)
+		}
+	}
+	return ""
+}
+
+func check(t *testing.T, s *Store) {
+	t.Helper()
+	if why := faults(s); why != "" {
+		t.Fatal(why)
+	}
+}
+
+// TestRandomCommandsKeepTheGuards drives the state with commands by lot and
+// holds the guards after each; a copy from a checkpoint must stay the same.
+func TestRandomCommandsKeepTheGuards(t *testing.T) {
+	for seed := int64(0); seed < 30; seed++ {
+		r := rand.New(rand.NewSource(seed))
+		w := newWorld(t)
+		for i := range 4 {
+			w.worker(fmt.Sprint("w", i), wire.Room{CPUUnits: 100, MemMb: 100, GPUs: i % 3})
+		}
+		var jobs []string
+		for i := range 400 {
+			id := fmt.Sprint("w", r.Intn(4))
+			x := w.s.Workers[id]
+			switch r.Intn(8) {
+			case 0:
+				j := fmt.Sprint("j", i)
+				w.job(j, wire.Step{TaskCount: 1 + r.Intn(3), CPUUnits: int64(r.Intn(60)), MemMb: int64(r.Intn(60)), GPUs: r.Intn(2), Twice: r.Intn(3) == 0, ApartFrom: r.Intn(2)},
+					wire.Step{TaskCount: 2, CPUUnits: int64(r.Intn(60)), AllTogether: r.Intn(2) == 0, DependsOn: []int{0}})
+				jobs = append(jobs, j)
+			case 1, 2, 3, 4:
+				if len(jobs) == 0 {
+					continue
+				}
+				j := jobs[r.Intn(len(jobs))]
+				step := r.Intn(2)
+				var items []Item
+				for k := range w.s.Jobs[j].Steps[step].TaskCount {
+					y := w.s.Workers[fmt.Sprint("w", r.Intn(4))]
+					items = append(items, Item{Index: k, Copy: r.Intn(2), Worker: y.ID, Ver: y.Ver - uint64(r.Intn(2))})
+				}
+				w.book(j, step, w.s.Jobs[j].Gang(step), items...)
+			case 5:
+				if on := w.s.On(id); len(on) > 0 {
+					a := on[r.Intn(len(on))]
+					w.end(id, a.Task(), a.Run, []string{"done", "failed", "stopped", "lapsed"}[r.Intn(4)])
+				}
+			case 6:
+				if r.Intn(4) == 0 {
+					w.run("lapse", &Lapse{IDs: []string{id}})
+					w.worker(id, x.Room)
+				} else if len(jobs) > 0 && r.Intn(3) == 0 {
+					w.run("cancel", &Cancel{ID: jobs[r.Intn(len(jobs))]})
+				}
+			case 7:
+				w.run("eligible", &Eligible{ID: id, Draining: r.Intn(2) == 0, LeavesIn: -1})
+			}
+			check(t, w.s)
+		}
+		c, err := Load(w.s.Save(), w.s.limits)
+		if err != nil {
+			t.Fatal(err)
+		}
+		check(t, c)
+		if !bytes.Equal(mustSorted(c), mustSorted(w.s)) {
+			t.Fatal("a checkpoint changes the state")
+		}
+	}
+}
+
+// TestFaultsCatchesPlantedBreaks shows that each part of the checker can fail.
+func TestFaultsCatchesPlantedBreaks(t *testing.T) {
+	for name, plant := range map[string]func(*world){
+		"counter": func(w *world) { w.s.Workers["a"].UsedCPU = 5 },
+		"overlap": func(w *world) {
+			for _, d := range w.s.Devices {
+				d.Books = append(d.Books, d.Books...)
+			}
+		},
+		"orphan": func(w *world) { delete(w.s.Allocs, w.s.Last) },
+		"rollup": func(w *world) { w.s.rollup("s").CPUUsed++ },
+		"twice": func(w *world) {
+			a := *w.s.Allocs[w.s.Last]
+			a.ID++
+			w.s.Allocs[a.ID] = &a
+		},
+	} {
+		w := newWorld(t)
+		a := w.worker("a", wire.Room{CPUUnits: 100, MemMb: 100})
+		w.job("j", wire.Step{TaskCount: 1, CPUUnits: 10})
+		w.book("j", 0, false, Item{Worker: "a", Ver: a.Ver})
+		check(t, w.s)
+		plant(w)
+		if faults(w.s) == "" {
+			t.Errorf("%s: a planted break was not caught", name)
+		}
+	}
+}
+
+// mustSorted is the state in an encoding that is the same for the same state.
+func mustSorted(s *Store) []byte {
+	m, err := cbor.CanonicalEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	raw, err := m.Marshal(s)
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
+
+func pack(b Batch) []byte {
+	raw, err := cbor.Marshal(b)
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -146,7 +146,7 @@
 	PutTime = 950 * time.Millisecond
 	// PeakFade is how fast a peak of urgent demand is forgotten: bursts last
 	// for seconds, and a long task blocks room for as long.
-	PeakFade = 6 * time.Second
+	PeakFade = 15 * time.Second
 	// LongTask is the estimate from which a task must leave room to urgent
 	// ones; shorter ones give room back soon enough by themselves.
 	LongTask = 2 * time.Second
@@ -168,4 +168,7 @@
 	CopyAfter = 2.2
 	// CopyLeast is the least age of a run that gets a copy.
 	CopyLeast = 250 * time.Millisecond
+	// ShareFree is the part of the room up to which long work may always
+	// fill it: above the half from which a waiting job counts as lost.
+	ShareFree = 0.6
 )
