--- a/internal/core/asks.go
+++ b/internal/core/asks.go
@@ -184,6 +184,12 @@
 		return
 	}
 	if w, ok := c.st.Status(id); ok {
+		if c.st.Jobs[id].LastRuns() {
+			// Why a moment: its last ends may be listed by now and on their
+			// way through the log; an older answer costs the sender a round.
+			c.lingers[id] = append(c.lingers[id], linger{r, time.Now().Add(tune.Linger)})
+			return
+		}
 		r(member.Answer{Code: 200, Text: w})
 		return
 	}
@@ -293,3 +299,41 @@
 	}
 	r(member.Answer{Code: 200, N: c.hold.Milliseconds()})
 }
+
+// linger is a sender who waits a moment for a job's last ends to settle.
+type linger struct {
+	reply reply
+	till  time.Time
+}
+
+// settle answers those who wait for a job that ended, or long enough.
+func (c *Core) settleLingers(now time.Time) time.Duration {
+	wake := time.Duration(0)
+	for id, ls := range c.lingers {
+		j := c.st.Jobs[id]
+		keep := ls[:0]
+		for _, l := range ls {
+			if left := l.till.Sub(now); left > 0 && j != nil && j.LastRuns() && c.led {
+				keep = append(keep, l)
+				if wake == 0 || left < wake {
+					wake = left
+				}
+				continue
+			}
+			switch {
+			case !c.led || !c.node.Lease(now):
+				l.reply(member.Answer{Code: member.NotLead, Lead: c.leadAddr()})
+			case j == nil:
+				l.reply(member.Answer{Code: 410, Text: "no such job"})
+			default:
+				l.reply(member.Answer{Code: 200, Text: j.Word()})
+			}
+		}
+		if len(keep) == 0 {
+			delete(c.lingers, id)
+		} else {
+			c.lingers[id] = keep
+		}
+	}
+	return wake
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -85,12 +85,13 @@
 	replies  []func(store.Outcome, bool)
 	att      map[string]*attached
 	claims   map[string]claimed
+	lingers  map[string][]linger
 	led      bool
 	ledAt    time.Time
 	base     int64
 	dirty    bool
 	booking  bool
-	planAt   time.Time
+	pushed   time.Time
 	lastPt   uint64
 	inDisk   int
 	swept    time.Time
@@ -130,7 +131,7 @@
 		me: raft.Voter{Node: b.Setting.NodeName, Disk: h.ID, Addr: b.Setting.Inner()},
 		in: make(chan Event, 4096), jobs: make(chan disk.Job, tune.DiskInbox),
 		streams: map[string]*link.Stream{}, dialing: map[string]time.Time{}, addrs: map[string]string{}, back: map[string]*link.Stream{},
-		waits: map[uint64]waiter{}, att: map[string]*attached{}, claims: map[string]claimed{},
+		waits: map[uint64]waiter{}, att: map[string]*attached{}, claims: map[string]claimed{}, lingers: map[string][]linger{},
 		hold: b.Setting.HoldFor(tune.Hold)}
 	if f := b.Setting.Bounds.SpreadFactor; f > 0 {
 		place.Far = f
@@ -368,6 +369,9 @@
 		c.apply()
 	}
 	c.checkpoint()
+	if d := c.settleLingers(now); d > 0 && d < wake {
+		wake = d
+	}
 	for _, l := range c.leaving {
 		if !c.node.Leads() || now.After(c.leaveTil) {
 			close(l)
@@ -405,6 +409,11 @@
 			// Why dropped: only a leader gives orders.
 			c.st.Fresh()
 		}
+		for _, r := range c.st.Closed() {
+			if c.led {
+				c.logRun(r)
+			}
+		}
 		for _, j := range c.st.Ended() {
 			if c.led {
 				c.logJob(j)
--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -64,6 +64,13 @@
 			c.booking = true
 			c.add("book", &store.Book{Plans: ps}, func(store.Outcome, bool) { c.booking = false })
 		}
+		if now.Sub(c.pushed) >= tune.PushPause {
+			if ids := c.planner.Pushes(c.st); len(ids) > 0 {
+				c.pushed = now
+				_ = c.log.Log("level", "debug", "event", "runs.pushed", "runs", len(ids))
+				c.add("halt", &store.Halt{Allocs: ids, Why: "pushed out"}, nil)
+			}
+		}
 	}
 	return wake
 }
@@ -82,7 +89,7 @@
 	c.dirty, c.booking = true, false
 	c.swept, c.rebuilt = now, now
 	c.wallSet = false
-	c.tracks, c.planner = tracker{}, place.Planner{}
+	c.tracks, c.planner = tracker{}, place.Planner{SaveMs: int64(c.set.Bounds.CheckpointEveryS * 1000)}
 	_ = c.log.Log("level", "info", "event", "core.lead", "term", c.node.Term(), "index", c.node.Applied())
 }
 
--- a/internal/core/logjob.go
+++ b/internal/core/logjob.go
@@ -61,3 +61,15 @@
 	_ = c.log.Log("level", "debug", "event", "room", "workers", n, "cpu", cpu, "used", used, "mem", mem, "used_mem", usedMem,
 		"waiting", c.st.WaitingWork()/1000, "p0", byPrio[0], "p1", byPrio[1], "p2", byPrio[2], "jobs", len(c.st.Open()))
 }
+
+// logRun tells how a run went.
+func (c *Core) logRun(r store.Closed) {
+	a := r.Alloc
+	j, w := c.st.Jobs[a.Job], c.st.Workers[a.Worker]
+	if j == nil || w == nil {
+		return
+	}
+	st := j.Steps[a.Step]
+	_ = c.log.Log("level", "debug", "event", "run.ended", "task", a.Task(), "run", a.Run, "copy", a.Copy, "how", r.How, "why", a.Why, "worker", w.Node,
+		"waited_ms", a.From-j.Insts[a.K].Steps[a.Step].Since, "took_ms", r.At-a.From, "estimate_ms", st.EstimateMs, "far", st.NearTo != "" && !w.Has(st.NearTo), "priority", j.Priority)
+}
--- a/internal/desire/check.go
+++ b/internal/desire/check.go
@@ -1,4 +1,67 @@
 package desire
 
+import (
+	"sync"
+
+	"cuelang.org/go/cue"
+	"cuelang.org/go/cue/cuecontext"
+	"cuelang.org/go/cue/errors"
+	cuejson "cuelang.org/go/encoding/json"
+)
+
+// schema is what one desired state looks like, field by field.
+const schema = `
+#Name: string & !=""
+#Lane: {
+	name:          #Name
+	hostName:      #Name
+	pathPrefix:    =~"^/"
+	kind?:         string
+	timeoutMs:     int & >0
+	targetMs?:     number & >=0
+	priority?:     int & >=0
+	targetService: #Name
+	maxTries?:     int & >=0
+	stretch?:      number & >=0
+	...
+}
+#Service: {
+	name:    #Name
+	guards?: bool
+	...
+}
+configVersion: int & >0
+routeList: [...#Lane]
+serviceList: [...#Service]
+limits?: {
+	maxHeaderBytes?:  int & >=0
+	maxBodyBytes?:    int & >=0
+	headerTimeoutMs?: int & >=0
+	idleTimeoutMs?:   int & >=0
+	...
+}
+...
+`
+
+var build = sync.OnceValues(func() (*cue.Context, cue.Value) {
+	c := cuecontext.New()
+	return c, c.CompileString(schema)
+})
+
+var mu sync.Mutex
+
 // Check holds a desired state against the schema.
-func Check(raw []byte) error { return nil }
+func Check(raw []byte) error {
+	mu.Lock()
+	defer mu.Unlock()
+	c, s := build()
+	x, err := cuejson.Extract("desired state", raw)
+	if err != nil {
+		return Error.New("%s", errors.Details(err, nil))
+	}
+	v := s.Unify(c.BuildExpr(x))
+	if err := v.Validate(cue.Concrete(true)); err != nil {
+		return Error.New("%v", err)
+	}
+	return nil
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -183,6 +183,9 @@
 	Speed map[string]float64
 	Usual float64
 	peaks map[peakKey]*peak
+	lack  map[peakKey]weight
+	// SaveMs is how much work a run that saves its progress loses at most.
+	SaveMs int64
 }
 
 type peakKey struct {
@@ -261,6 +264,7 @@
 	if len(ws) == 0 {
 		return nil
 	}
+	p.lack = map[peakKey]weight{}
 	held, all := demand(s, ws)
 	p.note(s.Clock, all)
 	var out []store.Plan
@@ -291,10 +295,75 @@
 				w.tasks = w.tasks[:n]
 			}
 		}
-		if q := v.fit(w); len(q.Items) > 0 {
+		q := v.fit(w)
+		if len(q.Items) > 0 {
 			out = append(out, q)
 			held[k] = held[k].add(st.CPUUnits, st.MemMb, len(q.Items))
 		}
+		if n := len(w.tasks) - len(q.Items); n > 0 && w.class < 2 && !w.copies && s.Clock-w.in.Steps[w.step].Since >= tune.PushAfter.Milliseconds() {
+			p.lack[k] = p.lack[k].add(st.CPUUnits, st.MemMb, n)
+		}
+	}
+	return out
+}
+
+// Pushes are the runs to stop so that more urgent work, which waits already,
+// finds room: those that lose least unsaved work, and none that lose much.
+func (p *Planner) Pushes(s *store.Store) []uint64 {
+	if len(p.lack) == 0 {
+		return nil
+	}
+	var lacks []peakKey
+	for k := range p.lack {
+		lacks = append(lacks, k)
+	}
+	sort.Slice(lacks, func(a, b int) bool { return lacks[a].priority < lacks[b].priority })
+	type victim struct {
+		a    *store.Alloc
+		j    *store.Job
+		lost int64
+	}
+	var vs []victim
+	freed := map[string]weight{}
+	for _, a := range s.Allocs {
+		j := s.Jobs[a.Job]
+		if j == nil {
+			continue
+		}
+		st := j.Steps[a.Step]
+		if a.Stopping {
+			freed[j.Service] = freed[j.Service].add(a.CPU, a.Mem, 1)
+			continue
+		}
+		lost := s.Clock - a.From
+		if st.Checkpoints {
+			lost = min(lost, p.SaveMs)
+		}
+		if st.EstimateMs < tune.LongTask.Milliseconds() || st.AllTogether || st.LongRunning || lost > tune.PushLoss.Milliseconds() {
+			continue
+		}
+		vs = append(vs, victim{a, j, lost})
+	}
+	sort.Slice(vs, func(a, b int) bool {
+		if vs[a].lost != vs[b].lost {
+			return vs[a].lost < vs[b].lost
+		}
+		return vs[a].a.ID < vs[b].a.ID
+	})
+	var out []uint64
+	for _, k := range lacks {
+		need := p.lack[k]
+		got := freed[k.service]
+		for _, v := range vs {
+			if got.cpu >= need.cpu && got.mem >= need.mem {
+				break
+			}
+			if v.j.Service != k.service || v.j.Priority <= k.priority {
+				continue
+			}
+			out = append(out, v.a.ID)
+			got = got.add(v.a.CPU, v.a.Mem, 1)
+		}
 	}
 	return out
 }
--- a/internal/setting/setting.go
+++ b/internal/setting/setting.go
@@ -41,16 +41,17 @@
 
 // Bounds are the figures of the rules in force.
 type Bounds struct {
-	InTouchMs     int64   `toml:"inTouchMs"`
-	GraceS        float64 `toml:"graceS"`
-	MaxHoldMs     int64   `toml:"maxHoldMs"`
-	StopGraceMs   int64   `toml:"stopGraceMs"`
-	GangWaitMs    int64   `toml:"gangWaitMs"`
-	EarlyMs       int64   `toml:"early_ms"`
-	StatusS       float64 `toml:"status_s"`
-	SpreadFactor  float64 `toml:"spreadFactor"`
-	RestoreMs     int64   `toml:"restoreMs"`
-	ConfigApplyMs int64   `toml:"configApplyMs"`
+	InTouchMs        int64   `toml:"inTouchMs"`
+	GraceS           float64 `toml:"graceS"`
+	MaxHoldMs        int64   `toml:"maxHoldMs"`
+	StopGraceMs      int64   `toml:"stopGraceMs"`
+	GangWaitMs       int64   `toml:"gangWaitMs"`
+	EarlyMs          int64   `toml:"early_ms"`
+	StatusS          float64 `toml:"status_s"`
+	SpreadFactor     float64 `toml:"spreadFactor"`
+	RestoreMs        int64   `toml:"restoreMs"`
+	ConfigApplyMs    int64   `toml:"configApplyMs"`
+	CheckpointEveryS float64 `toml:"checkpointEveryS"`
 }
 
 // Setting is one whole settings file.
--- a/internal/store/ends.go
+++ b/internal/store/ends.go
@@ -73,6 +73,7 @@
 func (s *Store) endRun(a *Alloc, how, saved string) {
 	s.keep(a, saved)
 	s.close(a)
+	s.closed = append(s.closed, Closed{a, how, s.Clock})
 	j := s.Jobs[a.Job]
 	if j == nil {
 		return
@@ -126,3 +127,17 @@
 	}
 	s.fail(j, in, a.Step, a.Index)
 }
+
+// Closed is a run that ended, for traces.
+type Closed struct {
+	Alloc *Alloc
+	How   string
+	At    int64
+}
+
+// Closed hands out the runs that ended since.
+func (s *Store) Closed() []Closed {
+	out := s.closed
+	s.closed = nil
+	return out
+}
--- a/internal/store/job.go
+++ b/internal/store/job.go
@@ -252,3 +252,31 @@
 	}
 	return sum
 }
+
+// LastRuns tells whether all that is left of a job is under way: its next
+// change is its end, or a run that must be repeated.
+func (j *Job) LastRuns() bool {
+	if j.ended() || j.NextK < j.RunTimes {
+		return false
+	}
+	for _, in := range j.Insts {
+		if in.Failed {
+			continue
+		}
+		for i := range in.Steps {
+			st := &in.Steps[i]
+			if st.Left > 0 && !st.Ready {
+				return false
+			}
+			if st.Left == 0 {
+				continue
+			}
+			for x := range st.Tasks {
+				if !st.Tasks[x].Done && len(st.Tasks[x].Allocs) == 0 {
+					return false
+				}
+			}
+		}
+	}
+	return true
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -43,6 +43,7 @@
 	byWork map[string]map[uint64]*Alloc
 	fresh  []uint64
 	ended  []*Job
+	closed []Closed
 	undo   *[]func()
 }
 
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -171,4 +171,14 @@
 	// ShareFree is the part of the room up to which long work may always
 	// fill it: above the half from which a waiting job counts as lost.
 	ShareFree = 0.6
+	// PushAfter is how long urgent work waits before it pushes others out:
+	// its own kind gives room back so often.
+	PushAfter = 60 * time.Millisecond
+	// PushLoss is the most unsaved work, as time, that a run may lose by it.
+	PushLoss = 2500 * time.Millisecond
+	// PushPause is the pause between two pushes; stops take a moment.
+	PushPause = 250 * time.Millisecond
+	// Linger is how long a question about a job whose last runs are under way
+	// may wait for ends that are listed but not yet settled: two commits.
+	Linger = 60 * time.Millisecond
 )
