--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -115,7 +115,8 @@
 }
 
 func limits(set setting.Setting) store.Limits {
-	return store.Limits{KeepJobMs: int64(set.Bounds.StatusS*1000) + tune.KeepJob.Milliseconds(), Replans: tune.Replans}
+	return store.Limits{KeepJobMs: int64(set.Bounds.StatusS*1000) + tune.KeepJob.Milliseconds(), Replans: tune.Replans,
+		Far: set.Bounds.SpreadFactor}
 }
 
 // New opens the disk and builds the core.
@@ -133,9 +134,6 @@
 		streams: map[string]*link.Stream{}, dialing: map[string]time.Time{}, addrs: map[string]string{}, back: map[string]*link.Stream{},
 		waits: map[uint64]waiter{}, att: map[string]*attached{}, claims: map[string]claimed{}, lingers: map[string][]linger{},
 		hold: b.Setting.HoldFor(tune.Hold)}
-	if f := b.Setting.Bounds.SpreadFactor; f > 0 {
-		place.Far = f
-	}
 	c.Seeds(b.Setting.Seeds())
 	c.found.Least = 2*b.Setting.Tolerate.LostMachines + 1
 	if c.st, err = store.Load(h.Point.Data, limits(b.Setting)); err != nil {
--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -198,7 +198,7 @@
 		st := j.Steps[a.Step]
 		o.EstMs, o.Lasts = st.EstimateMs, st.LongRunning
 		if st.NearTo != "" && !w.Has(st.NearTo) {
-			o.EstMs = int64(float64(o.EstMs) * place.Far)
+			o.EstMs = int64(float64(o.EstMs) * c.st.Far())
 		}
 	}
 	at.stream.Send(link.Frame{Kind: member.FrameOrder, Body: link.Pack(o)})
--- a/internal/door/edge.go
+++ b/internal/door/edge.go
@@ -103,7 +103,7 @@
 
 // Run serves until ctx ends.
 func (e *Edge) Run(ctx context.Context) error {
-	inner, stop := context.WithCancel(context.Background())
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	give := e.onLink
 	if e.core != nil {
@@ -136,6 +136,12 @@
 		}
 		break
 	}
+	if context.Cause(ctx) == kernel.Killed {
+		for _, s := range srvs {
+			_ = s.Close()
+		}
+		return nil
+	}
 	// Why in this order: no new callers, then hand the lead on, then finish
 	// what is under way.
 	e.leave.Store(true)
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -7,10 +7,14 @@
 	"sort"
 
 	"github.com/go-kit/log"
+	"github.com/zeebo/errs"
 
 	"tealpond/internal/setting"
 )
 
+// Killed is the cause of a context that ends without grace.
+var Killed = errs.New("killed")
+
 // Plug is one part of a daemon: it runs until its context ends.
 type Plug interface {
 	Run(ctx context.Context) error
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -164,8 +164,7 @@
 
 // Dial opens a stream; frames are given to give from a task of the stream's.
 func Dial(ctx context.Context, addr string, give func(Event)) (*Stream, error) {
-	d := net.Dialer{Timeout: tune.Dial, Control: Control(tune.UserTimeout), KeepAlive: -1}
-	c, err := d.DialContext(ctx, "tcp", addr)
+	c, err := over(ctx).Dial(ctx, addr)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -207,10 +206,9 @@
 
 // Serve takes streams at addr until ctx ends.
 func Serve(ctx context.Context, addr string, give func(Event)) error {
-	lc := net.ListenConfig{Control: Control(tune.UserTimeout), KeepAlive: -1}
-	ln, err := lc.Listen(ctx, "tcp", addr)
+	ln, err := Listen(ctx, addr)
 	if err != nil {
-		return Error.Wrap(err)
+		return err
 	}
 	srv := drpcserver.NewWithOptions(&Server{give: give}, drpcserver.Options{Manager: options()})
 	go func() {
@@ -236,9 +234,42 @@
 	return nil
 }
 
-// Listen opens a TCP port for HTTP servers.
-func Listen(ctx context.Context, addr string) (net.Listener, error) {
+// Network opens connections and ports. Daemons use TCP; tests bring a network
+// of their own, with cuts and delays, in the context.
+type Network interface {
+	Dial(ctx context.Context, addr string) (net.Conn, error)
+	Listen(ctx context.Context, addr string) (net.Listener, error)
+}
+
+type netKey struct{}
+
+// On gives a context whose streams go over n.
+func On(ctx context.Context, n Network) context.Context { return context.WithValue(ctx, netKey{}, n) }
+
+func over(ctx context.Context) Network {
+	if n, ok := ctx.Value(netKey{}).(Network); ok {
+		return n
+	}
+	return tcp{}
+}
+
+// tcp is the network of real machines.
+type tcp struct{}
+
+// Dial opens a connection that notices a cut.
+func (tcp) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: tune.Dial, Control: Control(tune.UserTimeout), KeepAlive: -1}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// Listen opens a port.
+func (tcp) Listen(ctx context.Context, addr string) (net.Listener, error) {
 	lc := net.ListenConfig{Control: Control(tune.UserTimeout), KeepAlive: -1}
-	ln, err := lc.Listen(ctx, "tcp", addr)
+	return lc.Listen(ctx, "tcp", addr)
+}
+
+// Listen opens a port on the context's network.
+func Listen(ctx context.Context, addr string) (net.Listener, error) {
+	ln, err := over(ctx).Listen(ctx, addr)
 	return ln, Error.Wrap(err)
 }
--- a/internal/order/plug.go
+++ b/internal/order/plug.go
@@ -15,10 +15,13 @@
 
 func init() {
 	kernel.Register(kernel.Maker{Role: "side", About: "orders the runner on its machine", Make: func(b kernel.Base) (kernel.Plug, error) {
-		return &plug{Side: newSide(b, newDutyCaller(b.Setting.App)), base: b}, nil
+		return New(b, newDutyCaller(b.Setting.App)), nil
 	}})
 }
 
+// New builds the side daemon's plug over a way to call its runner.
+func New(b kernel.Base, c Caller) kernel.Plug { return &plug{Side: newSide(b, c), base: b} }
+
 type plug struct {
 	*Side
 	base kernel.Base
--- a/internal/order/runner.go
+++ b/internal/order/runner.go
@@ -16,16 +16,16 @@
 	"tealpond/internal/wire"
 )
 
-// reply is what came of one call to the runner.
-type reply struct {
-	code  int // 0: no answer
-	clock wire.Clock
-	lists wire.Lists
+// Reply is what came of one call to the runner.
+type Reply struct {
+	Code  int // 0: no answer
+	Clock wire.Clock
+	Lists wire.Lists
 }
 
 // Caller carries orders to a runner; duty_call is the one way at hand.
 type Caller interface {
-	Call(ctx context.Context, life, path string, body any) reply
+	Call(ctx context.Context, life, path string, body any) Reply
 }
 
 // dutyCaller calls the runner over HTTP.
@@ -43,14 +43,14 @@
 }
 
 // Call makes one round; it never repeats by itself.
-func (d *dutyCaller) Call(ctx context.Context, life, path string, body any) reply {
+func (d *dutyCaller) Call(ctx context.Context, life, path string, body any) Reply {
 	raw, err := json.Marshal(body)
 	if err != nil {
 		panic("order: " + err.Error())
 	}
 	q, err := http.NewRequestWithContext(ctx, http.MethodPost, d.base+path, bytes.NewReader(raw))
 	if err != nil {
-		return reply{}
+		return Reply{}
 	}
 	// Why no GetBody: the transport would send it again by itself.
 	q.GetBody = nil
@@ -58,21 +58,21 @@
 	q.Header.Set(wire.HeadTarget, life)
 	p, err := d.http.Do(q)
 	if err != nil {
-		return reply{}
+		return Reply{}
 	}
 	defer p.Body.Close()
 	text, err := io.ReadAll(io.LimitReader(p.Body, tune.ControlBytes))
 	if err != nil {
-		return reply{}
+		return Reply{}
 	}
-	r := reply{code: p.StatusCode}
+	r := Reply{Code: p.StatusCode}
 	if path == "/-/hold" {
-		if p.StatusCode == 200 && json.Unmarshal(text, &r.lists) != nil {
-			return reply{}
+		if p.StatusCode == 200 && json.Unmarshal(text, &r.Lists) != nil {
+			return Reply{}
 		}
-		r.clock.ClockMs = r.lists.ClockMs
+		r.Clock.ClockMs = r.Lists.ClockMs
 	} else if len(text) > 0 {
-		_ = json.Unmarshal(text, &r.clock)
+		_ = json.Unmarshal(text, &r.Clock)
 	}
 	return r
 }
--- a/internal/order/side.go
+++ b/internal/order/side.go
@@ -294,8 +294,8 @@
 }
 
 // heard counts calls in a row that the runner left without an answer.
-func (s *Side) heard(l *life, r reply) {
-	if r.code == 0 {
+func (s *Side) heard(l *life, r Reply) {
+	if r.Code == 0 {
 		l.silent++
 		return
 	}
@@ -490,24 +490,24 @@
 	return 0
 }
 
-func (s *Side) onLists(l *life, h wire.Hold, no uint64, r reply) {
-	if r.code != 200 {
+func (s *Side) onLists(l *life, h wire.Hold, no uint64, r Reply) {
+	if r.Code != 200 {
 		l.holdFail++
-		if r.code == 409 && r.clock.Reason == "fence" {
+		if r.Code == 409 && r.Clock.Reason == "fence" {
 			s.takeUp(l)
 		}
 		return
 	}
 	l.holdFail = 0
-	s.readClock(l, r.clock.ClockMs)
+	s.readClock(l, r.Clock.ClockMs)
 	if h.UntilMs > l.untilOut {
 		l.untilOut = h.UntilMs
 	}
 	there := map[string]wire.Run{}
-	for _, v := range r.lists.Runs() {
+	for _, v := range r.Lists.Runs() {
 		there[key(v.Task, v.Run)] = v
 	}
-	ends := r.lists.Ends()
+	ends := r.Lists.Ends()
 	var fresh []wire.End
 	over := map[string]bool{}
 	for _, e := range ends {
@@ -726,7 +726,7 @@
 }
 
 // send makes one call about a run.
-func (s *Side) send(l *life, r *run, path string, body any, then func(*life, *run, reply)) {
+func (s *Side) send(l *life, r *run, path string, body any, then func(*life, *run, Reply)) {
 	r.busy = true
 	s.hands++
 	fence := l.fence
@@ -741,9 +741,9 @@
 			if s.cur != l || l.fence != fence {
 				return
 			}
-			s.readClock(l, p.clock.ClockMs)
+			s.readClock(l, p.Clock.ClockMs)
 			r.asked = l.holdNo
-			if p.code == 421 {
+			if p.Code == 421 {
 				// Why nothing told: the new life's beat ends the old one.
 				r.after = s.now.Add(500 * time.Millisecond)
 				return
@@ -753,11 +753,11 @@
 	}()
 }
 
-func (s *Side) onStart(l *life, r *run, p reply) {
+func (s *Side) onStart(l *life, r *run, p Reply) {
 	if r.st != starting {
 		return
 	}
-	switch p.code {
+	switch p.Code {
 	case 200:
 		r.st, r.missed = started, 0
 		if r.begun.IsZero() {
@@ -766,8 +766,8 @@
 	case 0:
 		r.after = s.now.Add(min(time.Duration(r.rounds)*10*time.Millisecond, 300*time.Millisecond))
 	case 409:
-		_ = s.log.Log("level", "info", "event", "start.refused", "task", r.order.Task, "run", r.order.Run, "reason", p.clock.Reason)
-		switch p.clock.Reason {
+		_ = s.log.Log("level", "info", "event", "start.refused", "task", r.order.Task, "run", r.order.Run, "reason", p.Clock.Reason)
+		switch p.Clock.Reason {
 		case "fence":
 			s.takeUp(l)
 		case "late":
@@ -811,13 +811,13 @@
 	if s.hands >= tune.OrderHands {
 		return 0
 	}
-	s.send(l, r, "/-/run-stop", wire.Stop{TaskID: r.order.Task, RunID: r.order.Run, FenceNumber: l.fence}, func(l *life, r *run, p reply) {
+	s.send(l, r, "/-/run-stop", wire.Stop{TaskID: r.order.Task, RunID: r.order.Run, FenceNumber: l.fence}, func(l *life, r *run, p Reply) {
 		switch {
-		case p.code == 200:
+		case p.Code == 200:
 			r.st = stopped
-		case p.code == 409 && p.clock.Reason == "fence":
+		case p.Code == 409 && p.Clock.Reason == "fence":
 			s.takeUp(l)
-		case p.code == 409:
+		case p.Code == 409:
 			r.st = stopped
 		default:
 			r.after = s.now.Add(30 * time.Millisecond)
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -12,10 +12,6 @@
 
 func init() { store.Replan = replan }
 
-// Far is how many times as long a task takes away from its data's rack
-// (spreadFactor; a daemon sets it from its settings).
-var Far = 1.5
-
 // view is the room that a plan has left.
 type view struct {
 	s    *store.Store
@@ -572,7 +568,7 @@
 		st := j.Steps[a.Step]
 		usual := float64(st.EstimateMs) * max(p.Usual, 0.5)
 		if st.NearTo != "" && w != nil && !w.Has(st.NearTo) {
-			usual *= Far
+			usual *= s.Far()
 		}
 		age := float64(s.Clock - a.From)
 		bad := w == nil || !w.Bookable() && !w.Draining || p.Quiet[a.Worker] || a.Stopping
@@ -598,7 +594,7 @@
 	st := w.j.Steps[w.step]
 	t := v.speed(sl)
 	if st.NearTo != "" && !sl.w.Has(st.NearTo) {
-		t *= Far
+		t *= v.s.Far()
 	}
 	cpu := float64(sl.cpu-st.CPUUnits) / float64(max(sl.w.Room.CPUUnits, 1))
 	mem := float64(sl.mem-st.MemMb) / float64(max(sl.w.Room.MemMb, 1))
--- /dev/null
+++ b/internal/sim/cluster.go
@@ -0,0 +1,354 @@
+package sim
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	_ "tealpond/internal/door" // registers the edge role
+	"tealpond/internal/kernel"
+	"tealpond/internal/link"
+	"tealpond/internal/order"
+	"tealpond/internal/setting"
+	"tealpond/internal/wire"
+)
+
+// Cluster is whole daemons on one stand-in network.
+type Cluster struct {
+	T       *testing.T
+	Net     *Net
+	Hist    *History
+	Name    string
+	dir     string
+	daemons map[string]*daemon
+	Runners map[string]*Runner
+	base    int
+	seeds   []string
+	out     io.Writer
+	outside *http.Client
+	beats   context.CancelFunc
+	version int
+}
+
+type daemon struct {
+	name  string
+	ip    string
+	role  string
+	core  bool
+	first bool
+	kill  context.CancelCauseFunc
+	done  chan struct{}
+}
+
+// Shape is what a cluster is built of.
+type Shape struct {
+	Core, Edge, Side int
+	Lost             int
+	Net              *Net
+	Base             int
+	Name             string
+}
+
+// Build starts a cluster and waits for nothing.
+func Build(t *testing.T, s Shape) *Cluster {
+	if s.Net == nil {
+		s.Net = NewNet()
+	}
+	c := &Cluster{T: t, Net: s.Net, Hist: NewHistory(), Name: s.Name, dir: t.TempDir(), daemons: map[string]*daemon{}, Runners: map[string]*Runner{}, base: s.Base, out: io.Discard}
+	if os.Getenv("TEALPOND_TEST_LOG") != "" {
+		c.out = os.Stderr
+	}
+	lost := s.Lost
+	if lost == 0 {
+		lost = (s.Core - 1) / 2
+	}
+	for i := range s.Core + s.Edge {
+		c.add(&daemon{name: fmt.Sprintf("%sedge-%d", s.Name, i+1), ip: c.ip(i + 1), role: "edge", core: i < s.Core, first: true})
+		if i < 3 {
+			c.seeds = append(c.seeds, c.ip(i+1)+":8166")
+		}
+	}
+	for i := range s.Side {
+		n := fmt.Sprintf("%sside-%d", s.Name, i+1)
+		c.add(&daemon{name: n, ip: c.ip(100 + i), role: "side", first: true})
+		c.Runners[n] = NewRunner(c.Hist, n, "svc", int64(i+1))
+	}
+	c.outside = &http.Client{Transport: &http.Transport{DialContext: c.Net.Host(c.ip(250)).DialContext}, Timeout: 3 * time.Second}
+	for _, n := range c.names("") {
+		c.Start(n, lost)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	c.beats = stop
+	for n := range c.Runners {
+		go c.beat(ctx, n)
+	}
+	return c
+}
+
+func (c *Cluster) ip(i int) string { return fmt.Sprintf("10.%d.0.%d", c.base, i) }
+
+func (c *Cluster) add(d *daemon) { c.daemons[d.name] = d }
+
+func (c *Cluster) names(role string) []string {
+	var out []string
+	for i := 0; i < 300; i++ {
+		for n, d := range c.daemons {
+			if d.ip == c.ip(i) && (role == "" || d.role == role) {
+				out = append(out, n)
+			}
+		}
+	}
+	return out
+}
+
+// IP is a daemon's address.
+func (c *Cluster) IP(name string) string { return c.daemons[name].ip }
+
+func (c *Cluster) settings(d *daemon, lost int) setting.Setting {
+	s := setting.Setting{NodeName: d.name, IPAddress: d.ip, Zone: "z", InnerPortRange: []int{7720, 7730}, SeedNodes: c.seeds,
+		FirstStart: d.first, BeatIntervalMs: 500, App: d.ip + ":8165"}
+	s.Bounds = setting.Bounds{GraceS: 6, MaxHoldMs: 6000, StopGraceMs: 400, GangWaitMs: 3000, StatusS: 120, SpreadFactor: 1.5, CheckpointEveryS: 1}
+	s.Tolerate.LostMachines = lost
+	s.Limits.MemoryMb = 284
+	s.ListenAddrs.ControlAddr = d.ip + ":8166"
+	if d.role == "edge" {
+		s.Serves = []string{"edge", "control"}
+		s.ListenAddrs.FrontHTTP, s.ListenAddrs.Readiness = d.ip+":8161", d.ip+":8167"
+		if d.core {
+			s.DataDir, s.LossCounts = filepath.Join(c.dir, d.name), true
+			_ = os.MkdirAll(s.DataDir, 0o755)
+		}
+	} else {
+		s.Serves = []string{"side"}
+	}
+	return s
+}
+
+// Start starts a daemon; it must not be running.
+func (c *Cluster) Start(name string, lost int) {
+	d := c.daemons[name]
+	set := c.settings(d, lost)
+	ctx, kill := context.WithCancelCause(link.On(context.Background(), c.Net.Host(d.ip)))
+	b := kernel.Base{Setting: set, Log: log.NewLogfmtLogger(log.NewSyncWriter(c.out)), Life: fmt.Sprint(time.Now().UnixNano()), Reload: make(chan setting.Setting, 1)}
+	b.Log = log.With(b.Log, "t", log.Valuer(func() any { return time.Now().Format("05.000") }), "node", name)
+	var p kernel.Plug
+	if d.role == "side" {
+		p = order.New(b, c.Runners[name])
+	} else {
+		m, _ := kernel.Find("edge")
+		var err error
+		if p, err = m.Make(b); err != nil {
+			c.T.Fatalf("%s: %v", name, err)
+		}
+	}
+	d.kill, d.done, d.first = kill, make(chan struct{}), false
+	go func() {
+		if err := p.Run(ctx); err != nil {
+			c.T.Errorf("%s: %v", name, err)
+		}
+		close(d.done)
+	}()
+}
+
+// Kill ends a daemon at once.
+func (c *Cluster) Kill(name string) {
+	d := c.daemons[name]
+	c.Net.Down(d.ip)
+	d.kill(kernel.Killed)
+	<-d.done
+	c.Net.Down(d.ip)
+}
+
+// Term asks a daemon to end and waits for it.
+func (c *Cluster) Term(name string) {
+	d := c.daemons[name]
+	d.kill(context.Canceled)
+	<-d.done
+	c.Net.Down(d.ip)
+}
+
+// Wipe empties the disk of a daemon that isn't running.
+func (c *Cluster) Wipe(name string) {
+	if err := os.RemoveAll(filepath.Join(c.dir, name)); err != nil {
+		c.T.Fatal(err)
+	}
+}
+
+// Island cuts a daemon off from some others, both ways, or joins it again.
+func (c *Cluster) Island(name string, cut bool, others ...string) {
+	for _, o := range others {
+		for _, p := range [][2]string{{c.IP(name), c.IP(o)}, {c.IP(o), c.IP(name)}} {
+			if cut {
+				c.Net.Cut(p[0], p[1])
+			} else {
+				c.Net.Join(p[0], p[1])
+			}
+		}
+	}
+}
+
+// End stops everything.
+func (c *Cluster) End() {
+	c.beats()
+	for _, d := range c.daemons {
+		d.kill(kernel.Killed)
+	}
+	for _, d := range c.daemons {
+		<-d.done
+		c.Net.Down(d.ip)
+	}
+	c.outside.CloseIdleConnections()
+	time.Sleep(15 * time.Second)
+}
+
+func (c *Cluster) beat(ctx context.Context, name string) {
+	for ctx.Err() == nil {
+		life, b := c.Runners[name].beat()
+		code, _, _ := c.call(http.MethodPost, "http://"+c.IP(name)+":8166/-/Runners.Heartbeat/"+life, "", b, nil)
+		if code == 200 && b.State == "draining" {
+			c.Hist.add(Fact{Kind: "draining", Node: name, Life: life})
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(500 * time.Millisecond):
+		}
+	}
+}
+
+func (c *Cluster) call(method, url, host string, body any, heads map[string]string) (int, []byte, http.Header) {
+	raw, _ := json.Marshal(body)
+	if s, ok := body.(string); ok {
+		raw = []byte(s)
+	}
+	q, err := http.NewRequest(method, url, bytes.NewReader(raw))
+	if err != nil {
+		c.T.Fatal(err)
+	}
+	if host != "" {
+		q.Host = host
+	}
+	for k, v := range heads {
+		q.Header.Set(k, v)
+	}
+	p, err := c.outside.Do(q)
+	if err != nil {
+		return 0, nil, nil
+	}
+	defer p.Body.Close()
+	out, err := io.ReadAll(p.Body)
+	if err != nil {
+		return 0, nil, nil
+	}
+	return p.StatusCode, out, p.Header
+}
+
+const desired = `{"configVersion":%d,"routeList":[{"name":"a","hostName":"h","pathPrefix":"/p/","kind":"writing","timeoutMs":3000,"targetMs":250,"priority":0,"targetService":"svc","maxTries":3,"stretch":1.5}%s],"serviceList":[{"name":"svc","guards":true}]}`
+
+// Put sends a desired state to a daemon.
+func (c *Cluster) Put(at string, version, base int, more string) int {
+	code, _, _ := c.call(http.MethodPost, "http://"+c.IP(at)+":8166/-/Config.Replace", "", fmt.Sprintf(desired, version, more), map[string]string{wire.HeadBasedOn: fmt.Sprint(base)})
+	return code
+}
+
+// Ready puts the first desired state and waits until all workers are known.
+func (c *Cluster) Ready() {
+	c.T.Helper()
+	c.Until("the first desired state is taken", 20*time.Second, func() bool { return c.Put(c.Name+"edge-1", 1, 0, "") == 200 })
+	time.Sleep(3 * time.Second)
+}
+
+// Until waits for something on the test's clock.
+func (c *Cluster) Until(what string, most time.Duration, ok func() bool) {
+	c.T.Helper()
+	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	c.T.Fatalf("not within %v: %s", most, what)
+}
+
+// HandIn sends a job, again to other daemons, until the answer is clear.
+func (c *Cluster) HandIn(id string, job wire.Job) bool {
+	j := &Handed{Spec: job.JobSpec, Tries: 3}
+	for _, s := range job.Steps {
+		j.Counts = append(j.Counts, s.TaskCount)
+		j.Deps = append(j.Deps, s.DependsOn)
+		j.Twice = j.Twice || s.Twice
+	}
+	c.Hist.mu.Lock()
+	c.Hist.Jobs[id] = j
+	c.Hist.mu.Unlock()
+	edges := c.names("edge")
+	refused := true
+	for try := range 12 {
+		at := edges[(int(id[15])+try)%len(edges)]
+		code, _, _ := c.call(http.MethodPost, "http://"+c.IP(at)+":8161/p/"+id, "h", job, map[string]string{wire.HeadLeft: "2000"})
+		if code == 200 {
+			c.Hist.mu.Lock()
+			j.Taken = true
+			c.Hist.mu.Unlock()
+			return true
+		}
+		if code != 429 && code != 503 {
+			refused = false
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	c.Hist.mu.Lock()
+	j.Refused = refused
+	c.Hist.mu.Unlock()
+	return false
+}
+
+// State asks for a job's state at a daemon, or an HTTP code.
+func (c *Cluster) State(at, id string) string {
+	code, raw, _ := c.call(http.MethodGet, "http://"+c.IP(at)+":8161/p/"+id, "h", "", nil)
+	if code != 200 {
+		if code == 410 {
+			c.Hist.add(Fact{Kind: "shown", Job: id, State: "410"})
+		}
+		return fmt.Sprint(code)
+	}
+	var a struct {
+		State string `json:"state"`
+	}
+	_ = json.Unmarshal(raw, &a)
+	c.Hist.add(Fact{Kind: "shown", Job: id, State: a.State})
+	return a.State
+}
+
+// Cancel calls a job off.
+func (c *Cluster) Cancel(at, id string) int {
+	code, _, _ := c.call(http.MethodDelete, "http://"+c.IP(at)+":8161/p/"+id, "h", "", nil)
+	if code == 200 {
+		c.Hist.mu.Lock()
+		if j := c.Hist.Jobs[id]; j != nil && j.OffAt.IsZero() {
+			j.OffAt = time.Now()
+		}
+		c.Hist.mu.Unlock()
+	}
+	return code
+}
+
+// Leader is the core daemon that answers a read of the desired state fastest;
+// used only to choose whom to harm.
+func (c *Cluster) Leader() string {
+	for _, n := range c.names("edge") {
+		if d := c.daemons[n]; d.core {
+			if l := leaderOf(c, n); l != "" {
+				return l
+			}
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/sim/runner.go
@@ -0,0 +1,297 @@
+package sim
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"tealpond/internal/order"
+	"tealpond/internal/wire"
+)
+
+// Runner is a stand-in for a runner, by the pages of the protocol. What its
+// calls and runs were goes into the history that the rules are held against.
+type Runner struct {
+	mu      sync.Mutex
+	h       *History
+	Node    string
+	Service string
+	Labels  []string
+	Room    wire.Room
+	Guards  bool
+	life    string
+	lives   int
+	clock0  time.Time
+	slow    float64 // its steady clock runs so much slower
+	fence   int64
+	until   int64
+	seen    int64
+	nextN   int64
+	runs    map[string]*simRun
+	top     map[string]int // the highest run that stopped or ended, by task
+	ended   []wire.End
+	changed chan struct{}
+	rnd     *rand.Rand
+
+	Dark  bool    // answers nothing
+	Late  float64 // part of the orders carried out late, without an answer
+	Hang  bool    // tasks stand still
+	Drain bool
+	seq   int64
+}
+
+type simRun struct {
+	task string
+	run  int
+	spec string
+	need time.Duration
+	did  time.Duration
+	from time.Time
+}
+
+// NewRunner builds a runner of one life.
+func NewRunner(h *History, node, service string, seed int64) *Runner {
+	r := &Runner{h: h, Node: node, Service: service, Labels: []string{"a", "r1"}, Room: wire.Room{CPUUnits: 8000, MemMb: 8000}, Guards: true,
+		changed: make(chan struct{}), rnd: rand.New(rand.NewSource(seed)), slow: 1}
+	r.born()
+	return r
+}
+
+func (r *Runner) born() {
+	r.lives++
+	r.life = fmt.Sprintf("i-%s-%d", r.Node, r.lives)
+	r.clock0 = time.Now().Add(-time.Duration(r.rnd.Intn(100000)) * time.Millisecond)
+	r.fence, r.until, r.seen, r.nextN = 0, 0, 0, 0
+	r.runs, r.top, r.ended = map[string]*simRun{}, map[string]int{}, nil
+}
+
+func (r *Runner) clock() int64 {
+	return int64(float64(time.Since(r.clock0).Milliseconds()) / r.slow)
+}
+
+// Crash ends this life; the next one runs nothing and knows no fence.
+func (r *Runner) Crash() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tick()
+	for _, x := range r.runs {
+		r.h.add(Fact{Kind: "end", Node: r.Node, Life: r.life, Task: x.task, Run: x.run, How: "crashed"})
+	}
+	r.h.add(Fact{Kind: "life", Node: r.Node, Life: r.life})
+	r.born()
+}
+
+// tick brings runs and holds up to now.
+func (r *Runner) tick() {
+	now := time.Now()
+	if r.until > 0 && r.clock() > r.until {
+		for k, x := range r.runs {
+			r.end(k, x, "lapsed")
+		}
+		r.h.add(Fact{Kind: "lapse", Node: r.Node, Life: r.life})
+		r.until = 0
+	}
+	for k, x := range r.runs {
+		if !r.Hang {
+			x.did += now.Sub(x.from)
+		}
+		x.from = now
+		if x.did >= x.need {
+			how := "done"
+			if r.h.fails1(x.task, field(x.spec, "fail")) {
+				how = "failed"
+			}
+			r.end(k, x, how)
+		}
+	}
+}
+
+func (r *Runner) end(k string, x *simRun, how string) {
+	delete(r.runs, k)
+	r.top[x.task] = max(r.top[x.task], x.run)
+	r.nextN++
+	r.ended = append(r.ended, wire.End{N: r.nextN, Task: x.task, Run: x.run, How: how})
+	r.h.add(Fact{Kind: "end", Node: r.Node, Life: r.life, Task: x.task, Run: x.run, How: how, N: r.nextN})
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// fails1 tells whether a run fails, as the first most of its task do.
+func (h *History) fails1(task string, most int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.fails[task] >= most {
+		return false
+	}
+	h.fails[task]++
+	return true
+}
+
+func field(spec, name string) int {
+	for _, f := range strings.Fields(spec) {
+		if v, ok := strings.CutPrefix(f, name+"="); ok {
+			n, _ := strconv.Atoi(v)
+			return n
+		}
+	}
+	return 0
+}
+
+// Call is the runner's side of duty_call.
+func (r *Runner) Call(ctx context.Context, life, path string, body any) order.Reply {
+	r.mu.Lock()
+	if r.Dark {
+		r.mu.Unlock()
+		<-ctx.Done()
+		return order.Reply{}
+	}
+	if path != "/-/hold" && r.rnd.Float64() < r.Late {
+		wait := time.Duration(2000+r.rnd.Intn(10000)) * time.Millisecond
+		r.mu.Unlock()
+		go func() {
+			time.Sleep(wait)
+			r.mu.Lock()
+			r.do(life, path, body)
+			r.mu.Unlock()
+		}()
+		<-ctx.Done()
+		return order.Reply{}
+	}
+	defer r.mu.Unlock()
+	if h, ok := body.(wire.Hold); ok {
+		return r.hold(ctx, life, h)
+	}
+	return r.do(life, path, body)
+}
+
+func (r *Runner) no(reason string) order.Reply {
+	return order.Reply{Code: 409, Clock: wire.Clock{ClockMs: r.clock(), Reason: reason}}
+}
+
+func (r *Runner) do(life, path string, body any) order.Reply {
+	r.tick()
+	if life != r.life {
+		return order.Reply{Code: 421}
+	}
+	ok := order.Reply{Code: 200, Clock: wire.Clock{ClockMs: r.clock()}}
+	switch b := body.(type) {
+	case wire.Start:
+		if b.FenceNumber < r.fence {
+			return r.no("fence")
+		}
+		r.fence = b.FenceNumber
+		if b.UntilMs <= r.clock() {
+			return r.no("late")
+		}
+		r.until = max(r.until, b.UntilMs)
+		k := b.TaskID + "/" + strconv.Itoa(b.RunID)
+		if r.runs[k] != nil {
+			return ok
+		}
+		if b.RunID <= r.top[b.TaskID] {
+			return r.no("old")
+		}
+		cpu := int64(field(b.JobSpec, "cpu"))
+		for _, x := range r.runs {
+			cpu += int64(field(x.spec, "cpu"))
+		}
+		if cpu > r.Room.CPUUnits && r.Guards {
+			return r.no("room")
+		}
+		r.runs[k] = &simRun{task: b.TaskID, run: b.RunID, spec: b.JobSpec, need: time.Duration(field(b.JobSpec, "ms")) * time.Millisecond, from: time.Now()}
+		r.h.add(Fact{Kind: "start", Node: r.Node, Life: r.life, Task: b.TaskID, Run: b.RunID, Spec: b.JobSpec, CPU: cpu, Room: r.Room.CPUUnits, Guards: r.Guards})
+		go r.later(r.runs[k].need)
+	case wire.Stop:
+		if b.FenceNumber < r.fence {
+			return r.no("fence")
+		}
+		r.fence = b.FenceNumber
+		k := b.TaskID + "/" + strconv.Itoa(b.RunID)
+		if x := r.runs[k]; x != nil {
+			r.end(k, x, "stopped")
+		}
+		r.top[b.TaskID] = max(r.top[b.TaskID], b.RunID)
+	}
+	return ok
+}
+
+// later ticks when a run should be over, so that its end is seen in time.
+func (r *Runner) later(d time.Duration) {
+	time.Sleep(d)
+	r.mu.Lock()
+	r.tick()
+	r.mu.Unlock()
+}
+
+// hold is called and returns with r.mu held.
+func (r *Runner) hold(ctx context.Context, life string, h wire.Hold) order.Reply {
+	r.tick()
+	if life != r.life {
+		return order.Reply{Code: 421}
+	}
+	if h.FenceNumber < r.fence {
+		return r.no("fence")
+	}
+	r.fence = h.FenceNumber
+	if h.UntilMs > r.until {
+		r.until = min(h.UntilMs, r.clock()+10000)
+	}
+	if h.LastSeen > r.seen {
+		for n := r.seen + 1; n <= h.LastSeen; n++ {
+			r.h.add(Fact{Kind: "note", Node: r.Node, Life: r.life, N: n})
+		}
+		r.seen = h.LastSeen
+		keep := r.ended[:0:0]
+		for _, e := range r.ended {
+			if e.N > r.seen {
+				keep = append(keep, e)
+			}
+		}
+		r.ended = keep
+	}
+	if h.WaitMs > 0 && len(r.ended) == 0 {
+		ch := r.changed
+		r.mu.Unlock()
+		t := time.NewTimer(time.Duration(h.WaitMs) * time.Millisecond)
+		select {
+		case <-ch:
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		t.Stop()
+		r.mu.Lock()
+		r.tick()
+		if ctx.Err() != nil || life != r.life || r.Dark {
+			return order.Reply{}
+		}
+	}
+	out := order.Reply{Code: 200}
+	out.Lists.ClockMs = r.clock()
+	out.Clock.ClockMs = r.clock()
+	for _, x := range r.runs {
+		out.Lists.Running = append(out.Lists.Running, []any{x.task, float64(x.run), "", float64(min(99, 100*x.did/max(x.need, 1)))})
+	}
+	for _, e := range r.ended {
+		out.Lists.Ended = append(out.Lists.Ended, []any{float64(e.N), e.Task, float64(e.Run), e.How, e.Saved})
+	}
+	return out
+}
+
+// beat is the runner's account of itself.
+func (r *Runner) beat() (string, wire.Beat) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tick()
+	r.seq++
+	b := wire.Beat{TargetService: r.Service, Address: "x:1", Zone: "z", State: "ready", FreeRoom: r.Room, Labels: r.Labels, ClockMs: r.clock(), CallSeq: r.seq}
+	if r.Drain {
+		b.State = "draining"
+		left := int64(5000)
+		b.LeavesAtMs = &left
+	}
+	return r.life, b
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -18,6 +18,7 @@
 type Limits struct {
 	KeepJobMs int64
 	Replans   int
+	Far       float64 // how many times as long a task takes away from its data
 }
 
 // Store is the whole state. Fields with small letters are derived.
@@ -83,6 +84,9 @@
 	m[a.ID] = a
 }
 
+// Far is the factor for work away from its data.
+func (s *Store) Far() float64 { return max(s.limits.Far, 1) }
+
 // Table looks lanes up.
 func (s *Store) Table() *desire.Table { return s.table }
 
