--- a/internal/core/logjob.go
+++ b/internal/core/logjob.go
@@ -71,5 +71,5 @@
 	}
 	st := j.Steps[a.Step]
 	_ = c.log.Log("level", "debug", "event", "run.ended", "task", a.Task(), "run", a.Run, "copy", a.Copy, "how", r.How, "why", a.Why, "worker", w.Node,
-		"waited_ms", a.From-j.Insts[a.K].Steps[a.Step].Since, "took_ms", r.At-a.From, "estimate_ms", st.EstimateMs, "far", st.NearTo != "" && !w.Has(st.NearTo), "priority", j.Priority)
+		"waited_ms", a.From-j.Insts[a.K].Steps[a.Step].Since, "took_ms", r.At-a.From, "estimate_ms", st.EstimateMs, "far", st.NearTo != "" && !w.Has(st.NearTo), "priority", j.Priority, "cpu", a.CPU)
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -180,6 +180,7 @@
 	Usual float64
 	peaks map[peakKey]*peak
 	lack  map[peakKey]weight
+	held  map[peakKey]weight
 	// SaveMs is how much work a run that saves its progress loses at most.
 	SaveMs int64
 }
@@ -262,6 +263,7 @@
 	}
 	p.lack = map[peakKey]weight{}
 	held, all := demand(s, ws)
+	p.held = held
 	p.note(s.Clock, all)
 	var out []store.Plan
 	left := tune.PlanTasks
@@ -348,7 +350,10 @@
 	})
 	var out []uint64
 	for _, k := range lacks {
-		need := p.lack[k]
+		need, own := p.lack[k], p.held[k]
+		// Why less: its own kind gives so much back before a stop would.
+		need.cpu -= tune.PushOwn * own.cpu
+		need.mem -= tune.PushOwn * own.mem
 		got := freed[k.service]
 		for _, v := range vs {
 			if got.cpu >= need.cpu && got.mem >= need.mem {
@@ -566,13 +571,17 @@
 		}
 		w := s.Workers[a.Worker]
 		st := j.Steps[a.Step]
-		usual := float64(st.EstimateMs) * max(p.Usual, 0.5)
+		usual, most := float64(st.EstimateMs)*max(p.Usual, 0.5), tune.CopyGuess
+		if q := in.Steps[a.Step]; q.TookN >= 2 {
+			// Why rather: tasks of one step are alike, estimates are rough.
+			usual, most = float64(q.Took)/float64(q.TookN), tune.CopyAfter
+		}
 		if st.NearTo != "" && w != nil && !w.Has(st.NearTo) {
 			usual *= s.Far()
 		}
 		age := float64(s.Clock - a.From)
 		bad := w == nil || !w.Bookable() && !w.Draining || p.Quiet[a.Worker] || a.Stopping
-		late := age > float64(tune.CopyLeast.Milliseconds()) && (age > tune.CopyAfter*usual || p.Speed[a.Worker] > tune.SlowFrom && age < usual)
+		late := age > float64(tune.CopyLeast.Milliseconds()) && (age > most*usual || p.Speed[a.Worker] > tune.SlowFrom && age < usual)
 		if !bad && !late {
 			continue
 		}
--- a/internal/store/ends.go
+++ b/internal/store/ends.go
@@ -104,6 +104,14 @@
 	if j.Steps[a.Step].LongRunning || in.Failed || j.Off {
 		return
 	}
+	if st := &in.Steps[a.Step]; a.Saved == "" {
+		took := float64(s.Clock - a.From)
+		if w, near := s.Workers[a.Worker], j.Steps[a.Step].NearTo; near != "" && w != nil && !w.Has(near) {
+			took /= s.Far()
+		}
+		st.Took += int64(took)
+		st.TookN++
+	}
 	if !j.Gang(a.Step) {
 		s.taskDone(j, in, a.Step, a.Index)
 		return
--- a/internal/store/job.go
+++ b/internal/store/job.go
@@ -24,6 +24,8 @@
 	Left  int   // tasks not done
 	Fails int   // of the gang
 	Fell  int   // the gang's run that failed last
+	Took  int64 // how long its done runs took together, as near their data
+	TookN int64
 	Tasks []Task
 }
 
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -152,9 +152,9 @@
 	LongTask = 2 * time.Second
 	// ShareLeast is the part of the room that long work may hold whatever
 	// urgent work is foreseen, so that it never starves.
-	ShareLeast = 0.2
+	ShareLeast = 0.1
 	// ShareLate is that part once it would miss its aim.
-	ShareLate = 0.4
+	ShareLate = 0.25
 	// Quiet is the silence of a side daemon after which its worker gets no
 	// new tasks; two renewals are lost by then.
 	Quiet = 900 * time.Millisecond
@@ -165,7 +165,9 @@
 	SlowFrom = 2.0
 	// CopyAfter is how many times its usual length a run may take before a
 	// step that allows it gets a copy elsewhere.
-	CopyAfter = 2.2
+	CopyAfter = 2.0
+	// CopyGuess is that factor while only a rough estimate is known.
+	CopyGuess = 4.0
 	// CopyLeast is the least age of a run that gets a copy.
 	CopyLeast = 250 * time.Millisecond
 	// ShareFree is the part of the room up to which long work may always
@@ -175,10 +177,13 @@
 	// its own kind gives room back so often.
 	PushAfter = 60 * time.Millisecond
 	// PushLoss is the most unsaved work, as time, that a run may lose by it.
-	PushLoss = 2500 * time.Millisecond
+	PushLoss = 1500 * time.Millisecond
 	// PushPause is the pause between two pushes; stops take a moment.
 	PushPause = 250 * time.Millisecond
 	// Linger is how long a question about a job whose last runs are under way
 	// may wait for ends that are listed but not yet settled: two commits.
 	Linger = 60 * time.Millisecond
+	// PushOwn is the part of what a priority holds that comes free by itself
+	// before a stopped run would give its room.
+	PushOwn = 0.6
 )
