--- a/cmd/tealpond/main.go
+++ b/cmd/tealpond/main.go
@@ -20,6 +20,7 @@
 	"tealpond/internal/kernel"
 	_ "tealpond/internal/order"
 	"tealpond/internal/setting"
+	"tealpond/internal/trace"
 	"tealpond/internal/tune"
 )
 
@@ -105,7 +106,8 @@
 	var id [6]byte
 	_, _ = rand.Read(id[:])
 	lg := log.With(leveled{log.NewLogfmtLogger(log.NewSyncWriter(bad)), levels[level]}, "node", set.NodeName, "role", m.Role)
-	b := kernel.Base{Setting: set, Log: lg, Life: hex.EncodeToString(id[:]), Reload: make(chan setting.Setting, 1)}
+	b := kernel.Base{Setting: set, Log: lg, Life: hex.EncodeToString(id[:]), Reload: make(chan setting.Setting, 1),
+		Trace: trace.NewRing(tune.TraceMarks)}
 	p, err := m.Make(b)
 	if err != nil {
 		fmt.Fprintln(bad, "tealpond:", err)
--- a/cmd/tealpond/tools.go
+++ b/cmd/tealpond/tools.go
@@ -1,38 +1,125 @@
 package main
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
 	"tealpond/internal/desire"
+	"tealpond/internal/fleet"
 	"tealpond/internal/setting"
+	"tealpond/internal/tune"
+)
+
+// Exit codes of tools.
+const (
+	exitUnknown = 3
+	exitNobody  = 4
 )
 
 // addTools adds the commands that are no daemons.
 func addTools(app *kingpin.Application, jobs map[string]func() int, out, bad io.Writer) {
-	c := app.Command("check", "Check a settings file (TOML) or a desired state (JSON).")
+	c := app.Command("check", "Check a settings file (TOML) or a desired state (JSON); each fault is printed with its place.")
 	file := c.Arg("file", "The file.").Required().String()
-	jobs[c.FullCommand()] = func() int {
-		raw, err := os.ReadFile(*file)
-		if err != nil {
-			fmt.Fprintln(bad, "tealpond:", err)
-			return exitFault
-		}
-		if len(raw) > 0 && raw[0] == '{' {
-			if _, err = desire.Read(raw); err == nil {
-				err = desire.Check(raw)
-			}
-		} else {
-			_, err = setting.Parse(*file, raw)
-		}
-		if err != nil {
-			fmt.Fprintln(bad, "tealpond:", err)
-			return exitFault
+	jobs[c.FullCommand()] = func() int { return check(*file, out, bad) }
+
+	t := app.Command("trace", "Follow one change through all daemons.")
+	tid := t.Arg("id", "A job's ID, a task's name, or desired/VERSION.").Required().String()
+	tat := t.Flag("at", "A daemon's address for daemons (HOST:PORT, the first inner port); may be repeated.").Required().Strings()
+	jobs[t.FullCommand()] = func() int { return follow(*tat, *tid, out, bad) }
+
+	q := app.Command("query", "Answer one SELECT over daemons, workers, devices, bookings, allocs, inboxes, jobs and rollups.")
+	text := q.Arg("sql", "The query.").Required().String()
+	qat := q.Flag("at", "A daemon's address for daemons; may be repeated.").Required().Strings()
+	most := q.Flag("limit", "The most rows that are printed.").Default("1000").Int()
+	jobs[q.FullCommand()] = func() int { return query(*qat, *text, *most, out, bad) }
+}
+
+func fault(bad io.Writer, err error) int {
+	fmt.Fprintln(bad, "tealpond:", err)
+	if errors.Is(err, fleet.ErrNobody) {
+		return exitNobody
+	}
+	return exitFault
+}
+
+func check(file string, out, bad io.Writer) int {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return fault(bad, err)
+	}
+	if strings.HasPrefix(strings.TrimSpace(string(raw)), "{") {
+		if _, err = desire.Read(raw); err == nil {
+			err = desire.Check(raw)
 		}
-		fmt.Fprintln(out, "ok")
-		return exitOK
+	} else {
+		_, err = setting.Parse(file, raw)
+	}
+	if err != nil {
+		return fault(bad, err)
+	}
+	fmt.Fprintln(out, "ok")
+	return exitOK
+}
+
+func follow(at []string, id string, out, bad io.Writer) int {
+	ctx, stop := context.WithTimeout(context.Background(), tune.ToolTime)
+	defer stop()
+	p, err := fleet.Follow(ctx, at, id)
+	if err != nil {
+		return fault(bad, err)
+	}
+	for _, s := range p.Steps {
+		fmt.Fprintf(out, "at=%s node=%s id=%s what=%q n=%d text=%q\n", time.Unix(0, s.At).UTC().Format("15:04:05.000000"), s.Node, s.ID, s.What, s.N, s.Text)
+	}
+	for _, n := range p.Silent {
+		fmt.Fprintf(bad, "tealpond: %s did not answer: its part is missing\n", n)
+	}
+	var nodes []string
+	for n := range p.Since {
+		nodes = append(nodes, n)
+	}
+	sort.Strings(nodes)
+	for _, n := range nodes {
+		fmt.Fprintf(bad, "tealpond: %s remembers since %s only\n", n, time.Unix(0, p.Since[n]).UTC().Format("15:04:05.000"))
+	}
+	if len(p.Steps) == 0 {
+		fmt.Fprintf(bad, "tealpond: nothing is known of %s\n", id)
+		return exitUnknown
+	}
+	return exitOK
+}
+
+func query(at []string, text string, most int, out, bad io.Writer) int {
+	ctx, stop := context.WithTimeout(context.Background(), tune.ToolTime)
+	defer stop()
+	f, err := fleet.Fetch(ctx, at)
+	if err != nil {
+		return fault(bad, err)
+	}
+	r, err := fleet.Query(ctx, f, text, most)
+	if err != nil {
+		return fault(bad, err)
+	}
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, strings.Join(r.Cols, "\t"))
+	for _, x := range r.Rows {
+		fmt.Fprintln(w, strings.Join(x, "\t"))
+	}
+	_ = w.Flush()
+	if r.Cut {
+		fmt.Fprintf(bad, "tealpond: only the first %d rows are printed\n", most)
+	}
+	if len(r.Short) > 0 {
+		fmt.Fprintf(bad, "tealpond: %s gave only a part of: %s\n", r.From, strings.Join(r.Short, ", "))
 	}
+	return exitOK
 }
--- a/internal/core/asks.go
+++ b/internal/core/asks.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"strconv"
 	"time"
 
 	"tealpond/internal/desire"
@@ -17,22 +18,25 @@
 var free = map[string]func(*Core, []byte, reply){
 	member.AskLead:  (*Core).askLead,
 	member.AskFound: (*Core).askFound,
+	member.AskTrace: (*Core).askTrace,
+	member.AskFleet: (*Core).askFleet,
 	askState:        func(c *Core, _ []byte, r reply) { r(c.state()) },
 }
 
 // led are those that only a leader under its lease answers.
 var led = map[string]func(*Core, []byte, *link.Stream, reply){
-	member.AskJoin:   (*Core).askJoin,
-	member.AskClaim:  (*Core).askClaim,
-	member.AskHandIn: (*Core).askHandIn,
-	member.AskStatus: (*Core).askStatus,
-	member.AskCancel: (*Core).askCancel,
-	member.AskPut:    (*Core).askPut,
-	member.AskRead:   (*Core).askRead,
-	member.AskTakeUp: (*Core).askTakeUp,
-	member.AskRenew:  (*Core).askRenew,
-	member.AskEnds:   (*Core).askEnds,
-	member.AskElig:   (*Core).askElig,
+	member.AskJoin:    (*Core).askJoin,
+	member.AskClaim:   (*Core).askClaim,
+	member.AskHandIn:  (*Core).askHandIn,
+	member.AskStatus:  (*Core).askStatus,
+	member.AskCancel:  (*Core).askCancel,
+	member.AskPut:     (*Core).askPut,
+	member.AskRead:    (*Core).askRead,
+	member.AskTakeUp:  (*Core).askTakeUp,
+	member.AskRenew:   (*Core).askRenew,
+	member.AskEnds:    (*Core).askEnds,
+	member.AskElig:    (*Core).askElig,
+	member.AskMembers: (*Core).askMembers,
 }
 
 func (c *Core) onAsk(a member.Ask, s *link.Stream, r reply) {
@@ -162,7 +166,8 @@
 		r(member.Answer{Code: 429, Text: "more work than can be finished", RetryMs: 2000})
 		return
 	}
-	c.add("handin", &store.HandIn{Host: m.Host, Path: m.Path, ID: id, Job: m.Job}, outcome(r))
+	c.trace.Add(id, "ordered", int64(c.node.LastIndex()+1), l.Name)
+	c.add("handin", &store.HandIn{Host: m.Host, Path: m.Path, ID: id, Job: m.Job}, c.traced(id, "settled", outcome(r)))
 }
 
 // crowded tells whether more waits than the room can finish in good time.
@@ -209,7 +214,8 @@
 		r(member.Answer{Code: 400, Text: "the ID wants 16 hex digits"})
 		return
 	}
-	c.add("cancel", &store.Cancel{ID: id}, outcome(r))
+	c.trace.Add(id, "cancel ordered", int64(c.node.LastIndex()+1), "")
+	c.add("cancel", &store.Cancel{ID: id}, c.traced(id, "cancel settled", outcome(r)))
 }
 
 func (c *Core) askPut(raw []byte, _ *link.Stream, r reply) {
@@ -218,7 +224,12 @@
 		r(member.Answer{Code: 400})
 		return
 	}
-	c.add("replace", &store.Replace{Base: p.Base, Raw: p.Raw}, outcome(r))
+	id := "desired"
+	if st, err := desire.Read(p.Raw); err == nil {
+		id = "desired/" + strconv.FormatInt(st.Version, 10)
+	}
+	c.trace.Add(id, "ordered", int64(c.node.LastIndex()+1), "")
+	c.add("replace", &store.Replace{Base: p.Base, Raw: p.Raw}, c.traced(id, "settled", outcome(r)))
 }
 
 func (c *Core) askRead(_ []byte, _ *link.Stream, r reply) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -18,6 +18,7 @@
 	"tealpond/internal/raft"
 	"tealpond/internal/setting"
 	"tealpond/internal/store"
+	"tealpond/internal/trace"
 	"tealpond/internal/tune"
 )
 
@@ -105,6 +106,8 @@
 	leaveTil time.Time
 	hold     time.Duration
 	tracks   tracker
+	trace    *trace.Ring
+	life     string
 	planner  place.Planner
 	seeds    atomic.Pointer[[]string]
 }
@@ -128,7 +131,7 @@
 	if why != "" {
 		_ = b.Log.Log("level", "warn", "event", "disk.foreign", "why", why, "disk", h.ID)
 	}
-	c := &Core{set: b.Setting, log: b.Log, held: h, dsk: d, seek: seek,
+	c := &Core{trace: b.Trace, life: b.Life, set: b.Setting, log: b.Log, held: h, dsk: d, seek: seek,
 		me: raft.Voter{Node: b.Setting.NodeName, Disk: h.ID, Addr: b.Setting.Inner()},
 		in: make(chan Event, 4096), jobs: make(chan disk.Job, tune.DiskInbox),
 		streams: map[string]*link.Stream{}, dialing: map[string]time.Time{}, addrs: map[string]string{}, back: map[string]*link.Stream{},
@@ -408,11 +411,13 @@
 			c.st.Fresh()
 		}
 		for _, r := range c.st.Closed() {
+			c.trace.Add(r.Alloc.Task(), "end applied", int64(r.Alloc.Run), r.How)
 			if c.led {
 				c.logRun(r)
 			}
 		}
 		for _, j := range c.st.Ended() {
+			c.trace.Add(j.ID, "over", int64(e.Index), j.Word())
 			if c.led {
 				c.logJob(j)
 			}
--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -201,6 +201,11 @@
 			o.EstMs = int64(float64(o.EstMs) * c.st.Far())
 		}
 	}
+	what := "start ordered"
+	if o.Stop {
+		what = "stop ordered"
+	}
+	c.trace.Add(o.Task, what, int64(o.Run), w.Node)
 	at.stream.Send(link.Frame{Kind: member.FrameOrder, Body: link.Pack(o)})
 }
 
--- a/internal/door/control.go
+++ b/internal/door/control.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -28,7 +27,8 @@
 	if err != nil {
 		return c.String(http.StatusBadRequest, wire.HeadBasedOn+": missing or no number")
 	}
-	if _, err := desire.Read(raw); err != nil {
+	st, err := desire.Read(raw)
+	if err != nil {
 		return c.String(http.StatusBadRequest, err.Error())
 	}
 	if err := desire.Check(raw); err != nil {
@@ -36,7 +36,11 @@
 	}
 	x, stop := context.WithTimeout(c.Request().Context(), tune.PutTime)
 	defer stop()
-	return e.control(c, e.Ask(x, member.AskPut, member.Put{Base: base, Raw: raw}))
+	id := "desired/" + strconv.FormatInt(st.Version, 10)
+	e.base.Trace.Add(id, "taken", base, "")
+	a := e.Ask(x, member.AskPut, member.Put{Base: base, Raw: raw})
+	e.base.Trace.Add(id, "answered", int64(a.Code), a.Text)
+	return e.control(c, a)
 }
 
 // serveRead: GET /-/Config.Read gives the newest desired state, as sent.
@@ -62,5 +66,3 @@
 	}
 	return c.String(a.Code, a.Text)
 }
-
-var _ = time.Second
--- a/internal/door/edge.go
+++ b/internal/door/edge.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -175,6 +176,10 @@
 		}
 		v := member.View{Known: e.seek.Known()}
 		r = member.Answer{Code: 200, Body: link.Pack(v)}
+	case member.AskTrace:
+		t := member.Traced{Node: e.set.NodeName, Role: "edge"}
+		t.Marks, t.Since = e.base.Trace.Of(string(a.Body))
+		r = member.Answer{Code: 200, Body: link.Pack(t)}
 	case member.AskFound:
 		var f member.Found
 		if link.Unpack(a.Body, &f) == nil {
@@ -235,6 +240,7 @@
 			continue
 		}
 		e.state.Store(s)
+		e.base.Trace.Add("desired/"+strconv.FormatInt(s.Version, 10), "applied", 0, "limits")
 		_ = e.log.Log("level", "info", "event", "news.applied", "version", s.Version)
 	}
 }
--- a/internal/door/job.go
+++ b/internal/door/job.go
@@ -145,7 +145,14 @@
 }
 
 func (r *round) ask() phase {
+	id := r.call.Path[strings.LastIndexByte(r.call.Path, '/')+1:]
+	if r.kind != member.AskStatus {
+		r.e.base.Trace.Add(id, "taken", 0, r.kind)
+	}
 	r.ans = r.e.Ask(r.ctx, r.kind, &r.call)
+	if r.kind != member.AskStatus {
+		r.e.base.Trace.Add(id, "answered", int64(r.ans.Code), r.kind)
+	}
 	return phaseAnswer
 }
 
@@ -209,5 +216,3 @@
 	}
 	return ""
 }
-
-var _ = strings.TrimSpace
--- /dev/null
+++ b/internal/fleet/client.go
@@ -0,0 +1,109 @@
+// Package fleet is for operators: it follows a change through all daemons and
+// answers SQL-like queries on the fleet's state. It only reads.
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/zeebo/errs"
+
+	"tealpond/internal/link"
+	"tealpond/internal/member"
+	"tealpond/internal/tune"
+)
+
+// Error is the class of faults of tools.
+var Error = errs.Class("fleet")
+
+// ErrNobody means that no daemon answered.
+var ErrNobody = Error.New("no daemon reachable")
+
+// AskAt asks one daemon once.
+func AskAt(ctx context.Context, addr, kind string, body []byte) (member.Answer, error) {
+	got := make(chan member.Answer, 1)
+	s, err := link.Dial(ctx, addr, func(e link.Event) {
+		var a member.Answer
+		if !e.Gone && e.Frame.Kind == member.FrameAnswer && link.Unpack(e.Frame.Body, &a) == nil {
+			select {
+			case got <- a:
+			default:
+			}
+		}
+	})
+	if err != nil {
+		return member.Answer{}, err
+	}
+	defer s.Close()
+	s.Send(link.Frame{Kind: member.FrameAsk, ID: 1, Body: link.Pack(member.Ask{Kind: kind, Body: body})})
+	t := time.NewTimer(tune.ToolRound)
+	defer t.Stop()
+	select {
+	case a := <-got:
+		return a, nil
+	case <-s.Done():
+		return member.Answer{}, Error.New("%s ended the stream", addr)
+	case <-t.C:
+		return member.Answer{}, Error.New("%s did not answer", addr)
+	case <-ctx.Done():
+		return member.Answer{}, ctx.Err()
+	}
+}
+
+// Members lists the core daemons known at the given addresses and, if there
+// is a leader, all daemons that hold a claim.
+func Members(ctx context.Context, at []string) (core []string, all []member.Claim, err error) {
+	seen := map[string]bool{}
+	heard := false
+	for _, a := range at {
+		r, e := AskAt(ctx, a, member.AskLead, nil)
+		var v member.View
+		if e != nil || link.Unpack(r.Body, &v) != nil {
+			continue
+		}
+		heard = true
+		for _, k := range v.Known {
+			if !seen[k] {
+				seen[k] = true
+				core = append(core, k)
+			}
+		}
+	}
+	if !heard {
+		return nil, nil, ErrNobody
+	}
+	run, stop := context.WithCancel(ctx)
+	defer stop()
+	s := member.NewSeeker(log.NewNopLogger(), "", append(append([]string(nil), at...), core...), nil, nil, nil)
+	go func() { _ = s.Run(run) }()
+	x, done := context.WithTimeout(ctx, tune.ToolRound)
+	defer done()
+	if r := s.Ask(x, member.AskMembers, struct{}{}); r.Code == 200 {
+		_ = link.Unpack(r.Body, &all)
+	}
+	return core, all, nil
+}
+
+// each asks many daemons side by side.
+func each(ctx context.Context, addrs []string, kind string, body []byte) map[string]member.Answer {
+	out := map[string]member.Answer{}
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	for _, a := range addrs {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			r, err := AskAt(ctx, a, kind, body)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			out[a] = r
+			mu.Unlock()
+		}()
+	}
+	all.Wait()
+	return out
+}
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -10,6 +10,7 @@
 	"github.com/zeebo/errs"
 
 	"tealpond/internal/setting"
+	"tealpond/internal/trace"
 )
 
 // Killed is the cause of a context that ends without grace.
@@ -26,6 +27,7 @@
 	Log     log.Logger
 	Life    string
 	Reload  chan setting.Setting
+	Trace   *trace.Ring
 }
 
 // Maker builds the plug of a role.
--- a/internal/member/calls.go
+++ b/internal/member/calls.go
@@ -4,6 +4,7 @@
 
 import (
 	"tealpond/internal/raft"
+	"tealpond/internal/trace"
 	"tealpond/internal/wire"
 )
 
@@ -49,21 +50,22 @@
 
 // Kinds of asks.
 const (
-	AskLead   = "lead"
-	AskFound  = "found"
-	AskJoin   = "join"
-	AskClaim  = "claim"
-	AskHandIn = "handin"
-	AskStatus = "status"
-	AskCancel = "cancel"
-	AskPut    = "put"
-	AskRead   = "read"
-	AskTakeUp = "takeup"
-	AskRenew  = "renew"
-	AskEnds   = "ends"
-	AskElig   = "eligible"
-	AskTrace  = "trace"
-	AskFleet  = "fleet"
+	AskLead    = "lead"
+	AskFound   = "found"
+	AskJoin    = "join"
+	AskClaim   = "claim"
+	AskHandIn  = "handin"
+	AskStatus  = "status"
+	AskCancel  = "cancel"
+	AskPut     = "put"
+	AskRead    = "read"
+	AskTakeUp  = "takeup"
+	AskRenew   = "renew"
+	AskEnds    = "ends"
+	AskElig    = "eligible"
+	AskTrace   = "trace"
+	AskFleet   = "fleet"
+	AskMembers = "members"
 )
 
 // View is the answer to AskLead.
@@ -99,6 +101,34 @@
 	Life string
 }
 
+// Traced is a daemon's answer to AskTrace.
+type Traced struct {
+	_     struct{} `cbor:",toarray"`
+	Node  string
+	Role  string
+	Since int64
+	Marks []trace.Mark
+}
+
+// Table is one table of the fleet's state.
+type Table struct {
+	_    struct{} `cbor:",toarray"`
+	Name string
+	Cols []string
+	Rows [][]any
+	Cut  bool
+}
+
+// Fleet is a core daemon's answer to AskFleet.
+type Fleet struct {
+	_       struct{} `cbor:",toarray"`
+	Node    string
+	Leads   bool
+	Applied uint64
+	Clock   int64
+	Tables  []Table
+}
+
 // Call is a sender's call about a job.
 type Call struct {
 	_    struct{} `cbor:",toarray"`
--- a/internal/order/plug.go
+++ b/internal/order/plug.go
@@ -9,6 +9,7 @@
 
 	"tealpond/internal/kernel"
 	"tealpond/internal/link"
+	"tealpond/internal/member"
 	"tealpond/internal/tune"
 	"tealpond/internal/wire"
 )
@@ -42,6 +43,11 @@
 	srv := &http.Server{Handler: e, ReadHeaderTimeout: tune.HeadTime, IdleTimeout: time.Minute}
 	go func() { _ = srv.Serve(ln) }()
 	go func() { _ = s.seek.Run(ctx) }()
+	if err := link.Serve(ctx, s.set.InnerSide(), s.onLink); err != nil {
+		// Why not fatal: only traces need it.
+		_ = s.log.Log("level", "warn", "event", "trace.unserved", "why", err)
+	}
+	go s.claim(ctx)
 	go func() {
 		for {
 			select {
@@ -57,6 +63,37 @@
 	return nil
 }
 
+// onLink answers a tracer.
+func (s *Side) onLink(ev link.Event) {
+	var a member.Ask
+	if ev.Gone || ev.Frame.Kind != member.FrameAsk || link.Unpack(ev.Frame.Body, &a) != nil {
+		return
+	}
+	r := member.Answer{Code: 400}
+	if a.Kind == member.AskTrace {
+		t := member.Traced{Node: s.set.NodeName, Role: "side"}
+		t.Marks, t.Since = s.trace.Of(string(a.Body))
+		r = member.Answer{Code: 200, Body: link.Pack(t)}
+	}
+	ev.Stream.Send(link.Frame{Kind: member.FrameAnswer, ID: ev.Frame.ID, Body: link.Pack(r)})
+}
+
+// claim renews this daemon's membership.
+func (s *Side) claim(ctx context.Context) {
+	t := time.NewTicker(tune.SideClaim)
+	defer t.Stop()
+	for {
+		x, stop := context.WithTimeout(ctx, tune.SideClaim)
+		s.seek.Ask(x, member.AskClaim, member.Claim{Node: s.set.NodeName, Role: "side", Zone: s.set.Zone, Addr: s.set.InnerSide(), Life: s.me})
+		stop()
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // serveBeat: POST /-/Runners.Heartbeat/ID with a Beat; 200 once heard.
 func (s *Side) serveBeat(c echo.Context) error {
 	var b wire.Beat
--- a/internal/order/side.go
+++ b/internal/order/side.go
@@ -12,6 +12,7 @@
 	"tealpond/internal/member"
 	"tealpond/internal/setting"
 	"tealpond/internal/store"
+	"tealpond/internal/trace"
 	"tealpond/internal/tune"
 	"tealpond/internal/wire"
 )
@@ -119,6 +120,7 @@
 	in    chan Event
 	seek  *member.Seeker
 	call  Caller
+	trace *trace.Ring
 	cur   *life
 	hands int
 	ctx   context.Context
@@ -128,7 +130,7 @@
 func key(task string, n int) string { return task + "/" + strconv.Itoa(n) }
 
 func newSide(b kernel.Base, call Caller) *Side {
-	s := &Side{set: b.Setting, log: b.Log, me: b.Life, in: make(chan Event, 1024), call: call}
+	s := &Side{set: b.Setting, log: b.Log, me: b.Life, in: make(chan Event, 1024), call: call, trace: b.Trace}
 	s.seek = member.NewSeeker(b.Log, "", b.Setting.Seeds(),
 		func(o member.Order) { s.in <- Event{order: &o} }, nil, func() {
 			go func() { s.in <- Event{renew: true} }()
@@ -366,9 +368,11 @@
 		r = &run{order: o}
 		l.runs[k] = r
 	}
+	what := "start received"
 	if o.Stop {
-		r.stopIt = true
+		r.stopIt, what = true, "stop received"
 	}
+	s.trace.Add(o.Task, what, int64(o.Run), "")
 }
 
 func (s *Side) rest(now time.Time) time.Duration {
@@ -515,6 +519,7 @@
 		if e.N > l.got {
 			l.got = e.N
 			fresh = append(fresh, e)
+			s.trace.Add(e.Task, "end listed", int64(e.Run), e.How)
 			if q := l.runs[key(e.Task, e.Run)]; q != nil && e.How == "done" && !q.begun.IsZero() && q.order.EstMs > 0 && q.order.Saved == "" {
 				l.samples = append(l.samples, sample{s.now.Sub(q.begun).Milliseconds() * 100 / q.order.EstMs, s.now})
 			}
@@ -642,6 +647,9 @@
 		switch {
 		case a.Code == 200:
 			l.seen = max(l.seen, top)
+			for _, e := range ends {
+				s.trace.Add(e.Task, "end acknowledged", e.N, "")
+			}
 		case a.Code == 409:
 			l.got = l.seen
 			if fence == l.fence {
@@ -754,6 +762,7 @@
 }
 
 func (s *Side) onStart(l *life, r *run, p Reply) {
+	s.trace.Add(r.order.Task, "start answered", int64(p.Code), p.Clock.Reason)
 	if r.st != starting {
 		return
 	}
--- a/internal/setting/setting.go
+++ b/internal/setting/setting.go
@@ -174,6 +174,11 @@
 // Inner is this daemon's address for other daemons.
 func (s *Setting) Inner() string { return s.innerAt(s.IPAddress) }
 
+// InnerSide is a side daemon's: two processes of one machine share its ports.
+func (s *Setting) InnerSide() string {
+	return fmt.Sprintf("%s:%d", s.IPAddress, min(s.InnerPortRange[0]+1, s.InnerPortRange[1]))
+}
+
 func (s *Setting) innerAt(ip string) string {
 	return fmt.Sprintf("%s:%d", ip, s.InnerPortRange[0])
 }
--- a/internal/sim/cluster.go
+++ b/internal/sim/cluster.go
@@ -19,6 +19,7 @@
 	"tealpond/internal/link"
 	"tealpond/internal/order"
 	"tealpond/internal/setting"
+	"tealpond/internal/trace"
 	"tealpond/internal/wire"
 )
 
@@ -138,7 +139,7 @@
 	d := c.daemons[name]
 	set := c.settings(d, lost)
 	ctx, kill := context.WithCancelCause(link.On(context.Background(), c.Net.Host(d.ip)))
-	b := kernel.Base{Setting: set, Log: log.NewLogfmtLogger(log.NewSyncWriter(c.out)), Life: fmt.Sprint(time.Now().UnixNano()), Reload: make(chan setting.Setting, 1)}
+	b := kernel.Base{Setting: set, Log: log.NewLogfmtLogger(log.NewSyncWriter(c.out)), Life: fmt.Sprint(time.Now().UnixNano()), Reload: make(chan setting.Setting, 1), Trace: trace.NewRing(4096)}
 	b.Log = log.With(b.Log, "t", log.Valuer(func() any { return time.Now().Format("05.000") }), "node", name)
 	var p kernel.Plug
 	if d.role == "side" {
--- /dev/null
+++ b/internal/sim/tools_test.go
@@ -0,0 +1,86 @@
+package sim
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tealpond/internal/fleet"
+	"tealpond/internal/link"
+)
+
+func (c *Cluster) tool() context.Context {
+	return link.On(context.Background(), c.Net.Host(c.ip(252)))
+}
+
+func TestTraceFollowsAJobThroughAllDaemons(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := Build(t, three)
+		defer c.End()
+		c.Ready()
+		c.HandIn(id(0), job(300, 500, 2))
+		c.Until("done", 5*time.Second, func() bool { return c.State("edge-4", id(0)) == "done" })
+		time.Sleep(time.Second)
+		// A diskless daemon is asked: it knows the core and, by it, all.
+		p, err := fleet.Follow(c.tool(), []string{c.IP("edge-4") + ":7720"}, id(0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		who := map[string]map[string]bool{}
+		for _, s := range p.Steps {
+			if who[s.What] == nil {
+				who[s.What] = map[string]bool{}
+			}
+			who[s.What][s.Node] = true
+		}
+		for what, n := range map[string]int{"taken": 1, "ordered": 1, "settled": 1, "answered": 1, "start ordered": 1, "start received": 1,
+			"start answered": 1, "end listed": 1, "end acknowledged": 1, "end applied": 3, "over": 3} {
+			if len(who[what]) < n {
+				t.Errorf("%q was noted by %d daemons, want %d", what, len(who[what]), n)
+			}
+		}
+		if len(p.Silent) > 0 {
+			t.Errorf("silent: %v", p.Silent)
+		}
+		p, err = fleet.Follow(c.tool(), []string{c.IP("edge-1") + ":7720"}, "desired/1")
+		if err != nil || len(p.Steps) < 4 {
+			t.Errorf("desired/1: %d steps, %v", len(p.Steps), err)
+		}
+		p, err = fleet.Follow(c.tool(), []string{c.IP("edge-1") + ":7720"}, "ffffffffffffffff")
+		if err != nil || len(p.Steps) != 0 {
+			t.Errorf("an unknown id: %d steps, %v", len(p.Steps), err)
+		}
+		c.Kill("side-1")
+		p, err = fleet.Follow(c.tool(), []string{c.IP("edge-1") + ":7720"}, id(0))
+		if err != nil || len(p.Silent) != 1 || p.Silent[0] != "side-1" {
+			t.Errorf("a lost daemon isn't named: %v, %v", p.Silent, err)
+		}
+		c.Start("side-1", 1)
+		if _, err = fleet.Follow(c.tool(), []string{"10.9.9.9:7720"}, id(0)); !errors.Is(err, fleet.ErrNobody) {
+			t.Errorf("nobody there: %v", err)
+		}
+	})
+}
+
+func TestFleetIsReadFromAFollower(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := Build(t, three)
+		defer c.End()
+		c.Ready()
+		c.HandIn(id(0), job(10000, 500, 2))
+		time.Sleep(2 * time.Second)
+		f, err := fleet.Fetch(c.tool(), []string{c.IP("edge-1") + ":7720"})
+		if err != nil || f.Leads {
+			t.Fatalf("leads %v, %v", f.Leads, err)
+		}
+		n := map[string]int{}
+		for _, x := range f.Tables {
+			n[x.Name] = len(x.Rows)
+		}
+		if n["workers"] != 3 || n["jobs"] != 1 || n["allocs"] != 2 || n["bookings"] != 2 || n["inboxes"] != 1 {
+			t.Errorf("rows: %v", n)
+		}
+	})
+}
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -186,4 +186,17 @@
 	// PushOwn is the part of what a priority holds that comes free by itself
 	// before a stopped run would give its room.
 	PushOwn = 0.6
+	// TraceMarks is the number of marks that each daemon keeps for traces:
+	// about a quarter of a megabyte, some seconds of a busy day.
+	TraceMarks = 2048
+	// SideClaim is the pause between two renewals of a side daemon's
+	// membership; the leader hears of it by its renewals of grants anyway.
+	SideClaim = 5 * time.Second
+	// ClaimTime is how long a claim lasts without a renewal.
+	ClaimTime = 15 * time.Second
+	// FleetRows is the most rows of one table that a query is given.
+	FleetRows = 5000
+	// ToolRound bounds one call of a tool to a daemon, ToolTime all of them.
+	ToolRound = 2 * time.Second
+	ToolTime  = 15 * time.Second
 )
