--- a/internal/member/seeker.go
+++ b/internal/member/seeker.go
@@ -341,7 +341,7 @@
 	places := s.places()
 	pause := time.Duration(0)
 	if s.fails > 0 {
-		pause = tune.Seek * time.Duration(min(s.fails, 4))
+		pause = tune.Seek * time.Duration(min(s.fails, 2))
 	}
 	go func() {
 		if pause > 0 {
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -82,7 +82,7 @@
 	n.synced = n.last()
 	// Why a whole wait after a start: a lease that this member confirmed
 	// before it ended may still be trusted.
-	n.resetWait()
+	n.wait = n.timing.Elect + n.timing.Beat/4 + time.Duration(n.rnd.Int63n(int64(n.timing.Spread)/2+1))
 	return n
 }
 
--- a/internal/sim/cluster.go
+++ b/internal/sim/cluster.go
@@ -361,6 +361,11 @@
 
 // CancelAt is Cancel at another inbox.
 func (c *Cluster) CancelAt(inbox, at, id string) int {
+	c.Hist.mu.Lock()
+	if j := c.Hist.Jobs[id]; j != nil {
+		j.OffWant = true
+	}
+	c.Hist.mu.Unlock()
 	code, _, _ := c.call(http.MethodDelete, "http://"+c.IP(at)+":8161"+inbox+id, "h", "", nil)
 	if code == 200 {
 		c.Hist.mu.Lock()
--- a/internal/sim/rules_test.go
+++ b/internal/sim/rules_test.go
@@ -37,6 +37,7 @@
 		"called off":      {"UNASKED", []Fact{start(5, "a", "off.0.0.0", 1)}},
 		"shown too early": {"MIXED", []Fact{{At: at(1), Kind: "shown", Job: "j", State: "done"}}},
 		"forgotten":       {"LOST", []Fact{{At: at(1), Kind: "shown", Job: "j", State: "410"}}},
+		"off by nobody":   {"LOST", []Fact{{At: at(1), Kind: "shown", Job: "j", State: "called_off"}}},
 		"turned away":     {"REFUSED", []Fact{start(1, "a", "no.0.0.0", 1)}},
 		"draining":        {"DRAIN", []Fact{{At: at(1), Kind: "draining", Node: "a", Life: "a"}, start(4, "a", "j.0.0.0", 1)}},
 	} {
