--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -48,6 +48,7 @@
 		c.swap()
 		c.sweep(now)
 		c.weigh(now)
+		c.evacuate(now)
 		c.dirty = c.dirty || len(c.planner.Quiet) > 0 || len(c.st.Allocs) > 0
 		c.logRoom(now)
 	}
@@ -253,3 +254,24 @@
 	}
 	c.planner.Quiet, c.planner.Speed = quiet, speed
 }
+
+// evacuate stops what still runs on workers that are about to leave: it would
+// die there, and its text would be lost.
+func (c *Core) evacuate(now time.Time) {
+	early := c.set.Bounds.StopGraceMs + tune.LeaveEarly.Milliseconds()
+	var ids []uint64
+	for _, w := range c.st.Workers {
+		if w.Dead || w.Lost || !w.Draining || w.LeavesAt == 0 || c.clock(now) < w.LeavesAt-early {
+			continue
+		}
+		for _, a := range c.st.On(w.ID) {
+			if !a.Stopping {
+				ids = append(ids, a.ID)
+			}
+		}
+	}
+	if len(ids) > 0 {
+		sort.Slice(ids, func(a, b int) bool { return ids[a] < ids[b] })
+		c.add("halt", &store.Halt{Allocs: ids, Why: "worker leaves"}, nil)
+	}
+}
--- a/internal/order/side.go
+++ b/internal/order/side.go
@@ -41,6 +41,8 @@
 	asked  uint64 // number of the last look begun when its call was answered
 	missed int
 	pct    int
+	pct0   int // when first seen
+	seen   bool
 	pctAt  time.Time // when pct last changed
 	begun  time.Time
 	saved  string
@@ -263,6 +265,7 @@
 }
 
 func (s *Side) drain(l *life, done chan int) {
+	_ = s.log.Log("level", "info", "event", "runner.drains", "runner", l.id, "leaves_in_ms", s.leavesIn(l), "clock_ms", l.beat.ClockMs)
 	s.ask(member.AskElig, &store.Eligible{ID: l.id, Draining: true, LeavesIn: s.leavesIn(l)}, 950*time.Millisecond, func(a member.Answer) {
 		if a.Code == 200 {
 			l.drain = true
@@ -467,6 +470,10 @@
 		if r.st == stopped {
 			wait = min(wait, 100*time.Millisecond)
 		}
+		if late := s.now.Sub(r.begun).Milliseconds() > 3*r.order.EstMs/2+100; r.st == started && late && !r.order.Lasts {
+			// Why sooner: it may stand still, and nothing would end the wait.
+			wait = min(wait, tune.HoldLate)
+		}
 	}
 	if l.silent > 0 {
 		// Why a short look that holds nothing: each hold sent to a runner that
@@ -596,6 +603,9 @@
 			continue
 		}
 		took := s.now.Sub(r.begun).Milliseconds()
+		if r.order.Saved != "" {
+			continue
+		}
 		if r.pct >= 5 {
 			all = append(all, r.pctAt.Sub(r.begun).Milliseconds()*100/int64(r.pct)*100/r.order.EstMs)
 		} else if took > 2*r.order.EstMs {
@@ -614,17 +624,28 @@
 	if q.begun.IsZero() {
 		q.begun, q.pctAt = s.now, s.now
 	}
+	if !q.seen {
+		// Why kept: a run that resumes begins in its middle.
+		q.seen, q.pct, q.pct0 = true, v.Percent, v.Percent
+		q.pctAt = s.now
+		return
+	}
 	if v.Percent != q.pct {
 		q.pct, q.pctAt = v.Percent, s.now
 		return
 	}
 	still := s.now.Sub(q.pctAt)
 	// Why by its own pace: a slow worker's long task moves a point rarely.
-	pace := q.pctAt.Sub(q.begun) / time.Duration(max(q.pct, 1))
-	if q.pct == 0 {
+	pace := q.pctAt.Sub(q.begun) / time.Duration(max(q.pct-q.pct0, 1))
+	if q.pct == q.pct0 {
 		pace = time.Duration(q.order.EstMs) * time.Millisecond / 100
 	}
-	if still < tune.StuckAfter || still < 8*pace || q.order.Lasts || q.stopIt || q.order.Worker == "" {
+	least := tune.StuckAfter
+	if q.order.Saved != "" {
+		// Why more: it makes no progress while it reads its saved text.
+		least += 2 * time.Duration(s.set.Bounds.RestoreMs) * time.Millisecond
+	}
+	if still < least || still < 8*pace || q.order.Lasts || q.stopIt || q.order.Worker == "" {
 		return
 	}
 	_ = s.log.Log("level", "warn", "event", "run.stuck", "task", v.Task, "run", v.Run, "percent", v.Percent, "still_ms", still.Milliseconds())
--- /dev/null
+++ b/internal/order/side_test.go
@@ -0,0 +1,41 @@
+package order
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"tealpond/internal/member"
+	"tealpond/internal/setting"
+	"tealpond/internal/wire"
+)
+
+// TestStuckIsToldFromRestoring: nbo-tealpond trouble-1 seed 12 stopped a
+// resumed run on one worker after another while it read its saved text.
+func TestStuckIsToldFromRestoring(t *testing.T) {
+	const task = "j.0.0.0"
+	for name, c := range map[string]struct {
+		saved string
+		est   int64
+		seen  []int // percent at looks 300 ms apart
+		stuck bool
+	}{
+		"restoring, then on":      {"x", 6000, []int{78, 78, 78, 78, 80, 84}, false},
+		"restored, then still":    {"x", 6000, []int{78, 78, 78, 80, 80, 80, 80, 80, 80, 80, 80, 80, 80, 80, 80, 80, 80, 80, 80, 80, 80, 80, 80, 80}, true},
+		"short and still":         {"", 300, []int{10, 60, 60, 60, 60}, true},
+		"long, a point at a time": {"", 60000, []int{0, 0, 1, 1, 2, 2, 3, 3}, false},
+		"still from the start":    {"", 300, []int{0, 0, 0, 0}, true},
+	} {
+		s := &Side{log: log.NewNopLogger(), now: time.Unix(1000, 0), set: setting.Setting{Bounds: setting.Bounds{RestoreMs: 600}}}
+		l := &life{runs: map[string]*run{}}
+		r := &run{order: member.Order{Worker: "w", Task: task, Run: 1, Saved: c.saved, EstMs: c.est}, st: started, begun: s.now, pctAt: s.now}
+		for _, p := range c.seen {
+			s.now = s.now.Add(300 * time.Millisecond)
+			s.progress(l, r, wire.Run{Task: task, Run: 1, Percent: p})
+		}
+		if r.stopIt != c.stuck {
+			t.Errorf("%s: stuck %v, want %v", name, r.stopIt, c.stuck)
+		}
+	}
+}
--- a/internal/sim/cluster_test.go
+++ b/internal/sim/cluster_test.go
@@ -277,3 +277,34 @@
 		}
 	})
 }
+
+// TestLongRunLeavesWithItsWorker: a run that can't end before its worker
+// leaves is stopped in time and goes on elsewhere.
+func TestLongRunLeavesWithItsWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := Build(t, three)
+		defer c.End()
+		c.Ready()
+		c.HandIn(id(0), job(7000, 500, 1))
+		time.Sleep(500 * time.Millisecond)
+		var left *Runner
+		for _, r := range c.Runners {
+			r.mu.Lock()
+			if len(r.runs) > 0 {
+				r.Drain, left = true, r
+			}
+			r.mu.Unlock()
+		}
+		time.Sleep(5500 * time.Millisecond)
+		left.mu.Lock()
+		left.tick()
+		if len(left.runs) > 0 {
+			t.Error("it still runs on a worker that has left")
+		}
+		left.mu.Unlock()
+		c.Until("done", 20*time.Second, func() bool { return c.State("edge-4", id(0)) == "done" })
+		for _, b := range c.Hist.Broken() {
+			t.Error(b)
+		}
+	})
+}
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -93,7 +93,7 @@
 	// LapseMargin is added before a silent runner's work is deemed over.
 	LapseMargin = 100 * time.Millisecond
 	// StuckAfter is the least time without progress before a run is stopped.
-	StuckAfter = 700 * time.Millisecond
+	StuckAfter = 450 * time.Millisecond
 	// StuckPause keeps a runner on which runs stood still out of plans.
 	StuckPause = 2500 * time.Millisecond
 
@@ -199,4 +199,11 @@
 	// ToolRound bounds one call of a tool to a daemon, ToolTime all of them.
 	ToolRound = 2 * time.Second
 	ToolTime  = 15 * time.Second
+	// HoldLate is the waitMs of a look while a run takes longer than was
+	// guessed.
+	HoldLate = 350 * time.Millisecond
+	// LeaveEarly is added to stopGraceMs: so long before a worker leaves, what
+	// still runs there is stopped, so that its end and its saved text are
+	// listed in time.
+	LeaveEarly = 350 * time.Millisecond
 )
