--- a/internal/sim/cluster.go
+++ b/internal/sim/cluster.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,7 +39,7 @@
 	outside *http.Client
 	beats   context.CancelFunc
 	moves   string
-	onLog   func(line string)
+	onLog   atomic.Pointer[func(line string)]
 }
 
 type daemon struct {
@@ -60,6 +61,8 @@
 	Name             string
 	// Moves is the file that turns moving on, if any.
 	Moves string
+	// Hist is a history shared with another cluster, if any.
+	Hist *History
 }
 
 // Build starts a cluster and waits for nothing.
@@ -77,6 +80,9 @@
 	if os.Getenv("TEALPOND_TEST_LOG") != "" {
 		c.out = os.Stderr
 	}
+	if s.Hist != nil {
+		c.Hist = s.Hist
+	}
 	lost := s.Lost
 	if lost == 0 {
 		lost = (s.Core - 1) / 2
@@ -176,8 +182,8 @@
 type watch struct{ c *Cluster }
 
 func (w watch) Write(p []byte) (int, error) {
-	if f := w.c.onLog; f != nil {
-		f(string(p))
+	if f := w.c.onLog.Load(); f != nil {
+		(*f)(string(p))
 	}
 	return w.c.out.Write(p)
 }
--- a/internal/sim/move_test.go
+++ b/internal/sim/move_test.go
@@ -41,11 +41,7 @@
 		lanes = "[[lanes]]\nhere = \"slow\"\npeer = \"b\"\nthere = \"slow\"\n"
 	}
 	a := Build(t, Shape{Core: 3, Side: 2, Net: n, Base: 1, Name: "a-", Moves: movesFile("a", "b", 2, crowded, bucket, day, lanes)})
-	b := Build(t, Shape{Core: 3, Side: 2, Net: n, Base: 2, Name: "b-", Moves: movesFile("b", "a", 1, 1, bucket, day, "")})
-	for _, r := range b.Runners {
-		r.h = a.Hist
-	}
-	b.Hist = a.Hist
+	b := Build(t, Shape{Core: 3, Side: 2, Net: n, Base: 2, Name: "b-", Hist: a.Hist, Moves: movesFile("b", "a", 1, 1, bucket, day, "")})
 	for _, c := range []*Cluster{a, b} {
 		c.Until("the first desired state is taken", 20*time.Second, func() bool { return c.Put(c.Name+"edge-1", 1, 0, slowLane) == 200 })
 	}
@@ -83,7 +79,8 @@
 				once.Do(func() { close(struck) })
 			}
 		}
-		a.onLog, b.onLog = see, see
+		a.onLog.Store(&see)
+		b.onLog.Store(&see)
 		go func() {
 			<-struck
 			fault(a, b)
