One chain of estimates, one test of far data; debug lines cost nothing when off

The longest chain stood in place twice and in core once; whether a task is away from its data in five places: now store.Job and store.Worker say it. Lines of runs, jobs and room were built on each end and dropped by the level: now built at debug only. A peer's offer, void and release no longer gather the whole work list, which only a loan needs. Dead fields and constants go; tune.RefusedPause serves where store repeated it. Behaviour is the same; the heap of a checkpoint loses one unused field of a worker.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -112,6 +112,7 @@
 	offs     map[string][]reply
 	trace    *trace.Ring
 	life     string
+	debug    bool
 	planner  place.Planner
 	seeds    atomic.Pointer[[]string]
 }
@@ -135,7 +136,7 @@
 	if why != "" {
 		_ = b.Log.Log("level", "warn", "event", "disk.foreign", "why", why, "disk", h.ID)
 	}
-	c := &Core{trace: b.Trace, life: b.Life, set: b.Setting, log: b.Log, held: h, dsk: d, seek: seek,
+	c := &Core{trace: b.Trace, life: b.Life, debug: b.Debug, set: b.Setting, log: b.Log, held: h, dsk: d, seek: seek,
 		me: raft.Voter{Node: b.Setting.NodeName, Disk: h.ID, Addr: b.Setting.Inner()},
 		in: make(chan Event, 4096), jobs: make(chan disk.Job, tune.DiskInbox),
 		streams: map[string]*link.Stream{}, dialing: map[string]time.Time{}, addrs: map[string]string{}, back: map[string]*link.Stream{},
@@ -419,13 +420,13 @@
 		}
 		for _, r := range c.st.Closed() {
 			c.trace.Add(r.Alloc.Task(), "end applied", int64(r.Alloc.Run), r.How)
-			if c.led {
+			if c.led && c.debug {
 				c.logRun(r)
 			}
 		}
 		for _, j := range c.st.Ended() {
 			c.trace.Add(j.ID, "over", int64(e.Index), j.Word())
-			if c.led {
+			if c.led && c.debug {
 				c.logJob(j)
 			}
 		}
--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -50,7 +50,9 @@
 		c.weigh(now)
 		c.evacuate(now)
 		c.dirty = c.dirty || len(c.planner.Quiet) > 0 || len(c.st.Allocs) > 0
-		c.logRoom(now)
+		if c.debug {
+			c.logRoom(now)
+		}
 	}
 	if due := c.st.NextDue(); due > 0 {
 		if left := time.Duration(due-c.wall(now)) * time.Millisecond; left <= 0 {
@@ -201,7 +203,7 @@
 		o.Spec, o.Saved = j.Spec, a.Saved
 		st := j.Steps[a.Step]
 		o.EstMs, o.Lasts = st.EstimateMs, st.LongRunning
-		if st.NearTo != "" && !w.Has(st.NearTo) {
+		if w.FarFrom(st.NearTo) {
 			o.EstMs = int64(float64(o.EstMs) * c.st.Far())
 		}
 	}
--- a/internal/core/logjob.go
+++ b/internal/core/logjob.go
@@ -18,21 +18,7 @@
 		}
 	}
 	_ = c.log.Log("level", "debug", "event", "job.ended", "job", j.ID, "lane", j.Lane, "priority", j.Priority, "state", j.Word(),
-		"took_ms", j.EndedAt-j.Born, "aim_ms", int64(j.Stretch*float64(chainOf(j)))+j.TargetMs, "steps", strings.TrimSpace(b.String()))
-}
-
-func chainOf(j *store.Job) int64 {
-	best := int64(0)
-	ends := make([]int64, len(j.Steps))
-	for i, st := range j.Steps {
-		from := int64(0)
-		for _, d := range st.DependsOn {
-			from = max(from, ends[d])
-		}
-		ends[i] = from + st.EstimateMs
-		best = max(best, ends[i])
-	}
-	return best
+		"took_ms", j.EndedAt-j.Born, "aim_ms", j.Aim(), "steps", strings.TrimSpace(b.String()))
 }
 
 // logRoom tells, once a second, how full the workers are.
@@ -71,5 +57,5 @@
 	}
 	st := j.Steps[a.Step]
 	_ = c.log.Log("level", "debug", "event", "run.ended", "task", a.Task(), "run", a.Run, "copy", a.Copy, "how", r.How, "why", a.Why, "worker", w.Node,
-		"waited_ms", a.From-j.Insts[a.K].Steps[a.Step].Since, "took_ms", r.At-a.From, "estimate_ms", st.EstimateMs, "far", st.NearTo != "" && !w.Has(st.NearTo), "priority", j.Priority, "cpu", a.CPU)
+		"waited_ms", a.From-j.Insts[a.K].Steps[a.Step].Since, "took_ms", r.At-a.From, "estimate_ms", st.EstimateMs, "far", w.FarFrom(st.NearTo), "priority", j.Priority, "cpu", a.CPU)
 }
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -72,7 +72,7 @@
 // work gathers open moves, candidates and the record of demand.
 func (c *Core) work() move.Work {
 	s := c.st
-	w := move.Work{Leads: true, Epoch: s.Epoch, Index: c.node.Applied(), Clock: s.Clock, Wall: s.Wall, Demand: map[int64]float64{}}
+	w := move.Work{Leads: true, Epoch: s.Epoch, Index: c.node.Applied(), Wall: s.Wall, Demand: map[int64]float64{}}
 	may, there := map[string]bool{}, map[string]string{}
 	services := map[string]bool{}
 	for _, l := range c.moves.Lanes {
@@ -89,12 +89,11 @@
 			continue
 		}
 		if may[j.Lane] && !j.Began && j.RunTimes == 0 && !j.Move.Guest && !lasts(j) {
-			cpu, sum := int64(0), 0.0
+			cpu := int64(0)
 			for _, st := range j.Steps {
 				cpu = max(cpu, st.CPUUnits*int64(st.TaskCount))
-				sum += float64(st.TaskCount) * float64(st.CPUUnits*st.EstimateMs)
 			}
-			w.Free = append(w.Free, move.Candidate{Job: j.ID, Lane: j.Lane, Priority: j.Priority, CPU: cpu, Work: sum, Rounds: j.Move.Rounds})
+			w.Free = append(w.Free, move.Candidate{Job: j.ID, Lane: j.Lane, Priority: j.Priority, CPU: cpu, Rounds: j.Move.Rounds})
 		}
 	}
 	if len(services) == 0 {
@@ -157,9 +156,9 @@
 		}
 		say(word, o.N)
 	}
-	w := c.work()
 	switch q.Kind {
 	case move.CallLoan:
+		w := c.work()
 		spare := c.moves.Spare(w)
 		if c.moves.Crowded(w) || spare < q.CPU {
 			say("crowded", spare)
@@ -189,7 +188,7 @@
 	}
 }
 
-// lendService is the service whose room is lent: that of the first lane.
+// lendService is the service whose room is lent: the first by name.
 func (c *Core) lendService() string {
 	best := ""
 	for n := range c.st.Services {
@@ -235,5 +234,5 @@
 	if c.moves == nil {
 		return 0
 	}
-	return int64(float64(c.st.Wall) / 1000 / c.moves.BucketS)
+	return c.moves.BucketOf(c.st.Wall)
 }
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -28,6 +28,8 @@
 	Life    string
 	Reload  chan setting.Setting
 	Trace   *trace.Ring
+	// Debug tells whether lines of that level are kept at all.
+	Debug bool
 	// Moves names the file that turns moving between clusters on.
 	Moves string
 }
--- a/internal/move/calls.go
+++ b/internal/move/calls.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 
 	"tealpond/internal/link"
-	"tealpond/internal/store"
 	"tealpond/internal/wire"
 )
 
@@ -89,7 +88,6 @@
 	Leads bool
 	Epoch string
 	Index uint64
-	Clock int64
 	Wall  int64
 	// Open are moves that the peer must settle.
 	Open []Open
@@ -121,8 +119,5 @@
 	Lane     string
 	Priority int
 	CPU      int64
-	Work     float64
 	Rounds   int
 }
-
-var _ = store.MoveNone
--- a/internal/move/mover.go
+++ b/internal/move/mover.go
@@ -132,8 +132,8 @@
 	return foresee.Shape{PerDay: int64(s.DayS / s.BucketS), Least: s.LeastDays}
 }
 
-// bucketOf is the bucket of a true time in ms.
-func (s *Setting) bucketOf(wall int64) int64 { return int64(float64(wall) / 1000 / s.BucketS) }
+// BucketOf is the bucket of a true time in ms.
+func (s *Setting) BucketOf(wall int64) int64 { return int64(float64(wall) / 1000 / s.BucketS) }
 
 // limit is the demand of a bucket, in core-ms, from which it is crowded.
 func (s *Setting) limit(room int64) float64 {
@@ -145,13 +145,13 @@
 	if w.Room == 0 {
 		return false
 	}
-	_, _, ok := foresee.Crowded(w.Demand, s.bucketOf(w.Wall)-1, int64(s.Horizon)+1, s.limit(w.Room), s.shape())
+	_, _, ok := foresee.Crowded(w.Demand, s.BucketOf(w.Wall)-1, int64(s.Horizon)+1, s.limit(w.Room), s.shape())
 	return ok
 }
 
 // Spare is the room, in thousandths of a core, that may be lent.
 func (s *Setting) Spare(w Work) int64 {
-	free, ok := foresee.Free(w.Demand, s.bucketOf(w.Wall)-1, int64(s.Horizon)+1, s.limit(w.Room), s.shape())
+	free, ok := foresee.Free(w.Demand, s.BucketOf(w.Wall)-1, int64(s.Horizon)+1, s.limit(w.Room), s.shape())
 	if !ok {
 		return 0
 	}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -61,20 +61,6 @@
 	not    map[string]bool
 }
 
-func chain(j *store.Job) int64 {
-	best := int64(0)
-	ends := make([]int64, len(j.Steps))
-	for i, st := range j.Steps {
-		from := int64(0)
-		for _, d := range st.DependsOn {
-			from = max(from, ends[d])
-		}
-		ends[i] = from + st.EstimateMs
-		best = max(best, ends[i])
-	}
-	return best
-}
-
 // Wants lists what waits, the most urgent first.
 func wants(s *store.Store) []want {
 	var out []want
@@ -107,10 +93,10 @@
 					continue
 				}
 				if aim == 0 {
-					aim = int64(j.Stretch*float64(chain(j))) + j.TargetMs
+					aim = j.Aim()
 				}
 				w.slack = in.Born + aim - s.Clock
-				w.class, w.due = classOf(s.Clock, in.Born, aim, rest(j, in))
+				w.class, w.due = classOf(s.Clock, in.Born, aim, j.Rest(in))
 				out = append(out, w)
 			}
 		}
@@ -143,24 +129,6 @@
 // (the rules' own figure).
 const lateFactor = 3
 
-// rest is the longest chain of estimates that is not yet done.
-func rest(j *store.Job, in *store.Inst) int64 {
-	best := int64(0)
-	ends := make([]int64, len(j.Steps))
-	for i, st := range j.Steps {
-		from := int64(0)
-		for _, d := range st.DependsOn {
-			from = max(from, ends[d])
-		}
-		ends[i] = from
-		if in.Steps[i].Left > 0 {
-			ends[i] += st.EstimateMs
-		}
-		best = max(best, ends[i])
-	}
-	return best
-}
-
 // gangTasks are all of a gang, or none while a member still holds its room.
 func gangTasks(st *store.StepState) []store.Item {
 	var out []store.Item
@@ -402,7 +370,7 @@
 		}
 	}
 	least := tune.ShareLeast
-	if w.slack < chain(w.j) {
+	if w.slack < w.j.Chain() {
 		// Why more: it misses its aim if it waits longer.
 		least = tune.ShareLate
 	}
@@ -560,7 +528,7 @@
 		return false
 	}
 	est := float64(w.j.Steps[w.step].EstimateMs) * max(v.p.Usual, 0.5)
-	return w.copies || w.class == 0 && est*f > est+float64(max(w.slack-rest(w.j, w.in), 0))
+	return w.copies || w.class == 0 && est*f > est+float64(max(w.slack-w.j.Rest(w.in), 0))
 }
 
 // copies are tasks of steps that allow it whose only run is in trouble: on a
@@ -591,7 +559,7 @@
 			// Why rather: tasks of one step are alike, estimates are rough.
 			usual, most = float64(q.Took)/float64(q.TookN), tune.CopyAfter
 		}
-		if st.NearTo != "" && w != nil && !w.Has(st.NearTo) {
+		if w != nil && w.FarFrom(st.NearTo) {
 			usual *= s.Far()
 		}
 		age := float64(s.Clock - a.From)
@@ -617,7 +585,7 @@
 func (v *view) cost(sl *slot, w want) float64 {
 	st := w.j.Steps[w.step]
 	t := v.speed(sl)
-	if st.NearTo != "" && !sl.w.Has(st.NearTo) {
+	if sl.w.FarFrom(st.NearTo) {
 		t *= v.s.Far()
 	}
 	cpu := float64(sl.cpu-st.CPUUnits) / float64(max(sl.w.Room.CPUUnits, 1))
--- a/internal/store/ends.go
+++ b/internal/store/ends.go
@@ -1,6 +1,9 @@
 package store
 
-import "tealpond/internal/wire"
+import (
+	"tealpond/internal/tune"
+	"tealpond/internal/wire"
+)
 
 // Ends commits what a worker listed: ends, and progress that was saved.
 type Ends struct {
@@ -33,7 +36,7 @@
 		}
 		if a := s.find(c.Worker, e.Task, e.Run); a != nil {
 			if e.How == "refused" {
-				w.ShunTill = s.Clock + shunMs
+				w.ShunTill = s.Clock + tune.RefusedPause.Milliseconds()
 			}
 			s.endRun(a, e.How, e.Saved)
 		}
@@ -41,9 +44,6 @@
 	return Outcome{Code: 200, N: w.Seen}
 }
 
-// shunMs keeps a worker that refused a start out of plans for a moment.
-const shunMs = 300
-
 func (s *Store) find(worker, task string, run int) *Alloc {
 	for _, a := range s.byWork[worker] {
 		if a.Run == run && a.Task() == task {
@@ -106,7 +106,7 @@
 	}
 	if st := &in.Steps[a.Step]; a.Saved == "" {
 		took := float64(s.Clock - a.From)
-		if w, near := s.Workers[a.Worker], j.Steps[a.Step].NearTo; near != "" && w != nil && !w.Has(near) {
+		if w := s.Workers[a.Worker]; w != nil && w.FarFrom(j.Steps[a.Step].NearTo) {
 			took /= s.Far()
 		}
 		st.Took += int64(took)
--- a/internal/store/job.go
+++ b/internal/store/job.go
@@ -292,3 +292,29 @@
 	}
 	return sum
 }
+
+// Chain is the longest chain of estimates, Rest that of what is not yet done.
+func (j *Job) Chain() int64 { return j.longest(func(int) bool { return true }) }
+
+// Rest is Chain without the steps that are done.
+func (j *Job) Rest(in *Inst) int64 {
+	return j.longest(func(i int) bool { return in.Steps[i].Left > 0 })
+}
+
+// Aim is the time a job may take and still count in full.
+func (j *Job) Aim() int64 { return int64(j.Stretch*float64(j.Chain())) + j.TargetMs }
+
+func (j *Job) longest(counts func(step int) bool) int64 {
+	best := int64(0)
+	ends := make([]int64, len(j.Steps))
+	for i, st := range j.Steps {
+		for _, d := range st.DependsOn {
+			ends[i] = max(ends[i], ends[d])
+		}
+		if counts(i) {
+			ends[i] += st.EstimateMs
+		}
+		best = max(best, ends[i])
+	}
+	return best
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -9,7 +9,6 @@
 	"strconv"
 
 	"tealpond/internal/desire"
-	"tealpond/internal/wire"
 )
 
 // Forever is the end of a booking that closes when the worker lists its end.
@@ -205,5 +204,3 @@
 	}
 	return cpu, used
 }
-
-var _ = wire.Job{}
--- a/internal/store/worker.go
+++ b/internal/store/worker.go
@@ -24,7 +24,6 @@
 	Ver      uint64
 	Seen     int64 // the highest end that was committed
 	ShunTill int64 // turned a start away lately
-	Speed    int64 // its work takes so many hundredths of the usual, 0 unknown
 }
 
 // Rack is the label of the worker's rack: its kind comes first, its rack last.
@@ -45,6 +44,9 @@
 	return false
 }
 
+// FarFrom tells whether work whose data lies near a rack is away from it here.
+func (w *Worker) FarFrom(near string) bool { return near != "" && !w.Has(near) }
+
 // Bookable is the predicate of eligibility.
 func (w *Worker) Bookable() bool { return !w.Draining && !w.Sick && !w.Lost && !w.Dead }
 
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -76,9 +76,6 @@
 	// OrderRound bounds one start or stop at the runner; the runner is on
 	// the same machine, so silence means that the order was swallowed.
 	OrderRound = 250 * time.Millisecond
-	// OrderRounds is how many rounds an order gets before it is left to the
-	// lists and the lapse.
-	OrderRounds = 40
 	// OrderHands is the number of calls to a runner under way at once.
 	OrderHands = 4
 	// HoldReach is how far an untilMs that is sent lies ahead at most. A
