--- a/internal/core/found.go
+++ b/internal/core/found.go
@@ -78,8 +78,9 @@
 // tellSeeds announces to the first seed that answers.
 func (c *Core) tellSeeds(ctx context.Context, f member.Found) {
 	for _, a := range *c.seeds.Load() {
-		p, ok := askOnce(ctx, a, f)
-		if !ok {
+		r, err := member.AskAt(ctx, a, member.AskFound, link.Pack(f), tune.Dial)
+		var p member.Proposal
+		if err != nil || link.Unpack(r.Body, &p) != nil {
 			continue
 		}
 		select {
@@ -90,35 +91,6 @@
 	}
 }
 
-func askOnce(ctx context.Context, addr string, f member.Found) (member.Proposal, bool) {
-	got := make(chan member.Proposal, 1)
-	s, err := link.Dial(ctx, addr, func(e link.Event) {
-		var a member.Answer
-		var p member.Proposal
-		if !e.Gone && link.Unpack(e.Frame.Body, &a) == nil && link.Unpack(a.Body, &p) == nil {
-			select {
-			case got <- p:
-			default:
-			}
-		}
-	})
-	if err != nil {
-		return member.Proposal{}, false
-	}
-	defer s.Close()
-	s.Send(link.Frame{Kind: member.FrameAsk, ID: 1, Body: link.Pack(member.Ask{Kind: member.AskFound, Body: link.Pack(f)})})
-	t := time.NewTimer(tune.Dial)
-	defer t.Stop()
-	select {
-	case p := <-got:
-		return p, true
-	case <-t.C:
-	case <-s.Done():
-	case <-ctx.Done():
-	}
-	return member.Proposal{}, false
-}
-
 func (c *Core) onProposal(p member.Proposal) {
 	if c.node != nil || len(p.Set) == 0 {
 		return
--- a/internal/core/tools.go
+++ b/internal/core/tools.go
@@ -24,9 +24,7 @@
 
 // askTrace answers from this daemon's own ring.
 func (c *Core) askTrace(raw []byte, r reply) {
-	t := member.Traced{Node: c.set.NodeName, Role: "edge"}
-	t.Marks, t.Since = c.trace.Of(string(raw))
-	r(member.Answer{Code: 200, Body: link.Pack(t)})
+	r(member.AnswerTrace(c.trace, c.set.NodeName, "edge", raw))
 }
 
 // askMembers lists who holds a claim, and the core.
--- a/internal/door/edge.go
+++ b/internal/door/edge.go
@@ -190,9 +190,7 @@
 		v := member.View{Known: e.seek.Known()}
 		r = member.Answer{Code: 200, Body: link.Pack(v)}
 	case member.AskTrace:
-		t := member.Traced{Node: e.set.NodeName, Role: "edge"}
-		t.Marks, t.Since = e.base.Trace.Of(string(a.Body))
-		r = member.Answer{Code: 200, Body: link.Pack(t)}
+		r = member.AnswerTrace(e.base.Trace, e.set.NodeName, "edge", a.Body)
 	case member.AskFound:
 		var f member.Found
 		if link.Unpack(a.Body, &f) == nil {
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/go-kit/log"
 	"github.com/zeebo/errs"
@@ -21,44 +20,13 @@
 // ErrNobody means that no daemon answered.
 var ErrNobody = Error.New("no daemon reachable")
 
-// AskAt asks one daemon once.
-func AskAt(ctx context.Context, addr, kind string, body []byte) (member.Answer, error) {
-	got := make(chan member.Answer, 1)
-	s, err := link.Dial(ctx, addr, func(e link.Event) {
-		var a member.Answer
-		if !e.Gone && e.Frame.Kind == member.FrameAnswer && link.Unpack(e.Frame.Body, &a) == nil {
-			select {
-			case got <- a:
-			default:
-			}
-		}
-	})
-	if err != nil {
-		return member.Answer{}, err
-	}
-	defer s.Close()
-	s.Send(link.Frame{Kind: member.FrameAsk, ID: 1, Body: link.Pack(member.Ask{Kind: kind, Body: body})})
-	t := time.NewTimer(tune.ToolRound)
-	defer t.Stop()
-	select {
-	case a := <-got:
-		return a, nil
-	case <-s.Done():
-		return member.Answer{}, Error.New("%s ended the stream", addr)
-	case <-t.C:
-		return member.Answer{}, Error.New("%s did not answer", addr)
-	case <-ctx.Done():
-		return member.Answer{}, ctx.Err()
-	}
-}
-
 // Members lists the core daemons known at the given addresses and, if there
 // is a leader, all daemons that hold a claim.
 func Members(ctx context.Context, at []string) (core []string, all []member.Claim, err error) {
 	seen := map[string]bool{}
 	heard := false
 	for _, a := range at {
-		r, e := AskAt(ctx, a, member.AskLead, nil)
+		r, e := member.AskAt(ctx, a, member.AskLead, nil, tune.ToolRound)
 		var v member.View
 		if e != nil || link.Unpack(r.Body, &v) != nil {
 			continue
@@ -95,7 +63,7 @@
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			r, err := AskAt(ctx, a, kind, body)
+			r, err := member.AskAt(ctx, a, kind, body, tune.ToolRound)
 			if err != nil {
 				return
 			}
--- a/internal/fleet/query.go
+++ b/internal/fleet/query.go
@@ -10,6 +10,7 @@
 
 	"tealpond/internal/link"
 	"tealpond/internal/member"
+	"tealpond/internal/tune"
 )
 
 // Result is a bounded answer to a query.
@@ -32,7 +33,7 @@
 	}
 	var lead *member.Fleet
 	for _, a := range core {
-		r, err := AskAt(ctx, a, member.AskFleet, nil)
+		r, err := member.AskAt(ctx, a, member.AskFleet, nil, tune.ToolRound)
 		var f member.Fleet
 		if err != nil || link.Unpack(r.Body, &f) != nil {
 			continue
--- a/internal/order/plug.go
+++ b/internal/order/plug.go
@@ -71,9 +71,7 @@
 	}
 	r := member.Answer{Code: 400}
 	if a.Kind == member.AskTrace {
-		t := member.Traced{Node: s.set.NodeName, Role: "side"}
-		t.Marks, t.Since = s.trace.Of(string(a.Body))
-		r = member.Answer{Code: 200, Body: link.Pack(t)}
+		r = member.AnswerTrace(s.trace, s.set.NodeName, "side", a.Body)
 	}
 	ev.Stream.Send(link.Frame{Kind: member.FrameAnswer, ID: ev.Frame.ID, Body: link.Pack(r)})
 }
