--- a/internal/sim/cluster_test.go
+++ b/internal/sim/cluster_test.go
@@ -161,43 +161,29 @@
 func TestRunnerDarkAndBack(t *testing.T) {
 	run(t, three, func(c *Cluster) {
 		r := c.Runners["side-2"]
-		r.mu.Lock()
-		r.Dark = true
-		r.mu.Unlock()
+		r.set(func() { r.Dark = true })
 		time.Sleep(4 * time.Second)
-		r.mu.Lock()
-		r.Dark = false
-		r.mu.Unlock()
+		r.set(func() { r.Dark = false })
 	}, nil)
 }
 
 func TestTasksStandStill(t *testing.T) {
 	run(t, three, func(c *Cluster) {
 		r := c.Runners["side-1"]
-		r.mu.Lock()
-		r.tick()
-		r.Hang = true
-		r.mu.Unlock()
+		r.set(func() { r.Hang = true })
 		time.Sleep(5 * time.Second)
-		r.mu.Lock()
-		r.tick()
-		r.Hang = false
-		r.mu.Unlock()
+		r.set(func() { r.Hang = false })
 	}, nil)
 }
 
 func TestOrdersCarriedOutLate(t *testing.T) {
 	run(t, three, func(c *Cluster) {
 		for _, r := range c.Runners {
-			r.mu.Lock()
-			r.Late = 0.3
-			r.mu.Unlock()
+			r.set(func() { r.Late = 0.3 })
 		}
 		time.Sleep(6 * time.Second)
 		for _, r := range c.Runners {
-			r.mu.Lock()
-			r.Late = 0
-			r.mu.Unlock()
+			r.set(func() { r.Late = 0 })
 		}
 	}, nil)
 }
@@ -216,9 +202,7 @@
 func TestWorkerDrains(t *testing.T) {
 	run(t, three, func(c *Cluster) {
 		r := c.Runners["side-3"]
-		r.mu.Lock()
-		r.Drain = true
-		r.mu.Unlock()
+		r.set(func() { r.Drain = true })
 	}, nil)
 }
 
--- a/internal/sim/runner.go
+++ b/internal/sim/runner.go
@@ -73,6 +73,14 @@
 	return int64(float64(time.Since(r.clock0).Milliseconds()) / r.slow)
 }
 
+// set changes how the runner behaves from now on.
+func (r *Runner) set(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tick()
+	f()
+}
+
 // Crash ends this life; the next one runs nothing and knows no fence.
 func (r *Runner) Crash() {
 	r.mu.Lock()
