--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -114,6 +114,7 @@
 	life     string
 	debug    bool
 	planner  place.Planner
+	meter    *meter
 	seeds    atomic.Pointer[[]string]
 }
 
@@ -141,7 +142,7 @@
 		in: make(chan Event, 4096), jobs: make(chan disk.Job, tune.DiskInbox),
 		streams: map[string]*link.Stream{}, dialing: map[string]time.Time{}, addrs: map[string]string{}, back: map[string]*link.Stream{},
 		waits: map[uint64]waiter{}, att: map[string]*attached{}, claims: map[string]claimed{}, lingers: map[string][]linger{}, offs: map[string][]reply{},
-		hold: b.Setting.HoldFor(tune.Hold)}
+		hold: b.Setting.HoldFor(tune.Hold), meter: newMeter(b.Debug)}
 	c.Seeds(b.Setting.Seeds())
 	c.found.Least = 2*b.Setting.Tolerate.LostMachines + 1
 	if c.st, err = store.Load(h.Point.Data, limits(b.Setting)); err != nil {
@@ -201,6 +202,7 @@
 }
 
 func (c *Core) take(ctx context.Context, e Event) {
+	defer c.meter.span("take")()
 	switch {
 	case e.Link != nil:
 		c.onLink(e.Link)
@@ -209,6 +211,8 @@
 	case e.Own != nil:
 		c.onOwn(e.Own)
 	case e.Wrote != nil:
+		c.meter.add("disk_writes", 1)
+		c.meter.add("disk_jobs", len(e.Wrote))
 		for _, j := range e.Wrote {
 			c.inDisk--
 			if c.node != nil {
@@ -266,8 +270,10 @@
 		}
 		return
 	}
+	c.meter.add("bytes_in", len(e.Frame.Body))
 	switch e.Frame.Kind {
 	case member.FrameRaft:
+		c.meter.add("raft_in", 1)
 		var m raft.Msg
 		if link.Unpack(e.Frame.Body, &m) != nil || m.To != c.me.Disk {
 			// Why dropped: addresses are reused, and it is meant for another.
@@ -290,6 +296,7 @@
 			return
 		}
 		s, id := e.Stream, e.Frame.ID
+		c.meter.add("ask_"+a.Kind, 1)
 		c.onAsk(a, s, func(r member.Answer) {
 			r.Desired = c.st.Desired.Version
 			s.Send(link.Frame{Kind: member.FrameAnswer, ID: id, Body: link.Pack(r)})
@@ -313,7 +320,10 @@
 			c.dial(ctx, addr)
 			continue
 		}
-		if !s.Send(link.Frame{Kind: member.FrameRaft, Body: link.Pack(m)}) {
+		raw := link.Pack(m)
+		c.meter.add("raft_out", 1)
+		c.meter.add("raft_bytes_out", len(raw))
+		if !s.Send(link.Frame{Kind: member.FrameRaft, Body: raw}) {
 			// Why here too: a stream may have ended before it was noted.
 			delete(c.streams, addr)
 			c.dial(ctx, addr)
@@ -348,6 +358,11 @@
 	if c.node == nil {
 		return 0
 	}
+	c.meter.add("loops", 1)
+	if l := c.meter.line(now); l != nil {
+		_ = c.log.Log(l...)
+	}
+	defer c.meter.span("rest")()
 	wake := c.node.Tick(now)
 	c.apply()
 	if d := c.duty(now); d > 0 && d < wake {
@@ -405,6 +420,7 @@
 }
 
 func (c *Core) apply() {
+	defer c.meter.span("apply")()
 	for _, e := range c.node.Settled() {
 		if e.Kind == raft.EntryConf {
 			_ = c.log.Log("level", "info", "event", "core.conf", "index", e.Index, "voters", len(c.node.ConfAt(e.Index)))
@@ -452,6 +468,8 @@
 		return
 	}
 	b, rs := c.batch, c.replies
+	c.meter.add("proposals", 1)
+	c.meter.add("commands", len(b))
 	c.batch, c.replies = nil, nil
 	i, ok := uint64(0), false
 	if c.node.Ready() {
--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -63,7 +63,10 @@
 	}
 	if c.dirty && !c.booking {
 		c.dirty = false
-		if ps := c.planner.Plan(c.st); len(ps) > 0 {
+		done := c.meter.span("plan")
+		ps := c.planner.Plan(c.st)
+		done()
+		if len(ps) > 0 {
 			c.booking = true
 			c.add("book", &store.Book{Plans: ps}, func(store.Outcome, bool) { c.booking = false })
 		}
@@ -212,6 +215,7 @@
 		what = "stop ordered"
 	}
 	c.trace.Add(o.Task, what, int64(o.Run), w.Node)
+	c.meter.add("orders", 1)
 	at.stream.Send(link.Frame{Kind: member.FrameOrder, Body: link.Pack(o)})
 }
 
--- a/internal/sim/cluster.go
+++ b/internal/sim/cluster.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"runtime/pprof"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -170,12 +171,13 @@
 		}
 	}
 	d.kill, d.done, d.first = kill, make(chan struct{}), false
-	go func() {
+	// Why labels: a profile then tells the daemons of one process apart.
+	go pprof.Do(ctx, pprof.Labels("role", d.role, "node", name), func(ctx context.Context) {
 		if err := p.Run(ctx); err != nil {
 			c.T.Errorf("%s: %v", name, err)
 		}
 		close(d.done)
-	}()
+	})
 }
 
 // watch hands each line of a log to the test.
