--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -94,6 +94,7 @@
 	base     int64
 	dirty    bool
 	booking  bool
+	moving   bool // timed jobs are being moved on
 	pushed   time.Time
 	lastPt   uint64
 	inDisk   int
--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -56,7 +56,12 @@
 	}
 	if due := c.st.NextDue(); due > 0 {
 		if left := time.Duration(due-c.wall(now)) * time.Millisecond; left <= 0 {
-			c.add("sweep", &store.Sweep{}, nil)
+			// Why one at a time: until it is applied the run stays due, and
+			// each turn of the loop would add another.
+			if !c.moving {
+				c.moving = true
+				c.add("sweep", &store.Sweep{}, func(store.Outcome, bool) { c.moving = false })
+			}
 		} else if left < wake {
 			wake = left
 		}
@@ -92,7 +97,7 @@
 			c.att[id] = &attached{granted: now, heard: now}
 		}
 	}
-	c.dirty, c.booking = true, false
+	c.dirty, c.booking, c.moving = true, false, false
 	c.swept, c.rebuilt = now, now
 	c.wallSet = false
 	if c.moves != nil && c.st.Epoch == "" {
