A rush that comes a bucket later is still foreseen; a loan looks over all its time

A loan was also judged by the horizon only, not by how long it lasts.

Change: each bucket is compared with the nearest of three; Spare looks as far as the loan. TestRushABucketLater fails on the old forecast.

--- a/internal/foresee/forecast.go
+++ b/internal/foresee/forecast.go
@@ -26,6 +26,12 @@
 // usual is what earlier days showed around this time of day: neighbours are
 // drawn in, since a rush begins a little sooner or later each day.
 func usual(r Record, at, now int64, s Shape) (mean, spread float64, days int) {
+	return around(r, at, now, s, []float64{1, 2, 1})
+}
+
+// around is usual with the weights by which neighbours are drawn in; their
+// middle one is that of the bucket itself.
+func around(r Record, at, now int64, s Shape, near []float64) (mean, spread float64, days int) {
 	sum, all := 0.0, 0.0
 	var seen []float64
 	for d, w := range weights {
@@ -34,8 +40,9 @@
 			b -= s.PerDay
 		}
 		v, n := 0.0, 0.0
-		for o, f := range []float64{1, 2, 1} {
-			if x, ok := r[b+int64(o)-1]; ok && b+int64(o)-1 <= now {
+		for o, f := range near {
+			place := b + int64(o-len(near)/2)
+			if x, ok := r[place]; ok && place <= now {
 				v += x * f
 				n += f
 			}
@@ -69,10 +76,19 @@
 	}
 	had, should := 0.0, 0.0
 	for b := now - recent + 1; b <= now; b++ {
-		m, _, n := usual(r, b, b-1, s)
-		if v, ok := r[b]; ok && n > 0 {
+		// Why the nearest of three buckets, each by itself: a rush that comes
+		// a bucket later than yesterday's would make today seem so calm that
+		// it is not believed at all.
+		v, ok := r[b]
+		near, found := 0.0, false
+		for o := int64(-1); ok && o <= 1; o++ {
+			if m, _, n := around(r, b+o, b-1, s, []float64{1}); n > 0 && (!found || math.Abs(m-v) < math.Abs(near-v)) {
+				near, found = m, true
+			}
+		}
+		if found {
 			had += v
-			should += m
+			should += near
 		}
 	}
 	// Why damped: part of what is unusual now has passed by then.
--- a/internal/foresee/forecast_test.go
+++ b/internal/foresee/forecast_test.go
@@ -111,3 +111,27 @@
 		t.Error("a rush foreseen at night")
 	}
 }
+
+// TestRushABucketLater: found by the simulation, where days drifted by a part
+// of a bucket; the rush had not begun, and the forecast took the day for calm.
+func TestRushABucketLater(t *testing.T) {
+	r := Record{}
+	for day := int64(0); day < 4; day++ {
+		for b := int64(0); b < 20; b++ {
+			v := 1.0
+			if from := 9 + min(day, 1); b >= from && b < from+5 {
+				v = 100
+			}
+			if now := day*20 + b; now <= 3*20+9 {
+				r[now] = v
+			}
+		}
+	}
+	r[3*20+9] = 1
+	for d := int64(0); d < 3; d++ {
+		r[d*20+9] = 60
+	}
+	if _, _, ok := Crowded(r, 3*20+9, 3, 50, Shape{PerDay: 20, Least: 1}); !ok {
+		t.Error("the rush is not foreseen")
+	}
+}
--- a/internal/move/mover.go
+++ b/internal/move/mover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"sort"
 	"time"
 
@@ -151,7 +152,10 @@
 
 // Spare is the room, in thousandths of a core, that may be lent.
 func (s *Setting) Spare(w Work) int64 {
-	free, ok := foresee.Free(w.Demand, s.BucketOf(w.Wall)-1, int64(s.Horizon)+1, s.limit(w.Room), s.shape())
+	// Why the whole loan: room that is free until the own rush begins would
+	// still be out when it does.
+	ahead := max(int64(s.Horizon), int64(math.Ceil(s.LoanS/s.BucketS))) + 1
+	free, ok := foresee.Free(w.Demand, s.BucketOf(w.Wall)-1, ahead, s.limit(w.Room), s.shape())
 	if !ok {
 		return 0
 	}
