Entries are proposed in groups while the leader's disk is writing

Cause: each command became an entry of its own: 1,000 to 5,500 entries a second, each a message to and from each of 7 voters.

Change: entries at least 3 ms apart, 12 while the own disk is busy.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -94,6 +94,7 @@
 	base     int64
 	dirty    bool
 	booking  bool
+	proposed time.Time
 	moving   bool // timed jobs are being moved on
 	pushed   time.Time
 	lastPt   uint64
@@ -369,7 +370,9 @@
 	if d := c.duty(now); d > 0 && d < wake {
 		wake = d
 	}
-	c.propose(now)
+	if d := c.propose(now); d > 0 && d < wake {
+		wake = d
+	}
 	for {
 		o := c.node.Take()
 		if o.Empty() {
@@ -464,10 +467,22 @@
 	c.replies = append(c.replies, reply)
 }
 
-func (c *Core) propose(now time.Time) {
+// propose puts what waits into the log as one entry. While the last entry is
+// on its way to this disk, more commands gather behind it: each entry costs a
+// message to and from every voter. It returns when to come back.
+func (c *Core) propose(now time.Time) time.Duration {
 	if len(c.batch) == 0 {
-		return
+		return 0
 	}
+	least := tune.GroupLeast
+	if c.inDisk > 0 {
+		// Why bounded: this disk may stall while a majority settles.
+		least = tune.GroupMost
+	}
+	if left := least - now.Sub(c.proposed); left > 0 {
+		return left
+	}
+	c.proposed = now
 	b, rs := c.batch, c.replies
 	c.meter.add("proposals", 1)
 	c.meter.add("commands", len(b))
@@ -482,9 +497,10 @@
 				r(store.Outcome{}, false)
 			}
 		}
-		return
+		return 0
 	}
 	c.waits[i] = waiter{term: c.node.Term(), reply: rs}
+	return 0
 }
 
 // clock is the store's clock: it goes on from the newest stamp in the log.
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -34,6 +34,14 @@
 	// DiskInbox is the number of writes that may wait for the disk task.
 	DiskInbox = 8192
 
+	// GroupLeast is the least time between two entries: commands that come
+	// within it share one, and so one message to and from each voter.
+	GroupLeast = 3 * time.Millisecond
+	// GroupMost is that time while the leader's own disk is still writing; a
+	// sync takes 0.5 to 5 ms, bbolt needs two, and a disk that takes longer
+	// must not hold up the others.
+	GroupMost = 12 * time.Millisecond
+
 	// Gather is how long the set of founders must stay the same.
 	Gather = 1200 * time.Millisecond
 	// Announce is the pause between two announcements of a core candidate.
