--- a/internal/core/asks.go
+++ b/internal/core/asks.go
@@ -24,20 +24,28 @@
 }
 
 // led are those that only a leader under its lease answers.
-var led = map[string]func(*Core, []byte, *link.Stream, reply){
-	member.AskJoin:    (*Core).askJoin,
-	member.AskClaim:   (*Core).askClaim,
-	member.AskHandIn:  (*Core).askHandIn,
-	member.AskStatus:  (*Core).askStatus,
-	member.AskCancel:  (*Core).askCancel,
-	member.AskPut:     (*Core).askPut,
-	member.AskRead:    (*Core).askRead,
-	member.AskTakeUp:  (*Core).askTakeUp,
-	member.AskRenew:   (*Core).askRenew,
-	member.AskEnds:    (*Core).askEnds,
-	member.AskElig:    (*Core).askElig,
-	member.AskMembers: (*Core).askMembers,
-	member.AskPeer:    (*Core).askPeer,
+var led map[string]func(*Core, []byte, *link.Stream, reply)
+
+func init() {
+	// Why here: some of them look others up.
+	led = map[string]func(*Core, []byte, *link.Stream, reply){
+		member.AskJoin:    (*Core).askJoin,
+		member.AskClaim:   (*Core).askClaim,
+		member.AskHandIn:  (*Core).askHandIn,
+		member.AskStatus:  (*Core).askStatus,
+		member.AskCancel:  (*Core).askCancel,
+		member.AskPut:     (*Core).askPut,
+		member.AskRead:    (*Core).askRead,
+		member.AskTakeUp:  (*Core).askTakeUp,
+		member.AskRenew:   (*Core).askRenew,
+		member.AskEnds:    (*Core).askEnds,
+		member.AskElig:    (*Core).askElig,
+		member.AskMembers: (*Core).askMembers,
+		member.AskPeer:    (*Core).askPeer,
+		member.AskGrants:  (*Core).askGrants,
+		member.AskMany:    (*Core).askMany,
+		member.AskYield:   (*Core).askYield,
+	}
 }
 
 func (c *Core) onAsk(a member.Ask, s *link.Stream, r reply) {
@@ -51,6 +59,9 @@
 		return
 	}
 	if c.node == nil || !c.node.Ready() || !c.led || !c.node.Lease(time.Now()) {
+		if c.node != nil && !c.led && c.sumUp(a, s, r) {
+			return
+		}
 		r(member.Answer{Code: member.NotLead, Lead: c.leadAddr()})
 		return
 	}
@@ -70,6 +81,7 @@
 		v.Term = c.node.Term()
 		v.Leads = c.led && c.node.Ready() && c.node.Lease(time.Now())
 		v.Lead = c.leadAddr()
+		v.Sums = v.Lead != "" && c.sums(time.Now())
 		for _, m := range c.node.Voters() {
 			v.Known = append(v.Known, m.Addr)
 		}
@@ -256,7 +268,6 @@
 				a = &attached{granted: time.Now(), heard: time.Now()}
 				c.att[t.ID] = a
 			}
-			a.stream = nil
 			_ = c.log.Log("level", "info", "event", "worker.takeup", "worker", t.ID, "node", t.Node, "fence", o.N)
 		}
 		outcome(r)(o, ok)
@@ -290,26 +301,15 @@
 		r(member.Answer{Code: 400})
 		return
 	}
-	w := c.st.Workers[n.Worker]
-	if w == nil || w.Dead {
-		r(member.Answer{Code: 410, Text: "unknown worker"})
+	if code := c.grant(n.Worker, n.Fence, time.Now()); code != 200 {
+		r(member.Answer{Code: code, Text: "take the worker up again"})
 		return
 	}
-	a := c.att[n.Worker]
-	if w.Lost || w.Fence != n.Fence || a == nil || a.lapsing {
-		r(member.Answer{Code: 409, Text: "take the worker up again"})
-		return
-	}
-	a.granted = time.Now()
-	a.heard, a.ratio = a.granted, n.Ratio
-	if a.stream != s && s != nil {
-		a.stream = s
-		// Why all of them: what an earlier leader sent may be lost.
-		for _, x := range c.st.On(n.Worker) {
-			c.order(x)
-		}
-	}
-	r(member.Answer{Code: 200, N: c.hold.Milliseconds()})
+	c.att[n.Worker].ratio = n.Ratio
+	c.attach(n, s)
+	ans := member.Answer{Code: 200, N: c.hold.Milliseconds()}
+	ans.Home, ans.Next = c.home(n.Worker)
+	r(ans)
 }
 
 // linger is a sender who waits a moment for a job's last ends to settle.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-kit/log"
 
+	"tealpond/internal/agg"
 	"tealpond/internal/disk"
 	"tealpond/internal/kernel"
 	"tealpond/internal/link"
@@ -33,6 +34,8 @@
 	Peer  *peerUp
 	Found *member.Proposal
 	Leave chan struct{}
+	// Raised is the leader's answer to what this daemon summed up.
+	Raised *raised
 }
 
 // Local is an ask of this process.
@@ -54,10 +57,8 @@
 
 // attached is a side daemon's hold on a worker, as the leader sees it.
 type attached struct {
-	stream  *link.Stream
 	granted time.Time
 	lapsing bool
-	gone    time.Time
 	heard   time.Time
 	ratio   int64
 }
@@ -87,6 +88,13 @@
 	batch    []store.Raw
 	replies  []func(store.Outcome, bool)
 	att      map[string]*attached
+	kids     map[string]*kid // side daemons that turn to this one, by worker
+	unsynced bool
+	orders   map[*link.Stream][]member.Order
+	agg      *agg.Agg
+	sets     map[string]seats // by the disk of their aggregator
+	posts    posts
+	leadSeen time.Time
 	claims   map[string]claimed
 	lingers  map[string][]linger
 	led      bool
@@ -108,6 +116,7 @@
 	roomAt   time.Time
 	leaving  []chan struct{}
 	leaveTil time.Time
+	handing  bool // the lead is being handed on
 	hold     time.Duration
 	tracks   tracker
 	moves    *move.Setting
@@ -143,7 +152,8 @@
 		me: raft.Voter{Node: b.Setting.NodeName, Disk: h.ID, Addr: b.Setting.Inner()},
 		in: make(chan Event, 4096), jobs: make(chan disk.Job, tune.DiskInbox),
 		streams: map[string]*link.Stream{}, dialing: map[string]time.Time{}, addrs: map[string]string{}, back: map[string]*link.Stream{},
-		waits: map[uint64]waiter{}, att: map[string]*attached{}, claims: map[string]claimed{}, lingers: map[string][]linger{}, offs: map[string][]reply{},
+		waits: map[uint64]waiter{}, att: map[string]*attached{}, claims: map[string]claimed{}, lingers: map[string][]linger{},
+		kids: map[string]*kid{}, orders: map[*link.Stream][]member.Order{}, agg: agg.New(h.ID), sets: map[string]seats{}, posts: newPosts(), offs: map[string][]reply{},
 		hold: b.Setting.HoldFor(tune.Hold), meter: newMeter(b.Debug)}
 	c.Seeds(b.Setting.Seeds())
 	c.found.Least = 2*b.Setting.Tolerate.LostMachines + 1
@@ -236,18 +246,41 @@
 		} else {
 			c.dialing[e.Peer.addr] = time.Now().Add(100 * time.Millisecond)
 		}
+	case e.Raised != nil:
+		c.onRaised(e.Raised)
 	case e.Found != nil:
 		c.onProposal(*e.Found)
 	case e.Leave != nil:
 		c.leaving = append(c.leaving, e.Leave)
 		if c.node != nil && c.node.Leads() {
 			c.node.Transfer()
+			c.handing = true
 			c.leaveTil = time.Now().Add(300 * time.Millisecond)
+		} else if c.node != nil {
+			c.yield(ctx)
 		}
 	}
 }
 
-// Leave hands the lead on before the process ends.
+// yield has this daemon's zones given to their standbys before it ends.
+func (c *Core) yield(ctx context.Context) {
+	mine := false
+	for _, d := range c.st.Duties {
+		mine = mine || d.Disk == c.me.Disk
+	}
+	c.agg.Drop(member.Answer{Code: member.NotLead})
+	if !mine {
+		return
+	}
+	c.leaveTil = time.Now().Add(150 * time.Millisecond)
+	go func() {
+		x, stop := context.WithTimeout(ctx, 150*time.Millisecond)
+		defer stop()
+		c.seek.Ask(x, member.AskYield, &member.Yield{Disk: c.me.Disk})
+	}()
+}
+
+// Leave hands the lead or the duties on before the process ends.
 func (c *Core) Leave() {
 	done := make(chan struct{})
 	c.in <- Event{Leave: done}
@@ -264,12 +297,7 @@
 				delete(c.streams, a)
 			}
 		}
-		for _, a := range c.att {
-			if a.stream == e.Stream {
-				a.stream = nil
-				a.gone = time.Now()
-			}
-		}
+		c.dropKids(e.Stream)
 		return
 	}
 	c.meter.add("bytes_in", len(e.Frame.Body))
@@ -300,7 +328,10 @@
 		s, id := e.Stream, e.Frame.ID
 		c.meter.add("ask_"+a.Kind, 1)
 		c.onAsk(a, s, func(r member.Answer) {
-			r.Desired = c.st.Desired.Version
+			r.Desired = max(r.Desired, c.st.Desired.Version)
+			if r.At == 0 && c.node != nil {
+				r.At = c.node.Applied()
+			}
 			s.Send(link.Frame{Kind: member.FrameAnswer, ID: id, Body: link.Pack(r)})
 		})
 	}
@@ -370,6 +401,9 @@
 	if d := c.duty(now); d > 0 && d < wake {
 		wake = d
 	}
+	if d := c.raise(ctx, now); d > 0 && d < wake {
+		wake = d
+	}
 	if d := c.propose(now); d > 0 && d < wake {
 		wake = d
 	}
@@ -386,6 +420,7 @@
 			}
 			c.st = st
 			c.lastPt = o.Point.Index
+			c.resync()
 		}
 		if o.Writes() || len(o.After) > 0 && c.inDisk > 0 {
 			c.inDisk++
@@ -395,13 +430,15 @@
 		}
 		c.apply()
 	}
+	c.giveOrders()
 	c.checkpoint()
 	c.settleOffs()
 	if d := c.settleLingers(now); d > 0 && d < wake {
 		wake = d
 	}
 	for _, l := range c.leaving {
-		if !c.node.Leads() || now.After(c.leaveTil) {
+		// Why both: a lead is gone once another has it; duties are told of.
+		if now.After(c.leaveTil) || c.handing && !c.node.Leads() {
 			close(l)
 			c.leaving = nil
 			break
@@ -434,10 +471,6 @@
 		}
 		out := c.st.Run(e.Data)
 		c.dirty = true
-		if !c.led {
-			// Why dropped: only a leader gives orders.
-			c.st.Fresh()
-		}
 		for _, r := range c.st.Closed() {
 			c.trace.Add(r.Alloc.Task(), "end applied", int64(r.Alloc.Run), r.How)
 			if c.led && c.debug {
--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -4,8 +4,6 @@
 	"sort"
 	"time"
 
-	"tealpond/internal/link"
-	"tealpond/internal/member"
 	"tealpond/internal/place"
 	"tealpond/internal/raft"
 	"tealpond/internal/store"
@@ -36,16 +34,12 @@
 	if !c.led {
 		c.lead(now)
 	}
-	for _, id := range c.st.Fresh() {
-		if a := c.st.Allocs[id]; a != nil {
-			c.order(a)
-		}
-	}
 	wake := tune.Beat
 	if now.Sub(c.checks) >= tune.Beat {
 		c.checks = now
 		c.lapses(now)
 		c.swap()
+		c.appoint(now)
 		c.sweep(now)
 		c.weigh(now)
 		c.evacuate(now)
@@ -88,7 +82,10 @@
 
 func (c *Core) lead(now time.Time) {
 	c.led, c.ledAt, c.base = true, now, c.st.Clock
-	c.st.Fresh()
+	c.sets, c.posts = map[string]seats{}, newPosts()
+	// Why all anew: while this one became leader, orders may have been kept
+	// back for workers that it knew nothing of yet.
+	c.resync()
 	c.att = map[string]*attached{}
 	for id, w := range c.st.Workers {
 		if !w.Dead && !w.Lost {
@@ -118,12 +115,11 @@
 			}
 		}
 	}
-	for _, a := range c.att {
-		if a.stream != nil {
-			// Why closed: side daemons then look for the new leader at once.
-			a.stream.Close()
-		}
+	for _, k := range c.kids {
+		// Why closed: side daemons then look for the new leader at once.
+		k.stream.Close()
 	}
+	c.kids = map[string]*kid{}
 	c.att = map[string]*attached{}
 }
 
@@ -195,35 +191,6 @@
 	c.add("sweep", &store.Sweep{Rebuild: again}, nil)
 }
 
-// order pushes a start or a stop to the side daemon of its worker.
-func (c *Core) order(a *store.Alloc) {
-	at := c.att[a.Worker]
-	w := c.st.Workers[a.Worker]
-	if at == nil || at.stream == nil || w == nil || at.lapsing {
-		return
-	}
-	o := member.Order{Worker: a.Worker, Fence: w.Fence, Stop: a.Stopping, Task: a.Task(), Run: a.Run}
-	if !a.Stopping {
-		j := c.st.Jobs[a.Job]
-		if j == nil {
-			return
-		}
-		o.Spec, o.Saved = j.Spec, a.Saved
-		st := j.Steps[a.Step]
-		o.EstMs, o.Lasts = st.EstimateMs, st.LongRunning
-		if w.FarFrom(st.NearTo) {
-			o.EstMs = int64(float64(o.EstMs) * c.st.Far())
-		}
-	}
-	what := "start ordered"
-	if o.Stop {
-		what = "stop ordered"
-	}
-	c.trace.Add(o.Task, what, int64(o.Run), w.Node)
-	c.meter.add("orders", 1)
-	at.stream.Send(link.Frame{Kind: member.FrameOrder, Body: link.Pack(o)})
-}
-
 // wall is the true time: the middle of the members' offsets, and never a lone
 // jump of this one.
 func (c *Core) wall(now time.Time) int64 {
--- a/internal/member/calls.go
+++ b/internal/member/calls.go
@@ -46,6 +46,13 @@
 	RetryMs int64
 	Body    []byte
 	Desired int64
+	// At is how far the answerer's log was applied: who has an answer and
+	// turns to another daemon must not be told of an older state.
+	At uint64
+	// Home is who sums up for the asker's zone, Next its standby; empty: the
+	// leader itself.
+	Home string
+	Next string
 }
 
 // Kinds of asks.
@@ -69,6 +76,9 @@
 	AskMoves   = "moves"
 	AskCommand = "command"
 	AskPeer    = "peer"
+	AskGrants  = "grants"
+	AskMany    = "many"
+	AskYield   = "yield"
 )
 
 // View is the answer to AskLead.
@@ -78,6 +88,8 @@
 	Term  uint64
 	Lead  string
 	Known []string
+	// Sums tells that it takes side daemons' asks and speaks for them.
+	Sums bool
 }
 
 // Found is an announcement of a core candidate.
@@ -153,6 +165,58 @@
 	Worker string
 	Fence  int64
 	Ratio  int64 // its work takes so many hundredths of the estimates, 0 unknown
+	// Known is the newest At that the asker was told of.
+	Known uint64
+}
+
+// Seat is one steady member of an aggregator's set.
+type Seat struct {
+	_      struct{} `cbor:",toarray"`
+	Worker string
+	Fence  int64
+}
+
+// Ratio tells a seat's Renew.Ratio.
+type Ratio struct {
+	_     struct{} `cbor:",toarray"`
+	Seat  int
+	Value int64
+}
+
+// Grants asks for one grant for those seats of a set whose bit is set in In
+// (seat 0 is the lowest bit of the first byte). A set is told whole once; 428
+// says that the leader doesn't know it. Ratios are those that changed.
+type Grants struct {
+	_      struct{} `cbor:",toarray"`
+	From   string   // disk of the aggregator
+	Set    uint64
+	Whole  []Seat
+	In     []byte
+	Ratios []Ratio
+}
+
+// Asks tells whether a seat asks for a grant.
+func (g *Grants) Asks(seat int) bool {
+	return seat>>3 < len(g.In) && g.In[seat>>3]&(1<<(seat&7)) != 0
+}
+
+// Odd is a seat that was not granted, with the code of its refusal.
+type Odd struct {
+	_    struct{} `cbor:",toarray"`
+	Seat int
+	Code int
+}
+
+// Many carries several asks of side daemons; the answer's body holds theirs.
+type Many struct {
+	_    struct{} `cbor:",toarray"`
+	Asks []Ask
+}
+
+// Yield tells that a daemon gives up its duties, as it ends.
+type Yield struct {
+	_    struct{} `cbor:",toarray"`
+	Disk string
 }
 
 // Order is what the leader pushes to a side daemon.
--- a/internal/member/seeker.go
+++ b/internal/member/seeker.go
@@ -31,6 +31,20 @@
 	wait   map[uint64]*pending
 	next   uint64
 	now    time.Time
+	heard  time.Time // the last frame of the present stream
+
+	// homes: it turns to whom the answers name for its zone.
+	homes   bool
+	at      string // the address of the present stream
+	standby string
+	avoid   map[string]avoided
+	hopping bool
+}
+
+// avoided is a daemon that left this one without an answer.
+type avoided struct {
+	till time.Time
+	wait time.Duration
 }
 
 type pending struct {
@@ -51,12 +65,20 @@
 	seeds []string
 	know  chan []string
 	learn string
+	hop   *hop
+}
+
+// hop is what came of turning to another daemon.
+type hop struct {
+	addr   string
+	stream *link.Stream
 }
 
 type found struct {
 	id     int
 	stream *link.Stream
 	addr   string
+	leads  bool
 	known  []string
 }
 
@@ -67,6 +89,10 @@
 		in: make(chan event, 1024), wait: map[uint64]*pending{}}
 }
 
+// Homing makes the seeker turn to whoever sums up for its zone, as answers
+// name it, and back to the leader when that one fails. Before Run.
+func (s *Seeker) Homing() { s.homes, s.avoid = true, map[string]avoided{} }
+
 // Seeds replaces the seeds.
 func (s *Seeker) Seeds(a []string) { s.in <- event{seeds: a} }
 
@@ -134,9 +160,11 @@
 		s.wait[s.next] = e.ask
 		s.sendOne(s.next, e.ask)
 	case e.link != nil:
-		s.onLink(e.link)
+		s.onLink(ctx, e.link)
 	case e.found != nil:
 		s.onFound(e.found)
+	case e.hop != nil:
+		s.onHop(e.hop)
 	case e.learn != "":
 		s.learn(e.learn)
 	case e.know != nil:
@@ -169,14 +197,16 @@
 	}
 }
 
-func (s *Seeker) onLink(e *link.Event) {
+func (s *Seeker) onLink(ctx context.Context, e *link.Event) {
 	if e.Stream != s.cur {
 		return
 	}
 	if e.Gone {
+		s.shun()
 		s.drop()
 		return
 	}
+	s.heard = s.now
 	switch e.Frame.Kind {
 	case FrameAnswer:
 		var a Answer
@@ -184,16 +214,18 @@
 			s.drop()
 			return
 		}
-		s.answer(e.Frame.ID, a)
+		s.answer(ctx, e.Frame.ID, a)
 	case FrameOrder:
-		var o Order
-		if link.Unpack(e.Frame.Body, &o) == nil && s.push != nil {
-			s.push(o)
+		var os []Order
+		if link.Unpack(e.Frame.Body, &os) == nil && s.push != nil {
+			for _, o := range os {
+				s.push(o)
+			}
 		}
 	}
 }
 
-func (s *Seeker) answer(id uint64, a Answer) {
+func (s *Seeker) answer(ctx context.Context, id uint64, a Answer) {
 	p := s.wait[id]
 	if p == nil {
 		return
@@ -203,9 +235,11 @@
 		if a.Lead != "" {
 			s.lead = a.Lead
 		}
+		s.shun()
 		s.drop()
 		return
 	}
+	s.goHome(ctx, a)
 	if a.Desired != 0 && s.news != nil {
 		s.news(a.Desired)
 	}
@@ -229,8 +263,21 @@
 		return
 	}
 	s.fails = 0
-	s.cur, s.lead = f.stream, f.addr
+	if f.leads {
+		s.lead = f.addr
+	}
+	s.use(f.stream, f.addr)
+}
+
+// use makes a stream the present one; what waits is asked there.
+func (s *Seeker) use(st *link.Stream, addr string) {
+	old := s.cur
+	s.cur, s.at, s.heard = st, addr, s.now
+	if old != nil {
+		old.Close()
+	}
 	for id, p := range s.wait {
+		p.sent = time.Time{}
 		s.sendOne(id, p)
 	}
 	if s.attch != nil {
@@ -238,6 +285,61 @@
 	}
 }
 
+// shun notes that the present daemon failed: it is not turned to for a while,
+// longer each time.
+func (s *Seeker) shun() {
+	if !s.homes || s.cur == nil {
+		return
+	}
+	for a, v := range s.avoid {
+		if s.now.Sub(v.till) > tune.AvoidMost {
+			delete(s.avoid, a)
+		}
+	}
+	w := min(max(2*s.avoid[s.at].wait, tune.Avoid), tune.AvoidMost)
+	s.avoid[s.at] = avoided{s.now.Add(w), w}
+}
+
+// goHome turns to whom an answer names for this zone, if it isn't there yet.
+func (s *Seeker) goHome(ctx context.Context, a Answer) {
+	if !s.homes {
+		return
+	}
+	if a.Home != "" || a.Next != "" {
+		s.standby = a.Next
+	}
+	if a.Home == "" || a.Home == s.at || s.hopping || s.now.Before(s.avoid[a.Home].till) {
+		return
+	}
+	s.hopping = true
+	go func() {
+		h := &hop{addr: a.Home}
+		if st, v, ok := s.lookAt(ctx, a.Home); ok && (v.Sums || v.Leads) {
+			h.stream = st
+		} else if st != nil {
+			st.Close()
+		}
+		select {
+		case s.in <- event{hop: h}:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+func (s *Seeker) onHop(h *hop) {
+	s.hopping = false
+	switch {
+	case h.stream == nil:
+		w := min(max(2*s.avoid[h.addr].wait, tune.Avoid), tune.AvoidMost)
+		s.avoid[h.addr] = avoided{s.now.Add(w), w}
+	case s.cur == nil || s.busy:
+		// Why not: a search is under way, and its outcome rules.
+		h.stream.Close()
+	default:
+		s.use(h.stream, h.addr)
+	}
+}
+
 func (s *Seeker) learn(a string) {
 	if a == "" {
 		return
@@ -289,10 +391,16 @@
 			continue
 		}
 		if !p.sent.IsZero() {
-			if now.Sub(p.sent) > tune.AskRound {
+			// Why by what was heard: a busy leader answers late, and to turn
+			// away from it would only bring it more to do.
+			from := p.sent
+			if s.heard.After(from) {
+				from = s.heard
+			}
+			if now.Sub(from) > tune.AskRound || now.Sub(p.sent) > tune.AskMost {
 				stuck = true
 			} else {
-				soon(tune.AskRound - now.Sub(p.sent) + time.Millisecond)
+				soon(tune.AskRound - now.Sub(from) + time.Millisecond)
 			}
 		}
 		soon(p.till.Sub(now))
@@ -303,6 +411,7 @@
 	if stuck {
 		// Why closed: a frozen or cut-off leader answers nothing, and
 		// another may lead by now.
+		s.shun()
 		s.drop()
 	}
 	if s.cur == nil && !s.busy {
@@ -339,6 +448,10 @@
 // seek asks the known addresses side by side who leads.
 func (s *Seeker) seek(ctx context.Context, id int) {
 	places := s.places()
+	standby := ""
+	if s.homes && s.fails == 0 && s.standby != "" && s.standby != s.at && s.now.After(s.avoid[s.standby].till) {
+		standby = s.standby
+	}
 	pause := time.Duration(0)
 	if s.fails > 0 {
 		pause = tune.Seek * time.Duration(min(s.fails, 2))
@@ -351,7 +464,19 @@
 			case <-time.After(pause):
 			}
 		}
-		f := s.look(ctx, places)
+		var f *found
+		if standby != "" {
+			// Why first and alone: it takes over for the zone, and the leader
+			// is spared a stream from each side daemon.
+			if st, v, ok := s.lookAt(ctx, standby); ok && (v.Sums || v.Leads) {
+				f = &found{stream: st, addr: standby, leads: v.Leads}
+			} else if st != nil {
+				st.Close()
+			}
+		}
+		if f == nil {
+			f = s.look(ctx, places)
+		}
 		f.id = id
 		select {
 		case s.in <- event{found: f}:
@@ -406,7 +531,7 @@
 		}()
 		break
 	}
-	f.stream = lead
+	f.stream, f.leads = lead, lead != nil
 	return f
 }
 
--- a/internal/order/side.go
+++ b/internal/order/side.go
@@ -125,6 +125,7 @@
 	trace *trace.Ring
 	cur   *life
 	hands int
+	known uint64 // the newest state that an answer spoke of
 	ctx   context.Context
 	now   time.Time
 }
@@ -137,6 +138,7 @@
 		func(o member.Order) { s.in <- Event{order: &o} }, nil, func() {
 			go func() { s.in <- Event{renew: true} }()
 		})
+	s.seek.Homing()
 	return s
 }
 
@@ -214,7 +216,10 @@
 		x, stop := context.WithTimeout(s.ctx, limit)
 		defer stop()
 		a := s.seek.Ask(x, kind, body)
-		s.later(func() { then(a) })
+		s.later(func() {
+			s.known = max(s.known, a.At)
+			then(a)
+		})
 	}()
 }
 
@@ -422,7 +427,7 @@
 	if l.clock == 0 {
 		from = 0
 	}
-	s.ask(member.AskRenew, &member.Renew{Worker: l.id, Fence: l.fence, Ratio: s.ratio(l)}, 3*time.Second, func(a member.Answer) {
+	s.ask(member.AskRenew, &member.Renew{Worker: l.id, Fence: l.fence, Ratio: s.ratio(l), Known: s.known}, 3*time.Second, func(a member.Answer) {
 		l.renewing = false
 		if s.cur != l || l.fence != fence {
 			return
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -27,6 +27,7 @@
 	sent        time.Time
 	wall        int64
 	wallAt      time.Time
+	told        uint64 // the newest commit that it was told of
 }
 
 type confAt struct {
@@ -61,6 +62,7 @@
 	votes   map[string]bool
 	peers   map[string]*progress
 	learn   map[string]Voter
+	prompt  map[string]bool
 	noop    uint64
 	leaving bool
 
@@ -422,6 +424,21 @@
 	return true
 }
 
+// Prompt names the members that are told of each commit at once, and not with
+// the next append: they act on what they have applied.
+func (n *Node) Prompt(disks map[string]bool) { n.prompt = disks }
+
+// sendCommit tells a member of the commit; no answer is wanted.
+func (n *Node) sendCommit(d string, p *progress) {
+	prev := p.next - 1
+	lt, ok := n.termAt(prev)
+	if !ok {
+		return
+	}
+	p.told = n.commit
+	n.send(Msg{Kind: MsgAppend, To: d, Index: prev, LogTerm: lt, Commit: n.commit}, false)
+}
+
 // flush sends what members lack.
 func (n *Node) flush() {
 	if n.role != leader {
@@ -437,6 +454,9 @@
 		for p.next <= n.last() && p.next-p.match <= uint64(n.timing.Window) {
 			n.sendAppend(d, p, false)
 		}
+		if n.prompt[d] && p.told < n.commit && p.next > p.told+1 {
+			n.sendCommit(d, p)
+		}
 	}
 }
 
@@ -471,7 +491,7 @@
 	if !p.probing {
 		p.next += uint64(len(m.Entries))
 	}
-	p.sent = n.now
+	p.sent, p.told = n.now, n.commit
 	n.send(m, false)
 }
 
@@ -589,6 +609,10 @@
 }
 
 func (n *Node) answer(m Msg, index uint64, reject, after bool) {
+	if m.Kind == MsgAppend && m.Sent == 0 && len(m.Entries) == 0 {
+		// Why silent: it only told of a commit.
+		return
+	}
 	a := Msg{Kind: MsgAppendAnswer, To: m.From, Index: index, Reject: reject, Sent: m.Sent}
 	if n.wall != nil {
 		a.Wall = n.wall()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -41,6 +41,7 @@
 	Voids    map[string]int64
 	Loans    map[string]*Loan
 	Demand   map[string]map[int64]float64 // core-ms asked, by lane and bucket
+	Duties   map[string]Duty              // by zone
 
 	limits Limits
 	table  *desire.Table
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -42,6 +42,36 @@
 	// must not hold up the others.
 	GroupMost = 12 * time.Millisecond
 
+	// AggGrants is how long an aggregator gathers asks for grants; a side
+	// daemon's grant shrinks by so much, and holds have seconds to spare.
+	AggGrants = 150 * time.Millisecond
+	// AggCalls is the least time between two batches of other asks; half of
+	// what an entry waits for its group anyway.
+	AggCalls = 5 * time.Millisecond
+	// AggMissed is how many batches in a row a member may miss before it is
+	// left out of the next set; a new set is told whole.
+	AggMissed = 20
+	// AggInbox is the most asks that may wait in an aggregator.
+	AggInbox = 4096
+	// AggTime bounds an aggregator's wait for the leader's answer; above an
+	// election.
+	AggTime = 1500 * time.Millisecond
+	// DutySilent is the silence of a voter after which its zone is given to
+	// another; side daemons have turned away by themselves by then.
+	DutySilent = 600 * time.Millisecond
+	// DutyCalm is how long a daemon of the zone itself must have been heard
+	// before a zone is taken from a holder elsewhere.
+	DutyCalm = 3 * time.Second
+	// LeadGone is how long an aggregator without a leader goes on gathering;
+	// above an election and a lost lease.
+	LeadGone = 1200 * time.Millisecond
+	// YieldTime is how long a daemon that said that it ends gets no duty.
+	YieldTime = 5 * time.Second
+	// Avoid is how long a side daemon does not go back to a daemon that left
+	// it without an answer; twice as long each time, up to AvoidMost.
+	Avoid     = 2 * time.Second
+	AvoidMost = 16 * time.Second
+
 	// Gather is how long the set of founders must stay the same.
 	Gather = 1200 * time.Millisecond
 	// Announce is the pause between two announcements of a core candidate.
@@ -61,6 +91,9 @@
 	// AskRound bounds one round of a call to the leader; a commit takes tens
 	// of milliseconds, so a longer silence means a leader in trouble.
 	AskRound = 500 * time.Millisecond
+	// AskMost bounds a round with a daemon that goes on answering others: by
+	// then the ask was lost on its way.
+	AskMost = 2 * time.Second
 	// NoLeaderWait is how long a sender's call waits for a leader before it
 	// is turned away; an election takes about this long.
 	NoLeaderWait = 1300 * time.Millisecond
