--- a/internal/core/tools.go
+++ b/internal/core/tools.go
@@ -106,5 +106,9 @@
 	for n, x := range s.Rollups {
 		add(&rolls, n, x.CPUTotal, x.CPUFree, x.CPUUsed, x.MemTotal, x.MemFree, x.MemUsed, x.GPUTotal, x.GPUUsed, x.Draining, x.Unreachable, x.At)
 	}
-	return []member.Table{daemons, workers, devices, books, allocs, inboxes, jobs, moves, rolls}
+	duties := member.Table{Name: "duties", Cols: []string{"zone", "no", "holder", "addr", "next_addr"}}
+	for _, d := range s.Duties {
+		add(&duties, d.Zone, d.No, d.Disk, d.Addr, d.NextAddr)
+	}
+	return []member.Table{daemons, workers, devices, books, allocs, inboxes, jobs, moves, rolls, duties}
 }
--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -19,11 +19,12 @@
 	conns map[*conn]bool
 	cuts  map[[2]string]bool
 	delay time.Duration
+	slow  map[string]time.Duration // added to all that goes from or to a host
 }
 
 // NewNet builds an empty network.
 func NewNet() *Net {
-	return &Net{ports: map[string]*port{}, conns: map[*conn]bool{}, cuts: map[[2]string]bool{}, delay: 500 * time.Microsecond}
+	return &Net{ports: map[string]*port{}, conns: map[*conn]bool{}, cuts: map[[2]string]bool{}, slow: map[string]time.Duration{}, delay: 500 * time.Microsecond}
 }
 
 // Host is the network as seen from one address.
@@ -66,6 +67,15 @@
 	return n.cuts[[2]string{from, to}]
 }
 
+// Slow adds a delay to all that goes from or to a host; 0 takes it away.
+func (n *Net) Slow(ip string, d time.Duration) { n.mu.Lock(); n.slow[ip] = d; n.mu.Unlock() }
+
+func (n *Net) lag(from, to string) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.delay + n.slow[from] + n.slow[to]
+}
+
 // Down resets all connections and ports of a host.
 func (n *Net) Down(ip string) {
 	n.mu.Lock()
@@ -264,7 +274,7 @@
 		q.mu.Unlock()
 		return 0, errors.New("sim: reset")
 	}
-	q.buf = append(q.buf, chunk{time.Now().Add(c.n.delay), append([]byte(nil), p...)})
+	q.buf = append(q.buf, chunk{time.Now().Add(c.n.lag(c.from, c.to)), append([]byte(nil), p...)})
 	q.mu.Unlock()
 	q.poke()
 	return len(p), nil
