--- a/internal/sim/move_test.go
+++ b/internal/sim/move_test.go
@@ -191,10 +191,13 @@
 	}
 }
 
+// moveMarks are the lines of the log at which TestMoveAtEveryStep strikes.
+var moveMarks = []string{"move.borrowed", "move.offered", "word=taken", "word=done"}
+
 // TestMoveAtEveryStep strikes at each step of a hand-over: room lent, offered,
 // taken, ended, with cuts of two lengths and the loss of either leader.
 func TestMoveAtEveryStep(t *testing.T) {
-	for _, mark := range []string{"move.borrowed", "move.offered", "word=taken", "word=done"} {
+	for _, mark := range moveMarks {
 		for name, f := range map[string]func(a, b *Cluster){"cut": cutFor(3 * time.Second), "long cut": cutFor(25 * time.Second), "source": killLeader(0), "target": killLeader(1)} {
 			t.Run(mark+"/"+name, func(t *testing.T) { moving(t, mark, f, false, strings.HasPrefix(mark, "word=")) })
 		}
