--- a/internal/place/watch.go
+++ b/internal/place/watch.go
@@ -89,8 +89,13 @@
 	age := float64(s.Clock - a.From)
 	bad := w == nil || !w.Bookable() && !w.Draining || p.Quiet[a.Worker] || a.Stopping
 	late := age > float64(tune.CopyLeast.Milliseconds()) && (age > most*usual || p.Speed[a.Worker] > tune.SlowFrom && age < usual)
-	// Why by its age: what runs for long needs no look each moment.
-	return bad || late, s.Clock + max(tune.CopyLook.Milliseconds(), int64(age)/8)
+	// Why by its age: what runs for long needs no look each moment, and what is
+	// about to be late needs one just then.
+	pause := max(tune.CopyLook.Milliseconds(), int64(age)/8)
+	if left := int64(most*usual-age) + 1; left > 0 {
+		pause = min(pause, max(left, tune.CopySoon.Milliseconds()))
+	}
+	return bad || late, s.Clock + pause
 }
 
 // copies are tasks of steps that allow it whose only run is in trouble: on a
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -211,6 +211,8 @@
 	// CopyLook is the pause between two looks at a run that may get a copy; as
 	// often as the leader plans while nothing new comes.
 	CopyLook = 80 * time.Millisecond
+	// CopySoon is the shortest of these pauses.
+	CopySoon = 10 * time.Millisecond
 	// LookAtAll is the number of workers of a service up to which each is
 	// weighed for each step; above, an index gives the candidates.
 	LookAtAll = 96
