--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -479,6 +479,9 @@
 		}
 		for _, r := range c.st.Closed() {
 			c.trace.Add(r.Alloc.Task(), "end applied", int64(r.Alloc.Run), r.How)
+			if c.led && r.How == "done" {
+				c.planner.Learn(c.st, r.Alloc, r.At)
+			}
 			if c.led && c.debug {
 				c.logRun(r)
 			}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -25,16 +25,19 @@
 	// SaveMs is how much work a run that saves its progress loses at most.
 	SaveMs int64
 	watch  watch
+	over   map[string]float64 // by lane, see Learn
 }
 
 // Plan makes plans for what waits, as far as there is room.
 func (p *Planner) Plan(s *store.Store) []store.Plan {
 	v := look(s, p)
 	ws := append(wants(s), p.copies(s)...)
+	// Why also when nothing waits: what lacked room a round ago would go on
+	// pushing others out.
+	p.lack = map[store.Kind]weight{}
 	if len(ws) == 0 {
 		return nil
 	}
-	p.lack = map[store.Kind]weight{}
 	held, all := demand(s, ws)
 	p.held = held
 	p.note(s.Clock, all)
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -94,7 +94,7 @@
 		f := newFleet(workers)
 		p := &Planner{}
 		rnd := rand.New(rand.NewSource(3))
-		for i := range 400 {
+		for i := range 600 {
 			st := wire.Step{TaskCount: 1 + rnd.Intn(30), CPUUnits: int64(100 + rnd.Intn(6000)), MemMb: int64(100 + rnd.Intn(9000)), EstimateMs: 300}
 			switch rnd.Intn(6) {
 			case 0:
@@ -261,3 +261,46 @@
 		})
 	}
 }
+
+// TestNothingIsPushedForWorkThatNoLongerWaits: the lack of an earlier round is
+// forgotten once nothing waits.
+func TestNothingIsPushedForWorkThatNoLongerWaits(t *testing.T) {
+	f := newFleet(2)
+	p := &Planner{}
+	f.job("/q/", wire.Step{TaskCount: 4, CPUUnits: 7900, MemMb: 100, EstimateMs: 4000})
+	f.plan(p)
+	id := f.job("/p/", wire.Step{TaskCount: 2, CPUUnits: 7900, MemMb: 100, EstimateMs: 300})
+	f.now += 100
+	f.run("sweep", &store.Sweep{})
+	if f.plan(p) != 0 || len(p.Pushes(f.s)) == 0 {
+		t.Fatal("urgent work that waits pushes nothing")
+	}
+	f.run("cancel", &store.Cancel{ID: id})
+	f.plan(p)
+	if ids := p.Pushes(f.s); len(ids) > 0 {
+		t.Errorf("%d runs pushed for work that was called off", len(ids))
+	}
+}
+
+// TestRoughEstimatesAreLearnt: a lane whose runs often take six times as long
+// as guessed gets no copies at four times; one that is guessed well keeps its
+// factor low.
+func TestRoughEstimatesAreLearnt(t *testing.T) {
+	f := newFleet(4)
+	p := &Planner{}
+	for i := range 600 {
+		for _, prefix := range []string{"/p/", "/q/"} {
+			f.job(prefix, wire.Step{TaskCount: 1, CPUUnits: 100, EstimateMs: 100})
+			f.plan(p)
+			a := f.any()
+			if prefix == "/p/" && i%10 == 0 {
+				f.now += 600
+			}
+			p.Learn(f.s, a, f.now)
+			f.end(a, "done")
+		}
+	}
+	if rough, good := p.most("a"), p.most("b"); rough < 5 || good > 3 {
+		t.Errorf("factors %.1f and %.1f, want above 5 and under 3", rough, good)
+	}
+}
--- a/internal/place/watch.go
+++ b/internal/place/watch.go
@@ -77,7 +77,7 @@
 // and when to look again if it isn't.
 func (p *Planner) trouble(s *store.Store, a *store.Alloc, j *store.Job) (bool, int64) {
 	st := &j.Steps[a.Step]
-	usual, most := float64(st.EstimateMs)*max(p.Usual, 0.5), tune.CopyGuess
+	usual, most := float64(st.EstimateMs)*max(p.Usual, 0.5), p.most(j.Lane)
 	if q := &j.Insts[a.K].Steps[a.Step]; q.TookN >= 2 {
 		// Why rather: tasks of one step are alike, estimates are rough.
 		usual, most = float64(q.Took)/float64(q.TookN), tune.CopyAfter
@@ -98,6 +98,39 @@
 	return bad || late, s.Clock + pause
 }
 
+// Learn takes note of a run that ended as done. Estimates are rough, and how
+// rough differs by lane: the factor that CopyRare of the runs exceed is
+// followed, one step a run, up where it was exceeded and down where not.
+func (p *Planner) Learn(s *store.Store, a *store.Alloc, at int64) {
+	j := s.Jobs[a.Job]
+	if j == nil || a.Saved != "" || j.Steps[a.Step].EstimateMs <= 0 || j.Steps[a.Step].LongRunning {
+		return
+	}
+	st := &j.Steps[a.Step]
+	usual := float64(st.EstimateMs) * max(p.Usual, 0.5)
+	if w := s.Workers[a.Worker]; w != nil && w.FarFrom(st.NearTo) {
+		usual *= s.Far()
+	}
+	f := p.most(j.Lane)
+	if float64(at-a.From) > f*usual {
+		f *= 1 + tune.CopyStep
+	} else {
+		f *= 1 - tune.CopyStep*tune.CopyRare
+	}
+	if p.over == nil {
+		p.over = map[string]float64{}
+	}
+	p.over[j.Lane] = min(max(f, tune.CopyAfter), tune.CopyTop)
+}
+
+// most is how many times as long as guessed a run of a lane may take.
+func (p *Planner) most(lane string) float64 {
+	if f := p.over[lane]; f > 0 {
+		return f
+	}
+	return tune.CopyGuess
+}
+
 // copies are tasks of steps that allow it whose only run is in trouble: on a
 // quiet or sick worker, or much longer under way than usual.
 func (p *Planner) copies(s *store.Store) []want {
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -204,8 +204,14 @@
 	// CopyAfter is how many times its usual length a run may take before a
 	// step that allows it gets a copy elsewhere.
 	CopyAfter = 2.0
-	// CopyGuess is that factor while only a rough estimate is known.
+	// CopyGuess is that factor while only a rough estimate is known, and
+	// nothing was learnt of the lane.
 	CopyGuess = 4.0
+	// CopyRare is the part of the runs that a lane's learnt factor leaves above
+	// itself; CopyStep is by how much one run moves it, CopyTop its end.
+	CopyRare = 0.03
+	CopyStep = 0.02
+	CopyTop  = 12.0
 	// CopyLeast is the least age of a run that gets a copy.
 	CopyLeast = 250 * time.Millisecond
 	// CopyLook is the pause between two looks at a run that may get a copy; as
