--- a/internal/sim/runner.go
+++ b/internal/sim/runner.go
@@ -37,11 +37,13 @@
 	changed chan struct{}
 	rnd     *rand.Rand
 
-	Dark  bool    // answers nothing
-	Late  float64 // part of the orders carried out late, without an answer
-	Hang  bool    // tasks stand still
-	Drain bool
-	seq   int64
+	Dark    bool    // answers nothing
+	Late    float64 // part of the orders carried out late, without an answer
+	Hang    bool    // tasks stand still
+	Drain   bool
+	Shed    bool // answers starts with 503 and beats on
+	started int
+	seq     int64
 }
 
 type simRun struct {
@@ -188,6 +190,9 @@
 	ok := order.Reply{Code: 200, Clock: wire.Clock{ClockMs: r.clock()}}
 	switch b := body.(type) {
 	case wire.Start:
+		if r.Shed {
+			return order.Reply{Code: 503}
+		}
 		if b.FenceNumber < r.fence {
 			return r.no("fence")
 		}
@@ -212,6 +217,7 @@
 		}
 		r.runs[k] = &simRun{task: b.TaskID, run: b.RunID, spec: b.JobSpec, need: time.Duration(field(b.JobSpec, "ms")) * time.Millisecond, from: time.Now()}
 		r.h.add(Fact{Kind: "start", Node: r.Node, Life: r.life, Task: b.TaskID, Run: b.RunID, Spec: b.JobSpec, CPU: cpu, Room: r.Room.CPUUnits, Guards: r.Guards})
+		r.started++
 		go r.later(r.runs[k].need)
 	case wire.Stop:
 		if b.FenceNumber < r.fence {
--- a/internal/store/halt.go
+++ b/internal/store/halt.go
@@ -47,6 +47,7 @@
 			delete(s.Jobs, id)
 		}
 	}
+	s.fadeFlaps()
 	if c.Rebuild {
 		s.Rebuild()
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -41,6 +41,7 @@
 	Loans    map[string]*Loan
 	Demand   map[string]map[int64]float64 // core-ms asked, by lane and bucket
 	Duties   map[string]Duty              // by zone
+	Flaps    map[string]Flap              // by node
 
 	limits Limits
 	table  *desire.Table
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -471,3 +471,40 @@
 		}
 	}
 }
+
+// TestFlappingRunnerIsTrustedLater: the pause grows with each loss, ends before
+// a waiting job would count as lost, and fades.
+func TestFlappingRunnerIsTrustedLater(t *testing.T) {
+	w := newWorld(t)
+	life := 0
+	lose := func() int64 {
+		life++
+		id := fmt.Sprint("l", life)
+		w.run("takeup", &TakeUp{ID: id, Node: "n", Service: "s", Room: wire.Room{CPUUnits: 10}, LeavesIn: -1})
+		return max(w.s.Workers[id].ShunTill-w.s.Clock, 0)
+	}
+	last := int64(-1)
+	for i := range 8 {
+		p := lose()
+		if i < 2 && p != 0 {
+			t.Errorf("life %d waits %d ms", i, p)
+		}
+		if p < last || p > 2500 {
+			t.Errorf("life %d waits %d ms after %d", i, p, last)
+		}
+		last = p
+		w.now += 500
+	}
+	if last < 1500 {
+		t.Errorf("after seven losses it waits %d ms", last)
+	}
+	w.now += 60000
+	if p := lose(); p != 0 {
+		t.Errorf("a minute later it waits %d ms", p)
+	}
+	w.now += 1000000
+	w.run("sweep", &Sweep{})
+	if len(w.s.Flaps) != 0 {
+		t.Error("calm nodes are remembered for good")
+	}
+}
--- a/internal/store/takeup.go
+++ b/internal/store/takeup.go
@@ -37,7 +37,12 @@
 		}
 	}
 	sort.Strings(old)
+	pause := int64(0)
 	for _, id := range old {
+		if !s.Workers[id].Draining {
+			// Why not of one that left: it said so.
+			pause = max(pause, s.flapped(c.Node))
+		}
 		s.endLife(s.Workers[id], "crashed")
 	}
 	if w == nil {
@@ -57,6 +62,9 @@
 	if c.Draining && c.LeavesIn >= 0 {
 		w.LeavesAt = s.Clock + c.LeavesIn
 	}
+	if pause > 0 {
+		w.ShunTill = s.Clock + pause
+	}
 	w.Ver++
 	s.place(w)
 	return Outcome{Code: 200, N: w.Fence}
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -133,6 +133,14 @@
 	// StuckPause keeps a runner on which runs stood still out of plans.
 	StuckPause = 2500 * time.Millisecond
 
+	// FlapPause is how long a runner that was lost a second time gets no work;
+	// twice as long at each further loss, up to FlapMost. Why under 3 s: by
+	// then a job that waits beside free room counts as lost.
+	FlapPause = 500 * time.Millisecond
+	FlapMost  = 2500 * time.Millisecond
+	// FlapFade is in what time half of a loss is forgotten.
+	FlapFade = 8 * time.Second
+
 	// Replans is how often a plan that lost a row is planned anew inside the
 	// same command.
 	Replans = 2
