--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -226,11 +226,16 @@
 		c.planner.Usual = mid / 100
 		for id, a := range c.att {
 			if a.ratio > 0 {
-				speed[id] = float64(a.ratio) / mid
+				speed[id] = place.Shrunk(float64(a.ratio) / mid)
 			}
 		}
 	}
 	sick := map[string]bool{}
+	for id := range c.att {
+		if x, ok := c.planner.Pace(id, c.st.Clock); ok {
+			speed[id] = x
+		}
+	}
 	for id := range c.att {
 		if w := c.st.Workers[id]; w != nil && (w.Sick || w.Lost) {
 			sick[id] = true
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -26,6 +26,7 @@
 	SaveMs int64
 	watch  watch
 	over   map[string]float64 // by lane, see Learn
+	paces  map[string]pace    // by worker
 }
 
 // Plan makes plans for what waits, as far as there is room.
--- a/internal/place/watch.go
+++ b/internal/place/watch.go
@@ -108,9 +108,12 @@
 	}
 	st := &j.Steps[a.Step]
 	usual := float64(st.EstimateMs) * max(p.Usual, 0.5)
+	near := float64(at - a.From)
 	if w := s.Workers[a.Worker]; w != nil && w.FarFrom(st.NearTo) {
 		usual *= s.Far()
+		near /= s.Far()
 	}
+	p.compare(a, &j.Insts[a.K].Steps[a.Step], near, at)
 	f := p.most(j.Lane)
 	if float64(at-a.From) > f*usual {
 		f *= 1 + tune.CopyStep
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -206,6 +206,11 @@
 	Quiet = 900 * time.Millisecond
 	// SpeedSpan is how long a sample of a worker's speed counts.
 	SpeedSpan = 3 * time.Second
+	// PaceSiblings is the least number of other runs of a step that a run is
+	// compared with; PaceLeast is how many such runs, faded over SpeedSpan,
+	// tell a worker's pace.
+	PaceSiblings = 3
+	PaceLeast    = 1.5
 	// SlowFrom is the factor from which a worker is passed over by tasks
 	// that would miss their aim on it.
 	SlowFrom = 2.0
