A side daemon ignores orders of runs whose end it has read

The leader was cut off while an end was under way; the next leader's order of the same run was turned away for room, and that refusal was settled before the end.

Change: ended runs are remembered for 30 s and orders of them ignored; the stand-in runner now checks room before age, as a runner may.

--- a/internal/order/side.go
+++ b/internal/order/side.go
@@ -85,6 +85,7 @@
 	renewAt  time.Time
 	telling  int // asks with ends under way
 	runs     map[string]*run
+	ended    map[string]time.Time // runs known to be over here, and since when
 	waiting  []beatWait
 	over     bool
 }
@@ -371,6 +372,12 @@
 		return
 	}
 	k := key(o.Task, o.Run)
+	if _, ok := l.ended[k]; ok {
+		// Why ignored: its end is on its way to the leader. To start it again
+		// would have the runner turn it away, and that refusal could close the
+		// booking before the end does: a done task would run twice.
+		return
+	}
 	r := l.runs[k]
 	if r == nil {
 		r = &run{order: o}
@@ -533,6 +540,7 @@
 	over := map[string]bool{}
 	for _, e := range ends {
 		over[key(e.Task, e.Run)] = true
+		l.remember(key(e.Task, e.Run), s.now)
 		if e.N > l.got {
 			l.got = e.N
 			fresh = append(fresh, e)
@@ -693,12 +701,31 @@
 	})
 }
 
+// remember notes that a run is over; the oldest are forgotten.
+func (l *life) remember(k string, now time.Time) {
+	if l.ended == nil {
+		l.ended = map[string]time.Time{}
+	}
+	if _, ok := l.ended[k]; ok {
+		return
+	}
+	if len(l.ended) >= tune.EndedKept {
+		for o, at := range l.ended {
+			if now.Sub(at) > tune.EndedTime {
+				delete(l.ended, o)
+			}
+		}
+	}
+	l.ended[k] = now
+}
+
 // tell has a run closed that the lists will never name.
 func (s *Side) tell(l *life, r *run, how string) {
 	r.told = true
 	s.ask(member.AskEnds, &store.Ends{Worker: l.id, Fence: l.fence,
 		Ends: []wire.End{{Task: r.order.Task, Run: r.order.Run, How: how}}}, 20*time.Second, func(a member.Answer) {
 		if a.Code == 200 {
+			l.remember(key(r.order.Task, r.order.Run), s.now)
 			delete(l.runs, key(r.order.Task, r.order.Run))
 			return
 		}
--- a/internal/sim/runner.go
+++ b/internal/sim/runner.go
@@ -205,16 +205,18 @@
 		if r.runs[k] != nil {
 			return ok
 		}
-		if b.RunID <= r.top[b.TaskID] {
-			return r.no("old")
-		}
 		cpu := int64(field(b.JobSpec, "cpu"))
 		for _, x := range r.runs {
 			cpu += int64(field(x.spec, "cpu"))
 		}
 		if cpu > r.Room.CPUUnits && r.Guards {
+			// Why before what is old: the pages name no order, and a refusal
+			// for room must not be taken for "it never ran here".
 			return r.no("room")
 		}
+		if b.RunID <= r.top[b.TaskID] {
+			return r.no("old")
+		}
 		r.runs[k] = &simRun{task: b.TaskID, run: b.RunID, spec: b.JobSpec, need: time.Duration(field(b.JobSpec, "ms")) * time.Millisecond, from: time.Now()}
 		r.h.add(Fact{Kind: "start", Node: r.Node, Life: r.life, Task: b.TaskID, Run: b.RunID, Spec: b.JobSpec, CPU: cpu, Room: r.Room.CPUUnits, Guards: r.Guards})
 		r.started++
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -128,6 +128,10 @@
 	Dark = 350 * time.Millisecond
 	// LapseMargin is added before a silent runner's work is deemed over.
 	LapseMargin = 100 * time.Millisecond
+	// EndedKept is the number of ended runs that a side daemon remembers before
+	// it forgets those older than EndedTime: by then no order can name them.
+	EndedKept = 512
+	EndedTime = 30 * time.Second
 	// StuckAfter is the least time without progress before a run is stopped.
 	StuckAfter = 450 * time.Millisecond
 	// StuckPause keeps a runner on which runs stood still out of plans.
