--- a/internal/member/seeker.go
+++ b/internal/member/seeker.go
@@ -442,6 +442,24 @@
 	for _, a := range s.seeds {
 		add(a)
 	}
+	if s.homes {
+		return few(out, s.fails)
+	}
+	return out
+}
+
+// few are some of the places, others each round: the likeliest always, and of
+// the rest as many as tune.SeekPlaces allows. Why not all: hundreds of side
+// daemons look at once after a loss, and whoever they ask names the leader.
+func few(places []string, round int) []string {
+	if len(places) <= tune.SeekPlaces {
+		return places
+	}
+	out := append([]string(nil), places[:2]...)
+	rest := places[2:]
+	for i := range tune.SeekPlaces - 2 {
+		out = append(out, rest[(round*(tune.SeekPlaces-2)+i)%len(rest)])
+	}
 	return out
 }
 
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -84,6 +84,9 @@
 	StreamInbox = 512
 	// FrameBytes is the largest frame, that of a checkpoint.
 	FrameBytes = 64 << 20
+	// SeekPlaces is how many places a side daemon asks in one look for the
+	// leader; three looks reach all of a core of eight.
+	SeekPlaces = 4
 	// Seek is the pause between two looks for the leader.
 	Seek = 80 * time.Millisecond
 	// AskRound bounds one round of a call to the leader; a commit takes tens
