--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -129,26 +129,13 @@
 			if waits > 0 && free >= max(1, waits) && !st.AllTogether || st.AllTogether && waits > 0 && free >= st.TaskCount {
 				t.Fatalf("%d workers, job %d: %d of %d tasks wait beside room for %d (%+v)", workers, i, waits, st.TaskCount, free, st)
 			}
-			if st.SameRack && waits == 0 && st.TaskCount > 1 {
-				racks := map[string]bool{}
-				for _, x := range j.Insts[0].Steps[0].Tasks {
-					racks[f.s.Workers[f.s.Allocs[x.Allocs[0]].Worker].Rack()] = true
-				}
-				if len(racks) > 1 {
-					spread++
-				}
-			}
 			for len(f.s.Allocs) > workers*6 {
 				f.end(f.any(), "done")
 			}
 		}
-		p.lack = nil
 	}
 }
 
-// spread counts gangs that found no rack whole; they may, by the protocol.
-var spread int
-
 // TestNearDataFirst: with room at the data's rack, all tasks go there.
 func TestNearDataFirst(t *testing.T) {
 	for _, workers := range []int{30, tune.LookAtAll + 60} {
