Configuration: an order sent again later is answered as it was at first

Replace.Apply knew the newest configuration only: an order that was sent again after another change had been made was refused with 412, although it was in force once.

The version of an order is peeked at for its trace instead of reading all of it once more on the leader's loop.

--- a/internal/core/asks.go
+++ b/internal/core/asks.go
@@ -241,10 +241,9 @@
 		r(member.Answer{Code: 400})
 		return
 	}
-	id := "desired"
-	if st, err := desire.Read(p.Raw); err == nil {
-		id = "desired/" + strconv.FormatInt(st.Version, 10)
-	}
+	// Why only peeked at: the text was checked where it came in, and is read
+	// whole when the command is applied.
+	id := "desired/" + strconv.FormatInt(desire.VersionOf(p.Raw), 10)
 	c.trace.Add(id, "ordered", int64(c.node.LastIndex()+1), "")
 	c.add("replace", &store.Replace{Base: p.Base, Raw: p.Raw}, c.traced(id, "settled", outcome(r)))
 }
--- a/internal/desire/state.go
+++ b/internal/desire/state.go
@@ -2,6 +2,7 @@
 package desire
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"sort"
@@ -63,6 +64,33 @@
 	return &s, nil
 }
 
+// VersionOf gives the configVersion of a text without reading all of it: 0 if
+// there is none or the text can't be read up to there.
+func VersionOf(raw []byte) int64 {
+	d := json.NewDecoder(bytes.NewReader(raw))
+	if t, err := d.Token(); err != nil || t != json.Delim('{') {
+		return 0
+	}
+	for d.More() {
+		key, err := d.Token()
+		if err != nil {
+			return 0
+		}
+		if key == "configVersion" {
+			var version int64
+			if d.Decode(&version) != nil {
+				return 0
+			}
+			return version
+		}
+		var skipped json.RawMessage
+		if d.Decode(&skipped) != nil {
+			return 0
+		}
+	}
+	return 0
+}
+
 func faults(s *State) []string {
 	var bad []string
 	if s.Version <= 0 {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -25,6 +25,7 @@
 	Clock    int64
 	Wall     int64
 	Desired  desire.State
+	Taken    TakenLog
 	Origin   uint64
 	Lanes    map[string]*desire.Lane
 	Services map[string]desire.Service
