Configuration: a read before the first one is 503, limits are asked for alone

A leader without a configuration answered a read with 404, which ends an operator's call at the third try although the first configuration may be on its way: now 503 with a time to come back.

Answers of the core to its own process name the newest version too; only those to others did, so the leader's own edge daemon never learnt of a limit.

TestConfigurationReads fails with the 404 and without the version.

--- a/internal/core/asks.go
+++ b/internal/core/asks.go
@@ -36,6 +36,7 @@
 		member.AskCancel:  (*Core).askCancel,
 		member.AskPut:     (*Core).askPut,
 		member.AskRead:    (*Core).askRead,
+		member.AskLimits:  (*Core).askLimits,
 		member.AskTakeUp:  (*Core).askTakeUp,
 		member.AskRenew:   (*Core).askRenew,
 		member.AskEnds:    (*Core).askEnds,
@@ -68,6 +69,17 @@
 	f(c, a.Body, s, r)
 }
 
+// stamped adds to each answer how far this daemon is.
+func (c *Core) stamped(r reply) reply {
+	return func(a member.Answer) {
+		a.Desired = max(a.Desired, c.st.Desired.Version)
+		if a.At == 0 && c.node != nil {
+			a.At = c.node.Applied()
+		}
+		r(a)
+	}
+}
+
 func (c *Core) leadAddr() string {
 	if c.node == nil || c.node.Lead() == "" || c.node.Lead() == c.me.Disk {
 		return ""
@@ -155,7 +167,7 @@
 		return m, nil, "", false
 	}
 	if c.st.Desired.Version == 0 {
-		r(member.Answer{Code: 503, Text: "not configured yet", RetryMs: 1000})
+		r(notConfigured)
 		return m, nil, "", false
 	}
 	l, rest := c.st.Table().Find(m.Host, m.Path)
@@ -250,12 +262,25 @@
 
 func (c *Core) askRead(_ []byte, _ *link.Stream, r reply) {
 	if c.st.Desired.Version == 0 {
-		r(member.Answer{Code: 404, Text: "not configured yet"})
+		// Why not 404: an operator's call would end by it, and the first
+		// configuration may be on its way.
+		r(notConfigured)
 		return
 	}
 	r(member.Answer{Code: 200, N: c.st.Desired.Version, Body: c.st.Desired.Raw})
 }
 
+func (c *Core) askLimits(_ []byte, _ *link.Stream, r reply) {
+	if c.st.Desired.Version == 0 {
+		r(notConfigured)
+		return
+	}
+	r(member.Answer{Code: 200, N: c.st.Desired.Version, Body: link.Pack(c.st.Desired.Limits)})
+}
+
+// notConfigured answers what needs a configuration before there is one.
+var notConfigured = member.Answer{Code: 503, Text: "not configured yet", RetryMs: 1000}
+
 func (c *Core) askTakeUp(raw []byte, s *link.Stream, r reply) {
 	var t store.TakeUp
 	if link.Unpack(raw, &t) != nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -221,7 +221,7 @@
 	case e.Link != nil:
 		c.onLink(e.Link)
 	case e.Ask != nil:
-		c.onAsk(e.Ask.Ask, nil, e.Ask.Reply)
+		c.onAsk(e.Ask.Ask, nil, c.stamped(e.Ask.Reply))
 	case e.Own != nil:
 		c.onOwn(e.Own)
 	case e.Wrote != nil:
@@ -329,13 +329,9 @@
 		}
 		s, id := e.Stream, e.Frame.ID
 		c.meter.add("ask_"+a.Kind, 1)
-		c.onAsk(a, s, func(r member.Answer) {
-			r.Desired = max(r.Desired, c.st.Desired.Version)
-			if r.At == 0 && c.node != nil {
-				r.At = c.node.Applied()
-			}
+		c.onAsk(a, s, c.stamped(func(r member.Answer) {
 			s.Send(link.Frame{Kind: member.FrameAnswer, ID: id, Body: link.Pack(r)})
-		})
+		}))
 	}
 }
 
--- a/internal/member/calls.go
+++ b/internal/member/calls.go
@@ -79,6 +79,9 @@
 	AskGrants  = "grants"
 	AskMany    = "many"
 	AskYield   = "yield"
+	// AskLimits asks for the limits of the newest configuration: N is its
+	// version, Body holds them.
+	AskLimits = "limits"
 )
 
 // View is the answer to AskLead.
