--- a/internal/door/edge.go
+++ b/internal/door/edge.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -13,7 +12,6 @@
 	"github.com/labstack/echo/v4"
 
 	"tealpond/internal/core"
-	"tealpond/internal/desire"
 	"tealpond/internal/kernel"
 	"tealpond/internal/link"
 	"tealpond/internal/member"
@@ -28,18 +26,20 @@
 
 // Edge is the plug of the edge role.
 type Edge struct {
-	set    setting.Setting
-	log    log.Logger
-	base   kernel.Base
-	core   *core.Core
-	mover  *move.Mover
-	seek   *member.Seeker
-	found  chan foundIn
-	leave  atomic.Bool
-	heard  atomic.Int64 // unix nanos of the leader's last answer, steady enough for a hint
-	state  atomic.Pointer[desire.State]
-	newest atomic.Int64
-	pull   chan int64
+	set   setting.Setting
+	log   log.Logger
+	base  kernel.Base
+	core  *core.Core
+	mover *move.Mover
+	seek  *member.Seeker
+	found chan foundIn
+	leave atomic.Bool
+	// route takes an ask to the leader; tests stand in for it.
+	route   func(context.Context, member.Ask) member.Answer
+	contact *contact
+	limits  atomic.Pointer[limits]
+	newest  atomic.Int64  // version of the newest configuration heard of
+	pull    chan struct{} // a newer one was heard of
 }
 
 type foundIn struct {
@@ -48,7 +48,8 @@
 }
 
 func newEdge(b kernel.Base) (kernel.Plug, error) {
-	e := &Edge{set: b.Setting, log: b.Log, base: b, found: make(chan foundIn), pull: make(chan int64, 16)}
+	e := &Edge{set: b.Setting, log: b.Log, base: b, found: make(chan foundIn), contact: newContact(), pull: make(chan struct{}, 1)}
+	e.route = e.toLeader
 	self := ""
 	if b.Setting.Core() {
 		// Why only then: others need not know those that hold no state.
@@ -73,45 +74,6 @@
 	return e, nil
 }
 
-// onNews hears of the newest version of the desired state.
-func (e *Edge) onNews(v int64) {
-	e.heard.Store(time.Now().UnixNano())
-	if v > e.newest.Load() {
-		e.newest.Store(v)
-		select {
-		case e.pull <- v:
-		default:
-		}
-	}
-}
-
-// Ask takes an ask to the leader: in this process if it leads.
-func (e *Edge) Ask(ctx context.Context, kind string, body any) member.Answer {
-	a := member.Ask{Kind: kind, Body: link.Pack(body)}
-	if e.core != nil {
-		got := make(chan member.Answer, 1)
-		e.core.Handle(a, func(r member.Answer) {
-			select {
-			case got <- r:
-			default:
-			}
-		})
-		t := time.NewTimer(tune.AskRound)
-		defer t.Stop()
-		select {
-		case r := <-got:
-			if r.Code != member.NotLead && r.Code != member.Unclear {
-				e.heard.Store(time.Now().UnixNano())
-				return r
-			}
-		case <-t.C:
-		case <-ctx.Done():
-			return member.Answer{Code: member.Lost}
-		}
-	}
-	return e.seek.AskRaw(ctx, a)
-}
-
 // Run serves until ctx ends.
 func (e *Edge) Run(ctx context.Context) error {
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -214,11 +176,8 @@
 	defer t.Stop()
 	for {
 		x, stop := context.WithTimeout(ctx, tune.Claim)
-		r := e.Ask(x, member.AskClaim, member.Claim{Node: e.set.NodeName, Role: "edge", Zone: e.set.Zone, Addr: e.set.Inner(), Life: e.base.Life})
+		e.Ask(x, member.AskClaim, member.Claim{Node: e.set.NodeName, Role: "edge", Zone: e.set.Zone, Addr: e.set.Inner(), Life: e.base.Life})
 		stop()
-		if r.Code == 200 {
-			e.onNews(r.N)
-		}
 		select {
 		case <-t.C:
 		case <-ctx.Done():
@@ -227,39 +186,8 @@
 	}
 }
 
-// news pulls the desired state when a newer one is heard of.
-func (e *Edge) news(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case v := <-e.pull:
-			if s := e.state.Load(); s != nil && s.Version >= v {
-				continue
-			}
-		}
-		x, stop := context.WithTimeout(ctx, 2*time.Second)
-		r := e.Ask(x, member.AskRead, struct{}{})
-		stop()
-		if r.Code != 200 {
-			e.newest.Store(0)
-			continue
-		}
-		s, err := desire.Read(r.Body)
-		if err != nil {
-			_ = e.log.Log("level", "error", "event", "news.unreadable", "why", err)
-			continue
-		}
-		e.state.Store(s)
-		e.base.Trace.Add("desired/"+strconv.FormatInt(s.Version, 10), "applied", 0, "limits")
-		_ = e.log.Log("level", "info", "event", "news.applied", "version", s.Version)
-	}
-}
-
 // ready tells whether this daemon should be given new callers.
-func (e *Edge) ready() bool {
-	return !e.leave.Load() && time.Since(time.Unix(0, e.heard.Load())) < tune.Fresh
-}
+func (e *Edge) ready() bool { return !e.leave.Load() && e.contact.within(tune.Fresh) }
 
 func (e *Edge) serve(ctx context.Context) ([]*http.Server, error) {
 	front, ready, ctl := echo.New(), echo.New(), echo.New()
@@ -281,7 +209,7 @@
 		if err != nil {
 			return nil, err
 		}
-		s := &http.Server{Handler: p.echo, ReadHeaderTimeout: tune.HeadTime, IdleTimeout: p.idle, MaxHeaderBytes: tune.HeadBytes}
+		s := &http.Server{Handler: p.echo, ReadHeaderTimeout: tune.HeadTime, IdleTimeout: p.idle, MaxHeaderBytes: tune.HeadMost}
 		out = append(out, s)
 		go func() { _ = s.Serve(ln) }()
 	}
--- a/internal/door/job.go
+++ b/internal/door/job.go
@@ -98,39 +98,62 @@
 	if r.kind == "" {
 		return r.end(http.StatusMethodNotAllowed, "this method is not served")
 	}
-	most, heads := int64(tune.BodyBytes), tune.HeadBytes
-	if s := r.e.state.Load(); s != nil {
-		if s.Limits.MaxBodyBytes > 0 {
-			most = s.Limits.MaxBodyBytes
-		}
-		if s.Limits.MaxHeaderBytes > 0 {
-			heads = s.Limits.MaxHeaderBytes
-		}
-	}
 	size := len(q.RequestURI)
 	for k, vs := range q.Header {
 		for _, v := range vs {
 			size += len(k) + len(v) + 4
 		}
 	}
-	if size > heads {
-		return r.end(http.StatusRequestHeaderFieldsTooLarge, "the heads are too large")
-	}
-	if q.ContentLength > most {
-		return r.end(http.StatusRequestEntityTooLarge, "the body is too large")
+	if code, _ := r.e.checkSize(r.ctx, func(l *limits) bool { return size > l.header }, http.StatusRequestHeaderFieldsTooLarge); code != 0 {
+		return r.tooLarge(code, "the heads are too large")
 	}
-	raw, err := io.ReadAll(io.LimitReader(q.Body, most+1))
-	if err != nil {
-		return r.end(http.StatusBadRequest, "the body ended early")
-	}
-	if int64(len(raw)) > most {
-		return r.end(http.StatusRequestEntityTooLarge, "the body is too large")
+	raw, code := r.readBody(q)
+	switch code {
+	case 0:
+	case http.StatusBadRequest:
+		return r.end(code, "the body ended early")
+	default:
+		return r.tooLarge(code, "the body is too large")
 	}
 	r.body = raw
 	r.call = member.Call{Host: q.Host, Path: q.URL.Path}
 	return phaseCheck
 }
 
+// tooLarge refuses a request for its size, or turns it away where the limits in
+// force could not be learnt.
+func (r *round) tooLarge(code int, text string) phase {
+	if code == http.StatusServiceUnavailable {
+		r.c.Response().Header().Set(wire.HeadRetry, "1")
+		text = "no leader at the moment, nothing was taken"
+	}
+	return r.end(code, text)
+}
+
+// readBody reads a body of at most the size allowed, or gives the code of the
+// answer to one that isn't whole or too large.
+func (r *round) readBody(q *http.Request) ([]byte, int) {
+	code, l := r.e.checkSize(r.ctx, func(l *limits) bool { return q.ContentLength > l.body }, http.StatusRequestEntityTooLarge)
+	if code != 0 {
+		return nil, code
+	}
+	var raw []byte
+	for {
+		// Why one more: that it came tells that the body is too large.
+		more, err := io.ReadAll(io.LimitReader(q.Body, l.body+1-int64(len(raw))))
+		if err != nil {
+			return nil, http.StatusBadRequest
+		}
+		raw = append(raw, more...)
+		if int64(len(raw)) <= l.body {
+			return raw, 0
+		}
+		if code, l = r.e.checkSize(r.ctx, func(l *limits) bool { return int64(len(raw)) > l.body }, http.StatusRequestEntityTooLarge); code != 0 {
+			return nil, code
+		}
+	}
+}
+
 func (r *round) check() phase {
 	if r.kind != member.AskHandIn {
 		return phaseAsk
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -189,14 +189,15 @@
 	// Claim is the pause between two renewals of an edge daemon's membership.
 	Claim = 1500 * time.Millisecond
 	// Fresh is how long ago the leader may have been heard by a daemon that
-	// calls itself ready; two lost claims and an election fit in.
-	Fresh = 4 * time.Second
+	// calls itself ready: one claim, and an election under the next, fit in.
+	Fresh = 3 * time.Second
 	// Budget is a sender's time when it names none.
 	Budget = 3 * time.Second
 	// AnswerTime is kept back so that the answer arrives within the budget.
 	AnswerTime = 40 * time.Millisecond
-	// PutTime bounds an operator's call; they move on after a second.
-	PutTime = 950 * time.Millisecond
+	// PutTime bounds an operator's call; they move on after a second, in which
+	// the answer must also arrive.
+	PutTime = 850 * time.Millisecond
 	// PeakFade is how fast a peak of urgent demand is forgotten: bursts last
 	// for seconds, and a long task blocks room for as long.
 	PeakFade = 15 * time.Second
@@ -286,3 +287,23 @@
 	// listed in time.
 	LeaveEarly = 350 * time.Millisecond
 )
+
+// Package door.
+const (
+	// PutTimeKB is added to PutTime for each KB of a configuration: callers are
+	// more patient with large ones, and checking 1,000 routes (190 KB) takes
+	// some 90 ms of a whole core.
+	PutTimeKB = 2 * time.Millisecond
+	// ControlNoLeader is how long an operator's call waits for a leader before
+	// it is turned away; an election that began before mostly ends in it, and
+	// the operator still goes on within the second.
+	ControlNoLeader = 500 * time.Millisecond
+	// ControlCutOff is that wait where no leader was in reach for Fresh: one
+	// look for it.
+	ControlCutOff = 150 * time.Millisecond
+	// LimitsTime bounds a pull of the limits; a new one follows soon.
+	LimitsTime = 2 * time.Second
+	// HeadMost is what the HTTP server reads of heads at most, whatever a
+	// configuration allows.
+	HeadMost = 64 << 10
+)
