Door: operators get 503 within half a second where there is no leader

A daemon without a leader in reach kept operators for 950 ms and then a read was mostly 504 without a time to come back; they wait a second in all.

--- a/internal/member/seeker.go
+++ b/internal/member/seeker.go
@@ -109,7 +109,7 @@
 	if !ok {
 		till = now.Add(time.Minute)
 	}
-	p := &pending{ask: a, reply: make(chan Answer, 1), till: till, noLead: now.Add(tune.NoLeaderWait), done: ctx.Done()}
+	p := &pending{ask: a, reply: make(chan Answer, 1), till: till, noLead: now.Add(leaderWait(ctx)), done: ctx.Done()}
 	select {
 	case s.in <- event{ask: p}:
 	case <-ctx.Done():
