Disk: only a file that is provably torn is put aside; all else waits

Any error when opening renamed the good file and minted a new identity, also a disk that was full, stalled, refusing or locked; a majority of such restarts forgets acknowledged entries. Opening also wrote (buckets), new files and renames were not followed by a sync of the folder, and bbolt on a torn file panics or ends the process by a signal.

Now a checker walks the pages of the file before bbolt opens it (meta sums, bounds, kinds, order of keys, no page twice) and tells *Torn from *Unavailable. Torn: put aside, folder synced, new identity. Unavailable: files are left, and Await tries again with a pause that grows from 50 to 500 ms. A good file is read without a write. A new file is made under another name, synced, renamed, and its folder synced before its identity is used; one torn at birth is replaced quietly. The core opens its disk beside its loop: it logs disk.waits, is not ready, and answers as a daemon without state until the disk serves.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -33,6 +33,7 @@
 	Bad   error
 	Peer  *peerUp
 	Found *member.Proposal
+	Disk  *diskUp
 	Leave chan struct{}
 	// Raised is the leader's answer to what this daemon summed up.
 	Raised *raised
@@ -129,6 +130,7 @@
 	planner  place.Planner
 	meter    *meter
 	seeds    atomic.Pointer[[]string]
+	opened   atomic.Bool
 }
 
 type claimed struct {
@@ -141,33 +143,19 @@
 		Far: set.Bounds.SpreadFactor}
 }
 
-// New opens the disk and builds the core.
+// New builds the core; Run opens its disk. Until that is open there is no node,
+// and all asks that want one are answered as by a daemon without state.
 func New(b kernel.Base, seek *member.Seeker) (*Core, error) {
-	d, h, why, err := disk.Open(b.Setting.DataDir)
-	if err != nil {
-		return nil, err
-	}
-	if why != "" {
-		_ = b.Log.Log("level", "warn", "event", "disk.foreign", "why", why, "disk", h.ID)
-	}
-	c := &Core{trace: b.Trace, life: b.Life, debug: b.Debug, set: b.Setting, log: b.Log, held: h, dsk: d, seek: seek,
-		me: raft.Voter{Node: b.Setting.NodeName, Disk: h.ID, Addr: b.Setting.Inner()},
+	c := &Core{trace: b.Trace, life: b.Life, debug: b.Debug, set: b.Setting, log: b.Log, seek: seek,
+		me: raft.Voter{Node: b.Setting.NodeName, Addr: b.Setting.Inner()},
 		in: make(chan Event, 4096), jobs: make(chan disk.Job, tune.DiskInbox),
 		streams: map[string]*link.Stream{}, dialing: map[string]time.Time{}, addrs: map[string]string{}, back: map[string]*link.Stream{},
 		waits: map[uint64]waiter{}, att: map[string]*attached{}, claims: map[string]claimed{}, lingers: map[string][]linger{},
-		kids: map[string]*kid{}, orders: map[*link.Stream][]member.Order{}, agg: agg.New(h.ID), sets: map[string]seats{}, posts: newPosts(), offs: map[string][]reply{},
+		kids: map[string]*kid{}, orders: map[*link.Stream][]member.Order{}, agg: agg.New(""), sets: map[string]seats{}, posts: newPosts(), offs: map[string][]reply{},
 		hold: b.Setting.HoldFor(tune.Hold), meter: newMeter(b.Debug)}
 	c.Seeds(b.Setting.Seeds())
 	c.found.Least = 2*b.Setting.Tolerate.LostMachines + 1
-	if c.st, err = store.Load(h.Point.Data, limits(b.Setting)); err != nil {
-		return nil, err
-	}
-	c.lastPt = h.Point.Index
-	// Why not started while only bound: the other founders may be bound to
-	// nothing yet; a message from one of them, or the seed's word, starts it.
-	if h.Hard.Term > 0 || len(h.Bound) == 0 && (h.Point.Index > 0 || !b.Setting.FirstStart) {
-		c.startNode(h.Point)
-	}
+	c.st = store.New(limits(b.Setting))
 	return c, nil
 }
 
@@ -203,13 +191,7 @@
 
 // Run is the core's loop.
 func (c *Core) Run(ctx context.Context) error {
-	go c.dsk.Run(ctx, c.jobs, func(js []disk.Job, err error) {
-		e := Event{Wrote: js, Bad: err}
-		select {
-		case c.in <- e:
-		case <-ctx.Done():
-		}
-	})
+	go c.openDisk(ctx)
 	go c.announce(ctx)
 	kernel.Loop(ctx, c.in, func(e Event) { c.take(ctx, e) }, func(now time.Time) time.Duration { return c.rest(ctx, now) })
 	return nil
@@ -250,7 +232,9 @@
 		}
 	case e.Raised != nil:
 		c.onRaised(e.Raised)
-	case e.Found != nil:
+	case e.Disk != nil:
+		c.onDisk(ctx, e.Disk)
+	case e.Found != nil && c.Opened():
 		c.onProposal(*e.Found)
 	case e.Leave != nil:
 		c.leaving = append(c.leaving, e.Leave)
--- /dev/null
+++ b/internal/core/opening_test.go
@@ -0,0 +1,91 @@
+package core
+
+import (
+	"context"
+	"path/filepath"
+	"testing"
+
+	"github.com/go-kit/log"
+	bolt "go.etcd.io/bbolt"
+
+	"tealpond/internal/disk"
+	"tealpond/internal/kernel"
+	"tealpond/internal/link"
+	"tealpond/internal/member"
+	"tealpond/internal/setting"
+	"tealpond/internal/trace"
+)
+
+// events is a log that hands out the event of each line.
+type events chan string
+
+func (e events) Log(kv ...any) error {
+	for i := 0; i+1 < len(kv); i += 2 {
+		if kv[i] == "event" {
+			e <- kv[i+1].(string)
+		}
+	}
+	return nil
+}
+
+// A disk that does not serve must not end the daemon, cost it its identity or
+// keep it from answering; it says so, and starts once the disk serves.
+func TestDaemonWaitsForItsDisk(t *testing.T) {
+	dir := t.TempDir()
+	d, held, _, err := disk.Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = d.Close()
+	other, err := bolt.Open(filepath.Join(dir, "tealpond.db"), 0o600, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	said := make(events, 1000)
+	b := kernel.Base{Setting: setting.Setting{NodeName: "a", IPAddress: "127.0.0.1", InnerPortRange: []int{1, 9}, DataDir: dir, LossCounts: true},
+		Log: log.Logger(said), Trace: trace.NewRing(16)}
+	seek := member.NewSeeker(b.Log, "", nil, nil, func(int64) {}, nil)
+	c, err := New(b, seek)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	done := make(chan struct{})
+	go func() {
+		_ = c.Run(ctx)
+		close(done)
+	}()
+	wait := func(event string) {
+		for e := range said {
+			if e == event {
+				return
+			}
+		}
+	}
+	ask := func(kind string) member.Answer {
+		got := make(chan member.Answer, 1)
+		c.Handle(member.Ask{Kind: kind}, func(a member.Answer) { got <- a })
+		return <-got
+	}
+	wait("disk.waits")
+	var v member.View
+	if a := ask(member.AskLead); a.Code != 200 || link.Unpack(a.Body, &v) != nil || v.Leads {
+		t.Errorf("%+v %+v", a, v)
+	}
+	if a := ask(member.AskRead); a.Code != member.NotLead {
+		t.Errorf("%+v", a)
+	}
+	if c.Opened() {
+		t.Error("ready without a disk")
+	}
+	_ = other.Close()
+	wait("core.start")
+	got := make(chan string, 1)
+	c.Handle(member.Ask{Kind: askState}, func(member.Answer) { got <- c.me.Disk })
+	if id := <-got; id != held.ID || !c.Opened() {
+		t.Errorf("identity %s, was %s", id, held.ID)
+	}
+	stop()
+	<-done
+}
--- a/internal/disk/disk.go
+++ b/internal/disk/disk.go
@@ -4,11 +4,7 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"encoding/binary"
-	"encoding/hex"
-	"os"
-	"path/filepath"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -37,98 +33,8 @@
 	id string
 }
 
-// Held is what was found on disk.
-type Held struct {
-	ID    string
-	Hard  raft.Hard
-	Point raft.Point
-	Log   []raft.Entry
-	Bound []raft.Voter
-	Fresh bool
-}
-
-func mint() string {
-	var b [12]byte
-	_, _ = rand.Read(b[:])
-	return hex.EncodeToString(b[:])
-}
-
-// Open reads the folder. A file that isn't ours or is torn is put aside, and
-// the daemon goes on as a stranger: why is the second value.
-func Open(dir string) (*Disk, Held, string, error) {
-	path := filepath.Join(dir, "tealpond.db")
-	why := ""
-	d, h, err := open(path)
-	if err != nil {
-		why = err.Error()
-		// Why renamed and not mended: what it held can't be trusted, and a
-		// new identity is the only honest one.
-		if e := os.Rename(path, path+".foreign"); e != nil {
-			return nil, Held{}, why, Error.Wrap(e)
-		}
-		if d, h, err = open(path); err != nil {
-			return nil, Held{}, why, Error.Wrap(err)
-		}
-	}
-	return d, h, why, nil
-}
-
-func open(path string) (*Disk, Held, error) {
-	db, err := bolt.Open(path, 0o600, &bolt.Options{Timeout: time.Second, NoFreelistSync: true, FreelistType: bolt.FreelistMapType})
-	if err != nil {
-		return nil, Held{}, err
-	}
-	var h Held
-	err = db.Update(func(tx *bolt.Tx) error {
-		m, err := tx.CreateBucketIfNotExists(bMeta)
-		if err != nil {
-			return err
-		}
-		if _, err := tx.CreateBucketIfNotExists(bLog); err != nil {
-			return err
-		}
-		if id := m.Get(kID); id != nil {
-			h.ID = string(id)
-			return nil
-		}
-		h.ID, h.Fresh = mint(), true
-		return m.Put(kID, []byte(h.ID))
-	})
-	if err == nil {
-		err = db.View(func(tx *bolt.Tx) error { return read(tx, &h) })
-	}
-	if err != nil {
-		_ = db.Close()
-		return nil, Held{}, err
-	}
-	return &Disk{db: db, id: h.ID}, h, nil
-}
-
-func read(tx *bolt.Tx, h *Held) error {
-	m := tx.Bucket(bMeta)
-	for _, f := range []struct {
-		key []byte
-		to  any
-	}{{kHard, &h.Hard}, {kPt, &h.Point}, {kConf, &h.Bound}} {
-		if raw := m.Get(f.key); raw != nil {
-			if err := cbor.Unmarshal(raw, f.to); err != nil {
-				return err
-			}
-		}
-	}
-	return tx.Bucket(bLog).ForEach(func(k, v []byte) error {
-		var e raft.Entry
-		if err := cbor.Unmarshal(v, &e); err != nil {
-			return err
-		}
-		if e.Index <= h.Point.Index {
-			// Why kept too: members that lag a little are served from it.
-			return nil
-		}
-		h.Log = append(h.Log, e)
-		return nil
-	})
-}
+// Close ends the use of a disk on which Run was not called.
+func (d *Disk) Close() error { return Error.Wrap(d.db.Close()) }
 
 // Bind keeps the founders' set; a second, other one is refused.
 func (d *Disk) Bind(set []raft.Voter, point raft.Point) error {
--- /dev/null
+++ b/internal/disk/read.go
@@ -0,0 +1,103 @@
+package disk
+
+import (
+	"encoding/binary"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"tealpond/internal/raft"
+)
+
+// Held is what was found on disk.
+type Held struct {
+	ID    string
+	Hard  raft.Hard
+	Point raft.Point
+	Log   []raft.Entry
+	Bound []raft.Voter
+	Fresh bool
+}
+
+// unused tells whether nothing but an identity was ever written.
+func (h *Held) unused() bool {
+	return h.Hard == (raft.Hard{}) && h.Point.Index == 0 && len(h.Log) == 0 && len(h.Bound) == 0
+}
+
+// reader gathers the records of a file.
+type reader struct {
+	held    Held
+	buckets int
+	meta    map[string][]byte
+}
+
+// readHeld checks and reads a whole file.
+func readHeld(r io.ReaderAt, size int64) (Held, boltMeta, error) {
+	in := &reader{meta: map[string][]byte{}}
+	if size == 0 {
+		return Held{}, boltMeta{}, errUnborn
+	}
+	m, err := walk(r, size, in.take)
+	if err != nil {
+		return Held{}, m, err
+	}
+	if in.buckets == 0 && len(in.meta) == 0 && len(in.held.Log) == 0 {
+		return Held{}, m, errUnborn
+	}
+	if err := in.finish(); err != nil {
+		return Held{}, m, err
+	}
+	return in.held, m, nil
+}
+
+// take files one record; the start of a bucket has no key.
+func (in *reader) take(bucket string, key, value []byte) error {
+	if key == nil {
+		in.buckets++
+		return nil
+	}
+	switch bucket {
+	case "/" + string(bMeta):
+		in.meta[string(key)] = value
+	case "/" + string(bLog):
+		return in.entry(key, value)
+	default:
+		return torn("bucket", "%q is none of ours", bucket)
+	}
+	return nil
+}
+
+func (in *reader) entry(key, value []byte) error {
+	if len(key) != 8 {
+		return torn("log", "a key of %d bytes", len(key))
+	}
+	var e raft.Entry
+	if err := cbor.Unmarshal(value, &e); err != nil {
+		return torn("log", "entry %d: %v", binary.BigEndian.Uint64(key), err)
+	}
+	in.held.Log = append(in.held.Log, e)
+	return nil
+}
+
+func (in *reader) finish() error {
+	h := &in.held
+	h.ID = string(in.meta[string(kID)])
+	if h.ID == "" {
+		return torn("meta", "no identity")
+	}
+	for _, f := range []struct {
+		key []byte
+		to  any
+	}{{kHard, &h.Hard}, {kPt, &h.Point}, {kConf, &h.Bound}} {
+		if raw := in.meta[string(f.key)]; raw != nil {
+			if err := cbor.Unmarshal(raw, f.to); err != nil {
+				return torn(string(f.key), "%v", err)
+			}
+		}
+	}
+	// Entries that the snapshot covers may be left from older versions.
+	for len(h.Log) > 0 && h.Log[0].Index <= h.Point.Index {
+		h.Log = h.Log[1:]
+	}
+	return nil
+}
--- a/internal/door/edge.go
+++ b/internal/door/edge.go
@@ -258,6 +258,9 @@
 
 // ready tells whether this daemon should be given new callers.
 func (e *Edge) ready() bool {
+	if e.core != nil && !e.core.Opened() {
+		return false
+	}
 	return !e.leave.Load() && time.Since(time.Unix(0, e.heard.Load())) < tune.Fresh
 }
 
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -286,3 +286,18 @@
 	// listed in time.
 	LeaveEarly = 350 * time.Millisecond
 )
+
+// Constants of internal/disk.
+const (
+	// DiskLock is how long an attempt to open the file waits for its lock; the
+	// attempt is made again anyway.
+	DiskLock = 100 * time.Millisecond
+	// DiskRetry is the first pause before a refused call to the disk is made
+	// again, DiskRetryMost the longest: a disk that serves again must be in use
+	// well within catchUpS, and each attempt costs processor time.
+	DiskRetry     = 50 * time.Millisecond
+	DiskRetryMost = 500 * time.Millisecond
+	// DiskSay is the pause between two lines of the log about a disk that does
+	// not serve.
+	DiskSay = time.Second
+)
