Disk: records carry CRC-32C, and the log is held against its rules when read

The log was trusted as read: a gap, a falling term, an entry under another's key or a changed byte went into the node, which then voted and answered as if it held what it had acknowledged. bbolt sums its meta pages only.

Each record is now a mark, the CRC-32C of key and body, and the body; records without a sum are read as before. What breaks this makes the file torn as a whole, not from the gap on: what is missing may have been acknowledged, so that this identity must neither vote nor count any more. A record whose sum holds but which does not decode is another version's: it is left alone, and the daemon waits.

--- a/internal/disk/disk.go
+++ b/internal/disk/disk.go
@@ -7,7 +7,6 @@
 	"encoding/binary"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/zeebo/errs"
 	bolt "go.etcd.io/bbolt"
 
@@ -38,11 +37,11 @@
 
 // Bind keeps the founders' set; a second, other one is refused.
 func (d *Disk) Bind(set []raft.Voter, point raft.Point) error {
-	raw, err := cbor.Marshal(set)
+	raw, err := encode(kConf, set)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	pt, err := cbor.Marshal(point)
+	pt, err := encode(kPt, point)
 	if err != nil {
 		return Error.Wrap(err)
 	}
@@ -83,7 +82,7 @@
 		}
 		for _, j := range jobs {
 			if j.Out.Hard != nil {
-				raw, err := cbor.Marshal(j.Out.Hard)
+				raw, err := encode(kHard, j.Out.Hard)
 				if err != nil {
 					return err
 				}
@@ -96,7 +95,7 @@
 				pt = j.Out.Point
 			}
 			if pt != nil {
-				raw, err := cbor.Marshal(pt)
+				raw, err := encode(kPt, pt)
 				if err != nil {
 					return err
 				}
@@ -122,11 +121,12 @@
 						return err
 					}
 				}
-				raw, err := cbor.Marshal(e)
+				k := key(e.Index)
+				raw, err := encode(k, e)
 				if err != nil {
 					return err
 				}
-				if err := l.Put(key(e.Index), raw); err != nil {
+				if err := l.Put(k, raw); err != nil {
 					return err
 				}
 				last = e.Index
--- a/internal/disk/fault.go
+++ b/internal/disk/fault.go
@@ -30,3 +30,17 @@
 func (u *Unavailable) Unwrap() error { return u.Err }
 
 func unavailable(op string, err error) error { return &Unavailable{Op: op, Err: err} }
+
+// Unknown means that a record is as it was written, and that this program can't
+// read it: it was written by another version. The file is left as it is.
+type Unknown struct {
+	Record string
+	Err    error
+}
+
+func (u *Unknown) Error() string {
+	return "record " + u.Record + " was written by another version: " + u.Err.Error()
+}
+
+// Unwrap gives the error of the decoder.
+func (u *Unknown) Unwrap() error { return u.Err }
--- a/internal/disk/open.go
+++ b/internal/disk/open.go
@@ -127,7 +127,7 @@
 		if _, err := tx.CreateBucket(bLog); err != nil {
 			return err
 		}
-		return m.Put(kID, []byte(mint()))
+		return m.Put(kID, seal(kID, []byte(mint())))
 	})
 	if e := db.Close(); err == nil {
 		err = e
--- a/internal/disk/read.go
+++ b/internal/disk/read.go
@@ -4,8 +4,6 @@
 	"encoding/binary"
 	"io"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"tealpond/internal/raft"
 )
 
@@ -72,8 +70,11 @@
 		return torn("log", "a key of %d bytes", len(key))
 	}
 	var e raft.Entry
-	if err := cbor.Unmarshal(value, &e); err != nil {
-		return torn("log", "entry %d: %v", binary.BigEndian.Uint64(key), err)
+	if err := decode(key, value, &e); err != nil {
+		return err
+	}
+	if at := binary.BigEndian.Uint64(key); e.Index != at {
+		return torn("log", "entry %d stands in the place of %d", e.Index, at)
 	}
 	in.held.Log = append(in.held.Log, e)
 	return nil
@@ -81,8 +82,11 @@
 
 func (in *reader) finish() error {
 	h := &in.held
-	h.ID = string(in.meta[string(kID)])
-	if h.ID == "" {
+	id, _, err := unseal(kID, in.meta[string(kID)])
+	if err != nil {
+		return err
+	}
+	if h.ID = string(id); h.ID == "" {
 		return torn("meta", "no identity")
 	}
 	for _, f := range []struct {
@@ -90,8 +94,8 @@
 		to  any
 	}{{kHard, &h.Hard}, {kPt, &h.Point}, {kConf, &h.Bound}} {
 		if raw := in.meta[string(f.key)]; raw != nil {
-			if err := cbor.Unmarshal(raw, f.to); err != nil {
-				return torn(string(f.key), "%v", err)
+			if err := decode(f.key, raw, f.to); err != nil {
+				return err
 			}
 		}
 	}
@@ -99,5 +103,27 @@
 	for len(h.Log) > 0 && h.Log[0].Index <= h.Point.Index {
 		h.Log = h.Log[1:]
 	}
+	return checkLog(h.Point, h.Log)
+}
+
+// checkLog holds the log against the rules by which it was written: it goes on
+// from the snapshot without a gap, and terms never fall.
+//
+// A log that breaks them has lost records that were synced. The part below the
+// gap can't be kept under this identity: entries above it may have been
+// acknowledged, the leader may have counted them as held by this disk, and this
+// disk's vote would then help to elect a leader that lacks them. What is missing
+// can't be told from what is there, so the whole file is torn.
+func checkLog(p raft.Point, log []raft.Entry) error {
+	index, term := p.Index, p.Term
+	for _, e := range log {
+		if e.Index != index+1 {
+			return torn("log", "entry %d follows %d", e.Index, index)
+		}
+		if e.Term < term {
+			return torn("log", "entry %d: term %d follows term %d", e.Index, e.Term, term)
+		}
+		index, term = e.Index, e.Term
+	}
 	return nil
 }
