--- a/internal/disk/disk.go
+++ b/internal/disk/disk.go
@@ -3,6 +3,7 @@
 package disk
 
 import (
+	"bytes"
 	"context"
 	"encoding/binary"
 	"time"
@@ -72,13 +73,32 @@
 	return b[:]
 }
 
+func index(k []byte) uint64 { return binary.BigEndian.Uint64(k) }
+
+// deleteUpTo removes the entries up to an index. The keys are gathered first: a
+// bbolt cursor that deletes from a page which the same transaction has changed
+// passes over the key that moves into the place of the deleted one.
+func deleteUpTo(l *bolt.Bucket, upTo uint64) error {
+	var keys [][]byte
+	c := l.Cursor()
+	for k, _ := c.First(); k != nil && index(k) <= upTo; k, _ = c.Next() {
+		keys = append(keys, bytes.Clone(k))
+	}
+	for _, k := range keys {
+		if err := l.Delete(k); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (d *Disk) write(jobs []Job) error {
 	return d.db.Update(func(tx *bolt.Tx) error {
 		m, l := tx.Bucket(bMeta), tx.Bucket(bLog)
 		l.FillPercent = 0.95
 		var last uint64
 		if k, _ := l.Cursor().Last(); k != nil {
-			last = binary.BigEndian.Uint64(k)
+			last = index(k)
 		}
 		for _, j := range jobs {
 			if j.Out.Hard != nil {
@@ -102,14 +122,14 @@
 				if err := m.Put(kPt, raw); err != nil {
 					return err
 				}
-				c := l.Cursor()
-				for k, _ := c.First(); k != nil; k, _ = c.Next() {
-					if j.Out.Point == nil && binary.BigEndian.Uint64(k) > pt.Index {
-						break
-					}
-					if err := c.Delete(); err != nil {
-						return err
-					}
+				upTo := pt.Index
+				if j.Out.Point != nil {
+					// The log is replaced whole: entries above a snapshot that was
+					// received need not follow it.
+					upTo = last
+				}
+				if err := deleteUpTo(l, upTo); err != nil {
+					return err
 				}
 				if j.Out.Point != nil {
 					last = 0
--- a/internal/disk/read.go
+++ b/internal/disk/read.go
@@ -1,7 +1,6 @@
 package disk
 
 import (
-	"encoding/binary"
 	"io"
 
 	"tealpond/internal/raft"
@@ -73,7 +72,7 @@
 	if err := decode(key, value, &e); err != nil {
 		return err
 	}
-	if at := binary.BigEndian.Uint64(key); e.Index != at {
+	if at := index(key); e.Index != at {
 		return torn("log", "entry %d stands in the place of %d", e.Index, at)
 	}
 	in.held.Log = append(in.held.Log, e)
