Aggregator: its sets are known by its process and number, not by number alone

Cause: an aggregator numbers its sets from 1 in each life, and the leader kept them by disk and number. A batch of the earlier life that arrives late put another set under the number of the present one: the leader granted a worker that asked nothing in the place of one that did. Change: a batch names the life; a set of another life is asked for whole (428). Test: TestGrantsOfALaterLifeDontUseAnEarlierSet fails without the comparison (200, granted b instead of 428 and nobody).

--- a/internal/core/above.go
+++ b/internal/core/above.go
@@ -69,6 +69,7 @@
 	for _, b := range bs {
 		ask := member.Ask{Kind: member.AskMany, Body: link.Pack(b.Many)}
 		if b.Grants != nil {
+			b.Grants.Life = c.life
 			ask = member.Ask{Kind: member.AskGrants, Body: link.Pack(b.Grants)}
 		}
 		c.meter.add("raised_"+ask.Kind, 1)
@@ -108,9 +109,12 @@
 }
 
 // seats are the members of an aggregator's set, as the leader was told them.
+// A set is known by the aggregator's process and its number: a batch of an
+// earlier process may arrive late, and may bear the number of a later set.
 type seats struct {
-	no  uint64
-	set []member.Seat
+	life string
+	no   uint64
+	set  []member.Seat
 }
 
 // askGrants answers an aggregator: one grant for all that ask in its batch.
@@ -122,10 +126,10 @@
 	}
 	x := c.sets[g.From]
 	if g.Whole != nil {
-		x = seats{g.Set, g.Whole}
+		x = seats{g.Life, g.Set, g.Whole}
 		c.sets[g.From] = x
 	}
-	if x.no != g.Set || len(g.In) != (len(x.set)+7)/8 {
+	if x.life != g.Life || x.no != g.Set || len(g.In) != (len(x.set)+7)/8 {
 		r(member.Answer{Code: 428, Text: "tell the set whole"})
 		return
 	}
--- /dev/null
+++ b/internal/core/above_test.go
@@ -0,0 +1,64 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"tealpond/internal/link"
+	"tealpond/internal/member"
+	"tealpond/internal/store"
+)
+
+// leaderOver is as much of a leader as answers an aggregator, with workers
+// that were taken up; fences by worker.
+func leaderOver(workers ...string) (*Core, map[string]int64) {
+	c := &Core{sets: map[string]seats{}, att: map[string]*attached{}, st: store.New(store.Limits{}), hold: time.Second}
+	fences := map[string]int64{}
+	for _, w := range workers {
+		fences[w] = (&store.TakeUp{ID: w, Node: "node-" + w}).Apply(c.st).N
+		c.att[w] = &attached{}
+	}
+	return c, fences
+}
+
+// granted sends a batch and gives the code and who was granted by it.
+func granted(c *Core, g member.Grants) (int, string) {
+	for _, a := range c.att {
+		a.granted = time.Time{}
+	}
+	code := 0
+	c.askGrants(link.Pack(&g), nil, func(a member.Answer) { code = a.Code })
+	who := ""
+	for _, w := range []string{"a", "b", "c"} {
+		if a := c.att[w]; a != nil && !a.granted.IsZero() {
+			who += w
+		}
+	}
+	return code, who
+}
+
+// TestGrantsOfALaterLifeDontUseAnEarlierSet: an aggregator is started anew and
+// numbers its sets from 1 again; a late batch of its earlier life brings another
+// set of that number. A worker that asked nothing must not be granted in the
+// place of one that did: the leader would hold that one for silent, and start
+// its runs elsewhere while the aggregator tells it to go on.
+func TestGrantsOfALaterLifeDontUseAnEarlierSet(t *testing.T) {
+	c, f := leaderOver("a", "b", "c")
+	seat := func(w string) member.Seat { return member.Seat{Worker: w, Fence: f[w]} }
+	old := member.Grants{From: "d", Life: "1", Set: 1, Whole: []member.Seat{seat("a"), seat("b")}, In: []byte{3}}
+	now := member.Grants{From: "d", Life: "2", Set: 1, Whole: []member.Seat{seat("a"), seat("c")}, In: []byte{3}}
+	if code, who := granted(c, now); code != 200 || who != "ac" {
+		t.Fatalf("the set told whole: %d, granted %q", code, who)
+	}
+	if code, who := granted(c, old); code != 200 || who != "ab" {
+		t.Fatalf("the late batch: %d, granted %q", code, who)
+	}
+	now.Whole, now.In = nil, []byte{2}
+	if code, who := granted(c, now); code != 428 || who != "" {
+		t.Errorf("c asked by the number of its set: %d, granted %q; wanted 428 and nobody", code, who)
+	}
+	now.Whole = []member.Seat{seat("a"), seat("c")}
+	if code, who := granted(c, now); code != 200 || who != "c" {
+		t.Errorf("told whole again: %d, granted %q", code, who)
+	}
+}
--- a/internal/member/calls.go
+++ b/internal/member/calls.go
@@ -189,6 +189,7 @@
 type Grants struct {
 	_      struct{} `cbor:",toarray"`
 	From   string   // disk of the aggregator
+	Life   string   // its process: each life numbers its sets from 1
 	Set    uint64
 	Whole  []Seat
 	In     []byte
