Seeker: a stream that ended before its use is no leader

Cause: a stream that ends between the look and its use tells its end once, while it isn't the present one, and that event was dropped. The seeker then kept a dead stream: no search, no answer, for as long as the process lived. Change: an ended stream counts as a search (or a hop) that found nobody. Test: TestAnEndedStreamIsNotUsed fails on the code before, at both places.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -84,10 +84,8 @@
 
 // Send queues a frame; false if the stream is gone or its inbox is full.
 func (s *Stream) Send(f Frame) bool {
-	select {
-	case <-s.done:
+	if s.Ended() {
 		return false
-	default:
 	}
 	select {
 	case s.out <- &f:
@@ -105,6 +103,16 @@
 	s.once.Do(func() { close(s.done); s.stop() })
 }
 
+// Ended tells whether the stream has ended.
+func (s *Stream) Ended() bool {
+	select {
+	case <-s.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Done is closed once the stream has ended.
 func (s *Stream) Done() <-chan struct{} { return s.done }
 
--- a/internal/member/seeker.go
+++ b/internal/member/seeker.go
@@ -258,7 +258,9 @@
 	for _, a := range f.known {
 		s.learn(a)
 	}
-	if f.stream == nil {
+	if f.stream == nil || f.stream.Ended() {
+		// Why also an ended one: its end may have been told before it was the
+		// present one, and would not be told again.
 		s.fails++
 		return
 	}
@@ -329,7 +331,7 @@
 func (s *Seeker) onHop(h *hop) {
 	s.hopping = false
 	switch {
-	case h.stream == nil:
+	case h.stream == nil || h.stream.Ended():
 		w := min(max(2*s.avoid[h.addr].wait, tune.Avoid), tune.AvoidMost)
 		s.avoid[h.addr] = avoided{s.now.Add(w), w}
 	case s.cur == nil || s.busy:
--- /dev/null
+++ b/internal/member/stream_test.go
@@ -0,0 +1,98 @@
+package member
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"tealpond/internal/link"
+)
+
+// pipes is a network of one process without delay.
+type pipes map[string]chan net.Conn
+
+// Listen opens a port.
+func (p pipes) Listen(ctx context.Context, addr string) (net.Listener, error) {
+	in := make(chan net.Conn)
+	p[addr] = in
+	return &port{in: in, done: make(chan struct{})}, nil
+}
+
+// Dial connects to a port that was opened before.
+func (p pipes) Dial(_ context.Context, addr string) (net.Conn, error) {
+	x, y := net.Pipe()
+	p[addr] <- y
+	return x, nil
+}
+
+type port struct {
+	in   chan net.Conn
+	done chan struct{}
+}
+
+func (p *port) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.in:
+		return c, nil
+	case <-p.done:
+		return nil, net.ErrClosed
+	}
+}
+func (p *port) Close() error   { close(p.done); return nil }
+func (p *port) Addr() net.Addr { return nil }
+
+// atLeader runs a test of a seeker whose loop doesn't run, with streams to a
+// leader at "l" that tells what it is sent.
+func atLeader(t *testing.T, test func(ctx context.Context, s *Seeker, open func() *link.Stream, sent <-chan link.Event)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(link.On(context.Background(), pipes{}))
+		sent := make(chan link.Event, 64)
+		if err := link.Serve(ctx, "l", func(e link.Event) { sent <- e }); err != nil {
+			t.Fatal(err)
+		}
+		var streams []*link.Stream
+		open := func() *link.Stream {
+			st, err := link.Dial(ctx, "l", func(link.Event) {})
+			if err != nil {
+				t.Fatal(err)
+			}
+			streams = append(streams, st)
+			return st
+		}
+		s := NewSeeker(log.NewNopLogger(), "", []string{"l"}, nil, nil, nil)
+		s.now = time.Now()
+		s.Homing()
+		test(ctx, s, open, sent)
+		for _, st := range streams {
+			st.Close()
+		}
+		stop()
+		time.Sleep(time.Second)
+	})
+}
+
+// TestAnEndedStreamIsNotUsed: a stream that ended between the look and its use
+// tells its end only once, before it is the present one; to use it would leave
+// the seeker with a leader that never answers, and without a search.
+func TestAnEndedStreamIsNotUsed(t *testing.T) {
+	atLeader(t, func(ctx context.Context, s *Seeker, open func() *link.Stream, _ <-chan link.Event) {
+		st := open()
+		st.Close()
+		s.onLink(ctx, &link.Event{Stream: st, Gone: true})
+		s.seekID, s.busy = 1, true
+		s.onFound(&found{id: 1, stream: st, addr: "l", leads: true})
+		if s.cur != nil || s.busy {
+			t.Error("a search that found an ended stream: it is used, and no other search follows")
+		}
+		now := open()
+		s.use(now, "l")
+		s.onHop(&hop{addr: "h", stream: st})
+		if s.cur != now {
+			t.Error("turned from a leader that answers to an ended stream")
+		}
+	})
+}
