Seeker: asks keep their order, also when they are sent again

Cause: after a change of stream all waiting asks were sent again in the order of a Go map, and an aggregator's batches were handed to the seeker by a goroutine each. An older ask about a worker (draining, sick, taking up a life that is over) could so be applied after a newer one; a late first take-up of an earlier life ends the newer life. Change: sent again in the order in which they were made; Seeker.Post puts an ask under way at once, and batches are posted by the core's loop. Test: TestAsksAreSentAgainInTheirOrder fails without the sort (ask 15 where 1 was due).

--- a/internal/core/above.go
+++ b/internal/core/above.go
@@ -73,10 +73,12 @@
 			ask = member.Ask{Kind: member.AskGrants, Body: link.Pack(b.Grants)}
 		}
 		c.meter.add("raised_"+ask.Kind, 1)
+		x, stop := context.WithTimeout(ctx, tune.AggTime)
+		// Why posted here: batches reach the leader in their order.
+		answer := c.seek.Post(x, ask)
 		go func() {
-			x, stop := context.WithTimeout(ctx, tune.AggTime)
 			defer stop()
-			e := Event{Raised: &raised{b, c.seek.AskRaw(x, ask)}}
+			e := Event{Raised: &raised{b, answer()}}
 			select {
 			case c.in <- e:
 			case <-ctx.Done():
--- a/internal/member/seeker.go
+++ b/internal/member/seeker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log"
@@ -103,7 +104,12 @@
 }
 
 // AskRaw is Ask with a body that is already packed.
-func (s *Seeker) AskRaw(ctx context.Context, a Ask) Answer {
+func (s *Seeker) AskRaw(ctx context.Context, a Ask) Answer { return s.Post(ctx, a)() }
+
+// Post is AskRaw in two steps: the ask is under way when Post returns, behind
+// all that were posted before it; the function that it gives waits for the
+// answer.
+func (s *Seeker) Post(ctx context.Context, a Ask) func() Answer {
 	now := time.Now()
 	till, ok := ctx.Deadline()
 	if !ok {
@@ -113,17 +119,19 @@
 	select {
 	case s.in <- event{ask: p}:
 	case <-ctx.Done():
-		return Answer{Code: NoLeader}
+		return func() Answer { return Answer{Code: NoLeader} }
 	}
-	select {
-	case a := <-p.reply:
-		return a
-	case <-ctx.Done():
+	return func() Answer {
 		select {
 		case a := <-p.reply:
 			return a
-		case <-time.After(20 * time.Millisecond):
-			return Answer{Code: Lost}
+		case <-ctx.Done():
+			select {
+			case a := <-p.reply:
+				return a
+			case <-time.After(20 * time.Millisecond):
+				return Answer{Code: Lost}
+			}
 		}
 	}
 }
@@ -278,9 +286,16 @@
 	if old != nil {
 		old.Close()
 	}
-	for id, p := range s.wait {
-		p.sent = time.Time{}
-		s.sendOne(id, p)
+	ids := make([]uint64, 0, len(s.wait))
+	for id := range s.wait {
+		ids = append(ids, id)
+	}
+	// Why in the order in which they were made: of two asks about one thing
+	// the later must win, and a new life's ask must follow the old one's.
+	slices.Sort(ids)
+	for _, id := range ids {
+		s.wait[id].sent = time.Time{}
+		s.sendOne(id, s.wait[id])
 	}
 	if s.attch != nil {
 		s.attch()
--- a/internal/member/stream_test.go
+++ b/internal/member/stream_test.go
@@ -96,3 +96,25 @@
 		}
 	})
 }
+
+// TestAsksAreSentAgainInTheirOrder: of two asks about one worker the later one
+// must win, also when a new leader is asked all that waits.
+func TestAsksAreSentAgainInTheirOrder(t *testing.T) {
+	atLeader(t, func(ctx context.Context, s *Seeker, open func() *link.Stream, sent <-chan link.Event) {
+		const asks = 16
+		for range asks {
+			s.take(ctx, event{ask: &pending{ask: Ask{Kind: AskElig}, reply: make(chan Answer, 1), till: s.now.Add(time.Second)}})
+		}
+		for range 2 {
+			s.use(open(), "l")
+			for want := uint64(1); want <= asks; {
+				if e := <-sent; e.Gone {
+					continue
+				} else if e.Frame.ID != want {
+					t.Fatalf("ask %d was sent where %d was due", e.Frame.ID, want)
+				}
+				want++
+			}
+		}
+	})
+}
