Seeker: without a leader callers are told so at once, and 503 only if nothing was taken

Cause: each call at a daemon without a leader in reach waited 1.3 s, an operator's until its own second was over; whether it got 503 or 504 then was a race of two timers. A call that a deposed leader had turned away counted as maybe taken. Change: how long an ask waits for a leader goes by its kind; while the last look at all places failed lately and the leader is lost for longer than an election, operators are answered at once and clients after 250 ms. An ask counts as open only where it may have been taken; a caller whose time ends first gets that answer too. An aggregator passes a batch without an answer on as unclear, not as not taken. AskAt matches the number. TestAnswersAreMatchedByTheirStream fails when answers of other streams are let through.

--- a/internal/core/above.go
+++ b/internal/core/above.go
@@ -91,9 +91,13 @@
 // onRaised hands the leader's answer down.
 func (c *Core) onRaised(x *raised) {
 	a := x.ans
-	if a.Code == member.NoLeader || a.Code == member.Lost {
-		// Why this word: the asker then looks for the leader by itself.
+	// Why these words: the asker then looks for the leader by itself, and knows
+	// whether its ask may have been taken.
+	switch a.Code {
+	case member.NoLeader:
 		a = member.Answer{Code: member.NotLead}
+	case member.Lost:
+		a = member.Answer{Code: member.Unclear}
 	}
 	if x.batch.Grants != nil {
 		var odd []member.Odd
--- a/internal/member/once.go
+++ b/internal/member/once.go
@@ -13,7 +13,7 @@
 	got := make(chan Answer, 1)
 	s, err := link.Dial(ctx, addr, func(e link.Event) {
 		var a Answer
-		if !e.Gone && e.Frame.Kind == FrameAnswer && link.Unpack(e.Frame.Body, &a) == nil {
+		if !e.Gone && e.Frame.Kind == FrameAnswer && e.Frame.ID == 1 && link.Unpack(e.Frame.Body, &a) == nil {
 			select {
 			case got <- a:
 			default:
--- a/internal/member/seeker.go
+++ b/internal/member/seeker.go
@@ -33,6 +33,8 @@
 	next   uint64
 	now    time.Time
 	heard  time.Time // the last frame of the present stream
+	lost   time.Time // since when there is no stream to a leader
+	failed time.Time // the last look at all places that found none; zero if none did since
 
 	// homes: it turns to whom the answers name for its zone.
 	homes   bool
@@ -52,11 +54,36 @@
 	ask   Ask
 	reply chan Answer
 	till  time.Time
-	// noLead is when an ask that was never sent is given up.
-	noLead time.Time
-	sent   time.Time // zero while not under way
-	ever   bool
-	done   <-chan struct{}
+	// noLead is when an ask that was surely never taken is given up, known the
+	// same while it is known that there is no leader in reach.
+	noLead, known time.Time
+	sent          time.Time // zero while not under way
+	// open counts the times that it was sent and may have been taken.
+	open int
+	done <-chan struct{}
+}
+
+// end is the answer to an ask that is given up.
+func (p *pending) end() {
+	code := NoLeader
+	if p.open > 0 {
+		code = Lost
+	}
+	p.reply <- Answer{Code: code}
+}
+
+// patience is how long an ask waits for a leader: known, while it is known
+// that none is in reach.
+type patience struct{ most, known time.Duration }
+
+// patienceOf tells it by the kind of ask: clients lose more by being turned
+// away in an election than operators, who go on to the next daemon.
+var patienceOf = map[string]patience{
+	AskHandIn: {tune.NoLeaderWait, tune.NoLeaderKnown},
+	AskStatus: {tune.NoLeaderWait, tune.NoLeaderKnown},
+	AskCancel: {tune.NoLeaderWait, tune.NoLeaderKnown},
+	AskPut:    {tune.OperatorWait, 0},
+	AskRead:   {tune.OperatorWait, 0},
 }
 
 type event struct {
@@ -115,7 +142,11 @@
 	if !ok {
 		till = now.Add(time.Minute)
 	}
-	p := &pending{ask: a, reply: make(chan Answer, 1), till: till, noLead: now.Add(tune.NoLeaderWait), done: ctx.Done()}
+	w, ok := patienceOf[a.Kind]
+	if !ok {
+		w = patience{tune.NoLeaderWait, tune.NoLeaderWait}
+	}
+	p := &pending{ask: a, reply: make(chan Answer, 1), till: till, noLead: now.Add(w.most), known: now.Add(w.known), done: ctx.Done()}
 	select {
 	case s.in <- event{ask: p}:
 	case <-ctx.Done():
@@ -156,6 +187,7 @@
 
 // Run is the seeker's loop.
 func (s *Seeker) Run(ctx context.Context) error {
+	s.lost = time.Now()
 	kernel.Loop(ctx, s.in, func(e event) { s.take(ctx, e) }, func(now time.Time) time.Duration { return s.rest(ctx, now) })
 	return nil
 }
@@ -191,14 +223,15 @@
 		return
 	}
 	if s.cur.Send(link.Frame{Kind: FrameAsk, ID: id, Body: link.Pack(p.ask)}) {
-		p.sent, p.ever = s.now, true
+		p.sent = s.now
+		p.open++
 	}
 }
 
 func (s *Seeker) drop() {
 	if s.cur != nil {
 		s.cur.Close()
-		s.cur = nil
+		s.cur, s.lost = nil, s.now
 	}
 	for _, p := range s.wait {
 		p.sent = time.Time{}
@@ -243,6 +276,9 @@
 		if a.Lead != "" {
 			s.lead = a.Lead
 		}
+		if a.Code == NotLead {
+			p.open--
+		}
 		s.shun()
 		s.drop()
 		return
@@ -270,6 +306,7 @@
 		// Why also an ended one: its end may have been told before it was the
 		// present one, and would not be told again.
 		s.fails++
+		s.failed = s.now
 		return
 	}
 	s.fails = 0
@@ -282,7 +319,7 @@
 // use makes a stream the present one; what waits is asked there.
 func (s *Seeker) use(st *link.Stream, addr string) {
 	old := s.cur
-	s.cur, s.at, s.heard = st, addr, s.now
+	s.cur, s.at, s.heard, s.failed = st, addr, s.now, time.Time{}
 	if old != nil {
 		old.Close()
 	}
@@ -386,25 +423,22 @@
 		}
 	}
 	stuck := false
+	leaderless := s.leaderless(now)
+	if left := tune.Election - now.Sub(s.lost); s.cur == nil && left > 0 {
+		soon(left)
+	}
 	for id, p := range s.wait {
 		select {
 		case <-p.done:
+			// Why answered: its caller waits a moment longer for this.
 			delete(s.wait, id)
+			p.end()
 			continue
 		default:
 		}
-		if !now.Before(p.till) {
-			delete(s.wait, id)
-			code := NoLeader
-			if p.ever {
-				code = Lost
-			}
-			p.reply <- Answer{Code: code}
-			continue
-		}
-		if !p.ever && !now.Before(p.noLead) {
+		if !now.Before(p.till) || p.open == 0 && (!now.Before(p.noLead) || leaderless && !now.Before(p.known)) {
 			delete(s.wait, id)
-			p.reply <- Answer{Code: NoLeader}
+			p.end()
 			continue
 		}
 		if !p.sent.IsZero() {
@@ -421,8 +455,11 @@
 			}
 		}
 		soon(p.till.Sub(now))
-		if !p.ever {
+		if p.open == 0 {
 			soon(p.noLead.Sub(now))
+			if leaderless {
+				soon(p.known.Sub(now))
+			}
 		}
 	}
 	if stuck {
@@ -439,6 +476,13 @@
 	return wake
 }
 
+// leaderless tells whether it is known that no leader is in reach: none was
+// found for longer than an election takes, and a look at all places has just
+// failed.
+func (s *Seeker) leaderless(now time.Time) bool {
+	return s.cur == nil && now.Sub(s.lost) >= tune.Election && !s.failed.IsZero() && now.Sub(s.failed) < tune.LookFresh
+}
+
 // places are the addresses to try, the likeliest first.
 func (s *Seeker) places() []string {
 	var out []string
--- a/internal/member/stream_test.go
+++ b/internal/member/stream_test.go
@@ -118,3 +118,34 @@
 		}
 	})
 }
+
+// TestAnswersAreMatchedByTheirStream: an answer of an earlier stream that is
+// already queued, one that is doubled, and one to no ask reach nobody.
+func TestAnswersAreMatchedByTheirStream(t *testing.T) {
+	atLeader(t, func(ctx context.Context, s *Seeker, open func() *link.Stream, _ <-chan link.Event) {
+		old, now := open(), open()
+		s.use(old, "l")
+		replies := []chan Answer{make(chan Answer, 1), make(chan Answer, 1)}
+		for _, r := range replies {
+			s.take(ctx, event{ask: &pending{ask: Ask{Kind: AskPut}, reply: r, till: s.now.Add(time.Second)}})
+		}
+		s.use(now, "l")
+		answer := func(st *link.Stream, id uint64, n int64) {
+			s.onLink(ctx, &link.Event{Stream: st, Frame: link.Frame{Kind: FrameAnswer, ID: id, Body: link.Pack(Answer{Code: 200, N: n})}})
+		}
+		answer(old, 1, 66)
+		answer(now, 3, 77)
+		if len(replies[0])+len(replies[1]) != 0 {
+			t.Fatal("an answer of an earlier stream, or to no ask, reached a caller")
+		}
+		answer(now, 1, 1)
+		answer(now, 1, 88)
+		answer(old, 2, 99)
+		answer(now, 2, 2)
+		for i, r := range replies {
+			if a := <-r; a.N != int64(i+1) {
+				t.Errorf("ask %d got the answer %d", i+1, a.N)
+			}
+		}
+	})
+}
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -286,3 +286,20 @@
 	// listed in time.
 	LeaveEarly = 350 * time.Millisecond
 )
+
+// Package member.
+const (
+	// Election is how long no leader is found before that is more than an
+	// ordinary election: the longest wait of a voter, its beat, and the first
+	// entry of the new term.
+	Election = time.Second
+	// LookFresh is how long a look at all places that found no leader tells
+	// that there is none; above a look's own time and the pause after it.
+	LookFresh = 1500 * time.Millisecond
+	// NoLeaderKnown is how long a client's call waits for a leader while it is
+	// known that none is in reach; a look or two after all were started anew.
+	NoLeaderKnown = 250 * time.Millisecond
+	// OperatorWait is how long an operator's call waits for a leader; they go
+	// on to the next daemon after a second of silence, the way there included.
+	OperatorWait = 500 * time.Millisecond
+)
