Founding: all candidates turn to one seed, and members tell all seeds of their core

Cause: a candidate announced itself to the first seed that answered within 0.5 s. With a seed that starts late, or restarts, two seeds gathered at the same time and each proposed a set: sets that overlap block each other for good, disjoint ones could found two cores. Change: all announce to the lowest address of the seeds, whatever their order in the settings, and go on only after it was silent for 5 s; members of a core that was just founded tell all seeds of its set for 20 s, so a seed that forgot proposes no other.

--- a/internal/core/found.go
+++ b/internal/core/found.go
@@ -10,37 +10,65 @@
 	"tealpond/internal/tune"
 )
 
-// announce tells the seeds of this candidate until it is a member.
+// announcing is what the loop tells its own announcer: what this daemon is, and
+// who leads.
+type announcing struct {
+	what  standing
+	found member.Found
+	lead  string
+}
+
+// standing is how a core daemon stands to the core.
+type standing byte
+
+const (
+	candidate = standing(iota) // the core isn't founded, as far as it knows
+	stranger                   // it wants to be taken into a core that exists
+	voter
+)
+
+// announce tells the seeds of this candidate until it is a member, and then of
+// the core that was founded.
 func (c *Core) announce(ctx context.Context) {
 	t := time.NewTicker(tune.Announce)
 	defer t.Stop()
+	var seeds member.Announcer
+	lead := ""
 	for i := 1; ; i++ {
-		got := make(chan member.Found, 1)
-		join := make(chan bool, 1)
+		got := make(chan announcing, 1)
 		c.Handle(member.Ask{Kind: askState}, func(a member.Answer) {
 			var f member.Found
 			_ = link.Unpack(a.Body, &f)
-			got <- f
-			join <- a.N == 1
+			got <- announcing{standing(a.N), f, a.Lead}
 		})
 		select {
-		case f := <-got:
-			if <-join {
+		case s := <-got:
+			if s.lead != lead && s.lead != "" {
+				// Why told: the seeds of a daemon that was started anew may be
+				// down or gone, but its log names the members.
+				c.seek.Learn(s.lead)
+			}
+			lead = s.lead
+			switch s.what {
+			case stranger:
 				x, stop := context.WithTimeout(ctx, time.Second)
-				c.seek.Ask(x, member.AskJoin, f.Me)
+				c.seek.Ask(x, member.AskJoin, s.found.Me)
 				stop()
-			} else if f.Me.Disk == "" {
+			case voter:
 				// Why often at first: seeds may start later than this one.
 				if i < 40 && i%4 == 1 || i%40 == 0 {
 					c.seek.Introduce(ctx, *c.seeds.Load())
 				}
-			} else {
-				c.tellSeeds(ctx, f)
-				if i%12 == 0 && len(f.Bound) == 0 {
+				if c.set.FirstStart && i < tune.FoundTold && i%4 == 1 {
+					c.tellFounded(ctx, s.found)
+				}
+			default:
+				c.tellSeed(ctx, &seeds, s.found)
+				if i%12 == 0 && len(s.found.Bound) == 0 {
 					// Why asked too: the core may have been founded while
 					// this one was slow, and the seed may have forgotten.
 					x, stop := context.WithTimeout(ctx, tune.Dial)
-					if c.seek.Ask(x, member.AskJoin, f.Me).Code == 200 {
+					if c.seek.Ask(x, member.AskJoin, s.found.Me).Code == 200 {
 						c.in <- Event{Found: &member.Proposal{Set: []raft.Voter{{}}}}
 					}
 					stop()
@@ -60,35 +88,48 @@
 // askState is answered by the loop to its own announcer.
 const askState = "state"
 
-// state tells the announcer what to say: nothing, found or join.
+// state tells the announcer what to say.
 func (c *Core) state() member.Answer {
-	f := member.Found{Me: c.me, Bound: c.held.Bound}
+	a := member.Answer{N: int64(voter), Lead: c.leadAddr(), Body: link.Pack(member.Found{Me: c.me, Bound: c.held.Bound})}
 	switch {
 	case c.node == nil:
-		return member.Answer{Body: link.Pack(f)}
+		a.N = int64(candidate)
 	case !c.node.Voter(c.me.Disk), c.node.Lead() == "" && time.Since(c.joined) > 3*time.Second:
 		// Why without a lead too: this voter may have been replaced while
 		// it was away, and only the leader can take it back.
 		c.joined = time.Now()
-		return member.Answer{N: 1, Body: link.Pack(f)}
+		a.N = int64(stranger)
 	}
-	return member.Answer{Body: link.Pack(member.Found{})}
+	return a
 }
 
-// tellSeeds announces to the first seed that answers.
-func (c *Core) tellSeeds(ctx context.Context, f member.Found) {
-	for _, a := range *c.seeds.Load() {
-		r, err := member.AskAt(ctx, a, member.AskFound, link.Pack(f), tune.Dial)
-		var p member.Proposal
-		if err != nil || link.Unpack(r.Body, &p) != nil {
-			continue
-		}
-		select {
-		case c.in <- Event{Found: &p}:
-		case <-ctx.Done():
-		}
+// tellSeed announces a candidate to the seed that gathers the first core.
+func (c *Core) tellSeed(ctx context.Context, seeds *member.Announcer, f member.Found) {
+	addr := seeds.Place(*c.seeds.Load(), time.Now())
+	if addr == "" {
+		return
+	}
+	r, err := member.AskAt(ctx, addr, member.AskFound, link.Pack(f), tune.Dial)
+	var p member.Proposal
+	if err != nil || link.Unpack(r.Body, &p) != nil {
+		return
+	}
+	seeds.Answered(time.Now())
+	select {
+	case c.in <- Event{Found: &p}:
+	case <-ctx.Done():
+	}
+}
+
+// tellFounded tells all seeds of the set that founded the core, so that none of
+// them proposes another to candidates that came late.
+func (c *Core) tellFounded(ctx context.Context, f member.Found) {
+	if len(f.Bound) == 0 {
 		return
 	}
+	for _, a := range *c.seeds.Load() {
+		go func() { _, _ = member.AskAt(ctx, a, member.AskFound, link.Pack(f), tune.Dial) }()
+	}
 }
 
 func (c *Core) onProposal(p member.Proposal) {
--- a/internal/member/founder.go
+++ b/internal/member/founder.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -8,6 +9,36 @@
 	"tealpond/internal/tune"
 )
 
+// Announcer chooses the seed to which a candidate for the first core announces
+// itself. All candidates turn to the same one, the lowest of the seeds: two
+// seeds that gather at the same time could each propose a set, and found a core
+// of its own or block each other. Another seed is turned to only after the
+// present one was silent for tune.FoundPatience.
+type Announcer struct {
+	heard time.Time // the last answer, or when the present seed was turned to
+	turns int
+}
+
+// Place is the seed to announce to now; empty if there is none.
+func (a *Announcer) Place(seeds []string, now time.Time) string {
+	if len(seeds) == 0 {
+		return ""
+	}
+	if a.heard.IsZero() {
+		a.heard = now
+	}
+	if now.Sub(a.heard) >= tune.FoundPatience {
+		a.heard = now
+		a.turns++
+	}
+	order := slices.Clone(seeds)
+	slices.Sort(order)
+	return order[a.turns%len(order)]
+}
+
+// Answered notes that the present seed answered.
+func (a *Announcer) Answered(now time.Time) { a.heard = now }
+
 // Founder gathers the first core on a seed. Pure: announcements in, proposals
 // out.
 type Founder struct {
@@ -41,7 +72,9 @@
 	}
 	if len(m.Bound) > 0 {
 		// Why adopted: a candidate binds once, so its set is the only one
-		// in which it can ever found.
+		// in which it can ever found; and a member of a founded core says so,
+		// since this seed may have forgotten, or be another than the one that
+		// proposed.
 		f.set = m.Bound
 	}
 	if f.set == nil && len(f.seen) >= f.Least && now.Sub(f.still) >= tune.Gather {
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -302,4 +302,12 @@
 	// OperatorWait is how long an operator's call waits for a leader; they go
 	// on to the next daemon after a second of silence, the way there included.
 	OperatorWait = 500 * time.Millisecond
+	// FoundPatience is how long the seed that gathers the first core must be
+	// silent before a candidate turns to the next; all machines start within
+	// 0.3 s, and a start on the slowest one takes a second or two.
+	FoundPatience = 5 * time.Second
+	// FoundTold is the number of announcements (Announce) for which members of
+	// a core that was just founded tell the seeds of it: 20 s, above the turns
+	// through all seeds. Each fourth goes out: more often than Gather.
+	FoundTold = 80
 )
