--- a/internal/member/seeker.go
+++ b/internal/member/seeker.go
@@ -146,6 +146,9 @@
 	if !ok {
 		w = patience{tune.NoLeaderWait, tune.NoLeaderWait}
 	}
+	if ctx.Value(leaderWaitKey{}) != nil {
+		w.most = leaderWait(ctx)
+	}
 	p := &pending{ask: a, reply: make(chan Answer, 1), till: till, noLead: now.Add(w.most), known: now.Add(w.known), done: ctx.Done()}
 	select {
 	case s.in <- event{ask: p}:
