--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -49,12 +49,6 @@
 	stream *link.Stream
 }
 
-// waiter is a caller whose command is in the log.
-type waiter struct {
-	term  uint64
-	reply []func(store.Outcome, bool)
-}
-
 // attached is a side daemon's hold on a worker, as the leader sees it.
 type attached struct {
 	granted time.Time
@@ -174,6 +168,9 @@
 func (c *Core) startNode(p raft.Point) {
 	seed := fnv.New64()
 	_, _ = seed.Write([]byte(c.me.Disk))
+	if err := c.st.StartAt(p.Index); err != nil {
+		panic("core: " + err.Error())
+	}
 	c.node = raft.New(c.me.Disk, c.held.Hard, p, c.held.Log, time.Now(), raft.Timing{Beat: tune.Beat, Elect: tune.Elect,
 		Spread: tune.ElectSpread, Quorum: tune.QuorumLoss, LeaseShare: tune.LeaseShare, Window: tune.Window, Bytes: tune.AppendBytes},
 		int64(seed.Sum64())^time.Now().UnixNano())
@@ -184,12 +181,6 @@
 	_ = c.log.Log("level", "info", "event", "core.start", "disk", c.me.Disk, "term", c.node.Term(), "last", c.node.LastIndex(), "voters", len(c.node.Voters()))
 }
 
-func (c *Core) point() *raft.Point {
-	i := c.node.Applied()
-	t, _ := c.node.TermAt(i)
-	return &raft.Point{Index: i, Term: t, Conf: c.node.ConfAt(i), Data: c.st.Save()}
-}
-
 // Seeds replaces the seeds.
 func (c *Core) Seeds(a []string) { c.seeds.Store(&a) }
 
@@ -332,7 +323,7 @@
 		c.onAsk(a, s, func(r member.Answer) {
 			r.Desired = max(r.Desired, c.st.Desired.Version)
 			if r.At == 0 && c.node != nil {
-				r.At = c.node.Applied()
+				r.At = c.st.Applied
 			}
 			s.Send(link.Frame{Kind: member.FrameAnswer, ID: id, Body: link.Pack(r)})
 		})
@@ -399,39 +390,15 @@
 	}
 	defer c.meter.span("rest")()
 	wake := c.node.Tick(now)
-	c.apply()
-	if d := c.duty(now); d > 0 && d < wake {
-		wake = d
-	}
-	if d := c.raise(ctx, now); d > 0 && d < wake {
-		wake = d
-	}
-	if d := c.propose(now); d > 0 && d < wake {
-		wake = d
-	}
-	for {
-		o := c.node.Take()
-		if o.Empty() {
-			break
+	// Before anything is applied: a snapshot that came in replaces the state
+	// which the entries above it don't follow.
+	c.drain(ctx)
+	for _, d := range []time.Duration{c.duty(now), c.raise(ctx, now), c.propose(now)} {
+		if d > 0 && d < wake {
+			wake = d
 		}
-		c.post(ctx, o.Now)
-		if o.Point != nil {
-			st, err := store.Load(o.Point.Data, limits(c.set))
-			if err != nil {
-				panic("core: unreadable checkpoint: " + err.Error())
-			}
-			c.st = st
-			c.lastPt = o.Point.Index
-			c.resync()
-		}
-		if o.Writes() || len(o.After) > 0 && c.inDisk > 0 {
-			c.inDisk++
-			c.jobs <- disk.Job{Out: o}
-		} else {
-			c.post(ctx, o.After)
-		}
-		c.apply()
 	}
+	c.drain(ctx)
 	c.giveOrders()
 	c.checkpoint()
 	c.settleOffs()
@@ -451,94 +418,3 @@
 	}
 	return wake
 }
-
-func (c *Core) checkpoint() {
-	if c.node.Applied()-c.lastPt < tune.PointEvery {
-		return
-	}
-	p := c.point()
-	c.lastPt = p.Index
-	c.inDisk++
-	c.jobs <- disk.Job{Point: p}
-}
-
-func (c *Core) apply() {
-	defer c.meter.span("apply")()
-	for _, e := range c.node.Settled() {
-		if e.Kind == raft.EntryConf {
-			_ = c.log.Log("level", "info", "event", "core.conf", "index", e.Index, "voters", len(c.node.ConfAt(e.Index)))
-		}
-		if e.Kind != raft.EntryData {
-			continue
-		}
-		out := c.st.Run(e.Data)
-		c.dirty = true
-		if !c.led {
-			// Why dropped: only a leader plans, and a new one looks at all.
-			c.st.Booked()
-		}
-		for _, r := range c.st.Closed() {
-			c.trace.Add(r.Alloc.Task(), "end applied", int64(r.Alloc.Run), r.How)
-			if c.led && r.How == "done" {
-				c.planner.Learn(c.st, r.Alloc, r.At)
-			}
-			if c.led && c.debug {
-				c.logRun(r)
-			}
-		}
-		for _, j := range c.st.Ended() {
-			c.trace.Add(j.ID, "over", int64(e.Index), j.Word())
-			if c.led && c.debug {
-				c.logJob(j)
-			}
-		}
-		if w, ok := c.waits[e.Index]; ok {
-			delete(c.waits, e.Index)
-			for i, r := range w.reply {
-				if r != nil {
-					r(out[i], w.term == e.Term)
-				}
-			}
-		}
-	}
-}
-
-// add puts a command into the next entry.
-func (c *Core) add(kind string, cmd store.Cmd, reply func(store.Outcome, bool)) {
-	c.batch = append(c.batch, store.Encode(kind, cmd))
-	c.replies = append(c.replies, reply)
-}
-
-// propose puts what waits into the log as one entry. Why not each command at
-// once: an entry costs a message to and from each other voter, so the pause
-// between two grows with their number. It returns when to come back.
-func (c *Core) propose(now time.Time) time.Duration {
-	if len(c.batch) == 0 {
-		return 0
-	}
-	if left := tune.GroupEach*time.Duration(len(c.node.Voters())-1) - now.Sub(c.proposed); left > 0 {
-		return left
-	}
-	c.proposed = now
-	b, rs := c.batch, c.replies
-	c.meter.add("proposals", 1)
-	c.meter.add("commands", len(b))
-	c.batch, c.replies = nil, nil
-	i, ok := uint64(0), false
-	if c.node.Ready() {
-		i, ok = c.node.Propose(link.Pack(store.Batch{Clock: c.clock(now), Wall: c.wall(now), Cmds: b}))
-	}
-	if !ok {
-		for _, r := range rs {
-			if r != nil {
-				r(store.Outcome{}, false)
-			}
-		}
-		return 0
-	}
-	c.waits[i] = waiter{term: c.node.Term(), reply: rs}
-	return 0
-}
-
-// clock is the store's clock: it goes on from the newest stamp in the log.
-func (c *Core) clock(now time.Time) int64 { return c.base + now.Sub(c.ledAt).Milliseconds() }
--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -107,13 +107,8 @@
 func (c *Core) resign() {
 	c.led = false
 	_ = c.log.Log("level", "info", "event", "core.resign", "term", c.node.Term())
-	for i, w := range c.waits {
-		delete(c.waits, i)
-		for _, r := range w.reply {
-			if r != nil {
-				r(store.Outcome{}, false)
-			}
-		}
+	for i := range c.waits {
+		c.unclear(i)
 	}
 	for _, k := range c.kids {
 		// Why closed: side daemons then look for the new leader at once.
--- /dev/null
+++ b/internal/core/harness_test.go
@@ -0,0 +1,89 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"tealpond/internal/agg"
+	"tealpond/internal/disk"
+	"tealpond/internal/link"
+	"tealpond/internal/member"
+	"tealpond/internal/raft"
+	"tealpond/internal/setting"
+	"tealpond/internal/store"
+	"tealpond/internal/trace"
+	"tealpond/internal/tune"
+)
+
+// bench is a core without its loop, streams and disk: a test hands it messages
+// and calls rest as the loop would. It runs in a bubble of virtual time.
+type bench struct {
+	t *testing.T
+	c *Core
+}
+
+var testVoters = []raft.Voter{{Node: "n-a", Disk: "a"}, {Node: "n-b", Disk: "b"}, {Node: "n-c", Disk: "c"}}
+
+// newBench gives the core of the first voter, founded and empty.
+func newBench(t *testing.T) *bench {
+	c := &Core{log: log.NewNopLogger(), me: testVoters[0], jobs: make(chan disk.Job, 1024), in: make(chan Event, 64),
+		streams: map[string]*link.Stream{}, dialing: map[string]time.Time{}, addrs: map[string]string{}, back: map[string]*link.Stream{},
+		waits: map[uint64]waiter{}, att: map[string]*attached{}, claims: map[string]claimed{}, lingers: map[string][]linger{},
+		kids: map[string]*kid{}, orders: map[*link.Stream][]member.Order{}, agg: agg.New("a"), sets: map[string]seats{},
+		posts: newPosts(), offs: map[string][]reply{}, trace: trace.NewRing(16), meter: newMeter(false), set: setting.Setting{NodeName: "n-a"},
+		st: store.New(store.Limits{}), hold: tune.Hold}
+	c.startNode(raft.Point{Index: 1, Conf: testVoters})
+	return &bench{t: t, c: c}
+}
+
+// step hands the node a message as it comes in on a stream.
+func (b *bench) step(m raft.Msg) {
+	m.To = b.c.me.Disk
+	b.c.take(b.t.Context(), Event{Link: &link.Event{Frame: link.Frame{Kind: member.FrameRaft, Body: link.Pack(m)}}})
+}
+
+// rest ends a turn of the loop and has all writes of it succeed.
+func (b *bench) rest() []disk.Job {
+	b.c.rest(b.t.Context(), time.Now())
+	var js []disk.Job
+	for len(b.c.jobs) > 0 {
+		js = append(js, <-b.c.jobs)
+	}
+	if len(js) > 0 {
+		b.c.take(b.t.Context(), Event{Wrote: js})
+	}
+	return js
+}
+
+// lead has the others elect this core and settles the first entry of its term.
+func (b *bench) lead() {
+	b.t.Helper()
+	n := b.c.node
+	for i := 0; i < 50 && !b.c.led; i++ {
+		time.Sleep(tune.Beat)
+		b.rest()
+		switch {
+		case n.Leads():
+			b.ack("b")
+		default:
+			b.step(raft.Msg{Kind: raft.MsgPreVoteAnswer, From: "b", Term: n.Term() + 1})
+			b.step(raft.Msg{Kind: raft.MsgVoteAnswer, From: "b", Term: n.Term()})
+		}
+		b.rest()
+	}
+	if !b.c.led {
+		b.t.Fatal("it does not lead")
+	}
+}
+
+// ack has a voter acknowledge all entries of this leader.
+func (b *bench) ack(from string) {
+	b.step(raft.Msg{Kind: raft.MsgAppendAnswer, From: from, Term: b.c.node.Term(), Index: b.c.node.LastIndex(), Sent: time.Now().UnixNano()})
+}
+
+// appoint is an entry that gives a zone's duty to nobody, to be seen in the state.
+func appoint(zone string) []byte {
+	return link.Pack(store.Batch{Clock: 1, Cmds: []store.Raw{store.Encode("appoint", &store.Appoint{Duty: store.Duty{Zone: zone}})}})
+}
--- a/internal/core/kids.go
+++ b/internal/core/kids.go
@@ -45,7 +45,7 @@
 			continue
 		}
 		x := c.st.Workers[w]
-		if x == nil || x.Dead || x.Fence != k.fence || c.node.Applied() < k.known {
+		if x == nil || x.Dead || x.Fence != k.fence || c.st.Applied < k.known {
 			c.unsynced = true
 			continue
 		}
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -72,7 +72,7 @@
 // work gathers open moves, candidates and the record of demand.
 func (c *Core) work() move.Work {
 	s := c.st
-	w := move.Work{Leads: true, Epoch: s.Epoch, Index: c.node.Applied(), Wall: s.Wall, Demand: map[int64]float64{}}
+	w := move.Work{Leads: true, Epoch: s.Epoch, Index: c.st.Applied, Wall: s.Wall, Demand: map[int64]float64{}}
 	may, there := map[string]bool{}, map[string]string{}
 	services := map[string]bool{}
 	for _, l := range c.moves.Lanes {
@@ -142,7 +142,7 @@
 		return
 	}
 	say := func(word string, n int64) {
-		r(member.Answer{Code: 200, Body: link.Pack(move.Said{Word: word, Epoch: c.st.Epoch, Index: c.node.Applied(), N: n})})
+		r(member.Answer{Code: 200, Body: link.Pack(move.Said{Word: word, Epoch: c.st.Epoch, Index: c.st.Applied, N: n})})
 	}
 	settled := func(o store.Outcome, ok bool) {
 		if !ok {
--- /dev/null
+++ b/internal/core/snapshot_test.go
@@ -0,0 +1,125 @@
+package core
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tealpond/internal/raft"
+	"tealpond/internal/store"
+)
+
+// snapshotOf is a snapshot at an entry, of a state that has a zone's duty.
+func snapshotOf(t *testing.T, index uint64, zone string) *raft.Point {
+	t.Helper()
+	s := store.New(store.Limits{})
+	if err := s.StartAt(index - 1); err != nil {
+		t.Fatal(err)
+	}
+	s.Run(index, appoint(zone))
+	return &raft.Point{Index: index, Term: 3, Conf: testVoters, Data: s.Save()}
+}
+
+// TestSnapshotAndAppendInOneTurn: the loop drains a snapshot and entries above
+// it before it rests. Applied to the state before the snapshot, the entries
+// would be lost with that state.
+func TestSnapshotAndAppendInOneTurn(t *testing.T) {
+	for name, more := range map[string]bool{"snapshot first": false, "entries, snapshot, entries": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t)
+				if more {
+					b.step(raft.Msg{Kind: raft.MsgAppend, From: "b", Term: 3, Index: 1, Commit: 2,
+						Entries: []raft.Entry{{Index: 2, Term: 3, Data: appoint("old")}}})
+				}
+				b.step(raft.Msg{Kind: raft.MsgPoint, From: "b", Term: 3, Point: snapshotOf(t, 10, "snapshot")})
+				b.step(raft.Msg{Kind: raft.MsgAppend, From: "b", Term: 3, Index: 10, LogTerm: 3, Commit: 12, Entries: []raft.Entry{
+					{Index: 11, Term: 3, Data: appoint("eleven")}, {Index: 12, Term: 3, Kind: raft.EntryNone}}})
+				b.step(raft.Msg{Kind: raft.MsgAppend, From: "b", Term: 3, Index: 12, LogTerm: 3, Commit: 13, Entries: []raft.Entry{
+					{Index: 13, Term: 3, Data: appoint("thirteen")}}})
+				b.rest()
+				b.rest()
+				for _, zone := range []string{"snapshot", "eleven", "thirteen"} {
+					if _, ok := b.c.st.Duties[zone]; !ok {
+						t.Errorf("the state lacks %q: it has %v", zone, b.c.st.Duties)
+					}
+				}
+				if _, ok := b.c.st.Duties["old"]; ok || b.c.st.Applied != 13 || b.c.node.Applied() != 13 {
+					t.Errorf("state at %d, node at %d: %v", b.c.st.Applied, b.c.node.Applied(), b.c.st.Duties)
+				}
+				if p := b.c.point(); p.Index != 13 {
+					t.Errorf("a snapshot taken now is at %d", p.Index)
+				}
+			})
+		})
+	}
+}
+
+// TestSnapshotEndsWaits: who waits for an entry that a snapshot covers is told
+// that its outcome isn't known, and orders of the old state are not sent.
+func TestSnapshotEndsWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		said := ""
+		b.c.waits[5] = waiter{term: 2, reply: []func(store.Outcome, bool){nil, func(_ store.Outcome, ok bool) {
+			said = map[bool]string{true: "clear", false: "unclear"}[ok]
+		}}}
+		b.c.orders[nil] = nil
+		b.c.kids["w"] = &kid{synced: true}
+		b.c.install(snapshotOf(t, 10, "z"))
+		if said != "unclear" || len(b.c.waits) != 0 {
+			t.Errorf("the caller heard %q, %d wait", said, len(b.c.waits))
+		}
+		if len(b.c.orders) != 0 || b.c.kids["w"].synced || !b.c.unsynced {
+			t.Error("side daemons go on with what the old state told")
+		}
+	})
+}
+
+// TestProposalReplacedByAShorterEntry: a deposed leader's entry is replaced by
+// one with fewer commands, settled before this core has resigned.
+func TestProposalReplacedByAShorterEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		b.lead()
+		var said []bool
+		for range 3 {
+			b.c.add("sweep", &store.Sweep{}, func(_ store.Outcome, ok bool) { said = append(said, ok) })
+		}
+		time.Sleep(time.Second / 10)
+		last := b.c.node.LastIndex()
+		b.rest()
+		i := b.c.node.LastIndex()
+		if i != last+1 || len(b.c.waits) != 1 {
+			t.Fatalf("one entry was to be proposed: %d after %d, %d wait", i, last, len(b.c.waits))
+		}
+		lt, _ := b.c.node.TermAt(last)
+		b.step(raft.Msg{Kind: raft.MsgAppend, From: "b", Term: 9, Index: last, LogTerm: lt, Commit: i,
+			Entries: []raft.Entry{{Index: i, Term: 9, Data: appoint("z")}}})
+		b.rest()
+		if len(said) != 3 || said[0] || said[1] || said[2] {
+			t.Errorf("the callers heard %v", said)
+		}
+	})
+}
+
+// TestOverwrittenWaitIsAnswered: a proposal at an index for which an earlier one
+// still waits must not take its answer away.
+func TestOverwrittenWaitIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		b.lead()
+		heard := 0
+		b.c.waits[b.c.node.LastIndex()+1] = waiter{term: 1, reply: []func(store.Outcome, bool){func(_ store.Outcome, ok bool) {
+			if !ok {
+				heard++
+			}
+		}}}
+		time.Sleep(time.Second / 10)
+		b.c.add("sweep", &store.Sweep{}, nil)
+		b.rest()
+		if heard != 1 {
+			t.Errorf("the earlier caller heard %d answers", heard)
+		}
+	})
+}
--- a/internal/core/tools.go
+++ b/internal/core/tools.go
@@ -46,7 +46,7 @@
 func (c *Core) askFleet(_ []byte, r reply) {
 	f := member.Fleet{Node: c.set.NodeName, Clock: c.st.Clock}
 	if c.node != nil {
-		f.Leads, f.Applied = c.node.Leads(), c.node.Applied()
+		f.Leads, f.Applied = c.node.Leads(), c.st.Applied
 	}
 	f.Tables = tables(c)
 	r(member.Answer{Code: 200, Body: link.Pack(f)})
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		panic(err)
 	}
-	return f.s.Run(raw)[0]
+	return f.s.Run(f.s.Applied+1, raw)[0]
 }
 
 func (f *fleet) job(prefix string, steps ...wire.Step) string {
--- a/internal/store/cmd.go
+++ b/internal/store/cmd.go
@@ -1,6 +1,8 @@
 package store
 
 import (
+	"fmt"
+
 	"github.com/fxamacker/cbor/v2"
 )
 
@@ -49,8 +51,33 @@
 	return Raw{Kind: kind, Body: raw}
 }
 
-// Run applies one entry of the log and gives the outcomes in order.
-func (s *Store) Run(data []byte) []Outcome {
+// StartAt binds a state to the index of the snapshot that it came from. One
+// that holds no index yet (a new one, or one saved before indexes were kept)
+// takes it; any other must agree with its own.
+func (s *Store) StartAt(index uint64) error {
+	if s.Applied == 0 {
+		s.Applied = index
+	}
+	if s.Applied != index {
+		return fmt.Errorf("store: the state follows entry %d, its snapshot %d", s.Applied, index)
+	}
+	return nil
+}
+
+// Skip passes an entry of the log that holds no commands.
+func (s *Store) Skip(index uint64) {
+	// A panic, since going on would answer from a state that no log explains:
+	// this daemon must not lead, answer or save it.
+	if index != s.Applied+1 {
+		panic(fmt.Sprintf("store: entry %d does not follow the state, which has applied %d", index, s.Applied))
+	}
+	s.Applied = index
+}
+
+// Run applies one entry of the log and gives the outcomes in order. The entry
+// must be the one after the last that was applied.
+func (s *Store) Run(index uint64, data []byte) []Outcome {
+	s.Skip(index)
 	var b Batch
 	if err := cbor.Unmarshal(data, &b); err != nil {
 		panic("store: unreadable entry: " + err.Error())
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -22,6 +22,7 @@
 
 // Store is the whole state. Fields with small letters are derived.
 type Store struct {
+	Applied  uint64 // the index of the last entry of the log that was applied
 	Clock    int64
 	Wall     int64
 	Desired  desire.State
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -30,7 +30,7 @@
 	w.now += 10
 	raw := Encode(kind, c)
 	b := Batch{Clock: w.now, Wall: w.now, Cmds: []Raw{raw}}
-	return w.s.Run(pack(b))[0]
+	return w.s.Run(w.s.Applied+1, pack(b))[0]
 }
 
 func (w *world) worker(id string, room wire.Room) *Worker {
@@ -508,3 +508,36 @@
 		t.Error("calm nodes are remembered for good")
 	}
 }
+
+// TestEntriesApplyOnlyInOrder: an entry that does not follow the state, and a
+// snapshot at another index than its state's, must be impossible to miss.
+func TestEntriesApplyOnlyInOrder(t *testing.T) {
+	w := newWorld(t)
+	entry := pack(Batch{Cmds: []Raw{Encode("sweep", &Sweep{})}})
+	for name, f := range map[string]func(){
+		"again": func() { w.s.Run(w.s.Applied, entry) },
+		"gap":   func() { w.s.Run(w.s.Applied+2, entry) },
+		"skip":  func() { w.s.Skip(w.s.Applied + 2) },
+	} {
+		func() {
+			defer func() {
+				if recover() == nil {
+					t.Errorf("%s: applied", name)
+				}
+			}()
+			f()
+		}()
+	}
+	at := w.s.Applied
+	w.s.Skip(at + 1)
+	c, err := Load(w.s.Save(), Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.StartAt(at+1) != nil || c.StartAt(at) == nil || c.StartAt(at+2) == nil {
+		t.Errorf("a state at %d is bound to another entry", c.Applied)
+	}
+	if n := New(Limits{}); n.StartAt(7) != nil || n.Applied != 7 {
+		t.Error("an empty state does not take its snapshot's index")
+	}
+}
