Ends: of two copies with one run number each replica ends the same

Cause: find took the first of a worker's runs in the order of a map. Both copies of a gang's task bear its run number; on one worker the replicas ended different ones, and their states parted.

Change: the oldest. TestCopiesOfAGangEndInOrder fails on the code before.

--- a/internal/store/ends.go
+++ b/internal/store/ends.go
@@ -51,12 +51,15 @@
 	if len(p) != 4 {
 		return nil
 	}
+	// The oldest of several: both copies of a gang's task bear its run number,
+	// and all replicas must choose the same one.
+	var first *Alloc
 	for _, a := range s.byWork[worker] {
-		if a.Run == run && a.Job == p[0] && itoa(a.K) == p[1] && itoa(a.Step) == p[2] && itoa(a.Index) == p[3] {
-			return a
+		if a.Run == run && a.Job == p[0] && itoa(a.K) == p[1] && itoa(a.Step) == p[2] && itoa(a.Index) == p[3] && (first == nil || a.ID < first.ID) {
+			first = a
 		}
 	}
-	return nil
+	return first
 }
 
 // keep notes saved progress; any member's serves for its gang.
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -541,3 +541,21 @@
 		t.Error("an empty state does not take its snapshot's index")
 	}
 }
+
+// TestCopiesOfAGangEndInOrder: two copies of a gang's task bear one run number;
+// on one worker, each replica must end the same of them.
+func TestCopiesOfAGangEndInOrder(t *testing.T) {
+	for range 30 {
+		w := newWorld(t)
+		a := w.worker("a", wire.Room{CPUUnits: 100, MemMb: 100})
+		w.job("j", wire.Step{TaskCount: 1, CPUUnits: 10, AllTogether: true, Twice: true})
+		w.book("j", 0, true, Item{Worker: "a", Ver: a.Ver}, Item{Copy: 1, Worker: "a", Ver: a.Ver})
+		if len(w.s.Allocs) != 2 {
+			t.Fatal("the copies were not booked")
+		}
+		w.end("a", "j.0.0.0", 1, "stopped")
+		if len(w.s.Allocs) != 1 || w.s.Allocs[w.s.Last] == nil {
+			t.Fatal("the younger copy was ended")
+		}
+	}
+}
