--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -130,6 +130,7 @@
 	at time.Time
 }
 
+// limits are what this daemon's settings say; a leader puts them into the log.
 func limits(set setting.Setting) store.Limits {
 	return store.Limits{KeepJobMs: int64(set.Bounds.StatusS*1000) + tune.KeepJob.Milliseconds(), Replans: tune.Replans,
 		Far: set.Bounds.SpreadFactor}
@@ -153,7 +154,7 @@
 		hold: b.Setting.HoldFor(tune.Hold), meter: newMeter(b.Debug)}
 	c.Seeds(b.Setting.Seeds())
 	c.found.Least = 2*b.Setting.Tolerate.LostMachines + 1
-	if c.st, err = store.Load(h.Point.Data, limits(b.Setting)); err != nil {
+	if c.st, err = store.Load(h.Point.Data, store.Limits{}); err != nil {
 		return nil, err
 	}
 	c.lastPt = h.Point.Index
--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -97,6 +97,9 @@
 	c.dirty, c.booking, c.moving = true, false, false
 	c.swept, c.rebuilt = now, now
 	c.wallSet = false
+	if l := limits(c.set); c.st.Limits != l {
+		c.add("limits", &store.SetLimits{Limits: l}, nil)
+	}
 	if c.moves != nil && c.st.Epoch == "" {
 		c.add("mint", &store.Mint{Epoch: c.life + "-" + c.me.Disk}, nil)
 	}
--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -76,6 +76,11 @@
 	if !b.c.led {
 		b.t.Fatal("it does not lead")
 	}
+	// What a new leader puts into the log is settled too.
+	time.Sleep(time.Second / 10)
+	b.rest()
+	b.ack("b")
+	b.rest()
 }
 
 // ack has a voter acknowledge all entries of this leader.
--- a/internal/core/snapshot.go
+++ b/internal/core/snapshot.go
@@ -59,7 +59,7 @@
 // install replaces the state by a received snapshot, and with it all that was
 // derived from the state before.
 func (c *Core) install(p *raft.Point) {
-	st, err := store.Load(p.Data, limits(c.set))
+	st, err := store.Load(p.Data, store.Limits{})
 	if err == nil {
 		err = st.StartAt(p.Index)
 	}
--- a/internal/core/snapshot_test.go
+++ b/internal/core/snapshot_test.go
@@ -123,3 +123,24 @@
 		}
 	})
 }
+
+// TestLimitsComeThroughTheLog: the settings of this machine reach the state by
+// a command of the leader's only, so that those of others may differ.
+func TestLimitsComeThroughTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		b.c.set.Bounds.SpreadFactor = 2.5
+		b.c.install(snapshotOf(t, 10, "z"))
+		if b.c.st.Limits != (store.Limits{}) {
+			t.Errorf("a follower's state took its own settings: %+v", b.c.st.Limits)
+		}
+	})
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		b.c.set.Bounds.SpreadFactor = 2.5
+		b.lead()
+		if b.c.st.Limits != limits(b.c.set) || b.c.st.Far() != 2.5 {
+			t.Errorf("the leader's limits are not in force: %+v", b.c.st.Limits)
+		}
+	})
+}
--- a/internal/store/book.go
+++ b/internal/store/book.go
@@ -39,7 +39,7 @@
 			continue
 		}
 		done := false
-		for i := 0; i < s.limits.Replans && Replan != nil && !done; i++ {
+		for i := 0; i < s.Limits.Replans && Replan != nil && !done; i++ {
 			q, ok := Replan(s, p)
 			if !ok {
 				break
--- a/internal/store/cmd.go
+++ b/internal/store/cmd.go
@@ -98,16 +98,27 @@
 	return out
 }
 
-// Save encodes the whole state.
+// canonical is the encoding that is the same, byte for byte, for the same
+// state: the keys of maps are sorted.
+var canonical = func() cbor.EncMode {
+	m, err := cbor.EncOptions{Sort: cbor.SortCoreDeterministic}.EncMode()
+	if err != nil {
+		panic("store: " + err.Error())
+	}
+	return m
+}()
+
+// Save encodes the whole state. Two equal states give the same bytes.
 func (s *Store) Save() []byte {
-	raw, err := cbor.Marshal(s)
+	raw, err := canonical.Marshal(s)
 	if err != nil {
 		panic("store: " + err.Error())
 	}
 	return raw
 }
 
-// Load reads a state that Save wrote.
+// Load reads a state that Save wrote. The limits hold for one that has none:
+// an empty one, or one saved before they were part of the state.
 func Load(raw []byte, l Limits) (*Store, error) {
 	s := New(l)
 	if len(raw) == 0 {
--- /dev/null
+++ b/internal/store/export_test.go
@@ -0,0 +1,10 @@
+package store
+
+// Kinds lists the registered commands, for tests outside the package.
+func Kinds() []string {
+	var out []string
+	for k := range kinds {
+		out = append(out, k)
+	}
+	return out
+}
--- a/internal/store/halt.go
+++ b/internal/store/halt.go
@@ -32,7 +32,7 @@
 // Apply drops what was kept long enough.
 func (c *Sweep) Apply(s *Store) Outcome {
 	for id, j := range s.Jobs {
-		if !j.ended() || j.held() || s.Clock-j.EndedAt < s.limits.KeepJobMs {
+		if !j.ended() || j.held() || s.Limits.KeepJobMs <= 0 || s.Clock-j.EndedAt < s.Limits.KeepJobMs {
 			continue
 		}
 		busy := false
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -13,9 +13,12 @@
 // Forever is the end of a booking that closes when the worker lists its end.
 const Forever = int64(1) << 62
 
-// Limits are figures of the rules that the state needs.
+// Limits are figures of the rules that the state needs. They are part of it
+// and come by a command: the settings of two machines may differ, and what a
+// command does must not.
 type Limits struct {
-	KeepJobMs int64
+	_         struct{} `cbor:",toarray"`
+	KeepJobMs int64    // how long a job that is over is known; 0: for good
 	Replans   int
 	Far       float64 // how many times as long a task takes away from its data
 }
@@ -43,8 +46,8 @@
 	Demand   map[string]map[int64]float64 // core-ms asked, by lane and bucket
 	Duties   map[string]Duty              // by zone
 	Flaps    map[string]Flap              // by node
+	Limits   Limits
 
-	limits Limits
 	table  *desire.Table
 	open   map[string]*Job
 	timed  map[string]*Job
@@ -60,7 +63,7 @@
 func New(l Limits) *Store {
 	s := &Store{Lanes: map[string]*desire.Lane{}, Services: map[string]desire.Service{}, Workers: map[string]*Worker{},
 		Devices: map[string]*Device{}, Allocs: map[uint64]*Alloc{}, Jobs: map[string]*Job{}, Rollups: map[string]*Rollup{}}
-	s.limits = l
+	s.Limits = l
 	s.derive()
 	return s
 }
@@ -94,7 +97,7 @@
 }
 
 // Far is the factor for work away from its data.
-func (s *Store) Far() float64 { return max(s.limits.Far, 1) }
+func (s *Store) Far() float64 { return max(s.Limits.Far, 1) }
 
 // Table looks lanes up.
 func (s *Store) Table() *desire.Table { return s.table }
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -21,6 +21,10 @@
 }
 
 func newWorld(t *testing.T) *world {
+	// The placer is linked in by other tests; these see what a lost row does.
+	plans := Replan
+	Replan = nil
+	t.Cleanup(func() { Replan = plans })
 	w := &world{t: t, s: New(Limits{KeepJobMs: 1000, Replans: 2})}
 	w.run("replace", &Replace{Raw: []byte(fmt.Sprintf(testDesire, 1))})
 	return w
@@ -305,7 +309,7 @@
 			}
 			check(t, w.s)
 		}
-		c, err := Load(w.s.Save(), w.s.limits)
+		c, err := Load(w.s.Save(), w.s.Limits)
 		if err != nil {
 			t.Fatal(err)
 		}
