--- a/internal/core/opening.go
+++ b/internal/core/opening.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return
 	}
-	st, err := store.Load(h.Point.Data, limits(c.set))
+	st, err := store.Load(h.Point.Data, store.Limits{})
 	for err != nil {
 		// Why it waits: the record on disk is whole, so that it is this program
 		// that can't read it. Another identity would give up what was
@@ -46,7 +46,7 @@
 			return
 		case <-time.After(tune.DiskSay):
 		}
-		st, err = store.Load(h.Point.Data, limits(c.set))
+		st, err = store.Load(h.Point.Data, store.Limits{})
 	}
 	select {
 	case c.in <- Event{Disk: &diskUp{d, h, st, aside}}:
--- a/internal/door/history_test.go
+++ b/internal/door/history_test.go
@@ -68,7 +68,7 @@
 func (s *system) catchUp(replica int) store.Outcome {
 	var last store.Outcome
 	for _, entry := range s.log[s.applied[replica]:] {
-		last = s.replicas[replica].Run(entry)[0]
+		last = s.replicas[replica].Run(s.replicas[replica].Applied+1, entry)[0]
 	}
 	s.applied[replica] = len(s.log)
 	return last
--- a/internal/order/ends_test.go
+++ b/internal/order/ends_test.go
@@ -31,7 +31,7 @@
 }
 
 func (b *bench) run(kind string, c store.Cmd) store.Outcome {
-	return b.st.Run(link.Pack(store.Batch{Clock: time.Now().UnixMilli(), Cmds: []store.Raw{store.Encode(kind, c)}}))[0]
+	return b.st.Run(b.st.Applied+1, link.Pack(store.Batch{Clock: time.Now().UnixMilli(), Cmds: []store.Raw{store.Encode(kind, c)}}))[0]
 }
 
 // newBench gives a worker w on which n tasks of job j are booked as run 1.
