--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -23,6 +23,11 @@
 	commit, applied uint64
 	synced          uint64
 	hardOut         int // hard states not yet synced
+	// Writes handed out, and how many of them are synced.
+	writes, written uint64
+	// A write up to cutWrite may name entries that were replaced since: from
+	// cutIndex on it proves nothing.
+	cutWrite, cutIndex uint64
 
 	now      time.Time
 	heard    time.Time // the election wait counts from here
@@ -183,6 +188,13 @@
 	if k := len(o.Entries); k > 0 {
 		o.Mark.Index, o.Mark.Term = o.Entries[k-1].Index, o.Entries[k-1].Term
 	}
+	if o.Point != nil {
+		o.Mark.Point = o.Point.Index
+	}
+	if o.Writes() {
+		n.writes++
+		o.Mark.Write = n.writes
+	}
 	return o
 }
 
@@ -191,15 +203,37 @@
 	if m.Hard {
 		n.hardOut--
 	}
-	if t, ok := n.termAt(m.Index); ok && t == m.Term && m.Index > n.synced {
-		n.synced = m.Index
+	n.written = max(n.written, m.Write)
+	if m.Point == n.base.Index {
+		n.synced = max(n.synced, m.Point)
+	}
+	last := m.Index
+	if t, ok := n.termAt(last); !ok || t != m.Term {
+		last = 0
+	}
+	if m.Write <= n.cutWrite {
+		last = min(last, n.cutIndex-1)
 	}
+	n.synced = max(n.synced, last)
 	n.settle()
 }
 
-// Settled hands out the entries to apply, once each.
+// cut notes that the entries from an index on are replaced. Writes handed out
+// before and not yet synced prove nothing of what will stand there: the same
+// entry may even come back while an older write is still to remove it.
+func (n *Node) cut(index uint64) {
+	n.synced = min(n.synced, index-1)
+	if n.written >= n.cutWrite || index < n.cutIndex {
+		n.cutIndex = index
+	}
+	n.cutWrite = n.writes
+}
+
+// Settled hands out the entries to apply, once each. While a received snapshot
+// waits to be taken there are none: they follow the state that it holds, and
+// the caller has the old one still.
 func (n *Node) Settled() []Entry {
-	if n.applied >= n.commit {
+	if n.out.Point != nil || n.applied >= n.commit {
 		return nil
 	}
 	out := n.log[n.applied-n.base.Index : n.commit-n.base.Index]
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -180,9 +180,7 @@
 			for len(n.configurations) > 1 && n.configurations[len(n.configurations)-1].index >= e.Index {
 				n.configurations = n.configurations[:len(n.configurations)-1]
 			}
-			if n.synced >= e.Index {
-				n.synced = e.Index - 1
-			}
+			n.cut(e.Index)
 			keep := n.out.Entries[:0]
 			for _, o := range n.out.Entries {
 				if o.Index < e.Index {
--- a/internal/raft/snapshot.go
+++ b/internal/raft/snapshot.go
@@ -3,6 +3,9 @@
 // SetPoint gives the source of checkpoints for members that lag.
 func (n *Node) SetPoint(f func() *Point) { n.pointNow = f }
 
+// onPoint takes a snapshot from the leader. It replaces state and log in one
+// step, and is acknowledged once it is synced; a log that holds its last entry
+// already is kept as it is.
 func (n *Node) onPoint(m Msg) {
 	if !n.follow(m) || m.Point == nil {
 		return
@@ -11,10 +14,19 @@
 		n.answer(m, n.commit, false, true)
 		return
 	}
+	if t, ok := n.termAt(m.Point.Index); ok && t == m.Point.Term {
+		// The log holds all that the snapshot stands for, and perhaps entries
+		// above it that were acknowledged: it stays, and is only committed.
+		n.commit = m.Point.Index
+		n.answer(m, m.Point.Index, false, true)
+		return
+	}
+	n.cut(1)
 	n.base = Point{Index: m.Point.Index, Term: m.Point.Term, Conf: m.Point.Conf}
 	n.log = nil
 	n.configurations = []configuration{{m.Point.Index, m.Point.Conf}}
-	n.commit, n.applied, n.synced = m.Point.Index, m.Point.Index, m.Point.Index
+	// Not synced: nothing of it is on disk before the mark of its write is back.
+	n.commit, n.applied = m.Point.Index, m.Point.Index
 	n.out.Entries = nil
 	n.out.Point = m.Point
 	n.answer(m, m.Point.Index, false, true)
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -86,10 +86,12 @@
 	Mark Mark
 }
 
-// Mark names the last entry of a write.
+// Mark names what a write holds; the caller hands it back once that is synced.
 type Mark struct {
-	Index, Term uint64
+	Index, Term uint64 // the last entry, zero without entries
+	Point       uint64 // the index of a received snapshot, zero without one
 	Hard        bool
+	Write       uint64 // rises with each write, from 1 on
 }
 
 // Empty tells whether there is nothing to do.
