Founding: a daemon whose disk isn't open yet has no identity to announce

A machine that came back with another disk before the founding also counted twice. Change: standing 'opening' announces nothing; the founder refuses an empty identity and counts a machine once.

--- a/internal/core/found.go
+++ b/internal/core/found.go
@@ -25,6 +25,7 @@
 	candidate = standing(iota) // the core isn't founded, as far as it knows
 	stranger                   // it wants to be taken into a core that exists
 	voter
+	opening // its disk isn't open yet: it has no identity to announce
 )
 
 // announce tells the seeds of this candidate until it is a member, and then of
@@ -50,6 +51,8 @@
 			}
 			lead = s.lead
 			switch s.what {
+			case opening:
+				c.seek.Introduce(ctx, *c.seeds.Load())
 			case stranger:
 				x, stop := context.WithTimeout(ctx, time.Second)
 				c.seek.Ask(x, member.AskJoin, s.found.Me)
@@ -92,6 +95,8 @@
 func (c *Core) state() member.Answer {
 	a := member.Answer{N: int64(voter), Lead: c.leadAddr(), Body: link.Pack(member.Found{Me: c.me, Bound: c.held.Bound})}
 	switch {
+	case !c.Opened():
+		a.N = int64(opening)
 	case c.node == nil:
 		a.N = int64(candidate)
 	case !c.node.Voter(c.me.Disk), c.node.Lead() == "" && time.Since(c.joined) > 3*time.Second:
@@ -133,7 +138,7 @@
 }
 
 func (c *Core) onProposal(p member.Proposal) {
-	if c.node != nil || len(p.Set) == 0 {
+	if !c.Opened() || c.node != nil || len(p.Set) == 0 {
 		return
 	}
 	if len(c.held.Bound) == 0 {
--- a/internal/member/founder.go
+++ b/internal/member/founder.go
@@ -65,6 +65,18 @@
 	if f.seen == nil {
 		f.seen = map[string]Found{}
 	}
+	if m.Me.Disk == "" {
+		// Nothing that is bound to or counted may rest on a disk without an
+		// identity.
+		return Proposal{}
+	}
+	for disk, other := range f.seen {
+		if other.Me.Node == m.Me.Node && disk != m.Me.Disk && len(other.Bound) == 0 {
+			// The machine came back with another disk before the core was
+			// founded: it must not count twice.
+			delete(f.seen, disk)
+		}
+	}
 	old, ok := f.seen[m.Me.Disk]
 	f.seen[m.Me.Disk] = m
 	if !ok || old.Me != m.Me {
--- a/internal/member/founder_test.go
+++ b/internal/member/founder_test.go
@@ -182,3 +182,28 @@
 		t.Errorf("without seeds: %q", x)
 	}
 }
+
+// TestFounderCountsMachinesWithAnIdentityOnce: a daemon whose disk isn't open
+// yet has no identity to be bound to, and one that came back with another disk
+// before the core was founded takes its own place.
+func TestFounderCountsMachinesWithAnIdentityOnce(t *testing.T) {
+	f := Founder{Least: 3}
+	now := time.Unix(1000, 0)
+	take := func(node, disk string) Proposal {
+		return f.Take(Found{Me: raft.Voter{Node: node, Disk: disk}}, now)
+	}
+	take("a", "")
+	take("a", "a1")
+	take("a", "a2")
+	take("b", "b1")
+	take("c", "")
+	now = now.Add(2 * tune.Gather)
+	if p := take("b", "b1"); len(p.Set) != 0 {
+		t.Fatalf("two machines were proposed as %v", p.Set)
+	}
+	take("c", "c1")
+	now = now.Add(2 * tune.Gather)
+	if p := take("c", "c1"); len(p.Set) != 3 || p.Set[0].Disk != "a2" {
+		t.Errorf("proposed %v", p.Set)
+	}
+}
