Founding: no core waits for a machine that was lost or started again meanwhile

Cause: a set was proposed with everyone ever heard, and founds only when all of it are bound. A candidate that was killed in the first two seconds, before it bound itself, came back with firstStart false, stood by to be taken in, and all waited for it for good. Change: a proposal names who was heard lately, and waits for those in doubt; who was started again without a set announces itself too and takes its place. One in its first life must be among them: emptied or new machines alone found nothing.

--- a/internal/core/found.go
+++ b/internal/core/found.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"tealpond/internal/link"
@@ -54,6 +55,9 @@
 				x, stop := context.WithTimeout(ctx, time.Second)
 				c.seek.Ask(x, member.AskJoin, s.found.Me)
 				stop()
+				if s.found.Late {
+					c.tellSeed(ctx, &seeds, s.found)
+				}
 			case voter:
 				// Why often at first: seeds may start later than this one.
 				if i < 40 && i%4 == 1 || i%40 == 0 {
@@ -90,7 +94,8 @@
 
 // state tells the announcer what to say.
 func (c *Core) state() member.Answer {
-	a := member.Answer{N: int64(voter), Lead: c.leadAddr(), Body: link.Pack(member.Found{Me: c.me, Bound: c.held.Bound})}
+	f := member.Found{Me: c.me, Bound: c.held.Bound, Late: c.blank()}
+	a := member.Answer{N: int64(voter), Lead: c.leadAddr(), Body: link.Pack(f)}
 	switch {
 	case c.node == nil:
 		a.N = int64(candidate)
@@ -132,15 +137,24 @@
 	}
 }
 
+// blank tells whether this daemon waits to be taken in and knows of nothing yet:
+// it was started again, bound to no set, and heard of no term.
+func (c *Core) blank() bool {
+	return c.node != nil && len(c.held.Bound) == 0 && c.node.Term() == 0 && c.node.LastIndex() == 0
+}
+
+// onProposal takes what the seed said.
 func (c *Core) onProposal(p member.Proposal) {
+	mine := slices.Contains(p.Set, c.me)
+	if c.blank() && mine {
+		// Why: it announced itself before it was ended, and the others wait for
+		// it; to stand by until it is taken in would keep them waiting for good.
+		c.node = nil
+	}
 	if c.node != nil || len(p.Set) == 0 {
 		return
 	}
 	if len(c.held.Bound) == 0 {
-		mine := false
-		for _, v := range p.Set {
-			mine = mine || v == c.me
-		}
 		if !mine {
 			// Why joined: the core was founded without this one.
 			c.startNode(c.held.Point)
--- /dev/null
+++ b/internal/core/found_test.go
@@ -0,0 +1,41 @@
+package core
+
+import (
+	"testing"
+
+	"github.com/go-kit/log"
+
+	"tealpond/internal/kernel"
+	"tealpond/internal/member"
+	"tealpond/internal/raft"
+	"tealpond/internal/setting"
+)
+
+// TestCandidateStartedAgainTakesItsPlace: a candidate that was ended before it
+// bound itself comes back with firstStart false. The set that names it waits for
+// it; it must bind itself, and not stand by until a core takes it in.
+func TestCandidateStartedAgainTakesItsPlace(t *testing.T) {
+	set := setting.Setting{NodeName: "a", DataDir: t.TempDir(), LossCounts: true, IPAddress: "10.0.0.1", InnerPortRange: []int{7720, 7721}}
+	c, err := New(kernel.Base{Setting: set, Log: log.NewNopLogger()}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	others := []raft.Voter{{Node: "b", Disk: "b"}, {Node: "c", Disk: "c"}}
+	c.onProposal(member.Proposal{Set: others, Go: true})
+	if c.node == nil || len(c.node.Voters()) != 0 {
+		t.Fatal("it didn't stand by beside a core that doesn't name it")
+	}
+	mine := append([]raft.Voter{c.me}, others...)
+	c.onProposal(member.Proposal{Set: mine})
+	if c.node != nil || len(c.held.Bound) != 3 {
+		t.Fatalf("bound to %v", c.held.Bound)
+	}
+	c.onProposal(member.Proposal{Set: mine, Go: true})
+	if c.node == nil || len(c.node.Voters()) != 3 {
+		t.Fatal("it wasn't started as a voter")
+	}
+	c.onProposal(member.Proposal{Set: others, Go: true})
+	if len(c.node.Voters()) != 3 {
+		t.Error("a voter let itself be talked out of its core")
+	}
+}
--- a/internal/member/calls.go
+++ b/internal/member/calls.go
@@ -97,6 +97,9 @@
 	_     struct{} `cbor:",toarray"`
 	Me    raft.Voter
 	Bound []raft.Voter
+	// Late: it was started again, or long after the system, and its disk
+	// knows of no core.
+	Late bool
 }
 
 // Proposal answers it.
--- a/internal/member/founder.go
+++ b/internal/member/founder.go
@@ -43,11 +43,43 @@
 // out.
 type Founder struct {
 	Least int
-	seen  map[string]Found
+	seen  map[string]announced
 	still time.Time
 	set   []raft.Voter
 }
 
+// announced is an announcement and when it came.
+type announced struct {
+	Found
+	at time.Time
+}
+
+// propose gives the first core's voters: all that were heard lately, if they
+// are enough. Why one of them in its first life: that is so only when the whole
+// system starts for the first time; machines that were emptied or came new must
+// not found a second core beside one that they don't reach.
+func (f *Founder) propose(now time.Time) []raft.Voter {
+	var set []raft.Voter
+	first := false
+	for _, s := range f.seen {
+		switch silent := now.Sub(s.at); {
+		case silent >= tune.FoundFresh:
+		case silent >= tune.Gather:
+			// Why not yet: it may be lost, and a core that named it would wait
+			// for it; or only some of its announcements are.
+			return nil
+		default:
+			set = append(set, s.Me)
+			first = first || !s.Late
+		}
+	}
+	if !first || len(set) < f.Least {
+		return nil
+	}
+	sort.Slice(set, func(a, b int) bool { return set[a].Disk < set[b].Disk })
+	return set
+}
+
 func same(a, b []raft.Voter) bool {
 	if len(a) != len(b) {
 		return false
@@ -63,10 +95,10 @@
 // Take notes an announcement and answers it.
 func (f *Founder) Take(m Found, now time.Time) Proposal {
 	if f.seen == nil {
-		f.seen = map[string]Found{}
+		f.seen = map[string]announced{}
 	}
 	old, ok := f.seen[m.Me.Disk]
-	f.seen[m.Me.Disk] = m
+	f.seen[m.Me.Disk] = announced{m, now}
 	if !ok || old.Me != m.Me {
 		f.still = now
 	}
@@ -77,11 +109,8 @@
 		// proposed.
 		f.set = m.Bound
 	}
-	if f.set == nil && len(f.seen) >= f.Least && now.Sub(f.still) >= tune.Gather {
-		for _, s := range f.seen {
-			f.set = append(f.set, s.Me)
-		}
-		sort.Slice(f.set, func(a, b int) bool { return f.set[a].Disk < f.set[b].Disk })
+	if f.set == nil && now.Sub(f.still) >= tune.Gather {
+		f.set = f.propose(now)
 	}
 	if f.set == nil {
 		return Proposal{}
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -312,6 +312,9 @@
 	// silent before a candidate turns to the next; all machines start within
 	// 0.3 s, and a start on the slowest one takes a second or two.
 	FoundPatience = 5 * time.Second
+	// FoundFresh is how long ago a candidate may have been heard to belong to
+	// the first core: three announcements without an answer fit in.
+	FoundFresh = 2400 * time.Millisecond
 	// FoundTold is the number of announcements (Announce) for which members of
 	// a core that was just founded tell the seeds of it: 20 s, above the turns
 	// through all seeds. Each fourth goes out: more often than Gather.
