Core: what a side daemon knows of the state rises with each renewal

What the side daemon learnt in between from answers of the leader didn't count: a run that was over there could be named to it again. Test: TestAttachKeepsTheNewestKnownState fails without the change (100 where 120 is due).

--- a/internal/core/kids.go
+++ b/internal/core/kids.go
@@ -31,6 +31,8 @@
 		c.kids[n.Worker] = k
 		c.unsynced = true
 	}
+	// Why raised: when all is told anew, it has learnt more meanwhile.
+	k.known = max(k.known, n.Known)
 }
 
 // syncKids tells those that came anew all that is booked on their workers:
