--- a/internal/agg/agg.go
+++ b/internal/agg/agg.go
@@ -249,13 +249,9 @@
 
 // Drop answers all that wait: this daemon can't speak for its zone any more.
 func (a *Agg) Drop(r member.Answer) {
-	for _, g := range a.grants {
-		g.r(r)
-	}
-	for _, c := range a.calls {
-		c.r(r)
+	for _, p := range a.Flush() {
+		p.Reply(r)
 	}
-	a.grants, a.calls, a.told = map[string]grant{}, nil, false
 }
 
 // Waits counts what is not yet answered.
--- a/internal/member/stream_test.go
+++ b/internal/member/stream_test.go
@@ -83,15 +83,15 @@
 		st := open()
 		st.Close()
 		s.onLink(ctx, &link.Event{Stream: st, Gone: true})
-		s.seekID, s.busy = 1, true
+		s.searchID, s.searching = 1, true
 		s.onFound(&found{id: 1, stream: st, addr: "l", leads: true})
-		if s.cur != nil || s.busy {
+		if s.stream != nil || s.searching {
 			t.Error("a search that found an ended stream: it is used, and no other search follows")
 		}
 		now := open()
 		s.use(now, "l")
 		s.onHop(&hop{addr: "h", stream: st})
-		if s.cur != now {
+		if s.stream != now {
 			t.Error("turned from a leader that answers to an ended stream")
 		}
 	})
