Seeker: a large configuration on a slow link is not a silent leader

Cause: 0.5 s without a frame meant a silent leader. A configuration of 190 KB takes 0.8 s on a link of 2 Mbit/s, so an order or a read was cut off and begun anew for ever, with all that waited behind it. Change: the silence that is borne grows with the bytes under way (125 KB a second), for a read with the largest answer so far. A search that found an ended stream doesn't count as a look at all places without a leader. Test: TestLargeAskOnASlowLinkIsNotSilence fails without the allowance in three cases.

--- a/internal/member/pending.go
+++ b/internal/member/pending.go
@@ -160,6 +160,7 @@
 // soon takes when to look again.
 func (s *Seeker) silent(soon func(time.Duration)) bool {
 	silent := false
+	most := tune.AskRound + s.transfer()
 	for _, p := range s.waiting {
 		if p.sent.IsZero() {
 			continue
@@ -170,11 +171,27 @@
 		if s.heard.After(from) {
 			from = s.heard
 		}
-		if s.now.Sub(from) > tune.AskRound || s.now.Sub(p.sent) > tune.AskMost {
+		if s.now.Sub(from) > most || s.now.Sub(p.sent) > max(most, tune.AskMost) {
 			silent = true
 		} else {
-			soon(tune.AskRound - s.now.Sub(from) + time.Millisecond)
+			soon(most - s.now.Sub(from) + time.Millisecond)
 		}
 	}
 	return silent
 }
+
+// transfer is how long what is under way may take on a slow link. Why for all
+// asks together: a small one waits behind a large one.
+func (s *Seeker) transfer() time.Duration {
+	bytes := 0
+	for _, p := range s.waiting {
+		if p.sent.IsZero() {
+			continue
+		}
+		bytes += len(p.ask.Body)
+		if p.ask.Kind == AskRead {
+			bytes += s.largest
+		}
+	}
+	return time.Duration(bytes) * time.Second / tune.SlowLink
+}
--- a/internal/member/search.go
+++ b/internal/member/search.go
@@ -32,7 +32,7 @@
 	if f.late && s.stream == nil {
 		// Why taken: the rest of an earlier look has found a leader, or none,
 		// which ends that look; the one under way is not waited for.
-		if f.stream == nil || f.stream.Ended() {
+		if f.stream == nil {
 			s.failed = s.now
 			return
 		}
@@ -53,7 +53,7 @@
 		// Why also an ended one: its end may have been told before it was the
 		// present one, and would not be told again.
 		s.failures++
-		if !f.partial {
+		if f.stream == nil && !f.partial {
 			s.failed = s.now
 		}
 		return
--- a/internal/member/seeker.go
+++ b/internal/member/seeker.go
@@ -29,6 +29,7 @@
 	heard   time.Time    // the last frame of the stream
 	waiting map[uint64]*pending
 	last    uint64 // the number of the newest ask
+	largest int    // bytes of the largest answer, which is a whole configuration
 
 	seeds     []string
 	known     []string  // core daemons heard of, the newest first
@@ -148,6 +149,7 @@
 			s.drop()
 			return
 		}
+		s.largest = max(s.largest, len(a.Body))
 		s.answer(ctx, e.Frame.ID, a)
 	case FrameOrder:
 		var os []Order
--- a/internal/member/stream_test.go
+++ b/internal/member/stream_test.go
@@ -149,3 +149,37 @@
 		}
 	})
 }
+
+// TestLargeAskOnASlowLinkIsNotSilence: a configuration of 190 KB takes 0.8 s on
+// a link of 2 Mbit/s; to turn away from the leader meanwhile and to send it
+// again would go on for ever. What waits behind it isn't silence either.
+func TestLargeAskOnASlowLinkIsNotSilence(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		asks    []Ask
+		largest int
+		after   time.Duration
+		leaves  bool
+	}{
+		{"small ask", []Ask{{Kind: AskClaim}}, 0, 600 * time.Millisecond, true},
+		{"small ask, answered in time", []Ask{{Kind: AskClaim}}, 0, 400 * time.Millisecond, false},
+		{"large order", []Ask{{Kind: AskPut, Body: make([]byte, 190_000)}}, 0, 900 * time.Millisecond, false},
+		{"small ask behind a large order", []Ask{{Kind: AskPut, Body: make([]byte, 190_000)}, {Kind: AskClaim}}, 0, 900 * time.Millisecond, false},
+		{"large order, too long", []Ask{{Kind: AskPut, Body: make([]byte, 190_000)}}, 0, 2500 * time.Millisecond, true},
+		{"read of what was large", []Ask{{Kind: AskRead}}, 190_000, 900 * time.Millisecond, false},
+		{"other ask where that was large", []Ask{{Kind: AskStatus}}, 190_000, 900 * time.Millisecond, true},
+	} {
+		atLeader(t, func(ctx context.Context, s *Seeker, open func() *link.Stream, _ <-chan link.Event) {
+			s.searching = true
+			s.use(open(), "l")
+			s.onLink(ctx, &link.Event{Stream: s.stream, Frame: link.Frame{Kind: FrameAnswer, ID: 99, Body: link.Pack(Answer{Body: make([]byte, c.largest)})}})
+			for _, a := range c.asks {
+				s.take(ctx, event{ask: &pending{ask: a, reply: make(chan Answer, 1), till: s.now.Add(time.Minute), known: s.now.Add(time.Minute), noLead: s.now.Add(time.Minute)}})
+			}
+			s.rest(ctx, s.now.Add(c.after))
+			if left := s.stream == nil; left != c.leaves {
+				t.Errorf("%s, after %v: turned away %v", c.name, c.after, left)
+			}
+		})
+	}
+}
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -319,4 +319,7 @@
 	// a core that was just founded tell the seeds of it: 20 s, above the turns
 	// through all seeds. Each fourth goes out: more often than Gather.
 	FoundTold = 80
+	// SlowLink is the least rate of a link in bytes a second at which a large
+	// ask or answer isn't taken for silence: 2 Mbit/s, half of it for others.
+	SlowLink = 125_000
 )
