--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -348,8 +348,14 @@
 	// silent before a candidate turns to the next; all machines start within
 	// 0.3 s, and a start on the slowest one takes a second or two.
 	FoundPatience = 5 * time.Second
+	// FoundFresh is how long ago a candidate may have been heard to belong to
+	// the first core: three announcements without an answer fit in.
+	FoundFresh = 2400 * time.Millisecond
 	// FoundTold is the number of announcements (Announce) for which members of
 	// a core that was just founded tell the seeds of it: 20 s, above the turns
 	// through all seeds. Each fourth goes out: more often than Gather.
 	FoundTold = 80
+	// SlowLink is the least rate of a link in bytes a second at which a large
+	// ask or answer isn't taken for silence: 2 Mbit/s, half of it for others.
+	SlowLink = 125_000
 )
