Agreement: a refusal below match is a broken promise; stamps of a steady clock

Cause: after a refusal the leader went back no further than match+1, so that a member that had lost what it acknowledged never caught up (and drew messages without end), while its old promise still counted. A late refusal of a lost connection sent the leader back. Appends were stamped with the time of day, from which the lease was counted: a clock set back lengthened it. A member whose next entry was no longer held, with room in its window, kept the loop of flush for ever.

Change: answers echo stamp, index and term of the append. A refusal from before the present place was chosen is passed over; one at or below match, to an append sent after match was acknowledged, marks the member as faulty: it counts for nothing, gets no entries, and is named by Faulty. Stamps are of the steady clock and rise.

--- a/internal/raft/lease.go
+++ b/internal/raft/lease.go
@@ -29,7 +29,7 @@
 	for _, v := range voters {
 		if v.Disk == n.me {
 			times = append(times, now)
-		} else if p := n.peers[v.Disk]; p != nil {
+		} else if p := n.peers[v.Disk]; p != nil && !p.faulty {
 			times = append(times, p.acked)
 		} else {
 			times = append(times, time.Time{})
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -49,7 +49,7 @@
 	delete(want, n.me)
 	for d := range want {
 		if n.peers[d] == nil {
-			n.peers[d] = &progress{next: n.last() + 1, probing: true, heard: n.now}
+			n.peers[d] = &progress{next: n.last() + 1, probing: true, since: n.stamped, heard: n.now}
 		}
 	}
 	for d := range n.peers {
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -29,6 +29,8 @@
 	// cutIndex on it proves nothing.
 	cutWrite, cutIndex uint64
 
+	started  time.Time // stamps count from here
+	stamped  int64     // the newest stamp
 	now      time.Time
 	heard    time.Time // the election wait counts from here
 	kept     time.Time // the last word of a leader, or the start
@@ -51,7 +53,7 @@
 func New(me string, hard Hard, point Point, log []Entry, now time.Time, timing Timing, seed int64) *Node {
 	n := &Node{me: me, timing: timing, random: rand.New(rand.NewSource(seed)), term: hard.Term, vote: hard.Vote,
 		base: Point{Index: point.Index, Term: point.Term, Conf: point.Conf}, log: log, commit: point.Index, applied: point.Index,
-		now: now, heard: now, kept: now, learners: map[string]Voter{}}
+		started: now, now: now, heard: now, kept: now, learners: map[string]Voter{}}
 	n.configurations = []configuration{{point.Index, point.Conf}}
 	for _, e := range log {
 		n.noteConfiguration(e)
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -9,13 +9,17 @@
 type progress struct {
 	match, next uint64
 	probing     bool
-	pointSent   time.Time
-	acked       time.Time // the send time of the newest answered append
-	heard       time.Time
-	sent        time.Time
-	wall        int64
-	wallAt      time.Time
-	told        uint64 // the newest commit that it was told of
+	// since and matched are the newest stamps that had been given out when
+	// next was last set anew, and when match last rose.
+	since, matched int64
+	faulty         bool // it broke a promise, and counts for nothing
+	pointSent      time.Time
+	acked          time.Time // the send time of the newest answered append
+	heard          time.Time
+	sent           time.Time
+	wall           int64
+	wallAt         time.Time
+	told           uint64 // the newest commit that it was told of
 }
 
 func (n *Node) appendEntry(kind byte, data []byte) uint64 {
@@ -62,7 +66,7 @@
 			}
 			continue
 		}
-		for p.next <= n.last() && p.next-p.match <= uint64(n.timing.Window) {
+		for !p.probing && p.next <= n.last() && p.next-p.match <= uint64(n.timing.Window) {
 			n.sendAppend(d, p, false)
 		}
 		if n.prompt[d] && p.told < n.commit && p.next > p.told+1 {
@@ -71,24 +75,58 @@
 	}
 }
 
+// stamp numbers an append: nanoseconds of the steady clock since the start of
+// this node, and no two alike. The time of day may jump, and a lease counted
+// from it would then reach too far.
+func (n *Node) stamp() int64 {
+	n.stamped = max(n.stamped+1, int64(n.now.Sub(n.started)))
+	return n.stamped
+}
+
+// stampTime is the time at which an append was sent, or a moment before.
+func (n *Node) stampTime(stamp int64) time.Time { return n.started.Add(time.Duration(stamp)) }
+
+// noEntry is the term of no entry: an append that names it wants only a sign of
+// life, and its refusal means nothing.
+const noEntry = ^uint64(0)
+
+// sendAlive asks for a sign of life, where there is nothing else to send.
+func (n *Node) sendAlive(d string, p *progress) {
+	p.sent = n.now
+	n.send(Msg{Kind: MsgAppend, To: d, Index: n.commit, LogTerm: noEntry, Sent: n.stamp()}, false)
+}
+
+// sendSnapshot sends the state to a member that lacks entries which are no
+// longer held.
+func (n *Node) sendSnapshot(d string, p *progress, beat bool) {
+	p.probing = true
+	// A snapshot is large, and one on its way is enough; while one that was
+	// received waits to be taken, the caller has an older state still.
+	if n.now.Sub(p.pointSent) < time.Second || n.out.Point != nil {
+		if beat {
+			n.sendAlive(d, p)
+		}
+		return
+	}
+	p.pointSent, p.sent = n.now, n.now
+	n.send(Msg{Kind: MsgPoint, To: d, Point: n.pointNow(), Sent: n.stamp()}, false)
+}
+
+// sendAppend sends the next entries that a member lacks, or a heartbeat.
 func (n *Node) sendAppend(d string, p *progress, beat bool) {
+	if p.faulty {
+		if beat {
+			n.sendAlive(d, p)
+		}
+		return
+	}
 	prev := p.next - 1
 	logTerm, ok := n.termAt(prev)
 	if !ok {
-		// Why paced: a checkpoint is large, and one on its way is enough.
-		if n.now.Sub(p.pointSent) < time.Second {
-			if beat {
-				p.sent = n.now
-				n.send(Msg{Kind: MsgAppend, To: d, Index: n.commit, LogTerm: ^uint64(0), Commit: 0, Sent: n.now.UnixNano()}, false)
-			}
-			return
-		}
-		point := n.pointNow()
-		p.pointSent, p.sent = n.now, n.now
-		n.send(Msg{Kind: MsgPoint, To: d, Point: point, Sent: n.now.UnixNano()}, false)
+		n.sendSnapshot(d, p, beat)
 		return
 	}
-	m := Msg{Kind: MsgAppend, To: d, Index: prev, LogTerm: logTerm, Commit: n.commit, Sent: n.now.UnixNano()}
+	m := Msg{Kind: MsgAppend, To: d, Index: prev, LogTerm: logTerm, Commit: n.commit, Sent: n.stamp()}
 	size := 0
 	for i := p.next; i <= n.last() && size < n.timing.Bytes; i++ {
 		// Why one: while the place is searched, more would be thrown away.
@@ -108,8 +146,9 @@
 
 func (n *Node) follow(m Msg) bool {
 	if m.Term < n.term {
-		// Why answered: a thawed leader must learn of the newer term.
-		n.send(Msg{Kind: MsgAppendAnswer, To: m.From, Reject: true, Index: n.last()}, false)
+		// A thawed leader must learn of the newer term. Without a stamp it
+		// tells nothing of this member's log.
+		n.send(Msg{Kind: MsgAppendAnswer, To: m.From, Reject: true}, false)
 		return false
 	}
 	if n.role != follower {
@@ -129,7 +168,7 @@
 		// Why silent: it only told of a commit.
 		return
 	}
-	a := Msg{Kind: MsgAppendAnswer, To: m.From, Index: index, Reject: reject, Sent: m.Sent}
+	a := Msg{Kind: MsgAppendAnswer, To: m.From, Index: index, Reject: reject, Sent: m.Sent, LogTerm: m.LogTerm, Commit: m.Index}
 	if n.wall != nil {
 		a.Wall = n.wall()
 	}
@@ -140,7 +179,7 @@
 	if !n.follow(m) {
 		return
 	}
-	if m.Index < n.commit && m.LogTerm != ^uint64(0) {
+	if m.Index < n.commit && m.LogTerm != noEntry {
 		// Why cut: what is settled can't differ.
 		skip := n.commit - m.Index
 		if uint64(len(m.Entries)) <= skip {
@@ -210,38 +249,79 @@
 		return
 	}
 	p.heard = n.now
-	if sent := n.now.Add(time.Duration(m.Sent - n.now.UnixNano())); m.Sent != 0 && sent.After(p.acked) {
+	if sent := n.stampTime(m.Sent); m.Sent != 0 && sent.After(p.acked) {
 		p.acked = sent
 	}
 	if m.Wall != 0 {
 		p.wall, p.wallAt = m.Wall, n.now
 	}
+	if p.faulty {
+		return
+	}
 	if m.Reject {
-		if m.Index+1 < p.next || p.probing {
-			p.next = max(m.Index+1, p.match+1)
-			p.probing = true
-			p.sent = n.now
-			// Why not while a checkpoint is on its way: each refusal would
-			// call forth the next.
-			if _, ok := n.termAt(p.next - 1); ok || n.now.Sub(p.pointSent) >= time.Second {
-				n.sendAppend(m.From, p, false)
-			}
-		}
+		n.onRefusal(m, p)
 		return
 	}
 	if m.Index > p.match {
-		p.match = m.Index
-	}
-	if p.probing {
-		p.probing = false
-		p.next = p.match + 1
+		p.match, p.matched = m.Index, n.stamped
 	}
-	if p.next <= p.match {
+	if p.probing || p.next <= p.match {
+		p.since = n.stamped
 		p.next = p.match + 1
 	}
+	p.probing = false
 	n.settle()
 }
 
+// onRefusal looks for the place from which a member's log differs. The answer
+// echoes the append that it refused: its stamp, and the index (Commit) and term
+// that it named. Answers of a lost connection may come late; one to an append
+// from before the present place was chosen says nothing.
+//
+// A refusal at or below match breaks a promise, if the append was sent after
+// match had been acknowledged: the member has lost entries that it said were on
+// its disk (the disk was wiped, or an old copy of it put in place, under the
+// same identity). Its answer can't have passed the acknowledgement on the way,
+// however late either came. From then on this leader counts it neither for
+// commits nor for the lease, and sends it no entries: to count it again would
+// let two majorities meet in a member that forgot. What was committed with its
+// help is held by one disk less than it seems, which nothing can undo; what is
+// committed from here on rests on the others alone. A later leader, which was
+// promised nothing, can't tell and takes the member as it finds it; so the
+// voter is to be replaced (see Faulty).
+func (n *Node) onRefusal(m Msg, p *progress) {
+	asked := m.Commit
+	switch {
+	case m.LogTerm == noEntry || m.Sent <= p.since:
+		return
+	case asked <= p.match:
+		if asked > 0 && m.Sent > p.matched {
+			p.faulty, p.probing = true, true
+		}
+		return
+	}
+	p.next = max(min(m.Index+1, asked), p.match+1)
+	p.probing = true
+	p.since = n.stamped
+	// Not while a snapshot is on its way: each refusal would call forth the next.
+	if _, ok := n.termAt(p.next - 1); ok || n.now.Sub(p.pointSent) >= time.Second {
+		n.sendAppend(m.From, p, false)
+	}
+}
+
+// Faulty names the members that refused entries which they had acknowledged to
+// this leader. They count for nothing until they are replaced.
+func (n *Node) Faulty() []string {
+	var disks []string
+	for d, p := range n.peers {
+		if p.faulty {
+			disks = append(disks, d)
+		}
+	}
+	sort.Strings(disks)
+	return disks
+}
+
 func (n *Node) settle() {
 	if n.role != leader {
 		return
@@ -251,7 +331,7 @@
 	for _, v := range voters {
 		if v.Disk == n.me {
 			matches = append(matches, n.synced)
-		} else if p := n.peers[v.Disk]; p != nil {
+		} else if p := n.peers[v.Disk]; p != nil && !p.faulty {
 			matches = append(matches, p.match)
 		} else {
 			matches = append(matches, 0)
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -56,7 +56,8 @@
 	MsgTransfer
 )
 
-// Msg goes from one disk to another.
+// Msg goes from one disk to another. The answer to an append echoes the index
+// that this named (in Commit), its LogTerm, and its Sent, the sender's stamp.
 type Msg struct {
 	_       struct{} `cbor:",toarray"`
 	Kind    byte
