Agreement: a hand-over without an outcome is taken back

Cause: leaving was set with the message and never taken back, so that a leader whose message was lost led and served nothing; and the message went to an heir that lacked the last entry, whom the others refuse.

Change: the heir is told once it holds the last entry, and again with each heartbeat. After an election wait the leader takes the lead back: in its term if it gave no order, else by having itself elected in the next, since a late order would pass over its lease.

--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -1,8 +1,6 @@
 package raft
 
-import (
-	"time"
-)
+import "time"
 
 type role byte
 
@@ -88,30 +86,6 @@
 	}
 }
 
-// Transfer hands the lead to the voter that is furthest; false if none is.
-func (n *Node) Transfer() bool {
-	if n.role != leader || n.leaving {
-		return false
-	}
-	best := ""
-	for _, v := range n.Voters() {
-		p := n.peers[v.Disk]
-		if p == nil || p.probing || n.now.Sub(p.heard) > n.timing.Elect {
-			continue
-		}
-		if best == "" || p.match > n.peers[best].match {
-			best = v.Disk
-		}
-	}
-	if best == "" {
-		return false
-	}
-	n.flush()
-	n.leaving = true
-	n.send(Msg{Kind: MsgTransfer, To: best}, false)
-	return true
-}
-
 func (n *Node) upToDate(m Msg) bool {
 	logTerm, _ := n.termAt(n.last())
 	return m.LogTerm > logTerm || m.LogTerm == logTerm && m.Index >= n.last()
@@ -166,10 +140,3 @@
 	n.votes[m.From] = true
 	n.countVotes()
 }
-
-func (n *Node) onTransfer(m Msg) {
-	if m.Term != n.term || !n.Voter(n.me) {
-		return
-	}
-	n.campaign(true, true)
-}
--- a/internal/raft/net_test.go
+++ b/internal/raft/net_test.go
@@ -14,6 +14,7 @@
 	nodes map[string]*Node
 	queue []Msg
 	cut   map[string]bool // "a>b"
+	lose  map[byte]bool   // kinds of messages
 	disks map[string]*testDisk
 	stall map[string]bool
 	held  map[string][]Out
@@ -31,7 +32,7 @@
 	Quorum: 900 * time.Millisecond, LeaseShare: 0.85, Window: 64, Bytes: 1 << 20}
 
 func newNet(t *testing.T, seed int64, names ...string) *testNet {
-	n := &testNet{t: t, now: time.Unix(1000, 0), nodes: map[string]*Node{}, cut: map[string]bool{}, disks: map[string]*testDisk{},
+	n := &testNet{t: t, now: time.Unix(1000, 0), nodes: map[string]*Node{}, cut: map[string]bool{}, lose: map[byte]bool{}, disks: map[string]*testDisk{},
 		stall: map[string]bool{}, held: map[string][]Out{}, done: map[string][]string{}, seed: seed}
 	var vs []Voter
 	for _, x := range names {
@@ -156,7 +157,7 @@
 		}
 		m := n.queue[0]
 		n.queue = n.queue[1:]
-		if nd := n.nodes[m.To]; nd != nil && !n.cut[m.From+">"+m.To] {
+		if nd := n.nodes[m.To]; nd != nil && !n.cut[m.From+">"+m.To] && !n.lose[m.Kind] {
 			nd.Step(m, n.now)
 			n.pump(m.To)
 		}
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -42,6 +42,7 @@
 	prompt   map[string]bool
 	noop     uint64
 	leaving  bool
+	handing  handOver // while leaving
 
 	hardDirty bool
 	out       Out
@@ -119,9 +120,16 @@
 			n.resetWait()
 			return n.wait
 		}
+		if n.leaving && now.Sub(n.handing.since) >= n.timing.Elect {
+			n.endTransfer()
+			return n.timing.Beat
+		}
 		for d, p := range n.peers {
 			if now.Sub(p.sent) >= n.timing.Beat {
 				n.sendAppend(d, p, true)
+				if n.handing.to == d {
+					n.orderTransfer()
+				}
 			}
 		}
 		return n.timing.Beat
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -271,6 +271,9 @@
 	}
 	p.probing = false
 	n.settle()
+	if n.handing.to == m.From && !n.handing.ordered {
+		n.orderTransfer()
+	}
 }
 
 // onRefusal looks for the place from which a member's log differs. The answer
