--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -29,6 +29,8 @@
 	// cutIndex on it proves nothing.
 	cutWrite, cutIndex uint64
 
+	started  time.Time // stamps count from here
+	stamped  int64     // the newest stamp
 	now      time.Time
 	heard    time.Time // the election wait counts from here
 	kept     time.Time // the last word of a leader, or the start
@@ -40,6 +42,7 @@
 	prompt   map[string]bool
 	noop     uint64
 	leaving  bool
+	handing  handOver // while leaving
 
 	hardDirty bool
 	out       Out
@@ -51,7 +54,7 @@
 func New(me string, hard Hard, point Point, log []Entry, now time.Time, timing Timing, seed int64) *Node {
 	n := &Node{me: me, timing: timing, random: rand.New(rand.NewSource(seed)), term: hard.Term, vote: hard.Vote,
 		base: Point{Index: point.Index, Term: point.Term, Conf: point.Conf}, log: log, commit: point.Index, applied: point.Index,
-		now: now, heard: now, kept: now, learners: map[string]Voter{}}
+		started: now, now: now, heard: now, kept: now, learners: map[string]Voter{}}
 	n.configurations = []configuration{{point.Index, point.Conf}}
 	for _, e := range log {
 		n.noteConfiguration(e)
@@ -117,9 +120,16 @@
 			n.resetWait()
 			return n.wait
 		}
+		if n.leaving && now.Sub(n.handing.since) >= n.timing.Elect {
+			n.endTransfer()
+			return n.timing.Beat
+		}
 		for d, p := range n.peers {
 			if now.Sub(p.sent) >= n.timing.Beat {
 				n.sendAppend(d, p, true)
+				if n.handing.to == d {
+					n.orderTransfer()
+				}
 			}
 		}
 		return n.timing.Beat
