--- a/internal/core/asks.go
+++ b/internal/core/asks.go
@@ -74,7 +74,7 @@
 	return func(a member.Answer) {
 		a.Desired = max(a.Desired, c.st.Desired.Version)
 		if a.At == 0 && c.node != nil {
-			a.At = c.node.Applied()
+			a.At = c.st.Applied
 		}
 		r(a)
 	}
--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -97,6 +97,9 @@
 	c.dirty, c.booking, c.moving = true, false, false
 	c.swept, c.rebuilt = now, now
 	c.wallSet = false
+	if l := limits(c.set); c.st.Limits != l {
+		c.add("limits", &store.SetLimits{Limits: l}, nil)
+	}
 	if c.moves != nil && c.st.Epoch == "" {
 		c.add("mint", &store.Mint{Epoch: c.life + "-" + c.me.Disk}, nil)
 	}
@@ -107,13 +110,8 @@
 func (c *Core) resign() {
 	c.led = false
 	_ = c.log.Log("level", "info", "event", "core.resign", "term", c.node.Term())
-	for i, w := range c.waits {
-		delete(c.waits, i)
-		for _, r := range w.reply {
-			if r != nil {
-				r(store.Outcome{}, false)
-			}
-		}
+	for i := range c.waits {
+		c.unclear(i)
 	}
 	for _, k := range c.kids {
 		// Why closed: side daemons then look for the new leader at once.
--- a/internal/disk/disk.go
+++ b/internal/disk/disk.go
@@ -3,15 +3,11 @@
 package disk
 
 import (
+	"bytes"
 	"context"
-	"crypto/rand"
 	"encoding/binary"
-	"encoding/hex"
-	"os"
-	"path/filepath"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/zeebo/errs"
 	bolt "go.etcd.io/bbolt"
 
@@ -37,106 +33,16 @@
 	id string
 }
 
-// Held is what was found on disk.
-type Held struct {
-	ID    string
-	Hard  raft.Hard
-	Point raft.Point
-	Log   []raft.Entry
-	Bound []raft.Voter
-	Fresh bool
-}
-
-func mint() string {
-	var b [12]byte
-	_, _ = rand.Read(b[:])
-	return hex.EncodeToString(b[:])
-}
-
-// Open reads the folder. A file that isn't ours or is torn is put aside, and
-// the daemon goes on as a stranger: why is the second value.
-func Open(dir string) (*Disk, Held, string, error) {
-	path := filepath.Join(dir, "tealpond.db")
-	why := ""
-	d, h, err := open(path)
-	if err != nil {
-		why = err.Error()
-		// Why renamed and not mended: what it held can't be trusted, and a
-		// new identity is the only honest one.
-		if e := os.Rename(path, path+".foreign"); e != nil {
-			return nil, Held{}, why, Error.Wrap(e)
-		}
-		if d, h, err = open(path); err != nil {
-			return nil, Held{}, why, Error.Wrap(err)
-		}
-	}
-	return d, h, why, nil
-}
-
-func open(path string) (*Disk, Held, error) {
-	db, err := bolt.Open(path, 0o600, &bolt.Options{Timeout: time.Second, NoFreelistSync: true, FreelistType: bolt.FreelistMapType})
-	if err != nil {
-		return nil, Held{}, err
-	}
-	var h Held
-	err = db.Update(func(tx *bolt.Tx) error {
-		m, err := tx.CreateBucketIfNotExists(bMeta)
-		if err != nil {
-			return err
-		}
-		if _, err := tx.CreateBucketIfNotExists(bLog); err != nil {
-			return err
-		}
-		if id := m.Get(kID); id != nil {
-			h.ID = string(id)
-			return nil
-		}
-		h.ID, h.Fresh = mint(), true
-		return m.Put(kID, []byte(h.ID))
-	})
-	if err == nil {
-		err = db.View(func(tx *bolt.Tx) error { return read(tx, &h) })
-	}
-	if err != nil {
-		_ = db.Close()
-		return nil, Held{}, err
-	}
-	return &Disk{db: db, id: h.ID}, h, nil
-}
-
-func read(tx *bolt.Tx, h *Held) error {
-	m := tx.Bucket(bMeta)
-	for _, f := range []struct {
-		key []byte
-		to  any
-	}{{kHard, &h.Hard}, {kPt, &h.Point}, {kConf, &h.Bound}} {
-		if raw := m.Get(f.key); raw != nil {
-			if err := cbor.Unmarshal(raw, f.to); err != nil {
-				return err
-			}
-		}
-	}
-	return tx.Bucket(bLog).ForEach(func(k, v []byte) error {
-		var e raft.Entry
-		if err := cbor.Unmarshal(v, &e); err != nil {
-			return err
-		}
-		if e.Index <= h.Point.Index {
-			// Why kept too: members that lag a little are served from it.
-			return nil
-		}
-		h.Log = append(h.Log, e)
-		return nil
-	})
-}
+// Close ends the use of a disk on which Run was not called.
+func (d *Disk) Close() error { return Error.Wrap(d.db.Close()) }
 
 // Bind keeps the founders' set; a second, other one is refused.
 func (d *Disk) Bind(set []raft.Voter, point raft.Point) error {
-	raw, err := cbor.Marshal(set)
+	raw, err := encode(kConf, set)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	pt, err := cbor.Marshal(point)
+	pt, err := encode(kPt, point)
 	if err != nil {
 		return Error.Wrap(err)
 	}
@@ -167,17 +73,36 @@
 	return b[:]
 }
 
+func index(k []byte) uint64 { return binary.BigEndian.Uint64(k) }
+
+// deleteUpTo removes the entries up to an index. The keys are gathered first: a
+// bbolt cursor that deletes from a page which the same transaction has changed
+// passes over the key that moves into the place of the deleted one.
+func deleteUpTo(l *bolt.Bucket, upTo uint64) error {
+	var keys [][]byte
+	c := l.Cursor()
+	for k, _ := c.First(); k != nil && index(k) <= upTo; k, _ = c.Next() {
+		keys = append(keys, bytes.Clone(k))
+	}
+	for _, k := range keys {
+		if err := l.Delete(k); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (d *Disk) write(jobs []Job) error {
 	return d.db.Update(func(tx *bolt.Tx) error {
 		m, l := tx.Bucket(bMeta), tx.Bucket(bLog)
 		l.FillPercent = 0.95
 		var last uint64
 		if k, _ := l.Cursor().Last(); k != nil {
-			last = binary.BigEndian.Uint64(k)
+			last = index(k)
 		}
 		for _, j := range jobs {
 			if j.Out.Hard != nil {
-				raw, err := cbor.Marshal(j.Out.Hard)
+				raw, err := encode(kHard, j.Out.Hard)
 				if err != nil {
 					return err
 				}
@@ -190,21 +115,21 @@
 				pt = j.Out.Point
 			}
 			if pt != nil {
-				raw, err := cbor.Marshal(pt)
+				raw, err := encode(kPt, pt)
 				if err != nil {
 					return err
 				}
 				if err := m.Put(kPt, raw); err != nil {
 					return err
 				}
-				c := l.Cursor()
-				for k, _ := c.First(); k != nil; k, _ = c.Next() {
-					if j.Out.Point == nil && binary.BigEndian.Uint64(k) > pt.Index {
-						break
-					}
-					if err := c.Delete(); err != nil {
-						return err
-					}
+				upTo := pt.Index
+				if j.Out.Point != nil {
+					// The log is replaced whole: entries above a snapshot that was
+					// received need not follow it.
+					upTo = last
+				}
+				if err := deleteUpTo(l, upTo); err != nil {
+					return err
 				}
 				if j.Out.Point != nil {
 					last = 0
@@ -216,11 +141,12 @@
 						return err
 					}
 				}
-				raw, err := cbor.Marshal(e)
+				k := key(e.Index)
+				raw, err := encode(k, e)
 				if err != nil {
 					return err
 				}
-				if err := l.Put(key(e.Index), raw); err != nil {
+				if err := l.Put(k, raw); err != nil {
 					return err
 				}
 				last = e.Index
--- a/internal/door/edge.go
+++ b/internal/door/edge.go
@@ -187,7 +187,12 @@
 }
 
 // ready tells whether this daemon should be given new callers.
-func (e *Edge) ready() bool { return !e.leave.Load() && e.contact.within(tune.Fresh) }
+func (e *Edge) ready() bool {
+	if e.core != nil && !e.core.Opened() {
+		return false
+	}
+	return !e.leave.Load() && e.contact.within(tune.Fresh)
+}
 
 func (e *Edge) serve(ctx context.Context) ([]*http.Server, error) {
 	front, ready, ctl := echo.New(), echo.New(), echo.New()
--- a/internal/member/seeker.go
+++ b/internal/member/seeker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log"
@@ -32,6 +33,8 @@
 	next   uint64
 	now    time.Time
 	heard  time.Time // the last frame of the present stream
+	lost   time.Time // since when there is no stream to a leader
+	failed time.Time // the last look at all places that found none; zero if none did since
 
 	// homes: it turns to whom the answers name for its zone.
 	homes   bool
@@ -51,11 +54,36 @@
 	ask   Ask
 	reply chan Answer
 	till  time.Time
-	// noLead is when an ask that was never sent is given up.
-	noLead time.Time
-	sent   time.Time // zero while not under way
-	ever   bool
-	done   <-chan struct{}
+	// noLead is when an ask that was surely never taken is given up, known the
+	// same while it is known that there is no leader in reach.
+	noLead, known time.Time
+	sent          time.Time // zero while not under way
+	// open counts the times that it was sent and may have been taken.
+	open int
+	done <-chan struct{}
+}
+
+// end is the answer to an ask that is given up.
+func (p *pending) end() {
+	code := NoLeader
+	if p.open > 0 {
+		code = Lost
+	}
+	p.reply <- Answer{Code: code}
+}
+
+// patience is how long an ask waits for a leader: known, while it is known
+// that none is in reach.
+type patience struct{ most, known time.Duration }
+
+// patienceOf tells it by the kind of ask: clients lose more by being turned
+// away in an election than operators, who go on to the next daemon.
+var patienceOf = map[string]patience{
+	AskHandIn: {tune.NoLeaderWait, tune.NoLeaderKnown},
+	AskStatus: {tune.NoLeaderWait, tune.NoLeaderKnown},
+	AskCancel: {tune.NoLeaderWait, tune.NoLeaderKnown},
+	AskPut:    {tune.OperatorWait, 0},
+	AskRead:   {tune.OperatorWait, 0},
 }
 
 type event struct {
@@ -75,11 +103,13 @@
 }
 
 type found struct {
-	id     int
-	stream *link.Stream
-	addr   string
-	leads  bool
-	known  []string
+	id      int
+	stream  *link.Stream
+	addr    string
+	leads   bool
+	known   []string
+	partial bool // some places have not answered yet
+	late    bool // what came of these in the end
 }
 
 // NewSeeker builds a seeker; push gets orders, news the newest version of the
@@ -103,27 +133,41 @@
 }
 
 // AskRaw is Ask with a body that is already packed.
-func (s *Seeker) AskRaw(ctx context.Context, a Ask) Answer {
+func (s *Seeker) AskRaw(ctx context.Context, a Ask) Answer { return s.Post(ctx, a)() }
+
+// Post is AskRaw in two steps: the ask is under way when Post returns, behind
+// all that were posted before it; the function that it gives waits for the
+// answer.
+func (s *Seeker) Post(ctx context.Context, a Ask) func() Answer {
 	now := time.Now()
 	till, ok := ctx.Deadline()
 	if !ok {
 		till = now.Add(time.Minute)
 	}
-	p := &pending{ask: a, reply: make(chan Answer, 1), till: till, noLead: now.Add(leaderWait(ctx)), done: ctx.Done()}
+	w, ok := patienceOf[a.Kind]
+	if !ok {
+		w = patience{tune.NoLeaderWait, tune.NoLeaderWait}
+	}
+	if ctx.Value(leaderWaitKey{}) != nil {
+		w.most = leaderWait(ctx)
+	}
+	p := &pending{ask: a, reply: make(chan Answer, 1), till: till, noLead: now.Add(w.most), known: now.Add(w.known), done: ctx.Done()}
 	select {
 	case s.in <- event{ask: p}:
 	case <-ctx.Done():
-		return Answer{Code: NoLeader}
+		return func() Answer { return Answer{Code: NoLeader} }
 	}
-	select {
-	case a := <-p.reply:
-		return a
-	case <-ctx.Done():
+	return func() Answer {
 		select {
 		case a := <-p.reply:
 			return a
-		case <-time.After(20 * time.Millisecond):
-			return Answer{Code: Lost}
+		case <-ctx.Done():
+			select {
+			case a := <-p.reply:
+				return a
+			case <-time.After(20 * time.Millisecond):
+				return Answer{Code: Lost}
+			}
 		}
 	}
 }
@@ -148,6 +192,7 @@
 
 // Run is the seeker's loop.
 func (s *Seeker) Run(ctx context.Context) error {
+	s.lost = time.Now()
 	kernel.Loop(ctx, s.in, func(e event) { s.take(ctx, e) }, func(now time.Time) time.Duration { return s.rest(ctx, now) })
 	return nil
 }
@@ -183,14 +228,15 @@
 		return
 	}
 	if s.cur.Send(link.Frame{Kind: FrameAsk, ID: id, Body: link.Pack(p.ask)}) {
-		p.sent, p.ever = s.now, true
+		p.sent = s.now
+		p.open++
 	}
 }
 
 func (s *Seeker) drop() {
 	if s.cur != nil {
 		s.cur.Close()
-		s.cur = nil
+		s.cur, s.lost = nil, s.now
 	}
 	for _, p := range s.wait {
 		p.sent = time.Time{}
@@ -235,6 +281,9 @@
 		if a.Lead != "" {
 			s.lead = a.Lead
 		}
+		if a.Code == NotLead {
+			p.open--
+		}
 		s.shun()
 		s.drop()
 		return
@@ -248,6 +297,16 @@
 }
 
 func (s *Seeker) onFound(f *found) {
+	if f.late && s.cur == nil {
+		// Why taken: the rest of an earlier look has found a leader, or none,
+		// which ends that look; the one under way is not waited for.
+		if f.stream == nil || f.stream.Ended() {
+			s.failed = s.now
+			return
+		}
+		s.seekID++
+		f.id = s.seekID
+	}
 	if f.id != s.seekID {
 		if f.stream != nil {
 			f.stream.Close()
@@ -258,8 +317,13 @@
 	for _, a := range f.known {
 		s.learn(a)
 	}
-	if f.stream == nil {
+	if f.stream == nil || f.stream.Ended() {
+		// Why also an ended one: its end may have been told before it was the
+		// present one, and would not be told again.
 		s.fails++
+		if !f.partial {
+			s.failed = s.now
+		}
 		return
 	}
 	s.fails = 0
@@ -272,13 +336,20 @@
 // use makes a stream the present one; what waits is asked there.
 func (s *Seeker) use(st *link.Stream, addr string) {
 	old := s.cur
-	s.cur, s.at, s.heard = st, addr, s.now
+	s.cur, s.at, s.heard, s.failed = st, addr, s.now, time.Time{}
 	if old != nil {
 		old.Close()
 	}
-	for id, p := range s.wait {
-		p.sent = time.Time{}
-		s.sendOne(id, p)
+	ids := make([]uint64, 0, len(s.wait))
+	for id := range s.wait {
+		ids = append(ids, id)
+	}
+	// Why in the order in which they were made: of two asks about one thing
+	// the later must win, and a new life's ask must follow the old one's.
+	slices.Sort(ids)
+	for _, id := range ids {
+		s.wait[id].sent = time.Time{}
+		s.sendOne(id, s.wait[id])
 	}
 	if s.attch != nil {
 		s.attch()
@@ -329,7 +400,7 @@
 func (s *Seeker) onHop(h *hop) {
 	s.hopping = false
 	switch {
-	case h.stream == nil:
+	case h.stream == nil || h.stream.Ended():
 		w := min(max(2*s.avoid[h.addr].wait, tune.Avoid), tune.AvoidMost)
 		s.avoid[h.addr] = avoided{s.now.Add(w), w}
 	case s.cur == nil || s.busy:
@@ -369,25 +440,22 @@
 		}
 	}
 	stuck := false
+	leaderless := s.leaderless(now)
+	if left := tune.Election - now.Sub(s.lost); s.cur == nil && left > 0 {
+		soon(left)
+	}
 	for id, p := range s.wait {
 		select {
 		case <-p.done:
+			// Why answered: its caller waits a moment longer for this.
 			delete(s.wait, id)
+			p.end()
 			continue
 		default:
 		}
-		if !now.Before(p.till) {
+		if !now.Before(p.till) || p.open == 0 && (!now.Before(p.noLead) || leaderless && !now.Before(p.known)) {
 			delete(s.wait, id)
-			code := NoLeader
-			if p.ever {
-				code = Lost
-			}
-			p.reply <- Answer{Code: code}
-			continue
-		}
-		if !p.ever && !now.Before(p.noLead) {
-			delete(s.wait, id)
-			p.reply <- Answer{Code: NoLeader}
+			p.end()
 			continue
 		}
 		if !p.sent.IsZero() {
@@ -404,8 +472,11 @@
 			}
 		}
 		soon(p.till.Sub(now))
-		if !p.ever {
+		if p.open == 0 {
 			soon(p.noLead.Sub(now))
+			if leaderless {
+				soon(p.known.Sub(now))
+			}
 		}
 	}
 	if stuck {
@@ -422,6 +493,13 @@
 	return wake
 }
 
+// leaderless tells whether it is known that no leader is in reach: none was
+// found for longer than an election takes, and a look at all places has just
+// failed.
+func (s *Seeker) leaderless(now time.Time) bool {
+	return s.cur == nil && now.Sub(s.lost) >= tune.Election && !s.failed.IsZero() && now.Sub(s.failed) < tune.LookFresh
+}
+
 // places are the addresses to try, the likeliest first.
 func (s *Seeker) places() []string {
 	var out []string
@@ -474,6 +552,10 @@
 	if s.fails > 0 {
 		pause = tune.Seek * time.Duration(min(s.fails, 2))
 	}
+	rest := tune.LookRest
+	if s.fails >= tune.LookHasty {
+		rest = tune.LookFresh
+	}
 	go func() {
 		if pause > 0 {
 			select {
@@ -493,7 +575,7 @@
 			}
 		}
 		if f == nil {
-			f = s.look(ctx, places)
+			f = s.look(ctx, places, rest)
 		}
 		f.id = id
 		select {
@@ -510,7 +592,11 @@
 	ok     bool
 }
 
-func (s *Seeker) look(ctx context.Context, places []string) *found {
+// look asks all places at once. The first leader ends it; without one it ends
+// after tune.LookRest if any place has answered: what hangs is likely the leader
+// that was lost, and the next one may lead by now. The rest, and a leader among
+// them, is told of later.
+func (s *Seeker) look(ctx context.Context, places []string, most time.Duration) *found {
 	out := make(chan look, len(places))
 	for _, a := range places {
 		go func() {
@@ -519,38 +605,70 @@
 		}()
 	}
 	f := &found{}
-	term := uint64(0)
-	var lead *link.Stream
-	for i := range places {
-		l := <-out
-		if !l.ok {
-			continue
+	enough := time.NewTimer(most)
+	defer enough.Stop()
+	answered := false
+	for left := len(places); left > 0; left-- {
+		stop := enough.C
+		if !answered {
+			stop = nil
 		}
-		f.known = append(f.known, l.view.Known...)
-		if l.view.Lead != "" {
-			f.known = append(f.known, l.view.Lead)
+		select {
+		case l := <-out:
+			answered = answered || l.ok
+			if f.take(l) {
+				go closeRest(out, left-1)
+				return f
+			}
+		case <-stop:
+			f.partial = true
+			go s.lookOn(ctx, out, left)
+			return f
 		}
-		if !l.view.Leads || l.view.Term < term {
+	}
+	return f
+}
+
+// take notes what one place said; true if it leads.
+func (f *found) take(l look) bool {
+	if !l.ok {
+		return false
+	}
+	f.known = append(f.known, l.view.Known...)
+	if l.view.Lead != "" {
+		f.known = append(f.known, l.view.Lead)
+	}
+	if !l.view.Leads {
+		l.stream.Close()
+		return false
+	}
+	// Why not wait for the rest: only a leader under a lease says so.
+	f.stream, f.addr, f.leads = l.stream, l.addr, true
+	return true
+}
+
+// closeRest closes the streams of places that aren't needed any more.
+func closeRest(out <-chan look, left int) {
+	for range left {
+		if l := <-out; l.stream != nil {
 			l.stream.Close()
-			continue
 		}
-		if lead != nil {
-			lead.Close()
+	}
+}
+
+// lookOn waits for the places that a look didn't wait for.
+func (s *Seeker) lookOn(ctx context.Context, out <-chan look, left int) {
+	f := &found{late: true}
+	for ; left > 0; left-- {
+		if f.take(<-out) {
+			go closeRest(out, left-1)
+			break
 		}
-		lead, term, f.addr = l.stream, l.view.Term, l.addr
-		// Why not wait for the rest: only a leader under a lease says so.
-		rest := len(places) - i - 1
-		go func() {
-			for range rest {
-				if l := <-out; l.stream != nil {
-					l.stream.Close()
-				}
-			}
-		}()
-		break
 	}
-	f.stream, f.leads = lead, lead != nil
-	return f
+	select {
+	case s.in <- event{found: f}:
+	case <-ctx.Done():
+	}
 }
 
 func (s *Seeker) lookAt(ctx context.Context, addr string) (*link.Stream, View, bool) {
--- a/internal/store/cmd.go
+++ b/internal/store/cmd.go
@@ -1,6 +1,8 @@
 package store
 
 import (
+	"fmt"
+
 	"github.com/fxamacker/cbor/v2"
 )
 
@@ -49,8 +51,33 @@
 	return Raw{Kind: kind, Body: raw}
 }
 
-// Run applies one entry of the log and gives the outcomes in order.
-func (s *Store) Run(data []byte) []Outcome {
+// StartAt binds a state to the index of the snapshot that it came from. One
+// that holds no index yet (a new one, or one saved before indexes were kept)
+// takes it; any other must agree with its own.
+func (s *Store) StartAt(index uint64) error {
+	if s.Applied == 0 {
+		s.Applied = index
+	}
+	if s.Applied != index {
+		return fmt.Errorf("store: the state follows entry %d, its snapshot %d", s.Applied, index)
+	}
+	return nil
+}
+
+// Skip passes an entry of the log that holds no commands.
+func (s *Store) Skip(index uint64) {
+	// A panic, since going on would answer from a state that no log explains:
+	// this daemon must not lead, answer or save it.
+	if index != s.Applied+1 {
+		panic(fmt.Sprintf("store: entry %d does not follow the state, which has applied %d", index, s.Applied))
+	}
+	s.Applied = index
+}
+
+// Run applies one entry of the log and gives the outcomes in order. The entry
+// must be the one after the last that was applied.
+func (s *Store) Run(index uint64, data []byte) []Outcome {
+	s.Skip(index)
 	var b Batch
 	if err := cbor.Unmarshal(data, &b); err != nil {
 		panic("store: unreadable entry: " + err.Error())
@@ -71,16 +98,27 @@
 	return out
 }
 
-// Save encodes the whole state.
+// canonical is the encoding that is the same, byte for byte, for the same
+// state: the keys of maps are sorted.
+var canonical = func() cbor.EncMode {
+	m, err := cbor.EncOptions{Sort: cbor.SortCoreDeterministic}.EncMode()
+	if err != nil {
+		panic("store: " + err.Error())
+	}
+	return m
+}()
+
+// Save encodes the whole state. Two equal states give the same bytes.
 func (s *Store) Save() []byte {
-	raw, err := cbor.Marshal(s)
+	raw, err := canonical.Marshal(s)
 	if err != nil {
 		panic("store: " + err.Error())
 	}
 	return raw
 }
 
-// Load reads a state that Save wrote.
+// Load reads a state that Save wrote. The limits hold for one that has none:
+// an empty one, or one saved before they were part of the state.
 func Load(raw []byte, l Limits) (*Store, error) {
 	s := New(l)
 	if len(raw) == 0 {
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -21,6 +21,10 @@
 }
 
 func newWorld(t *testing.T) *world {
+	// The placer is linked in by other tests; these see what a lost row does.
+	plans := Replan
+	Replan = nil
+	t.Cleanup(func() { Replan = plans })
 	w := &world{t: t, s: New(Limits{KeepJobMs: 1000, Replans: 2})}
 	w.run("replace", &Replace{Raw: []byte(fmt.Sprintf(testDesire, 1))})
 	return w
@@ -30,7 +34,7 @@
 	w.now += 10
 	raw := Encode(kind, c)
 	b := Batch{Clock: w.now, Wall: w.now, Cmds: []Raw{raw}}
-	return w.s.Run(pack(b))[0]
+	return w.s.Run(w.s.Applied+1, pack(b))[0]
 }
 
 func (w *world) worker(id string, room wire.Room) *Worker {
@@ -305,7 +309,7 @@
 			}
 			check(t, w.s)
 		}
-		c, err := Load(w.s.Save(), w.s.limits)
+		c, err := Load(w.s.Save(), w.s.Limits)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -508,3 +512,54 @@
 		t.Error("calm nodes are remembered for good")
 	}
 }
+
+// TestEntriesApplyOnlyInOrder: an entry that does not follow the state, and a
+// snapshot at another index than its state's, must be impossible to miss.
+func TestEntriesApplyOnlyInOrder(t *testing.T) {
+	w := newWorld(t)
+	entry := pack(Batch{Cmds: []Raw{Encode("sweep", &Sweep{})}})
+	for name, f := range map[string]func(){
+		"again": func() { w.s.Run(w.s.Applied, entry) },
+		"gap":   func() { w.s.Run(w.s.Applied+2, entry) },
+		"skip":  func() { w.s.Skip(w.s.Applied + 2) },
+	} {
+		func() {
+			defer func() {
+				if recover() == nil {
+					t.Errorf("%s: applied", name)
+				}
+			}()
+			f()
+		}()
+	}
+	at := w.s.Applied
+	w.s.Skip(at + 1)
+	c, err := Load(w.s.Save(), Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.StartAt(at+1) != nil || c.StartAt(at) == nil || c.StartAt(at+2) == nil {
+		t.Errorf("a state at %d is bound to another entry", c.Applied)
+	}
+	if n := New(Limits{}); n.StartAt(7) != nil || n.Applied != 7 {
+		t.Error("an empty state does not take its snapshot's index")
+	}
+}
+
+// TestCopiesOfAGangEndInOrder: two copies of a gang's task bear one run number;
+// on one worker, each replica must end the same of them.
+func TestCopiesOfAGangEndInOrder(t *testing.T) {
+	for range 30 {
+		w := newWorld(t)
+		a := w.worker("a", wire.Room{CPUUnits: 100, MemMb: 100})
+		w.job("j", wire.Step{TaskCount: 1, CPUUnits: 10, AllTogether: true, Twice: true})
+		w.book("j", 0, true, Item{Worker: "a", Ver: a.Ver}, Item{Copy: 1, Worker: "a", Ver: a.Ver})
+		if len(w.s.Allocs) != 2 {
+			t.Fatal("the copies were not booked")
+		}
+		w.end("a", "j.0.0.0", 1, "stopped")
+		if len(w.s.Allocs) != 1 || w.s.Allocs[w.s.Last] == nil {
+			t.Fatal("the younger copy was ended")
+		}
+	}
+}
--- a/internal/store/taken_test.go
+++ b/internal/store/taken_test.go
@@ -16,7 +16,7 @@
 // copyOf is a replica that takes the state from a snapshot.
 func (w *world) copyOf() *world {
 	w.t.Helper()
-	s, err := Load(w.s.Save(), w.s.limits)
+	s, err := Load(w.s.Save(), w.s.Limits)
 	if err != nil {
 		w.t.Fatal(err)
 	}
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -307,3 +307,49 @@
 	// configuration allows.
 	HeadMost = 64 << 10
 )
+
+// Constants of internal/disk.
+const (
+	// DiskLock is how long an attempt to open the file waits for its lock; the
+	// attempt is made again anyway.
+	DiskLock = 100 * time.Millisecond
+	// DiskRetry is the first pause before a refused call to the disk is made
+	// again, DiskRetryMost the longest: a disk that serves again must be in use
+	// well within catchUpS, and each attempt costs processor time.
+	DiskRetry     = 50 * time.Millisecond
+	DiskRetryMost = 500 * time.Millisecond
+	// DiskSay is the pause between two lines of the log about a disk that does
+	// not serve.
+	DiskSay = time.Second
+)
+
+// Package member.
+const (
+	// Election is how long no leader is found before that is more than an
+	// ordinary election: the longest wait of a voter, its beat, and the first
+	// entry of the new term.
+	Election = time.Second
+	// LookFresh is how long a look at all places that found no leader tells
+	// that there is none; above a look's own time and the pause after it.
+	LookFresh = 1500 * time.Millisecond
+	// LookRest is how long a look for the leader waits for places that hang,
+	// once others have answered; zones are milliseconds apart. LookHasty is how
+	// many looks in a row are so short, about two seconds of them: an election
+	// is over by then, and each place that hangs costs a connection.
+	LookRest  = 150 * time.Millisecond
+	LookHasty = 6
+	// NoLeaderKnown is how long a client's call waits for a leader while it is
+	// known that none is in reach; a look or two after all were started anew.
+	NoLeaderKnown = 250 * time.Millisecond
+	// OperatorWait is how long an operator's call waits for a leader; they go
+	// on to the next daemon after a second of silence, the way there included.
+	OperatorWait = 500 * time.Millisecond
+	// FoundPatience is how long the seed that gathers the first core must be
+	// silent before a candidate turns to the next; all machines start within
+	// 0.3 s, and a start on the slowest one takes a second or two.
+	FoundPatience = 5 * time.Second
+	// FoundTold is the number of announcements (Announce) for which members of
+	// a core that was just founded tell the seeds of it: 20 s, above the turns
+	// through all seeds. Each fourth goes out: more often than Gather.
+	FoundTold = 80
+)
