Agreement: changes of voters by joint consensus

Cause: a change took effect as one entry whatever it changed, and the core removed first and added then: three voters were two for a time, and a second loss left no majority. A candidate counted as caught up 32 entries short.

Change: a change starts with an entry that holds the old and the new voters; both need a majority for elections, commits, check of the quorum and lease. The leader adds the final entry once that is committed, a new leader ends a change that it finds, and a leader that was voted out hands over and follows. A member is caught up when it holds what was committed before the last whole round of heartbeats.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -187,7 +187,7 @@
 func (c *Core) point() *raft.Point {
 	i := c.node.Applied()
 	t, _ := c.node.TermAt(i)
-	return &raft.Point{Index: i, Term: t, Conf: c.node.ConfAt(i), Data: c.st.Save()}
+	return &raft.Point{Index: i, Term: t, Conf: c.node.ConfAt(i), Old: c.node.OldConfAt(i), Data: c.st.Save()}
 }
 
 // Seeds replaces the seeds.
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -61,13 +61,7 @@
 }
 
 func (n *Node) countVotes() {
-	got := 0
-	for _, v := range n.Voters() {
-		if n.votes[v.Disk] {
-			got++
-		}
-	}
-	if got*2 <= len(n.Voters()) {
+	if !n.current().majorities(func(disk string) bool { return n.votes[disk] }) {
 		return
 	}
 	if n.role == preCandidate {
@@ -79,9 +73,10 @@
 		n.role = leader
 		n.leaving = false
 		n.elected = n.now
-		n.peers = map[string]*progress{}
+		n.peers, n.learners = map[string]*progress{}, map[string]Voter{}
 		n.trackPeers()
 		n.noop = n.last() + 1
+		n.roundAt, n.roundBefore, n.roundCommit = n.now, n.noop, n.noop
 		n.appendEntry(EntryNone, nil)
 	}
 }
--- a/internal/raft/lease.go
+++ b/internal/raft/lease.go
@@ -1,9 +1,6 @@
 package raft
 
-import (
-	"sort"
-	"time"
-)
+import "time"
 
 // SetWall gives the reading of the time of day that goes into answers.
 func (n *Node) SetWall(f func() int64) { n.wall = f }
@@ -22,21 +19,24 @@
 	return now.Sub(n.quorumAt(now)) < time.Duration(float64(n.timing.Elect)*n.timing.LeaseShare)
 }
 
-// quorumAt is the newest time at which a majority is known to have followed.
+// quorumAt is the newest time at which a majority, in mid-change of both sets,
+// is known to have followed.
 func (n *Node) quorumAt(now time.Time) time.Time {
-	voters := n.Voters()
-	times := make([]time.Time, 0, len(voters))
-	for _, v := range voters {
-		if v.Disk == n.me {
-			times = append(times, now)
-		} else if p := n.peers[v.Disk]; p != nil && !p.faulty {
-			times = append(times, p.acked)
-		} else {
-			times = append(times, time.Time{})
+	// Counted from the start, so that zero means never.
+	since := func(t time.Time) uint64 { return uint64(max(0, t.Sub(n.started)) + 1) }
+	reached := n.current().reached(func(disk string) uint64 {
+		if disk == n.me {
+			return since(now)
 		}
+		if p := n.peers[disk]; p != nil && !p.faulty && !p.acked.IsZero() {
+			return since(p.acked)
+		}
+		return 0
+	})
+	if reached == 0 {
+		return time.Time{}
 	}
-	sort.Slice(times, func(i, j int) bool { return times[i].After(times[j]) })
-	return times[len(times)/2]
+	return n.started.Add(time.Duration(reached - 1))
 }
 
 // Walls are the others' offsets of time of day against now, in ms.
--- a/internal/raft/net_test.go
+++ b/internal/raft/net_test.go
@@ -64,7 +64,7 @@
 		for _, s := range n.done[x] {
 			data = append(data, s[0])
 		}
-		return &Point{Index: i, Term: tm, Conf: nd.ConfAt(i), Data: data}
+		return &Point{Index: i, Term: tm, Conf: nd.ConfAt(i), Old: nd.OldConfAt(i), Data: data}
 	})
 	n.nodes[x] = nd
 	n.held[x] = nil
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -41,8 +41,12 @@
 	learners map[string]Voter
 	prompt   map[string]bool
 	noop     uint64
-	leaving  bool
-	handing  handOver // while leaving
+	// What was committed when the present round of heartbeats began, and the
+	// one before it.
+	roundCommit, roundBefore uint64
+	roundAt                  time.Time
+	leaving                  bool
+	handing                  handOver // while leaving
 
 	hardDirty bool
 	out       Out
@@ -53,9 +57,9 @@
 // New builds a node from what its disk holds.
 func New(me string, hard Hard, point Point, log []Entry, now time.Time, timing Timing, seed int64) *Node {
 	n := &Node{me: me, timing: timing, random: rand.New(rand.NewSource(seed)), term: hard.Term, vote: hard.Vote,
-		base: Point{Index: point.Index, Term: point.Term, Conf: point.Conf}, log: log, commit: point.Index, applied: point.Index,
+		base: Point{Index: point.Index, Term: point.Term, Conf: point.Conf, Old: point.Old}, log: log, commit: point.Index, applied: point.Index,
 		started: now, now: now, heard: now, kept: now, learners: map[string]Voter{}}
-	n.configurations = []configuration{{point.Index, point.Conf}}
+	n.configurations = []configuration{{point.Index, point.Conf, point.Old}}
 	for _, e := range log {
 		n.noteConfiguration(e)
 	}
@@ -124,12 +128,12 @@
 			n.endTransfer()
 			return n.timing.Beat
 		}
+		if n.nextRound() {
+			n.orderTransfer()
+		}
 		for d, p := range n.peers {
 			if now.Sub(p.sent) >= n.timing.Beat {
 				n.sendAppend(d, p, true)
-				if n.handing.to == d {
-					n.orderTransfer()
-				}
 			}
 		}
 		return n.timing.Beat
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -325,25 +325,23 @@
 	return disks
 }
 
+// settle commits what a majority, in mid-change of both sets, holds on disk.
+// Only entries of this term are counted; those before them follow.
 func (n *Node) settle() {
 	if n.role != leader {
 		return
 	}
-	voters := n.Voters()
-	matches := make([]uint64, 0, len(voters))
-	for _, v := range voters {
-		if v.Disk == n.me {
-			matches = append(matches, n.synced)
-		} else if p := n.peers[v.Disk]; p != nil && !p.faulty {
-			matches = append(matches, p.match)
-		} else {
-			matches = append(matches, 0)
+	held := n.current().reached(func(disk string) uint64 {
+		if disk == n.me {
+			return n.synced
 		}
+		if p := n.peers[disk]; p != nil && !p.faulty {
+			return p.match
+		}
+		return 0
+	})
+	if t, ok := n.termAt(held); ok && held > n.commit && t == n.term {
+		n.commit = held
 	}
-	sort.Slice(matches, func(i, j int) bool { return matches[i] > matches[j] })
-	c := matches[len(matches)/2]
-	if t, ok := n.termAt(c); ok && c > n.commit && t == n.term {
-		n.commit = c
-		// Why told at once: the others then apply without waiting for a beat.
-	}
+	n.carryChange()
 }
--- a/internal/raft/snapshot.go
+++ b/internal/raft/snapshot.go
@@ -22,9 +22,9 @@
 		return
 	}
 	n.cut(1)
-	n.base = Point{Index: m.Point.Index, Term: m.Point.Term, Conf: m.Point.Conf}
+	n.base = Point{Index: m.Point.Index, Term: m.Point.Term, Conf: m.Point.Conf, Old: m.Point.Old}
 	n.log = nil
-	n.configurations = []configuration{{m.Point.Index, m.Point.Conf}}
+	n.configurations = []configuration{{m.Point.Index, m.Point.Conf, m.Point.Old}}
 	// Not synced: nothing of it is on disk before the mark of its write is back.
 	n.commit, n.applied = m.Point.Index, m.Point.Index
 	n.out.Entries = nil
@@ -45,6 +45,6 @@
 		rest = rest[1:]
 	}
 	n.log = append([]Entry(nil), n.log[index-n.base.Index:]...)
-	n.base = Point{Index: index, Term: t, Conf: conf.voters}
-	n.configurations = append([]configuration{{conf.index, conf.voters}}, rest...)
+	n.base = Point{Index: index, Term: t, Conf: conf.voters, Old: conf.old}
+	n.configurations = append([]configuration{conf}, rest...)
 }
--- a/internal/raft/transfer.go
+++ b/internal/raft/transfer.go
@@ -17,7 +17,7 @@
 		return false
 	}
 	best := ""
-	for _, v := range n.Voters() {
+	for _, v := range n.current().voters {
 		p := n.peers[v.Disk]
 		if p == nil || p.probing || p.faulty || n.now.Sub(p.heard) > n.timing.Elect {
 			continue
@@ -45,6 +45,10 @@
 	}
 	n.handing.ordered = true
 	n.send(Msg{Kind: MsgTransfer, To: n.handing.to}, false)
+	if !n.Voter(n.me) {
+		// Voted out: nobody tells it of the next term, and it can't lead on.
+		n.newTerm(n.term, "")
+	}
 }
 
 // endTransfer takes the lead back from a hand-over that had no outcome. An
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -35,13 +35,14 @@
 	Vote string
 }
 
-// Point is a checkpoint of the state up to an entry.
+// Point is a snapshot of the state up to an entry, with the voters in force
+// there. Old holds those before a change that is under way, else nothing.
 type Point struct {
-	_     struct{} `cbor:",toarray"`
 	Index uint64
 	Term  uint64
 	Conf  []Voter
 	Data  []byte
+	Old   []Voter
 }
 
 // Kinds of messages.
