--- a/internal/core/snapshot.go
+++ b/internal/core/snapshot.go
@@ -19,7 +19,7 @@
 	if !ok {
 		panic("core: a snapshot at an entry that the log does not know")
 	}
-	return &raft.Point{Index: i, Term: t, Conf: c.node.ConfAt(i), Data: c.st.Save()}
+	return &raft.Point{Index: i, Term: t, Conf: c.node.ConfAt(i), Old: c.node.OldConfAt(i), Data: c.st.Save()}
 }
 
 // checkpoint has a snapshot written once the log has grown by so much.
