Simulation: a core daemon is ended while the core is being founded

TestFirstStartWithALoss ends the gathering seed, or another core daemon, 0.3 to 2.1 s after the first start, and starts it 0.7 s later.

--- a/internal/sim/seeds_test.go
+++ b/internal/sim/seeds_test.go
@@ -31,3 +31,25 @@
 		c.Start(l, 1)
 	})
 }
+
+// TestFirstStartWithALoss: one core daemon, the gathering seed itself among them,
+// is ended while the core is being founded, and started again.
+func TestFirstStartWithALoss(t *testing.T) {
+	for _, n := range []string{"edge-1", "edge-2"} {
+		for at := 300 * time.Millisecond; at <= 2100*time.Millisecond; at += 300 * time.Millisecond {
+			synctest.Test(t, func(t *testing.T) {
+				c := Build(t, three)
+				defer c.End()
+				time.Sleep(at)
+				c.Kill(n)
+				time.Sleep(700 * time.Millisecond)
+				c.Start(n, 1)
+				c.Until(fmt.Sprintf("the first configuration is taken; %s was ended at %v", n, at), 20*time.Second, func() bool { return c.Put("edge-4", 1, 0, "") == 200 })
+				c.Until("all follow one leader", 5*time.Second, func() bool {
+					l := c.Leader()
+					return l != "" && leaderOf(c, "edge-1") == l && leaderOf(c, "edge-2") == l && leaderOf(c, "edge-3") == l
+				})
+			})
+		}
+	}
+}
