Lapse: it frees a worker's runs only under the fence for which it was decided

Cause: a lapse proposed, then a take-up applied under a new grant and a run started, then the lapse applied late: it freed a run that was running, which could then start elsewhere too (found by reading). Change: the command names the fence of each worker. Measured: TestLapseOfAnOlderFenceFreesNothing fails without the comparison.

--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -125,7 +125,7 @@
 // held must be over.
 func (c *Core) lapses(now time.Time) {
 	after := time.Duration(float64(c.hold)*tune.HoldDrift) + tune.HoldMargin
-	var ids []string
+	var lapsed []store.Fenced
 	for id, a := range c.att {
 		w := c.st.Workers[id]
 		if w == nil || w.Dead || w.Lost {
@@ -134,13 +134,13 @@
 		}
 		if !a.lapsing && now.Sub(a.granted) > after {
 			a.lapsing = true
-			ids = append(ids, id)
+			lapsed = append(lapsed, store.Fenced{ID: id, Fence: w.Fence})
 		}
 	}
-	if len(ids) > 0 {
-		sort.Strings(ids)
-		_ = c.log.Log("level", "warn", "event", "worker.lapsed", "workers", len(ids), "first", ids[0])
-		c.add("lapse", &store.Lapse{IDs: ids}, nil)
+	if len(lapsed) > 0 {
+		sort.Slice(lapsed, func(a, b int) bool { return lapsed[a].ID < lapsed[b].ID })
+		_ = c.log.Log("level", "warn", "event", "worker.lapsed", "workers", len(lapsed), "first", lapsed[0].ID)
+		c.add("lapse", &store.Lapse{Workers: lapsed}, nil)
 	}
 }
 
--- a/internal/store/eligible.go
+++ b/internal/store/eligible.go
@@ -30,25 +30,34 @@
 	return Outcome{Code: 200}
 }
 
-// Lapse notes workers whose holds have surely lapsed.
+// Lapse notes workers whose holds have surely lapsed, each with the fence under
+// which that was decided: of one that was taken up again meanwhile nothing is
+// known to be over, since its new side daemon may have started runs there.
 type Lapse struct {
-	_   struct{} `cbor:",toarray"`
-	IDs []string
+	_       struct{} `cbor:",toarray"`
+	Workers []Fenced
+}
+
+// Fenced names a worker as of one fence.
+type Fenced struct {
+	_     struct{} `cbor:",toarray"`
+	ID    string
+	Fence int64
 }
 
 func init() { register("lapse", func() Cmd { return &Lapse{} }) }
 
 // Apply frees the tasks: everything that ran there has been killed.
 func (c *Lapse) Apply(s *Store) Outcome {
-	for _, id := range c.IDs {
-		w := s.Workers[id]
-		if w == nil || w.Dead || w.Lost {
+	for _, lapsed := range c.Workers {
+		w := s.Workers[lapsed.ID]
+		if w == nil || w.Dead || w.Lost || w.Fence != lapsed.Fence {
 			continue
 		}
 		w.Lost = true
 		w.Ver++
 		s.place(w)
-		for _, a := range s.On(id) {
+		for _, a := range s.On(w.ID) {
 			s.endRun(a, "lapsed", "")
 		}
 	}
--- a/internal/store/ends_test.go
+++ b/internal/store/ends_test.go
@@ -68,7 +68,7 @@
 func TestEndsAfterTheirBookingsClosed(t *testing.T) {
 	t.Run("lapsed", func(t *testing.T) {
 		w, a := booked(t, 1, wire.Step{})
-		w.run("lapse", &Lapse{IDs: []string{"a"}})
+		w.run("lapse", &Lapse{Workers: []Fenced{{ID: "a", Fence: w.s.Workers["a"].Fence}}})
 		o := w.run("ends", &Ends{Worker: "a", Fence: a.Fence, Ends: []wire.End{done(1, 0, 1)}})
 		if word, _ := w.s.Status("j"); o.N != 1 || o.Text != "" || word == "done" {
 			t.Errorf("a lapsed run counts: N %d, %q, job %s", o.N, o.Text, word)
@@ -105,3 +105,15 @@
 		}
 	})
 }
+
+// TestLapseOfAnOlderFenceFreesNothing: a worker was silent for long, and was
+// taken up again and given work before the command that frees it was applied.
+func TestLapseOfAnOlderFenceFreesNothing(t *testing.T) {
+	w, a := booked(t, 2, wire.Step{})
+	decided := Fenced{ID: "a", Fence: a.Fence}
+	w.run("takeup", &TakeUp{ID: "a", Node: "n-a", Service: "s", LeavesIn: -1})
+	w.run("lapse", &Lapse{Workers: []Fenced{decided}})
+	if a.Lost || len(w.s.Allocs) != 2 {
+		t.Errorf("lost %v, %d of 2 runs are still booked", a.Lost, len(w.s.Allocs))
+	}
+}
--- a/internal/store/replica_test.go
+++ b/internal/store/replica_test.go
@@ -200,7 +200,10 @@
 	"eligible": {3, func(g *generator) store.Cmd {
 		return &store.Eligible{ID: g.worker().ID, Draining: g.Intn(4) == 0, LeavesIn: int64(g.Intn(500) - 100), Gone: g.Intn(12) == 0, Sick: g.Intn(4) == 0}
 	}},
-	"lapse": {1, func(g *generator) store.Cmd { return &store.Lapse{IDs: []string{g.worker().ID, g.worker().ID}} }},
+	"lapse": {1, func(g *generator) store.Cmd {
+		a, b := g.worker(), g.worker()
+		return &store.Lapse{Workers: []store.Fenced{{ID: a.ID, Fence: a.Fence}, {ID: b.ID, Fence: b.Fence}}}
+	}},
 	"takeup": {4, func(g *generator) store.Cmd {
 		w, node := g.worker(), g.node()
 		id := w.ID
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -185,7 +185,7 @@
 	w.job("j", wire.Step{TaskCount: 1, Checkpoints: true})
 	w.book("j", 0, false, Item{Worker: "a", Ver: a.Ver})
 	w.run("ends", &Ends{Worker: "a", Fence: a.Fence, Saved: []wire.Run{{Task: "j.0.0.0", Run: 1, Saved: "abc"}}})
-	w.run("lapse", &Lapse{IDs: []string{"a"}})
+	w.run("lapse", &Lapse{Workers: []Fenced{{ID: "a", Fence: w.s.Workers["a"].Fence}}})
 	a = w.worker("a", wire.Room{CPUUnits: 100, MemMb: 100})
 	w.book("j", 0, false, Item{Worker: "a", Ver: a.Ver})
 	for _, x := range w.s.Allocs {
@@ -299,7 +299,7 @@
 				}
 			case 6:
 				if r.Intn(4) == 0 {
-					w.run("lapse", &Lapse{IDs: []string{id}})
+					w.run("lapse", &Lapse{Workers: []Fenced{{ID: id, Fence: w.s.Workers[id].Fence}}})
 					w.worker(id, x.Room)
 				} else if len(jobs) > 0 && r.Intn(3) == 0 {
 					w.run("cancel", &Cancel{ID: jobs[r.Intn(len(jobs))]})
