Agreement: own vote counts once synced; a voted-out member may end its change

Cause: a candidate counted its own vote before it was on disk. Alone in its set it led at once; after a loss of power its disk had forgotten the term, and voted in it once more. And a leader that appended the entry which votes it out, and then lost the lead, never ran again, while its longer log kept all others from being elected: no leader for good.

Change: the own vote counts with the mark of its write. A member voted out by an entry that is not committed, for all it knows, still runs, without counting itself; when the entry is committed the leader tells it, before it forgets it.

--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -41,7 +41,8 @@
 	n.heard = n.now
 	n.retryWait()
 	n.leader = ""
-	n.votes = map[string]bool{n.me: true}
+	// Its own vote counts once it is on disk, as any other.
+	n.votes = map[string]bool{n.me: !real}
 	kind, term := MsgPreVote, n.term+1
 	n.role = preCandidate
 	if real {
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -98,6 +98,18 @@
 	return holds(n.current().voters, disk) || holds(n.current().old, disk)
 }
 
+// mayLead tells whether this member runs for leader: a voter, or one that was
+// voted out by an entry which is not committed for all it knows. Its log may be
+// the longest, and its vote refused to all others by that; it must then lead
+// once more (without counting itself) to end the change.
+func (n *Node) mayLead() bool {
+	if n.Voter(n.me) {
+		return true
+	}
+	before := len(n.configurations) - 2
+	return before >= 0 && n.ConfIndex() > n.commit && holds(n.configurations[before].all(), n.me)
+}
+
 // trackPeers keeps the progress of those whom the leader sends to: voters,
 // candidates, and who was just voted out, until that is committed.
 func (n *Node) trackPeers() {
@@ -119,8 +131,10 @@
 			n.peers[d] = &progress{next: n.last() + 1, probing: true, since: n.stamped, heard: n.now}
 		}
 	}
-	for d := range n.peers {
+	for d, p := range n.peers {
 		if !want[d] {
+			// Who was voted out may rest once it knows that this is committed.
+			n.sendCommit(d, p)
 			delete(n.peers, d)
 		}
 	}
--- a/internal/raft/membership_test.go
+++ b/internal/raft/membership_test.go
@@ -182,6 +182,39 @@
 	}
 }
 
+// TestVotedOutMemberWithTheLongestLogEndsTheChange: of two voters one leads and
+// appends the entry that votes it out; then both start anew. The other holds the
+// joint entry alone, and can't be elected against the longer log.
+func TestVotedOutMemberWithTheLongestLogEndsTheChange(t *testing.T) {
+	n := newNet(t, 1, "a", "b")
+	n.put("1")
+	l := n.lead()
+	out, stays := l.Me(), n.others(l)[0]
+	l.ProposeConf([]Voter{testVoter(stays)})
+	n.pump(out)
+	for _, m := range n.queue {
+		n.nodes[stays].Step(m, n.now)
+	}
+	n.queue = nil
+	n.pump(stays)
+	n.cut[out+">"+stays] = true
+	n.step()
+	n.queue = nil
+	for _, x := range []string{out, stays} {
+		n.kill(x)
+		n.start(x)
+	}
+	n.cut = map[string]bool{}
+	if n.nodes[out].current().joint() || !n.nodes[stays].current().joint() {
+		t.Fatal("not the case that is meant")
+	}
+	n.put("2")
+	if l := n.lead(); l.Me() != stays {
+		t.Fatalf("%s leads", l.Me())
+	}
+	n.until("it rests", func() bool { return !n.nodes[out].mayLead() })
+}
+
 // TestNewVotersAloneSettleNothing: of a change from abc to ade nothing may be
 // settled by ade alone, while bc are cut off and go on.
 func TestNewVotersAloneSettleNothing(t *testing.T) {
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -138,7 +138,7 @@
 		}
 		return n.timing.Beat
 	}
-	if !n.Voter(n.me) {
+	if !n.mayLead() {
 		return time.Second
 	}
 	if left := n.wait - now.Sub(n.heard); left > 0 {
@@ -216,6 +216,10 @@
 func (n *Node) Synced(m Mark) {
 	if m.Hard {
 		n.hardOut--
+		if n.role == candidate && n.hardOut == 0 && !n.hardDirty {
+			n.votes[n.me] = true
+			n.countVotes()
+		}
 	}
 	n.written = max(n.written, m.Write)
 	if m.Point == n.base.Index {
