--- a/internal/disk/disk.go
+++ b/internal/disk/disk.go
@@ -3,16 +3,10 @@
 package disk
 
 import (
-	"bytes"
-	"context"
-	"encoding/binary"
-	"time"
-
 	"github.com/zeebo/errs"
 	bolt "go.etcd.io/bbolt"
 
 	"tealpond/internal/raft"
-	"tealpond/internal/tune"
 )
 
 // Error is the class of faults of the disk.
@@ -24,13 +18,16 @@
 	kID   = []byte("disk")
 	kHard = []byte("hard")
 	kConf = []byte("founders")
-	kPt   = []byte("point")
+	kPt   = []byte("point") // a snapshot in one record, as founding and earlier versions write it
+	kSnap = []byte("snapshot")
+	bSnap = []byte("snapshots") // read after bMeta: buckets stand in the order of their names
 )
 
 // Disk is an open store of one daemon.
 type Disk struct {
-	db *bolt.DB
-	id string
+	db         *bolt.DB
+	update     func(func(*bolt.Tx) error) error
+	generation uint64 // of the snapshot in force
 }
 
 // Close ends the use of a disk on which Run was not called.
@@ -57,137 +54,3 @@
 		return m.Put(kPt, pt)
 	})
 }
-
-// Job is one write. Point with Keep replaces the log up to Keep; Restore
-// drops the whole log.
-type Job struct {
-	Out     raft.Out
-	Point   *raft.Point
-	Keep    uint64
-	Restore bool
-}
-
-func key(i uint64) []byte {
-	var b [8]byte
-	binary.BigEndian.PutUint64(b[:], i)
-	return b[:]
-}
-
-func index(k []byte) uint64 { return binary.BigEndian.Uint64(k) }
-
-// deleteUpTo removes the entries up to an index. The keys are gathered first: a
-// bbolt cursor that deletes from a page which the same transaction has changed
-// passes over the key that moves into the place of the deleted one.
-func deleteUpTo(l *bolt.Bucket, upTo uint64) error {
-	var keys [][]byte
-	c := l.Cursor()
-	for k, _ := c.First(); k != nil && index(k) <= upTo; k, _ = c.Next() {
-		keys = append(keys, bytes.Clone(k))
-	}
-	for _, k := range keys {
-		if err := l.Delete(k); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (d *Disk) write(jobs []Job) error {
-	return d.db.Update(func(tx *bolt.Tx) error {
-		m, l := tx.Bucket(bMeta), tx.Bucket(bLog)
-		l.FillPercent = 0.95
-		var last uint64
-		if k, _ := l.Cursor().Last(); k != nil {
-			last = index(k)
-		}
-		for _, j := range jobs {
-			if j.Out.Hard != nil {
-				raw, err := encode(kHard, j.Out.Hard)
-				if err != nil {
-					return err
-				}
-				if err := m.Put(kHard, raw); err != nil {
-					return err
-				}
-			}
-			pt := j.Point
-			if j.Out.Point != nil {
-				pt = j.Out.Point
-			}
-			if pt != nil {
-				raw, err := encode(kPt, pt)
-				if err != nil {
-					return err
-				}
-				if err := m.Put(kPt, raw); err != nil {
-					return err
-				}
-				upTo := pt.Index
-				if j.Out.Point != nil {
-					// The log is replaced whole: entries above a snapshot that was
-					// received need not follow it.
-					upTo = last
-				}
-				if err := deleteUpTo(l, upTo); err != nil {
-					return err
-				}
-				if j.Out.Point != nil {
-					last = 0
-				}
-			}
-			for _, e := range j.Out.Entries {
-				for ; last >= e.Index; last-- {
-					if err := l.Delete(key(last)); err != nil {
-						return err
-					}
-				}
-				k := key(e.Index)
-				raw, err := encode(k, e)
-				if err != nil {
-					return err
-				}
-				if err := l.Put(k, raw); err != nil {
-					return err
-				}
-				last = e.Index
-			}
-		}
-		return nil
-	})
-}
-
-// Run writes what comes in, as many jobs as wait in one sync, and gives each
-// back in order. A refused write is tried again: nothing may rest on it.
-func (d *Disk) Run(ctx context.Context, in <-chan Job, give func([]Job, error)) {
-	for {
-		var jobs []Job
-		select {
-		case <-ctx.Done():
-			_ = d.db.Close()
-			return
-		case j := <-in:
-			jobs = append(jobs, j)
-		}
-		for more := true; more && len(jobs) < tune.DiskInbox; {
-			select {
-			case j := <-in:
-				jobs = append(jobs, j)
-			default:
-				more = false
-			}
-		}
-		for {
-			err := d.write(jobs)
-			if err == nil {
-				give(jobs, nil)
-				break
-			}
-			give(nil, err)
-			select {
-			case <-ctx.Done():
-				return
-			case <-time.After(50 * time.Millisecond):
-			}
-		}
-	}
-}
--- a/internal/disk/open.go
+++ b/internal/disk/open.go
@@ -171,7 +171,7 @@
 	if err != nil {
 		return nil, Held{}, unavailable("open", err)
 	}
-	h, txid, err := check(f)
+	h, m, g, err := check(f)
 	// Closing gives the lock back, which bbolt takes for itself.
 	_ = f.Close()
 	if err != nil {
@@ -183,40 +183,41 @@
 	}
 	same := false
 	_ = db.View(func(tx *bolt.Tx) error {
-		same = uint64(tx.ID()) == txid
+		same = uint64(tx.ID()) == m.txid
 		return nil
 	})
 	if !same {
 		_ = db.Close()
 		return nil, Held{}, unavailable("open", errors.New("another process wrote to it"))
 	}
-	return &Disk{db: db, id: h.ID}, h, nil
+	return &Disk{db: db, update: db.Update, generation: g}, h, nil
 }
 
-// check reads a file that no other process has open.
-func check(f *os.File) (Held, uint64, error) {
+// check reads a file that no other process has open, and the generation of its
+// snapshot.
+func check(f *os.File) (Held, boltMeta, uint64, error) {
 	if err := unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
-		return Held{}, 0, unavailable("lock", err)
+		return Held{}, boltMeta{}, 0, unavailable("lock", err)
 	}
 	info, err := f.Stat()
 	if err != nil {
-		return Held{}, 0, unavailable("stat", err)
+		return Held{}, boltMeta{}, 0, unavailable("stat", err)
 	}
 	if !info.Mode().IsRegular() {
-		return Held{}, 0, unavailable("open", fmt.Errorf("%s is no file", info.Name()))
+		return Held{}, boltMeta{}, 0, unavailable("open", fmt.Errorf("%s is no file", info.Name()))
 	}
-	h, m, err := readHeld(f, info.Size())
+	h, m, g, err := readHeld(f, info.Size())
 	var t *Torn
 	if errors.As(err, &t) {
 		blank, e := unborn(f, info.Size())
 		if e != nil {
-			return Held{}, 0, e
+			return Held{}, boltMeta{}, 0, e
 		}
 		if blank {
 			err = errUnborn
 		}
 	}
-	return h, m.txid, err
+	return h, m, g, err
 }
 
 // unborn tells whether a torn file can't ever have held an identity: it is
--- a/internal/disk/read.go
+++ b/internal/disk/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strings"
 
 	"tealpond/internal/raft"
 )
@@ -21,47 +22,62 @@
 	return h.Hard == (raft.Hard{}) && h.Point.Index == 0 && len(h.Log) == 0 && len(h.Bound) == 0
 }
 
-// reader gathers the records of a file.
+// reader takes the records of a file.
 type reader struct {
-	held    Held
-	buckets int
-	meta    map[string][]byte
+	held     Held
+	buckets  int
+	meta     map[string][]byte
+	snapshot gather
 }
 
 // readHeld checks and reads a whole file.
-func readHeld(r io.ReaderAt, size int64) (Held, boltMeta, error) {
+func readHeld(r io.ReaderAt, size int64) (Held, boltMeta, uint64, error) {
 	in := &reader{meta: map[string][]byte{}}
 	if size == 0 {
-		return Held{}, boltMeta{}, errUnborn
+		return Held{}, boltMeta{}, 0, errUnborn
 	}
 	m, err := walk(r, size, in.take)
 	if err != nil {
-		return Held{}, m, err
+		return Held{}, m, 0, err
 	}
 	if in.buckets == 0 && len(in.meta) == 0 && len(in.held.Log) == 0 {
-		return Held{}, m, errUnborn
+		return Held{}, m, 0, errUnborn
 	}
 	if err := in.finish(); err != nil {
-		return Held{}, m, err
+		return Held{}, m, 0, err
 	}
-	return in.held, m, nil
+	return in.held, m, in.snapshot.head.Generation, nil
 }
 
 // take files one record; the start of a bucket has no key.
 func (in *reader) take(bucket string, key, value []byte) error {
-	if key == nil {
+	generation, isFrame := strings.CutPrefix(bucket, "/"+string(bSnap)+"/")
+	switch {
+	case key == nil:
 		in.buckets++
+		if bucket == "/"+string(bSnap) {
+			return in.head()
+		}
 		return nil
-	}
-	switch bucket {
-	case "/" + string(bMeta):
+	case bucket == "/"+string(bMeta):
 		in.meta[string(key)] = value
-	case "/" + string(bLog):
+		return nil
+	case bucket == "/"+string(bLog):
 		return in.entry(key, value)
-	default:
-		return torn("bucket", "%q is none of ours", bucket)
+	case isFrame:
+		return in.snapshot.frame(generation, key, value)
 	}
-	return nil
+	return torn("bucket", "%q is none of ours", bucket)
+}
+
+// head reads which snapshot is in force.
+func (in *reader) head() error {
+	raw := in.meta[string(kSnap)]
+	if raw == nil {
+		return nil
+	}
+	in.snapshot.known = true
+	return decode(kSnap, raw, &in.snapshot.head)
 }
 
 func (in *reader) entry(key, value []byte) error {
@@ -98,6 +114,11 @@
 			}
 		}
 	}
+	if in.meta[string(kSnap)] != nil {
+		if h.Point, err = in.snapshot.whole(); err != nil {
+			return err
+		}
+	}
 	// Entries that the snapshot covers may be left from older versions.
 	for len(h.Log) > 0 && h.Log[0].Index <= h.Point.Index {
 		h.Log = h.Log[1:]
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -300,4 +300,10 @@
 	// DiskSay is the pause between two lines of the log about a disk that does
 	// not serve.
 	DiskSay = time.Second
+	// SnapshotFrame is the size of a frame of a snapshot on disk, in bytes. A
+	// page holds two; with its own heads that fills a whole number of pages.
+	SnapshotFrame = 64<<10 - 128
+	// SnapshotFrames is the number of frames in one transaction: about 1 MB, so
+	// that entries which wait for the same disk are held up by no more.
+	SnapshotFrames = 16
 )
