Calls left without an answer are looked for first, and refusals never outrun ends

Change: each call to the runner is declared as repeatable or not (calls.go). After silence on one that isn't, the lists are read by a look begun after it, beside a look that waits if need be, and only then is it made again, under the same fence and grant. Starts without an answer are counted; a refusal is told at once only if there is none, else after an answered stop and a look. What was told of a run holds, and is told until it is committed. Nothing is concluded from lists before they were read whole under this fence, nor from a look that another, begun later, has overtaken. A run that is listed though the state was told that it is over is stopped, and logged.

--- /dev/null
+++ b/internal/order/calls.go
@@ -0,0 +1,28 @@
+package order
+
+// Paths of the calls to a runner.
+const (
+	pathStart = "/-/run-start"
+	pathStop  = "/-/run-stop"
+	pathHold  = "/-/hold"
+)
+
+// callKind says what may be done when a call to the runner brought no answer:
+// it may have been carried out, or may be seconds later, after newer ones.
+type callKind struct {
+	// Repeatable: the same call may be made again at once. Otherwise the
+	// lists are read first, by a look begun after the silence, and the call is
+	// made again only if they don't settle the matter.
+	Repeatable bool
+	// Why it is so, and what makes a late one harmless.
+	Why string
+}
+
+// calls declares each call that is made to a runner. The HTTP client never
+// makes one twice by itself.
+var calls = map[string]callKind{
+	pathStart: {false, "the run may be there, or over; the same run is not started twice there, a late start is turned away " +
+		"once the run ended, was stopped, its untilMs is past, or a higher fence was seen"},
+	pathStop: {false, "the run may have ended by itself, and how it ended is in the lists"},
+	pathHold: {true, "untilMs never shortens, lastSeen never falls, and the lists are those of the moment of the answer"},
+}
--- a/internal/order/ends_test.go
+++ b/internal/order/ends_test.go
@@ -61,6 +61,8 @@
 			o = b.run("ends", c)
 		case *store.TakeUp:
 			o = b.run("takeup", c)
+		case *store.Eligible:
+			o = b.run("eligible", c)
 		default:
 			t.Errorf("ask %s", kind)
 		}
--- a/internal/order/runner.go
+++ b/internal/order/runner.go
@@ -23,6 +23,16 @@
 	Lists wire.Lists
 }
 
+// unclear tells whether the call may have been carried out, or may be later:
+// only the answers that the pages name say that it wasn't.
+func (r Reply) unclear() bool {
+	switch r.Code {
+	case 200, 400, 409, 421, 429, 503:
+		return false
+	}
+	return true
+}
+
 // Caller carries orders to a runner; duty_call is the one way at hand.
 type Caller interface {
 	Call(ctx context.Context, life, path string, body any) Reply
@@ -39,10 +49,14 @@
 	return &dutyCaller{base: "http://" + app, http: &http.Client{Transport: &http.Transport{
 		DialContext: d.DialContext, MaxIdleConns: 16, MaxIdleConnsPerHost: 16, MaxConnsPerHost: 16,
 		IdleConnTimeout: time.Minute, DisableCompression: true, WriteBufferSize: 2048, ReadBufferSize: 4096,
+	}, CheckRedirect: func(*http.Request, []*http.Request) error {
+		// Why not followed: it would be another call than was decided on.
+		return http.ErrUseLastResponse
 	}}}
 }
 
-// Call makes one round; it never repeats by itself.
+// Call makes one call, once: neither a reset nor a connection that was closed
+// while idle has it made again.
 func (d *dutyCaller) Call(ctx context.Context, life, path string, body any) Reply {
 	raw, err := json.Marshal(body)
 	if err != nil {
@@ -66,7 +80,7 @@
 		return Reply{}
 	}
 	r := Reply{Code: p.StatusCode}
-	if path == "/-/hold" {
+	if path == pathHold {
 		if p.StatusCode == 200 && json.Unmarshal(text, &r.Lists) != nil {
 			return Reply{}
 		}
--- a/internal/order/side.go
+++ b/internal/order/side.go
@@ -30,23 +30,26 @@
 )
 
 type run struct {
-	order  member.Order
-	st     state
-	busy   bool  // a call is under way
-	rounds int   // calls so far
-	sick   int   // times the runner was sick
-	open   int64 // an unanswered start may take effect until then
-	after  time.Time
-	stopIt bool
-	asked  uint64 // number of the last look begun when its call was answered
-	missed int
-	pct    int
-	pct0   int // when first seen
-	seen   bool
-	pctAt  time.Time // when pct last changed
-	begun  time.Time
-	saved  string
-	told   bool // its end or refusal is on its way to the leader
+	order   member.Order
+	st      state
+	busy    bool  // a call is under way
+	rounds  int   // calls so far
+	sick    int   // times the runner was sick
+	open    int64 // an unanswered start may take effect until then
+	after   time.Time
+	stopIt  bool
+	asked   uint64 // number of the last look begun when its call came back
+	unsure  bool   // that call brought no answer: the lists are read first
+	unheard int    // starts without an answer: they may still be carried out
+	missed  int
+	pct     int
+	pct0    int // when first seen
+	seen    bool
+	pctAt   time.Time // when pct last changed
+	begun   time.Time
+	saved   string
+	verdict string // the end that this daemon told of it; it holds for good
+	told    bool   // the verdict is on its way to the leader
 }
 
 // sample is how long a run took, in hundredths of its estimate.
@@ -74,11 +77,13 @@
 	sickTold bool      // an ask about it is under way
 	stuckAt  time.Time // when a run was last seen to stand still
 	samples  []sample
-	seen     int64 // ends up to here are committed: the leader said so
-	got      int64 // ends up to here were read and are on their way
-	listed   bool  // lists were read under this fence
-	holding  bool
-	holdNo   uint64
+	seen     int64  // ends up to here are committed: the leader said so
+	got      int64  // ends up to here were read and are on their way
+	listed   bool   // both lists were read whole under this fence
+	holding  bool   // a look that may wait is under way
+	peeking  bool   // one beside it that doesn't
+	holdNo   uint64 // of the look begun last
+	looked   uint64 // the newest look that brought both lists whole
 	holdFail int
 	holdAt   time.Time
 	renewing bool
@@ -182,10 +187,6 @@
 func (s *Side) onBeat(b *beatIn) {
 	l := s.cur
 	if l == nil || l.id != b.id {
-		if l != nil && l.over && l.id == b.id {
-			b.done <- 200
-			return
-		}
 		_ = s.log.Log("level", "info", "event", "runner.new", "runner", b.id)
 		l = &life{id: b.id, beat: b.beat, seq: b.beat.CallSeq, runs: map[string]*run{}}
 		s.cur = l
@@ -360,11 +361,12 @@
 	}
 	gone := s.lapsed(l)
 	for _, r := range l.runs {
-		if r.told || r.busy && !gone {
+		if r.verdict != "" || r.busy && !gone {
 			continue
 		}
 		switch {
-		case r.rounds == 0 && r.st == wanted:
+		case r.rounds == 0 && r.st == wanted && l.listed:
+			// Why only once listed: before, another fence may have started it.
 			s.tell(l, r, "refused")
 		case gone:
 			s.tell(l, r, "lapsed")
@@ -430,6 +432,11 @@
 	if d := s.care(l); d > 0 && d < wake {
 		wake = d
 	}
+	for _, r := range l.runs {
+		if d := s.tellVerdict(l, r); d > 0 && d < wake {
+			wake = d
+		}
+	}
 	if l.listed && !s.dark(l) {
 		for k, r := range l.runs {
 			if d := s.move(l, k, r); d > 0 && d < wake {
@@ -467,16 +474,22 @@
 
 // look holds what runs and reads the lists.
 func (s *Side) look(l *life) time.Duration {
-	if l.holding {
-		return 0
-	}
 	if l.holdFail > 0 {
 		if left := min(time.Duration(l.holdFail)*50*time.Millisecond, 500*time.Millisecond) - s.now.Sub(l.holdAt); left > 0 {
 			return left
 		}
 	}
+	unsure := l.unsure()
+	if l.holding {
+		if unsure && !l.peeking {
+			// Why beside it: that one was begun before the silence, and may
+			// wait for an end.
+			s.hold(l, 0, &l.peeking)
+		}
+		return 0
+	}
 	wait := tune.HoldWait
-	if l.telling > 0 {
+	if l.telling > 0 && !unsure {
 		// Why not while ends are unacknowledged: the look would return at
 		// once with the same ends; only a newer grant is worth it.
 		gain := min(l.until, s.clockNow(l)+tune.HoldReach.Milliseconds()) - l.untilOut
@@ -488,7 +501,7 @@
 	if len(l.runs) == 0 {
 		wait = tune.HoldQuiet
 	}
-	if !l.listed || l.until > 0 && l.untilOut == 0 {
+	if !l.listed || l.until > 0 && l.untilOut == 0 || unsure {
 		wait = 0
 	}
 	for _, r := range l.runs {
@@ -505,6 +518,23 @@
 		// may be gone would put off the moment when its work is surely over.
 		wait = 0
 	}
+	s.hold(l, wait, &l.holding)
+	return 0
+}
+
+// unsure tells whether a call was left without an answer, and no look begun
+// since then has come back.
+func (l *life) unsure() bool {
+	for _, r := range l.runs {
+		if r.unsure && l.looked <= r.asked {
+			return true
+		}
+	}
+	return false
+}
+
+// hold makes one look; busy is set while it is under way.
+func (s *Side) hold(l *life, wait time.Duration, busy *bool) {
 	h := wire.Hold{FenceNumber: l.fence, LastSeen: l.seen, WaitMs: wait.Milliseconds()}
 	// Why short: when the runner falls silent, all that it held is over so
 	// much sooner, and a grant is there to prolong it.
@@ -512,15 +542,15 @@
 		h.UntilMs = u
 		l.sent = max(l.sent, u)
 	}
-	l.holding, l.holdAt = true, s.now
+	*busy, l.holdAt = true, s.now
 	l.holdNo++
 	no, fence := l.holdNo, l.fence
 	go func() {
 		x, stop := context.WithTimeout(s.ctx, wait+tune.HoldSlack)
-		r := s.call.Call(x, l.id, "/-/hold", h)
+		r := s.call.Call(x, l.id, pathHold, h)
 		stop()
 		s.later(func() {
-			l.holding = false
+			*busy = false
 			s.heard(l, r)
 			if s.cur != l || l.fence != fence {
 				return
@@ -528,7 +558,6 @@
 			s.onLists(l, h, no, r)
 		})
 	}()
-	return 0
 }
 
 func (s *Side) onLists(l *life, h wire.Hold, no uint64, r Reply) {
@@ -544,11 +573,16 @@
 	if h.UntilMs > l.untilOut {
 		l.untilOut = h.UntilMs
 	}
+	if no < l.looked {
+		// Why passed over: a look that was begun later came back before it.
+		return
+	}
 	there := map[string]wire.Run{}
 	for _, v := range r.Lists.Runs() {
 		there[key(v.Task, v.Run)] = v
 	}
 	ends := r.Lists.Ends()
+	whole := len(ends) < tune.EndsListed
 	var fresh []wire.End
 	over := map[string]bool{}
 	for _, e := range ends {
@@ -569,20 +603,32 @@
 		if q == nil {
 			// Why kept: the leader will name it, and must not start it twice.
 			q = &run{order: member.Order{Task: v.Task, Run: v.Run}}
+			if l.ended[k] != nil {
+				// Why stopped: the state was told that it is over.
+				_ = s.log.Log("level", "error", "event", "run.alive", "task", v.Task, "run", v.Run)
+				q.stopIt = true
+			}
 			l.runs[k] = q
 		}
 		if q.st == wanted || q.st == starting {
 			q.st = started
 		}
 		q.missed = 0
+		if q.verdict != "" {
+			_ = s.log.Log("level", "error", "event", "run.alive", "task", v.Task, "run", v.Run, "told", q.verdict)
+			q.st = stopping
+			continue
+		}
 		s.progress(l, q, v)
 		if v.Saved != q.saved {
 			q.saved = v.Saved
 			saved = append(saved, v)
 		}
 	}
-	first := !l.listed
-	l.listed = true
+	first := !l.listed && whole
+	if whole {
+		l.listed, l.looked = true, no
+	}
 	for k, q := range l.runs {
 		if _, ok := there[k]; ok {
 			continue
@@ -591,11 +637,11 @@
 			delete(l.runs, k)
 			continue
 		}
-		if q.told {
+		if q.verdict != "" {
 			continue
 		}
 		// Why only looks begun after the answer: an older one can't know it.
-		if (q.st == started || q.st == stopped) && no > q.asked && len(ends) < 500 {
+		if (q.st == started || q.st == stopped) && no > q.asked && whole {
 			q.missed++
 			if q.missed >= 2 || q.st == stopped {
 				s.tell(l, q, "stopped")
@@ -800,28 +846,56 @@
 	l.ended[k] = &endedRun{end: end, at: now}
 }
 
-// tell has a run closed that the lists will never name.
+// tell has a run closed that the lists will never name. What was told once
+// holds: the run is never started again under this fence, since a command that
+// brought no answer may be committed at any later time.
 func (s *Side) tell(l *life, r *run, how string) {
+	r.verdict = how
+	s.tellVerdict(l, r)
+}
+
+// tellVerdict has a run's verdict committed, again until an answer says that
+// it is; it returns when to come back.
+func (s *Side) tellVerdict(l *life, r *run) time.Duration {
+	if r.verdict == "" || r.told {
+		return 0
+	}
+	if left := r.after.Sub(s.now); left > 0 {
+		return left
+	}
 	r.told = true
-	end := wire.End{Task: r.order.Task, Run: r.order.Run, How: how}
-	s.ask(member.AskEnds, &store.Ends{Worker: l.id, Fence: l.fence, Ends: []wire.End{end}}, 20*time.Second, func(a member.Answer) {
-		if a.Code == 200 {
-			l.remember(end, s.now)
-			delete(l.runs, key(r.order.Task, r.order.Run))
+	fence, seen, k := l.fence, l.seen, key(r.order.Task, r.order.Run)
+	end := wire.End{Task: r.order.Task, Run: r.order.Run, How: r.verdict}
+	s.ask(member.AskEnds, &store.Ends{Worker: l.id, Fence: fence, Ends: []wire.End{end}}, 20*time.Second, func(a member.Answer) {
+		r.told = false
+		r.after = s.now.Add(tune.Renew)
+		if s.cur != l || l.runs[k] != r {
 			return
 		}
-		r.told = false
+		switch a.Code {
+		case 200:
+			s.committed(l, a, seen, fence)
+			l.remember(end, s.now)
+			delete(l.runs, k)
+		case 409:
+			s.takeUp(l)
+		}
 	})
+	return 0
 }
 
 // move brings one run further; it returns when to look at it again.
 func (s *Side) move(l *life, k string, r *run) time.Duration {
-	if r.busy || r.told {
+	if r.busy || r.verdict != "" && r.st != stopping {
 		return 0
 	}
 	if left := r.after.Sub(s.now); left > 0 {
 		return left
 	}
+	if r.unsure && l.looked <= r.asked {
+		// Why first: it may be there, or over; the next look tells.
+		return 0
+	}
 	if f := moves[r.st]; f != nil {
 		return f(s, l, r)
 	}
@@ -854,6 +928,8 @@
 		r.st = refused
 		return s.moveRefused(l, r)
 	}
+	// Sent again, if the first was left without an answer, under the same
+	// conditions: an order of this fence, not stopped, within the grant.
 	now := s.clockNow(l)
 	if l.until < now+300 {
 		return 50 * time.Millisecond
@@ -868,7 +944,7 @@
 	r.rounds++
 	body := wire.Start{TaskID: r.order.Task, RunID: r.order.Run, JobSpec: r.order.Spec, UntilMs: until,
 		FenceNumber: l.fence, LastCheckpoint: r.order.Saved}
-	s.send(l, r, "/-/run-start", body, s.onStart)
+	s.send(l, r, pathStart, body, s.onStart)
 	return 0
 }
 
@@ -890,6 +966,7 @@
 			}
 			s.readClock(l, p.Clock.ClockMs)
 			r.asked = l.holdNo
+			r.unsure = p.Code == 0 && !calls[path].Repeatable
 			if p.Code == 421 {
 				// Why nothing told: the new life's beat ends the old one.
 				r.after = s.now.Add(500 * time.Millisecond)
@@ -902,6 +979,9 @@
 
 func (s *Side) onStart(l *life, r *run, p Reply) {
 	s.trace.Add(r.order.Task, "start answered", int64(p.Code), p.Clock.Reason)
+	if p.unclear() {
+		r.unheard++
+	}
 	if r.st != starting {
 		return
 	}
@@ -926,14 +1006,15 @@
 		default:
 			r.st = refused
 		}
-	case 429, 503:
+	case 400:
+		r.st = refused
+	default:
+		// 429 and 503 from a sick runner, or what the pages don't name.
 		r.sick++
 		r.after = s.now.Add(time.Duration(r.sick) * 40 * time.Millisecond)
 		if r.sick >= 3 {
 			r.st = refused
 		}
-	default:
-		r.st = refused
 	}
 }
 
@@ -947,7 +1028,7 @@
 
 // moveRefused tells a refusal once no unanswered start can take effect.
 func (s *Side) moveRefused(l *life, r *run) time.Duration {
-	if r.rounds <= 1 && r.sick <= 1 {
+	if r.unheard == 0 {
 		s.tell(l, r, "refused")
 		return 0
 	}
@@ -959,7 +1040,7 @@
 	if s.hands >= tune.OrderHands {
 		return 0
 	}
-	s.send(l, r, "/-/run-stop", wire.Stop{TaskID: r.order.Task, RunID: r.order.Run, FenceNumber: l.fence}, func(l *life, r *run, p Reply) {
+	s.send(l, r, pathStop, wire.Stop{TaskID: r.order.Task, RunID: r.order.Run, FenceNumber: l.fence}, func(l *life, r *run, p Reply) {
 		switch {
 		case p.Code == 200:
 			r.st = stopped
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -132,7 +132,8 @@
 	// LapseMargin is added before a silent runner's work is deemed over.
 	LapseMargin = 100 * time.Millisecond
 	// EndedKept is the number of ended runs that a side daemon remembers before
-	// it forgets those older than EndedTime: by then no order can name them.
+	// it forgets those that are older than EndedTime and committed: the state
+	// orders them no more.
 	EndedKept = 512
 	EndedTime = 30 * time.Second
 	// StuckAfter is the least time without progress before a run is stopped.
@@ -286,3 +287,10 @@
 	// listed in time.
 	LeaveEarly = 350 * time.Millisecond
 )
+
+// order: the side daemon and its calls to the runner.
+const (
+	// EndsListed is how many ends a runner lists at most in one answer
+	// (PROTOCOL): a list so long may go on, so it rules nothing out.
+	EndsListed = 500
+)
