--- a/internal/order/ends_test.go
+++ b/internal/order/ends_test.go
@@ -19,24 +19,24 @@
 
 const testDesire = `{"configVersion":1,"routeList":[{"name":"a","hostName":"h","pathPrefix":"/p/","kind":"writing","timeoutMs":1000,"targetMs":100,"priority":0,"targetService":"s","maxTries":2,"stretch":1.5}],"serviceList":[{"name":"s","guards":true}]}`
 
-// bench is a side daemon without its loop, over a state without a log.
-type bench struct {
-	t    *testing.T
-	mu   sync.Mutex // asks come side by side
-	st   *store.Store
-	s    *Side
-	l    *life
-	lose func(*store.Ends) bool // what never reaches the state, nor an answer
-	ends int                    // asks with ends that reached the state
+// fixture is a side daemon without its loop, over a state without a log.
+type fixture struct {
+	t       *testing.T
+	mu      sync.Mutex // asks come side by side
+	st      *store.Store
+	s       *Side
+	session *runnerSession
+	lose    func(*store.Ends) bool // what never reaches the state, nor an answer
+	ends    int                    // asks with ends that reached the state
 }
 
-func (b *bench) run(kind string, c store.Cmd) store.Outcome {
+func (b *fixture) run(kind string, c store.Cmd) store.Outcome {
 	return b.st.Run(link.Pack(store.Batch{Clock: time.Now().UnixMilli(), Cmds: []store.Raw{store.Encode(kind, c)}}))[0]
 }
 
-// newBench gives a worker w on which n tasks of job j are booked as run 1.
-func newBench(t *testing.T, n int) *bench {
-	b := &bench{t: t, st: store.New(store.Limits{KeepJobMs: 1e6, Replans: 2})}
+// newFixture gives a worker w on which n tasks of job j are booked as run 1.
+func newFixture(t *testing.T, n int) *fixture {
+	b := &fixture{t: t, st: store.New(store.Limits{KeepJobMs: 1e6, Replans: 2})}
 	b.run("replace", &store.Replace{Raw: []byte(testDesire)})
 	fence := b.run("takeup", &store.TakeUp{ID: "w", Node: "n", Service: "s", Room: wire.Room{CPUUnits: 1000, MemMb: 1000}, LeavesIn: -1}).N
 	b.run("handin", &store.HandIn{Host: "h", Path: "/p/j", ID: "j", Job: wire.Job{Steps: []wire.Step{{TaskCount: n, EstimateMs: 100}}}})
@@ -68,13 +68,13 @@
 		}
 		return member.Answer{Code: o.Code, Text: o.Text, N: o.N}
 	}
-	b.l = &life{id: "w", fence: fence, listed: true, runs: map[string]*run{}}
-	b.s.cur = b.l
+	b.session = &runnerSession{id: "w", fence: fence, listed: true, runs: map[string]*run{}}
+	b.s.cur = b.session
 	return b
 }
 
 // settle lets all asks that are under way come to their ends.
-func (b *bench) settle() {
+func (b *fixture) settle() {
 	for {
 		synctest.Wait()
 		select {
@@ -87,24 +87,24 @@
 }
 
 // order is what the leader would tell of the booking of a task.
-func (b *bench) order(index int) {
-	b.s.onOrder(member.Order{Worker: "w", Fence: b.l.fence, Task: fmt.Sprintf("j.0.0.%d", index), Run: 1, EstMs: 100})
+func (b *fixture) order(index int) {
+	b.s.onOrder(member.Order{Worker: "w", Fence: b.session.fence, Task: fmt.Sprintf("j.0.0.%d", index), Run: 1, EstMs: 100})
 }
 
 // lists brings an answer to a look with these ends, N being index + 1.
-func (b *bench) lists(indexes ...int) {
+func (b *fixture) lists(indexes ...int) {
 	r := Reply{Code: 200, Lists: wire.Lists{ClockMs: 5}}
 	for _, i := range indexes {
 		r.Lists.Ended = append(r.Lists.Ended, []any{float64(i + 1), fmt.Sprintf("j.0.0.%d", i), float64(1), "done", ""})
 	}
-	b.l.holdNo++
-	b.s.onLists(b.l, wire.Hold{LastSeen: b.l.seen}, b.l.holdNo, r)
+	b.session.holdNo++
+	b.s.onLists(b.session, wire.Hold{LastSeen: b.session.seen}, b.session.holdNo, r)
 }
 
-func (b *bench) check(seen int64, open int) {
+func (b *fixture) check(seen int64, open int) {
 	b.t.Helper()
-	if w := b.st.Workers["w"]; w.Seen != seen || b.l.seen != seen {
-		b.t.Errorf("the state holds ends up to %d and the runner is told %d, want %d", w.Seen, b.l.seen, seen)
+	if w := b.st.Workers["w"]; w.Seen != seen || b.session.seen != seen {
+		b.t.Errorf("the state holds ends up to %d and the runner is told %d, want %d", w.Seen, b.session.seen, seen)
 	}
 	if len(b.st.Allocs) != open {
 		b.t.Errorf("%d bookings are open, want %d", len(b.st.Allocs), open)
@@ -114,7 +114,7 @@
 // TestLostBatchOfEndsIsToldAgain: of two batches under way the first is lost.
 func TestLostBatchOfEndsIsToldAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, 3)
+		b := newFixture(t, 3)
 		b.lose = func(e *store.Ends) bool { return len(e.Ends) == 1 && e.Ends[0].N == 1 }
 		b.lists(0)
 		b.settle()
@@ -139,12 +139,12 @@
 // take-up: nothing of it counts, nor is anything of it acknowledged.
 func TestEndsUnderAnOldFenceAreToldAnew(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, 2)
+		b := newFixture(t, 2)
 		b.run("takeup", &store.TakeUp{ID: "w", Node: "n", Service: "s", LeavesIn: -1})
 		b.lists(0, 1)
 		b.settle()
 		b.check(0, 2)
-		if b.l.fence != b.st.Workers["w"].Fence {
+		if b.session.fence != b.st.Workers["w"].Fence {
 			t.Fatal("it was not taken up anew")
 		}
 		b.order(0)
@@ -162,16 +162,16 @@
 // orders, passed over in silence, hid it for as long as the daemon lived.
 func TestOrderOfAnEndedRunTellsItsEndAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(t, 3)
+		b := newFixture(t, 3)
 		b.order(0)
-		if len(b.l.runs) != 1 {
+		if len(b.session.runs) != 1 {
 			t.Fatal("the order was not taken")
 		}
 		b.lose = func(e *store.Ends) bool { return true }
 		b.lists(0)
 		b.settle()
 		b.order(0)
-		if len(b.l.runs) != 0 {
+		if len(b.session.runs) != 0 {
 			t.Error("a run whose end is on its way was taken up again")
 		}
 		b.lose = nil
@@ -182,7 +182,7 @@
 		b.check(1, 2)
 
 		// An end that the state counts as held, while the run is still open.
-		b.l.remember(wire.End{N: 1, Task: "j.0.0.1", Run: 1, How: "done"}, b.s.now)
+		b.session.remember(wire.End{N: 1, Task: "j.0.0.1", Run: 1, How: "done"}, b.s.now)
 		b.order(1)
 		b.settle()
 		b.check(1, 1)
@@ -190,11 +190,11 @@
 		b.order(1)
 		b.order(1)
 		b.settle()
-		if b.check(1, 1); b.ends != told+1 || len(b.l.runs) != 0 {
-			t.Errorf("told %d times for two orders at once, runs %d", b.ends-told, len(b.l.runs))
+		if b.check(1, 1); b.ends != told+1 || len(b.session.runs) != 0 {
+			t.Errorf("told %d times for two orders at once, runs %d", b.ends-told, len(b.session.runs))
 		}
 		b.order(2)
-		if len(b.l.runs) != 1 {
+		if len(b.session.runs) != 1 {
 			t.Error("an order of another run was not taken")
 		}
 	})
@@ -203,17 +203,17 @@
 // TestEndsOnTheirWayAreNotForgotten: an end is forgotten once it is old and
 // the state holds it, and never before.
 func TestEndsOnTheirWayAreNotForgotten(t *testing.T) {
-	l := &life{seen: 600}
+	session := &runnerSession{seen: 600}
 	now := time.Unix(1000, 0)
 	for i := int64(1); i <= 1000; i++ {
-		l.remember(wire.End{N: i, Task: fmt.Sprintf("j.0.0.%d", i), Run: 1, How: "done"}, now)
+		session.remember(wire.End{N: i, Task: fmt.Sprintf("j.0.0.%d", i), Run: 1, How: "done"}, now)
 	}
-	l.remember(wire.End{N: 1001, Task: "k.0.0.0", Run: 1, How: "done"}, now.Add(time.Minute))
-	if len(l.ended) != 401 || l.ended["j.0.0.601/1"] == nil {
-		t.Errorf("%d ends are kept", len(l.ended))
+	session.remember(wire.End{N: 1001, Task: "k.0.0.0", Run: 1, How: "done"}, now.Add(time.Minute))
+	if len(session.ended) != 401 || session.ended["j.0.0.601/1"] == nil {
+		t.Errorf("%d ends are kept", len(session.ended))
 	}
-	l.remember(wire.End{Task: "k.0.0.0", Run: 1, How: "stopped"}, now.Add(time.Minute))
-	if l.ended["k.0.0.0/1"].end.How != "done" {
+	session.remember(wire.End{Task: "k.0.0.0", Run: 1, How: "stopped"}, now.Add(time.Minute))
+	if session.ended["k.0.0.0/1"].end.How != "done" {
 		t.Error("how a run ended was overwritten by what this daemon told")
 	}
 }
--- a/internal/order/plug.go
+++ b/internal/order/plug.go
@@ -47,7 +47,7 @@
 		// Why not fatal: only traces need it.
 		_ = s.log.Log("level", "warn", "event", "trace.unserved", "why", err)
 	}
-	go s.claim(ctx)
+	go s.renewMembership(ctx)
 	go func() {
 		for {
 			select {
@@ -76,8 +76,8 @@
 	ev.Stream.Send(link.Frame{Kind: member.FrameAnswer, ID: ev.Frame.ID, Body: link.Pack(r)})
 }
 
-// claim renews this daemon's membership.
-func (s *Side) claim(ctx context.Context) {
+// renewMembership renews this daemon's membership.
+func (s *Side) renewMembership(ctx context.Context) {
 	t := time.NewTicker(tune.SideClaim)
 	defer t.Stop()
 	for {
--- a/internal/order/side_test.go
+++ b/internal/order/side_test.go
@@ -28,14 +28,14 @@
 		"still from the start":    {"", 300, []int{0, 0, 0, 0}, true},
 	} {
 		s := &Side{log: log.NewNopLogger(), now: time.Unix(1000, 0), set: setting.Setting{Bounds: setting.Bounds{RestoreMs: 600}}}
-		l := &life{runs: map[string]*run{}}
-		r := &run{order: member.Order{Worker: "w", Task: task, Run: 1, Saved: c.saved, EstMs: c.est}, st: started, begun: s.now, pctAt: s.now}
+		session := &runnerSession{runs: map[string]*run{}}
+		r := &run{order: member.Order{Worker: "w", Task: task, Run: 1, Saved: c.saved, EstMs: c.est}, state: started, begun: s.now, percentAt: s.now}
 		for _, p := range c.seen {
 			s.now = s.now.Add(300 * time.Millisecond)
-			s.progress(l, r, wire.Run{Task: task, Run: 1, Percent: p})
+			s.progress(session, r, wire.Run{Task: task, Run: 1, Percent: p})
 		}
-		if r.stopIt != c.stuck {
-			t.Errorf("%s: stuck %v, want %v", name, r.stopIt, c.stuck)
+		if r.stopAsked != c.stuck {
+			t.Errorf("%s: stuck %v, want %v", name, r.stopAsked, c.stuck)
 		}
 	}
 }
--- a/internal/order/silence_test.go
+++ b/internal/order/silence_test.go
@@ -77,18 +77,18 @@
 	return r
 }
 
-// newTurned is a bench with a runner, and a grant that lasts.
-func newTurned(t *testing.T, tasks int) (*bench, *scripted) {
-	b := newBench(t, tasks)
+// newTurned is a fixture with a runner, and a grant that lasts.
+func newTurned(t *testing.T, tasks int) (*fixture, *scripted) {
+	b := newFixture(t, tasks)
 	c := &scripted{answers: map[string]Reply{pathHold: running()}}
 	b.s.call = c
-	b.l.clock, b.l.clockAt, b.l.until, b.l.renewing = 1, time.Now(), 1e9, true
-	b.l.heardAt = time.Now()
+	b.session.clock, b.session.clockAt, b.session.until, b.session.renewing = 1, time.Now(), 1e9, true
+	b.session.heardAt = time.Now()
 	return b, c
 }
 
 // turn lets the daemon's loop go on for so long.
-func (b *bench) turn(d time.Duration) {
+func (b *fixture) turn(d time.Duration) {
 	for till := time.Now().Add(d); time.Now().Before(till); {
 		b.s.rest(time.Now())
 		synctest.Wait()
@@ -140,7 +140,7 @@
 		b, r := newTurned(t, 1)
 		b.order(0)
 		b.turn(260 * time.Millisecond)
-		b.l.beat.State = "draining"
+		b.session.beat.State = "draining"
 		b.turn(time.Second)
 		b.check(0, 1)
 		if r.count(pathStart) != 1 || r.count(pathStop) == 0 {
@@ -158,10 +158,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		b, r := newTurned(t, 1)
 		r.silent(pathHold)
-		b.l.listed, b.l.sent = false, 5000
+		b.session.listed, b.session.sent = false, 5000
 		b.order(0)
 		b.turn(4 * time.Second)
-		if !b.s.dark(b.l) {
+		if !b.s.dark(b.session) {
 			t.Fatal("the runner is not deemed silent")
 		}
 		b.check(0, 1)
@@ -181,10 +181,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		b, r := newTurned(t, 1)
 		b.lose = func(*store.Ends) bool { return true }
-		b.l.drain = true
+		b.session.drain = true
 		b.order(0)
 		b.turn(100 * time.Millisecond)
-		b.l.drain = false
+		b.session.drain = false
 		r.set(pathStart, Reply{Code: 200})
 		b.turn(25 * time.Second)
 		if n := r.count(pathStart); n != 0 {
@@ -208,7 +208,7 @@
 		}
 		r.set(pathHold, full)
 		r.set(pathStart, Reply{Code: 409, Clock: wire.Clock{Reason: "room"}})
-		b.l.listed = false
+		b.session.listed = false
 		b.order(0)
 		b.turn(3 * time.Second)
 		if n := r.count(pathStart); n != 0 {
@@ -222,10 +222,10 @@
 func TestOlderLookIsPassedOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b, _ := newTurned(t, 1)
-		b.l.holdNo = 7
-		b.s.onLists(b.l, wire.Hold{}, 7, running())
-		b.s.onLists(b.l, wire.Hold{}, 6, running("j.0.0.0"))
-		if len(b.l.runs) != 0 {
+		b.session.holdNo = 7
+		b.s.onLists(b.session, wire.Hold{}, 7, running())
+		b.s.onLists(b.session, wire.Hold{}, 6, running("j.0.0.0"))
+		if len(b.session.runs) != 0 {
 			t.Error("what an older look showed was taken for new")
 		}
 	})
@@ -235,7 +235,7 @@
 func TestRunThatIsOverForTheStateIsStopped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b, r := newTurned(t, 1)
-		b.l.remember(wire.End{Task: "j.0.0.0", Run: 1, How: "stopped"}, time.Now())
+		b.session.remember(wire.End{Task: "j.0.0.0", Run: 1, How: "stopped"}, time.Now())
 		r.set(pathHold, running("j.0.0.0"))
 		b.turn(50 * time.Millisecond)
 		if r.count(pathStop) == 0 {
