--- a/internal/desire/check.go
+++ b/internal/desire/check.go
@@ -9,7 +9,7 @@
 	cuejson "cuelang.org/go/encoding/json"
 )
 
-// schema is what one desired state looks like, field by field.
+// schema is what one configuration looks like, field by field.
 const schema = `
 #Name: string & !=""
 #Lane: {
@@ -50,12 +50,12 @@
 
 var mu sync.Mutex
 
-// Check holds a desired state against the schema.
+// Check holds a configuration against the schema.
 func Check(raw []byte) error {
 	mu.Lock()
 	defer mu.Unlock()
 	c, s := build()
-	x, err := cuejson.Extract("desired state", raw)
+	x, err := cuejson.Extract("configuration", raw)
 	if err != nil {
 		return Error.New("%s", errors.Details(err, nil))
 	}
--- a/internal/desire/state.go
+++ b/internal/desire/state.go
@@ -1,4 +1,4 @@
-// Package desire reads and checks the desired state that operators send.
+// Package desire reads and checks the configurations that operators send.
 package desire
 
 import (
@@ -11,10 +11,10 @@
 	"github.com/zeebo/errs"
 )
 
-// Error is the class of faults in a desired state.
-var Error = errs.Class("desire")
+// Error is the class of faults in a configuration.
+var Error = errs.Class("configuration")
 
-// Lane directs one host and prefix, an inbox, to a service.
+// Lane is a route: it directs one host and prefix, a queue, to a service.
 type Lane struct {
 	Name          string  `json:"name"`
 	HostName      string  `json:"hostName"`
@@ -34,7 +34,7 @@
 	Guards bool   `json:"guards"`
 }
 
-// Limits bound what senders may send.
+// Limits bound what clients may send.
 type Limits struct {
 	MaxHeaderBytes  int   `json:"maxHeaderBytes"`
 	MaxBodyBytes    int64 `json:"maxBodyBytes"`
@@ -42,7 +42,7 @@
 	IdleTimeoutMs   int64 `json:"idleTimeoutMs"`
 }
 
-// State is one desired state, with the text as it was sent.
+// State is one configuration, with the text as it was sent.
 type State struct {
 	Version  int64     `json:"configVersion"`
 	Lanes    []Lane    `json:"routeList"`
@@ -51,7 +51,7 @@
 	Raw      []byte    `json:"-" cbor:"raw"`
 }
 
-// Read decodes a desired state and checks what its parts say of one another.
+// Read decodes a configuration and checks what its parts say of one another.
 func Read(raw []byte) (*State, error) {
 	var s State
 	if err := json.Unmarshal(raw, &s); err != nil {
@@ -137,12 +137,12 @@
 	return bad
 }
 
-// Table finds lanes.
+// Table finds routes.
 type Table struct {
 	hosts map[string][]*Lane
 }
 
-// NewTable sorts the lanes by host, longest prefix first.
+// NewTable sorts the routes by host, longest prefix first.
 func NewTable(s *State) *Table {
 	t := &Table{hosts: map[string][]*Lane{}}
 	for i := range s.Lanes {
@@ -156,7 +156,7 @@
 	return t
 }
 
-// Find gives the lane of a call and what follows its prefix.
+// Find gives the route of a call and what follows its prefix.
 func (t *Table) Find(host, path string) (*Lane, string) {
 	host = strings.ToLower(host)
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.Contains(host[i:], "]") {
--- a/internal/door/control.go
+++ b/internal/door/control.go
@@ -15,14 +15,14 @@
 	"tealpond/internal/wire"
 )
 
-// servePut: POST /-/Config.Replace with a desired state on a base.
+// servePut: POST /-/Config.Replace with a configuration on a base.
 func (e *Edge) servePut(c echo.Context) error {
 	raw, err := io.ReadAll(io.LimitReader(c.Request().Body, tune.ControlBytes+1))
 	if err != nil {
 		return c.String(http.StatusBadRequest, "the body ended early")
 	}
 	if len(raw) > tune.ControlBytes {
-		return c.String(http.StatusRequestEntityTooLarge, "the desired state is too large")
+		return c.String(http.StatusRequestEntityTooLarge, "the configuration is too large")
 	}
 	base, err := strconv.ParseInt(c.Request().Header.Get(wire.HeadBasedOn), 10, 64)
 	if err != nil {
--- a/internal/door/edge.go
+++ b/internal/door/edge.go
@@ -1,4 +1,4 @@
-// Package door serves senders and operators: it reads a call, asks the leader
+// Package door serves clients and operators: it reads a call, asks the leader
 // and writes the answer.
 package door
 
@@ -21,7 +21,7 @@
 )
 
 func init() {
-	kernel.Register(kernel.Maker{Role: "edge", About: "takes senders' and operators' calls; holds state where it has a disk", Moves: true, Make: newEdge})
+	kernel.Register(kernel.Maker{Role: "edge", About: "takes clients' and operators' calls; holds state where it has a disk", Moves: true, Make: newEdge})
 }
 
 // Edge is the plug of the edge role.
--- a/internal/door/job.go
+++ b/internal/door/job.go
@@ -28,8 +28,9 @@
 	phaseEnd    phase = "end"
 )
 
-// round is one request on its way.
-type round struct {
+// attempt is one try of a client to have a request answered, on its way through
+// this process.
+type attempt struct {
 	e    *Edge
 	c    echo.Context
 	ctx  context.Context
@@ -40,14 +41,14 @@
 }
 
 // chart names what follows each phase.
-var chart map[phase]func(*round) phase
+var chart map[phase]func(*attempt) phase
 
 func init() {
-	chart = map[phase]func(*round) phase{
-		phaseRead:   (*round).read,
-		phaseCheck:  (*round).check,
-		phaseAsk:    (*round).ask,
-		phaseAnswer: (*round).answer,
+	chart = map[phase]func(*attempt) phase{
+		phaseRead:   (*attempt).read,
+		phaseCheck:  (*attempt).check,
+		phaseAsk:    (*attempt).ask,
+		phaseAnswer: (*attempt).answer,
 	}
 }
 
@@ -60,17 +61,17 @@
 
 // serveJob: POST, GET, DELETE PREFIX + ID and GET PREFIX.
 func (e *Edge) serveJob(c echo.Context) error {
-	ctx, stop := context.WithTimeout(c.Request().Context(), budget(c.Request()))
+	ctx, stop := context.WithTimeout(c.Request().Context(), timeLeft(c.Request()))
 	defer stop()
-	r := &round{e: e, c: c, ctx: ctx}
+	r := &attempt{e: e, c: c, ctx: ctx}
 	for p := phaseRead; p != phaseEnd; {
 		p = chart[p](r)
 	}
 	return nil
 }
 
-// budget is the time left to the sender, less what an answer takes to arrive.
-func budget(q *http.Request) time.Duration {
+// timeLeft is the time left to the client, less what an answer takes to arrive.
+func timeLeft(q *http.Request) time.Duration {
 	d := tune.Budget
 	if v := q.Header.Get(wire.HeadLeft); v != "" {
 		if ms, err := strconv.ParseFloat(v, 64); err == nil && ms > 0 {
@@ -80,7 +81,7 @@
 	return d - min(d/10, tune.AnswerTime)
 }
 
-func (r *round) end(code int, text string) phase {
+func (r *attempt) end(code int, text string) phase {
 	if code >= 400 && code != http.StatusNotFound && code != http.StatusGone {
 		// Why closed for these only: what was not read must not be taken
 		// for the next request.
@@ -92,7 +93,7 @@
 	return phaseEnd
 }
 
-func (r *round) read() phase {
+func (r *attempt) read() phase {
 	q := r.c.Request()
 	r.kind = kinds[q.Method]
 	if r.kind == "" {
@@ -122,7 +123,7 @@
 
 // tooLarge refuses a request for its size, or turns it away where the limits in
 // force could not be learnt.
-func (r *round) tooLarge(code int, text string) phase {
+func (r *attempt) tooLarge(code int, text string) phase {
 	if code == http.StatusServiceUnavailable {
 		r.c.Response().Header().Set(wire.HeadRetry, "1")
 		text = "no leader at the moment, nothing was taken"
@@ -132,7 +133,7 @@
 
 // readBody reads a body of at most the size allowed, or gives the code of the
 // answer to one that isn't whole or too large.
-func (r *round) readBody(q *http.Request) ([]byte, int) {
+func (r *attempt) readBody(q *http.Request) ([]byte, int) {
 	code, l := r.e.checkSize(r.ctx, func(l *limits) bool { return q.ContentLength > l.body }, http.StatusRequestEntityTooLarge)
 	if code != 0 {
 		return nil, code
@@ -154,7 +155,7 @@
 	}
 }
 
-func (r *round) check() phase {
+func (r *attempt) check() phase {
 	if r.kind != member.AskHandIn {
 		return phaseAsk
 	}
@@ -167,7 +168,7 @@
 	return phaseAsk
 }
 
-func (r *round) ask() phase {
+func (r *attempt) ask() phase {
 	id := r.call.Path[strings.LastIndexByte(r.call.Path, '/')+1:]
 	if r.kind != member.AskStatus {
 		r.e.base.Trace.Add(id, "taken", 0, r.kind)
@@ -179,7 +180,7 @@
 	return phaseAnswer
 }
 
-func (r *round) answer() phase {
+func (r *attempt) answer() phase {
 	a := r.ans
 	h := r.c.Response().Header()
 	switch {
