--- a/internal/core/asks.go
+++ b/internal/core/asks.go
@@ -260,6 +260,12 @@
 	c.add("replace", &store.Replace{Base: p.Base, Raw: p.Raw}, c.traced(id, "settled", outcome(r)))
 }
 
+// askRead gives the newest configuration, whole. A change that this leader has
+// confirmed is applied here, since it is confirmed by being applied; one that an
+// earlier leader confirmed lies before the first entry of this term, which is
+// applied before a leader is ready; and no later leader has confirmed any while
+// this one holds its lease. A process that freezes between the look at its lease
+// and the answer gives what was newest within the call, since that began before.
 func (c *Core) askRead(_ []byte, _ *link.Stream, r reply) {
 	if c.st.Desired.Version == 0 {
 		// Why not 404: an operator's call would end by it, and the first
