Simulation: orders are sent again after 60 changes, a lost leader, a restart of all

Each is confirmed by every daemon each time, and no second change on its base. With Apply that knows the newest order only the test fails (412 after other changes).

--- a/internal/sim/operator_test.go
+++ b/internal/sim/operator_test.go
@@ -115,3 +115,59 @@
 	code, _, _ := c.call(http.MethodGet, "http://"+c.IP(at)+":8167/-/readiness", "", "", nil)
 	return code
 }
+
+// TestOrdersSentAgainLongAfter: each of many changes is confirmed again by every
+// daemon, after others, after a change of leader, and after all were killed; no
+// second change on a used version is.
+func TestOrdersSentAgainLongAfter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := Build(t, three)
+		defer c.End()
+		c.Ready()
+		const changes = 60
+		edges := c.names("edge")
+		for v := 1; v < changes; v++ {
+			c.Until("a change is taken", 5*time.Second, func() bool { return c.Put(edges[v%len(edges)], v+1, v, "") == http.StatusOK })
+		}
+		again := func(when string) {
+			t.Helper()
+			for v := 0; v < changes; v += 7 {
+				for _, at := range edges {
+					c.Until(when, 10*time.Second, func() bool {
+						got := c.Put(at, v+1, v, "")
+						if got != http.StatusOK && got > 0 && got < 500 {
+							t.Errorf("%s: change %d at %s: %d", when, v+1, at, got)
+						}
+						return got == http.StatusOK
+					})
+					if got := c.Put(at, changes+1, v, ""); got == http.StatusOK {
+						t.Errorf("%s: a second change on %d was confirmed at %s", when, v, at)
+					}
+				}
+			}
+		}
+		again("after other changes")
+		l := c.Leader()
+		c.Kill(l)
+		edges = without(edges, l)
+		again("after a change of leader")
+		for _, n := range without(c.names(""), l) {
+			c.Kill(n)
+		}
+		for _, n := range c.names("") {
+			c.Start(n, 1)
+		}
+		edges = c.names("edge")
+		again("after all were killed")
+	})
+}
+
+func without(names []string, name string) []string {
+	var out []string
+	for _, n := range names {
+		if n != name {
+			out = append(out, n)
+		}
+	}
+	return out
+}
