The state can be frozen at an entry, and keeps a chain of sums

Cause: to encode the state of a large cluster on the core's loop takes longer than followers wait for a heartbeat, and nothing showed whether two replicas hold the same state.

Change: Freeze copies the tables; another task encodes the copy while commands go on. The chain takes in each entry, the outcomes of its commands and the counts of rows; the first leader's limits begin it, so that it begins at one index on all replicas.

Tests: TestReplicasStayEqual also holds frozen states, encoded beside the commands that follow (under the race detector too), against what they were; it fails with bookings or steps shared. TestFreezeCopiesEachTable fails for a table left out.

--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -239,6 +239,11 @@
 			}
 			b.ReportMetric(float64(len(raw)), "bytes")
 		})
+		b.Run(fmt.Sprint("freeze/", n), func(b *testing.B) {
+			for range b.N {
+				f.s.Freeze()
+			}
+		})
 		b.Run(fmt.Sprint("load/", n), func(b *testing.B) {
 			for range b.N {
 				if _, err := store.Load(raw, store.Limits{}); err != nil {
--- a/internal/store/cmd.go
+++ b/internal/store/cmd.go
@@ -66,6 +66,12 @@
 
 // Skip passes an entry of the log that holds no commands.
 func (s *Store) Skip(index uint64) {
+	s.follow(index)
+	s.link(nil, nil)
+}
+
+// follow moves the state on to an entry, which must be the next.
+func (s *Store) follow(index uint64) {
 	// A panic, since going on would answer from a state that no log explains:
 	// this daemon must not lead, answer or save it.
 	if index != s.Applied+1 {
@@ -77,7 +83,7 @@
 // Run applies one entry of the log and gives the outcomes in order. The entry
 // must be the one after the last that was applied.
 func (s *Store) Run(index uint64, data []byte) []Outcome {
-	s.Skip(index)
+	s.follow(index)
 	var b Batch
 	if err := cbor.Unmarshal(data, &b); err != nil {
 		panic("store: unreadable entry: " + err.Error())
@@ -95,6 +101,7 @@
 		}
 		out[i] = c.Apply(s)
 	}
+	s.link(data, out)
 	return out
 }
 
--- a/internal/store/export_test.go
+++ b/internal/store/export_test.go
@@ -8,3 +8,9 @@
 	}
 	return out
 }
+
+// StateOf is what a frozen state holds.
+func StateOf(f *Frozen) *Store {
+	f.Save()
+	return f.s
+}
--- a/internal/store/limits.go
+++ b/internal/store/limits.go
@@ -1,6 +1,7 @@
 package store
 
-// SetLimits puts a leader's limits in force, on all replicas at one index.
+// SetLimits puts a leader's limits in force, on all replicas at one index, and
+// begins the chain of sums if the state has none.
 type SetLimits struct {
 	_      struct{} `cbor:",toarray"`
 	Limits Limits
@@ -10,6 +11,11 @@
 
 // Apply keeps the newest.
 func (c *SetLimits) Apply(s *Store) Outcome {
+	// Begun by the log, not by a program's start: a state that was saved
+	// without a chain is loaded at another index on each replica.
+	if s.ChainFrom == 0 {
+		s.ChainFrom = s.Applied
+	}
 	s.Limits = c.Limits
 	return Outcome{Code: 200}
 }
--- a/internal/store/replica_test.go
+++ b/internal/store/replica_test.go
@@ -225,6 +225,7 @@
 	"limits": {1, func(g *generator) store.Cmd {
 		return &store.SetLimits{Limits: store.Limits{KeepJobMs: int64(g.Intn(4) * 300), Replans: g.Intn(3), Far: 1 + 2*g.Float64()}}
 	}},
+	"agree": {1, func(g *generator) store.Cmd { return &store.Agree{Index: g.s.Applied, Sum: g.Uint64()} }},
 	"mint":  {1, func(g *generator) store.Cmd { return &store.Mint{Epoch: g.one("e1", "e2")} }},
 	"offer": {2, func(g *generator) store.Cmd { return &store.Offer{Job: g.id(), Peer: g.one("p1", "p2")} }},
 	"settle": {3, func(g *generator) store.Cmd {
@@ -333,7 +334,7 @@
 // TestReplicasStayEqual drives replicas with the same log: one that applies all
 // of it, one that now and then goes on from its own snapshot, one that does so
 // from the first one's. Their settings differ. Outcomes and states must be
-// equal, byte for byte.
+// equal, byte for byte, and so must a frozen state and that which it was.
 func TestReplicasStayEqual(t *testing.T) {
 	for _, k := range store.Kinds() {
 		if makers[k].often == 0 {
@@ -348,8 +349,16 @@
 			r.s = store.New(store.Limits{})
 		}
 		clock, wall := int64(1), int64(1000000)
+		var was []byte
+		frozen := make(chan []byte, 1)
 		for i := range 300 {
 			g.s = rs[0].s
+			if i%20 == 0 {
+				// Encoded beside the commands that follow.
+				f := g.s.Freeze()
+				was = g.s.Save()
+				go func() { frozen <- f.Save() }()
+			}
 			clock += int64(g.Intn(40))
 			wall += int64(g.Intn(60) - 10)
 			raw := g.entry(clock, wall, count)
@@ -365,6 +374,11 @@
 					t.Fatalf("seed %d, entry %d: outcomes %v and %v", seed, i, first, out)
 				}
 			}
+			if i%20 == 19 {
+				if f := <-frozen; !bytes.Equal(f, was) {
+					t.Fatalf("seed %d, entry %d: a frozen state changed:\n%s", seed, i, difference(was, f))
+				}
+			}
 			if i%20 == 19 || i > 280 {
 				save := rs[0].s.Save()
 				for _, r := range rs[1:] {
@@ -388,3 +402,29 @@
 		}
 	}
 }
+
+// TestFreezeCopiesEachTable: a table added to the state must be frozen too.
+func TestFreezeCopiesEachTable(t *testing.T) {
+	s := store.New(store.Limits{})
+	v := reflect.ValueOf(s).Elem()
+	for i := range v.NumField() {
+		if f := v.Field(i); f.CanSet() && f.Kind() == reflect.Map && f.IsNil() {
+			f.Set(reflect.MakeMap(f.Type()))
+		}
+	}
+	c := store.StateOf(s.Freeze())
+	for i := range v.NumField() {
+		f := v.Type().Field(i)
+		if !f.IsExported() {
+			continue
+		}
+		switch f.Type.Kind() {
+		case reflect.Map:
+			if v.Field(i).Pointer() == reflect.ValueOf(c).Elem().Field(i).Pointer() {
+				t.Errorf("%s is shared with the frozen state: copy it in Freeze", f.Name)
+			}
+		case reflect.Slice, reflect.Pointer:
+			t.Errorf("%s: say in Freeze and here how it is copied", f.Name)
+		}
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -23,7 +23,8 @@
 	Far       float64 // how many times as long a task takes away from its data
 }
 
-// Store is the whole state. Fields with small letters are derived.
+// Store is the whole state: its exported fields are what replicas agree on and
+// snapshots hold. Freeze copies each of them.
 type Store struct {
 	Applied  uint64 // the index of the last entry of the log that was applied
 	Clock    int64
@@ -47,13 +48,22 @@
 	Duties   map[string]Duty              // by zone
 	Flaps    map[string]Flap              // by node
 	Limits   Limits
+	// Chain covers all entries from ChainFrom on, see digest.go; 0: none yet.
+	Chain     uint64
+	ChainFrom uint64
 
+	derived
+}
+
+// derived follows from the tables and is never saved.
+type derived struct {
 	table  *desire.Table
 	open   map[string]*Job
 	timed  map[string]*Job
 	byWork map[string]map[uint64]*Alloc
 	fresh  []uint64
 	ended  []*Job
+	agreed []Agree
 	closed []Closed
 	undo   *[]func()
 	idx    index
