--- a/internal/core/above.go
+++ b/internal/core/above.go
@@ -18,6 +18,7 @@
 
 // raised is the leader's answer to one batch.
 type raised struct {
+	by    *agg.Agg // whose batch it was: numbers begin anew with each
 	batch agg.Batch
 	ans   member.Answer
 }
@@ -65,7 +66,8 @@
 		c.agg.Drop(member.Answer{Code: member.NotLead})
 		return 0
 	}
-	bs, wake := c.agg.Rest(now)
+	by := c.agg
+	bs, wake := by.Rest(now)
 	for _, b := range bs {
 		ask := member.Ask{Kind: member.AskMany, Body: link.Pack(b.Many)}
 		if b.Grants != nil {
@@ -75,7 +77,7 @@
 		go func() {
 			x, stop := context.WithTimeout(ctx, tune.AggTime)
 			defer stop()
-			e := Event{Raised: &raised{b, c.seek.AskRaw(x, ask)}}
+			e := Event{Raised: &raised{by, b, c.seek.AskRaw(x, ask)}}
 			select {
 			case c.in <- e:
 			case <-ctx.Done():
@@ -97,14 +99,14 @@
 		if len(a.Body) > 0 && link.Unpack(a.Body, &odd) != nil {
 			a = member.Answer{Code: member.NotLead}
 		}
-		c.agg.Granted(x.batch.No, a, odd, time.Now())
+		x.by.Granted(x.batch.No, a, odd, time.Now())
 		return
 	}
 	var each []member.Answer
 	if len(a.Body) > 0 && link.Unpack(a.Body, &each) != nil {
 		a = member.Answer{Code: member.NotLead}
 	}
-	c.agg.Called(x.batch.No, a, each)
+	x.by.Called(x.batch.No, a, each)
 }
 
 // seats are the members of an aggregator's set, as the leader was told them.
--- /dev/null
+++ b/internal/core/agree_test.go
@@ -0,0 +1,218 @@
+package core
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tealpond/internal/disk"
+	"tealpond/internal/link"
+	"tealpond/internal/member"
+	"tealpond/internal/raft"
+	"tealpond/internal/store"
+	"tealpond/internal/tune"
+)
+
+// events takes what other tasks of the core have sent to its loop.
+func (b *bench) events() {
+	synctest.Wait()
+	for len(b.c.in) > 0 {
+		b.c.take(b.t.Context(), <-b.c.in)
+	}
+}
+
+// tell has another replica report its sum.
+func (b *bench) tell(from string, index, sum uint64) {
+	b.c.take(b.t.Context(), Event{Link: &link.Event{Frame: link.Frame{Kind: frameSum, Body: link.Pack(report{from, b.c.me.Disk, index, sum, program})}}})
+}
+
+// upTo settles entries until the state has applied one.
+func (b *bench) upTo(index uint64) {
+	b.t.Helper()
+	for i := 0; b.c.st.Applied < index && i < 20000; i++ {
+		if b.c.node.LastIndex() < index {
+			b.c.add("sweep", &store.Sweep{}, nil)
+		}
+		time.Sleep(3 * time.Millisecond)
+		b.rest()
+		b.ack("b")
+		b.ack("c")
+		b.rest()
+	}
+	if b.c.st.Applied < index {
+		b.t.Fatalf("it stands at %d", b.c.st.Applied)
+	}
+}
+
+// anew gives the core a real disk, which can be put aside.
+func (b *bench) anew(dir string) {
+	b.c.set.DataDir = dir
+	b.c.stopDisk = func() {}
+}
+
+// TestLeaderPutsTheMajoritysSumIntoTheLog, and takes its state anew if it is the
+// one that differs.
+func TestLeaderPutsTheMajoritysSumIntoTheLog(t *testing.T) {
+	const at = tune.SumEvery
+	for name, c := range map[string]struct {
+		b, c      uint64 // what the others report, against this one's sum
+		reports   int
+		agreed    bool
+		retires   bool
+		disagrees bool
+	}{
+		"all equal":             {0, 0, 2, true, false, false},
+		"one equal, one silent": {0, 0, 1, true, false, false},
+		"one equal, one not":    {0, 5, 2, true, false, false},
+		"the leader differs":    {5, 5, 2, false, true, false},
+		"none equal":            {5, 6, 2, false, false, true},
+		"one differs, one lags": {5, 0, 1, false, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t)
+				b.anew(t.TempDir())
+				b.lead()
+				b.upTo(at)
+				own, ok := b.c.audit.own[at]
+				if !ok || own == 0 {
+					t.Fatalf("no sum at %d", at)
+				}
+				b.tell("b", at, own+c.b)
+				if c.reports > 1 {
+					b.tell("c", at, own+c.c)
+				}
+				agreed := false
+				for _, r := range b.c.batch {
+					agreed = agreed || r.Kind == "agree"
+				}
+				if agreed != c.agreed || (b.c.audit.wrong > 0) != c.retires || b.c.audit.tallied[at] != (c.agreed || c.retires || c.disagrees) {
+					t.Errorf("agreed %v, differs at %d, dealt with %v", agreed, b.c.audit.wrong, b.c.audit.tallied[at])
+				}
+				b.rest()
+				if (b.c.node == nil) != c.retires {
+					t.Errorf("its node: %v", b.c.node)
+				}
+			})
+		})
+	}
+}
+
+// TestReplicaThatDiffersTakesTheStateAnew: it hears of the majority's sum by the
+// log, votes and answers no more, puts its disk aside, and comes back under a
+// new identity with an empty state.
+func TestReplicaThatDiffersTakesTheStateAnew(t *testing.T) {
+	dir := t.TempDir()
+	d, held, _, err := disk.Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended, end := context.WithCancel(t.Context())
+	end()
+	d.Run(ended, make(chan disk.Job), nil) // closes it
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		b.anew(dir)
+		follow := func(index uint64, data []byte) {
+			last := index - 1
+			lt, _ := b.c.node.TermAt(last)
+			b.step(raft.Msg{Kind: raft.MsgAppend, From: "b", Term: 3, Index: last, LogTerm: lt, Commit: index, Entries: []raft.Entry{{Index: index, Term: 3, Data: data}}})
+			b.rest()
+		}
+		entry := func(kind string, c store.Cmd) []byte {
+			return link.Pack(store.Batch{Clock: 1, Cmds: []store.Raw{store.Encode(kind, c)}})
+		}
+		follow(2, entry("limits", &store.SetLimits{}))
+		for i := uint64(3); i <= tune.SumEvery; i++ {
+			follow(i, appoint("z"))
+		}
+		own, ok := b.c.audit.own[tune.SumEvery]
+		if !ok {
+			t.Fatal("it has no sum")
+		}
+		follow(tune.SumEvery+1, entry("agree", &store.Agree{Index: tune.SumEvery, Sum: own, Program: program}))
+		follow(tune.SumEvery+2, entry("agree", &store.Agree{Index: tune.SumEvery, Sum: own + 1, Program: "another"}))
+		follow(tune.SumEvery+3, entry("agree", &store.Agree{Index: 7, Sum: own + 1, Program: program}))
+		if b.c.node == nil {
+			t.Fatal("retired without a cause")
+		}
+		said := 0
+		b.c.waits[tune.SumEvery+9] = waiter{term: 3, reply: []func(store.Outcome, bool){func(store.Outcome, bool) { said++ }}}
+		follow(tune.SumEvery+4, entry("agree", &store.Agree{Index: tune.SumEvery, Sum: own + 1, Program: program}))
+		if b.c.node != nil || said != 1 || b.c.me.Disk != "" {
+			t.Fatalf("it goes on as %q, callers heard %d answers", b.c.me.Disk, said)
+		}
+		b.step(raft.Msg{Kind: raft.MsgVote, From: "b", Term: 9, Index: 999, LogTerm: 9, Force: true})
+		b.c.take(t.Context(), Event{Found: &member.Proposal{Set: testVoters, Go: true}})
+		if b.rest(); b.c.node != nil {
+			t.Fatal("it takes part again with its old state")
+		}
+		code := 0
+		b.c.onAsk(member.Ask{Kind: member.AskRead}, nil, func(a member.Answer) { code = a.Code })
+		if code != member.NotLead {
+			t.Errorf("it answers %d", code)
+		}
+		for b.c.node == nil {
+			b.events()
+			time.Sleep(time.Millisecond)
+		}
+		if b.c.me.Disk == "" || b.c.me.Disk == held.ID || b.c.me.Disk == "a" || b.c.st.Applied != 0 || b.c.node.Voter(b.c.me.Disk) {
+			t.Errorf("it came back as %q, state at %d", b.c.me.Disk, b.c.st.Applied)
+		}
+		if _, err := os.Stat(filepath.Join(dir, "tealpond.db.differs")); err != nil {
+			t.Error(err)
+		}
+		// The writes of the identity before count no more.
+		b.c.take(t.Context(), Event{Wrote: []disk.Job{{}}})
+		if b.c.inDisk != 0 {
+			t.Error("a write of the old disk was counted")
+		}
+		b.c.stopDisk()
+	})
+}
+
+// TestSnapshotsAreCutAtSetIndexes: at the same ones on each replica, however
+// many entries settle in one turn; and one that a received snapshot overtook is
+// dropped.
+func TestSnapshotsAreCutAtSetIndexes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		var es []raft.Entry
+		for i := uint64(2); i <= tune.PointEvery+200; i++ {
+			zone := "z"
+			if i > tune.PointEvery {
+				zone = "late"
+			}
+			es = append(es, raft.Entry{Index: i, Term: 3, Data: appoint(zone)})
+		}
+		b.step(raft.Msg{Kind: raft.MsgAppend, From: "b", Term: 3, Index: 1, Commit: tune.PointEvery + 200, Entries: es})
+		b.rest()
+		b.rest()
+		if b.c.st.Applied != tune.PointEvery+200 || !b.c.cutting {
+			t.Fatalf("at %d, cutting: %v", b.c.st.Applied, b.c.cutting)
+		}
+		b.events()
+		js := b.rest()
+		if b.c.newest == nil || b.c.newest.Index != tune.PointEvery || b.c.audit.own[tune.PointEvery] != store.SumOf(b.c.newest.Data) {
+			t.Fatalf("the snapshot: %v", b.c.newest)
+		}
+		s, err := store.Load(b.c.newest.Data, store.Limits{})
+		if err != nil || s.StartAt(tune.PointEvery) != nil || s.Duties["z"].No != 1 || s.Duties["late"].No != 0 || b.c.st.Duties["late"].No != 1 {
+			t.Errorf("it holds what came after it: %v", err)
+		}
+		if len(js) != 1 || js[0].Point != b.c.newest {
+			t.Errorf("the disk was given %v", js)
+		}
+
+		stale := &cut{b.c.node, &raft.Point{Index: tune.PointEvery * 2, Data: []byte{1}}, 1}
+		b.step(raft.Msg{Kind: raft.MsgPoint, From: "b", Term: 3, Point: snapshotOf(t, tune.PointEvery*3, "y")})
+		b.rest()
+		b.c.onCut(t.Context(), stale)
+		if b.c.newest.Index != tune.PointEvery*3 || len(b.c.jobs) > 0 || len(b.c.audit.own) > 0 {
+			t.Error("a snapshot replaced a newer one")
+		}
+	})
+}
--- a/internal/core/apply.go
+++ b/internal/core/apply.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"context"
 	"time"
 
 	"tealpond/internal/link"
@@ -34,33 +35,46 @@
 	}
 }
 
-// apply applies the settled entries to the state; false if there were none.
-func (c *Core) apply() bool {
+// apply applies the settled entries to the state; false if there were none, or
+// the state is found to be wrong.
+func (c *Core) apply(ctx context.Context) bool {
 	defer c.meter.span("apply")()
 	es := c.node.Settled()
 	for _, e := range es {
-		if e.Kind != raft.EntryData {
-			c.st.Skip(e.Index)
-			if e.Kind == raft.EntryConf {
-				_ = c.log.Log("level", "info", "event", "core.conf", "index", e.Index, "voters", len(c.node.ConfAt(e.Index)))
-			}
-			// A caller may wait here too: its proposal was replaced by the
-			// entry of a later leader.
-			c.unclear(e.Index)
-			continue
+		c.applyEntry(e)
+		c.sumAt(ctx, e.Index)
+		c.cutAt(ctx, e.Index)
+		if c.audit.wrong > 0 {
+			return false
 		}
-		out := c.st.Run(e.Index, e.Data)
-		c.dirty = true
-		if !c.led {
-			// Only a leader plans, and a new one looks at all.
-			c.st.Booked()
-		}
-		c.noteEnds(e)
-		c.settle(e, out)
 	}
 	return len(es) > 0
 }
 
+func (c *Core) applyEntry(e raft.Entry) {
+	if e.Kind != raft.EntryData {
+		c.st.Skip(e.Index)
+		if e.Kind == raft.EntryConf {
+			_ = c.log.Log("level", "info", "event", "core.conf", "index", e.Index, "voters", len(c.node.ConfAt(e.Index)))
+		}
+		// A caller may wait here too: its proposal was replaced by the
+		// entry of a later leader.
+		c.unclear(e.Index)
+		return
+	}
+	out := c.st.Run(e.Index, e.Data)
+	c.dirty = true
+	if !c.led {
+		// Only a leader plans, and a new one looks at all.
+		c.st.Booked()
+	}
+	c.noteEnds(e)
+	c.settle(e, out)
+	for _, a := range c.st.Agreed() {
+		c.agreedOn(a)
+	}
+}
+
 // settle answers those who wait for an entry. One of another term is not what
 // they proposed, and has outcomes of its own.
 func (c *Core) settle(e raft.Entry, out []store.Outcome) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -34,6 +34,11 @@
 	Peer  *peerUp
 	Found *member.Proposal
 	Leave chan struct{}
+	// By is the disk that Wrote and Bad come from.
+	By *disk.Disk
+	// Cut is a snapshot that is encoded, Renewed the disk of a new identity.
+	Cut     *cut
+	Renewed *renewed
 	// Raised is the leader's answer to what this daemon summed up.
 	Raised *raised
 }
@@ -99,7 +104,12 @@
 	proposed time.Time
 	moving   bool // timed jobs are being moved on
 	pushed   time.Time
-	lastPt   uint64
+	lastPt   uint64      // the index of the newest snapshot that the disk was given
+	newest   *raft.Point // the newest snapshot, for members that lag
+	cutting  bool        // a snapshot is being encoded
+	audit    audit
+	stopDisk context.CancelFunc
+	renewals int
 	inDisk   int
 	swept    time.Time
 	rebuilt  time.Time
@@ -150,7 +160,7 @@
 		in: make(chan Event, 4096), jobs: make(chan disk.Job, tune.DiskInbox),
 		streams: map[string]*link.Stream{}, dialing: map[string]time.Time{}, addrs: map[string]string{}, back: map[string]*link.Stream{},
 		waits: map[uint64]waiter{}, att: map[string]*attached{}, claims: map[string]claimed{}, lingers: map[string][]linger{},
-		kids: map[string]*kid{}, orders: map[*link.Stream][]member.Order{}, agg: agg.New(h.ID), sets: map[string]seats{}, posts: newPosts(), offs: map[string][]reply{},
+		kids: map[string]*kid{}, orders: map[*link.Stream][]member.Order{}, agg: agg.New(h.ID), sets: map[string]seats{}, posts: newPosts(), audit: newAudit(), offs: map[string][]reply{},
 		hold: b.Setting.HoldFor(tune.Hold), meter: newMeter(b.Debug)}
 	c.Seeds(b.Setting.Seeds())
 	c.found.Least = 2*b.Setting.Tolerate.LostMachines + 1
@@ -169,6 +179,10 @@
 func (c *Core) startNode(p raft.Point) {
 	seed := fnv.New64()
 	_, _ = seed.Write([]byte(c.me.Disk))
+	if c.st.Applied == 0 {
+		// The limits come by the log, also where there is no state yet.
+		c.st.Limits = store.Limits{}
+	}
 	if err := c.st.StartAt(p.Index); err != nil {
 		panic("core: " + err.Error())
 	}
@@ -195,13 +209,7 @@
 
 // Run is the core's loop.
 func (c *Core) Run(ctx context.Context) error {
-	go c.dsk.Run(ctx, c.jobs, func(js []disk.Job, err error) {
-		e := Event{Wrote: js, Bad: err}
-		select {
-		case c.in <- e:
-		case <-ctx.Done():
-		}
-	})
+	c.startDisk(ctx)
 	go c.announce(ctx)
 	kernel.Loop(ctx, c.in, func(e Event) { c.take(ctx, e) }, func(now time.Time) time.Duration { return c.rest(ctx, now) })
 	return nil
@@ -212,10 +220,16 @@
 	switch {
 	case e.Link != nil:
 		c.onLink(e.Link)
+	case e.Cut != nil:
+		c.onCut(ctx, e.Cut)
+	case e.Renewed != nil:
+		c.onRenewed(ctx, e.Renewed)
 	case e.Ask != nil:
 		c.onAsk(e.Ask.Ask, nil, e.Ask.Reply)
 	case e.Own != nil:
 		c.onOwn(e.Own)
+	case (e.Wrote != nil || e.Bad != nil) && e.By != c.dsk:
+		// A write of the identity that this daemon has given up.
 	case e.Wrote != nil:
 		c.meter.add("disk_writes", 1)
 		c.meter.add("disk_jobs", len(e.Wrote))
@@ -313,6 +327,8 @@
 			c.back[m.From] = e.Stream
 		}
 		c.node.Step(m, time.Now())
+	case frameSum:
+		c.onReport(e.Frame.Body)
 	case member.FrameAsk:
 		var a member.Ask
 		if link.Unpack(e.Frame.Body, &a) != nil {
@@ -334,30 +350,37 @@
 // post sends messages to other members.
 func (c *Core) post(ctx context.Context, ms []raft.Msg) {
 	for _, m := range ms {
-		addr := c.addrOf(m.To)
-		if addr == "" {
-			// Why back on its own stream: a candidate knows no addresses yet.
-			if b := c.back[m.To]; b != nil {
-				b.Send(link.Frame{Kind: member.FrameRaft, Body: link.Pack(m)})
-			}
-			continue
-		}
-		s := c.streams[addr]
-		if s == nil {
-			c.dial(ctx, addr)
-			continue
-		}
 		raw := link.Pack(m)
-		c.meter.add("raft_out", 1)
-		c.meter.add("raft_bytes_out", len(raw))
-		if !s.Send(link.Frame{Kind: member.FrameRaft, Body: raw}) {
-			// Why here too: a stream may have ended before it was noted.
-			delete(c.streams, addr)
-			c.dial(ctx, addr)
+		if c.send(ctx, m.To, link.Frame{Kind: member.FrameRaft, Body: raw}) {
+			c.meter.add("raft_out", 1)
+			c.meter.add("raft_bytes_out", len(raw))
 		}
 	}
 }
 
+// send gives a frame to the stream of another member; false if there is none
+// yet, and the frame is lost.
+func (c *Core) send(ctx context.Context, to string, f link.Frame) bool {
+	addr := c.addrOf(to)
+	if addr == "" {
+		// Back on its own stream: a candidate knows no addresses yet.
+		b := c.back[to]
+		return b != nil && b.Send(f)
+	}
+	s := c.streams[addr]
+	if s == nil {
+		c.dial(ctx, addr)
+		return false
+	}
+	if !s.Send(f) {
+		// Here too, since a stream may have ended before it was noted.
+		delete(c.streams, addr)
+		c.dial(ctx, addr)
+		return false
+	}
+	return true
+}
+
 func (c *Core) addrOf(d string) string {
 	for _, v := range c.node.Voters() {
 		if v.Disk == d {
@@ -400,8 +423,11 @@
 		}
 	}
 	c.drain(ctx)
+	if c.audit.wrong > 0 {
+		c.retire(ctx, now)
+		return 0
+	}
 	c.giveOrders()
-	c.checkpoint()
 	c.settleOffs()
 	if d := c.settleLingers(now); d > 0 && d < wake {
 		wake = d
--- a/internal/core/found.go
+++ b/internal/core/found.go
@@ -92,7 +92,7 @@
 }
 
 func (c *Core) onProposal(p member.Proposal) {
-	if c.node != nil || len(p.Set) == 0 {
+	if c.node != nil || c.renewals > 0 || len(p.Set) == 0 {
 		return
 	}
 	if len(c.held.Bound) == 0 {
--- a/internal/core/snapshot_test.go
+++ b/internal/core/snapshot_test.go
@@ -47,9 +47,12 @@
 				if _, ok := b.c.st.Duties["old"]; ok || b.c.st.Applied != 13 || b.c.node.Applied() != 13 {
 					t.Errorf("state at %d, node at %d: %v", b.c.st.Applied, b.c.node.Applied(), b.c.st.Duties)
 				}
-				if p := b.c.point(); p.Index != 13 {
+				if p, _ := b.c.freeze(); p.Index != 13 {
 					t.Errorf("a snapshot taken now is at %d", p.Index)
 				}
+				if p := b.c.point(); p.Index != 10 {
+					t.Errorf("a member that lags is sent a snapshot at %d, not the one received", p.Index)
+				}
 			})
 		})
 	}
--- /dev/null
+++ b/internal/sim/differs_test.go
@@ -0,0 +1,99 @@
+package sim
+
+import (
+	"context"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"tealpond/internal/disk"
+	"tealpond/internal/raft"
+	"tealpond/internal/store"
+)
+
+// Corrupt changes a number in the saved state of a core daemon that isn't
+// running, as a fault in its memory might.
+func (c *Cluster) Corrupt(name string) {
+	d, held, _, err := disk.Open(filepath.Join(c.dir, name))
+	if err != nil {
+		c.T.Fatal(err)
+	}
+	s, err := store.Load(held.Point.Data, store.Limits{})
+	if err == nil {
+		err = s.StartAt(held.Point.Index)
+	}
+	if err != nil {
+		c.T.Fatal(err)
+	}
+	s.LastSeq += 1000000
+	ctx, stop := context.WithCancel(context.Background())
+	in, done := make(chan disk.Job, 1), make(chan struct{})
+	in <- disk.Job{Point: &raft.Point{Index: held.Point.Index, Term: held.Point.Term, Conf: held.Point.Conf, Data: s.Save()}}
+	go func() {
+		d.Run(ctx, in, func(_ []disk.Job, err error) {
+			if err != nil {
+				c.T.Errorf("the state was not corrupted: %v", err)
+			}
+			stop()
+		})
+		close(done)
+	}()
+	<-done
+}
+
+// TestReplicaDiffers: a replica whose state differs from that of the majority
+// notices, gives its identity up, and votes again once it has the state anew;
+// the same for the one that leads.
+func TestReplicaDiffers(t *testing.T) {
+	for _, leads := range []bool{false, true} {
+		t.Run(map[bool]string{false: "follower", true: "leader"}[leads], func(t *testing.T) {
+			var differs, anew atomic.Int32
+			run(t, three, func(c *Cluster) {
+				note := func(line string) {
+					if strings.Contains(line, "event=replica.differs") {
+						differs.Add(1)
+					}
+					if strings.Contains(line, "event=replica.anew") {
+						anew.Add(1)
+					}
+				}
+				c.onLog.Store(&note)
+				bad := ""
+				for _, n := range c.names("edge")[:3] {
+					if n != c.Leader() {
+						bad = n
+					}
+				}
+				c.Kill(bad)
+				c.Corrupt(bad)
+				c.Start(bad, 1)
+				if leads {
+					c.Until("the corrupted one leads", 20*time.Second, func() bool {
+						l := c.Leader()
+						if l != "" && l != bad {
+							c.Term(l)
+							c.Start(l, 1)
+						}
+						return l == bad || differs.Load() > 0
+					})
+				}
+			}, func(c *Cluster) {
+				for i := 0; i < 200 && anew.Load() == 0; i++ {
+					c.HandIn(id(1000+i), job(50, 100, 1))
+				}
+				c.Until("it took its state anew", 30*time.Second, func() bool { return anew.Load() > 0 })
+				// It must count again by now, or the loss of another ends all.
+				time.Sleep(6 * time.Second)
+				o := c.Leader()
+				c.Kill(o)
+				time.Sleep(2 * time.Second)
+				c.Start(o, 1)
+			})
+			if differs.Load() != 1 || anew.Load() != 1 {
+				t.Errorf("%d replicas found that they differ, %d began anew", differs.Load(), anew.Load())
+			}
+		})
+	}
+}
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -286,3 +286,16 @@
 	// listed in time.
 	LeaveEarly = 350 * time.Millisecond
 )
+
+// Core: agreement of replicas.
+const (
+	// SumEvery is the number of entries between two sums that replicas
+	// compare; one report a voter and one command each. PointEvery is a
+	// multiple of it.
+	SumEvery = 250
+	// SumKeep is how many sums back reports and the log may still name.
+	SumKeep = 40
+	// RenewPause is the wait before a disk that could not be opened for a new
+	// identity is tried again.
+	RenewPause = time.Second
+)
