--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -34,6 +34,7 @@
 		kids: map[string]*kid{}, orders: map[*link.Stream][]member.Order{}, agg: agg.New("a"), sets: map[string]seats{},
 		posts: newPosts(), audit: newAudit(), offs: map[string][]reply{}, trace: trace.NewRing(16), meter: newMeter(false), set: setting.Setting{NodeName: "n-a"},
 		st: store.New(store.Limits{}), hold: tune.Hold}
+	c.opened.Store(true)
 	c.startNode(raft.Point{Index: 1, Conf: testVoters})
 	return &bench{t: t, c: c}
 }
--- a/internal/core/renew.go
+++ b/internal/core/renew.go
@@ -51,6 +51,7 @@
 	}
 	c.kids, c.att, c.orders = map[string]*kid{}, map[string]*attached{}, map[*link.Stream][]member.Order{}
 	c.stopDisk()
+	c.opened.Store(false)
 	c.node, c.st, c.held, c.me.Disk = nil, store.New(store.Limits{}), disk.Held{}, ""
 	c.audit = newAudit()
 	c.renewals++
@@ -86,6 +87,7 @@
 	c.agg = agg.New(c.me.Disk)
 	c.lastPt, c.newest, c.cutting, c.dirty = 0, nil, false, false
 	_ = c.log.Log("level", "info", "event", "replica.anew", "disk", c.me.Disk)
+	c.opened.Store(true)
 	c.startDisk(ctx)
 	c.startNode(raft.Point{})
 }
--- a/internal/member/calls.go
+++ b/internal/member/calls.go
@@ -79,6 +79,9 @@
 	AskGrants  = "grants"
 	AskMany    = "many"
 	AskYield   = "yield"
+	// AskLimits asks for the limits of the newest configuration: N is its
+	// version, Body holds them.
+	AskLimits = "limits"
 )
 
 // View is the answer to AskLead.
@@ -97,6 +100,9 @@
 	_     struct{} `cbor:",toarray"`
 	Me    raft.Voter
 	Bound []raft.Voter
+	// Late: it was started again, or long after the system, and its disk
+	// knows of no core.
+	Late bool
 }
 
 // Proposal answers it.
@@ -189,6 +195,7 @@
 type Grants struct {
 	_      struct{} `cbor:",toarray"`
 	From   string   // disk of the aggregator
+	Life   string   // its process: each life numbers its sets from 1
 	Set    uint64
 	Whole  []Seat
 	In     []byte
--- /dev/null
+++ b/internal/member/stream_test.go
@@ -0,0 +1,185 @@
+package member
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"tealpond/internal/link"
+)
+
+// pipes is a network of one process without delay.
+type pipes map[string]chan net.Conn
+
+// Listen opens a port.
+func (p pipes) Listen(ctx context.Context, addr string) (net.Listener, error) {
+	in := make(chan net.Conn)
+	p[addr] = in
+	return &port{in: in, done: make(chan struct{})}, nil
+}
+
+// Dial connects to a port that was opened before.
+func (p pipes) Dial(_ context.Context, addr string) (net.Conn, error) {
+	x, y := net.Pipe()
+	p[addr] <- y
+	return x, nil
+}
+
+type port struct {
+	in   chan net.Conn
+	done chan struct{}
+}
+
+func (p *port) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.in:
+		return c, nil
+	case <-p.done:
+		return nil, net.ErrClosed
+	}
+}
+func (p *port) Close() error   { close(p.done); return nil }
+func (p *port) Addr() net.Addr { return nil }
+
+// atLeader runs a test of a seeker whose loop doesn't run, with streams to a
+// leader at "l" that tells what it is sent.
+func atLeader(t *testing.T, test func(ctx context.Context, s *Seeker, open func() *link.Stream, sent <-chan link.Event)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(link.On(context.Background(), pipes{}))
+		sent := make(chan link.Event, 64)
+		if err := link.Serve(ctx, "l", func(e link.Event) { sent <- e }); err != nil {
+			t.Fatal(err)
+		}
+		var streams []*link.Stream
+		open := func() *link.Stream {
+			st, err := link.Dial(ctx, "l", func(link.Event) {})
+			if err != nil {
+				t.Fatal(err)
+			}
+			streams = append(streams, st)
+			return st
+		}
+		s := NewSeeker(log.NewNopLogger(), "", []string{"l"}, nil, nil, nil)
+		s.now = time.Now()
+		s.Homing()
+		test(ctx, s, open, sent)
+		for _, st := range streams {
+			st.Close()
+		}
+		stop()
+		time.Sleep(time.Second)
+	})
+}
+
+// TestAnEndedStreamIsNotUsed: a stream that ended between the look and its use
+// tells its end only once, before it is the present one; to use it would leave
+// the seeker with a leader that never answers, and without a search.
+func TestAnEndedStreamIsNotUsed(t *testing.T) {
+	atLeader(t, func(ctx context.Context, s *Seeker, open func() *link.Stream, _ <-chan link.Event) {
+		st := open()
+		st.Close()
+		s.onLink(ctx, &link.Event{Stream: st, Gone: true})
+		s.searchID, s.searching = 1, true
+		s.onFound(&found{id: 1, stream: st, addr: "l", leads: true})
+		if s.stream != nil || s.searching {
+			t.Error("a search that found an ended stream: it is used, and no other search follows")
+		}
+		now := open()
+		s.use(now, "l")
+		s.onHop(&hop{addr: "h", stream: st})
+		if s.stream != now {
+			t.Error("turned from a leader that answers to an ended stream")
+		}
+	})
+}
+
+// TestAsksAreSentAgainInTheirOrder: of two asks about one worker the later one
+// must win, also when a new leader is asked all that waits.
+func TestAsksAreSentAgainInTheirOrder(t *testing.T) {
+	atLeader(t, func(ctx context.Context, s *Seeker, open func() *link.Stream, sent <-chan link.Event) {
+		const asks = 16
+		for range asks {
+			s.take(ctx, event{ask: &pending{ask: Ask{Kind: AskElig}, reply: make(chan Answer, 1), till: s.now.Add(time.Second)}})
+		}
+		for range 2 {
+			s.use(open(), "l")
+			for want := uint64(1); want <= asks; {
+				if e := <-sent; e.Gone {
+					continue
+				} else if e.Frame.ID != want {
+					t.Fatalf("ask %d was sent where %d was due", e.Frame.ID, want)
+				}
+				want++
+			}
+		}
+	})
+}
+
+// TestAnswersAreMatchedByTheirStream: an answer of an earlier stream that is
+// already queued, one that is doubled, and one to no ask reach nobody.
+func TestAnswersAreMatchedByTheirStream(t *testing.T) {
+	atLeader(t, func(ctx context.Context, s *Seeker, open func() *link.Stream, _ <-chan link.Event) {
+		old, now := open(), open()
+		s.use(old, "l")
+		replies := []chan Answer{make(chan Answer, 1), make(chan Answer, 1)}
+		for _, r := range replies {
+			s.take(ctx, event{ask: &pending{ask: Ask{Kind: AskPut}, reply: r, till: s.now.Add(time.Second)}})
+		}
+		s.use(now, "l")
+		answer := func(st *link.Stream, id uint64, n int64) {
+			s.onLink(ctx, &link.Event{Stream: st, Frame: link.Frame{Kind: FrameAnswer, ID: id, Body: link.Pack(Answer{Code: 200, N: n})}})
+		}
+		answer(old, 1, 66)
+		answer(now, 3, 77)
+		if len(replies[0])+len(replies[1]) != 0 {
+			t.Fatal("an answer of an earlier stream, or to no ask, reached a caller")
+		}
+		answer(now, 1, 1)
+		answer(now, 1, 88)
+		answer(old, 2, 99)
+		answer(now, 2, 2)
+		for i, r := range replies {
+			if a := <-r; a.N != int64(i+1) {
+				t.Errorf("ask %d got the answer %d", i+1, a.N)
+			}
+		}
+	})
+}
+
+// TestLargeAskOnASlowLinkIsNotSilence: a configuration of 190 KB takes 0.8 s on
+// a link of 2 Mbit/s; to turn away from the leader meanwhile and to send it
+// again would go on for ever. What waits behind it isn't silence either.
+func TestLargeAskOnASlowLinkIsNotSilence(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		asks    []Ask
+		largest int
+		after   time.Duration
+		leaves  bool
+	}{
+		{"small ask", []Ask{{Kind: AskClaim}}, 0, 600 * time.Millisecond, true},
+		{"small ask, answered in time", []Ask{{Kind: AskClaim}}, 0, 400 * time.Millisecond, false},
+		{"large order", []Ask{{Kind: AskPut, Body: make([]byte, 190_000)}}, 0, 900 * time.Millisecond, false},
+		{"small ask behind a large order", []Ask{{Kind: AskPut, Body: make([]byte, 190_000)}, {Kind: AskClaim}}, 0, 900 * time.Millisecond, false},
+		{"large order, too long", []Ask{{Kind: AskPut, Body: make([]byte, 190_000)}}, 0, 2500 * time.Millisecond, true},
+		{"read of what was large", []Ask{{Kind: AskRead}}, 190_000, 900 * time.Millisecond, false},
+		{"other ask where that was large", []Ask{{Kind: AskStatus}}, 190_000, 900 * time.Millisecond, true},
+	} {
+		atLeader(t, func(ctx context.Context, s *Seeker, open func() *link.Stream, _ <-chan link.Event) {
+			s.searching = true
+			s.use(open(), "l")
+			s.onLink(ctx, &link.Event{Stream: s.stream, Frame: link.Frame{Kind: FrameAnswer, ID: 99, Body: link.Pack(Answer{Body: make([]byte, c.largest)})}})
+			for _, a := range c.asks {
+				s.take(ctx, event{ask: &pending{ask: a, reply: make(chan Answer, 1), till: s.now.Add(time.Minute), known: s.now.Add(time.Minute), noLead: s.now.Add(time.Minute)}})
+			}
+			s.rest(ctx, s.now.Add(c.after))
+			if left := s.stream == nil; left != c.leaves {
+				t.Errorf("%s, after %v: turned away %v", c.name, c.after, left)
+			}
+		})
+	}
+}
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -56,7 +56,8 @@
 	MsgTransfer
 )
 
-// Msg goes from one disk to another.
+// Msg goes from one disk to another. The answer to an append echoes the index
+// that this named (in Commit), its LogTerm, and its Sent, the sender's stamp.
 type Msg struct {
 	_       struct{} `cbor:",toarray"`
 	Kind    byte
@@ -86,10 +87,12 @@
 	Mark Mark
 }
 
-// Mark names the last entry of a write.
+// Mark names what a write holds; the caller hands it back once that is synced.
 type Mark struct {
-	Index, Term uint64
+	Index, Term uint64 // the last entry, zero without entries
+	Point       uint64 // the index of a received snapshot, zero without one
 	Hard        bool
+	Write       uint64 // rises with each write, from 1 on
 }
 
 // Empty tells whether there is nothing to do.
--- a/internal/store/freeze.go
+++ b/internal/store/freeze.go
@@ -1,6 +1,9 @@
 package store
 
-import "maps"
+import (
+	"maps"
+	"slices"
+)
 
 // Frozen is a copy of the state as it was at one entry. Another task may encode
 // it while commands go on changing the state.
@@ -15,6 +18,7 @@
 func (s *Store) Freeze() *Frozen {
 	c := *s
 	c.derived = derived{}
+	c.Taken.Accepted, c.Taken.Refused = slices.Clone(s.Taken.Accepted), slices.Clone(s.Taken.Refused)
 	c.Lanes = copyRows(s.Lanes).table()
 	c.Services = maps.Clone(s.Services)
 	c.Rollups = copyRows(s.Rollups).table()
--- a/internal/store/replica_test.go
+++ b/internal/store/replica_test.go
@@ -406,25 +406,42 @@
 // TestFreezeCopiesEachTable: a table added to the state must be frozen too.
 func TestFreezeCopiesEachTable(t *testing.T) {
 	s := store.New(store.Limits{})
-	v := reflect.ValueOf(s).Elem()
+	fill(reflect.ValueOf(s).Elem())
+	shared(t, "", reflect.ValueOf(s).Elem(), reflect.ValueOf(store.StateOf(s.Freeze())).Elem())
+}
+
+// fill puts something into each table and list of a part of the state.
+func fill(v reflect.Value) {
 	for i := range v.NumField() {
-		if f := v.Field(i); f.CanSet() && f.Kind() == reflect.Map && f.IsNil() {
+		switch f := v.Field(i); {
+		case !f.CanSet():
+		case f.Kind() == reflect.Map:
 			f.Set(reflect.MakeMap(f.Type()))
+		case f.Kind() == reflect.Slice:
+			f.Set(reflect.MakeSlice(f.Type(), 1, 1))
+		case f.Kind() == reflect.Struct:
+			fill(f)
 		}
 	}
-	c := store.StateOf(s.Freeze())
+}
+
+// shared finds what a state and its frozen copy both write to.
+func shared(t *testing.T, at string, v, frozen reflect.Value) {
 	for i := range v.NumField() {
 		f := v.Type().Field(i)
-		if !f.IsExported() {
+		// A configuration in force is replaced whole, never written.
+		if !f.IsExported() || f.Name == "Desired" {
 			continue
 		}
 		switch f.Type.Kind() {
-		case reflect.Map:
-			if v.Field(i).Pointer() == reflect.ValueOf(c).Elem().Field(i).Pointer() {
-				t.Errorf("%s is shared with the frozen state: copy it in Freeze", f.Name)
+		case reflect.Map, reflect.Slice:
+			if v.Field(i).Pointer() == frozen.Field(i).Pointer() {
+				t.Errorf("%s%s is shared with the frozen state: copy it in Freeze", at, f.Name)
 			}
-		case reflect.Slice, reflect.Pointer:
-			t.Errorf("%s: say in Freeze and here how it is copied", f.Name)
+		case reflect.Struct:
+			shared(t, at+f.Name+".", v.Field(i), frozen.Field(i))
+		case reflect.Pointer:
+			t.Errorf("%s%s: say in Freeze and here how it is copied", at, f.Name)
 		}
 	}
 }
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -189,14 +189,15 @@
 	// Claim is the pause between two renewals of an edge daemon's membership.
 	Claim = 1500 * time.Millisecond
 	// Fresh is how long ago the leader may have been heard by a daemon that
-	// calls itself ready; two lost claims and an election fit in.
-	Fresh = 4 * time.Second
+	// calls itself ready: one claim, and an election under the next, fit in.
+	Fresh = 3 * time.Second
 	// Budget is a sender's time when it names none.
 	Budget = 3 * time.Second
 	// AnswerTime is kept back so that the answer arrives within the budget.
 	AnswerTime = 40 * time.Millisecond
-	// PutTime bounds an operator's call; they move on after a second.
-	PutTime = 950 * time.Millisecond
+	// PutTime bounds an operator's call; they move on after a second, in which
+	// the answer must also arrive.
+	PutTime = 850 * time.Millisecond
 	// PeakFade is how fast a peak of urgent demand is forgotten: bursts last
 	// for seconds, and a long task blocks room for as long.
 	PeakFade = 15 * time.Second
@@ -287,6 +288,78 @@
 	LeaveEarly = 350 * time.Millisecond
 )
 
+// Package door.
+const (
+	// PutTimeKB is added to PutTime for each KB of a configuration: callers are
+	// more patient with large ones, and checking 1,000 routes (190 KB) takes
+	// some 90 ms of a whole core.
+	PutTimeKB = 2 * time.Millisecond
+	// ControlNoLeader is how long an operator's call waits for a leader before
+	// it is turned away; an election that began before mostly ends in it, and
+	// the operator still goes on within the second.
+	ControlNoLeader = 500 * time.Millisecond
+	// ControlCutOff is that wait where no leader was in reach for Fresh: one
+	// look for it.
+	ControlCutOff = 150 * time.Millisecond
+	// LimitsTime bounds a pull of the limits; a new one follows soon.
+	LimitsTime = 2 * time.Second
+	// HeadMost is what the HTTP server reads of heads at most, whatever a
+	// configuration allows.
+	HeadMost = 64 << 10
+)
+
+// Constants of internal/disk.
+const (
+	// DiskLock is how long an attempt to open the file waits for its lock; the
+	// attempt is made again anyway.
+	DiskLock = 100 * time.Millisecond
+	// DiskRetry is the first pause before a refused call to the disk is made
+	// again, DiskRetryMost the longest: a disk that serves again must be in use
+	// well within catchUpS, and each attempt costs processor time.
+	DiskRetry     = 50 * time.Millisecond
+	DiskRetryMost = 500 * time.Millisecond
+	// DiskSay is the pause between two lines of the log about a disk that does
+	// not serve.
+	DiskSay = time.Second
+)
+
+// Package member.
+const (
+	// Election is how long no leader is found before that is more than an
+	// ordinary election: the longest wait of a voter, its beat, and the first
+	// entry of the new term.
+	Election = time.Second
+	// LookFresh is how long a look at all places that found no leader tells
+	// that there is none; above a look's own time and the pause after it.
+	LookFresh = 1500 * time.Millisecond
+	// LookRest is how long a look for the leader waits for places that hang,
+	// once others have answered; zones are milliseconds apart. LookHasty is how
+	// many looks in a row are so short, about two seconds of them: an election
+	// is over by then, and each place that hangs costs a connection.
+	LookRest  = 150 * time.Millisecond
+	LookHasty = 6
+	// NoLeaderKnown is how long a client's call waits for a leader while it is
+	// known that none is in reach; a look or two after all were started anew.
+	NoLeaderKnown = 250 * time.Millisecond
+	// OperatorWait is how long an operator's call waits for a leader; they go
+	// on to the next daemon after a second of silence, the way there included.
+	OperatorWait = 500 * time.Millisecond
+	// FoundPatience is how long the seed that gathers the first core must be
+	// silent before a candidate turns to the next; all machines start within
+	// 0.3 s, and a start on the slowest one takes a second or two.
+	FoundPatience = 5 * time.Second
+	// FoundFresh is how long ago a candidate may have been heard to belong to
+	// the first core: three announcements without an answer fit in.
+	FoundFresh = 2400 * time.Millisecond
+	// FoundTold is the number of announcements (Announce) for which members of
+	// a core that was just founded tell the seeds of it: 20 s, above the turns
+	// through all seeds. Each fourth goes out: more often than Gather.
+	FoundTold = 80
+	// SlowLink is the least rate of a link in bytes a second at which a large
+	// ask or answer isn't taken for silence: 2 Mbit/s, half of it for others.
+	SlowLink = 125_000
+)
+
 // Core: agreement of replicas.
 const (
 	// SumEvery is the number of entries between two sums that replicas
