--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -35,6 +35,11 @@
 	Found *member.Proposal
 	Disk  *diskUp
 	Leave chan struct{}
+	// By is the disk that Wrote and Bad come from.
+	By *disk.Disk
+	// Cut is a snapshot that is encoded, Renewed the disk of a new identity.
+	Cut     *cut
+	Renewed *renewed
 	// Raised is the leader's answer to what this daemon summed up.
 	Raised *raised
 }
@@ -100,7 +105,12 @@
 	proposed time.Time
 	moving   bool // timed jobs are being moved on
 	pushed   time.Time
-	lastPt   uint64
+	lastPt   uint64      // the index of the newest snapshot that the disk was given
+	newest   *raft.Point // the newest snapshot, for members that lag
+	cutting  bool        // a snapshot is being encoded
+	audit    audit
+	stopDisk context.CancelFunc
+	renewals int
 	inDisk   int
 	swept    time.Time
 	rebuilt  time.Time
@@ -146,7 +156,7 @@
 		in: make(chan Event, 4096), jobs: make(chan disk.Job, tune.DiskInbox),
 		streams: map[string]*link.Stream{}, dialing: map[string]time.Time{}, addrs: map[string]string{}, back: map[string]*link.Stream{},
 		waits: map[uint64]waiter{}, att: map[string]*attached{}, claims: map[string]claimed{}, lingers: map[string][]linger{},
-		kids: map[string]*kid{}, orders: map[*link.Stream][]member.Order{}, agg: agg.New(""), sets: map[string]seats{}, posts: newPosts(), offs: map[string][]reply{},
+		kids: map[string]*kid{}, orders: map[*link.Stream][]member.Order{}, agg: agg.New(""), sets: map[string]seats{}, posts: newPosts(), audit: newAudit(), offs: map[string][]reply{},
 		hold: b.Setting.HoldFor(tune.Hold), meter: newMeter(b.Debug)}
 	c.Seeds(b.Setting.Seeds())
 	c.found.Least = 2*b.Setting.Tolerate.LostMachines + 1
@@ -157,6 +167,10 @@
 func (c *Core) startNode(p raft.Point) {
 	seed := fnv.New64()
 	_, _ = seed.Write([]byte(c.me.Disk))
+	if c.st.Applied == 0 {
+		// The limits come by the log, also where there is no state yet.
+		c.st.Limits = store.Limits{}
+	}
 	if err := c.st.StartAt(p.Index); err != nil {
 		panic("core: " + err.Error())
 	}
@@ -194,10 +208,16 @@
 	switch {
 	case e.Link != nil:
 		c.onLink(e.Link)
+	case e.Cut != nil:
+		c.onCut(ctx, e.Cut)
+	case e.Renewed != nil:
+		c.onRenewed(ctx, e.Renewed)
 	case e.Ask != nil:
 		c.onAsk(e.Ask.Ask, nil, c.stamped(e.Ask.Reply))
 	case e.Own != nil:
 		c.onOwn(e.Own)
+	case (e.Wrote != nil || e.Bad != nil) && e.By != c.dsk:
+		// A write of the identity that this daemon has given up.
 	case e.Wrote != nil:
 		c.meter.add("disk_writes", 1)
 		c.meter.add("disk_jobs", len(e.Wrote))
@@ -268,99 +288,6 @@
 	}
 }
 
-func (c *Core) onLink(e *link.Event) {
-	if e.Gone {
-		for a, s := range c.streams {
-			if s == e.Stream {
-				delete(c.streams, a)
-			}
-		}
-		c.dropKids(e.Stream)
-		return
-	}
-	c.meter.add("bytes_in", len(e.Frame.Body))
-	switch e.Frame.Kind {
-	case member.FrameRaft:
-		c.meter.add("raft_in", 1)
-		var m raft.Msg
-		if link.Unpack(e.Frame.Body, &m) != nil || m.To != c.me.Disk {
-			// Why dropped: addresses are reused, and it is meant for another.
-			return
-		}
-		if c.node == nil {
-			if len(c.held.Bound) == 0 {
-				return
-			}
-			c.startNode(c.held.Point)
-		}
-		if c.addrOf(m.From) == "" {
-			c.back[m.From] = e.Stream
-		}
-		c.node.Step(m, time.Now())
-	case member.FrameAsk:
-		var a member.Ask
-		if link.Unpack(e.Frame.Body, &a) != nil {
-			e.Stream.Close()
-			return
-		}
-		s, id := e.Stream, e.Frame.ID
-		c.meter.add("ask_"+a.Kind, 1)
-		c.onAsk(a, s, c.stamped(func(r member.Answer) {
-			s.Send(link.Frame{Kind: member.FrameAnswer, ID: id, Body: link.Pack(r)})
-		}))
-	}
-}
-
-// post sends messages to other members.
-func (c *Core) post(ctx context.Context, ms []raft.Msg) {
-	for _, m := range ms {
-		addr := c.addrOf(m.To)
-		if addr == "" {
-			// Why back on its own stream: a candidate knows no addresses yet.
-			if b := c.back[m.To]; b != nil {
-				b.Send(link.Frame{Kind: member.FrameRaft, Body: link.Pack(m)})
-			}
-			continue
-		}
-		s := c.streams[addr]
-		if s == nil {
-			c.dial(ctx, addr)
-			continue
-		}
-		raw := link.Pack(m)
-		c.meter.add("raft_out", 1)
-		c.meter.add("raft_bytes_out", len(raw))
-		if !s.Send(link.Frame{Kind: member.FrameRaft, Body: raw}) {
-			// Why here too: a stream may have ended before it was noted.
-			delete(c.streams, addr)
-			c.dial(ctx, addr)
-		}
-	}
-}
-
-func (c *Core) addrOf(d string) string {
-	for _, v := range c.node.Voters() {
-		if v.Disk == d {
-			return v.Addr
-		}
-	}
-	return c.addrs[d]
-}
-
-func (c *Core) dial(ctx context.Context, addr string) {
-	if at, ok := c.dialing[addr]; ok && (at.IsZero() || time.Now().Before(at)) {
-		return
-	}
-	c.dialing[addr] = time.Time{}
-	go func() {
-		s, err := link.Dial(ctx, addr, c.Give)
-		if err != nil {
-			s = nil
-		}
-		c.in <- Event{Peer: &peerUp{addr, s}}
-	}()
-}
-
 func (c *Core) rest(ctx context.Context, now time.Time) time.Duration {
 	if c.node == nil {
 		return 0
@@ -380,8 +307,11 @@
 		}
 	}
 	c.drain(ctx)
+	if c.audit.wrong > 0 {
+		c.retire(ctx, now)
+		return 0
+	}
 	c.giveOrders()
-	c.checkpoint()
 	c.settleOffs()
 	if d := c.settleLingers(now); d > 0 && d < wake {
 		wake = d
--- a/internal/core/found.go
+++ b/internal/core/found.go
@@ -150,7 +150,7 @@
 
 // onProposal takes what the seed said.
 func (c *Core) onProposal(p member.Proposal) {
-	if !c.Opened() {
+	if !c.Opened() || c.renewals > 0 {
 		return
 	}
 	mine := slices.Contains(p.Set, c.me)
--- a/internal/core/opening.go
+++ b/internal/core/opening.go
@@ -64,12 +64,7 @@
 	c.agg = agg.New(c.me.Disk)
 	c.lastPt = c.held.Point.Index
 	c.opened.Store(true)
-	go c.dsk.Run(ctx, c.jobs, func(js []disk.Job, err error) {
-		select {
-		case c.in <- Event{Wrote: js, Bad: err}:
-		case <-ctx.Done():
-		}
-	})
+	c.startDisk(ctx)
 	// Why not started while only bound: the other founders may be bound to
 	// nothing yet; a message from one of them, or the seed's word, starts it.
 	if c.held.Hard.Term > 0 || len(c.held.Bound) == 0 && (c.held.Point.Index > 0 || !c.set.FirstStart) {
