--- /dev/null
+++ b/internal/raft/model_conf_test.go
@@ -0,0 +1,101 @@
+package raft
+
+import (
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// What the model test knows of configurations. A configuration is one set of
+// voters, or two while it is joint; a quorum is a majority of each.
+
+func foundingConf(vs []Voter) []Voter { return vs }
+
+func disksOf(vs []Voter) []string {
+	var out []string
+	for _, v := range vs {
+		out = append(out, v.Disk)
+	}
+	return out
+}
+
+// voterSets are the sets of which a member needs a majority each.
+func voterSets(n *Node) [][]string { return [][]string{disksOf(n.Voters())} }
+
+// confSets are those of an entry of the log.
+func confSets(data []byte) ([][]string, error) {
+	var vs []Voter
+	err := cbor.Unmarshal(data, &vs)
+	return [][]string{disksOf(vs)}, err
+}
+
+func pointSets(p Point) [][]string { return [][]string{disksOf(p.Conf)} }
+
+// allVoters are all that vote in one of the sets.
+func allVoters(n *Node) []string {
+	var out []string
+	for _, set := range voterSets(n) {
+		for _, id := range set {
+			if !slices.Contains(out, id) {
+				out = append(out, id)
+			}
+		}
+	}
+	return out
+}
+
+// quorum tells whether those for whom has is true are a majority of each set.
+func quorum(sets [][]string, has func(id string) bool) bool {
+	for _, set := range sets {
+		n := 0
+		for _, id := range set {
+			if has(id) {
+				n++
+			}
+		}
+		if n*2 <= len(set) && len(set) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// meet tells whether each quorum of one shares a member with each of the other.
+func meet(a, b [][]string) bool {
+	var ids []string
+	for _, set := range append(append([][]string{}, a...), b...) {
+		for _, id := range set {
+			if !slices.Contains(ids, id) {
+				ids = append(ids, id)
+			}
+		}
+	}
+	for mask := 0; mask < 1<<len(ids); mask++ {
+		in := func(id string) bool { return mask>>slices.Index(ids, id)&1 == 1 }
+		if quorum(a, in) && quorum(b, func(id string) bool { return !in(id) }) {
+			return false
+		}
+	}
+	return true
+}
+
+// changed tells whether the voters are as wanted, for good.
+func (w *world) changed(m *member, c *change) bool {
+	return m.node.ConfIndex() <= m.node.Commit() && (c.in == "" || m.node.Voter(c.in)) && (c.out == "" || !m.node.Voter(c.out))
+}
+
+// proposeChange takes the next step of a change.
+func (w *world) proposeChange(n *Node, c *change) bool {
+	vs := slices.Clone(n.Voters())
+	i := slices.IndexFunc(vs, func(v Voter) bool { return v.Disk == c.out })
+	if i >= 0 && len(vs) == 1 && c.in != "" && !n.Voter(c.in) {
+		i = -1 // one more first: there is always one
+	}
+	if i >= 0 {
+		vs = slices.Delete(vs, i, i+1)
+	}
+	if c.in != "" && !n.Voter(c.in) && (i < 0 || w.plant.name == plantTwoAtOnce) {
+		vs = append(vs, voter(c.in))
+	}
+	return n.ProposeConf(vs)
+}
--- /dev/null
+++ b/internal/raft/model_test.go
@@ -0,0 +1,64 @@
+package raft
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+)
+
+var (
+	modelSeed  = flag.Int64("model.seed", 1, "first seed of the model's walks")
+	modelSeeds = flag.Int("model.seeds", 60, "number of seeds")
+	modelSteps = flag.Int("model.steps", 5000, "steps of a walk")
+	modelTrace = flag.Bool("model.trace", false, "print what happened in a walk that fails")
+	modelAll   = flag.Bool("model.all", false, "go on after a seed that fails")
+)
+
+// TestModelWalks plays random walks. A longer run:
+//
+//	go test ./internal/raft -run TestModelWalks -model.seeds 10000 -model.steps 20000
+func TestModelWalks(t *testing.T) {
+	sum := map[string]int{}
+	failed := 0
+	for seed := *modelSeed; seed < *modelSeed+int64(*modelSeeds); seed++ {
+		w := newWorld(seed, plant{}, "")
+		w.tracing = *modelTrace
+		f := w.walk(*modelSteps)
+		for k, v := range w.counts {
+			sum[k] += v
+		}
+		sum["steps"] += w.step
+		if f == nil {
+			continue
+		}
+		for _, l := range w.trace[max(0, len(w.trace)-400):] {
+			fmt.Println(l)
+		}
+		t.Errorf("seed %d: %v\nrepeat: go test ./internal/raft -run 'TestModelWalks$' -model.seed %d -model.seeds 1 -model.steps %d -model.trace",
+			seed, f, seed, *modelSteps)
+		if failed++; !*modelAll {
+			break
+		}
+	}
+	t.Logf("%v", sum)
+	for _, k := range []string{"leaders", "acks", "reads", "snapshots", "loads", "changes", "transfers", "disks lost"} {
+		if sum[k] == 0 && *modelSeeds >= 60 && failed == 0 {
+			t.Errorf("no walk had any %s: the walks don't try what they should", k)
+		}
+	}
+}
+
+// TestModelSameSeedSameWalk: a failure can be repeated from its seed.
+func TestModelSameSeedSameWalk(t *testing.T) {
+	for seed := int64(1); seed <= 5; seed++ {
+		a, b := newWorld(seed, plant{}, ""), newWorld(seed, plant{}, "")
+		a.walk(2000)
+		b.walk(2000)
+		if a.digest != b.digest || a.step != b.step {
+			t.Errorf("seed %d: two walks differ", seed)
+		}
+		if c := newWorld(seed+100, plant{}, ""); c.walk(2000) == nil && c.digest == a.digest {
+			t.Errorf("seeds %d and %d: the same walk", seed, seed+100)
+		}
+	}
+}
