--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -35,13 +35,14 @@
 	Vote string
 }
 
-// Point is a checkpoint of the state up to an entry.
+// Point is a snapshot of the state up to an entry, with the voters in force
+// there. Old holds those before a change that is under way, else nothing.
 type Point struct {
-	_     struct{} `cbor:",toarray"`
 	Index uint64
 	Term  uint64
 	Conf  []Voter
 	Data  []byte
+	Old   []Voter
 }
 
 // Kinds of messages.
@@ -56,7 +57,8 @@
 	MsgTransfer
 )
 
-// Msg goes from one disk to another.
+// Msg goes from one disk to another. The answer to an append echoes the index
+// that this named (in Commit), its LogTerm, and its Sent, the sender's stamp.
 type Msg struct {
 	_       struct{} `cbor:",toarray"`
 	Kind    byte
@@ -86,10 +88,12 @@
 	Mark Mark
 }
 
-// Mark names the last entry of a write.
+// Mark names what a write holds; the caller hands it back once that is synced.
 type Mark struct {
-	Index, Term uint64
+	Index, Term uint64 // the last entry, zero without entries
+	Point       uint64 // the index of a received snapshot, zero without one
 	Hard        bool
+	Write       uint64 // rises with each write, from 1 on
 }
 
 // Empty tells whether there is nothing to do.
