--- a/internal/raft/model_checks_test.go
+++ b/internal/raft/model_checks_test.go
@@ -24,6 +24,9 @@
 	checkPanic     = check("no panic")
 )
 
+var allChecks = []check{checkLeader, checkVote, checkElected, checkComplete, checkCommitted, checkLogs, checkApplied, checkReads,
+	checkDurable, checkPromise, checkMeet, checkDisk, checkLive, checkPanic}
+
 // failure is the first check that failed.
 type failure struct {
 	check check
@@ -89,7 +92,7 @@
 func (c *checker) found(p Point) {
 	c.first = p.Index
 	c.log = []record{{term: p.Term, state: loadMachine(p.Data)}}
-	c.sets = pointSets(p)
+	c.sets = setsOf(p.Conf, p.Old)
 }
 
 func (c *checker) last() uint64 { return c.first + uint64(len(c.log)) - 1 }
--- a/internal/raft/model_conf_test.go
+++ b/internal/raft/model_conf_test.go
@@ -1,16 +1,10 @@
 package raft
 
-import (
-	"slices"
-
-	"github.com/fxamacker/cbor/v2"
-)
+import "slices"
 
 // What the model test knows of configurations. A configuration is one set of
 // voters, or two while it is joint; a quorum is a majority of each.
 
-func foundingConf(vs []Voter) []Voter { return vs }
-
 func disksOf(vs []Voter) []string {
 	var out []string
 	for _, v := range vs {
@@ -19,18 +13,24 @@
 	return out
 }
 
+// setsOf leaves out the voters before a change where there is none.
+func setsOf(voters, old []Voter) [][]string {
+	sets := [][]string{disksOf(voters)}
+	if len(old) > 0 {
+		sets = append(sets, disksOf(old))
+	}
+	return sets
+}
+
 // voterSets are the sets of which a member needs a majority each.
-func voterSets(n *Node) [][]string { return [][]string{disksOf(n.Voters())} }
+func voterSets(n *Node) [][]string { return setsOf(n.VoterSets()) }
 
 // confSets are those of an entry of the log.
 func confSets(data []byte) ([][]string, error) {
-	var vs []Voter
-	err := cbor.Unmarshal(data, &vs)
-	return [][]string{disksOf(vs)}, err
+	voters, old, err := DecodeConf(data)
+	return setsOf(voters, old), err
 }
 
-func pointSets(p Point) [][]string { return [][]string{disksOf(p.Conf)} }
-
 // allVoters are all that vote in one of the sets.
 func allVoters(n *Node) []string {
 	var out []string
@@ -81,20 +81,13 @@
 
 // changed tells whether the voters are as wanted, for good.
 func (w *world) changed(m *member, c *change) bool {
-	return m.node.ConfIndex() <= m.node.Commit() && (c.in == "" || m.node.Voter(c.in)) && (c.out == "" || !m.node.Voter(c.out))
+	return !m.node.Changing() && (c.in == "" || m.node.Voter(c.in)) && (c.out == "" || !m.node.Voter(c.out))
 }
 
-// proposeChange takes the next step of a change.
+// proposeChange asks for the voters as wanted.
 func (w *world) proposeChange(n *Node, c *change) bool {
-	vs := slices.Clone(n.Voters())
-	i := slices.IndexFunc(vs, func(v Voter) bool { return v.Disk == c.out })
-	if i >= 0 && len(vs) == 1 && c.in != "" && !n.Voter(c.in) {
-		i = -1 // one more first: there is always one
-	}
-	if i >= 0 {
-		vs = slices.Delete(vs, i, i+1)
-	}
-	if c.in != "" && !n.Voter(c.in) && (i < 0 || w.plant.name == plantTwoAtOnce) {
+	vs := slices.DeleteFunc(slices.Clone(n.Voters()), func(v Voter) bool { return v.Disk == c.out })
+	if c.in != "" && !n.Voter(c.in) {
 		vs = append(vs, voter(c.in))
 	}
 	return n.ProposeConf(vs)
--- a/internal/raft/model_harness_test.go
+++ b/internal/raft/model_harness_test.go
@@ -144,7 +144,7 @@
 	for i := 0; i < w.profile.voters; i++ {
 		vs = append(vs, voter(w.addMember().id))
 	}
-	first := Point{Index: 1, Conf: foundingConf(vs), Data: machine{index: 1}.save()}
+	first := Point{Index: 1, Conf: vs, Data: machine{index: 1}.save()}
 	w.checks.found(first)
 	for _, m := range w.members {
 		m.disk.point = first
@@ -223,7 +223,7 @@
 func (w *world) snapshot(m *member) *Point {
 	i := m.node.Applied()
 	t, _ := m.node.TermAt(i)
-	return &Point{Index: i, Term: t, Conf: m.node.ConfAt(i), Data: m.state.save()}
+	return &Point{Index: i, Term: t, Conf: m.node.ConfAt(i), Old: m.node.OldConfAt(i), Data: m.state.save()}
 }
 
 // give puts an input before a member's loop.
--- a/internal/raft/model_world_test.go
+++ b/internal/raft/model_world_test.go
@@ -73,19 +73,25 @@
 	log   []Entry
 }
 
-// put makes one job lasting, as disk.write does.
-func (d *modelDisk) put(j diskJob) {
+// put makes one job lasting, as disk.write does, but for a planted break.
+func (d *modelDisk) put(j diskJob, plant string) {
 	if j.out.Hard != nil {
 		d.hard = *j.out.Hard
 	}
 	if j.point != nil {
 		d.point = *j.point
 		d.log = entriesAfter(d.log, d.point.Index)
+		if plant == plantNoSuffix {
+			d.log = nil
+		}
 	}
 	if j.out.Point != nil {
 		d.point, d.log = *j.out.Point, nil
 	}
 	for _, e := range j.out.Entries {
+		if plant == plantSingle {
+			e = withoutOld(e)
+		}
 		keep := len(d.log)
 		for keep > 0 && d.log[keep-1].Index >= e.Index {
 			keep--
@@ -104,8 +110,8 @@
 	return out
 }
 
-// termAt is the term of an entry that the disk holds for sure; a snapshot
-// above it counts as holding it.
+// holds tells whether an entry is on the disk for sure; a snapshot above it
+// counts as holding it.
 func (d *modelDisk) holds(index, term uint64) bool {
 	if index <= d.point.Index {
 		return true
@@ -153,7 +159,7 @@
 		}
 		done := d.flight
 		for _, j := range done {
-			d.put(j)
+			d.put(j, w.plant.name)
 		}
 		d.flight = nil
 		if w.plant.name != plantEarlySync {
@@ -174,7 +180,7 @@
 		keep = w.lot.Intn(len(d.flight) + 1)
 	}
 	for _, j := range d.flight[:keep] {
-		d.put(j)
+		d.put(j, w.plant.name)
 	}
 	d.flight, d.waiting, d.written = nil, nil, false
 }
@@ -184,7 +190,12 @@
 	switch w.plant.name {
 	case plantForgetVote:
 		if w.chance(0.5) {
-			d.hard.Vote = ""
+			d.hard = Hard{}
+		}
+	case plantForgetMiddle:
+		if n := len(d.log); n > 2 && w.chance(0.5) {
+			i := 1 + w.lot.Intn(n-2)
+			d.log = append(d.log[:i:i], d.log[i+1:]...)
 		}
 	case plantForgetTail:
 		if n := len(d.log); n > 0 && w.chance(0.5) {
