Core: a voter is swapped for a candidate in one change; a needed leaver waits

Cause: the core removed a voter and added the candidate afterwards, so that a second loss in between left no majority; a daemon that was told to end went at once, also while its replacement was still catching up, and was then waited for in silence for 2.5 s.

Change: swap proposes one change, out and in: for an earlier disk of the same node first, then for a voter that broke its promises, one that said that it leaves, or one that has been silent for SilentVoter. A daemon that ends asks the leader until it is let go, or 0.4 of graceS is over: it stays while a candidate waits for a place, a change is under way, or another voter is silent or lags. A leader judges that itself, and may be replaced as it leads. In a calm core nothing is waited for. Candidates that fell silent are forgotten. Faulty voters are logged.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -34,6 +34,8 @@
 	Peer  *peerUp
 	Found *member.Proposal
 	Leave chan struct{}
+	// MayGo tells that the others can do without this daemon, which leaves.
+	MayGo bool
 	// Raised is the leader's answer to what this daemon summed up.
 	Raised *raised
 }
@@ -119,6 +121,7 @@
 	leaving  []chan struct{}
 	leaveTil time.Time
 	handing  bool // the lead is being handed on
+	yielding bool // the leader is asked whether this daemon may end
 	hold     time.Duration
 	tracks   tracker
 	moves    *move.Setting
@@ -253,42 +256,9 @@
 	case e.Found != nil:
 		c.onProposal(*e.Found)
 	case e.Leave != nil:
-		c.leaving = append(c.leaving, e.Leave)
-		if c.node != nil && c.node.Leads() {
-			c.node.Transfer()
-			c.handing = true
-			c.leaveTil = time.Now().Add(300 * time.Millisecond)
-		} else if c.node != nil {
-			c.yield(ctx)
-		}
-	}
-}
-
-// yield has this daemon's zones given to their standbys before it ends.
-func (c *Core) yield(ctx context.Context) {
-	mine := false
-	for _, d := range c.st.Duties {
-		mine = mine || d.Disk == c.me.Disk
-	}
-	c.agg.Drop(member.Answer{Code: member.NotLead})
-	if !mine {
-		return
-	}
-	c.leaveTil = time.Now().Add(150 * time.Millisecond)
-	go func() {
-		x, stop := context.WithTimeout(ctx, 150*time.Millisecond)
-		defer stop()
-		c.seek.Ask(x, member.AskYield, &member.Yield{Disk: c.me.Disk})
-	}()
-}
-
-// Leave hands the lead or the duties on before the process ends.
-func (c *Core) Leave() {
-	done := make(chan struct{})
-	c.in <- Event{Leave: done}
-	select {
-	case <-done:
-	case <-time.After(500 * time.Millisecond):
+		c.onLeave(ctx, e.Leave)
+	case e.MayGo:
+		c.letGo()
 	}
 }
 
@@ -438,16 +408,8 @@
 	if d := c.settleLingers(now); d > 0 && d < wake {
 		wake = d
 	}
-	for _, l := range c.leaving {
-		// Why both: a lead is gone once another has it; duties are told of.
-		if now.After(c.leaveTil) || c.handing && !c.node.Leads() {
-			close(l)
-			c.leaving = nil
-			break
-		}
-	}
-	if len(c.leaving) > 0 {
-		wake = min(wake, 20*time.Millisecond)
+	if d := c.settleLeave(ctx, now); d > 0 {
+		wake = min(wake, d)
 	}
 	return wake
 }
--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -5,24 +5,10 @@
 	"time"
 
 	"tealpond/internal/place"
-	"tealpond/internal/raft"
 	"tealpond/internal/store"
 	"tealpond/internal/tune"
 )
 
-// tracker keeps what only a leader knows of candidates and swaps.
-type tracker struct {
-	cands map[string]raft.Voter
-	adds  []raft.Voter
-}
-
-func (c *Core) cands() map[string]raft.Voter {
-	if c.tracks.cands == nil {
-		c.tracks.cands = map[string]raft.Voter{}
-	}
-	return c.tracks.cands
-}
-
 // duty does what a leader owes; it returns when to look again.
 func (c *Core) duty(now time.Time) time.Duration {
 	if !c.node.Ready() {
@@ -38,7 +24,7 @@
 	if now.Sub(c.checks) >= tune.Beat {
 		c.checks = now
 		c.lapses(now)
-		c.swap()
+		c.swap(now)
 		c.appoint(now)
 		c.sweep(now)
 		c.weigh(now)
@@ -146,39 +132,6 @@
 	}
 }
 
-// swap puts caught-up candidates in the place of voters that are gone.
-func (c *Core) swap() {
-	vs := c.node.Voters()
-	if c.node.ConfIndex() > c.node.Commit() {
-		return
-	}
-	for d, v := range c.cands() {
-		if c.node.Voter(d) {
-			delete(c.tracks.cands, d)
-			continue
-		}
-		c.node.Learn(v)
-		if !c.node.Caught(d) || c.node.Silent(d) > time.Second {
-			continue
-		}
-		if len(vs) < c.found.Least {
-			_ = c.log.Log("level", "info", "event", "core.add", "node", v.Node, "disk", v.Disk)
-			c.node.ProposeConf(append(append([]raft.Voter(nil), vs...), v))
-			return
-		}
-		for i, o := range vs {
-			if o.Disk == c.me.Disk {
-				continue
-			}
-			if o.Node == v.Node || c.node.Silent(o.Disk) > tune.SilentVoter {
-				_ = c.log.Log("level", "info", "event", "core.remove", "node", o.Node, "disk", o.Disk, "for", v.Disk)
-				c.node.ProposeConf(append(append([]raft.Voter(nil), vs[:i]...), vs[i+1:]...))
-				return
-			}
-		}
-	}
-}
-
 func (c *Core) sweep(now time.Time) {
 	if now.Sub(c.swept) < tune.Sweep {
 		return
--- a/internal/core/posts.go
+++ b/internal/core/posts.go
@@ -4,8 +4,6 @@
 	"sort"
 	"time"
 
-	"tealpond/internal/link"
-	"tealpond/internal/member"
 	"tealpond/internal/raft"
 	"tealpond/internal/store"
 	"tealpond/internal/tune"
@@ -119,16 +117,3 @@
 		}
 	})
 }
-
-// askYield takes the duties from a daemon that ends; its standbys take over.
-func (c *Core) askYield(raw []byte, _ *link.Stream, r reply) {
-	var y member.Yield
-	if link.Unpack(raw, &y) != nil {
-		r(member.Answer{Code: 400})
-		return
-	}
-	now := time.Now()
-	c.posts.yields[y.Disk] = now.Add(tune.YieldTime)
-	c.appoint(now)
-	r(member.Answer{Code: 200})
-}
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -286,3 +286,23 @@
 	// listed in time.
 	LeaveEarly = 350 * time.Millisecond
 )
+
+// Constants of raft and of the core's membership.
+const (
+	// CandidateHeard is the longest silence of a candidate that may take a
+	// voter's place; some heartbeats.
+	CandidateHeard = time.Second
+	// CandidateSilent is the silence after which a candidate is forgotten; above
+	// any pause of its announcements.
+	CandidateSilent = 10 * time.Second
+	// LeaveShare is the part of graceS for which a daemon that was told to end
+	// waits at most while the others need its disk. The requests under way then
+	// have half of graceS, and the process must end before all of it is over.
+	LeaveShare = 0.4
+	// LeaveSlack is added where the loop itself may be late.
+	LeaveSlack = 200 * time.Millisecond
+	// LeaveAsk is the pause between two asks whether a daemon may end.
+	LeaveAsk = 50 * time.Millisecond
+	// HandOver is how long a leader that ends waits for another to lead.
+	HandOver = 300 * time.Millisecond
+)
