--- a/internal/core/leave.go
+++ b/internal/core/leave.go
@@ -129,7 +129,13 @@
 	now := time.Now()
 	c.posts.yields[y.Disk] = now.Add(tune.YieldTime)
 	c.appoint(now)
-	if why := c.needed(y.Disk); why != "" {
+	why := c.needed(y.Disk)
+	for zone, d := range c.st.Duties {
+		if d.Disk == y.Disk && c.posts.asking[zone] {
+			why = "its zones are being given to others"
+		}
+	}
+	if why != "" {
 		r(member.Answer{Code: stayOn, Text: why, RetryMs: tune.LeaveAsk.Milliseconds()})
 		return
 	}
