--- a/internal/raft/model_harness_test.go
+++ b/internal/raft/model_harness_test.go
@@ -424,6 +424,10 @@
 			return
 		}
 	}
+	if vs := m.node.Voters(); c.in == "" && len(vs) == 1 && vs[0].Disk == c.out {
+		w.change = nil // nobody would be left
+		return
+	}
 	w.checks.observe(m)
 	if w.proposeChange(m.node, c) {
 		w.note("change", m.id, m.node.ConfIndex(), 0)
