Disk, core: a disk that hangs or refuses holds nobody up, and a leader hands on

A refused write was tried and logged 20 times a second, and once 8,192 writes waited the core's loop stood still on its channel: no answers, no hand-over. Nothing told the core that its disk does not serve.

After 300 ms of that a leader hands the lead on (again each second while it still leads; this rests on a hand-over that times out), and logs disk.behind. With 4,096 writes under way a member drops messages of the agreement, as if the network had lost them, and refuses commands.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -131,6 +131,7 @@
 	meter    *meter
 	seeds    atomic.Pointer[[]string]
 	opened   atomic.Bool
+	diskSaid time.Time // that the disk is behind
 }
 
 type claimed struct {
@@ -290,6 +291,9 @@
 	switch e.Frame.Kind {
 	case member.FrameRaft:
 		c.meter.add("raft_in", 1)
+		if c.swamped() {
+			return
+		}
 		var m raft.Msg
 		if link.Unpack(e.Frame.Body, &m) != nil || m.To != c.me.Disk {
 			// Why dropped: addresses are reused, and it is meant for another.
@@ -383,6 +387,7 @@
 	}
 	defer c.meter.span("rest")()
 	wake := c.node.Tick(now)
+	c.watchDisk(now)
 	c.apply()
 	if d := c.duty(now); d > 0 && d < wake {
 		wake = d
@@ -509,7 +514,7 @@
 	c.meter.add("commands", len(b))
 	c.batch, c.replies = nil, nil
 	i, ok := uint64(0), false
-	if c.node.Ready() {
+	if c.node.Ready() && !c.swamped() {
 		i, ok = c.node.Propose(link.Pack(store.Batch{Clock: c.clock(now), Wall: c.wall(now), Cmds: b}))
 	}
 	if !ok {
--- a/internal/disk/disk.go
+++ b/internal/disk/disk.go
@@ -3,6 +3,9 @@
 package disk
 
 import (
+	"sync/atomic"
+	"time"
+
 	"github.com/zeebo/errs"
 	bolt "go.etcd.io/bbolt"
 
@@ -27,7 +30,8 @@
 type Disk struct {
 	db         *bolt.DB
 	update     func(func(*bolt.Tx) error) error
-	generation uint64 // of the snapshot in force
+	generation uint64                    // of the snapshot in force
+	since      atomic.Pointer[time.Time] // of the last progress while work waits, or nil
 }
 
 // Close ends the use of a disk on which Run was not called.
--- a/internal/disk/open.go
+++ b/internal/disk/open.go
@@ -281,12 +281,8 @@
 			return o.disk, o.held, why, nil
 		}
 		waits(o.err)
-		t := time.NewTimer(pause)
-		select {
-		case <-ctx.Done():
-			t.Stop()
+		if sleep(ctx, pause); ctx.Err() != nil {
 			return nil, Held{}, why, ctx.Err()
-		case <-t.C:
 		}
 		pause = min(2*pause, tune.DiskRetryMost)
 	}
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -306,4 +306,12 @@
 	// SnapshotFrames is the number of frames in one transaction: about 1 MB, so
 	// that entries which wait for the same disk are held up by no more.
 	SnapshotFrames = 16
+	// DiskBehind is how long a disk may sync nothing while work waits before a
+	// leader hands the lead on: several slow syncs, and under the shortest wait
+	// of a client.
+	DiskBehind = 300 * time.Millisecond
+	// DiskJobs is the number of writes under way from which a member takes no
+	// more messages of the agreement and no more commands: its disk does not
+	// serve, and memory is bounded.
+	DiskJobs = 4096
 )
