--- a/internal/core/apply.go
+++ b/internal/core/apply.go
@@ -136,7 +136,7 @@
 	c.meter.add("commands", len(b))
 	c.batch, c.replies = nil, nil
 	i, ok := uint64(0), false
-	if c.node.Ready() {
+	if c.node.Ready() && !c.swamped() {
 		i, ok = c.node.Propose(link.Pack(store.Batch{Clock: c.clock(now), Wall: c.wall(now), Cmds: b}))
 	}
 	w := waiter{term: c.node.Term(), reply: rs}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -138,6 +138,7 @@
 	meter    *meter
 	seeds    atomic.Pointer[[]string]
 	opened   atomic.Bool
+	diskSaid time.Time // that the disk is behind
 }
 
 type claimed struct {
@@ -268,6 +269,7 @@
 	}
 	defer c.meter.span("rest")()
 	wake := c.node.Tick(now)
+	c.watchDisk(now)
 	// Before anything is applied: a snapshot that came in replaces the state
 	// which the entries above it don't follow.
 	c.drain(ctx)
