A leader of a later term than it began with begins anew; its clock is tested

Cause: led was compared with nothing but the node's readiness. No order of inputs was found that skips the turn in which it isn't ready; the guard makes that not matter.

Tests: TestLeadInAnotherTermBeginsAnew fails without the comparison, TestClockGoesOnFromTheLog with a base of zero.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -99,6 +99,7 @@
 	lingers  map[string][]linger
 	led      bool
 	ledAt    time.Time
+	ledTerm  uint64
 	base     int64
 	dirty    bool
 	booking  bool
--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -25,10 +25,12 @@
 
 // duty does what a leader owes; it returns when to look again.
 func (c *Core) duty(now time.Time) time.Duration {
+	// Another term in between had another leader, perhaps: what this one knew of
+	// grants, clocks and callers is of the term before.
+	if c.led && (!c.node.Ready() || c.ledTerm != c.node.Term()) {
+		c.resign()
+	}
 	if !c.node.Ready() {
-		if c.led {
-			c.resign()
-		}
 		return 0
 	}
 	if !c.led {
@@ -81,7 +83,7 @@
 }
 
 func (c *Core) lead(now time.Time) {
-	c.led, c.ledAt, c.base = true, now, c.st.Clock
+	c.led, c.ledAt, c.ledTerm, c.base = true, now, c.node.Term(), c.st.Clock
 	c.sets, c.posts = map[string]seats{}, newPosts()
 	// Why all anew: while this one became leader, orders may have been kept
 	// back for workers that it knew nothing of yet.
--- /dev/null
+++ b/internal/core/lead_test.go
@@ -0,0 +1,49 @@
+package core
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tealpond/internal/link"
+	"tealpond/internal/raft"
+	"tealpond/internal/store"
+)
+
+// TestLeadInAnotherTermBeginsAnew: a leader that finds itself leading a later
+// term than the one it began with trusts nothing that it kept.
+func TestLeadInAnotherTermBeginsAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		b.lead()
+		at, unclear := b.c.ledAt, 0
+		b.c.ledTerm--
+		b.c.att["w"] = &attached{granted: time.Now()}
+		b.c.waits[999] = waiter{reply: []func(store.Outcome, bool){func(_ store.Outcome, ok bool) {
+			if !ok {
+				unclear++
+			}
+		}}}
+		time.Sleep(time.Millisecond)
+		b.rest()
+		if !b.c.led || b.c.ledTerm != b.c.node.Term() || !b.c.ledAt.After(at) || b.c.att["w"] != nil || unclear != 1 {
+			t.Errorf("it goes on as in the term before: %d answers, grants %v", unclear, b.c.att)
+		}
+	})
+}
+
+// TestClockGoesOnFromTheLog: a new leader's stamps are never below those that
+// the log holds, whatever its own clock says.
+func TestClockGoesOnFromTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		b.step(raft.Msg{Kind: raft.MsgAppend, From: "b", Term: 3, Index: 1, Commit: 2, Entries: []raft.Entry{{Index: 2, Term: 3,
+			Data: link.Pack(store.Batch{Clock: 1_000_000, Cmds: []store.Raw{store.Encode("sweep", &store.Sweep{})}})}}})
+		b.rest()
+		time.Sleep(time.Second)
+		b.lead()
+		if c := b.c.clock(time.Now()); c < 1_000_000 || b.c.st.Clock < 1_000_000 {
+			t.Errorf("its clock is at %d, the state's at %d", c, b.c.st.Clock)
+		}
+	})
+}
