--- a/internal/core/snapshot.go
+++ b/internal/core/snapshot.go
@@ -25,7 +25,7 @@
 	if !ok {
 		panic("core: a snapshot at an entry that the log does not know")
 	}
-	return &raft.Point{Index: i, Term: t, Conf: c.node.ConfAt(i)}, c.st.Freeze()
+	return &raft.Point{Index: i, Term: t, Conf: c.node.ConfAt(i), Old: c.node.OldConfAt(i)}, c.st.Freeze()
 }
 
 // point is a snapshot for a member that lags: the newest one, since the log
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -132,7 +132,8 @@
 	// LapseMargin is added before a silent runner's work is deemed over.
 	LapseMargin = 100 * time.Millisecond
 	// EndedKept is the number of ended runs that a side daemon remembers before
-	// it forgets those older than EndedTime: by then no order can name them.
+	// it forgets those that are older than EndedTime and committed: the state
+	// orders them no more.
 	EndedKept = 512
 	EndedTime = 30 * time.Second
 	// StuckAfter is the least time without progress before a run is stopped.
@@ -321,6 +322,12 @@
 	// DiskSay is the pause between two lines of the log about a disk that does
 	// not serve.
 	DiskSay = time.Second
+	// SnapshotFrame is the size of a frame of a snapshot on disk, in bytes. A
+	// page holds two; with its own heads that fills a whole number of pages.
+	SnapshotFrame = 64<<10 - 128
+	// SnapshotFrames is the number of frames in one transaction: about 1 MB, so
+	// that entries which wait for the same disk are held up by no more.
+	SnapshotFrames = 16
 )
 
 // Package member.
@@ -360,6 +367,13 @@
 	SlowLink = 125_000
 )
 
+// order: the side daemon and its calls to the runner.
+const (
+	// EndsListed is how many ends a runner lists at most in one answer
+	// (PROTOCOL): a list so long may go on, so it rules nothing out.
+	EndsListed = 500
+)
+
 // Core: agreement of replicas.
 const (
 	// SumEvery is the number of entries between two sums that replicas
