Agreement: a member that asks around for itself still votes in its term

Cause: a vote was refused in any role but follower, also to one who had promised its vote to nobody and only asked around; a legitimate election then waited for another. A second request for the same vote was written again.

Result: of the two new tests the first fails without the change.

--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -115,14 +115,16 @@
 		n.send(Msg{Kind: MsgVoteAnswer, To: m.From, Reject: true}, false)
 		return
 	}
-	ok := (n.vote == "" || n.vote == m.From) && n.leader == "" && n.upToDate(m) && n.role == follower
+	// Also while it asks around for itself: it has promised its vote to nobody.
+	ok := (n.vote == "" || n.vote == m.From) && n.leader == "" && n.upToDate(m)
 	// Why not soon after a start: a lease from before it may be running.
 	if !m.Force && n.now.Sub(n.kept) < n.timing.Elect {
 		ok = false
 	}
 	if ok {
+		n.role = follower
+		n.hardDirty = n.hardDirty || n.vote != m.From
 		n.vote = m.From
-		n.hardDirty = true
 		n.heard = n.now
 		n.resetWait()
 	}
