--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -12,7 +12,7 @@
 )
 
 func (n *Node) resetWait() {
-	// Why a beat more: the others heard the leader up to a beat later, and
+	// A beat more than Elect: the others heard the leader up to a beat later, and
 	// would refuse until their own wait is over.
 	n.wait = n.timing.Elect + n.timing.Beat + time.Duration(n.random.Int63n(int64(n.timing.Spread)+1))
 }
@@ -117,7 +117,7 @@
 	}
 	// Also while it asks around for itself: it has promised its vote to nobody.
 	ok := (n.vote == "" || n.vote == m.From) && n.leader == "" && n.upToDate(m)
-	// Why not soon after a start: a lease from before it may be running.
+	// Not soon after a start: a lease from before it may be running.
 	if !m.Force && n.now.Sub(n.kept) < n.timing.Elect {
 		ok = false
 	}
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -64,7 +64,7 @@
 		n.noteConfiguration(e)
 	}
 	n.synced = n.last()
-	// Why a whole wait after a start: a lease that this member confirmed
+	// A whole wait after a start: a lease that this member confirmed
 	// before it ended may still be trusted.
 	n.wait = n.timing.Elect + n.timing.Beat/4 + time.Duration(n.random.Int63n(int64(n.timing.Spread)/2+1))
 	return n
@@ -118,7 +118,7 @@
 	n.now = now
 	if n.role == leader {
 		if now.Sub(n.quorumAt(now)) > n.timing.Quorum && now.Sub(n.elected) > n.timing.Quorum {
-			// Why resign: whoever can reach a majority must not wait for us.
+			// Whoever can reach a majority must not wait for this member.
 			n.newTerm(n.term, "")
 			n.heard = now
 			n.resetWait()
@@ -158,7 +158,7 @@
 		switch m.Kind {
 		case MsgPreVote, MsgPreVoteAnswer:
 		case MsgVote:
-			// Why ignored: a leader lives, and its lease may rest on us.
+			// A leader lives, and its lease may rest on this member.
 			if !m.Force && now.Sub(n.kept) < n.timing.Elect {
 				return
 			}
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -129,7 +130,7 @@
 	m := Msg{Kind: MsgAppend, To: d, Index: prev, LogTerm: logTerm, Commit: n.commit, Sent: n.stamp()}
 	size := 0
 	for i := p.next; i <= n.last() && size < n.timing.Bytes; i++ {
-		// Why one: while the place is searched, more would be thrown away.
+		// One only: while the place is searched, more would be thrown away.
 		if p.probing && i > p.next {
 			break
 		}
@@ -144,6 +145,7 @@
 	n.send(m, false)
 }
 
+// follow takes note of the leader; false if the message is of an older term.
 func (n *Node) follow(m Msg) bool {
 	if m.Term < n.term {
 		// A thawed leader must learn of the newer term. Without a stamp it
@@ -163,9 +165,10 @@
 	return true
 }
 
+// answer tells the leader how far this log agrees with its own, or refuses.
 func (n *Node) answer(m Msg, index uint64, reject, after bool) {
 	if m.Kind == MsgAppend && m.Sent == 0 && len(m.Entries) == 0 {
-		// Why silent: it only told of a commit.
+		// It only told of a commit.
 		return
 	}
 	a := Msg{Kind: MsgAppendAnswer, To: m.From, Index: index, Reject: reject, Sent: m.Sent, LogTerm: m.LogTerm, Commit: m.Index}
@@ -175,19 +178,16 @@
 	n.send(a, after)
 }
 
+// onAppend takes entries, or a heartbeat, from the leader.
 func (n *Node) onAppend(m Msg) {
 	if !n.follow(m) {
 		return
 	}
 	if m.Index < n.commit && m.LogTerm != noEntry {
-		// Why cut: what is settled can't differ.
+		// What is committed can't differ.
 		skip := n.commit - m.Index
 		if uint64(len(m.Entries)) <= skip {
-			if n.synced >= n.commit {
-				n.answer(m, n.commit, false, false)
-			} else {
-				n.answer(m, n.commit, false, true)
-			}
+			n.answer(m, n.commit, false, n.synced < n.commit)
 			return
 		}
 		m.Entries = m.Entries[skip:]
@@ -212,21 +212,7 @@
 			if t == e.Term {
 				continue
 			}
-			if e.Index <= n.commit {
-				panic("raft: a settled entry would change")
-			}
-			n.log = n.log[:e.Index-n.base.Index-1]
-			for len(n.configurations) > 1 && n.configurations[len(n.configurations)-1].index >= e.Index {
-				n.configurations = n.configurations[:len(n.configurations)-1]
-			}
-			n.cut(e.Index)
-			keep := n.out.Entries[:0]
-			for _, o := range n.out.Entries {
-				if o.Index < e.Index {
-					keep = append(keep, o)
-				}
-			}
-			n.out.Entries = keep
+			n.truncate(e.Index)
 		}
 		for _, f := range m.Entries[i:] {
 			n.log = append(n.log, f)
@@ -243,6 +229,20 @@
 	n.answer(m, got, false, wrote || n.synced < got)
 }
 
+// truncate drops the log from an index on, where the leader's differs.
+func (n *Node) truncate(index uint64) {
+	if index <= n.commit {
+		panic("raft: a committed entry would change")
+	}
+	n.log = n.log[:index-n.base.Index-1]
+	for len(n.configurations) > 1 && n.current().index >= index {
+		n.configurations = n.configurations[:len(n.configurations)-1]
+	}
+	n.cut(index)
+	n.out.Entries = slices.DeleteFunc(n.out.Entries, func(o Entry) bool { return o.Index >= index })
+}
+
+// onAppendAnswer takes note of how far a member's log goes.
 func (n *Node) onAppendAnswer(m Msg) {
 	p := n.peers[m.From]
 	if n.role != leader || m.Term != n.term || p == nil {
--- a/internal/raft/snapshot.go
+++ b/internal/raft/snapshot.go
@@ -1,6 +1,6 @@
 package raft
 
-// SetPoint gives the source of checkpoints for members that lag.
+// SetPoint gives the source of snapshots for members that lag.
 func (n *Node) SetPoint(f func() *Point) { n.pointNow = f }
 
 // onPoint takes a snapshot from the leader. It replaces state and log in one
@@ -32,7 +32,7 @@
 	n.answer(m, m.Point.Index, false, true)
 }
 
-// Drop forgets entries up to index, which a checkpoint holds.
+// Drop forgets entries up to index, which a snapshot on disk holds.
 func (n *Node) Drop(index uint64) {
 	if index <= n.base.Index || index > n.applied {
 		return
