--- /dev/null
+++ b/internal/raft/exhaustive_copy_test.go
@@ -0,0 +1,139 @@
+package raft
+
+import (
+	"math/rand"
+	"reflect"
+	"time"
+	"unsafe"
+)
+
+// Copies and names of states of the exhaustive search, by reflection: the node
+// need not know of them.
+
+// copyNode is a deep copy; only the source of lots is shared, which the timing
+// of the search leaves without effect.
+func copyNode(n *Node) *Node {
+	c := *n
+	deepen(reflect.ValueOf(&c).Elem())
+	return &c
+}
+
+// deepen replaces what a value points to by copies.
+func deepen(v reflect.Value) {
+	switch v.Type() {
+	case reflect.TypeFor[time.Time](), reflect.TypeFor[*rand.Rand]():
+		return
+	}
+	if !v.CanSet() {
+		v = reflect.NewAt(v.Type(), unsafe.Pointer(v.UnsafeAddr())).Elem()
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		for i := range v.NumField() {
+			deepen(v.Field(i))
+		}
+	case reflect.Pointer:
+		if !v.IsNil() {
+			p := reflect.New(v.Type().Elem())
+			p.Elem().Set(v.Elem())
+			deepen(p.Elem())
+			v.Set(p)
+		}
+	case reflect.Slice:
+		if !v.IsNil() {
+			s := reflect.MakeSlice(v.Type(), v.Len(), v.Len())
+			reflect.Copy(s, v)
+			if !plain(v.Type().Elem()) {
+				for i := range s.Len() {
+					deepen(s.Index(i))
+				}
+			}
+			v.Set(s)
+		}
+	case reflect.Map:
+		if !v.IsNil() {
+			m := reflect.MakeMapWithSize(v.Type(), v.Len())
+			for it := v.MapRange(); it.Next(); {
+				e := reflect.New(v.Type().Elem()).Elem()
+				e.Set(it.Value())
+				deepen(e)
+				m.SetMapIndex(it.Key(), e)
+			}
+			v.Set(m)
+		}
+	}
+}
+
+// plain tells whether copies of a type share nothing that is changed in place.
+func plain(t reflect.Type) bool {
+	switch t {
+	case reflect.TypeFor[Entry](), reflect.TypeFor[Voter](), reflect.TypeFor[Msg]():
+		return true
+	}
+	return t.Kind() <= reflect.Float64 || t.Kind() == reflect.String
+}
+
+// hasher sums up a value, unexported fields too.
+type hasher struct{ sum uint64 }
+
+func newHasher() *hasher { return &hasher{14695981039346656037} }
+
+func hashOf(v reflect.Value) uint64 {
+	h := newHasher()
+	h.add(v)
+	return h.sum
+}
+
+func (h *hasher) mix(x uint64) {
+	h.sum = (h.sum ^ x) * 0x9E3779B97F4A7C15
+	h.sum ^= h.sum >> 29
+}
+
+func (h *hasher) add(v reflect.Value) {
+	switch v.Kind() {
+	case reflect.Bool:
+		if v.Bool() {
+			h.mix(1)
+		}
+		h.mix(2)
+	case reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64:
+		h.mix(uint64(v.Int()))
+	case reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
+		h.mix(v.Uint())
+	case reflect.Float64:
+		h.mix(uint64(v.Float() * 1000))
+	case reflect.String:
+		s := v.String()
+		for i := range len(s) {
+			h.mix(uint64(s[i]))
+		}
+		h.mix(uint64(len(s)))
+	case reflect.Struct:
+		for i := range v.NumField() {
+			h.add(v.Field(i))
+		}
+	case reflect.Pointer:
+		switch v.Type() {
+		case reflect.TypeFor[*rand.Rand](), reflect.TypeFor[*time.Location]():
+			return
+		}
+		if !v.IsNil() {
+			h.add(v.Elem())
+		}
+		h.mix(3)
+	case reflect.Slice, reflect.Array:
+		h.mix(uint64(v.Len()))
+		for i := range v.Len() {
+			h.add(v.Index(i))
+		}
+	case reflect.Map:
+		sum := uint64(v.Len())
+		for it := v.MapRange(); it.Next(); {
+			g := newHasher()
+			g.add(it.Key())
+			g.add(it.Value())
+			sum += g.sum
+		}
+		h.mix(sum)
+	}
+}
--- a/internal/raft/model_conf_test.go
+++ b/internal/raft/model_conf_test.go
@@ -1,6 +1,9 @@
 package raft
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // What the model test knows of configurations. A configuration is one set of
 // voters, or two while it is joint; a quorum is a majority of each.
@@ -92,3 +95,63 @@
 	}
 	return n.ProposeConf(vs)
 }
+
+// operate does what the core's leader does for its operators: bring a
+// candidate up to date, then change the voters.
+func (w *world) operate(m *member) {
+	if !m.node.Ready() || !m.node.Lease(m.clock(w.now)) || w.now-m.asked < w.profile.timing.Beat {
+		return
+	}
+	m.asked = w.now
+	w.lostFirst(m)
+	c := w.change
+	if c == nil {
+		return
+	}
+	if w.changed(m, c) {
+		w.note("changed", m.id, m.node.ConfIndex(), 0)
+		w.counts["changes"]++
+		w.change = nil
+		if o := w.byID[c.out]; o != nil {
+			w.after(w.gap(2*time.Second), func() {
+				w.crash(o, false)
+				o.retired = true
+			})
+		}
+		return
+	}
+	if c.in != "" && !m.node.Voter(c.in) {
+		m.node.Learn(voter(c.in))
+		if !m.node.Caught(c.in) {
+			return
+		}
+	}
+	if vs := m.node.Voters(); c.in == "" && len(vs) == 1 && vs[0].Disk == c.out {
+		w.change = nil // nobody would be left
+		return
+	}
+	w.checks.observe(m)
+	if w.proposeChange(m.node, c) {
+		w.note("change", m.id, m.node.ConfIndex(), 0)
+	}
+}
+
+// lostFirst has a voter without a disk replaced before any other leaves.
+func (w *world) lostFirst(m *member) {
+	if c := w.change; c != nil && c.out != "" && w.byID[c.out].lost {
+		return
+	}
+	for _, id := range allVoters(m.node) {
+		if !w.byID[id].lost {
+			continue
+		}
+		if w.change == nil {
+			w.change = &change{}
+		}
+		w.change.out = id
+		if w.change.in == "" {
+			w.change.in = w.newcomer().id
+		}
+		return
+	}
+}
