Store: a state of any planned size loads again, and torn tables are an error

Load has bounds of its own (4,194,304 rows, 16 levels, no open-ended lists) and gives an error where tables contradict one another.

Tests, on the code before: TestLargeTablesLoadAgain (exceeded 131072) and a seed of FuzzLoad (nil pointer) fail. 20 s of FuzzLoad: 177,403 runs, no finding.

--- a/internal/store/cmd.go
+++ b/internal/store/cmd.go
@@ -86,9 +86,8 @@
 	if len(raw) == 0 {
 		return s, nil
 	}
-	if err := cbor.Unmarshal(raw, s); err != nil {
+	if err := s.decode(raw); err != nil {
 		return nil, err
 	}
-	s.derive()
 	return s, nil
 }
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -315,3 +315,17 @@
 	// serve, and memory is bounded.
 	DiskJobs = 4096
 )
+
+// Bounds of decoders.
+const (
+	// FrameElements is the most elements of one list or map in a frame: a batch
+	// of reports names at most all workers, an append holds fewer entries.
+	FrameElements = 1 << 16
+	// FrameLevels is how deep lists in a frame may be nested.
+	FrameLevels = 12
+	// StateElements is the most rows of one table in a snapshot: seventy times
+	// the runs of the planned size.
+	StateElements = 1 << 22
+	// StateLevels is how deep a snapshot may be nested.
+	StateLevels = 16
+)
