--- /dev/null
+++ b/internal/link/decode.go
@@ -0,0 +1,22 @@
+package link
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"tealpond/internal/tune"
+)
+
+// decoder reads bodies of frames. A body is checked as a whole before anything
+// is made of it, so that a length can't promise more than is there; these
+// bounds keep one byte of a list from becoming a whole element too often.
+var decoder = func() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: tune.FrameElements, MaxMapPairs: tune.FrameElements, MaxNestedLevels: tune.FrameLevels,
+		IndefLength: cbor.IndefLengthForbidden}.DecMode()
+	if err != nil {
+		panic("link: " + err.Error())
+	}
+	return m
+}()
+
+// Unpack decodes a body.
+func Unpack(raw []byte, v any) error { return Error.Wrap(decoder.Unmarshal(raw, v)) }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -68,9 +68,6 @@
 	return out
 }
 
-// Unpack decodes a body.
-func Unpack(raw []byte, v any) error { return cbor.Unmarshal(raw, v) }
-
 // Stream is one side of a two-way stream.
 type Stream struct {
 	Addr string
