--- a/internal/order/ends_test.go
+++ b/internal/order/ends_test.go
@@ -217,3 +217,31 @@
 		t.Error("how a run ended was overwritten by what this daemon told")
 	}
 }
+
+// TestLifeIsProvedBeforeAnotherIsEnded: a heartbeat of an older life came after
+// those of the present one; the model test found what a take-up so late does.
+func TestLifeIsProvedBeforeAnotherIsEnded(t *testing.T) {
+	for code, want := range map[int]string{421: "w", 0: "w", 409: "w2"} {
+		synctest.Test(t, func(t *testing.T) {
+			b, r := newTurned(t, 1)
+			b.s.set.NodeName = "n"
+			r.set(pathHold, Reply{Code: code, Clock: wire.Clock{Reason: "fence"}})
+			in := &beatIn{id: "w2", beat: wire.Beat{TargetService: "s", CallSeq: 1}, done: make(chan int, 1)}
+			b.s.take(Event{beat: in})
+			b.settle()
+			time.Sleep(time.Second)
+			b.settle()
+			for id, w := range b.st.Workers {
+				if w.Dead == (id == want) {
+					t.Errorf("%d: %s is dead: %v", code, id, w.Dead)
+				}
+			}
+			if answered := len(in.done) == 1 && <-in.done == 200; answered != (code != 0) {
+				t.Errorf("%d: the heartbeat was acknowledged: %v", code, answered)
+			}
+			if b.s.cur.over != (code == 421) {
+				t.Errorf("%d: over %v", code, b.s.cur.over)
+			}
+		})
+	}
+}
--- a/internal/order/session.go
+++ b/internal/order/session.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"context"
 	"time"
 
 	"tealpond/internal/member"
@@ -16,7 +17,8 @@
 	seq      int64
 	fence    int64
 	taking   bool
-	drain    bool // committed
+	replaces int64 // fence of the life before it on this machine
+	drain    bool  // committed
 	clock    int64
 	clockAt  time.Time
 	until    int64 // granted, on the runner's clock
@@ -100,10 +102,14 @@
 	session.taking = true
 	b := session.beat
 	s.ask(member.AskTakeUp, &store.TakeUp{ID: session.id, Node: s.set.NodeName, Life: s.me, Service: b.TargetService, Zone: b.Zone,
-		Labels: b.Labels, Room: b.FreeRoom, Draining: b.State == "draining", LeavesIn: s.leavesIn(session)}, 10*time.Second, func(a member.Answer) {
+		Labels: b.Labels, Room: b.FreeRoom, Draining: b.State == "draining", LeavesIn: s.leavesIn(session), Replaces: session.replaces}, 10*time.Second, func(a member.Answer) {
 		if s.cur != session {
 			return
 		}
+		if a.Code == 412 && a.N > session.replaces {
+			s.prove(session, a.N)
+			return
+		}
 		session.taking = false
 		if a.Code == 409 {
 			session.over = true
@@ -130,6 +136,33 @@
 	})
 }
 
+// prove asks the runner whether it is still in this life, before the life that
+// the state knows on this machine is ended: a heartbeat may have come late.
+func (s *Side) prove(session *runnerSession, replaces int64) {
+	go func() {
+		x, stop := context.WithTimeout(s.ctx, tune.OrderRound)
+		p := s.call.Call(x, session.id, pathHold, wire.Hold{})
+		stop()
+		s.later(func() {
+			if s.cur != session {
+				return
+			}
+			session.taking = false
+			switch p.Code {
+			case 0:
+				s.waiters(session, 503)
+				session.renewAt = s.now
+			case 421:
+				session.over = true
+				s.waiters(session, 200)
+			default:
+				session.replaces = replaces
+				s.takeUp(session)
+			}
+		})
+	}()
+}
+
 // waiters answers the heartbeats that waited.
 func (s *Side) waiters(session *runnerSession, code int) {
 	for _, w := range session.waiting {
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -166,7 +166,11 @@
 	a := w.worker("a", wire.Room{CPUUnits: 100, MemMb: 100})
 	w.job("j", wire.Step{TaskCount: 1})
 	w.book("j", 0, false, Item{Worker: "a", Ver: a.Ver})
-	w.run("takeup", &TakeUp{ID: "a2", Node: "n-a", Service: "s", LeavesIn: -1})
+	// The take-up of a life of which the newer one knows nothing came late.
+	if o := w.run("takeup", &TakeUp{ID: "a0", Node: "n-a", Service: "s", LeavesIn: -1, Replaces: a.Fence - 1}); o.Code != 412 || o.N != a.Fence || len(w.s.Allocs) != 1 || w.s.Workers["a0"] != nil {
+		t.Fatalf("a late take-up ended a newer life: %d, N %d", o.Code, o.N)
+	}
+	w.run("takeup", &TakeUp{ID: "a2", Node: "n-a", Service: "s", LeavesIn: -1, Replaces: a.Fence})
 	if len(w.s.Allocs) != 0 {
 		t.Fatal("a crashed life holds runs")
 	}
@@ -480,7 +484,7 @@
 	lose := func() int64 {
 		life++
 		id := fmt.Sprint("l", life)
-		w.run("takeup", &TakeUp{ID: id, Node: "n", Service: "s", Room: wire.Room{CPUUnits: 10}, LeavesIn: -1})
+		w.run("takeup", &TakeUp{ID: id, Node: "n", Service: "s", Room: wire.Room{CPUUnits: 10}, LeavesIn: -1, Replaces: int64(w.s.Last)})
 		return max(w.s.Workers[id].ShunTill-w.s.Clock, 0)
 	}
 	last := int64(-1)
--- a/internal/store/takeup.go
+++ b/internal/store/takeup.go
@@ -19,11 +19,16 @@
 	Room     wire.Room
 	Draining bool
 	LeavesIn int64 // ms from now, below 0 if it stays
+	// Replaces is the fence of the node's life before this one, as the side
+	// daemon was told of it. A take-up may come late, when a newer life than
+	// its own was taken up on the node, and must not end that one.
+	Replaces int64
 }
 
 func init() { register("takeup", func() Cmd { return &TakeUp{} }) }
 
-// Apply raises the fence. A new life on a node ends the one before it.
+// Apply raises the fence. A new life on a node ends the one before it, if its
+// side daemon knows of it: else 412, and N is the fence that it must name.
 func (c *TakeUp) Apply(s *Store) Outcome {
 	w := s.Workers[c.ID]
 	if w != nil && w.Dead {
@@ -37,6 +42,11 @@
 		}
 	}
 	sort.Strings(old)
+	for _, id := range old {
+		if f := s.Workers[id].Fence; f > c.Replaces {
+			return Outcome{Code: 412, Text: "another life is here", N: f}
+		}
+	}
 	pause := int64(0)
 	for _, id := range old {
 		if !s.Workers[id].Draining {
