Simulation: operators, ways of cutting off, and rules on what they are answered

Two rules: CONFIG and ALONE, checked over all calls, with a planted break for each of their demands.

--- a/internal/sim/agg_test.go
+++ b/internal/sim/agg_test.go
@@ -26,7 +26,7 @@
 			}
 			for _, row := range t.Rows {
 				addr, _ := row[3].(string)
-				for n := range c.daemons {
+				for _, n := range c.names("") {
 					if addr != "" && c.IP(n)+":7720" == addr {
 						return n
 					}
--- a/internal/sim/cluster.go
+++ b/internal/sim/cluster.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"runtime/pprof"
 	"sort"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -33,9 +34,14 @@
 	Hist    *History
 	Name    string
 	dir     string
+	mu      sync.RWMutex // guards daemons
 	daemons map[string]*daemon
 	Runners map[string]*Runner
 	base    int
+	lost    int
+	debug   bool
+	added   atomic.Int64 // machines added in mid-life
+	version atomic.Int64 // the newest number given to a configuration
 	seeds   []string
 	out     io.Writer
 	outside *http.Client
@@ -54,6 +60,8 @@
 	no    int
 	kill  context.CancelCauseFunc
 	done  chan struct{}
+	gate  gate
+	set   chan setting.Setting
 }
 
 // Shape is what a cluster is built of.
@@ -68,6 +76,8 @@
 	Moves string
 	// Hist is a history shared with another cluster, if any.
 	Hist *History
+	// Debug turns on the lines of that level, which Freeze needs.
+	Debug bool
 }
 
 // Build starts a cluster and waits for nothing.
@@ -92,6 +102,8 @@
 	if lost == 0 {
 		lost = (s.Core - 1) / 2
 	}
+	c.lost, c.debug = lost, s.Debug
+	c.version.Store(1)
 	zone := func(i int) string {
 		if s.Zones < 2 {
 			return "z"
@@ -110,7 +122,7 @@
 		c.Runners[n] = NewRunner(c.Hist, n, "svc", int64(i+1))
 		c.Runners[n].Zone = zone(i)
 	}
-	c.outside = &http.Client{Transport: &http.Transport{DialContext: c.Net.Host(c.ip(250)).DialContext}, Timeout: 3 * time.Second}
+	c.outside = &http.Client{Transport: &http.Transport{DialContext: c.Net.Host(c.ip(clientHost)).DialContext}}
 	for _, n := range c.names("") {
 		c.Start(n, lost)
 	}
@@ -136,11 +148,23 @@
 }
 
 func (c *Cluster) add(d *daemon) {
-	d.no = len(c.daemons)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, o := range c.daemons {
+		d.no = max(d.no, o.no+1)
+	}
 	c.daemons[d.name] = d
 }
 
+func (c *Cluster) daemon(name string) *daemon {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.daemons[name]
+}
+
 func (c *Cluster) names(role string) []string {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
 	var out []string
 	for n, d := range c.daemons {
 		if role == "" || d.role == role {
@@ -152,7 +176,7 @@
 }
 
 // IP is a daemon's address.
-func (c *Cluster) IP(name string) string { return c.daemons[name].ip }
+func (c *Cluster) IP(name string) string { return c.daemon(name).ip }
 
 func (c *Cluster) settings(d *daemon, lost int) setting.Setting {
 	s := setting.Setting{NodeName: d.name, IPAddress: d.ip, Zone: d.zone, InnerPortRange: []int{7720, 7730}, SeedNodes: c.seeds,
@@ -176,15 +200,16 @@
 
 // Start starts a daemon; it must not be running.
 func (c *Cluster) Start(name string, lost int) {
-	d := c.daemons[name]
+	d := c.daemon(name)
 	set := c.settings(d, lost)
 	ctx, kill := context.WithCancelCause(link.On(context.Background(), c.Net.Host(d.ip)))
 	b := kernel.Base{Setting: set, Log: log.NewLogfmtLogger(log.NewSyncWriter(watch{c})), Life: fmt.Sprint(time.Now().UnixNano()), Reload: make(chan setting.Setting, 1), Trace: trace.NewRing(4096)}
 	if d.core {
 		b.Moves = c.moves
 	}
-	b.Debug = c.out != io.Discard
-	b.Log = log.With(b.Log, "t", log.Valuer(func() any { return time.Now().Format("05.000") }), "node", name)
+	b.Debug = c.debug || c.out != io.Discard
+	d.set = b.Reload
+	b.Log = log.With(gated{&d.gate, b.Log}, "t", log.Valuer(func() any { return time.Now().Format("05.000") }), "node", name)
 	var p kernel.Plug
 	if d.role == "side" {
 		p = order.New(b, c.Runners[name])
@@ -217,7 +242,7 @@
 
 // Kill ends a daemon at once.
 func (c *Cluster) Kill(name string) {
-	d := c.daemons[name]
+	d := c.daemon(name)
 	c.Net.Down(d.ip)
 	d.kill(kernel.Killed)
 	<-d.done
@@ -226,7 +251,7 @@
 
 // Term asks a daemon to end and waits for it.
 func (c *Cluster) Term(name string) {
-	d := c.daemons[name]
+	d := c.daemon(name)
 	d.kill(context.Canceled)
 	<-d.done
 	c.Net.Down(d.ip)
@@ -255,10 +280,13 @@
 // End stops everything.
 func (c *Cluster) End() {
 	c.beats()
-	for _, d := range c.daemons {
+	for _, n := range c.names("") {
+		d := c.daemon(n)
+		d.gate.open()
 		d.kill(kernel.Killed)
 	}
-	for _, d := range c.daemons {
+	for _, n := range c.names("") {
+		d := c.daemon(n)
 		<-d.done
 		c.Net.Down(d.ip)
 	}
@@ -281,11 +309,18 @@
 }
 
 func (c *Cluster) call(method, url, host string, body any, heads map[string]string) (int, []byte, http.Header) {
+	return c.callBy(c.outside, 3*time.Second, method, url, host, body, heads)
+}
+
+// callBy makes a call by a caller's own connections, within a time.
+func (c *Cluster) callBy(by *http.Client, most time.Duration, method, url, host string, body any, heads map[string]string) (int, []byte, http.Header) {
 	raw, _ := json.Marshal(body)
 	if s, ok := body.(string); ok {
 		raw = []byte(s)
 	}
-	q, err := http.NewRequest(method, url, bytes.NewReader(raw))
+	ctx, stop := context.WithTimeout(context.Background(), most)
+	defer stop()
+	q, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(raw))
 	if err != nil {
 		c.T.Fatal(err)
 	}
@@ -295,7 +330,7 @@
 	for k, v := range heads {
 		q.Header.Set(k, v)
 	}
-	p, err := c.outside.Do(q)
+	p, err := by.Do(q)
 	if err != nil {
 		return 0, nil, nil
 	}
@@ -311,7 +346,10 @@
 
 // Put sends a desired state to a daemon.
 func (c *Cluster) Put(at string, version, base int, more string) int {
-	code, _, _ := c.call(http.MethodPost, "http://"+c.IP(at)+":8166/-/Config.Replace", "", fmt.Sprintf(desired, version, more), map[string]string{wire.HeadBasedOn: fmt.Sprint(base)})
+	q := Call{Sent: time.Now(), At: at, Kind: CallReplace, Version: int64(version), Base: int64(base), Text: fmt.Sprintf(desired, version, more)}
+	code, _, heads := c.call(http.MethodPost, "http://"+c.IP(at)+":8166/-/Config.Replace", "", q.Text, map[string]string{wire.HeadBasedOn: fmt.Sprint(base)})
+	q.Done, q.Code, q.Retry = time.Now(), code, heads.Get(wire.HeadRetry) != ""
+	c.Hist.called(q)
 	return code
 }
 
@@ -336,6 +374,15 @@
 // HandIn sends a job, again to other daemons, until the answer is clear.
 func (c *Cluster) HandIn(id string, job wire.Job) bool { return c.HandInAt("/p/", id, job) }
 
+// clientCall makes a client's call about a job and takes it down.
+func (c *Cluster) clientCall(at, kind, method, path string, body any) (int, []byte) {
+	q := Call{Sent: time.Now(), At: at, Kind: kind}
+	code, raw, heads := c.call(method, "http://"+c.IP(at)+":8161"+path, "h", body, map[string]string{wire.HeadLeft: "2000"})
+	q.Done, q.Code, q.Retry = time.Now(), code, heads.Get(wire.HeadRetry) != ""
+	c.Hist.called(q)
+	return code, raw
+}
+
 // HandInAt is HandIn to another inbox.
 func (c *Cluster) HandInAt(inbox, id string, job wire.Job) bool {
 	j := &Handed{Spec: job.JobSpec, Tries: 3}
@@ -351,7 +398,7 @@
 	refused := true
 	for try := range 12 {
 		at := edges[(int(id[15])+try)%len(edges)]
-		code, _, _ := c.call(http.MethodPost, "http://"+c.IP(at)+":8161"+inbox+id, "h", job, map[string]string{wire.HeadLeft: "2000"})
+		code, _ := c.clientCall(at, CallHandIn, http.MethodPost, inbox+id, job)
 		if code == 200 {
 			c.Hist.mu.Lock()
 			j.Taken = true
@@ -374,7 +421,7 @@
 
 // StateAt is State at another inbox.
 func (c *Cluster) StateAt(inbox, at, id string) string {
-	code, raw, _ := c.call(http.MethodGet, "http://"+c.IP(at)+":8161"+inbox+id, "h", "", nil)
+	code, raw := c.clientCall(at, CallStatus, http.MethodGet, inbox+id, "")
 	if code != 200 {
 		if code == 410 {
 			c.Hist.add(Fact{Kind: "shown", Job: id, State: "410"})
@@ -399,7 +446,7 @@
 		j.OffWant = true
 	}
 	c.Hist.mu.Unlock()
-	code, _, _ := c.call(http.MethodDelete, "http://"+c.IP(at)+":8161"+inbox+id, "h", "", nil)
+	code, _ := c.clientCall(at, CallCancel, http.MethodDelete, inbox+id, "")
 	if code == 200 {
 		c.Hist.mu.Lock()
 		if j := c.Hist.Jobs[id]; j != nil && j.OffAt.IsZero() {
@@ -414,7 +461,7 @@
 // used only to choose whom to harm.
 func (c *Cluster) Leader() string {
 	for _, n := range c.names("edge") {
-		if d := c.daemons[n]; d.core {
+		if d := c.daemon(n); d.core {
 			if l := leaderOf(c, n); l != "" {
 				return l
 			}
--- a/internal/sim/leader.go
+++ b/internal/sim/leader.go
@@ -20,8 +20,8 @@
 	if v.Leads {
 		return at
 	}
-	for n, d := range c.daemons {
-		if d.ip+":7720" == v.Lead {
+	for _, n := range c.names("") {
+		if c.IP(n)+":7720" == v.Lead {
 			return n
 		}
 	}
--- a/internal/sim/net.go
+++ b/internal/sim/net.go
@@ -76,8 +76,8 @@
 	return n.delay + n.slow[from] + n.slow[to]
 }
 
-// Down resets all connections and ports of a host.
-func (n *Net) Down(ip string) {
+// Reset ends all connections of a host; its ports stay open.
+func (n *Net) Reset(ip string) {
 	n.mu.Lock()
 	var cs []*conn
 	for c := range n.conns {
@@ -85,6 +85,15 @@
 			cs = append(cs, c)
 		}
 	}
+	n.mu.Unlock()
+	for _, c := range cs {
+		_ = c.Close()
+	}
+}
+
+// Down resets all connections and ports of a host.
+func (n *Net) Down(ip string) {
+	n.mu.Lock()
 	var ps []*port
 	for a, p := range n.ports {
 		if ipOf(a) == ip {
@@ -95,9 +104,7 @@
 	for _, p := range ps {
 		_ = p.Close()
 	}
-	for _, c := range cs {
-		_ = c.Close()
-	}
+	n.Reset(ip)
 }
 
 type port struct {
--- a/internal/sim/rules.go
+++ b/internal/sim/rules.go
@@ -43,6 +43,7 @@
 type History struct {
 	mu    sync.Mutex
 	Facts []Fact
+	Calls []Call
 	Jobs  map[string]*Handed
 	fails map[string]int // runs that failed so far, by task
 }
@@ -70,6 +71,7 @@
 // rules are the checkers, by the rules' names.
 var rules = map[string]func(*History) []string{
 	"TWICE": twice, "ORDER": ordered, "BUDGET": budget, "LIMIT": limit, "UNASKED": unasked, "MIXED": mixed, "LOST": lost, "REFUSED": refused, "DRAIN": drain,
+	"CONFIG": configuration, "ALONE": alone,
 }
 
 // Broken holds all rules against the history.
