--- /dev/null
+++ b/internal/sim/day_test.go
@@ -0,0 +1,218 @@
+package sim
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand"
+	"regexp"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// longer multiplies the seeds of the tests that play several:
+//
+//	go test ./internal/sim -run TestStormyDay -sim.longer 10
+var longer = flag.Int("sim.longer", 1, "times as many seeds")
+
+// seeds are the fixed seeds of a test, more with -sim.longer.
+func seeds(n int) []int64 {
+	var out []int64
+	for i := range n * *longer {
+		out = append(out, int64(i+1))
+	}
+	return out
+}
+
+// Bounds of the tests' settings file (DEPLOY, the example).
+const (
+	inTouch     = 3 * time.Second
+	configApply = 2 * time.Second
+)
+
+// day is a cluster's life under a light load of jobs and of operators.
+type day struct {
+	*Cluster
+	rnd    *rand.Rand
+	ctx    context.Context
+	stop   context.CancelFunc
+	all    sync.WaitGroup
+	mu     sync.Mutex
+	handed []string // jobs that were accepted
+	tasks  int      // of each job
+	taskMs int
+	pause  time.Duration // between two jobs
+}
+
+// playDay builds a cluster, lets a scenario happen under load and holds what was
+// seen against all rules: nothing acknowledged is lost.
+func playDay(t *testing.T, s Shape, seed int64, scene func(d *day)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := Build(t, s)
+		defer c.End()
+		c.Ready()
+		ctx, stop := context.WithCancel(context.Background())
+		d := &day{Cluster: c, rnd: rand.New(rand.NewSource(seed)), ctx: ctx, stop: stop, tasks: 2, taskMs: 400, pause: 300 * time.Millisecond}
+		defer d.all.Wait()
+		defer stop()
+		d.load(seed)
+		scene(d)
+		if !t.Failed() {
+			d.close()
+		}
+		d.report()
+	})
+}
+
+var figures = regexp.MustCompile(`[0-9]+`)
+
+// report shows what is broken, the first lines of it.
+func (d *day) report() {
+	broken := d.Hist.Broken()
+	kinds := map[string]int{}
+	for _, b := range broken {
+		// Why by their words: hundreds of calls may fail alike.
+		k := figures.ReplaceAllString(b, "#")
+		if kinds[k]++; kinds[k] <= 2 {
+			d.T.Error(b)
+		}
+	}
+	if len(broken) > 0 {
+		d.T.Errorf("%d breaks of %d kinds", len(broken), len(kinds))
+	}
+}
+
+// load hands in jobs until the day closes.
+func (d *day) load(seed int64) {
+	rnd := rand.New(rand.NewSource(seed + 1000))
+	d.all.Go(func() {
+		for i := 0; d.ctx.Err() == nil; i++ {
+			d.all.Go(func() {
+				if d.HandIn(id(i), job(d.taskMs, 400, d.tasks)) {
+					d.mu.Lock()
+					d.handed = append(d.handed, id(i))
+					d.mu.Unlock()
+				}
+			})
+			time.Sleep(d.pause/2 + time.Duration(rnd.Int63n(int64(d.pause))))
+		}
+	})
+}
+
+// pilot sends changes one after another until the day closes or done is shut;
+// what it gives is shut once it has ended.
+func (d *day) pilot(seed int64, pause time.Duration, done <-chan struct{}) <-chan struct{} {
+	o, ended := d.NewOperator(seed), make(chan struct{})
+	d.all.Go(func() {
+		defer close(ended)
+		defer o.End()
+		for {
+			select {
+			case <-d.ctx.Done():
+				return
+			case <-done:
+				return
+			default:
+			}
+			o.Step(10 * time.Second)
+			time.Sleep(pause)
+		}
+	})
+	return ended
+}
+
+// storm sends a change each gap for a while, whatever came of those before:
+// up to eight are under way.
+func (d *day) storm(seed int64, gap, most time.Duration) {
+	room := make(chan *Operator, 8)
+	for i := range cap(room) {
+		room <- d.NewOperator(seed*100 + int64(i))
+	}
+	d.all.Go(func() {
+		for end := time.Now().Add(most); time.Now().Before(end) && d.ctx.Err() == nil; time.Sleep(gap) {
+			select {
+			case o := <-room:
+				d.all.Go(func() {
+					o.Read(5 * time.Second)
+					o.Step(10 * time.Second)
+					room <- o
+				})
+			default:
+			}
+		}
+	})
+}
+
+// close ends the load and demands that all that was acknowledged is there.
+func (d *day) close() {
+	d.T.Helper()
+	d.stop()
+	d.all.Wait()
+	time.Sleep(inTouch)
+	o := d.NewOperator(1)
+	defer o.End()
+	o.ReadAll(10 * time.Second)
+	at := d.names("edge")
+	for i, j := range d.handed {
+		d.Until("job "+j+" is done", 60*time.Second, func() bool { return d.State(at[i%len(at)], j) == "done" })
+	}
+	if len(d.handed) == 0 {
+		d.T.Error("no job was accepted")
+	}
+}
+
+// servesTheNewest demands that a daemon is ready and handles by the newest
+// acknowledged configuration, within the bounds after a trouble's end. No other
+// operator is at work.
+func (d *day) servesTheNewest(name string, from time.Time) {
+	d.T.Helper()
+	o := d.NewOperator(9)
+	defer o.End()
+	o.Read(5 * time.Second)
+	x, code := o.Step(5 * time.Second)
+	if code != 200 {
+		d.T.Errorf("a change after the trouble: %d", code)
+		return
+	}
+	left := max(inTouch+configApply-time.Since(from), configApply)
+	d.Until(name+" reads the newest configuration", left, func() bool {
+		q := o.ReadAt(name)
+		return q.Code == 200 && q.Version == x.Version
+	})
+	d.Until(name+" knows the newest route", left, func() bool {
+		code, _ := d.clientCall(name, CallStatus, "GET", fmt.Sprintf("/v%d/", x.Version), "")
+		return code == 200
+	})
+	d.Until(name+" is ready", left, func() bool { return d.ReadyAt(name) })
+}
+
+// meet has an operator and a client call one daemon in all ways, again and
+// again, until done is shut.
+func (d *day) meet(name string, o *Operator, done <-chan struct{}) *sync.WaitGroup {
+	var all sync.WaitGroup
+	again := func(f func(i int)) {
+		all.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				f(i)
+				time.Sleep(400 * time.Millisecond)
+			}
+		})
+	}
+	again(func(i int) {
+		o.ReadAt(name)
+		o.SendAt(name, d.NewChange(o.base))
+	})
+	again(func(i int) { d.clientCall(name, CallStatus, "GET", "/p/"+id(0), "") })
+	again(func(i int) { d.clientCall(name, CallStatus, "GET", "/p/"+id(900000), "") })
+	again(func(i int) { d.clientCall(name, CallStatus, "GET", "/nowhere/"+id(0), "") })
+	again(func(i int) { d.clientCall(name, CallCancel, "DELETE", "/p/"+id(900001), "") })
+	return &all
+}
