--- a/internal/core/diskwait_test.go
+++ b/internal/core/diskwait_test.go
@@ -24,15 +24,24 @@
 	c.startNode(raft.Point{Index: 1, Conf: vs})
 	time.Sleep(10 * time.Second)
 	c.node.Tick(time.Now())
-	for _, kind := range []byte{raft.MsgPreVoteAnswer, raft.MsgVoteAnswer} {
-		term := c.node.Term()
-		if kind == raft.MsgPreVoteAnswer {
-			term++
+	answer := func(m raft.Msg) {
+		m.From, m.To = "b", c.me.Disk
+		c.node.Step(m, time.Now())
+	}
+	synced := func() raft.Out {
+		o := c.node.Take()
+		c.node.Synced(o.Mark)
+		return o
+	}
+	answer(raft.Msg{Kind: raft.MsgPreVoteAnswer, Term: c.node.Term() + 1})
+	synced()
+	answer(raft.Msg{Kind: raft.MsgVoteAnswer, Term: c.node.Term()})
+	o := synced()
+	for _, m := range append(o.Now, o.After...) {
+		if m.To == "b" && m.Kind == raft.MsgAppend {
+			answer(raft.Msg{Kind: raft.MsgAppendAnswer, Term: m.Term, Index: c.node.LastIndex(), Sent: m.Sent})
 		}
-		c.node.Step(raft.Msg{Kind: kind, From: "b", To: c.me.Disk, Term: term}, time.Now())
 	}
-	c.node.Synced(c.node.Take().Mark)
-	c.node.Step(raft.Msg{Kind: raft.MsgAppendAnswer, From: "b", To: c.me.Disk, Term: c.node.Term(), Index: c.node.LastIndex(), Sent: time.Now().UnixNano()}, time.Now())
 	c.node.Take()
 	c.node.Settled()
 	if !c.node.Ready() {
--- a/internal/order/model_test.go
+++ b/internal/order/model_test.go
@@ -92,7 +92,7 @@
 }
 
 func (m *model) run(kind string, c store.Cmd) store.Outcome {
-	return m.st.Run(link.Pack(store.Batch{Clock: time.Now().UnixMilli(), Cmds: []store.Raw{store.Encode(kind, c)}}))[0]
+	return m.st.Run(m.st.Applied+1, link.Pack(store.Batch{Clock: time.Now().UnixMilli(), Cmds: []store.Raw{store.Encode(kind, c)}}))[0]
 }
 
 // apply is what the leader does with one ask.
