--- a/internal/order/model_test.go
+++ b/internal/order/model_test.go
@@ -338,7 +338,7 @@
 		for id, at := range m.granted {
 			if time.Since(at) > hold {
 				delete(m.granted, id)
-				m.run("lapse", &store.Lapse{IDs: []string{id}})
+				m.run("lapse", &store.Lapse{Workers: []store.Fenced{{ID: id, Fence: m.st.Workers[id].Fence}}})
 			}
 		}
 		var items []store.Item
--- a/internal/sim/day_test.go
+++ b/internal/sim/day_test.go
@@ -43,7 +43,7 @@
 	handed []string // jobs that were accepted
 	tasks  int      // of each job
 	taskMs int
-	cpu    int // units of a task
+	cpu    int           // units of a task
 	pause  time.Duration // between two jobs
 }
 
