--- a/internal/core/diskwait_test.go
+++ b/internal/core/diskwait_test.go
@@ -31,8 +31,14 @@
 		}
 		c.node.Step(raft.Msg{Kind: kind, From: "b", To: c.me.Disk, Term: term}, time.Now())
 	}
-	c.node.Synced(c.node.Take().Mark)
-	c.node.Step(raft.Msg{Kind: raft.MsgAppendAnswer, From: "b", To: c.me.Disk, Term: c.node.Term(), Index: c.node.LastIndex(), Sent: time.Now().UnixNano()}, time.Now())
+	o := c.node.Take()
+	c.node.Synced(o.Mark)
+	for _, m := range append(o.Now, o.After...) {
+		if m.Kind == raft.MsgAppend && m.To == "b" {
+			c.node.Step(raft.Msg{Kind: raft.MsgAppendAnswer, From: "b", To: c.me.Disk, Term: m.Term, Index: m.Index + uint64(len(m.Entries)),
+				Commit: m.Index, LogTerm: m.LogTerm, Sent: m.Sent}, time.Now())
+		}
+	}
 	c.node.Take()
 	c.node.Settled()
 	if !c.node.Ready() {
--- a/internal/disk/read.go
+++ b/internal/disk/read.go
@@ -107,13 +107,18 @@
 	for _, f := range []struct {
 		key []byte
 		to  any
-	}{{kHard, &h.Hard}, {kPt, &h.Point}, {kConf, &h.Bound}} {
+	}{{kHard, &h.Hard}, {kConf, &h.Bound}} {
 		if raw := in.meta[string(f.key)]; raw != nil {
 			if err := decode(f.key, raw, f.to); err != nil {
 				return err
 			}
 		}
 	}
+	if raw := in.meta[string(kPt)]; raw != nil {
+		if h.Point, err = decodePoint(raw); err != nil {
+			return err
+		}
+	}
 	if in.meta[string(kSnap)] != nil {
 		if h.Point, err = in.snapshot.whole(); err != nil {
 			return err
@@ -126,6 +131,27 @@
 	return checkLog(h.Point, h.Log)
 }
 
+// listPoint is a snapshot as the first version wrote it, as a list.
+type listPoint struct {
+	_     struct{} `cbor:",toarray"`
+	Index uint64
+	Term  uint64
+	Conf  []raft.Voter
+	Data  []byte
+}
+
+// decodePoint reads a snapshot that is one record. Those of the first version
+// are read whatever form raft.Point has taken since.
+func decodePoint(raw []byte) (raft.Point, error) {
+	var p raft.Point
+	err := decode(kPt, raw, &p)
+	var l listPoint
+	if err != nil && decode(kPt, raw, &l) == nil {
+		return raft.Point{Index: l.Index, Term: l.Term, Conf: l.Conf, Data: l.Data}, nil
+	}
+	return p, err
+}
+
 // checkLog holds the log against the rules by which it was written: it goes on
 // from the snapshot without a gap, and terms never fall.
 //
--- a/internal/disk/record_test.go
+++ b/internal/disk/record_test.go
@@ -91,12 +91,12 @@
 	set := []raft.Voter{{Node: "a", Disk: "1"}}
 	edit(t, path, func(m, l *bolt.Bucket) error {
 		for _, e := range entries(1, 300, 3) {
-			if err := l.Put(key(e.Index), plain(e)); err != nil {
+			if err := l.Put(key(e.Index), plain([]any{e.Index, e.Term, e.Kind, e.Data})); err != nil {
 				return err
 			}
 		}
-		return errors.Join(m.Put(kID, []byte("0123456789abcdef01234567")), m.Put(kHard, plain(raft.Hard{Term: 7, Vote: "y"})),
-			m.Put(kConf, plain(set)), m.Put(kPt, plain(raft.Point{Index: 10, Term: 3, Conf: set, Data: []byte("state")})))
+		return errors.Join(m.Put(kID, []byte("0123456789abcdef01234567")), m.Put(kHard, plain([]any{7, "y"})),
+			m.Put(kConf, plain(set)), m.Put(kPt, plain([]any{10, 3, set, []byte("state")})))
 	})
 	d, h := reopen(t, nil, dir)
 	if h.ID != "0123456789abcdef01234567" || h.Hard.Vote != "y" || len(h.Log) != 290 || string(h.Point.Data) != "state" || len(h.Bound) != 1 {
