--- a/internal/core/streams.go
+++ b/internal/core/streams.go
@@ -24,6 +24,9 @@
 	switch e.Frame.Kind {
 	case member.FrameRaft:
 		c.meter.add("raft_in", 1)
+		if c.swamped() {
+			return
+		}
 		var m raft.Msg
 		if link.Unpack(e.Frame.Body, &m) != nil || m.To != c.me.Disk {
 			// Why dropped: addresses are reused, and it is meant for another.
--- a/internal/desire/fuzz_test.go
+++ b/internal/desire/fuzz_test.go
@@ -11,7 +11,8 @@
 	f.Add(sized(2))
 	for _, text := range []string{"", "{", "[]", "null", `{"configVersion":1e3}`, `{"routeList":[],"configVersion":7}`,
 		`{"configVersion":7,"configVersion":8}`, `{"configversion":7}`, `{"configVersion":8,"ConfigVersion":7,"routeList":[],"serviceList":[]}`,
-		`{"configVersion":8}{}`, two("h", "/p/", "H", "/p/"), two("h", "/p", "h", "/p/"), two("h", "/", "h", "/p")} {
+		`{"configVersion":8}{}`, two("h", "/p/", "H", "/p/"), two("h", "/p", "h", "/p/"), two("h", "/", "h", "/p"), two("H:8", "/x/", "h", "/x/"),
+		`{"configVersion":-1,"routeList":[{}],"serviceList":[{},{}]}`, `{"configVersion":9223372036854775808}`, "["} {
 		f.Add([]byte(text))
 	}
 	f.Fuzz(func(t *testing.T, raw []byte) {
@@ -20,6 +21,9 @@
 		if err != nil || Check(raw) != nil {
 			return
 		}
+		if _, err := Read(s.Raw); err != nil {
+			t.Errorf("what was accepted doesn't read again: %v", err)
+		}
 		table := NewTable(s)
 		for i := range s.Lanes {
 			l := &s.Lanes[i]
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -328,6 +328,14 @@
 	// SnapshotFrames is the number of frames in one transaction: about 1 MB, so
 	// that entries which wait for the same disk are held up by no more.
 	SnapshotFrames = 16
+	// DiskBehind is how long a disk may sync nothing while work waits before a
+	// leader hands the lead on: several slow syncs, and under the shortest wait
+	// of a client.
+	DiskBehind = 300 * time.Millisecond
+	// DiskJobs is the number of writes under way from which a member takes no
+	// more messages of the agreement and no more commands: its disk does not
+	// serve, and memory is bounded.
+	DiskJobs = 4096
 )
 
 // Package member.
@@ -395,3 +403,48 @@
 	// anew.
 	PieceStall = 2 * time.Second
 )
+
+// Constants of redirects in internal/door.
+const (
+	// RedirectFresh is how lately the leader must have answered for operators
+	// to be sent on to it: one missed renewal of the membership is borne.
+	RedirectFresh = 2 * Claim
+	// RedirectBytes is the size of a configuration from which on a daemon
+	// without a disk sends the operator on instead of carrying it: on a link of
+	// 2 Mbit/s so much takes an eighth of a second each way.
+	RedirectBytes = 32 << 10
+)
+
+// Constants of raft and of the core's membership.
+const (
+	// CandidateHeard is the longest silence of a candidate that may take a
+	// voter's place; some heartbeats.
+	CandidateHeard = time.Second
+	// CandidateSilent is the silence after which a candidate is forgotten; above
+	// any pause of its announcements.
+	CandidateSilent = 10 * time.Second
+	// LeaveShare is the part of graceS for which a daemon that was told to end
+	// waits at most while the others need its disk. The requests under way then
+	// have half of graceS, and the process must end before all of it is over.
+	LeaveShare = 0.4
+	// LeaveSlack is added where the loop itself may be late.
+	LeaveSlack = 200 * time.Millisecond
+	// LeaveAsk is the pause between two asks whether a daemon may end.
+	LeaveAsk = 50 * time.Millisecond
+	// HandOver is how long a leader that ends waits for another to lead.
+	HandOver = 300 * time.Millisecond
+)
+
+// Bounds of decoders.
+const (
+	// FrameElements is the most elements of one list or map in a frame: a batch
+	// of reports names at most all workers, an append holds fewer entries.
+	FrameElements = 1 << 16
+	// FrameLevels is how deep lists in a frame may be nested.
+	FrameLevels = 12
+	// StateElements is the most rows of one table in a snapshot: seventy times
+	// the runs of the planned size.
+	StateElements = 1 << 22
+	// StateLevels is how deep a snapshot may be nested.
+	StateLevels = 16
+)
