--- a/internal/order/model_test.go
+++ b/internal/order/model_test.go
@@ -92,7 +92,7 @@
 }
 
 func (m *model) run(kind string, c store.Cmd) store.Outcome {
-	return m.st.Run(link.Pack(store.Batch{Clock: time.Now().UnixMilli(), Cmds: []store.Raw{store.Encode(kind, c)}}))[0]
+	return m.st.Run(m.st.Applied+1, link.Pack(store.Batch{Clock: time.Now().UnixMilli(), Cmds: []store.Raw{store.Encode(kind, c)}}))[0]
 }
 
 // apply is what the leader does with one ask.
@@ -338,7 +338,7 @@
 		for id, at := range m.granted {
 			if time.Since(at) > hold {
 				delete(m.granted, id)
-				m.run("lapse", &store.Lapse{IDs: []string{id}})
+				m.run("lapse", &store.Lapse{Workers: []store.Fenced{{ID: id, Fence: m.st.Workers[id].Fence}}})
 			}
 		}
 		var items []store.Item
