--- a/internal/core/streams.go
+++ b/internal/core/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"tealpond/internal/link"
@@ -17,6 +18,7 @@
 				delete(c.streams, a)
 			}
 		}
+		maps.DeleteFunc(c.back, func(_ string, s *link.Stream) bool { return s == e.Stream })
 		c.dropKids(e.Stream)
 		return
 	}
@@ -38,9 +40,7 @@
 			}
 			c.startNode(c.held.Point)
 		}
-		if c.addrOf(m.From) == "" {
-			c.back[m.From] = e.Stream
-		}
+		c.back[m.From] = e.Stream
 		c.node.Step(m, time.Now())
 	case framePiece:
 		c.onPiece(ctx, e.Frame.Body, e.Stream)
@@ -82,24 +82,30 @@
 func (c *Core) send(ctx context.Context, to string, f link.Frame) bool {
 	addr := c.addrOf(to)
 	if addr == "" {
-		// Back on its own stream: a candidate knows no addresses yet.
-		b := c.back[to]
-		return b != nil && b.Send(f)
+		return c.sendBack(to, f)
 	}
 	s := c.streams[addr]
 	if s == nil {
 		c.dial(ctx, addr)
-		return false
+		return c.sendBack(to, f)
 	}
 	if !s.Send(f) {
 		// Here too, since a stream may have ended before it was noted.
 		delete(c.streams, addr)
 		c.dial(ctx, addr)
-		return false
+		return c.sendBack(to, f)
 	}
 	return true
 }
 
+// sendBack answers a member on the stream by which it was last heard: a
+// candidate knows no addresses yet, and the first answer after a snapshot, which
+// names them, must not be lost for the time that a new stream takes.
+func (c *Core) sendBack(to string, f link.Frame) bool {
+	back := c.back[to]
+	return back != nil && back.Send(f)
+}
+
 func (c *Core) addrOf(d string) string {
 	for _, v := range c.node.Voters() {
 		if v.Disk == d {
--- a/internal/core/transfer.go
+++ b/internal/core/transfer.go
@@ -59,9 +59,13 @@
 	return o != nil && o.msg.Term == term && now.Sub(o.moved) < tune.PieceStall
 }
 
-// next is the piece that the receiver lacks.
+// next is the piece that the receiver lacks; one without bytes, once it has all
+// of them: the message is sent again because its answer was lost.
 func (o *outgoing) next(now time.Time) piece {
 	o.sent = now
+	if o.data == nil {
+		return piece{Msg: o.msg, Total: o.total, Offset: o.total}
+	}
 	return piece{o.msg, o.total, o.have, o.data[o.have:min(o.have+tune.PieceBytes, o.total)]}
 }
 
@@ -106,7 +110,7 @@
 		o = newOutgoing(m, now)
 		c.outgoing[m.To] = o
 	}
-	if o.data != nil && now.Sub(o.sent) >= tune.PieceAgain {
+	if now.Sub(o.sent) >= tune.PieceAgain {
 		c.sendPiece(ctx, o, now)
 	}
 }
@@ -134,9 +138,7 @@
 		return
 	}
 	from, point := p.Msg.From, p.Msg.Point
-	if c.addrOf(from) == "" {
-		c.back[from] = s
-	}
+	c.back[from] = s
 	n := c.incoming[from]
 	if n == nil || n.index != point.Index || n.term != point.Term || n.total != p.Total {
 		n = &incoming{index: point.Index, term: point.Term, total: p.Total}
--- a/internal/core/transfer_test.go
+++ b/internal/core/transfer_test.go
@@ -95,3 +95,36 @@
 		}
 	})
 }
+
+// TestLostAnswerToASnapshotIsGivenAgain: all pieces have arrived, the answer of
+// the agreement was lost. When the agreement repeats the message, it goes without
+// the bytes, and the receiver answers by what it holds.
+func TestLostAnswerToASnapshotIsGivenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		point := snapshotOf(t, 10, "z")
+		now := time.Now()
+		o := newOutgoing(raft.Msg{Kind: raft.MsgPoint, From: "b", To: "a", Term: 3, Point: point}, now)
+		give := func(p piece) {
+			b.c.take(t.Context(), Event{Link: &link.Event{Frame: link.Frame{Kind: framePiece, Body: link.Pack(p)}}})
+		}
+		for o.data != nil {
+			p := o.next(now)
+			give(p)
+			o.got(pieceGot{"a", "b", point.Index, p.Offset + len(p.Data)}, now)
+		}
+		b.rest()
+		if b.c.st.Applied != 10 {
+			t.Fatalf("the state is at %d", b.c.st.Applied)
+		}
+		again := o.next(now)
+		if len(again.Data) != 0 {
+			t.Errorf("%d bytes are sent again", len(again.Data))
+		}
+		give(again)
+		out := b.c.node.Take()
+		if len(out.Now)+len(out.After) != 1 {
+			t.Errorf("%d answers", len(out.Now)+len(out.After))
+		}
+	})
+}
