--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -246,6 +246,9 @@
 		delete(c.dialing, e.Peer.addr)
 		if e.Peer.stream != nil {
 			c.streams[e.Peer.addr] = e.Peer.stream
+			if c.node != nil {
+				c.resume(ctx)
+			}
 		} else {
 			c.dialing[e.Peer.addr] = time.Now().Add(100 * time.Millisecond)
 		}
--- a/internal/core/streams.go
+++ b/internal/core/streams.go
@@ -89,7 +89,10 @@
 	s := c.streams[addr]
 	if s == nil {
 		c.dial(ctx, addr)
-		return false
+		// Back on its own stream meanwhile: a candidate that has just learnt
+		// the addresses from a snapshot must not lose its answer to it.
+		b := c.back[to]
+		return b != nil && b.Send(f)
 	}
 	if !s.Send(f) {
 		// Here too, since a stream may have ended before it was noted.
--- a/internal/core/transfer.go
+++ b/internal/core/transfer.go
@@ -38,36 +38,45 @@
 // outgoing is a transfer to one member.
 type outgoing struct {
 	msg   raft.Msg
-	data  []byte // nil once all of it has arrived
-	total int
-	have  int
+	data  []byte
+	have  int // that many bytes have arrived
 	sent  time.Time
 	moved time.Time // when it last got on
 }
 
 func newOutgoing(m raft.Msg, now time.Time) *outgoing {
-	o := &outgoing{msg: m, data: m.Point.Data, total: len(m.Point.Data), moved: now}
+	o := &outgoing{msg: m, data: m.Point.Data, moved: now}
 	p := *m.Point
 	p.Data = nil
 	o.msg.Point = &p
 	return o
 }
 
-// stands tells whether a transfer goes on, or has just been completed, so that
-// the same message needn't begin another.
-func (o *outgoing) stands(term uint64, now time.Time) bool {
-	return o != nil && o.msg.Term == term && now.Sub(o.moved) < tune.PieceStall
+// arrived tells whether the receiver holds all of it.
+func (o *outgoing) arrived() bool { return o.have == len(o.data) }
+
+// stands tells whether a transfer does for a message: it gets on, be it with an
+// earlier snapshot, or this one has arrived.
+func (o *outgoing) stands(m raft.Msg, now time.Time) bool {
+	if o == nil || o.msg.Term != m.Term {
+		return false
+	}
+	if o.arrived() {
+		return o.msg.Point.Index == m.Point.Index
+	}
+	return now.Sub(o.moved) < tune.PieceStall
 }
 
-// next is the piece that the receiver lacks.
+// next is the piece that the receiver lacks. Once all has arrived it is empty,
+// and calls forth the answer to the message again, which may be lost.
 func (o *outgoing) next(now time.Time) piece {
 	o.sent = now
-	return piece{o.msg, o.total, o.have, o.data[o.have:min(o.have+tune.PieceBytes, o.total)]}
+	return piece{o.msg, len(o.data), o.have, o.data[o.have:min(o.have+tune.PieceBytes, len(o.data))]}
 }
 
 // got takes the receiver's word; true if another piece is due.
 func (o *outgoing) got(g pieceGot, now time.Time) bool {
-	if o == nil || o.data == nil || g.Index != o.msg.Point.Index || g.Have < 0 || g.Have > o.total || g.Have == o.have && g.Have > 0 {
+	if o == nil || g.Index != o.msg.Point.Index || g.Have < 0 || g.Have > len(o.data) || g.Have == o.have && g.Have > 0 {
 		return false
 	}
 	// Less than before: the receiver was started anew and begins anew too.
@@ -75,11 +84,7 @@
 		o.moved = now
 	}
 	o.have = g.Have
-	if o.have == o.total {
-		o.data = nil
-		return false
-	}
-	return true
+	return !o.arrived()
 }
 
 // incoming is a transfer from one member.
@@ -102,17 +107,30 @@
 func (c *Core) transfer(ctx context.Context, m raft.Msg) {
 	now := time.Now()
 	o := c.outgoing[m.To]
-	if !o.stands(m.Term, now) {
+	if !o.stands(m, now) {
 		o = newOutgoing(m, now)
 		c.outgoing[m.To] = o
 	}
-	if o.data != nil && now.Sub(o.sent) >= tune.PieceAgain {
+	o.msg.Sent = m.Sent
+	if now.Sub(o.sent) >= tune.PieceAgain {
 		c.sendPiece(ctx, o, now)
 	}
 }
 
 func (c *Core) sendPiece(ctx context.Context, o *outgoing, now time.Time) {
-	c.send(ctx, o.msg.To, link.Frame{Kind: framePiece, Body: link.Pack(o.next(now))})
+	if !c.send(ctx, o.msg.To, link.Frame{Kind: framePiece, Body: link.Pack(o.next(now))}) {
+		o.sent = time.Time{} // nothing is under way
+	}
+}
+
+// resume goes on with transfers that waited for a stream.
+func (c *Core) resume(ctx context.Context) {
+	now := time.Now()
+	for to, o := range c.outgoing {
+		if o.sent.IsZero() && c.streams[c.addrOf(to)] != nil {
+			c.sendPiece(ctx, o, now)
+		}
+	}
 }
 
 // onPieceGot sends the next piece.
--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -397,8 +397,9 @@
 	// an append. One is under way at a time.
 	PieceBytes = 64 << 10
 	// PieceAgain is how long a piece may be under way before it is sent again:
-	// 64 KB take 0.3 s at 2 Mbit/s.
-	PieceAgain = time.Second
+	// 64 KB take 0.3 s at 2 Mbit/s, and the agreement repeats a snapshot after
+	// a second.
+	PieceAgain = 700 * time.Millisecond
 	// PieceStall is how long a transfer may stand still before it is begun
 	// anew.
 	PieceStall = 2 * time.Second
