--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -119,7 +119,6 @@
 	inDisk   int
 	swept    time.Time
 	rebuilt  time.Time
-	kept     time.Time
 	wallOff  int64
 	wallSet  bool
 	checks   time.Time
--- a/internal/foresee/forecast_test.go
+++ b/internal/foresee/forecast_test.go
@@ -1,7 +1,6 @@
 package foresee
 
 import (
-	"fmt"
 	"math"
 	"math/rand"
 	"testing"
@@ -75,7 +74,7 @@
 			name string
 			m    mark
 		}{{"forecast", ours}, {"as now", asNow}, {"as yesterday", yesterday}} {
-			t.Log(fmt.Sprintf("ahead %d: %-12s error %.2f, missed %.0f%%, false alarms %.1f%%", ahead, x.name, x.m.err, 100*x.m.miss, 100*x.m.false))
+			t.Logf("ahead %d: %-12s error %.2f, missed %.0f%%, false alarms %.1f%%", ahead, x.name, x.m.err, 100*x.m.miss, 100*x.m.false)
 		}
 		if ours.err >= yesterday.err || ahead >= 4 && ours.err >= asNow.err {
 			t.Errorf("ahead %d: error %.2f against %.2f as now and %.2f as yesterday", ahead, ours.err, asNow.err, yesterday.err)
--- a/internal/store/cmd.go
+++ b/internal/store/cmd.go
@@ -35,7 +35,6 @@
 }
 
 var kinds = map[string]func() Cmd{}
-var names = map[string]string{}
 
 func register(kind string, f func() Cmd) { kinds[kind] = f }
 
