--- a/internal/core/above_test.go
+++ b/internal/core/aggregation_test.go
@@ -12,25 +12,25 @@
 // leaderOver is as much of a leader as answers an aggregator, with workers
 // that were taken up; fences by worker.
 func leaderOver(workers ...string) (*Core, map[string]int64) {
-	c := &Core{sets: map[string]seats{}, att: map[string]*attached{}, st: store.New(store.Limits{}), hold: time.Second}
+	c := &Core{memberSets: map[string]memberSet{}, leases: map[string]*workerLease{}, state: store.New(store.Limits{}), leaseTime: time.Second}
 	fences := map[string]int64{}
 	for _, w := range workers {
-		fences[w] = (&store.TakeUp{ID: w, Node: "node-" + w}).Apply(c.st).N
-		c.att[w] = &attached{}
+		fences[w] = (&store.TakeUp{ID: w, Node: "node-" + w}).Apply(c.state).N
+		c.leases[w] = &workerLease{}
 	}
 	return c, fences
 }
 
 // granted sends a batch and gives the code and who was granted by it.
-func granted(c *Core, g member.Grants) (int, string) {
-	for _, a := range c.att {
-		a.granted = time.Time{}
+func granted(c *Core, request member.Grants) (int, string) {
+	for _, lease := range c.leases {
+		lease.grantedAt = time.Time{}
 	}
 	code := 0
-	c.askGrants(link.Pack(&g), nil, func(a member.Answer) { code = a.Code })
+	c.askGrants(link.Pack(&request), nil, func(a member.Answer) { code = a.Code })
 	who := ""
 	for _, w := range []string{"a", "b", "c"} {
-		if a := c.att[w]; a != nil && !a.granted.IsZero() {
+		if lease := c.leases[w]; lease != nil && !lease.grantedAt.IsZero() {
 			who += w
 		}
 	}
--- a/internal/core/apply.go
+++ b/internal/core/apply.go
@@ -10,16 +10,16 @@
 	"tealpond/internal/tune"
 )
 
-// waiter is a caller whose command is in the log.
+// waiter holds the callers whose commands are in one entry of the log.
 type waiter struct {
-	term  uint64
-	reply []func(store.Outcome, bool)
+	term    uint64
+	replies []func(store.Outcome, bool)
 }
 
-// unclear answers those who wait for an entry that will not be applied here as
-// it was proposed: whether it takes effect isn't known.
-func (w waiter) unclear() {
-	for _, r := range w.reply {
+// unclear answers the callers of an entry that will not be applied here as it was
+// proposed: whether it takes effect isn't known.
+func (waiting waiter) unclear() {
+	for _, r := range waiting.replies {
 		if r != nil {
 			r(store.Outcome{}, false)
 		}
@@ -28,10 +28,10 @@
 
 // unclear ends the wait for an entry without an outcome.
 func (c *Core) unclear(index uint64) {
-	w, ok := c.waits[index]
+	waiting, ok := c.waiters[index]
 	if ok {
-		delete(c.waits, index)
-		w.unclear()
+		delete(c.waiters, index)
+		waiting.unclear()
 	}
 }
 
@@ -39,21 +39,21 @@
 // the state is found to be wrong.
 func (c *Core) apply(ctx context.Context) bool {
 	defer c.meter.span("apply")()
-	es := c.node.Settled()
-	for _, e := range es {
+	entries := c.node.Settled()
+	for _, e := range entries {
 		c.applyEntry(e)
-		c.sumAt(ctx, e.Index)
-		c.cutAt(ctx, e.Index)
-		if c.audit.wrong > 0 {
+		c.digestAt(ctx, e.Index)
+		c.snapshotAt(ctx, e.Index)
+		if c.audit.divergedAt > 0 {
 			return false
 		}
 	}
-	return len(es) > 0
+	return len(entries) > 0
 }
 
 func (c *Core) applyEntry(e raft.Entry) {
 	if e.Kind != raft.EntryData {
-		c.st.Skip(e.Index)
+		c.state.Skip(e.Index)
 		if e.Kind == raft.EntryConf {
 			_ = c.log.Log("level", "info", "event", "core.conf", "index", e.Index, "voters", len(c.node.ConfAt(e.Index)))
 		}
@@ -62,15 +62,15 @@
 		c.unclear(e.Index)
 		return
 	}
-	out := c.st.Run(e.Index, e.Data)
-	c.dirty = true
-	if !c.led {
+	out := c.state.Run(e.Index, e.Data)
+	c.planDue = true
+	if !c.leading {
 		// Only a leader plans, and a new one looks at all.
-		c.st.Booked()
+		c.state.Booked()
 	}
 	c.noteEnds(e)
 	c.settle(e, out)
-	for _, a := range c.st.Agreed() {
+	for _, a := range c.state.Agreed() {
 		c.agreedOn(a)
 	}
 }
@@ -78,16 +78,16 @@
 // settle answers those who wait for an entry. One of another term is not what
 // they proposed, and has outcomes of its own.
 func (c *Core) settle(e raft.Entry, out []store.Outcome) {
-	w, ok := c.waits[e.Index]
+	waiting, ok := c.waiters[e.Index]
 	if !ok {
 		return
 	}
-	if w.term != e.Term {
+	if waiting.term != e.Term {
 		c.unclear(e.Index)
 		return
 	}
-	delete(c.waits, e.Index)
-	for i, r := range w.reply {
+	delete(c.waiters, e.Index)
+	for i, r := range waiting.replies {
 		if r != nil {
 			r(out[i], true)
 		}
@@ -96,26 +96,26 @@
 
 // noteEnds records the runs and jobs that ended by an entry.
 func (c *Core) noteEnds(e raft.Entry) {
-	for _, r := range c.st.Closed() {
+	for _, r := range c.state.Closed() {
 		c.trace.Add(r.Alloc.Task(), "end applied", int64(r.Alloc.Run), r.How)
-		if c.led && r.How == "done" {
-			c.planner.Learn(c.st, r.Alloc, r.At)
+		if c.leading && r.How == "done" {
+			c.planner.Learn(c.state, r.Alloc, r.At)
 		}
-		if c.led && c.debug {
+		if c.leading && c.debug {
 			c.logRun(r)
 		}
 	}
-	for _, j := range c.st.Ended() {
-		c.trace.Add(j.ID, "over", int64(e.Index), j.Word())
-		if c.led && c.debug {
-			c.logJob(j)
+	for _, job := range c.state.Ended() {
+		c.trace.Add(job.ID, "over", int64(e.Index), job.Word())
+		if c.leading && c.debug {
+			c.logJob(job)
 		}
 	}
 }
 
 // add puts a command into the next entry.
 func (c *Core) add(kind string, cmd store.Cmd, reply func(store.Outcome, bool)) {
-	c.batch = append(c.batch, store.Encode(kind, cmd))
+	c.commands = append(c.commands, store.Encode(kind, cmd))
 	c.replies = append(c.replies, reply)
 }
 
@@ -124,31 +124,33 @@
 // voter: the pause between two grows with their number. It returns when to
 // come back.
 func (c *Core) propose(now time.Time) time.Duration {
-	if len(c.batch) == 0 {
+	if len(c.commands) == 0 {
 		return 0
 	}
-	if left := tune.GroupEach*time.Duration(len(c.node.Voters())-1) - now.Sub(c.proposed); left > 0 {
+	if left := tune.GroupEach*time.Duration(len(c.node.Voters())-1) - now.Sub(c.proposedAt); left > 0 {
 		return left
 	}
-	c.proposed = now
-	b, rs := c.batch, c.replies
+	c.proposedAt = now
+	commands, replies := c.commands, c.replies
 	c.meter.add("proposals", 1)
-	c.meter.add("commands", len(b))
-	c.batch, c.replies = nil, nil
-	i, ok := uint64(0), false
+	c.meter.add("commands", len(commands))
+	c.commands, c.replies = nil, nil
+	index, ok := uint64(0), false
 	if c.node.Ready() && !c.swamped() {
-		i, ok = c.node.Propose(link.Pack(store.Batch{Clock: c.clock(now), Wall: c.wall(now), Cmds: b}))
+		index, ok = c.node.Propose(link.Pack(store.Batch{Clock: c.clock(now), Wall: c.wall(now), Cmds: commands}))
 	}
-	w := waiter{term: c.node.Term(), reply: rs}
+	waiting := waiter{term: c.node.Term(), replies: replies}
 	if !ok {
-		w.unclear()
+		waiting.unclear()
 		return 0
 	}
 	// One may wait for this index since an earlier term of this leader.
-	c.unclear(i)
-	c.waits[i] = w
+	c.unclear(index)
+	c.waiters[index] = waiting
 	return 0
 }
 
 // clock is the store's clock: it goes on from the newest stamp in the log.
-func (c *Core) clock(now time.Time) int64 { return c.base + now.Sub(c.ledAt).Milliseconds() }
+func (c *Core) clock(now time.Time) int64 {
+	return c.clockBase + now.Sub(c.leadingSince).Milliseconds()
+}
--- a/internal/core/config_test.go
+++ b/internal/core/config_test.go
@@ -12,7 +12,7 @@
 )
 
 // asked gives the answer to an ask that is answered at once.
-func asked(ask func(*Core, []byte, *link.Stream, reply), c *Core) member.Answer {
+func asked(ask func(*Core, []byte, *link.Stream, replyFunc), c *Core) member.Answer {
 	var got member.Answer
 	ask(c, nil, nil, c.stamped(func(a member.Answer) { got = a }))
 	return got
@@ -21,15 +21,15 @@
 // TestConfigurationReads: before there is one, callers are told to come back;
 // then it is given as sent, and each answer names its version.
 func TestConfigurationReads(t *testing.T) {
-	c := &Core{st: store.New(store.Limits{})}
-	for name, ask := range map[string]func(*Core, []byte, *link.Stream, reply){"read": (*Core).askRead, "limits": (*Core).askLimits} {
+	c := &Core{state: store.New(store.Limits{})}
+	for name, ask := range map[string]func(*Core, []byte, *link.Stream, replyFunc){"read": (*Core).askRead, "limits": (*Core).askLimits} {
 		if a := asked(ask, c); a.Code != 503 || a.RetryMs == 0 {
 			t.Errorf("%s before the first: %d, come back in %d ms", name, a.Code, a.RetryMs)
 		}
 	}
 	raw := []byte(`{"configVersion":7,"routeList":[],"serviceList":[],"limits":{"maxBodyBytes":99}}`)
-	if o := (&store.Replace{Raw: raw}).Apply(c.st); o.Code != 200 {
-		t.Fatal(o)
+	if outcome := (&store.Replace{Raw: raw}).Apply(c.state); outcome.Code != 200 {
+		t.Fatal(outcome)
 	}
 	if a := asked((*Core).askRead, c); a.Code != 200 || string(a.Body) != string(raw) || a.N != 7 || a.Desired != 7 {
 		t.Errorf("read: %+v", a)
@@ -48,10 +48,10 @@
 		for i := range routes {
 			list = append(list, fmt.Sprintf(`{"name":"r-%07d","hostName":"nony%d.example","pathPrefix":"/lohu%d/","kind":"writing","timeoutMs":3000,"targetMs":250,"priority":0,"targetService":"s","maxTries":4,"stretch":1.5}`, i, i/10, i))
 		}
-		c := &Core{st: store.New(store.Limits{})}
+		c := &Core{state: store.New(store.Limits{})}
 		raw := `{"configVersion":7,"routeList":[` + strings.Join(list, ",") + `],"serviceList":[{"name":"s"}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
-		if o := (&store.Replace{Raw: []byte(raw)}).Apply(c.st); o.Code != 200 {
-			t.Fatal(o)
+		if outcome := (&store.Replace{Raw: []byte(raw)}).Apply(c.state); outcome.Code != 200 {
+			t.Fatal(outcome)
 		}
 		news, whole := len(link.Pack(asked((*Core).askLimits, c))), len(link.Pack(asked((*Core).askRead, c)))
 		t.Logf("%d routes: %d bytes, the whole configuration %d", routes, news, whole)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -1,5 +1,7 @@
-// Package core is a daemon that holds state: the agreement, its disk, the
-// store, and, while it leads, clock, placer, grants and orders.
+// Package core runs a replica of the cluster's state: the consensus node, its
+// disk and the state machine, and, while it leads, the clock, the scheduler, the
+// leases of the workers and the orders to side daemons. All of it belongs to one
+// loop (Run), which takes events and never blocks on the network or the disk.
 package core
 
 import (
@@ -24,7 +26,8 @@
 	"tealpond/internal/tune"
 )
 
-// Event is an input of the core's loop.
+// Event is an input of the core's loop. Exactly one of its fields is set, except
+// that By goes with Wrote and Bad.
 type Event struct {
 	Link  *link.Event
 	Ask   *Local
@@ -37,234 +40,242 @@
 	Leave chan struct{}
 	// By is the disk that Wrote and Bad come from.
 	By *disk.Disk
-	// Cut is a snapshot that is encoded, Renewed the disk of a new identity.
-	Cut     *cut
-	Renewed *renewed
+	// Snapshot is a snapshot that was encoded, NewIdentity the empty disk of a
+	// replica that starts over.
+	Snapshot    *encodedSnapshot
+	NewIdentity *newIdentity
 	// MayGo tells that the others can do without this daemon, which leaves.
 	MayGo bool
-	// Raised is the leader's answer to what this daemon summed up.
-	Raised *raised
+	// LeaderAnswer is the leader's answer to a batch of this daemon's aggregator.
+	LeaderAnswer *leaderAnswer
 }
 
-// Local is an ask of this process.
+// Local is a request of this process.
 type Local struct {
 	Ask   member.Ask
 	Reply func(member.Answer)
 }
 
+// peerUp is the outcome of dialing a peer; stream is nil if that failed.
 type peerUp struct {
 	addr   string
 	stream *link.Stream
 }
 
-// attached is a side daemon's hold on a worker, as the leader sees it.
-type attached struct {
-	granted time.Time
-	lapsing bool
-	heard   time.Time
-	ratio   int64
+// workerLease is a side daemon's lease on a worker, as the leader sees it.
+type workerLease struct {
+	grantedAt time.Time
+	expiring  bool      // its end is being put into the log
+	heardAt   time.Time // the last sign of life, also without a grant
+	ratio     int64     // member.Renew.Ratio
 }
 
-// Core is the plug.
+// Core is one replica; its fields belong to its loop, except for the atomic ones.
 type Core struct {
-	set  setting.Setting
-	log  log.Logger
-	me   raft.Voter
-	held disk.Held
-	dsk  *disk.Disk
-	node *raft.Node
-	st   *store.Store
+	settings setting.Setting
+	log      log.Logger
+	self     raft.Voter
+	held     disk.Held
+	disk     *disk.Disk
+	node     *raft.Node
+	state    *store.Store
 
-	in    chan Event
-	jobs  chan disk.Job
-	seek  *member.Seeker
-	found member.Founder
+	events   chan Event
+	diskJobs chan disk.Job
+	seek     *member.Seeker
+	found    member.Founder
 
-	streams map[string]*link.Stream // by address, dialed
-	dialing map[string]time.Time
-	addrs   map[string]string       // disk to address
-	back    map[string]*link.Stream // disk to the stream it came by
-	joined  time.Time
+	connections map[string]*link.Stream // by address, dialed
+	dialing     map[string]time.Time
+	addrs       map[string]string       // disk to address
+	inbound     map[string]*link.Stream // disk to the stream it came by
+	joined      time.Time
 
-	waits    map[uint64]waiter
-	batch    []store.Raw
-	replies  []func(store.Outcome, bool)
-	att      map[string]*attached
-	kids     map[string]*kid // side daemons that turn to this one, by worker
-	unsynced bool
-	orders   map[*link.Stream][]member.Order
-	agg      *agg.Agg
-	sets     map[string]seats // by the disk of their aggregator
-	posts    posts
-	leadSeen time.Time
-	claims   map[string]claimed
-	lingers  map[string][]linger
-	led      bool
-	ledAt    time.Time
-	ledTerm  uint64
-	base     int64
-	dirty    bool
-	booking  bool
-	proposed time.Time
-	moving   bool // timed jobs are being moved on
-	pushed   time.Time
-	lastPt   uint64      // the index of the newest snapshot that the disk was given
-	newest   *raft.Point // the newest snapshot, for members that lag
-	cutting  bool        // a snapshot is being encoded
-	audit    audit
-	stopDisk context.CancelFunc
-	renewals int
-	outgoing map[string]*outgoing // snapshots on their way, by disk
-	incoming map[string]*incoming
-	inDisk   int
-	swept    time.Time
-	rebuilt  time.Time
-	wallOff  int64
-	wallSet  bool
-	checks   time.Time
-	waiting  int64 // work that waits, as of workAt
-	workAt   time.Time
-	roomAt   time.Time
-	leaving  []chan struct{}
-	leaveTil time.Time
-	handing  bool // the lead is being handed on
-	yielding bool // the leader is asked whether this daemon may end
-	hold     time.Duration
-	tracks   tracker
-	moves    *move.Setting
-	offs     map[string][]reply
-	trace    *trace.Ring
-	life     string
-	debug    bool
-	planner  place.Planner
-	meter    *meter
-	seeds    atomic.Pointer[[]string]
-	opened   atomic.Bool
-	diskSaid time.Time // that the disk is behind
+	waiters          map[uint64]waiter
+	commands         []store.Raw
+	replies          []func(store.Outcome, bool)
+	leases           map[string]*workerLease
+	sessions         map[string]*sideSession // side daemons connected to this one, by worker
+	sessionsUnsynced bool
+	orders           map[*link.Stream][]member.Order
+	aggregator       *agg.Agg
+	memberSets       map[string]memberSet // by the disk of the aggregator
+	appointments     appointments
+	leadSeen         time.Time
+	claims           map[string]claimed
+	statusWaiters    map[string][]statusWaiter
+	leading          bool
+	leadingSince     time.Time
+	leadingTerm      uint64
+	clockBase        int64
+	planDue          bool // the state changed since the scheduler ran
+	bookInLog        bool // a booking is proposed and not yet applied
+	proposedAt       time.Time
+	sweepInLog       bool // a sweep for timed jobs is proposed and not yet applied
+	preemptedAt      time.Time
+	lastSnapshot     uint64      // the index of the newest snapshot that the disk was given
+	newestSnapshot   *raft.Point // the newest snapshot, for members that lag
+	encodingSnapshot bool        // a snapshot is being encoded
+	audit            audit
+	stopDisk         context.CancelFunc
+	renewals         int
+	outgoing         map[string]*outgoing // snapshots on their way, by disk
+	incoming         map[string]*incoming
+	writesInFlight   int
+	sweptAt          time.Time
+	rebuiltAt        time.Time
+	wallOffset       int64
+	wallSet          bool
+	checkedAt        time.Time
+	waitingWork      int64 // work that waits, as of waitingWorkAt
+	waitingWorkAt    time.Time
+	roomLoggedAt     time.Time
+	leaving          []chan struct{}
+	leaveBy          time.Time
+	handingOver      bool // leadership is being transferred
+	yielding         bool // the leader is asked whether this daemon may end
+	leaseTime        time.Duration
+	tracker          tracker
+	peering          *move.Setting
+	cancelWaiters    map[string][]replyFunc
+	trace            *trace.Ring
+	life             string
+	debug            bool
+	planner          place.Planner
+	meter            *meter
+	seeds            atomic.Pointer[[]string]
+	opened           atomic.Bool
+	diskLoggedAt     time.Time // when it was last logged that the disk is behind
 }
 
+// claimed is a daemon's membership lease, and when it was last renewed.
 type claimed struct {
 	member.Claim
 	at time.Time
 }
 
-// limits are what this daemon's settings say; a leader puts them into the log.
+// limits are the limits in this daemon's settings; a leader puts them into the log.
 func limits(set setting.Setting) store.Limits {
 	return store.Limits{KeepJobMs: int64(set.Bounds.StatusS*1000) + tune.KeepJob.Milliseconds(), Replans: tune.Replans,
 		Far: set.Bounds.SpreadFactor}
 }
 
 // New builds the core; Run opens its disk. Until that is open there is no node,
-// and all asks that want one are answered as by a daemon without state.
+// and requests that need one are answered as by a daemon without state.
 func New(b kernel.Base, seek *member.Seeker) (*Core, error) {
-	c := &Core{trace: b.Trace, life: b.Life, debug: b.Debug, set: b.Setting, log: b.Log, seek: seek,
-		me: raft.Voter{Node: b.Setting.NodeName, Addr: b.Setting.Inner()},
-		in: make(chan Event, 4096), jobs: make(chan disk.Job, tune.DiskInbox),
-		streams: map[string]*link.Stream{}, dialing: map[string]time.Time{}, addrs: map[string]string{}, back: map[string]*link.Stream{},
-		waits: map[uint64]waiter{}, att: map[string]*attached{}, claims: map[string]claimed{}, lingers: map[string][]linger{},
-		kids: map[string]*kid{}, orders: map[*link.Stream][]member.Order{}, agg: agg.New(""), sets: map[string]seats{}, posts: newPosts(), audit: newAudit(), outgoing: map[string]*outgoing{}, incoming: map[string]*incoming{}, offs: map[string][]reply{},
-		hold: b.Setting.HoldFor(tune.Hold), meter: newMeter(b.Debug)}
-	c.Seeds(b.Setting.Seeds())
-	c.found.Least = 2*b.Setting.Tolerate.LostMachines + 1
-	c.st = store.New(store.Limits{})
-	return c, nil
+	core := &Core{trace: b.Trace, life: b.Life, debug: b.Debug, settings: b.Setting, log: b.Log, seek: seek,
+		self:   raft.Voter{Node: b.Setting.NodeName, Addr: b.Setting.Inner()},
+		events: make(chan Event, 4096), diskJobs: make(chan disk.Job, tune.DiskInbox),
+		connections: map[string]*link.Stream{}, dialing: map[string]time.Time{}, addrs: map[string]string{}, inbound: map[string]*link.Stream{},
+		waiters: map[uint64]waiter{}, leases: map[string]*workerLease{}, claims: map[string]claimed{}, statusWaiters: map[string][]statusWaiter{},
+		sessions: map[string]*sideSession{}, orders: map[*link.Stream][]member.Order{}, aggregator: agg.New(""), memberSets: map[string]memberSet{}, appointments: newAppointments(), audit: newAudit(), outgoing: map[string]*outgoing{}, incoming: map[string]*incoming{}, cancelWaiters: map[string][]replyFunc{},
+		leaseTime: b.Setting.HoldFor(tune.Hold), meter: newMeter(b.Debug)}
+	core.Seeds(b.Setting.Seeds())
+	core.found.Least = 2*b.Setting.Tolerate.LostMachines + 1
+	core.state = store.New(store.Limits{})
+	return core, nil
 }
 
-func (c *Core) startNode(p raft.Point) {
+// startNode starts the consensus node at a snapshot, with the log that the disk
+// holds above it.
+func (c *Core) startNode(point raft.Point) {
 	seed := fnv.New64()
-	_, _ = seed.Write([]byte(c.me.Disk))
-	if c.st.Applied == 0 {
+	_, _ = seed.Write([]byte(c.self.Disk))
+	if c.state.Applied == 0 {
 		// The limits come by the log, also where there is no state yet.
-		c.st.Limits = store.Limits{}
+		c.state.Limits = store.Limits{}
 	}
-	if err := c.st.StartAt(p.Index); err != nil {
+	if err := c.state.StartAt(point.Index); err != nil {
 		panic("core: " + err.Error())
 	}
-	c.node = raft.New(c.me.Disk, c.held.Hard, p, c.held.Log, time.Now(), raft.Timing{Beat: tune.Beat, Elect: tune.Elect,
+	c.node = raft.New(c.self.Disk, c.held.Hard, point, c.held.Log, time.Now(), raft.Timing{Beat: tune.Beat, Elect: tune.Elect,
 		Spread: tune.ElectSpread, Quorum: tune.QuorumLoss, LeaseShare: tune.LeaseShare, Window: tune.Window, Bytes: tune.AppendBytes},
 		int64(seed.Sum64())^time.Now().UnixNano())
 	c.node.SetWall(func() int64 { return time.Now().UnixMilli() })
-	c.node.SetPoint(c.point)
+	c.node.SetPoint(c.snapshotForMember)
 	c.held.Log = nil
 	c.held.Point.Data = nil
-	_ = c.log.Log("level", "info", "event", "core.start", "disk", c.me.Disk, "term", c.node.Term(), "last", c.node.LastIndex(), "voters", len(c.node.Voters()))
+	_ = c.log.Log("level", "info", "event", "core.start", "disk", c.self.Disk, "term", c.node.Term(), "last", c.node.LastIndex(), "voters", len(c.node.Voters()))
 }
 
-// Seeds replaces the seeds.
+// Seeds replaces the addresses of the seeds. It is safe for concurrent use.
 func (c *Core) Seeds(a []string) { c.seeds.Store(&a) }
 
-// Give takes events of accepted streams.
-func (c *Core) Give(e link.Event) { c.in <- Event{Link: &e} }
+// Give hands the loop an event of an accepted stream.
+func (c *Core) Give(e link.Event) { c.events <- Event{Link: &e} }
 
-// Handle takes an ask of this process.
+// Handle hands the loop a request of this process; reply is called in the loop.
 func (c *Core) Handle(a member.Ask, reply func(member.Answer)) {
-	c.in <- Event{Ask: &Local{Ask: a, Reply: reply}}
+	c.events <- Event{Ask: &Local{Ask: a, Reply: reply}}
 }
 
-// Run is the core's loop.
+// Run is the core's loop. It returns when ctx ends.
 func (c *Core) Run(ctx context.Context) error {
 	go c.openDisk(ctx)
 	go c.announce(ctx)
-	kernel.Loop(ctx, c.in, func(e Event) { c.take(ctx, e) }, func(now time.Time) time.Duration { return c.rest(ctx, now) })
+	kernel.Loop(ctx, c.events, func(event Event) { c.handle(ctx, event) }, func(now time.Time) time.Duration { return c.endTurn(ctx, now) })
 	return nil
 }
 
-func (c *Core) take(ctx context.Context, e Event) {
+// handle takes one event.
+func (c *Core) handle(ctx context.Context, event Event) {
 	defer c.meter.span("take")()
 	switch {
-	case e.Link != nil:
-		c.onLink(ctx, e.Link)
-	case e.Cut != nil:
-		c.onCut(ctx, e.Cut)
-	case e.Renewed != nil:
-		c.onRenewed(ctx, e.Renewed)
-	case e.Ask != nil:
-		c.onAsk(e.Ask.Ask, nil, c.stamped(e.Ask.Reply))
-	case e.Own != nil:
-		c.onOwn(e.Own)
-	case (e.Wrote != nil || e.Bad != nil) && e.By != c.dsk:
+	case event.Link != nil:
+		c.onLink(ctx, event.Link)
+	case event.Snapshot != nil:
+		c.onSnapshotEncoded(ctx, event.Snapshot)
+	case event.NewIdentity != nil:
+		c.onNewIdentity(ctx, event.NewIdentity)
+	case event.Ask != nil:
+		c.onAsk(event.Ask.Ask, nil, c.stamped(event.Ask.Reply))
+	case event.Own != nil:
+		c.onOwn(event.Own)
+	case (event.Wrote != nil || event.Bad != nil) && event.By != c.disk:
 		// A write of the identity that this daemon has given up.
-	case e.Wrote != nil:
+	case event.Wrote != nil:
 		c.meter.add("disk_writes", 1)
-		c.meter.add("disk_jobs", len(e.Wrote))
-		for _, j := range e.Wrote {
-			c.inDisk--
+		c.meter.add("disk_jobs", len(event.Wrote))
+		for _, job := range event.Wrote {
+			c.writesInFlight--
 			if c.node != nil {
-				if j.Out.Writes() {
-					c.node.Synced(j.Out.Mark)
+				if job.Out.Writes() {
+					c.node.Synced(job.Out.Mark)
 				}
-				c.post(ctx, j.Out.After)
-				if j.Point != nil {
-					c.node.Drop(j.Point.Index - min(j.Point.Index, tune.PointKeep))
+				c.sendMessages(ctx, job.Out.After)
+				if job.Point != nil {
+					c.node.Drop(job.Point.Index - min(job.Point.Index, tune.PointKeep))
 				}
 			}
 		}
-	case e.Bad != nil:
-		_ = c.log.Log("level", "error", "event", "disk.refused", "why", e.Bad)
-	case e.Peer != nil:
-		delete(c.dialing, e.Peer.addr)
-		if e.Peer.stream != nil {
-			c.streams[e.Peer.addr] = e.Peer.stream
+	case event.Bad != nil:
+		_ = c.log.Log("level", "error", "event", "disk.refused", "why", event.Bad)
+	case event.Peer != nil:
+		delete(c.dialing, event.Peer.addr)
+		if event.Peer.stream != nil {
+			c.connections[event.Peer.addr] = event.Peer.stream
 			if c.node != nil {
 				c.resume(ctx)
 			}
 		} else {
-			c.dialing[e.Peer.addr] = time.Now().Add(100 * time.Millisecond)
+			c.dialing[event.Peer.addr] = time.Now().Add(100 * time.Millisecond)
 		}
-	case e.Raised != nil:
-		c.onRaised(e.Raised)
-	case e.Disk != nil:
-		c.onDisk(ctx, e.Disk)
-	case e.Found != nil && c.Opened():
-		c.onProposal(*e.Found)
-	case e.Leave != nil:
-		c.onLeave(ctx, e.Leave)
-	case e.MayGo:
-		c.letGo()
+	case event.LeaderAnswer != nil:
+		c.onLeaderAnswer(event.LeaderAnswer)
+	case event.Disk != nil:
+		c.onDisk(ctx, event.Disk)
+	case event.Found != nil && c.Opened():
+		c.onProposal(*event.Found)
+	case event.Leave != nil:
+		c.onLeave(ctx, event.Leave)
+	case event.MayGo:
+		c.finishLeaving()
 	}
 }
 
-func (c *Core) rest(ctx context.Context, now time.Time) time.Duration {
+// endTurn does what is due after the events of a turn of the loop; it returns
+// when to come back.
+func (c *Core) endTurn(ctx context.Context, now time.Time) time.Duration {
 	if c.node == nil {
 		return 0
 	}
@@ -278,19 +289,19 @@
 	// Before anything is applied: a snapshot that came in replaces the state
 	// which the entries above it don't follow.
 	c.drain(ctx)
-	for _, d := range []time.Duration{c.duty(now), c.raise(ctx, now), c.propose(now)} {
+	for _, d := range []time.Duration{c.leaderTick(now), c.sendBatches(ctx, now), c.propose(now)} {
 		if d > 0 && d < wake {
 			wake = d
 		}
 	}
 	c.drain(ctx)
-	if c.audit.wrong > 0 {
+	if c.audit.divergedAt > 0 {
 		c.retire(ctx, now)
 		return 0
 	}
-	c.giveOrders()
-	c.settleOffs()
-	if d := c.settleLingers(now); d > 0 && d < wake {
+	c.sendOrders()
+	c.settleCancelWaiters()
+	if d := c.settleStatusWaiters(now); d > 0 && d < wake {
 		wake = d
 	}
 	if d := c.settleLeave(ctx, now); d > 0 {
--- a/internal/core/agree_test.go
+++ b/internal/core/digests_test.go
@@ -19,20 +19,20 @@
 // events takes what other tasks of the core have sent to its loop.
 func (b *bench) events() {
 	synctest.Wait()
-	for len(b.c.in) > 0 {
-		b.c.take(b.t.Context(), <-b.c.in)
+	for len(b.c.events) > 0 {
+		b.c.handle(b.t.Context(), <-b.c.events)
 	}
 }
 
 // tell has another replica report its sum.
 func (b *bench) tell(from string, index, sum uint64) {
-	b.c.take(b.t.Context(), Event{Link: &link.Event{Frame: link.Frame{Kind: frameSum, Body: link.Pack(report{from, b.c.me.Disk, index, sum, program})}}})
+	b.c.handle(b.t.Context(), Event{Link: &link.Event{Frame: link.Frame{Kind: frameDigest, Body: link.Pack(digestReport{from, b.c.self.Disk, index, sum, program})}}})
 }
 
 // upTo settles entries until the state has applied one.
 func (b *bench) upTo(index uint64) {
 	b.t.Helper()
-	for i := 0; b.c.st.Applied < index && i < 20000; i++ {
+	for i := 0; b.c.state.Applied < index && i < 20000; i++ {
 		if b.c.node.LastIndex() < index {
 			b.c.add("sweep", &store.Sweep{}, nil)
 		}
@@ -42,14 +42,14 @@
 		b.ack("c")
 		b.rest()
 	}
-	if b.c.st.Applied < index {
-		b.t.Fatalf("it stands at %d", b.c.st.Applied)
+	if b.c.state.Applied < index {
+		b.t.Fatalf("it stands at %d", b.c.state.Applied)
 	}
 }
 
 // anew gives the core a real disk, which can be put aside.
 func (b *bench) anew(dir string) {
-	b.c.set.DataDir = dir
+	b.c.settings.DataDir = dir
 	b.c.stopDisk = func() {}
 }
 
@@ -86,11 +86,11 @@
 					b.tell("c", at, own+c.c)
 				}
 				agreed := false
-				for _, r := range b.c.batch {
+				for _, r := range b.c.commands {
 					agreed = agreed || r.Kind == "agree"
 				}
-				if agreed != c.agreed || (b.c.audit.wrong > 0) != c.retires || b.c.audit.tallied[at] != (c.agreed || c.retires || c.disagrees) {
-					t.Errorf("agreed %v, differs at %d, dealt with %v", agreed, b.c.audit.wrong, b.c.audit.tallied[at])
+				if agreed != c.agreed || (b.c.audit.divergedAt > 0) != c.retires || b.c.audit.settled[at] != (c.agreed || c.retires || c.disagrees) {
+					t.Errorf("agreed %v, differs at %d, dealt with %v", agreed, b.c.audit.divergedAt, b.c.audit.settled[at])
 				}
 				b.rest()
 				if (b.c.node == nil) != c.retires {
@@ -106,13 +106,13 @@
 // new identity with an empty state.
 func TestReplicaThatDiffersTakesTheStateAnew(t *testing.T) {
 	dir := t.TempDir()
-	d, held, _, err := disk.Open(dir)
+	opened, held, _, err := disk.Open(dir)
 	if err != nil {
 		t.Fatal(err)
 	}
 	ended, end := context.WithCancel(t.Context())
 	end()
-	d.Run(ended, make(chan disk.Job), nil) // closes it
+	opened.Run(ended, make(chan disk.Job), nil) // closes it
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t)
 		b.anew(dir)
@@ -140,13 +140,13 @@
 			t.Fatal("retired without a cause")
 		}
 		said := 0
-		b.c.waits[tune.SumEvery+9] = waiter{term: 3, reply: []func(store.Outcome, bool){func(store.Outcome, bool) { said++ }}}
+		b.c.waiters[tune.SumEvery+9] = waiter{term: 3, replies: []func(store.Outcome, bool){func(store.Outcome, bool) { said++ }}}
 		follow(tune.SumEvery+4, entry("agree", &store.Agree{Index: tune.SumEvery, Sum: own + 1, Program: program}))
-		if b.c.node != nil || said != 1 || b.c.me.Disk != "" {
-			t.Fatalf("it goes on as %q, callers heard %d answers", b.c.me.Disk, said)
+		if b.c.node != nil || said != 1 || b.c.self.Disk != "" {
+			t.Fatalf("it goes on as %q, callers heard %d answers", b.c.self.Disk, said)
 		}
 		b.step(raft.Msg{Kind: raft.MsgVote, From: "b", Term: 9, Index: 999, LogTerm: 9, Force: true})
-		b.c.take(t.Context(), Event{Found: &member.Proposal{Set: testVoters, Go: true}})
+		b.c.handle(t.Context(), Event{Found: &member.Proposal{Set: testVoters, Go: true}})
 		if b.rest(); b.c.node != nil {
 			t.Fatal("it takes part again with its old state")
 		}
@@ -159,15 +159,15 @@
 			b.events()
 			time.Sleep(time.Millisecond)
 		}
-		if b.c.me.Disk == "" || b.c.me.Disk == held.ID || b.c.me.Disk == "a" || b.c.st.Applied != 0 || b.c.node.Voter(b.c.me.Disk) {
-			t.Errorf("it came back as %q, state at %d", b.c.me.Disk, b.c.st.Applied)
+		if b.c.self.Disk == "" || b.c.self.Disk == held.ID || b.c.self.Disk == "a" || b.c.state.Applied != 0 || b.c.node.Voter(b.c.self.Disk) {
+			t.Errorf("it came back as %q, state at %d", b.c.self.Disk, b.c.state.Applied)
 		}
 		if _, err := os.Stat(filepath.Join(dir, "tealpond.db.differs")); err != nil {
 			t.Error(err)
 		}
 		// The writes of the identity before count no more.
-		b.c.take(t.Context(), Event{Wrote: []disk.Job{{}}})
-		if b.c.inDisk != 0 {
+		b.c.handle(t.Context(), Event{Wrote: []disk.Job{{}}})
+		if b.c.writesInFlight != 0 {
 			t.Error("a write of the old disk was counted")
 		}
 		b.c.stopDisk()
@@ -180,38 +180,38 @@
 func TestSnapshotsAreCutAtSetIndexes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t)
-		var es []raft.Entry
+		var entries []raft.Entry
 		for i := uint64(2); i <= tune.PointEvery+200; i++ {
 			zone := "z"
 			if i > tune.PointEvery {
 				zone = "late"
 			}
-			es = append(es, raft.Entry{Index: i, Term: 3, Data: appoint(zone)})
+			entries = append(entries, raft.Entry{Index: i, Term: 3, Data: appoint(zone)})
 		}
-		b.step(raft.Msg{Kind: raft.MsgAppend, From: "b", Term: 3, Index: 1, Commit: tune.PointEvery + 200, Entries: es})
+		b.step(raft.Msg{Kind: raft.MsgAppend, From: "b", Term: 3, Index: 1, Commit: tune.PointEvery + 200, Entries: entries})
 		b.rest()
 		b.rest()
-		if b.c.st.Applied != tune.PointEvery+200 || !b.c.cutting {
-			t.Fatalf("at %d, cutting: %v", b.c.st.Applied, b.c.cutting)
+		if b.c.state.Applied != tune.PointEvery+200 || !b.c.encodingSnapshot {
+			t.Fatalf("at %d, cutting: %v", b.c.state.Applied, b.c.encodingSnapshot)
 		}
 		b.events()
-		js := b.rest()
-		if b.c.newest == nil || b.c.newest.Index != tune.PointEvery || b.c.audit.own[tune.PointEvery] != store.SumOf(b.c.newest.Data) {
-			t.Fatalf("the snapshot: %v", b.c.newest)
+		jobs := b.rest()
+		if b.c.newestSnapshot == nil || b.c.newestSnapshot.Index != tune.PointEvery || b.c.audit.own[tune.PointEvery] != store.SumOf(b.c.newestSnapshot.Data) {
+			t.Fatalf("the snapshot: %v", b.c.newestSnapshot)
 		}
-		s, err := store.Load(b.c.newest.Data, store.Limits{})
-		if err != nil || s.StartAt(tune.PointEvery) != nil || s.Duties["z"].No != 1 || s.Duties["late"].No != 0 || b.c.st.Duties["late"].No != 1 {
+		s, err := store.Load(b.c.newestSnapshot.Data, store.Limits{})
+		if err != nil || s.StartAt(tune.PointEvery) != nil || s.Duties["z"].No != 1 || s.Duties["late"].No != 0 || b.c.state.Duties["late"].No != 1 {
 			t.Errorf("it holds what came after it: %v", err)
 		}
-		if len(js) != 1 || js[0].Point != b.c.newest {
-			t.Errorf("the disk was given %v", js)
+		if len(jobs) != 1 || jobs[0].Point != b.c.newestSnapshot {
+			t.Errorf("the disk was given %v", jobs)
 		}
 
-		stale := &cut{b.c.node, &raft.Point{Index: tune.PointEvery * 2, Data: []byte{1}}, 1}
+		stale := &encodedSnapshot{b.c.node, &raft.Point{Index: tune.PointEvery * 2, Data: []byte{1}}, 1}
 		b.step(raft.Msg{Kind: raft.MsgPoint, From: "b", Term: 3, Point: snapshotOf(t, tune.PointEvery*3, "y")})
 		b.rest()
-		b.c.onCut(t.Context(), stale)
-		if b.c.newest.Index != tune.PointEvery*3 || len(b.c.jobs) > 0 || len(b.c.audit.own) > 0 {
+		b.c.onSnapshotEncoded(t.Context(), stale)
+		if b.c.newestSnapshot.Index != tune.PointEvery*3 || len(b.c.diskJobs) > 0 || len(b.c.audit.own) > 0 {
 			t.Error("a snapshot replaced a newer one")
 		}
 	})
--- a/internal/core/diskwait.go
+++ b/internal/core/diskwait.go
@@ -10,23 +10,23 @@
 // be taken on. Messages of the agreement are dropped then, as if the network
 // had lost them: the member can't acknowledge them, and the leader sends them
 // again.
-func (c *Core) swamped() bool { return c.inDisk >= tune.DiskJobs }
+func (c *Core) swamped() bool { return c.writesInFlight >= tune.DiskJobs }
 
 // watchDisk says when the disk does not serve, and hands the lead on: a leader
 // whose own disk hangs or refuses commits only by all the others, and if it
 // ends then, what it alone holds in memory is gone.
 func (c *Core) watchDisk(now time.Time) {
-	if c.dsk != nil {
-		c.onBehind(now, c.dsk.Behind(now))
+	if c.disk != nil {
+		c.onBehind(now, c.disk.Behind(now))
 	}
 }
 
 // onBehind takes note of for how long the disk has synced nothing.
 func (c *Core) onBehind(now time.Time, behind time.Duration) {
-	if behind < tune.DiskBehind || now.Sub(c.diskSaid) < tune.DiskSay {
+	if behind < tune.DiskBehind || now.Sub(c.diskLoggedAt) < tune.DiskSay {
 		return
 	}
-	c.diskSaid = now
+	c.diskLoggedAt = now
 	handed := c.node.Leads() && c.node.Transfer()
-	_ = c.log.Log("level", "error", "event", "disk.behind", "for", behind, "jobs", c.inDisk, "handed", handed)
+	_ = c.log.Log("level", "error", "event", "disk.behind", "for", behind, "jobs", c.writesInFlight, "handed", handed)
 }
--- a/internal/core/diskwait_test.go
+++ b/internal/core/diskwait_test.go
@@ -20,13 +20,13 @@
 // answers.
 func elect(t *testing.T, c *Core) {
 	t.Helper()
-	vs := []raft.Voter{{Node: "a", Disk: c.me.Disk}, {Node: "b", Disk: "b"}, {Node: "d", Disk: "d"}}
+	vs := []raft.Voter{{Node: "a", Disk: c.self.Disk}, {Node: "b", Disk: "b"}, {Node: "d", Disk: "d"}}
 	c.startNode(raft.Point{Index: 1, Conf: vs})
 	time.Sleep(10 * time.Second)
 	c.node.Tick(time.Now())
-	answer := func(m raft.Msg) {
-		m.From, m.To = "b", c.me.Disk
-		c.node.Step(m, time.Now())
+	answer := func(message raft.Msg) {
+		message.From, message.To = "b", c.self.Disk
+		c.node.Step(message, time.Now())
 	}
 	synced := func() raft.Out {
 		o := c.node.Take()
@@ -37,9 +37,9 @@
 	synced()
 	answer(raft.Msg{Kind: raft.MsgVoteAnswer, Term: c.node.Term()})
 	o := synced()
-	for _, m := range append(o.Now, o.After...) {
-		if m.To == "b" && m.Kind == raft.MsgAppend {
-			answer(raft.Msg{Kind: raft.MsgAppendAnswer, Term: m.Term, Index: c.node.LastIndex(), Sent: m.Sent})
+	for _, message := range append(o.Now, o.After...) {
+		if message.To == "b" && message.Kind == raft.MsgAppend {
+			answer(raft.Msg{Kind: raft.MsgAppendAnswer, Term: message.Term, Index: c.node.LastIndex(), Sent: message.Sent})
 		}
 	}
 	c.node.Take()
@@ -66,7 +66,7 @@
 	dir := t.TempDir()
 	synctest.Test(t, func(t *testing.T) {
 		c := newTestCore(t, dir)
-		c.me.Disk = "a"
+		c.self.Disk = "a"
 		elect(t, c)
 		for _, x := range []struct {
 			behind time.Duration
@@ -74,8 +74,8 @@
 		}{{0, 0}, {tune.DiskBehind - 1, 0}, {tune.DiskBehind, 1}, {tune.DiskBehind, 0}} {
 			c.onBehind(time.Now(), x.behind)
 			sent := 0
-			for _, m := range c.node.Take().Now {
-				if m.Kind == raft.MsgTransfer {
+			for _, message := range c.node.Take().Now {
+				if message.Kind == raft.MsgTransfer {
 					sent++
 				}
 			}
@@ -91,15 +91,15 @@
 	dir := t.TempDir()
 	synctest.Test(t, func(t *testing.T) {
 		c := newTestCore(t, dir)
-		c.me.Disk = "a"
+		c.self.Disk = "a"
 		elect(t, c)
 		for _, x := range []struct {
 			writes int
 			taken  bool
 		}{{tune.DiskJobs - 1, true}, {tune.DiskJobs, false}} {
-			c.inDisk = x.writes
+			c.writesInFlight = x.writes
 			last, answered := c.node.LastIndex(), false
-			c.batch, c.replies = []store.Raw{{}}, []func(store.Outcome, bool){func(_ store.Outcome, ok bool) { answered = !ok }}
+			c.commands, c.replies = []store.Raw{{}}, []func(store.Outcome, bool){func(_ store.Outcome, ok bool) { answered = !ok }}
 			time.Sleep(time.Second)
 			c.propose(time.Now())
 			if taken := c.node.LastIndex() > last; taken != x.taken || answered == x.taken {
--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -9,57 +9,57 @@
 	"tealpond/internal/tune"
 )
 
-// duty does what a leader owes; it returns when to look again.
-func (c *Core) duty(now time.Time) time.Duration {
+// leaderTick does the periodic work of a leader; it returns when to come back.
+func (c *Core) leaderTick(now time.Time) time.Duration {
 	// Another term in between had another leader, perhaps: what this one knew of
 	// grants, clocks and callers is of the term before.
-	if c.led && (!c.node.Ready() || c.ledTerm != c.node.Term()) {
-		c.resign()
+	if c.leading && (!c.node.Ready() || c.leadingTerm != c.node.Term()) {
+		c.stepDown()
 	}
 	if !c.node.Ready() {
 		return 0
 	}
-	if !c.led {
-		c.lead(now)
+	if !c.leading {
+		c.becomeLeader(now)
 	}
 	wake := tune.Beat
-	if now.Sub(c.checks) >= tune.Beat {
-		c.checks = now
-		c.lapses(now)
+	if now.Sub(c.checkedAt) >= tune.Beat {
+		c.checkedAt = now
+		c.expireLeases(now)
 		c.swap(now)
 		c.appoint(now)
 		c.sweep(now)
-		c.weigh(now)
+		c.updatePlanner(now)
 		c.evacuate(now)
-		c.dirty = c.dirty || len(c.planner.Quiet) > 0 || len(c.st.Allocs) > 0
+		c.planDue = c.planDue || len(c.planner.Quiet) > 0 || len(c.state.Allocs) > 0
 		if c.debug {
 			c.logRoom(now)
 		}
 	}
-	if due := c.st.NextDue(); due > 0 {
+	if due := c.state.NextDue(); due > 0 {
 		if left := time.Duration(due-c.wall(now)) * time.Millisecond; left <= 0 {
-			// Why one at a time: until it is applied the run stays due, and
-			// each turn of the loop would add another.
-			if !c.moving {
-				c.moving = true
-				c.add("sweep", &store.Sweep{}, func(store.Outcome, bool) { c.moving = false })
+			// Only one is proposed at a time: until it is applied the run stays
+			// due, and each turn of the loop would add another.
+			if !c.sweepInLog {
+				c.sweepInLog = true
+				c.add("sweep", &store.Sweep{}, func(store.Outcome, bool) { c.sweepInLog = false })
 			}
 		} else if left < wake {
 			wake = left
 		}
 	}
-	if c.dirty && !c.booking {
-		c.dirty = false
+	if c.planDue && !c.bookInLog {
+		c.planDue = false
 		done := c.meter.span("plan")
-		ps := c.planner.Plan(c.st)
+		plans := c.planner.Plan(c.state)
 		done()
-		if len(ps) > 0 {
-			c.booking = true
-			c.add("book", &store.Book{Plans: ps}, func(store.Outcome, bool) { c.booking = false })
+		if len(plans) > 0 {
+			c.bookInLog = true
+			c.add("book", &store.Book{Plans: plans}, func(store.Outcome, bool) { c.bookInLog = false })
 		}
-		if now.Sub(c.pushed) >= tune.PushPause {
-			if ids := c.planner.Pushes(c.st); len(ids) > 0 {
-				c.pushed = now
+		if now.Sub(c.preemptedAt) >= tune.PushPause {
+			if ids := c.planner.Pushes(c.state); len(ids) > 0 {
+				c.preemptedAt = now
 				_ = c.log.Log("level", "debug", "event", "runs.pushed", "runs", len(ids))
 				c.add("halt", &store.Halt{Allocs: ids, Why: "pushed out"}, nil)
 			}
@@ -68,62 +68,64 @@
 	return wake
 }
 
-func (c *Core) lead(now time.Time) {
-	c.led, c.ledAt, c.ledTerm, c.base = true, now, c.node.Term(), c.st.Clock
-	c.sets, c.posts = map[string]seats{}, newPosts()
-	// Why all anew: while this one became leader, orders may have been kept
-	// back for workers that it knew nothing of yet.
-	c.resync()
-	c.att = map[string]*attached{}
-	for id, w := range c.st.Workers {
-		if !w.Dead && !w.Lost {
-			// Why from here: grants aren't in the log, and the one before us
-			// may have given some until our election.
-			c.att[id] = &attached{granted: now, heard: now}
+// becomeLeader resets what belongs to a term of leadership.
+func (c *Core) becomeLeader(now time.Time) {
+	c.leading, c.leadingSince, c.leadingTerm, c.clockBase = true, now, c.node.Term(), c.state.Clock
+	c.memberSets, c.appointments = map[string]memberSet{}, newAppointments()
+	// All sessions are synced again: before this replica led, orders may have
+	// been held back for workers that it knew nothing of yet.
+	c.resyncSessions()
+	c.leases = map[string]*workerLease{}
+	for id, worker := range c.state.Workers {
+		if !worker.Dead && !worker.Lost {
+			// Leases aren't in the log, and the previous leader may have
+			// renewed some until this one was elected.
+			c.leases[id] = &workerLease{grantedAt: now, heardAt: now}
 		}
 	}
-	c.dirty, c.booking, c.moving = true, false, false
-	c.swept, c.rebuilt = now, now
+	c.planDue, c.bookInLog, c.sweepInLog = true, false, false
+	c.sweptAt, c.rebuiltAt = now, now
 	c.wallSet = false
-	if l := limits(c.set); c.st.Limits != l {
+	if l := limits(c.settings); c.state.Limits != l {
 		c.add("limits", &store.SetLimits{Limits: l}, nil)
 	}
-	if c.moves != nil && c.st.Epoch == "" {
-		c.add("mint", &store.Mint{Epoch: c.life + "-" + c.me.Disk}, nil)
+	if c.peering != nil && c.state.Epoch == "" {
+		c.add("mint", &store.Mint{Epoch: c.life + "-" + c.self.Disk}, nil)
 	}
-	c.tracks, c.planner = tracker{}, place.Planner{SaveMs: int64(c.set.Bounds.CheckpointEveryS * 1000)}
+	c.tracker, c.planner = tracker{}, place.Planner{SaveMs: int64(c.settings.Bounds.CheckpointEveryS * 1000)}
 	_ = c.log.Log("level", "info", "event", "core.lead", "term", c.node.Term(), "index", c.node.Applied())
 }
 
-func (c *Core) resign() {
-	c.led = false
+// stepDown ends this replica's leadership.
+func (c *Core) stepDown() {
+	c.leading = false
 	c.outgoing = map[string]*outgoing{}
 	_ = c.log.Log("level", "info", "event", "core.resign", "term", c.node.Term())
-	for i := range c.waits {
+	for i := range c.waiters {
 		c.unclear(i)
 	}
-	for _, k := range c.kids {
-		// Why closed: side daemons then look for the new leader at once.
-		k.stream.Close()
+	for _, session := range c.sessions {
+		// Side daemons whose stream is closed look for the new leader at once.
+		session.stream.Close()
 	}
-	c.kids = map[string]*kid{}
-	c.att = map[string]*attached{}
+	c.sessions = map[string]*sideSession{}
+	c.leases = map[string]*workerLease{}
 }
 
-// lapses notes workers that were granted nothing for so long that all they
-// held must be over.
-func (c *Core) lapses(now time.Time) {
-	after := time.Duration(float64(c.hold)*tune.HoldDrift) + tune.HoldMargin
+// expireLeases ends the leases of workers that were granted nothing for so long
+// that all their runs must be over.
+func (c *Core) expireLeases(now time.Time) {
+	after := time.Duration(float64(c.leaseTime)*tune.HoldDrift) + tune.HoldMargin
 	var lapsed []store.Fenced
-	for id, a := range c.att {
-		w := c.st.Workers[id]
-		if w == nil || w.Dead || w.Lost {
-			delete(c.att, id)
+	for id, lease := range c.leases {
+		worker := c.state.Workers[id]
+		if worker == nil || worker.Dead || worker.Lost {
+			delete(c.leases, id)
 			continue
 		}
-		if !a.lapsing && now.Sub(a.granted) > after {
-			a.lapsing = true
-			lapsed = append(lapsed, store.Fenced{ID: id, Fence: w.Fence})
+		if !lease.expiring && now.Sub(lease.grantedAt) > after {
+			lease.expiring = true
+			lapsed = append(lapsed, store.Fenced{ID: id, Fence: worker.Fence})
 		}
 	}
 	if len(lapsed) > 0 {
@@ -133,65 +135,69 @@
 	}
 }
 
+// sweep proposes the periodic clean-up of the state, with a rebuild of the
+// rollups when one is due.
 func (c *Core) sweep(now time.Time) {
-	if now.Sub(c.swept) < tune.Sweep {
+	if now.Sub(c.sweptAt) < tune.Sweep {
 		return
 	}
-	c.swept = now
-	again := now.Sub(c.rebuilt) >= tune.Rollup
+	c.sweptAt = now
+	again := now.Sub(c.rebuiltAt) >= tune.Rollup
 	if again {
-		c.rebuilt = now
+		c.rebuiltAt = now
 	}
 	c.add("sweep", &store.Sweep{Rebuild: again}, nil)
 }
 
-// wall is the true time: the middle of the members' offsets, and never a lone
-// jump of this one.
+// wall is the wall-clock time in milliseconds: the median of the members'
+// offsets, so that a jump of this machine's clock alone has no effect.
 func (c *Core) wall(now time.Time) int64 {
-	steady := now.Sub(c.ledAt).Milliseconds()
-	offs := []int64{now.UnixMilli() - steady}
+	steady := now.Sub(c.leadingSince).Milliseconds()
+	offsets := []int64{now.UnixMilli() - steady}
 	for _, w := range c.node.Walls(now) {
-		offs = append(offs, w-steady)
+		offsets = append(offsets, w-steady)
 	}
-	sort.Slice(offs, func(a, b int) bool { return offs[a] < offs[b] })
-	// Why the lower middle: a start too early breaks a rule, a late one not.
-	mid := offs[(len(offs)-1)/2]
-	if !c.wallSet || len(offs) > 1 {
-		c.wallOff, c.wallSet = mid, true
+	sort.Slice(offsets, func(a, b int) bool { return offsets[a] < offsets[b] })
+	// The lower median is taken: to start a run too early breaks a rule, to start
+	// it late does not.
+	middle := offsets[(len(offsets)-1)/2]
+	if !c.wallSet || len(offsets) > 1 {
+		c.wallOffset, c.wallSet = middle, true
 	}
-	return c.wallOff + steady
+	return c.wallOffset + steady
 }
 
-// weigh tells the placer which workers are quiet and how fast the others are.
-func (c *Core) weigh(now time.Time) {
+// updatePlanner tells the scheduler which workers are silent or sick, and how
+// fast the others are.
+func (c *Core) updatePlanner(now time.Time) {
 	quiet, speed := map[string]bool{}, map[string]float64{}
-	var all []int64
-	for id, a := range c.att {
-		if now.Sub(a.heard) > tune.Quiet || a.lapsing {
+	var ratios []int64
+	for id, lease := range c.leases {
+		if now.Sub(lease.heardAt) > tune.Quiet || lease.expiring {
 			quiet[id] = true
 		}
-		if a.ratio > 0 {
-			all = append(all, a.ratio)
+		if lease.ratio > 0 {
+			ratios = append(ratios, lease.ratio)
 		}
 	}
-	if len(all) >= 3 {
-		sort.Slice(all, func(a, b int) bool { return all[a] < all[b] })
-		mid := float64(max(all[len(all)/2], 1))
-		c.planner.Usual = mid / 100
-		for id, a := range c.att {
-			if a.ratio > 0 {
-				speed[id] = place.Shrunk(float64(a.ratio) / mid)
+	if len(ratios) >= 3 {
+		sort.Slice(ratios, func(a, b int) bool { return ratios[a] < ratios[b] })
+		median := float64(max(ratios[len(ratios)/2], 1))
+		c.planner.Usual = median / 100
+		for id, lease := range c.leases {
+			if lease.ratio > 0 {
+				speed[id] = place.Shrunk(float64(lease.ratio) / median)
 			}
 		}
 	}
 	sick := map[string]bool{}
-	for id := range c.att {
-		if x, ok := c.planner.Pace(id, c.st.Clock); ok {
+	for id := range c.leases {
+		if x, ok := c.planner.Pace(id, c.state.Clock); ok {
 			speed[id] = x
 		}
 	}
-	for id := range c.att {
-		if w := c.st.Workers[id]; w != nil && (w.Sick || w.Lost) {
+	for id := range c.leases {
+		if worker := c.state.Workers[id]; worker != nil && (worker.Sick || worker.Lost) {
 			sick[id] = true
 		}
 	}
@@ -201,15 +207,15 @@
 // evacuate stops what still runs on workers that are about to leave: it would
 // die there, and its text would be lost.
 func (c *Core) evacuate(now time.Time) {
-	early := c.set.Bounds.StopGraceMs + tune.LeaveEarly.Milliseconds()
+	early := c.settings.Bounds.StopGraceMs + tune.LeaveEarly.Milliseconds()
 	var ids []uint64
-	for _, w := range c.st.Workers {
-		if w.Dead || w.Lost || !w.Draining || w.LeavesAt == 0 || c.clock(now) < w.LeavesAt-early {
+	for _, worker := range c.state.Workers {
+		if worker.Dead || worker.Lost || !worker.Draining || worker.LeavesAt == 0 || c.clock(now) < worker.LeavesAt-early {
 			continue
 		}
-		for _, a := range c.st.On(w.ID) {
-			if !a.Stopping {
-				ids = append(ids, a.ID)
+		for _, alloc := range c.state.On(worker.ID) {
+			if !alloc.Stopping {
+				ids = append(ids, alloc.ID)
 			}
 		}
 	}
--- a/internal/core/found.go
+++ b/internal/core/found.go
@@ -11,12 +11,12 @@
 	"tealpond/internal/tune"
 )
 
-// announcing is what the loop tells its own announcer: what this daemon is, and
-// who leads.
-type announcing struct {
-	what  standing
-	found member.Found
-	lead  string
+// announcement is what the loop tells its own announcer: the standing of this
+// daemon, and who leads.
+type announcement struct {
+	standing standing
+	found    member.Found
+	lead     string
 }
 
 // standing is how a core daemon stands to the core.
@@ -24,7 +24,7 @@
 
 const (
 	candidate = standing(iota) // the core isn't founded, as far as it knows
-	stranger                   // it wants to be taken into a core that exists
+	outsider                   // it wants to be taken into a core that exists
 	voter
 	opening // its disk isn't open yet: it has no identity to announce
 )
@@ -37,46 +37,46 @@
 	var seeds member.Announcer
 	lead := ""
 	for i := 1; ; i++ {
-		got := make(chan announcing, 1)
+		got := make(chan announcement, 1)
 		c.Handle(member.Ask{Kind: askState}, func(a member.Answer) {
 			var f member.Found
 			_ = link.Unpack(a.Body, &f)
-			got <- announcing{standing(a.N), f, a.Lead}
+			got <- announcement{standing(a.N), f, a.Lead}
 		})
 		select {
 		case s := <-got:
 			if s.lead != lead && s.lead != "" {
-				// Why told: the seeds of a daemon that was started anew may be
-				// down or gone, but its log names the members.
+				// The seeds of a daemon that was restarted may be down or gone,
+				// but its log names the members.
 				c.seek.Learn(s.lead)
 			}
 			lead = s.lead
-			switch s.what {
+			switch s.standing {
 			case opening:
 				c.seek.Introduce(ctx, *c.seeds.Load())
-			case stranger:
-				x, stop := context.WithTimeout(ctx, time.Second)
-				c.seek.Ask(x, member.AskJoin, s.found.Me)
+			case outsider:
+				callCtx, stop := context.WithTimeout(ctx, time.Second)
+				c.seek.Ask(callCtx, member.AskJoin, s.found.Me)
 				stop()
 				if s.found.Late {
 					c.tellSeed(ctx, &seeds, s.found)
 				}
 			case voter:
-				// Why often at first: seeds may start later than this one.
+				// Often at first, since seeds may start later than this daemon.
 				if i < 40 && i%4 == 1 || i%40 == 0 {
 					c.seek.Introduce(ctx, *c.seeds.Load())
 				}
-				if c.set.FirstStart && i < tune.FoundTold && i%4 == 1 {
+				if c.settings.FirstStart && i < tune.FoundTold && i%4 == 1 {
 					c.tellFounded(ctx, s.found)
 				}
 			default:
 				c.tellSeed(ctx, &seeds, s.found)
 				if i%12 == 0 && len(s.found.Bound) == 0 {
-					// Why asked too: the core may have been founded while
-					// this one was slow, and the seed may have forgotten.
-					x, stop := context.WithTimeout(ctx, tune.Dial)
-					if c.seek.Ask(x, member.AskJoin, s.found.Me).Code == 200 {
-						c.in <- Event{Found: &member.Proposal{Set: []raft.Voter{{}}}}
+					// The core may have been founded while this daemon was
+					// slow, and the seed may have forgotten it.
+					callCtx, stop := context.WithTimeout(ctx, tune.Dial)
+					if c.seek.Ask(callCtx, member.AskJoin, s.found.Me).Code == 200 {
+						c.events <- Event{Found: &member.Proposal{Set: []raft.Voter{{}}}}
 					}
 					stop()
 				}
@@ -92,23 +92,23 @@
 	}
 }
 
-// askState is answered by the loop to its own announcer.
+// askState is the request of this daemon's announcer to its loop.
 const askState = "state"
 
-// state tells the announcer what to say.
-func (c *Core) state() member.Answer {
-	f := member.Found{Me: c.me, Bound: c.held.Bound, Late: c.blank()}
+// announcement tells the announcer what to announce.
+func (c *Core) announcement() member.Answer {
+	f := member.Found{Me: c.self, Bound: c.held.Bound, Late: c.blank()}
 	a := member.Answer{N: int64(voter), Lead: c.leadAddr(), Body: link.Pack(f)}
 	switch {
 	case !c.Opened():
 		a.N = int64(opening)
 	case c.node == nil:
 		a.N = int64(candidate)
-	case !c.node.Voter(c.me.Disk), c.node.Lead() == "" && time.Since(c.joined) > 3*time.Second:
-		// Why without a lead too: this voter may have been replaced while
+	case !c.node.Voter(c.self.Disk), c.node.Lead() == "" && time.Since(c.joined) > 3*time.Second:
+		// Also a voter that knows no leader: it may have been replaced while
 		// it was away, and only the leader can take it back.
 		c.joined = time.Now()
-		a.N = int64(stranger)
+		a.N = int64(outsider)
 	}
 	return a
 }
@@ -120,13 +120,13 @@
 		return
 	}
 	r, err := member.AskAt(ctx, addr, member.AskFound, link.Pack(f), tune.Dial)
-	var p member.Proposal
-	if err != nil || link.Unpack(r.Body, &p) != nil {
+	var proposal member.Proposal
+	if err != nil || link.Unpack(r.Body, &proposal) != nil {
 		return
 	}
 	seeds.Answered(time.Now())
 	select {
-	case c.in <- Event{Found: &p}:
+	case c.events <- Event{Found: &proposal}:
 	case <-ctx.Done():
 	}
 }
@@ -149,36 +149,36 @@
 }
 
 // onProposal takes what the seed said.
-func (c *Core) onProposal(p member.Proposal) {
+func (c *Core) onProposal(proposal member.Proposal) {
 	if !c.Opened() || c.renewals > 0 {
 		return
 	}
-	mine := slices.Contains(p.Set, c.me)
+	mine := slices.Contains(proposal.Set, c.self)
 	if c.blank() && mine {
-		// Why: it announced itself before it was ended, and the others wait for
-		// it; to stand by until it is taken in would keep them waiting for good.
+		// It announced itself before it was restarted, and the others wait for
+		// it: to stand by until it is taken in would block them for good.
 		c.node = nil
 	}
-	if c.node != nil || len(p.Set) == 0 {
+	if c.node != nil || len(proposal.Set) == 0 {
 		return
 	}
 	if len(c.held.Bound) == 0 {
 		if !mine {
-			// Why joined: the core was founded without this one.
+			// The core was founded without this daemon, which joins it.
 			c.startNode(c.held.Point)
 			return
 		}
-		pt := raft.Point{Index: 1, Conf: p.Set}
-		if err := c.dsk.Bind(p.Set, pt); err != nil {
+		point := raft.Point{Index: 1, Conf: proposal.Set}
+		if err := c.disk.Bind(proposal.Set, point); err != nil {
 			_ = c.log.Log("level", "error", "event", "core.bind", "why", err)
 			return
 		}
-		c.held.Bound, c.held.Point = p.Set, pt
-		c.lastPt = 1
-		_ = c.log.Log("level", "info", "event", "core.bound", "voters", len(p.Set))
+		c.held.Bound, c.held.Point = proposal.Set, point
+		c.lastSnapshot = 1
+		_ = c.log.Log("level", "info", "event", "core.bound", "voters", len(proposal.Set))
 		return
 	}
-	if p.Go {
+	if proposal.Go {
 		c.startNode(c.held.Point)
 	}
 }
--- a/internal/core/found_test.go
+++ b/internal/core/found_test.go
@@ -21,13 +21,13 @@
 		t.Fatal(err)
 	}
 	go c.openDisk(t.Context())
-	c.take(t.Context(), <-c.in)
+	c.handle(t.Context(), <-c.events)
 	others := []raft.Voter{{Node: "b", Disk: "b"}, {Node: "c", Disk: "c"}}
 	c.onProposal(member.Proposal{Set: others, Go: true})
 	if c.node == nil || len(c.node.Voters()) != 0 {
 		t.Fatal("it didn't stand by beside a core that doesn't name it")
 	}
-	mine := append([]raft.Voter{c.me}, others...)
+	mine := append([]raft.Voter{c.self}, others...)
 	c.onProposal(member.Proposal{Set: mine})
 	if c.node != nil || len(c.held.Bound) != 3 {
 		t.Fatalf("bound to %v", c.held.Bound)
--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -28,41 +28,41 @@
 
 // newBench gives the core of the first voter, founded and empty.
 func newBench(t *testing.T) *bench {
-	c := &Core{log: log.NewNopLogger(), me: testVoters[0], jobs: make(chan disk.Job, 1024), in: make(chan Event, 64),
-		streams: map[string]*link.Stream{}, dialing: map[string]time.Time{}, addrs: map[string]string{}, back: map[string]*link.Stream{},
-		waits: map[uint64]waiter{}, att: map[string]*attached{}, claims: map[string]claimed{}, lingers: map[string][]linger{},
-		kids: map[string]*kid{}, orders: map[*link.Stream][]member.Order{}, agg: agg.New("a"), sets: map[string]seats{},
-		posts: newPosts(), audit: newAudit(), outgoing: map[string]*outgoing{}, incoming: map[string]*incoming{}, offs: map[string][]reply{}, trace: trace.NewRing(16), meter: newMeter(false), set: setting.Setting{NodeName: "n-a"},
-		st: store.New(store.Limits{}), hold: tune.Hold}
+	c := &Core{log: log.NewNopLogger(), self: testVoters[0], diskJobs: make(chan disk.Job, 1024), events: make(chan Event, 64),
+		connections: map[string]*link.Stream{}, dialing: map[string]time.Time{}, addrs: map[string]string{}, inbound: map[string]*link.Stream{},
+		waiters: map[uint64]waiter{}, leases: map[string]*workerLease{}, claims: map[string]claimed{}, statusWaiters: map[string][]statusWaiter{},
+		sessions: map[string]*sideSession{}, orders: map[*link.Stream][]member.Order{}, aggregator: agg.New("a"), memberSets: map[string]memberSet{},
+		appointments: newAppointments(), audit: newAudit(), outgoing: map[string]*outgoing{}, incoming: map[string]*incoming{}, cancelWaiters: map[string][]replyFunc{}, trace: trace.NewRing(16), meter: newMeter(false), settings: setting.Setting{NodeName: "n-a"},
+		state: store.New(store.Limits{}), leaseTime: tune.Hold}
 	c.opened.Store(true)
 	c.startNode(raft.Point{Index: 1, Conf: testVoters})
 	return &bench{t: t, c: c}
 }
 
 // step hands the node a message as it comes in on a stream.
-func (b *bench) step(m raft.Msg) {
-	m.To = b.c.me.Disk
-	b.c.take(b.t.Context(), Event{Link: &link.Event{Frame: link.Frame{Kind: member.FrameRaft, Body: link.Pack(m)}}})
+func (b *bench) step(message raft.Msg) {
+	message.To = b.c.self.Disk
+	b.c.handle(b.t.Context(), Event{Link: &link.Event{Frame: link.Frame{Kind: member.FrameRaft, Body: link.Pack(message)}}})
 }
 
 // rest ends a turn of the loop and has all writes of it succeed.
 func (b *bench) rest() []disk.Job {
-	b.c.rest(b.t.Context(), time.Now())
-	var js []disk.Job
-	for len(b.c.jobs) > 0 {
-		js = append(js, <-b.c.jobs)
+	b.c.endTurn(b.t.Context(), time.Now())
+	var jobs []disk.Job
+	for len(b.c.diskJobs) > 0 {
+		jobs = append(jobs, <-b.c.diskJobs)
 	}
-	if len(js) > 0 {
-		b.c.take(b.t.Context(), Event{Wrote: js})
+	if len(jobs) > 0 {
+		b.c.handle(b.t.Context(), Event{Wrote: jobs})
 	}
-	return js
+	return jobs
 }
 
 // lead has the others elect this core and settles the first entry of its term.
 func (b *bench) lead() {
 	b.t.Helper()
 	n := b.c.node
-	for i := 0; i < 50 && !b.c.led; i++ {
+	for i := 0; i < 50 && !b.c.leading; i++ {
 		time.Sleep(tune.Beat)
 		b.rest()
 		switch {
@@ -74,7 +74,7 @@
 		}
 		b.rest()
 	}
-	if !b.c.led {
+	if !b.c.leading {
 		b.t.Fatal("it does not lead")
 	}
 	// What a new leader puts into the log is settled too.
--- a/internal/core/lead_test.go
+++ b/internal/core/lead_test.go
@@ -16,18 +16,18 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t)
 		b.lead()
-		at, unclear := b.c.ledAt, 0
-		b.c.ledTerm--
-		b.c.att["w"] = &attached{granted: time.Now()}
-		b.c.waits[999] = waiter{reply: []func(store.Outcome, bool){func(_ store.Outcome, ok bool) {
+		at, unclear := b.c.leadingSince, 0
+		b.c.leadingTerm--
+		b.c.leases["w"] = &workerLease{grantedAt: time.Now()}
+		b.c.waiters[999] = waiter{replies: []func(store.Outcome, bool){func(_ store.Outcome, ok bool) {
 			if !ok {
 				unclear++
 			}
 		}}}
 		time.Sleep(time.Millisecond)
 		b.rest()
-		if !b.c.led || b.c.ledTerm != b.c.node.Term() || !b.c.ledAt.After(at) || b.c.att["w"] != nil || unclear != 1 {
-			t.Errorf("it goes on as in the term before: %d answers, grants %v", unclear, b.c.att)
+		if !b.c.leading || b.c.leadingTerm != b.c.node.Term() || !b.c.leadingSince.After(at) || b.c.leases["w"] != nil || unclear != 1 {
+			t.Errorf("it goes on as in the term before: %d answers, grants %v", unclear, b.c.leases)
 		}
 	})
 }
@@ -42,8 +42,8 @@
 		b.rest()
 		time.Sleep(time.Second)
 		b.lead()
-		if c := b.c.clock(time.Now()); c < 1_000_000 || b.c.st.Clock < 1_000_000 {
-			t.Errorf("its clock is at %d, the state's at %d", c, b.c.st.Clock)
+		if c := b.c.clock(time.Now()); c < 1_000_000 || b.c.state.Clock < 1_000_000 {
+			t.Errorf("its clock is at %d, the state's at %d", c, b.c.state.Clock)
 		}
 	})
 }
--- a/internal/core/leave.go
+++ b/internal/core/leave.go
@@ -15,14 +15,14 @@
 
 // leaveMost is the longest that a daemon waits before it ends.
 func (c *Core) leaveMost() time.Duration {
-	return max(tune.HandOver, time.Duration(c.set.Bounds.GraceS*tune.LeaveShare*float64(time.Second)))
+	return max(tune.HandOver, time.Duration(c.settings.Bounds.GraceS*tune.LeaveShare*float64(time.Second)))
 }
 
-// Leave hands the lead or the duties on before the process ends, and waits, up
-// to a bound, while the others could not do without this disk.
+// Leave hands over leadership or aggregation before the process ends, and waits,
+// up to a bound, while the others could not do without this disk.
 func (c *Core) Leave() {
 	done := make(chan struct{})
-	c.in <- Event{Leave: done}
+	c.events <- Event{Leave: done}
 	select {
 	case <-done:
 	case <-time.After(c.leaveMost() + tune.LeaveSlack):
@@ -35,10 +35,10 @@
 	if len(c.leaving) > 1 {
 		return
 	}
-	c.leaveTil = time.Now().Add(c.leaveMost())
+	c.leaveBy = time.Now().Add(c.leaveMost())
 	switch {
 	case c.node == nil:
-		c.letGo()
+		c.finishLeaving()
 	case !c.node.Leads():
 		c.yield(ctx)
 	}
@@ -48,34 +48,34 @@
 // until it may end.
 func (c *Core) yield(ctx context.Context) {
 	c.yielding = true
-	c.agg.Drop(member.Answer{Code: member.NotLead})
-	if !c.node.Voter(c.me.Disk) {
-		c.letGo()
+	c.aggregator.Drop(member.Answer{Code: member.NotLead})
+	if !c.node.Voter(c.self.Disk) {
+		c.finishLeaving()
 		return
 	}
-	until := c.leaveTil
+	until := c.leaveBy
 	go func() {
-		x, stop := context.WithDeadline(ctx, until)
+		callCtx, stop := context.WithDeadline(ctx, until)
 		defer stop()
-		for x.Err() == nil {
-			a := c.seek.Ask(x, member.AskYield, &member.Yield{Disk: c.me.Disk})
+		for callCtx.Err() == nil {
+			a := c.seek.Ask(callCtx, member.AskYield, &member.Yield{Disk: c.self.Disk})
 			if a.Code == 200 {
 				break
 			}
 			select {
 			case <-time.After(max(tune.LeaveAsk, time.Duration(a.RetryMs)*time.Millisecond)):
-			case <-x.Done():
+			case <-callCtx.Done():
 			}
 		}
 		select {
-		case c.in <- Event{MayGo: true}:
+		case c.events <- Event{MayGo: true}:
 		case <-ctx.Done():
 		}
 	}()
 }
 
-// letGo lets the process end.
-func (c *Core) letGo() {
+// finishLeaving lets the process end.
+func (c *Core) finishLeaving() {
 	for _, done := range c.leaving {
 		close(done)
 	}
@@ -87,57 +87,57 @@
 	switch {
 	case len(c.leaving) == 0:
 		return 0
-	case now.After(c.leaveTil) || c.handing && !c.node.Leads():
-		// A lead is gone once another has it.
-		c.letGo()
+	case now.After(c.leaveBy) || c.handingOver && !c.node.Leads():
+		// The transfer is over once another leads.
+		c.finishLeaving()
 		return 0
 	case c.node.Leads():
-		c.handOn(now)
+		c.handOver(now)
 	case !c.yielding:
-		// The lead was lost without a hand-over.
+		// Leadership was lost without a transfer.
 		c.yield(ctx)
 	}
 	return 20 * time.Millisecond
 }
 
-// handOn hands the lead over once the others can do without this disk, or when
-// there is just time left for it. Until then this daemon leads on, and may
-// itself have a candidate put in its place.
-func (c *Core) handOn(now time.Time) {
+// handOver transfers leadership once the others can do without this disk, or
+// when there is just enough time left for it. Until then this daemon goes on
+// leading, and may itself put a candidate in its place.
+func (c *Core) handOver(now time.Time) {
 	if len(c.node.Voters()) == 1 {
-		c.letGo()
+		c.finishLeaving()
 		return
 	}
-	late := c.leaveTil.Sub(now) <= tune.HandOver
-	if c.handing || !late && c.node.Ready() && c.needed(c.me.Disk) != "" {
+	late := c.leaveBy.Sub(now) <= tune.HandOver
+	if c.handingOver || !late && c.node.Ready() && c.needed(c.self.Disk) != "" {
 		return
 	}
 	if c.node.Transfer() {
-		c.handing = true
-		c.leaveTil = now.Add(tune.HandOver)
+		c.handingOver = true
+		c.leaveBy = now.Add(tune.HandOver)
 	}
 }
 
 // askYield takes the duties from a daemon that ends; its standbys take over.
 // Whoever waits for a voter's place may have its.
-func (c *Core) askYield(raw []byte, _ *link.Stream, r reply) {
-	var y member.Yield
-	if link.Unpack(raw, &y) != nil {
-		r(member.Answer{Code: 400})
+func (c *Core) askYield(raw []byte, _ *link.Stream, reply replyFunc) {
+	var request member.Yield
+	if link.Unpack(raw, &request) != nil {
+		reply(member.Answer{Code: 400})
 		return
 	}
 	now := time.Now()
-	c.posts.yields[y.Disk] = now.Add(tune.YieldTime)
+	c.appointments.leavingUntil[request.Disk] = now.Add(tune.YieldTime)
 	c.appoint(now)
-	why := c.needed(y.Disk)
-	for zone, d := range c.st.Duties {
-		if d.Disk == y.Disk && c.posts.asking[zone] {
+	why := c.needed(request.Disk)
+	for zone, duty := range c.state.Duties {
+		if duty.Disk == request.Disk && c.appointments.changing[zone] {
 			why = "its zones are being given to others"
 		}
 	}
 	if why != "" {
-		r(member.Answer{Code: stayOn, Text: why, RetryMs: tune.LeaveAsk.Milliseconds()})
+		reply(member.Answer{Code: stayOn, Text: why, RetryMs: tune.LeaveAsk.Milliseconds()})
 		return
 	}
-	r(member.Answer{Code: 200})
+	reply(member.Answer{Code: 200})
 }
--- a/internal/core/membership.go
+++ b/internal/core/membership.go
@@ -10,33 +10,34 @@
 	"tealpond/internal/tune"
 )
 
-// tracker keeps what only a leader knows of candidates for a voter's place.
+// tracker is what only a leader knows of the candidates for a voter's place.
 type tracker struct {
-	cands  map[string]raft.Voter
-	faulty string // the voters last logged as faulty
+	candidates map[string]raft.Voter
+	faulty     string // the voters last logged as faulty
 }
 
-func (c *Core) cands() map[string]raft.Voter {
-	if c.tracks.cands == nil {
-		c.tracks.cands = map[string]raft.Voter{}
+// candidatesByDisk are all candidates that asked this leader for a place.
+func (c *Core) candidatesByDisk() map[string]raft.Voter {
+	if c.tracker.candidates == nil {
+		c.tracker.candidates = map[string]raft.Voter{}
 	}
-	return c.tracks.cands
+	return c.tracker.candidates
 }
 
 // candidates are the daemons that ask for a voter's place, in order of their
 // disks; who fell silent is forgotten, and announces itself if it is back.
 func (c *Core) candidates() []raft.Voter {
 	var found []raft.Voter
-	for disk, v := range c.cands() {
+	for disk, voter := range c.candidatesByDisk() {
 		switch {
 		case c.node.Voter(disk):
-			delete(c.tracks.cands, disk)
+			delete(c.tracker.candidates, disk)
 		case c.node.Silent(disk) > tune.CandidateSilent:
-			delete(c.tracks.cands, disk)
+			delete(c.tracker.candidates, disk)
 			c.node.Forget(disk)
 		default:
-			c.node.Learn(v)
-			found = append(found, v)
+			c.node.Learn(voter)
+			found = append(found, voter)
 		}
 	}
 	sort.Slice(found, func(i, j int) bool { return found[i].Disk < found[j].Disk })
@@ -44,8 +45,8 @@
 }
 
 // ready tells whether a candidate can take a place at once.
-func (c *Core) ready(v raft.Voter) bool {
-	return c.node.Caught(v.Disk) && c.node.Silent(v.Disk) <= tune.CandidateHeard
+func (c *Core) ready(voter raft.Voter) bool {
+	return c.node.Caught(voter.Disk) && c.node.Silent(voter.Disk) <= tune.CandidateHeard
 }
 
 // swap puts a caught-up candidate in the place of a voter that is gone, in one
@@ -57,25 +58,25 @@
 		return
 	}
 	voters := c.node.Voters()
-	for _, v := range c.candidates() {
-		if !c.ready(v) {
+	for _, voter := range c.candidates() {
+		if !c.ready(voter) {
 			continue
 		}
 		if len(voters) < c.found.Least {
-			_ = c.log.Log("level", "info", "event", "core.add", "node", v.Node, "disk", v.Disk)
-			c.node.ProposeConf(append(slices.Clone(voters), v))
+			_ = c.log.Log("level", "info", "event", "core.add", "node", voter.Node, "disk", voter.Disk)
+			c.node.ProposeConf(append(slices.Clone(voters), voter))
 			return
 		}
-		i, why := c.replaceable(voters, v, now)
+		i, why := c.replaceable(voters, voter, now)
 		if why == "" {
 			continue
 		}
 		old := voters[i]
-		_ = c.log.Log("level", "info", "event", "core.replace", "node", old.Node, "disk", old.Disk, "why", why, "by", v.Node, "newDisk", v.Disk)
+		_ = c.log.Log("level", "info", "event", "core.replace", "node", old.Node, "disk", old.Disk, "why", why, "by", voter.Node, "newDisk", voter.Disk)
 		// The old voter is still to be told of the change, if it lives.
 		c.addrs[old.Disk] = old.Addr
 		next := slices.Clone(voters)
-		next[i] = v
+		next[i] = voter
 		c.node.ProposeConf(next)
 		return
 	}
@@ -89,19 +90,19 @@
 	faulty := c.node.Faulty()
 	for _, rule := range []struct {
 		why  string
-		goes func(o raft.Voter) bool
+		goes func(other raft.Voter) bool
 	}{
-		{"its node came back with another disk", func(o raft.Voter) bool { return o.Node == by.Node && o.Disk != c.me.Disk }},
-		{"it lost what it had acknowledged", func(o raft.Voter) bool { return slices.Contains(faulty, o.Disk) }},
-		{"it leaves", func(o raft.Voter) bool { return c.leaves(o.Disk, now) }},
+		{"its node came back with another disk", func(other raft.Voter) bool { return other.Node == by.Node && other.Disk != c.self.Disk }},
+		{"it lost what it had acknowledged", func(other raft.Voter) bool { return slices.Contains(faulty, other.Disk) }},
+		{"it leaves", func(other raft.Voter) bool { return c.leaves(other.Disk, now) }},
 	} {
 		if i := slices.IndexFunc(voters, rule.goes); i >= 0 {
 			return i, rule.why
 		}
 	}
 	longest := -1
-	for i, o := range voters {
-		if o.Disk != c.me.Disk && c.node.Silent(o.Disk) > tune.SilentVoter && (longest < 0 || c.node.Silent(o.Disk) > c.node.Silent(voters[longest].Disk)) {
+	for i, other := range voters {
+		if other.Disk != c.self.Disk && c.node.Silent(other.Disk) > tune.SilentVoter && (longest < 0 || c.node.Silent(other.Disk) > c.node.Silent(voters[longest].Disk)) {
 			longest = i
 		}
 	}
@@ -113,10 +114,10 @@
 
 // leaves tells whether a voter said that it ends.
 func (c *Core) leaves(disk string, now time.Time) bool {
-	if disk == c.me.Disk {
+	if disk == c.self.Disk {
 		return len(c.leaving) > 0
 	}
-	return now.Before(c.posts.yields[disk])
+	return now.Before(c.appointments.leavingUntil[disk])
 }
 
 // needed tells why the others can't do without a voter's disk yet; empty if
@@ -128,16 +129,16 @@
 	case !c.node.Voter(disk):
 		return ""
 	}
-	for _, v := range c.candidates() {
-		if c.node.Silent(v.Disk) <= tune.CandidateHeard {
+	for _, voter := range c.candidates() {
+		if c.node.Silent(voter.Disk) <= tune.CandidateHeard {
 			return "a candidate is about to take a place"
 		}
 	}
-	for _, v := range c.node.Voters() {
-		if v.Disk == disk || v.Disk == c.me.Disk {
+	for _, voter := range c.node.Voters() {
+		if voter.Disk == disk || voter.Disk == c.self.Disk {
 			continue
 		}
-		if c.node.Silent(v.Disk) > tune.DutySilent || !c.node.Caught(v.Disk) {
+		if c.node.Silent(voter.Disk) > tune.DutySilent || !c.node.Caught(voter.Disk) {
 			return "another voter is silent or lags"
 		}
 	}
@@ -147,9 +148,9 @@
 // tellFaulty logs voters that lost what they had acknowledged, once each.
 func (c *Core) tellFaulty() {
 	faulty := strings.Join(c.node.Faulty(), " ")
-	if faulty != c.tracks.faulty && faulty != "" {
+	if faulty != c.tracker.faulty && faulty != "" {
 		_ = c.log.Log("level", "error", "event", "core.faulty", "disks", faulty,
 			"why", "entries that these disks had acknowledged are not on them; they count no more until they are replaced")
 	}
-	c.tracks.faulty = faulty
+	c.tracker.faulty = faulty
 }
--- a/internal/core/membership_test.go
+++ b/internal/core/membership_test.go
@@ -33,7 +33,7 @@
 	for _, x := range []string{"a", "b", "c"} {
 		n.start(x, raft.Point{Index: 1, Conf: voters})
 	}
-	n.core = &Core{log: log.NewNopLogger(), me: voters[0], node: n.nodes["a"], addrs: map[string]string{}, posts: newPosts()}
+	n.core = &Core{log: log.NewNopLogger(), self: voters[0], node: n.nodes["a"], addrs: map[string]string{}, appointments: newAppointments()}
 	n.core.found.Least = 3
 	n.now = n.now.Add(3 * time.Second)
 	n.core.node.Tick(n.now)
@@ -78,9 +78,9 @@
 		node.Synced(o.Mark)
 	}
 	node.Settled()
-	for _, m := range append(o.Now, o.After...) {
-		if to := n.nodes[m.To]; to != nil && !n.down[m.To] {
-			to.Step(m, n.now)
+	for _, message := range append(o.Now, o.After...) {
+		if to := n.nodes[message.To]; to != nil && !n.down[message.To] {
+			to.Step(message, n.now)
 		}
 	}
 	return true
@@ -89,14 +89,14 @@
 // candidate starts a daemon with an empty disk that asks for a place.
 func (n *coreNet) candidate(node, disk string) {
 	n.start(disk, raft.Point{})
-	n.core.cands()[disk] = testVoter(node, disk)
+	n.core.candidatesByDisk()[disk] = testVoter(node, disk)
 }
 
 func (n *coreNet) disks() string {
 	voters, old := n.core.node.VoterSets()
 	var names []string
-	for _, v := range slices.Concat(voters, old) {
-		names = append(names, v.Disk)
+	for _, voter := range slices.Concat(voters, old) {
+		names = append(names, voter.Disk)
 	}
 	return fmt.Sprint(names)
 }
@@ -123,8 +123,8 @@
 		{"c is frozen for a moment", "node-d", func(n *coreNet) { n.down["c"] = true }, "[a b c]", "[a b c]"},
 		{"c is silent", "node-d", func(n *coreNet) { n.down["c"] = true; n.run(tune.SilentVoter) }, "[a b d a b c]", "[a b d]"},
 		{"b came back with another disk", "node-b", func(n *coreNet) { n.down["b"] = true }, "[a d c a b c]", "[a d c]"},
-		{"its own old disk first", "node-b", func(n *coreNet) { n.down["b"] = true; n.core.posts.yields["c"] = n.now.Add(time.Hour) }, "[a d c a b c]", "[a d c]"},
-		{"c said that it leaves", "node-d", func(n *coreNet) { n.core.posts.yields["c"] = n.now.Add(tune.YieldTime) }, "[a b d a b c]", "[a b d]"},
+		{"its own old disk first", "node-b", func(n *coreNet) { n.down["b"] = true; n.core.appointments.leavingUntil["c"] = n.now.Add(time.Hour) }, "[a d c a b c]", "[a d c]"},
+		{"c said that it leaves", "node-d", func(n *coreNet) { n.core.appointments.leavingUntil["c"] = n.now.Add(tune.YieldTime) }, "[a b d a b c]", "[a b d]"},
 		{"the leader leaves", "node-d", func(n *coreNet) { n.core.leaving = []chan struct{}{nil} }, "[d b c a b c]", "[d b c]"},
 	} {
 		n := newCoreNet(t)
@@ -154,7 +154,7 @@
 		}, "a change of the voters is under way"},
 		{"it was replaced", func(n *coreNet) {
 			n.candidate("node-d", "d")
-			n.core.posts.yields["b"] = n.now.Add(time.Hour)
+			n.core.appointments.leavingUntil["b"] = n.now.Add(time.Hour)
 			n.swapped()
 		}, ""},
 	} {
--- a/internal/core/meter.go
+++ b/internal/core/meter.go
@@ -8,22 +8,22 @@
 // meter counts what this daemon's loop does, by cause, for the debug log. A
 // nil meter counts nothing and costs nothing.
 type meter struct {
-	at    time.Time
-	n     map[string]int64
-	spent map[string]time.Duration
+	at        time.Time
+	counts    map[string]int64
+	durations map[string]time.Duration
 }
 
 func newMeter(on bool) *meter {
 	if !on {
 		return nil
 	}
-	return &meter{n: map[string]int64{}, spent: map[string]time.Duration{}}
+	return &meter{counts: map[string]int64{}, durations: map[string]time.Duration{}}
 }
 
 // add counts n of what.
 func (m *meter) add(what string, n int) {
 	if m != nil {
-		m.n[what] += int64(n)
+		m.counts[what] += int64(n)
 	}
 }
 
@@ -33,7 +33,7 @@
 		return func() {}
 	}
 	from := time.Now()
-	return func() { m.spent[what] += time.Since(from) }
+	return func() { m.durations[what] += time.Since(from) }
 }
 
 // line gives the counts of the second that has gone by, in the order of their
@@ -45,21 +45,21 @@
 	m.at = now
 	out := []any{"level", "debug", "event", "loop"}
 	var names []string
-	for k := range m.n {
+	for k := range m.counts {
 		names = append(names, k)
 	}
 	sort.Strings(names)
 	for _, k := range names {
-		out = append(out, k, m.n[k])
+		out = append(out, k, m.counts[k])
 	}
 	names = names[:0]
-	for k := range m.spent {
+	for k := range m.durations {
 		names = append(names, k)
 	}
 	sort.Strings(names)
 	for _, k := range names {
-		out = append(out, k+"_us", m.spent[k].Microseconds())
+		out = append(out, k+"_us", m.durations[k].Microseconds())
 	}
-	m.n, m.spent = map[string]int64{}, map[string]time.Duration{}
+	m.counts, m.durations = map[string]int64{}, map[string]time.Duration{}
 	return out
 }
--- a/internal/core/moves.go
+++ b/internal/core/moves.go
@@ -11,7 +11,7 @@
 )
 
 // SetMoves turns moving on.
-func (c *Core) SetMoves(s move.Setting) { c.moves = &s }
+func (c *Core) SetMoves(s move.Setting) { c.peering = &s }
 
 // Moves shows the mover what there is to do.
 func (c *Core) Moves(ctx context.Context) move.Work {
@@ -28,11 +28,11 @@
 	return store.Outcome{Code: a.Code, Text: a.Text, N: a.N}, ok && a.Code >= 100
 }
 
-// own asks the loop of this process.
+// own sends a request to the loop of this process.
 func (c *Core) own(ctx context.Context, kind string, body []byte) (member.Answer, bool) {
 	got := make(chan member.Answer, 1)
 	select {
-	case c.in <- Event{Own: &Local{Ask: member.Ask{Kind: kind, Body: body}, Reply: func(a member.Answer) {
+	case c.events <- Event{Own: &Local{Ask: member.Ask{Kind: kind, Body: body}, Reply: func(a member.Answer) {
 		select {
 		case got <- a:
 		default:
@@ -51,7 +51,7 @@
 
 // onOwn answers the mover of this process; streams can't reach it.
 func (c *Core) onOwn(l *Local) {
-	if c.node == nil || !c.node.Ready() || !c.led || c.moves == nil {
+	if c.node == nil || !c.node.Ready() || !c.leading || c.peering == nil {
 		l.Reply(member.Answer{Code: member.NotLead})
 		return
 	}
@@ -64,65 +64,66 @@
 			l.Reply(member.Answer{Code: 400})
 			return
 		}
-		c.batch = append(c.batch, r)
-		c.replies = append(c.replies, outcome(l.Reply))
+		c.commands = append(c.commands, r)
+		c.replies = append(c.replies, replyOutcome(l.Reply))
 	}
 }
 
 // work gathers open moves, candidates and the record of demand.
 func (c *Core) work() move.Work {
-	s := c.st
-	w := move.Work{Leads: true, Epoch: s.Epoch, Index: c.st.Applied, Wall: s.Wall, Demand: map[int64]float64{}}
+	state := c.state
+	work := move.Work{Leads: true, Epoch: state.Epoch, Index: c.state.Applied, Wall: state.Wall, Demand: map[int64]float64{}}
 	may, there := map[string]bool{}, map[string]string{}
 	services := map[string]bool{}
-	for _, l := range c.moves.Lanes {
+	for _, l := range c.peering.Lanes {
 		may[l.Here] = true
 		there[l.Here] = l.There
-		if x := s.Lanes[l.Here]; x != nil {
+		if x := state.Lanes[l.Here]; x != nil {
 			services[x.TargetService] = true
 		}
 	}
-	for _, j := range s.Open() {
-		if j.Away() {
-			w.Open = append(w.Open, move.Open{Job: j.ID, Peer: j.Move.Peer, No: j.Move.No, State: j.Move.State, Cancel: j.Move.Cancel, Lane: there[j.Lane],
-				Body: wire.Job{JobSpec: j.Spec, Steps: j.Steps}})
+	for _, job := range state.Open() {
+		if job.Away() {
+			work.Open = append(work.Open, move.Open{Job: job.ID, Peer: job.Move.Peer, No: job.Move.No, State: job.Move.State, Cancel: job.Move.Cancel, Lane: there[job.Lane],
+				Body: wire.Job{JobSpec: job.Spec, Steps: job.Steps}})
 			continue
 		}
-		if may[j.Lane] && !j.Began && j.RunTimes == 0 && !j.Move.Guest && !lasts(j) {
+		if may[job.Lane] && !job.Began && job.RunTimes == 0 && !job.Move.Guest && !lasts(job) {
 			cpu := int64(0)
-			for _, st := range j.Steps {
-				cpu = max(cpu, st.CPUUnits*int64(st.TaskCount))
+			for _, step := range job.Steps {
+				cpu = max(cpu, step.CPUUnits*int64(step.TaskCount))
 			}
-			w.Free = append(w.Free, move.Candidate{Job: j.ID, Lane: j.Lane, Priority: j.Priority, CPU: cpu, Rounds: j.Move.Rounds})
+			work.Free = append(work.Free, move.Candidate{Job: job.ID, Lane: job.Lane, Priority: job.Priority, CPU: cpu, Rounds: job.Move.Rounds})
 		}
 	}
 	if len(services) == 0 {
-		for n := range s.Services {
+		for n := range state.Services {
 			services[n] = true
 		}
 	}
-	for _, j := range s.Jobs {
-		if j.EndedAt != 0 && j.Away() && j.Move.State == store.MoveTaken {
-			w.Open = append(w.Open, move.Open{Job: j.ID, Peer: j.Move.Peer, No: j.Move.No, State: j.Move.State, Over: true})
+	for _, job := range state.Jobs {
+		if job.EndedAt != 0 && job.Away() && job.Move.State == store.MoveTaken {
+			work.Open = append(work.Open, move.Open{Job: job.ID, Peer: job.Move.Peer, No: job.Move.No, State: job.Move.State, Over: true})
 		}
 	}
-	for n, l := range s.Lanes {
-		if services[l.TargetService] {
-			for b, v := range s.Demand[n] {
-				w.Demand[b] += v
+	for n, route := range state.Lanes {
+		if services[route.TargetService] {
+			for b, v := range state.Demand[n] {
+				work.Demand[b] += v
 			}
 		}
 	}
 	for n := range services {
-		room, _ := s.Bookable(n)
-		w.Room += room.CPU
+		room, _ := state.Bookable(n)
+		work.Room += room.CPU
 	}
-	return w
+	return work
 }
 
-func lasts(j *store.Job) bool {
-	for _, st := range j.Steps {
-		if st.LongRunning {
+// lasts tells whether a job has a long-running step.
+func lasts(job *store.Job) bool {
+	for _, step := range job.Steps {
+		if step.LongRunning {
 			return true
 		}
 	}
@@ -130,52 +131,52 @@
 }
 
 // askPeer answers the leader of another cluster.
-func (c *Core) askPeer(raw []byte, _ *link.Stream, r reply) {
-	if c.moves == nil {
-		r(member.Answer{Code: 404, Text: "moving is off"})
+func (c *Core) askPeer(raw []byte, _ *link.Stream, reply replyFunc) {
+	if c.peering == nil {
+		reply(member.Answer{Code: 404, Text: "moving is off"})
 		return
 	}
-	q, why := c.moves.Open(raw)
+	q, why := c.peering.Open(raw)
 	if why != "" {
 		_ = c.log.Log("level", "warn", "event", "peer.refused", "why", why)
-		r(member.Answer{Code: 403, Text: why})
+		reply(member.Answer{Code: 403, Text: why})
 		return
 	}
 	say := func(word string, n int64) {
-		r(member.Answer{Code: 200, Body: link.Pack(move.Said{Word: word, Epoch: c.st.Epoch, Index: c.st.Applied, N: n})})
+		reply(member.Answer{Code: 200, Body: link.Pack(move.Said{Word: word, Epoch: c.state.Epoch, Index: c.state.Applied, N: n})})
 	}
-	settled := func(o store.Outcome, ok bool) {
+	settled := func(outcome store.Outcome, ok bool) {
 		if !ok {
-			r(member.Answer{Code: member.Unclear})
+			reply(member.Answer{Code: member.Unclear})
 			return
 		}
-		// Why looked up anew for a taken job: it may have ended since.
-		word := o.Text
-		if j := c.st.Jobs[q.Job]; word == "taken" && j != nil {
-			word = store.GuestWord(j)
+		// A job that was taken is looked up again: it may have ended since.
+		word := outcome.Text
+		if job := c.state.Jobs[q.Job]; word == "taken" && job != nil {
+			word = store.GuestWord(job)
 		}
-		say(word, o.N)
+		say(word, outcome.N)
 	}
 	switch q.Kind {
 	case move.CallLoan:
 		w := c.work()
-		spare := c.moves.Spare(w)
-		if c.moves.Crowded(w) || spare < q.CPU {
+		spare := c.peering.Spare(w)
+		if c.peering.Crowded(w) || spare < q.CPU {
 			say("crowded", spare)
 			return
 		}
 		service := c.lendService()
 		slice := max(w.Room/64, 1)
-		c.add("lend", &store.Lend{ID: q.Loan, Peer: q.From, Service: service, CPU: spare, Least: q.CPU, For: q.ForMs, Slice: slice, Slices: int(c.moves.LendShare * 64)}, func(o store.Outcome, ok bool) {
+		c.add("lend", &store.Lend{ID: q.Loan, Peer: q.From, Service: service, CPU: spare, Least: q.CPU, For: q.ForMs, Slice: slice, Slices: int(c.peering.LendShare * 64)}, func(outcome store.Outcome, ok bool) {
 			if !ok {
-				r(member.Answer{Code: member.Unclear})
+				reply(member.Answer{Code: member.Unclear})
 				return
 			}
 			word := "lent"
-			if o.Code != 200 {
+			if outcome.Code != 200 {
 				word = "full"
 			}
-			say(word, o.N)
+			say(word, outcome.N)
 		})
 	case move.CallOffer:
 		c.add("accept", &store.Accept{Peer: q.From, No: q.No, ID: q.Job, Lane: q.Lane, Loan: q.Loan, Job: q.Body}, settled)
@@ -184,14 +185,14 @@
 	case move.CallVoid:
 		c.add("void", &store.Void{Peer: q.From, No: q.No, ID: q.Job, Cancel: q.Cancel}, settled)
 	default:
-		r(member.Answer{Code: 400, Text: "unknown call"})
+		reply(member.Answer{Code: 400, Text: "unknown call"})
 	}
 }
 
 // lendService is the service whose room is lent: the first by name.
 func (c *Core) lendService() string {
 	best := ""
-	for n := range c.st.Services {
+	for n := range c.state.Services {
 		if best == "" || n < best {
 			best = n
 		}
@@ -199,40 +200,41 @@
 	return best
 }
 
-// askedOff waits for a peer to stop a job that is being called off.
-func (c *Core) askedOff(id string, r reply) func(store.Outcome, bool) {
-	return func(o store.Outcome, ok bool) {
-		if ok && o.Code == 202 {
-			// Why held: until the peer's log says so, its runs may start.
-			c.offs[id] = append(c.offs[id], r)
+// replyToCancel answers a cancellation; one of a job at a peer waits until the
+// peer has stopped it.
+func (c *Core) replyToCancel(id string, reply replyFunc) func(store.Outcome, bool) {
+	return func(outcome store.Outcome, ok bool) {
+		if ok && outcome.Code == 202 {
+			// Its runs may start until the stop is in the peer's log.
+			c.cancelWaiters[id] = append(c.cancelWaiters[id], reply)
 			return
 		}
-		outcome(r)(o, ok)
+		replyOutcome(reply)(outcome, ok)
 	}
 }
 
-// settleOffs answers those whose job is over by now.
-func (c *Core) settleOffs() {
-	for id, rs := range c.offs {
-		j := c.st.Jobs[id]
-		if c.led && j != nil && j.EndedAt == 0 {
+// settleCancelWaiters answers the cancellations whose job has ended.
+func (c *Core) settleCancelWaiters() {
+	for id, rs := range c.cancelWaiters {
+		job := c.state.Jobs[id]
+		if c.leading && job != nil && job.EndedAt == 0 {
 			continue
 		}
-		for _, r := range rs {
-			if c.led {
-				r(member.Answer{Code: 200})
+		for _, reply := range rs {
+			if c.leading {
+				reply(member.Answer{Code: 200})
 			} else {
-				r(member.Answer{Code: member.Unclear})
+				reply(member.Answer{Code: member.Unclear})
 			}
 		}
-		delete(c.offs, id)
+		delete(c.cancelWaiters, id)
 	}
 }
 
 // bucket is that of now in the record of demand, 0 while moving is off.
 func (c *Core) bucket() int64 {
-	if c.moves == nil {
+	if c.peering == nil {
 		return 0
 	}
-	return c.moves.BucketOf(c.st.Wall)
+	return c.peering.BucketOf(c.state.Wall)
 }
--- a/internal/core/opening_test.go
+++ b/internal/core/opening_test.go
@@ -32,11 +32,11 @@
 // keep it from answering; it says so, and starts once the disk serves.
 func TestDaemonWaitsForItsDisk(t *testing.T) {
 	dir := t.TempDir()
-	d, held, _, err := disk.Open(dir)
+	opened, held, _, err := disk.Open(dir)
 	if err != nil {
 		t.Fatal(err)
 	}
-	_ = d.Close()
+	_ = opened.Close()
 	other, err := bolt.Open(filepath.Join(dir, "tealpond.db"), 0o600, nil)
 	if err != nil {
 		t.Fatal(err)
@@ -82,7 +82,7 @@
 	_ = other.Close()
 	wait("core.start")
 	got := make(chan string, 1)
-	c.Handle(member.Ask{Kind: askState}, func(member.Answer) { got <- c.me.Disk })
+	c.Handle(member.Ask{Kind: askState}, func(member.Answer) { got <- c.self.Disk })
 	if id := <-got; id != held.ID || !c.Opened() {
 		t.Errorf("identity %s, was %s", id, held.ID)
 	}
--- a/internal/core/renew.go
+++ b/internal/core/renew.go
@@ -13,19 +13,19 @@
 	"tealpond/internal/tune"
 )
 
-// renewed is an empty disk with a new identity.
-type renewed struct {
+// newIdentity is an empty disk with a new identity.
+type newIdentity struct {
 	disk *disk.Disk
 	held disk.Held
 }
 
-// startDisk has the disk write what the loop gives it.
+// startDisk starts the disk's writer, which reports each write to the loop.
 func (c *Core) startDisk(ctx context.Context) {
 	ctx, c.stopDisk = context.WithCancel(ctx)
-	d := c.dsk
-	go d.Run(ctx, c.jobs, func(js []disk.Job, err error) {
+	opened := c.disk
+	go opened.Run(ctx, c.diskJobs, func(jobs []disk.Job, err error) {
 		select {
-		case c.in <- Event{Wrote: js, Bad: err, By: d}:
+		case c.events <- Event{Wrote: jobs, Bad: err, By: opened}:
 		case <-ctx.Done():
 		}
 	})
@@ -36,36 +36,36 @@
 // aside and comes back as a new member, which takes the state from the leader;
 // if that differs again, the fault is in this machine, and it stays out.
 func (c *Core) retire(ctx context.Context, now time.Time) {
-	c.led = false
-	for i := range c.waits {
+	c.leading = false
+	for i := range c.waiters {
 		c.unclear(i)
 	}
-	waiter{reply: c.replies}.unclear()
-	c.batch, c.replies = nil, nil
-	c.settleLingers(now)
-	c.settleOffs()
-	c.agg.Drop(member.Answer{Code: member.NotLead})
-	for _, k := range c.kids {
+	waiter{replies: c.replies}.unclear()
+	c.commands, c.replies = nil, nil
+	c.settleStatusWaiters(now)
+	c.settleCancelWaiters()
+	c.aggregator.Drop(member.Answer{Code: member.NotLead})
+	for _, session := range c.sessions {
 		// Closed, so that side daemons look for another at once.
-		k.stream.Close()
+		session.stream.Close()
 	}
-	c.kids, c.att, c.orders = map[string]*kid{}, map[string]*attached{}, map[*link.Stream][]member.Order{}
+	c.sessions, c.leases, c.orders = map[string]*sideSession{}, map[string]*workerLease{}, map[*link.Stream][]member.Order{}
 	c.stopDisk()
 	c.opened.Store(false)
-	c.node, c.st, c.held, c.me.Disk = nil, store.New(store.Limits{}), disk.Held{}, ""
+	c.node, c.state, c.held, c.self.Disk = nil, store.New(store.Limits{}), disk.Held{}, ""
 	c.audit, c.outgoing, c.incoming = newAudit(), map[string]*outgoing{}, map[string]*incoming{}
 	c.renewals++
 	if c.renewals > 1 {
 		_ = c.log.Log("level", "error", "event", "replica.out", "why", "its state differed again after it was taken anew")
 		return
 	}
-	dir := c.set.DataDir
+	dir := c.settings.DataDir
 	go func() {
 		for {
-			d, h, err := disk.Renew(dir)
+			opened, held, err := disk.Renew(dir)
 			if err == nil {
 				select {
-				case c.in <- Event{Renewed: &renewed{d, h}, By: nil}:
+				case c.events <- Event{NewIdentity: &newIdentity{opened, held}, By: nil}:
 				case <-ctx.Done():
 				}
 				return
@@ -80,13 +80,14 @@
 	}()
 }
 
-// onRenewed begins anew with an empty state and a new identity, as a candidate.
-func (c *Core) onRenewed(ctx context.Context, r *renewed) {
-	c.dsk, c.held, c.me.Disk = r.disk, r.held, r.held.ID
-	c.jobs, c.inDisk = make(chan disk.Job, tune.DiskInbox), 0
-	c.agg = agg.New(c.me.Disk)
-	c.lastPt, c.newest, c.cutting, c.dirty = 0, nil, false, false
-	_ = c.log.Log("level", "info", "event", "replica.anew", "disk", c.me.Disk)
+// onNewIdentity starts over with an empty state and a new identity, as a
+// candidate.
+func (c *Core) onNewIdentity(ctx context.Context, identity *newIdentity) {
+	c.disk, c.held, c.self.Disk = identity.disk, identity.held, identity.held.ID
+	c.diskJobs, c.writesInFlight = make(chan disk.Job, tune.DiskInbox), 0
+	c.aggregator = agg.New(c.self.Disk)
+	c.lastSnapshot, c.newestSnapshot, c.encodingSnapshot, c.planDue = 0, nil, false, false
+	_ = c.log.Log("level", "info", "event", "replica.anew", "disk", c.self.Disk)
 	c.opened.Store(true)
 	c.startDisk(ctx)
 	c.startNode(raft.Point{})
--- /dev/null
+++ b/internal/core/sessions_test.go
@@ -0,0 +1,26 @@
+package core
+
+import (
+	"testing"
+
+	"tealpond/internal/link"
+	"tealpond/internal/member"
+)
+
+// TestAttachKeepsTheNewestKnownState: a side daemon that is told all anew, after
+// its aggregator took a snapshot, must not be told of a state older than the one
+// that it spoke of last.
+func TestAttachKeepsTheNewestKnownState(t *testing.T) {
+	c := &Core{sessions: map[string]*sideSession{}}
+	stream := &link.Stream{}
+	for i, known := range []uint64{100, 120, 110} {
+		c.openSession(member.Renew{Worker: "w", Fence: 1, Known: known}, stream)
+		if want := []uint64{100, 120, 120}[i]; c.sessions["w"].known != want {
+			t.Errorf("after it knew %d: %d, want %d", known, c.sessions["w"].known, want)
+		}
+	}
+	c.openSession(member.Renew{Worker: "w", Fence: 2, Known: 130}, stream)
+	if session := c.sessions["w"]; session.known != 130 || session.fence != 2 || !c.sessionsUnsynced {
+		t.Errorf("under the next fence: %+v", session)
+	}
+}
--- a/internal/core/snapshot.go
+++ b/internal/core/snapshot.go
@@ -11,87 +11,87 @@
 	"tealpond/internal/tune"
 )
 
-// cut is a snapshot that was encoded beside the loop.
-type cut struct {
-	of    *raft.Node // whose entries it covers
-	point *raft.Point
-	sum   uint64
+// encodedSnapshot is a snapshot that was encoded outside the loop.
+type encodedSnapshot struct {
+	node   *raft.Node // whose entries it covers
+	point  *raft.Point
+	digest uint64
 }
 
 // freeze begins a snapshot at the last entry applied.
 func (c *Core) freeze() (*raft.Point, *store.Frozen) {
-	i := c.st.Applied
-	t, ok := c.node.TermAt(i)
+	index := c.state.Applied
+	term, ok := c.node.TermAt(index)
 	if !ok {
 		panic("core: a snapshot at an entry that the log does not know")
 	}
-	return &raft.Point{Index: i, Term: t, Conf: c.node.ConfAt(i), Old: c.node.OldConfAt(i)}, c.st.Freeze()
+	return &raft.Point{Index: index, Term: term, Conf: c.node.ConfAt(index), Old: c.node.OldConfAt(index)}, c.state.Freeze()
 }
 
-// point is a snapshot for a member that lags: the newest one, since the log
-// holds what follows it. Until there is one it is made on the spot.
-func (c *Core) point() *raft.Point {
-	if c.newest == nil {
-		p, f := c.freeze()
-		p.Data = f.Save()
-		c.newest = p
+// snapshotForMember is a snapshot for a member that lags: the newest one, since
+// the log holds what follows it. If there is none yet it is taken at once.
+func (c *Core) snapshotForMember() *raft.Point {
+	if c.newestSnapshot == nil {
+		point, frozen := c.freeze()
+		point.Data = frozen.Save()
+		c.newestSnapshot = point
 	}
-	return c.newest
+	return c.newestSnapshot
 }
 
-// cutAt begins a snapshot at indexes that are the same on all replicas, so that
-// their sums can be compared. Only the copy is made on the loop: to encode the
+// snapshotAt begins a snapshot at indexes that are the same on all replicas, so
+// that their digests can be compared. Only the copy is made on the loop: to encode the
 // state of a large cluster takes longer than followers wait for a heartbeat.
-func (c *Core) cutAt(ctx context.Context, index uint64) {
-	if index%tune.PointEvery != 0 || c.cutting {
+func (c *Core) snapshotAt(ctx context.Context, index uint64) {
+	if index%tune.PointEvery != 0 || c.encodingSnapshot {
 		return
 	}
-	c.cutting = true
-	p, f := c.freeze()
-	of := c.node
+	c.encodingSnapshot = true
+	point, frozen := c.freeze()
+	node := c.node
 	go func() {
-		p.Data = f.Save()
+		point.Data = frozen.Save()
 		select {
-		case c.in <- Event{Cut: &cut{of, p, store.SumOf(p.Data)}}:
+		case c.events <- Event{Snapshot: &encodedSnapshot{node, point, store.SumOf(point.Data)}}:
 		case <-ctx.Done():
 		}
 	}()
 }
 
-// onCut has a snapshot written, unless a newer one came in meanwhile. The one
+// onSnapshotEncoded has a snapshot written, unless a newer one was received. The one
 // before stays valid until it is synced: the disk replaces it in one step.
-func (c *Core) onCut(ctx context.Context, x *cut) {
-	if x.of != c.node {
+func (c *Core) onSnapshotEncoded(ctx context.Context, encoded *encodedSnapshot) {
+	if encoded.node != c.node {
 		return
 	}
-	c.cutting = false
-	if x.point.Index <= c.lastPt {
+	c.encodingSnapshot = false
+	if encoded.point.Index <= c.lastSnapshot {
 		return
 	}
-	c.noteSum(ctx, x.point.Index, x.sum)
-	c.lastPt, c.newest = x.point.Index, x.point
-	c.inDisk++
-	c.jobs <- disk.Job{Point: x.point}
+	c.recordDigest(ctx, encoded.point.Index, encoded.digest)
+	c.lastSnapshot, c.newestSnapshot = encoded.point.Index, encoded.point
+	c.writesInFlight++
+	c.diskJobs <- disk.Job{Point: encoded.point}
 }
 
 // drain carries out what the node has ready until nothing is left. A received
 // snapshot is installed before any entry is applied.
 func (c *Core) drain(ctx context.Context) {
 	for {
-		o := c.node.Take()
-		if !o.Empty() {
-			c.post(ctx, o.Now)
-			if o.Point != nil {
-				c.install(o.Point)
+		output := c.node.Take()
+		if !output.Empty() {
+			c.sendMessages(ctx, output.Now)
+			if output.Point != nil {
+				c.install(output.Point)
 			}
-			if o.Writes() || len(o.After) > 0 && c.inDisk > 0 {
-				c.inDisk++
-				c.jobs <- disk.Job{Out: o}
+			if output.Writes() || len(output.After) > 0 && c.writesInFlight > 0 {
+				c.writesInFlight++
+				c.diskJobs <- disk.Job{Out: output}
 			} else {
-				c.post(ctx, o.After)
+				c.sendMessages(ctx, output.After)
 			}
 		}
-		if !c.apply(ctx) && o.Empty() {
+		if !c.apply(ctx) && output.Empty() {
 			return
 		}
 	}
@@ -99,25 +99,25 @@
 
 // install replaces the state by a received snapshot, and with it all that was
 // derived from the state before.
-func (c *Core) install(p *raft.Point) {
-	st, err := store.Load(p.Data, store.Limits{})
+func (c *Core) install(point *raft.Point) {
+	state, err := store.Load(point.Data, store.Limits{})
 	if err == nil {
-		err = st.StartAt(p.Index)
+		err = state.StartAt(point.Index)
 	}
 	if err != nil {
 		panic("core: unreadable snapshot: " + err.Error())
 	}
-	c.st = st
-	c.lastPt, c.newest = p.Index, p
-	c.dirty = true
+	c.state = state
+	c.lastSnapshot, c.newestSnapshot = point.Index, point
+	c.planDue = true
 	c.audit.own = map[uint64]uint64{} // they were of the state before
 	// Nobody will apply the entries that these wait for: they are part of
 	// the snapshot, if anywhere.
-	for i := range c.waits {
-		if i <= p.Index {
+	for i := range c.waiters {
+		if i <= point.Index {
 			c.unclear(i)
 		}
 	}
 	c.orders = map[*link.Stream][]member.Order{}
-	c.resync()
+	c.resyncSessions()
 }
--- a/internal/core/snapshot_test.go
+++ b/internal/core/snapshot_test.go
@@ -40,18 +40,18 @@
 				b.rest()
 				b.rest()
 				for _, zone := range []string{"snapshot", "eleven", "thirteen"} {
-					if _, ok := b.c.st.Duties[zone]; !ok {
-						t.Errorf("the state lacks %q: it has %v", zone, b.c.st.Duties)
+					if _, ok := b.c.state.Duties[zone]; !ok {
+						t.Errorf("the state lacks %q: it has %v", zone, b.c.state.Duties)
 					}
 				}
-				if _, ok := b.c.st.Duties["old"]; ok || b.c.st.Applied != 13 || b.c.node.Applied() != 13 {
-					t.Errorf("state at %d, node at %d: %v", b.c.st.Applied, b.c.node.Applied(), b.c.st.Duties)
+				if _, ok := b.c.state.Duties["old"]; ok || b.c.state.Applied != 13 || b.c.node.Applied() != 13 {
+					t.Errorf("state at %d, node at %d: %v", b.c.state.Applied, b.c.node.Applied(), b.c.state.Duties)
 				}
-				if p, _ := b.c.freeze(); p.Index != 13 {
-					t.Errorf("a snapshot taken now is at %d", p.Index)
+				if point, _ := b.c.freeze(); point.Index != 13 {
+					t.Errorf("a snapshot taken now is at %d", point.Index)
 				}
-				if p := b.c.point(); p.Index != 10 {
-					t.Errorf("a member that lags is sent a snapshot at %d, not the one received", p.Index)
+				if point := b.c.snapshotForMember(); point.Index != 10 {
+					t.Errorf("a member that lags is sent a snapshot at %d, not the one received", point.Index)
 				}
 			})
 		})
@@ -64,16 +64,16 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t)
 		said := ""
-		b.c.waits[5] = waiter{term: 2, reply: []func(store.Outcome, bool){nil, func(_ store.Outcome, ok bool) {
+		b.c.waiters[5] = waiter{term: 2, replies: []func(store.Outcome, bool){nil, func(_ store.Outcome, ok bool) {
 			said = map[bool]string{true: "clear", false: "unclear"}[ok]
 		}}}
 		b.c.orders[nil] = nil
-		b.c.kids["w"] = &kid{synced: true}
+		b.c.sessions["w"] = &sideSession{synced: true}
 		b.c.install(snapshotOf(t, 10, "z"))
-		if said != "unclear" || len(b.c.waits) != 0 {
-			t.Errorf("the caller heard %q, %d wait", said, len(b.c.waits))
+		if said != "unclear" || len(b.c.waiters) != 0 {
+			t.Errorf("the caller heard %q, %d wait", said, len(b.c.waiters))
 		}
-		if len(b.c.orders) != 0 || b.c.kids["w"].synced || !b.c.unsynced {
+		if len(b.c.orders) != 0 || b.c.sessions["w"].synced || !b.c.sessionsUnsynced {
 			t.Error("side daemons go on with what the old state told")
 		}
 	})
@@ -93,8 +93,8 @@
 		last := b.c.node.LastIndex()
 		b.rest()
 		i := b.c.node.LastIndex()
-		if i != last+1 || len(b.c.waits) != 1 {
-			t.Fatalf("one entry was to be proposed: %d after %d, %d wait", i, last, len(b.c.waits))
+		if i != last+1 || len(b.c.waiters) != 1 {
+			t.Fatalf("one entry was to be proposed: %d after %d, %d wait", i, last, len(b.c.waiters))
 		}
 		lt, _ := b.c.node.TermAt(last)
 		b.step(raft.Msg{Kind: raft.MsgAppend, From: "b", Term: 9, Index: last, LogTerm: lt, Commit: i,
@@ -113,7 +113,7 @@
 		b := newBench(t)
 		b.lead()
 		heard := 0
-		b.c.waits[b.c.node.LastIndex()+1] = waiter{term: 1, reply: []func(store.Outcome, bool){func(_ store.Outcome, ok bool) {
+		b.c.waiters[b.c.node.LastIndex()+1] = waiter{term: 1, replies: []func(store.Outcome, bool){func(_ store.Outcome, ok bool) {
 			if !ok {
 				heard++
 			}
@@ -132,18 +132,18 @@
 func TestLimitsComeThroughTheLog(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t)
-		b.c.set.Bounds.SpreadFactor = 2.5
+		b.c.settings.Bounds.SpreadFactor = 2.5
 		b.c.install(snapshotOf(t, 10, "z"))
-		if b.c.st.Limits != (store.Limits{}) {
-			t.Errorf("a follower's state took its own settings: %+v", b.c.st.Limits)
+		if b.c.state.Limits != (store.Limits{}) {
+			t.Errorf("a follower's state took its own settings: %+v", b.c.state.Limits)
 		}
 	})
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t)
-		b.c.set.Bounds.SpreadFactor = 2.5
+		b.c.settings.Bounds.SpreadFactor = 2.5
 		b.lead()
-		if b.c.st.Limits != limits(b.c.set) || b.c.st.Far() != 2.5 {
-			t.Errorf("the leader's limits are not in force: %+v", b.c.st.Limits)
+		if b.c.state.Limits != limits(b.c.settings) || b.c.state.Far() != 2.5 {
+			t.Errorf("the leader's limits are not in force: %+v", b.c.state.Limits)
 		}
 	})
 }
--- a/internal/core/transfer.go
+++ b/internal/core/transfer.go
@@ -11,8 +11,8 @@
 
 // A snapshot goes to a member that lags in bounded pieces, one under way at a
 // time, so that heartbeats and entries on the same stream don't wait behind it.
-// The agreement sees one message, when it is whole. It sends a snapshot again
-// until it is answered; a transfer that gets on isn't begun anew by that.
+// The consensus node sees one message, when it is whole. It sends a snapshot
+// again until it is answered; that does not restart a transfer in progress.
 
 // Frames of a transfer.
 const (
@@ -28,7 +28,8 @@
 	Data   []byte
 }
 
-// pieceGot tells the sender how many bytes the receiver holds of a snapshot.
+// pieceGot tells the sender how many bytes of a snapshot the receiver holds. Like
+// piece it is encoded by the names of its fields.
 type pieceGot struct {
 	From, To string
 	Index    uint64
@@ -41,50 +42,51 @@
 	data  []byte
 	have  int // that many bytes have arrived
 	sent  time.Time
-	moved time.Time // when it last got on
+	moved time.Time // when it last made progress
 }
 
-func newOutgoing(m raft.Msg, now time.Time) *outgoing {
-	o := &outgoing{msg: m, data: m.Point.Data, moved: now}
-	p := *m.Point
-	p.Data = nil
-	o.msg.Point = &p
-	return o
+// newOutgoing begins a transfer of the snapshot in a message.
+func newOutgoing(message raft.Msg, now time.Time) *outgoing {
+	transfer := &outgoing{msg: message, data: message.Point.Data, moved: now}
+	point := *message.Point
+	point.Data = nil
+	transfer.msg.Point = &point
+	return transfer
 }
 
 // arrived tells whether the receiver holds all of it.
-func (o *outgoing) arrived() bool { return o.have == len(o.data) }
+func (transfer *outgoing) arrived() bool { return transfer.have == len(transfer.data) }
 
-// stands tells whether a transfer does for a message: it gets on, be it with an
-// earlier snapshot, or this one has arrived.
-func (o *outgoing) stands(m raft.Msg, now time.Time) bool {
-	if o == nil || o.msg.Term != m.Term {
+// stands tells whether a transfer serves a message: it makes progress, be it
+// with an earlier snapshot, or this snapshot has arrived.
+func (transfer *outgoing) stands(message raft.Msg, now time.Time) bool {
+	if transfer == nil || transfer.msg.Term != message.Term {
 		return false
 	}
-	if o.arrived() {
-		return o.msg.Point.Index == m.Point.Index
+	if transfer.arrived() {
+		return transfer.msg.Point.Index == message.Point.Index
 	}
-	return now.Sub(o.moved) < tune.PieceStall
+	return now.Sub(transfer.moved) < tune.PieceStall
 }
 
 // next is the piece that the receiver lacks. Once all has arrived it is empty,
-// and calls forth the answer to the message again, which may be lost.
-func (o *outgoing) next(now time.Time) piece {
-	o.sent = now
-	return piece{o.msg, len(o.data), o.have, o.data[o.have:min(o.have+tune.PieceBytes, len(o.data))]}
+// and makes the receiver answer again: its first answer may be lost.
+func (transfer *outgoing) next(now time.Time) piece {
+	transfer.sent = now
+	return piece{transfer.msg, len(transfer.data), transfer.have, transfer.data[transfer.have:min(transfer.have+tune.PieceBytes, len(transfer.data))]}
 }
 
-// got takes the receiver's word; true if another piece is due.
-func (o *outgoing) got(g pieceGot, now time.Time) bool {
-	if o == nil || g.Index != o.msg.Point.Index || g.Have < 0 || g.Have > len(o.data) || g.Have == o.have && g.Have > 0 {
+// got takes the receiver's acknowledgement; true if another piece is due.
+func (transfer *outgoing) got(ack pieceGot, now time.Time) bool {
+	if transfer == nil || ack.Index != transfer.msg.Point.Index || ack.Have < 0 || ack.Have > len(transfer.data) || ack.Have == transfer.have && ack.Have > 0 {
 		return false
 	}
-	// Less than before: the receiver was started anew and begins anew too.
-	if g.Have > o.have {
-		o.moved = now
+	// Less than before: the receiver was restarted and begins again.
+	if ack.Have > transfer.have {
+		transfer.moved = now
 	}
-	o.have = g.Have
-	return !o.arrived()
+	transfer.have = ack.Have
+	return !transfer.arrived()
 }
 
 // incoming is a transfer from one member.
@@ -96,77 +98,78 @@
 
 // take adds a piece, which must be the one after the last; it gives the bytes
 // held, and whether that is all.
-func (n *incoming) take(p piece) (int, bool) {
-	if p.Offset == len(n.data) && len(n.data)+len(p.Data) <= n.total {
-		n.data = append(n.data, p.Data...)
+func (transfer *incoming) take(part piece) (int, bool) {
+	if part.Offset == len(transfer.data) && len(transfer.data)+len(part.Data) <= transfer.total {
+		transfer.data = append(transfer.data, part.Data...)
 	}
-	return len(n.data), len(n.data) == n.total
+	return len(transfer.data), len(transfer.data) == transfer.total
 }
 
 // transfer begins to send a snapshot, or sends a piece again that may be lost.
-func (c *Core) transfer(ctx context.Context, m raft.Msg) {
+func (c *Core) transfer(ctx context.Context, message raft.Msg) {
 	now := time.Now()
-	o := c.outgoing[m.To]
-	if !o.stands(m, now) {
-		o = newOutgoing(m, now)
-		c.outgoing[m.To] = o
+	transfer := c.outgoing[message.To]
+	if !transfer.stands(message, now) {
+		transfer = newOutgoing(message, now)
+		c.outgoing[message.To] = transfer
 	}
-	o.msg.Sent = m.Sent
-	if now.Sub(o.sent) >= tune.PieceAgain {
-		c.sendPiece(ctx, o, now)
+	transfer.msg.Sent = message.Sent
+	if now.Sub(transfer.sent) >= tune.PieceAgain {
+		c.sendPiece(ctx, transfer, now)
 	}
 }
 
-func (c *Core) sendPiece(ctx context.Context, o *outgoing, now time.Time) {
-	if !c.send(ctx, o.msg.To, link.Frame{Kind: framePiece, Body: link.Pack(o.next(now))}) {
-		o.sent = time.Time{} // nothing is under way
+// sendPiece sends the piece that the receiver lacks.
+func (c *Core) sendPiece(ctx context.Context, transfer *outgoing, now time.Time) {
+	if !c.send(ctx, transfer.msg.To, link.Frame{Kind: framePiece, Body: link.Pack(transfer.next(now))}) {
+		transfer.sent = time.Time{} // nothing is under way
 	}
 }
 
 // resume goes on with transfers that waited for a stream.
 func (c *Core) resume(ctx context.Context) {
 	now := time.Now()
-	for to, o := range c.outgoing {
-		if o.sent.IsZero() && c.streams[c.addrOf(to)] != nil {
-			c.sendPiece(ctx, o, now)
+	for to, transfer := range c.outgoing {
+		if transfer.sent.IsZero() && c.connections[c.addrOf(to)] != nil {
+			c.sendPiece(ctx, transfer, now)
 		}
 	}
 }
 
 // onPieceGot sends the next piece.
 func (c *Core) onPieceGot(ctx context.Context, raw []byte) {
-	var g pieceGot
-	if link.Unpack(raw, &g) != nil || g.To != c.me.Disk || c.node == nil {
+	var ack pieceGot
+	if link.Unpack(raw, &ack) != nil || ack.To != c.self.Disk || c.node == nil {
 		return
 	}
 	now := time.Now()
-	if o := c.outgoing[g.From]; o.got(g, now) {
-		c.sendPiece(ctx, o, now)
+	if transfer := c.outgoing[ack.From]; transfer.got(ack, now) {
+		c.sendPiece(ctx, transfer, now)
 	}
 }
 
 // onPiece takes a piece, and hands the message on once it is whole.
-func (c *Core) onPiece(ctx context.Context, raw []byte, s *link.Stream) {
-	var p piece
-	if link.Unpack(raw, &p) != nil || p.Msg.To != c.me.Disk || p.Msg.Point == nil || c.node == nil || p.Total <= 0 || p.Total > tune.FrameBytes {
+func (c *Core) onPiece(ctx context.Context, raw []byte, stream *link.Stream) {
+	var part piece
+	if link.Unpack(raw, &part) != nil || part.Msg.To != c.self.Disk || part.Msg.Point == nil || c.node == nil || part.Total <= 0 || part.Total > tune.FrameBytes {
 		return
 	}
-	from, point := p.Msg.From, p.Msg.Point
-	c.back[from] = s
-	n := c.incoming[from]
-	if n == nil || n.index != point.Index || n.term != point.Term || n.total != p.Total {
-		n = &incoming{index: point.Index, term: point.Term, total: p.Total}
-		c.incoming[from] = n
+	from, point := part.Msg.From, part.Msg.Point
+	c.inbound[from] = stream
+	transfer := c.incoming[from]
+	if transfer == nil || transfer.index != point.Index || transfer.term != point.Term || transfer.total != part.Total {
+		transfer = &incoming{index: point.Index, term: point.Term, total: part.Total}
+		c.incoming[from] = transfer
 	}
-	have, whole := n.take(p)
+	have, whole := transfer.take(part)
 	if point.Index <= c.node.Commit() {
 		// No longer wanted: the message alone is answered.
-		have, whole = p.Total, true
+		have, whole = part.Total, true
 	}
-	c.send(ctx, from, link.Frame{Kind: framePieceGot, Body: link.Pack(pieceGot{c.me.Disk, from, point.Index, have})})
+	c.send(ctx, from, link.Frame{Kind: framePieceGot, Body: link.Pack(pieceGot{c.self.Disk, from, point.Index, have})})
 	if whole {
 		delete(c.incoming, from)
-		point.Data = n.data
-		c.node.Step(p.Msg, time.Now())
+		point.Data = transfer.data
+		c.node.Step(part.Msg, time.Now())
 	}
 }
--- a/internal/core/transfer_test.go
+++ b/internal/core/transfer_test.go
@@ -20,7 +20,7 @@
 		data := make([]byte, []int{1, tune.PieceBytes - 1, tune.PieceBytes, tune.PieceBytes + 1, 5*tune.PieceBytes + 7}[r.Intn(5)])
 		r.Read(data)
 		now := time.Unix(0, 0)
-		o := newOutgoing(raft.Msg{Kind: raft.MsgPoint, From: "a", To: "b", Term: 3, Point: &raft.Point{Index: 9, Term: 2, Data: data}}, now)
+		transfer := newOutgoing(raft.Msg{Kind: raft.MsgPoint, From: "a", To: "b", Term: 3, Point: &raft.Point{Index: 9, Term: 2, Data: data}}, now)
 		fresh := func() *incoming { return &incoming{index: 9, term: 2, total: len(data)} }
 		in, restarts, whole := fresh(), r.Intn(3), false
 		for step := 0; !whole; step++ {
@@ -28,9 +28,9 @@
 				t.Fatalf("seed %d: it does not arrive", seed)
 			}
 			now = now.Add(tune.PieceAgain)
-			p := o.next(now)
-			if len(p.Data) > tune.PieceBytes {
-				t.Fatalf("a piece of %d bytes", len(p.Data))
+			part := transfer.next(now)
+			if len(part.Data) > tune.PieceBytes {
+				t.Fatalf("a piece of %d bytes", len(part.Data))
 			}
 			if r.Intn(5) == 0 {
 				continue // the piece is lost
@@ -40,25 +40,25 @@
 			}
 			for range 1 + r.Intn(6)/5 {
 				have := 0
-				if have, whole = in.take(p); r.Intn(5) == 0 {
+				if have, whole = in.take(part); r.Intn(5) == 0 {
 					continue // the answer is lost
 				}
-				o.got(pieceGot{"b", "a", 9, have}, now)
+				transfer.got(pieceGot{"b", "a", 9, have}, now)
 			}
 		}
 		if !bytes.Equal(in.data, data) {
 			t.Fatalf("seed %d: other bytes arrived", seed)
 		}
-		o.got(pieceGot{"b", "a", 9, len(data)}, now)
+		transfer.got(pieceGot{"b", "a", 9, len(data)}, now)
 		again := raft.Msg{Term: 3, Point: &raft.Point{Index: 9}}
-		if p := o.next(now); !o.stands(again, now.Add(time.Hour)) || len(p.Data) > 0 || p.Offset != len(data) {
+		if part := transfer.next(now); !transfer.stands(again, now.Add(time.Hour)) || len(part.Data) > 0 || part.Offset != len(data) {
 			t.Fatal("what has arrived is sent again")
 		}
-		if o.stands(raft.Msg{Term: 4, Point: again.Point}, now) || o.stands(raft.Msg{Term: 3, Point: &raft.Point{Index: 10}}, now) {
+		if transfer.stands(raft.Msg{Term: 4, Point: again.Point}, now) || transfer.stands(raft.Msg{Term: 3, Point: &raft.Point{Index: 10}}, now) {
 			t.Fatal("it stands for another leader's, or a newer snapshot")
 		}
 		// The receiver was started anew, without it.
-		if o.got(pieceGot{"b", "a", 9, 0}, now); !o.stands(again, now) || o.stands(again, now.Add(tune.PieceStall)) {
+		if transfer.got(pieceGot{"b", "a", 9, 0}, now); !transfer.stands(again, now) || transfer.stands(again, now.Add(tune.PieceStall)) {
 			t.Fatal("a transfer that gets on is begun anew, or one that does not isn't")
 		}
 	}
@@ -72,25 +72,25 @@
 		point := snapshotOf(t, 10, "z")
 		whole := point.Data
 		give := func(to string, offset, end int) {
-			p := *point
-			p.Data = nil
-			b.c.take(t.Context(), Event{Link: &link.Event{Frame: link.Frame{Kind: framePiece, Body: link.Pack(piece{
-				raft.Msg{Kind: raft.MsgPoint, From: "b", To: to, Term: 3, Point: &p}, len(whole), offset, whole[offset:end]})}}})
+			point := *point
+			point.Data = nil
+			b.c.handle(t.Context(), Event{Link: &link.Event{Frame: link.Frame{Kind: framePiece, Body: link.Pack(piece{
+				raft.Msg{Kind: raft.MsgPoint, From: "b", To: to, Term: 3, Point: &point}, len(whole), offset, whole[offset:end]})}}})
 			b.rest()
 		}
 		half := len(whole) / 2
 		give("a", 0, half)
 		give("other", half, len(whole))
 		give("a", 0, half)
-		if b.c.st.Applied != 1 {
-			t.Fatalf("half a snapshot was installed: %d", b.c.st.Applied)
+		if b.c.state.Applied != 1 {
+			t.Fatalf("half a snapshot was installed: %d", b.c.state.Applied)
 		}
 		give("a", half, len(whole))
-		if b.c.st.Applied != 10 || len(b.c.incoming) != 0 {
-			t.Fatalf("the state is at %d, %d transfers left", b.c.st.Applied, len(b.c.incoming))
+		if b.c.state.Applied != 10 || len(b.c.incoming) != 0 {
+			t.Fatalf("the state is at %d, %d transfers left", b.c.state.Applied, len(b.c.incoming))
 		}
 		give("a", 0, half)
-		if b.c.st.Applied != 10 || len(b.c.incoming) != 0 {
+		if b.c.state.Applied != 10 || len(b.c.incoming) != 0 {
 			t.Error("a snapshot that is no longer wanted is taken")
 		}
 	})
@@ -104,20 +104,20 @@
 		b := newBench(t)
 		point := snapshotOf(t, 10, "z")
 		now := time.Now()
-		o := newOutgoing(raft.Msg{Kind: raft.MsgPoint, From: "b", To: "a", Term: 3, Point: point}, now)
-		give := func(p piece) {
-			b.c.take(t.Context(), Event{Link: &link.Event{Frame: link.Frame{Kind: framePiece, Body: link.Pack(p)}}})
+		transfer := newOutgoing(raft.Msg{Kind: raft.MsgPoint, From: "b", To: "a", Term: 3, Point: point}, now)
+		give := func(part piece) {
+			b.c.handle(t.Context(), Event{Link: &link.Event{Frame: link.Frame{Kind: framePiece, Body: link.Pack(part)}}})
 		}
-		for !o.arrived() {
-			p := o.next(now)
-			give(p)
-			o.got(pieceGot{"a", "b", point.Index, p.Offset + len(p.Data)}, now)
+		for !transfer.arrived() {
+			part := transfer.next(now)
+			give(part)
+			transfer.got(pieceGot{"a", "b", point.Index, part.Offset + len(part.Data)}, now)
 		}
 		b.rest()
-		if b.c.st.Applied != 10 {
-			t.Fatalf("the state is at %d", b.c.st.Applied)
+		if b.c.state.Applied != 10 {
+			t.Fatalf("the state is at %d", b.c.state.Applied)
 		}
-		again := o.next(now)
+		again := transfer.next(now)
 		if len(again.Data) != 0 {
 			t.Errorf("%d bytes are sent again", len(again.Data))
 		}
