--- a/internal/member/calls.go
+++ b/internal/member/calls.go
@@ -1,5 +1,6 @@
-// Package member is how daemons know each other: asks to the leader, the
-// search for it, founding, claims and news.
+// Package member is how daemons know each other: the requests between them, the
+// search for the leader, the founding of the core and membership leases. Types
+// tagged toarray are encoded by the order of their fields, which must not change.
 package member
 
 import (
@@ -16,7 +17,7 @@
 	FrameOrder
 )
 
-// Ask is a call from one daemon to another.
+// Ask is a request from one daemon to another.
 type Ask struct {
 	_    struct{} `cbor:",toarray"`
 	Kind string
@@ -30,13 +31,13 @@
 	// Unclear: the leader lost its term while the command was under way.
 	Unclear = 2
 	// NoLeader: given by the seeker itself when none was found in time and
-	// the ask was surely never taken.
+	// the request was surely never taken.
 	NoLeader = 3
-	// Lost: given by the seeker when time ran out after an ask was sent.
+	// Lost: given by the seeker when time ran out after a request was sent.
 	Lost = 4
 )
 
-// Answer to an ask.
+// Answer is the answer to an Ask.
 type Answer struct {
 	_       struct{} `cbor:",toarray"`
 	Code    int
@@ -46,16 +47,16 @@
 	RetryMs int64
 	Body    []byte
 	Desired int64
-	// At is how far the answerer's log was applied: who has an answer and
-	// turns to another daemon must not be told of an older state.
+	// At is the log index that the answering replica had applied: a client that
+	// turns to another replica must not be told of an older state.
 	At uint64
-	// Home is who sums up for the asker's zone, Next its standby; empty: the
-	// leader itself.
+	// Home is the address of the aggregator of the client's zone, Next that of
+	// its standby; empty: the leader itself.
 	Home string
 	Next string
 }
 
-// Kinds of asks.
+// Kinds of requests.
 const (
 	AskLead    = "lead"
 	AskFound   = "found"
@@ -91,7 +92,7 @@
 	Term  uint64
 	Lead  string
 	Known []string
-	// Sums tells that it takes side daemons' asks and speaks for them.
+	// Sums tells that it aggregates the requests of side daemons.
 	Sums bool
 }
 
@@ -105,14 +106,15 @@
 	Late bool
 }
 
-// Proposal answers it.
+// Proposal answers a Found: the voters of the first core, and whether all of them
+// are bound to that set, so that they may start.
 type Proposal struct {
 	_   struct{} `cbor:",toarray"`
 	Set []raft.Voter
 	Go  bool
 }
 
-// Claim is a daemon's lease as a member.
+// Claim is a daemon's membership lease.
 type Claim struct {
 	_    struct{} `cbor:",toarray"`
 	Node string
@@ -150,7 +152,7 @@
 	Tables  []Table
 }
 
-// Call is a sender's call about a job.
+// Call is a client's call about a job.
 type Call struct {
 	_    struct{} `cbor:",toarray"`
 	Host string
@@ -158,69 +160,69 @@
 	Job  wire.Job
 }
 
-// Put is an operator's change.
+// Put is an operator's change of the configuration.
 type Put struct {
 	_    struct{} `cbor:",toarray"`
 	Base int64
 	Raw  []byte
 }
 
-// Renew asks for a grant and tells how runs get on.
+// Renew renews the lease of a worker and tells how its runs get on.
 type Renew struct {
 	_      struct{} `cbor:",toarray"`
 	Worker string
 	Fence  int64
 	Ratio  int64 // its work takes so many hundredths of the estimates, 0 unknown
-	// Known is the newest At that the asker was told of.
+	// Known is the newest At that the client was told of.
 	Known uint64
 }
 
-// Seat is one steady member of an aggregator's set.
+// Seat is one worker of an aggregator's set.
 type Seat struct {
 	_      struct{} `cbor:",toarray"`
 	Worker string
 	Fence  int64
 }
 
-// Ratio tells a seat's Renew.Ratio.
+// Ratio is the Renew.Ratio of a member of the set.
 type Ratio struct {
 	_     struct{} `cbor:",toarray"`
 	Seat  int
 	Value int64
 }
 
-// Grants asks for one grant for those seats of a set whose bit is set in In
-// (seat 0 is the lowest bit of the first byte). A set is told whole once; 428
+// Grants renews the leases of those members of a set whose bit is set in In
+// (member 0 is the lowest bit of the first byte). A set is sent whole once; 428
 // says that the leader doesn't know it. Ratios are those that changed.
 type Grants struct {
 	_      struct{} `cbor:",toarray"`
 	From   string   // disk of the aggregator
-	Life   string   // its process: each life numbers its sets from 1
+	Life   string   // its process: each process numbers its sets from 1
 	Set    uint64
 	Whole  []Seat
 	In     []byte
 	Ratios []Ratio
 }
 
-// Asks tells whether a seat asks for a grant.
+// Asks tells whether a member asks for a renewal.
 func (g *Grants) Asks(seat int) bool {
 	return seat>>3 < len(g.In) && g.In[seat>>3]&(1<<(seat&7)) != 0
 }
 
-// Odd is a seat that was not granted, with the code of its refusal.
+// Odd is a member whose lease was not renewed, with the code of the refusal.
 type Odd struct {
 	_    struct{} `cbor:",toarray"`
 	Seat int
 	Code int
 }
 
-// Many carries several asks of side daemons; the answer's body holds theirs.
+// Many carries several requests of side daemons; the answer's body holds theirs.
 type Many struct {
 	_    struct{} `cbor:",toarray"`
 	Asks []Ask
 }
 
-// Yield tells that a daemon gives up its duties, as it ends.
+// Yield tells that a daemon is leaving and gives up the zones it aggregates for.
 type Yield struct {
 	_    struct{} `cbor:",toarray"`
 	Disk string
--- a/internal/member/founder.go
+++ b/internal/member/founder.go
@@ -15,8 +15,8 @@
 // of its own or block each other. Another seed is turned to only after the
 // present one was silent for tune.FoundPatience.
 type Announcer struct {
-	heard time.Time // the last answer, or when the present seed was turned to
-	turns int
+	heardAt time.Time // the last answer, or when the present seed was turned to
+	turns   int
 }
 
 // Place is the seed to announce to now; empty if there is none.
@@ -24,11 +24,11 @@
 	if len(seeds) == 0 {
 		return ""
 	}
-	if a.heard.IsZero() {
-		a.heard = now
+	if a.heardAt.IsZero() {
+		a.heardAt = now
 	}
-	if now.Sub(a.heard) >= tune.FoundPatience {
-		a.heard = now
+	if now.Sub(a.heardAt) >= tune.FoundPatience {
+		a.heardAt = now
 		a.turns++
 	}
 	order := slices.Clone(seeds)
@@ -37,15 +37,15 @@
 }
 
 // Answered notes that the present seed answered.
-func (a *Announcer) Answered(now time.Time) { a.heard = now }
+func (a *Announcer) Answered(now time.Time) { a.heardAt = now }
 
-// Founder gathers the first core on a seed. Pure: announcements in, proposals
-// out.
+// Founder gathers the first core on a seed. It is a pure state machine:
+// announcements in, proposals out.
 type Founder struct {
-	Least int
-	seen  map[string]announced
-	still time.Time
-	set   []raft.Voter
+	Least          int
+	announcements  map[string]announced
+	unchangedSince time.Time
+	proposed       []raft.Voter
 }
 
 // announced is an announcement and when it came.
@@ -55,22 +55,22 @@
 }
 
 // propose gives the first core's voters: all that were heard lately, if they
-// are enough. Why one of them in its first life: that is so only when the whole
-// system starts for the first time; machines that were emptied or came new must
-// not found a second core beside one that they don't reach.
+// are enough. One of them must be running for the first time: that is so only
+// when the whole system starts for the first time; machines that were emptied or
+// came new must not found a second core beside one that they don't reach.
 func (f *Founder) propose(now time.Time) []raft.Voter {
 	var set []raft.Voter
 	first := false
-	for _, s := range f.seen {
-		switch silent := now.Sub(s.at); {
+	for _, entry := range f.announcements {
+		switch silent := now.Sub(entry.at); {
 		case silent >= tune.FoundFresh:
 		case silent >= tune.Gather:
-			// Why not yet: it may be lost, and a core that named it would wait
-			// for it; or only some of its announcements are.
+			// It may be lost, and a core that named it would wait for it; or only
+			// some of its announcements are. Wait until that is known.
 			return nil
 		default:
-			set = append(set, s.Me)
-			first = first || !s.Late
+			set = append(set, entry.Me)
+			first = first || !entry.Late
 		}
 	}
 	if !first || len(set) < f.Least {
@@ -80,7 +80,8 @@
 	return set
 }
 
-func same(a, b []raft.Voter) bool {
+// sameVoters tells whether two lists hold the same voters in the same order.
+func sameVoters(a, b []raft.Voter) bool {
 	if len(a) != len(b) {
 		return false
 	}
@@ -93,45 +94,44 @@
 }
 
 // Take notes an announcement and answers it.
-func (f *Founder) Take(m Found, now time.Time) Proposal {
-	if f.seen == nil {
-		f.seen = map[string]announced{}
+func (f *Founder) Take(announcement Found, now time.Time) Proposal {
+	if f.announcements == nil {
+		f.announcements = map[string]announced{}
 	}
-	if m.Me.Disk == "" {
+	if announcement.Me.Disk == "" {
 		// Nothing that is bound to or counted may rest on a disk without an
 		// identity.
 		return Proposal{}
 	}
-	for disk, other := range f.seen {
-		if m.Me.Node != "" && other.Me.Node == m.Me.Node && disk != m.Me.Disk && len(other.Bound) == 0 {
+	for disk, other := range f.announcements {
+		if announcement.Me.Node != "" && other.Me.Node == announcement.Me.Node && disk != announcement.Me.Disk && len(other.Bound) == 0 {
 			// The machine came back with another disk before the core was
 			// founded: it must not count twice.
-			delete(f.seen, disk)
+			delete(f.announcements, disk)
 		}
 	}
-	old, ok := f.seen[m.Me.Disk]
-	f.seen[m.Me.Disk] = announced{m, now}
-	if !ok || old.Me != m.Me {
-		f.still = now
+	old, ok := f.announcements[announcement.Me.Disk]
+	f.announcements[announcement.Me.Disk] = announced{announcement, now}
+	if !ok || old.Me != announcement.Me {
+		f.unchangedSince = now
 	}
-	if len(m.Bound) > 0 {
-		// Why adopted: a candidate binds once, so its set is the only one
-		// in which it can ever found; and a member of a founded core says so,
-		// since this seed may have forgotten, or be another than the one that
-		// proposed.
-		f.set = m.Bound
+	if len(announcement.Bound) > 0 {
+		// A candidate binds once, so its set is the only one in which it can
+		// ever found a core; and a member of a founded core says so, since this
+		// seed may have forgotten, or be another than the one that proposed.
+		f.proposed = announcement.Bound
 	}
-	if f.set == nil && now.Sub(f.still) >= tune.Gather {
-		f.set = f.propose(now)
+	if f.proposed == nil && now.Sub(f.unchangedSince) >= tune.Gather {
+		f.proposed = f.propose(now)
 	}
-	if f.set == nil {
+	if f.proposed == nil {
 		return Proposal{}
 	}
-	p := Proposal{Set: f.set, Go: true}
-	for _, v := range f.set {
-		if !same(f.seen[v.Disk].Bound, f.set) {
-			p.Go = false
+	proposal := Proposal{Set: f.proposed, Go: true}
+	for _, voter := range f.proposed {
+		if !sameVoters(f.announcements[voter.Disk].Bound, f.proposed) {
+			proposal.Go = false
 		}
 	}
-	return p
+	return proposal
 }
--- a/internal/member/founder_test.go
+++ b/internal/member/founder_test.go
@@ -45,7 +45,7 @@
 func newFounding(seed int64) *founding {
 	m := &founding{rnd: rand.New(rand.NewSource(seed)), now: time.Unix(1000, 0), seeds: map[string]*seedNode{}}
 	n := 3 + m.rnd.Intn(6)
-	// Why from 3: 2 x lostMachines + 1, and no more than there are.
+	// At least 3: 2 x lostMachines + 1, and no more than there are.
 	least := 3 + 2*m.rnd.Intn((n-1)/2)
 	m.lost = m.rnd.Float64() * 0.2
 	start := func(most int) time.Time { return m.now.Add(time.Duration(m.rnd.Intn(most)) * time.Millisecond) }
@@ -57,8 +57,8 @@
 		if i == 0 && m.rnd.Intn(4) == 0 {
 			s.wiped = s.up.Add(time.Duration(m.rnd.Intn(4000)) * time.Millisecond)
 		}
-		a := fmt.Sprint("s", i)
-		m.seeds[a], m.names = s, append(m.names, a)
+		addr := fmt.Sprint("s", i)
+		m.seeds[addr], m.names = s, append(m.names, addr)
 	}
 	for i := range n {
 		c := &coreNode{me: raft.Voter{Node: fmt.Sprint("n", i), Disk: fmt.Sprint("d", i)}, next: start(300)}
@@ -99,8 +99,8 @@
 	f := Found{Me: c.me, Bound: c.bound, Late: c.late && len(c.bound) == 0}
 	if c.member {
 		if c.turns < tune.FoundTold && c.turns%4 == 1 {
-			for _, a := range m.names {
-				m.ask(a, f)
+			for _, addr := range m.names {
+				m.ask(addr, f)
 			}
 		}
 		return
@@ -115,8 +115,8 @@
 	switch {
 	case len(p.Set) == 0:
 	case len(c.bound) == 0:
-		for _, v := range p.Set {
-			if v == c.me {
+		for _, voter := range p.Set {
+			if voter == c.me {
 				c.bound = p.Set
 			}
 		}
--- a/internal/member/home.go
+++ b/internal/member/home.go
@@ -8,77 +8,81 @@
 	"tealpond/internal/tune"
 )
 
-// avoided is a daemon that left this one without an answer.
+// avoided is a daemon that failed to answer, and the backoff before it is tried
+// again.
 type avoided struct {
-	till time.Time
-	wait time.Duration
+	until time.Time
+	wait  time.Duration
 }
 
-// hop is what came of turning to another daemon.
-type hop struct {
+// switchResult is the outcome of connecting to an aggregator; stream is nil if
+// that failed.
+type switchResult struct {
 	addr   string
 	stream *link.Stream
 }
 
-// avoid notes that a daemon failed: it is not turned to for a while, longer each
-// time.
+// avoid notes that a daemon failed: it is not tried again for a while, longer
+// each time.
 func (s *Seeker) avoid(addr string) {
 	if !s.homing || addr == "" {
 		return
 	}
-	for a, v := range s.avoiding {
-		if s.now.Sub(v.till) > tune.AvoidMost {
-			delete(s.avoiding, a)
+	for other, entry := range s.avoiding {
+		if s.now.Sub(entry.until) > tune.AvoidMost {
+			delete(s.avoiding, other)
 		}
 	}
 	wait := min(max(2*s.avoiding[addr].wait, tune.Avoid), tune.AvoidMost)
 	s.avoiding[addr] = avoided{s.now.Add(wait), wait}
 }
 
-// goHome turns to whom an answer names for this zone, if it isn't there yet.
-func (s *Seeker) goHome(ctx context.Context, a Answer) {
+// switchToAggregator connects to the aggregator that an answer names, unless it
+// is connected already.
+func (s *Seeker) switchToAggregator(ctx context.Context, answer Answer) {
 	if !s.homing {
 		return
 	}
-	if a.Home != "" || a.Next != "" {
-		s.standby = a.Next
+	if answer.Home != "" || answer.Next != "" {
+		s.standby = answer.Next
 	}
-	if a.Home == "" || a.Home == s.address || s.hopping || s.now.Before(s.avoiding[a.Home].till) {
+	if answer.Home == "" || answer.Home == s.address || s.switching || s.now.Before(s.avoiding[answer.Home].until) {
 		return
 	}
-	s.hopping = true
+	s.switching = true
 	go func() {
-		h := &hop{addr: a.Home}
-		h.stream, _ = s.lookAtHome(ctx, a.Home)
+		result := &switchResult{addr: answer.Home}
+		result.stream, _ = s.probeAggregator(ctx, answer.Home)
 		select {
-		case s.in <- event{hop: h}:
+		case s.events <- seekerEvent{switched: result}:
 		case <-ctx.Done():
 		}
 	}()
 }
 
-func (s *Seeker) onHop(h *hop) {
-	s.hopping = false
+// onSwitch takes the outcome of connecting to an aggregator.
+func (s *Seeker) onSwitch(result *switchResult) {
+	s.switching = false
 	switch {
-	case h.stream == nil || h.stream.Ended():
-		s.avoid(h.addr)
+	case result.stream == nil || result.stream.Ended():
+		s.avoid(result.addr)
 	case s.stream == nil || s.searching:
-		// Why not: a search is under way, and its outcome rules.
-		h.stream.Close()
+		// A search is under way, and its outcome takes precedence.
+		result.stream.Close()
 	default:
-		s.use(h.stream, h.addr)
+		s.useStream(result.stream, result.addr)
 	}
 }
 
-// lookAtHome looks at a daemon that is said to speak for this zone; nil if it
-// doesn't.
-func (s *Seeker) lookAtHome(ctx context.Context, addr string) (*link.Stream, View) {
-	st, v, ok := s.lookAt(ctx, addr)
-	if ok && (v.Sums || v.Leads) {
-		return st, v
+// probeAggregator connects to a daemon that is named as this zone's aggregator;
+// nil if it isn't one.
+func (s *Seeker) probeAggregator(ctx context.Context, addr string) (*link.Stream, View) {
+	stream, view, ok := s.probe(ctx, addr)
+	if ok && (view.Sums || view.Leads) {
+		return stream, view
 	}
-	if st != nil {
-		st.Close()
+	if stream != nil {
+		stream.Close()
 	}
-	return nil, v
+	return nil, view
 }
--- a/internal/member/pending.go
+++ b/internal/member/pending.go
@@ -8,35 +8,36 @@
 	"tealpond/internal/tune"
 )
 
-type pending struct {
-	ask   Ask
-	reply chan Answer
-	till  time.Time
-	// noLead is when an ask that was surely never taken is given up, known the
-	// same while it is known that there is no leader in reach.
-	noLead, known time.Time
-	sent          time.Time // zero while not under way
-	// open counts the times that it was sent and may have been taken.
-	open int
-	done <-chan struct{}
+// pendingAsk is a request whose client waits for the answer.
+type pendingAsk struct {
+	ask      Ask
+	reply    chan Answer
+	deadline time.Time
+	// noLeaderBy is when a request that was surely never taken is given up,
+	// leaderlessBy the same while it is known that no leader is in reach.
+	noLeaderBy, leaderlessBy time.Time
+	sent                     time.Time // zero while not under way
+	// unanswered counts the times that it was sent and may have been taken.
+	unanswered int
+	done       <-chan struct{}
 }
 
-// end is the answer to an ask that is given up.
-func (p *pending) end() {
+// giveUp answers a request that is given up.
+func (request *pendingAsk) giveUp() {
 	code := NoLeader
-	if p.open > 0 {
+	if request.unanswered > 0 {
 		code = Lost
 	}
-	p.reply <- Answer{Code: code}
+	request.reply <- Answer{Code: code}
 }
 
-// patience is how long an ask waits for a leader: known, while it is known
-// that none is in reach.
-type patience struct{ most, known time.Duration }
+// leaderPatience is how long a request waits for a leader: at most, and while it
+// is known that none is in reach.
+type leaderPatience struct{ most, leaderless time.Duration }
 
-// patienceOf tells it by the kind of ask: clients lose more by being turned
-// away in an election than operators, who go on to the next daemon.
-var patienceOf = map[string]patience{
+// patienceByKind holds it by the kind of request: clients lose more by being
+// turned away in an election than operators, who go on to the next daemon.
+var patienceByKind = map[string]leaderPatience{
 	AskHandIn: {tune.NoLeaderWait, tune.NoLeaderKnown},
 	AskStatus: {tune.NoLeaderWait, tune.NoLeaderKnown},
 	AskCancel: {tune.NoLeaderWait, tune.NoLeaderKnown},
@@ -44,45 +45,45 @@
 	AskRead:   {tune.OperatorWait, 0},
 }
 
-// Ask carries an ask to the leader, again if need be, until ctx ends. All
-// asks can be repeated without harm.
+// Ask carries a request to the leader, again if need be, until ctx ends. All
+// requests can be repeated without harm.
 func (s *Seeker) Ask(ctx context.Context, kind string, body any) Answer {
 	return s.AskRaw(ctx, Ask{Kind: kind, Body: link.Pack(body)})
 }
 
 // AskRaw is Ask with a body that is already packed.
-func (s *Seeker) AskRaw(ctx context.Context, a Ask) Answer { return s.Post(ctx, a)() }
+func (s *Seeker) AskRaw(ctx context.Context, ask Ask) Answer { return s.Post(ctx, ask)() }
 
-// Post is AskRaw in two steps: the ask is under way when Post returns, behind
+// Post is AskRaw in two steps: the request is queued when Post returns, behind
 // all that were posted before it; the function that it gives waits for the
 // answer.
-func (s *Seeker) Post(ctx context.Context, a Ask) func() Answer {
+func (s *Seeker) Post(ctx context.Context, ask Ask) func() Answer {
 	now := time.Now()
-	till, ok := ctx.Deadline()
+	deadline, ok := ctx.Deadline()
 	if !ok {
-		till = now.Add(time.Minute)
+		deadline = now.Add(time.Minute)
 	}
-	w, ok := patienceOf[a.Kind]
+	patience, ok := patienceByKind[ask.Kind]
 	if !ok {
-		w = patience{tune.NoLeaderWait, tune.NoLeaderWait}
+		patience = leaderPatience{tune.NoLeaderWait, tune.NoLeaderWait}
 	}
 	if ctx.Value(leaderWaitKey{}) != nil {
-		w.most = leaderWait(ctx)
+		patience.most = leaderWait(ctx)
 	}
-	p := &pending{ask: a, reply: make(chan Answer, 1), till: till, noLead: now.Add(w.most), known: now.Add(w.known), done: ctx.Done()}
+	request := &pendingAsk{ask: ask, reply: make(chan Answer, 1), deadline: deadline, noLeaderBy: now.Add(patience.most), leaderlessBy: now.Add(patience.leaderless), done: ctx.Done()}
 	select {
-	case s.in <- event{ask: p}:
+	case s.events <- seekerEvent{ask: request}:
 	case <-ctx.Done():
 		return func() Answer { return Answer{Code: NoLeader} }
 	}
 	return func() Answer {
 		select {
-		case a := <-p.reply:
-			return a
+		case answer := <-request.reply:
+			return answer
 		case <-ctx.Done():
 			select {
-			case a := <-p.reply:
-				return a
+			case answer := <-request.reply:
+				return answer
 			case <-time.After(20 * time.Millisecond):
 				return Answer{Code: Lost}
 			}
@@ -90,88 +91,91 @@
 	}
 }
 
-func (s *Seeker) sendOne(id uint64, p *pending) {
+// sendOne sends a request, if there is a connection.
+func (s *Seeker) sendOne(id uint64, request *pendingAsk) {
 	if s.stream == nil {
 		return
 	}
-	if s.stream.Send(link.Frame{Kind: FrameAsk, ID: id, Body: link.Pack(p.ask)}) {
-		p.sent = s.now
-		p.open++
+	if s.stream.Send(link.Frame{Kind: FrameAsk, ID: id, Body: link.Pack(request.ask)}) {
+		request.sent = s.now
+		request.unanswered++
 	}
 }
 
-func (s *Seeker) answer(ctx context.Context, id uint64, a Answer) {
-	p := s.waiting[id]
-	if p == nil {
+// answer takes the answer to a request.
+func (s *Seeker) answer(ctx context.Context, id uint64, answer Answer) {
+	request := s.pending[id]
+	if request == nil {
 		return
 	}
-	if a.Code == NotLead || a.Code == Unclear {
-		// Why again: an ask has the same effect however often it is taken.
-		if a.Lead != "" {
-			s.leader = a.Lead
+	if answer.Code == NotLead || answer.Code == Unclear {
+		// It is sent again: a request has the same effect however often it is
+		// taken.
+		if answer.Lead != "" {
+			s.leader = answer.Lead
 		}
-		if a.Code == NotLead {
-			p.open--
+		if answer.Code == NotLead {
+			request.unanswered--
 		}
 		s.avoid(s.address)
-		s.drop()
+		s.disconnect()
 		return
 	}
-	s.goHome(ctx, a)
-	if a.Desired != 0 && s.news != nil {
-		s.news(a.Desired)
+	s.switchToAggregator(ctx, answer)
+	if answer.Desired != 0 && s.onVersion != nil {
+		s.onVersion(answer.Desired)
 	}
-	delete(s.waiting, id)
-	p.reply <- a
+	delete(s.pending, id)
+	request.reply <- answer
 }
 
-// expire answers the asks whose time is over, and those that wait for a leader
-// in vain; soon takes when to look again.
+// expire answers the requests whose time is over, and those that wait for a
+// leader in vain; soon takes when to check again.
 func (s *Seeker) expire(soon func(time.Duration)) {
 	leaderless := s.leaderless(s.now)
-	for id, p := range s.waiting {
-		if p.over(s.now, leaderless) {
-			delete(s.waiting, id)
-			p.end()
+	for id, request := range s.pending {
+		if request.expired(s.now, leaderless) {
+			delete(s.pending, id)
+			request.giveUp()
 			continue
 		}
-		soon(p.till.Sub(s.now))
-		if p.open == 0 {
-			soon(p.noLead.Sub(s.now))
+		soon(request.deadline.Sub(s.now))
+		if request.unanswered == 0 {
+			soon(request.noLeaderBy.Sub(s.now))
 			if leaderless {
-				soon(p.known.Sub(s.now))
+				soon(request.leaderlessBy.Sub(s.now))
 			}
 		}
 	}
 }
 
-// over tells whether an ask is to be given up.
-func (p *pending) over(now time.Time, leaderless bool) bool {
+// expired tells whether a request is to be given up.
+func (request *pendingAsk) expired(now time.Time, leaderless bool) bool {
 	select {
-	case <-p.done:
-		// Why answered then: its caller waits a moment longer for this.
+	case <-request.done:
+		// Its caller waits for a moment longer, to learn whether it was taken.
 		return true
 	default:
 	}
-	return !now.Before(p.till) || p.open == 0 && (!now.Before(p.noLead) || leaderless && !now.Before(p.known))
+	return !now.Before(request.deadline) || request.unanswered == 0 && (!now.Before(request.noLeaderBy) || leaderless && !now.Before(request.leaderlessBy))
 }
 
-// silent tells whether the leader left an ask without an answer for too long;
-// soon takes when to look again.
-func (s *Seeker) silent(soon func(time.Duration)) bool {
+// leaderSilent tells whether the leader left a request without an answer for too
+// long; soon takes when to check again.
+func (s *Seeker) leaderSilent(soon func(time.Duration)) bool {
 	silent := false
-	most := tune.AskRound + s.transfer()
-	for _, p := range s.waiting {
-		if p.sent.IsZero() {
+	most := tune.AskRound + s.transferTime()
+	for _, request := range s.pending {
+		if request.sent.IsZero() {
 			continue
 		}
-		// Why by what was heard: a busy leader answers late, and to turn
-		// away from it would only bring it more to do.
-		from := p.sent
-		if s.heard.After(from) {
-			from = s.heard
+		// Any frame counts as a sign of life: a busy leader answers late, and
+		// to reconnect would only add to its load.
+		from := request.sent
+		if s.heardAt.After(from) {
+			from = s.heardAt
 		}
-		if s.now.Sub(from) > most || s.now.Sub(p.sent) > max(most, tune.AskMost) {
+		if s.now.Sub(from) > most || s.now.Sub(request.sent) > max(most, tune.AskMost) {
 			silent = true
 		} else {
 			soon(most - s.now.Sub(from) + time.Millisecond)
@@ -180,17 +184,17 @@
 	return silent
 }
 
-// transfer is how long what is under way may take on a slow link. Why for all
-// asks together: a small one waits behind a large one.
-func (s *Seeker) transfer() time.Duration {
+// transferTime is how long the requests under way may take on a slow link, all
+// together, since a small one waits behind a large one.
+func (s *Seeker) transferTime() time.Duration {
 	bytes := 0
-	for _, p := range s.waiting {
-		if p.sent.IsZero() {
+	for _, request := range s.pending {
+		if request.sent.IsZero() {
 			continue
 		}
-		bytes += len(p.ask.Body)
-		if p.ask.Kind == AskRead {
-			bytes += s.largest
+		bytes += len(request.ask.Body)
+		if request.ask.Kind == AskRead {
+			bytes += s.largestAnswer
 		}
 	}
 	return time.Duration(bytes) * time.Second / tune.SlowLink
--- a/internal/member/search.go
+++ b/internal/member/search.go
@@ -8,133 +8,134 @@
 	"tealpond/internal/tune"
 )
 
-// found is what came of a search, or of the rest of one.
-type found struct {
+// searchResult is the outcome of a search for the leader, or of the rest of one.
+type searchResult struct {
 	id      int
 	stream  *link.Stream
 	addr    string
 	leads   bool
 	known   []string
-	partial bool // some places have not answered yet
-	late    bool // what came of these in the end
+	partial bool // some addresses have not answered yet
+	late    bool // the outcome of these in the end
 }
 
-// look is what one place said of itself.
-type look struct {
+// probeResult is what the daemon at one address said of itself.
+type probeResult struct {
 	stream *link.Stream
 	addr   string
 	view   View
 	ok     bool
 }
 
-// onFound takes what came of a search.
-func (s *Seeker) onFound(f *found) {
-	if f.late && s.stream == nil {
-		// Why taken: the rest of an earlier look has found a leader, or none,
-		// which ends that look; the one under way is not waited for.
-		if f.stream == nil {
-			s.failed = s.now
+// onSearchResult takes the outcome of a search.
+func (s *Seeker) onSearchResult(result *searchResult) {
+	if result.late && s.stream == nil {
+		// The rest of an earlier search has found a leader, or none, which ends
+		// that search; the one under way is not waited for.
+		if result.stream == nil {
+			s.failedAt = s.now
 			return
 		}
 		s.searchID++
-		f.id = s.searchID
+		result.id = s.searchID
 	}
-	if f.id != s.searchID {
-		if f.stream != nil {
-			f.stream.Close()
+	if result.id != s.searchID {
+		if result.stream != nil {
+			result.stream.Close()
 		}
 		return
 	}
 	s.searching = false
-	for _, a := range f.known {
-		s.learn(a)
+	for _, addr := range result.known {
+		s.learn(addr)
 	}
-	if f.stream == nil || f.stream.Ended() {
-		// Why also an ended one: its end may have been told before it was the
-		// present one, and would not be told again.
+	if result.stream == nil || result.stream.Ended() {
+		// A stream that has ended counts as none: its end may have been reported
+		// before it was the present one, and would not be reported again.
 		s.failures++
-		if f.stream == nil && !f.partial {
-			s.failed = s.now
+		if result.stream == nil && !result.partial {
+			s.failedAt = s.now
 		}
 		return
 	}
 	s.failures = 0
-	if f.leads {
-		s.leader = f.addr
+	if result.leads {
+		s.leader = result.addr
 	}
-	s.use(f.stream, f.addr)
+	s.useStream(result.stream, result.addr)
 }
 
-func (s *Seeker) learn(a string) {
-	if a == "" {
+// learn puts an address at the head of the known ones.
+func (s *Seeker) learn(addr string) {
+	if addr == "" {
 		return
 	}
-	for i, k := range s.known {
-		if k == a {
+	for i, known := range s.known {
+		if known == addr {
 			copy(s.known[1:i+1], s.known[:i])
-			s.known[0] = a
+			s.known[0] = addr
 			return
 		}
 	}
-	s.known = append([]string{a}, s.known...)
+	s.known = append([]string{addr}, s.known...)
 	if len(s.known) > 8 {
 		s.known = s.known[:8]
 	}
 }
 
-// leaderless tells whether it is known that no leader is in reach: none was
-// found for longer than an election takes, and a look at all places has just
+// leaderless tells whether it is known that no leader is in reach: none was found
+// for longer than an election takes, and a search at all addresses has just
 // failed.
 func (s *Seeker) leaderless(now time.Time) bool {
-	return s.stream == nil && now.Sub(s.lost) >= tune.Election && !s.failed.IsZero() && now.Sub(s.failed) < tune.LookFresh
+	return s.stream == nil && now.Sub(s.lostAt) >= tune.Election && !s.failedAt.IsZero() && now.Sub(s.failedAt) < tune.LookFresh
 }
 
-// places are the addresses to try, the likeliest first.
-func (s *Seeker) places() []string {
-	var out []string
-	add := func(a string) {
-		for _, o := range out {
-			if o == a {
+// addresses are those to try, the likeliest first.
+func (s *Seeker) addresses() []string {
+	var addresses []string
+	add := func(addr string) {
+		for _, o := range addresses {
+			if o == addr {
 				return
 			}
 		}
-		if a != "" {
-			out = append(out, a)
+		if addr != "" {
+			addresses = append(addresses, addr)
 		}
 	}
 	add(s.leader)
-	for _, a := range s.known {
-		add(a)
+	for _, addr := range s.known {
+		add(addr)
 	}
-	for _, a := range s.seeds {
-		add(a)
+	for _, addr := range s.seeds {
+		add(addr)
 	}
 	if s.homing {
-		return few(out, s.failures)
+		return sample(addresses, s.failures)
 	}
-	return out
+	return addresses
 }
 
-// few are some of the places, others each round: the likeliest always, and of
-// the rest as many as tune.SeekPlaces allows. Why not all: hundreds of side
-// daemons look at once after a loss, and whoever they ask names the leader.
-func few(places []string, round int) []string {
+// sample gives some of the addresses, others each time: the likeliest always, and
+// of the rest as many as tune.SeekPlaces allows. Hundreds of side daemons search
+// at once after a loss, and any daemon that they ask names the leader.
+func sample(places []string, round int) []string {
 	if len(places) <= tune.SeekPlaces {
 		return places
 	}
-	out := append([]string(nil), places[:2]...)
+	addresses := append([]string(nil), places[:2]...)
 	rest := places[2:]
 	for i := range tune.SeekPlaces - 2 {
-		out = append(out, rest[(round*(tune.SeekPlaces-2)+i)%len(rest)])
+		addresses = append(addresses, rest[(round*(tune.SeekPlaces-2)+i)%len(rest)])
 	}
-	return out
+	return addresses
 }
 
-// seek asks the known addresses side by side who leads.
-func (s *Seeker) seek(ctx context.Context, id int) {
-	places := s.places()
+// search asks the known addresses concurrently who leads.
+func (s *Seeker) search(ctx context.Context, id int) {
+	places := s.addresses()
 	standby := ""
-	if s.homing && s.failures == 0 && s.standby != "" && s.standby != s.address && s.now.After(s.avoiding[s.standby].till) {
+	if s.homing && s.failures == 0 && s.standby != "" && s.standby != s.address && s.now.After(s.avoiding[s.standby].until) {
 		standby = s.standby
 	}
 	pause := time.Duration(0)
@@ -153,38 +154,38 @@
 			case <-time.After(pause):
 			}
 		}
-		var f *found
+		var result *searchResult
 		if standby != "" {
-			// Why first and alone: it takes over for the zone, and the leader
-			// is spared a stream from each side daemon.
-			if st, v := s.lookAtHome(ctx, standby); st != nil {
-				f = &found{stream: st, addr: standby, leads: v.Leads}
+			// The standby is tried first and alone: it takes over for the zone,
+			// and the leader is spared a connection from each side daemon.
+			if stream, view := s.probeAggregator(ctx, standby); stream != nil {
+				result = &searchResult{stream: stream, addr: standby, leads: view.Leads}
 			}
 		}
-		if f == nil {
-			f = s.look(ctx, places, rest)
+		if result == nil {
+			result = s.probeAll(ctx, places, rest)
 		}
-		f.id = id
+		result.id = id
 		select {
-		case s.in <- event{found: f}:
+		case s.events <- seekerEvent{search: result}:
 		case <-ctx.Done():
 		}
 	}()
 }
 
-// look asks all places at once. The first leader ends it; without one it ends
-// after tune.LookRest if any place has answered: what hangs is likely the leader
+// probeAll asks all addresses at once. The first leader ends it; without one it
+// ends after most if any address has answered: what hangs is likely the leader
 // that was lost, and the next one may lead by now. The rest, and a leader among
-// them, is told of later.
-func (s *Seeker) look(ctx context.Context, places []string, most time.Duration) *found {
-	out := make(chan look, len(places))
-	for _, a := range places {
+// them, is reported later.
+func (s *Seeker) probeAll(ctx context.Context, places []string, most time.Duration) *searchResult {
+	probes := make(chan probeResult, len(places))
+	for _, addr := range places {
 		go func() {
-			st, v, ok := s.lookAt(ctx, a)
-			out <- look{st, a, v, ok}
+			stream, view, ok := s.probe(ctx, addr)
+			probes <- probeResult{stream, addr, view, ok}
 		}()
 	}
-	f := &found{}
+	result := &searchResult{}
 	enough := time.NewTimer(most)
 	defer enough.Stop()
 	answered := false
@@ -194,95 +195,97 @@
 			stop = nil
 		}
 		select {
-		case l := <-out:
-			answered = answered || l.ok
-			if f.take(l) {
-				go closeRest(out, left-1)
-				return f
+		case probe := <-probes:
+			answered = answered || probe.ok
+			if result.take(probe) {
+				go closeRest(probes, left-1)
+				return result
 			}
 		case <-stop:
-			f.partial = true
-			go s.lookOn(ctx, out, left)
-			return f
+			result.partial = true
+			go s.probeRest(ctx, probes, left)
+			return result
 		}
 	}
-	return f
+	return result
 }
 
-// take notes what one place said; true if it leads.
-func (f *found) take(l look) bool {
-	if !l.ok {
+// take notes what one daemon said; true if it leads.
+func (result *searchResult) take(probe probeResult) bool {
+	if !probe.ok {
 		return false
 	}
-	f.known = append(f.known, l.view.Known...)
-	if l.view.Lead != "" {
-		f.known = append(f.known, l.view.Lead)
+	result.known = append(result.known, probe.view.Known...)
+	if probe.view.Lead != "" {
+		result.known = append(result.known, probe.view.Lead)
 	}
-	if !l.view.Leads {
-		l.stream.Close()
+	if !probe.view.Leads {
+		probe.stream.Close()
 		return false
 	}
-	// Why not wait for the rest: only a leader under a lease says so.
-	f.stream, f.addr, f.leads = l.stream, l.addr, true
+	// The rest need not be waited for: only a leader with a valid lease says so.
+	result.stream, result.addr, result.leads = probe.stream, probe.addr, true
 	return true
 }
 
-// closeRest closes the streams of places that aren't needed any more.
-func closeRest(out <-chan look, left int) {
+// closeRest closes the streams of probes that aren't needed any more.
+func closeRest(probes <-chan probeResult, left int) {
 	for range left {
-		if l := <-out; l.stream != nil {
-			l.stream.Close()
+		if probe := <-probes; probe.stream != nil {
+			probe.stream.Close()
 		}
 	}
 }
 
-// lookOn waits for the places that a look didn't wait for.
-func (s *Seeker) lookOn(ctx context.Context, out <-chan look, left int) {
-	f := &found{late: true}
+// probeRest waits for the addresses that probeAll didn't wait for.
+func (s *Seeker) probeRest(ctx context.Context, probes <-chan probeResult, left int) {
+	result := &searchResult{late: true}
 	for ; left > 0; left-- {
-		if f.take(<-out) {
-			go closeRest(out, left-1)
+		if result.take(<-probes) {
+			go closeRest(probes, left-1)
 			break
 		}
 	}
 	select {
-	case s.in <- event{found: f}:
+	case s.events <- seekerEvent{search: result}:
 	case <-ctx.Done():
 	}
 }
 
-func (s *Seeker) lookAt(ctx context.Context, addr string) (*link.Stream, View, bool) {
+// probe connects to an address and asks who leads; the stream stays open if it
+// answers.
+func (s *Seeker) probe(ctx context.Context, addr string) (*link.Stream, View, bool) {
 	got := make(chan View, 1)
-	st, err := link.Dial(ctx, addr, func(e link.Event) {
+	stream, err := link.Dial(ctx, addr, func(e link.Event) {
 		if !e.Gone && e.Frame.Kind == FrameAnswer && e.Frame.ID == 0 {
-			var a Answer
-			var v View
-			if link.Unpack(e.Frame.Body, &a) == nil && link.Unpack(a.Body, &v) == nil {
+			var answer Answer
+			var view View
+			if link.Unpack(e.Frame.Body, &answer) == nil && link.Unpack(answer.Body, &view) == nil {
 				select {
-				case got <- v:
+				case got <- view:
 				default:
 				}
 			}
 			return
 		}
 		select {
-		case s.in <- event{link: &e}:
+		case s.events <- seekerEvent{link: &e}:
 		case <-ctx.Done():
 		}
 	})
 	if err != nil {
 		return nil, View{}, false
 	}
-	st.Send(link.Frame{Kind: FrameAsk, Body: link.Pack(Ask{Kind: AskLead, Body: []byte(s.self)})})
-	t := time.NewTimer(tune.Vitals)
-	defer t.Stop()
+	stream.Send(link.Frame{Kind: FrameAsk, Body: link.Pack(Ask{Kind: AskLead, Body: []byte(s.self)})})
+	timer := time.NewTimer(tune.Vitals)
+	defer timer.Stop()
 	select {
-	case v := <-got:
-		return st, v, true
-	case <-st.Done():
-	case <-t.C:
+	case view := <-got:
+		return stream, view, true
+	case <-stream.Done():
+	case <-timer.C:
 	case <-ctx.Done():
 	}
-	st.Close()
+	stream.Close()
 	return nil, View{}, false
 }
--- a/internal/member/seek_test.go
+++ b/internal/member/seek_test.go
@@ -24,26 +24,26 @@
 
 	mu     sync.Mutex
 	view   member.View
-	answer func(a member.Ask) (member.Answer, bool)
+	answer func(ask member.Ask) (member.Answer, bool)
 }
 
 // now changes what a daemon says of itself and how it answers.
-func (d *daemon) now(v member.View, answer func(a member.Ask) (member.Answer, bool)) {
+func (d *daemon) now(view member.View, answer func(ask member.Ask) (member.Answer, bool)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.view = v
+	d.view = view
 	if answer != nil {
 		d.answer = answer
 	}
 }
 
-func (d *daemon) take(a member.Ask) (member.Answer, bool) {
+func (d *daemon) take(ask member.Ask) (member.Answer, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if a.Kind == member.AskLead {
+	if ask.Kind == member.AskLead {
 		return member.Answer{Code: 200, Body: link.Pack(d.view)}, true
 	}
-	return d.answer(a)
+	return d.answer(ask)
 }
 
 // place is a network with one seeker and some daemons.
@@ -57,11 +57,11 @@
 
 func (p *place) serve(ctx context.Context, d *daemon) {
 	err := link.Serve(link.On(ctx, p.net.Host(d.ip)), d.addr, func(e link.Event) {
-		var a member.Ask
-		if e.Gone || link.Unpack(e.Frame.Body, &a) != nil {
+		var ask member.Ask
+		if e.Gone || link.Unpack(e.Frame.Body, &ask) != nil {
 			return
 		}
-		if r, ok := d.take(a); ok {
+		if r, ok := d.take(ask); ok {
 			e.Stream.Send(link.Frame{Kind: member.FrameAnswer, ID: e.Frame.ID, Body: link.Pack(r)})
 		}
 	})
@@ -86,8 +86,8 @@
 	x, stop := context.WithTimeout(context.Background(), most)
 	defer stop()
 	from := time.Now()
-	a := p.seek.Ask(x, kind, struct{}{})
-	return a.Code, time.Since(from)
+	answer := p.seek.Ask(x, kind, struct{}{})
+	return answer.Code, time.Since(from)
 }
 
 // among runs a test with a seeker that knows n daemons as seeds; the first of
@@ -220,8 +220,8 @@
 		p.serve(ctx, old)
 		x, done := context.WithTimeout(context.Background(), 3*time.Second)
 		defer done()
-		if a := p.seek.Ask(x, member.AskHandIn, struct{}{}); a.Code != 200 || a.N != 1 {
-			t.Errorf("code %d, answer %d", a.Code, a.N)
+		if answer := p.seek.Ask(x, member.AskHandIn, struct{}{}); answer.Code != 200 || answer.N != 1 {
+			t.Errorf("code %d, answer %d", answer.Code, answer.N)
 		}
 		if asked != 0 {
 			t.Error("the ask went to whoever has the old leader's address now")
--- a/internal/member/seeker.go
+++ b/internal/member/seeker.go
@@ -13,89 +13,91 @@
 	"tealpond/internal/tune"
 )
 
-// Seeker finds the leader, keeps one stream to it and carries asks. It is a
-// task: all its state belongs to its loop.
+// Seeker finds the leader, keeps one connection to it and carries requests. All
+// its state belongs to its loop (Run).
 type Seeker struct {
-	log  log.Logger
-	in   chan event
-	self string // this daemon's address, if others may learn it
-
-	push     func(Order)
-	news     func(int64)
-	attached func()
-
-	now     time.Time
-	stream  *link.Stream // to the leader, or to whom speaks to it for the zone
-	address string       // where the stream goes, or the last one went
-	heard   time.Time    // the last frame of the stream
-	waiting map[uint64]*pending
-	last    uint64 // the number of the newest ask
-	largest int    // bytes of the largest answer, which is a whole configuration
+	log    log.Logger
+	events chan seekerEvent
+	self   string // this daemon's address, if others may learn it
+
+	onOrder     func(Order)
+	onVersion   func(int64)
+	onConnected func()
+
+	now           time.Time
+	stream        *link.Stream // to the leader, or to the zone's aggregator
+	address       string       // where the stream goes, or the last one went
+	heardAt       time.Time    // the last frame of the stream
+	pending       map[uint64]*pendingAsk
+	lastID        uint64 // the number of the newest request
+	largestAnswer int    // bytes of the largest answer, which is a whole configuration
 
 	seeds     []string
 	known     []string  // core daemons heard of, the newest first
 	leader    string    // who led when last heard of
-	lost      time.Time // since when there is no stream
-	failed    time.Time // the last look at all places that found none; zero if none did since
+	lostAt    time.Time // since when there is no stream
+	failedAt  time.Time // the last search at all addresses that found none; zero once one is found
 	searching bool
 	searchID  int
-	// speaking is the address of the stream, for readers outside the loop;
+	// currentAddress is the address of the stream, for readers outside the loop;
 	// empty while there is none.
-	speaking atomic.Value
-	failures int // looks in a row that found none
-
-	// homing: it turns to whom the answers name for its zone.
-	homing   bool
-	standby  string
-	avoiding map[string]avoided
-	hopping  bool
+	currentAddress atomic.Value
+	failures       int // searches in a row that found none
+
+	// homing: it connects to the aggregator that the answers name for its zone.
+	homing    bool
+	standby   string
+	avoiding  map[string]avoided
+	switching bool
 }
 
-type event struct {
-	link  *link.Event
-	ask   *pending
-	found *found
-	seeds []string
-	know  chan []string
-	learn string
-	hop   *hop
+// seekerEvent is an input of the seeker's loop; one of its fields is set.
+type seekerEvent struct {
+	link     *link.Event
+	ask      *pendingAsk
+	search   *searchResult
+	seeds    []string
+	known    chan []string
+	learn    string
+	switched *switchResult
 }
 
 // NewSeeker builds a seeker; push gets orders, news the newest version of the
-// desired state, attached is called with each new stream to a leader.
-func NewSeeker(l log.Logger, self string, seeds []string, push func(Order), news func(int64), attached func()) *Seeker {
-	return &Seeker{log: l, self: self, seeds: seeds, push: push, news: news, attached: attached,
-		in: make(chan event, 1024), waiting: map[uint64]*pending{}}
+// configuration, attached is called after each new connection to a leader. Each
+// may be nil.
+func NewSeeker(logger log.Logger, self string, seeds []string, push func(Order), news func(int64), attached func()) *Seeker {
+	return &Seeker{log: logger, self: self, seeds: seeds, onOrder: push, onVersion: news, onConnected: attached,
+		events: make(chan seekerEvent, 1024), pending: map[uint64]*pendingAsk{}}
 }
 
-// Homing makes the seeker turn to whoever sums up for its zone, as answers
-// name it, and back to the leader when that one fails. Before Run.
+// Homing makes the seeker connect to the aggregator of its zone, as answers name
+// it, and back to the leader when that one fails. It is called before Run.
 func (s *Seeker) Homing() { s.homing, s.avoiding = true, map[string]avoided{} }
 
-// Speaking is the inner address of the daemon that asks go to now: the leader,
-// where the seeker isn't homing; empty while none is known. Safe for concurrent
-// use.
+// Speaking is the inner address of the daemon that requests go to now: the
+// leader, where the seeker isn't homing; empty while none is known. It is safe
+// for concurrent use.
 func (s *Seeker) Speaking() string {
-	addr, _ := s.speaking.Load().(string)
+	addr, _ := s.currentAddress.Load().(string)
 	return addr
 }
 
-// Seeds replaces the seeds.
-func (s *Seeker) Seeds(a []string) { s.in <- event{seeds: a} }
+// Seeds replaces the addresses of the seeds.
+func (s *Seeker) Seeds(a []string) { s.events <- seekerEvent{seeds: a} }
 
 // Learn takes note of a core daemon's address.
-func (s *Seeker) Learn(addr string) { s.in <- event{learn: addr} }
+func (s *Seeker) Learn(addr string) { s.events <- seekerEvent{learn: addr} }
 
 // Introduce tells the seeds that this core daemon is here. Seeds may hold no
 // state and know nobody after all were started anew.
 func (s *Seeker) Introduce(ctx context.Context, seeds []string) {
-	for _, a := range seeds {
-		if a == s.self {
+	for _, addr := range seeds {
+		if addr == s.self {
 			continue
 		}
 		go func() {
-			if st, _, ok := s.lookAt(ctx, a); ok {
-				st.Close()
+			if stream, _, ok := s.probe(ctx, addr); ok {
+				stream.Close()
 			}
 		}()
 	}
@@ -103,104 +105,108 @@
 
 // Run is the seeker's loop.
 func (s *Seeker) Run(ctx context.Context) error {
-	s.lost = time.Now()
-	kernel.Loop(ctx, s.in, func(e event) { s.take(ctx, e) }, func(now time.Time) time.Duration { return s.rest(ctx, now) })
+	s.lostAt = time.Now()
+	kernel.Loop(ctx, s.events, func(event seekerEvent) { s.handle(ctx, event) }, func(now time.Time) time.Duration { return s.endTurn(ctx, now) })
 	return nil
 }
 
-func (s *Seeker) take(ctx context.Context, e event) {
+// handle takes one event.
+func (s *Seeker) handle(ctx context.Context, event seekerEvent) {
 	s.now = time.Now()
 	switch {
-	case e.ask != nil:
-		s.last++
-		s.waiting[s.last] = e.ask
-		s.sendOne(s.last, e.ask)
-	case e.link != nil:
-		s.onLink(ctx, e.link)
-	case e.found != nil:
-		s.onFound(e.found)
-	case e.hop != nil:
-		s.onHop(e.hop)
-	case e.learn != "":
-		s.learn(e.learn)
-	case e.know != nil:
-		out := append([]string(nil), s.known...)
+	case event.ask != nil:
+		s.lastID++
+		s.pending[s.lastID] = event.ask
+		s.sendOne(s.lastID, event.ask)
+	case event.link != nil:
+		s.onLink(ctx, event.link)
+	case event.search != nil:
+		s.onSearchResult(event.search)
+	case event.switched != nil:
+		s.onSwitch(event.switched)
+	case event.learn != "":
+		s.learn(event.learn)
+	case event.known != nil:
+		addresses := append([]string(nil), s.known...)
 		if s.leader != "" {
-			out = append(out, s.leader)
+			addresses = append(addresses, s.leader)
 		}
-		e.know <- out
-	case e.seeds != nil:
-		s.seeds = e.seeds
+		event.known <- addresses
+	case event.seeds != nil:
+		s.seeds = event.seeds
 	}
 }
 
-func (s *Seeker) drop() {
+// disconnect gives up the connection; requests under way are sent again on the
+// next one.
+func (s *Seeker) disconnect() {
 	if s.stream != nil {
 		s.stream.Close()
-		s.stream, s.lost = nil, s.now
-		s.speaking.Store("")
+		s.stream, s.lostAt = nil, s.now
+		s.currentAddress.Store("")
 	}
-	for _, p := range s.waiting {
-		p.sent = time.Time{}
+	for _, request := range s.pending {
+		request.sent = time.Time{}
 	}
 }
 
-func (s *Seeker) onLink(ctx context.Context, e *link.Event) {
-	if e.Stream != s.stream {
+// onLink takes a frame of the connection, or its end.
+func (s *Seeker) onLink(ctx context.Context, event *link.Event) {
+	if event.Stream != s.stream {
 		return
 	}
-	if e.Gone {
+	if event.Gone {
 		s.avoid(s.address)
-		s.drop()
+		s.disconnect()
 		return
 	}
-	s.heard = s.now
-	switch e.Frame.Kind {
+	s.heardAt = s.now
+	switch event.Frame.Kind {
 	case FrameAnswer:
-		var a Answer
-		if link.Unpack(e.Frame.Body, &a) != nil {
-			s.drop()
+		var answer Answer
+		if link.Unpack(event.Frame.Body, &answer) != nil {
+			s.disconnect()
 			return
 		}
-		s.largest = max(s.largest, len(a.Body))
-		s.answer(ctx, e.Frame.ID, a)
+		s.largestAnswer = max(s.largestAnswer, len(answer.Body))
+		s.answer(ctx, event.Frame.ID, answer)
 	case FrameOrder:
-		var os []Order
-		if link.Unpack(e.Frame.Body, &os) == nil && s.push != nil {
-			for _, o := range os {
-				s.push(o)
+		var orders []Order
+		if link.Unpack(event.Frame.Body, &orders) == nil && s.onOrder != nil {
+			for _, order := range orders {
+				s.onOrder(order)
 			}
 		}
 	}
 }
 
-// use makes a stream the present one; what waits is asked there.
-func (s *Seeker) use(st *link.Stream, addr string) {
+// useStream makes a stream the present one and sends all pending requests on it.
+func (s *Seeker) useStream(stream *link.Stream, addr string) {
 	old := s.stream
-	s.stream, s.address, s.heard, s.failed = st, addr, s.now, time.Time{}
-	s.speaking.Store(addr)
+	s.stream, s.address, s.heardAt, s.failedAt = stream, addr, s.now, time.Time{}
+	s.currentAddress.Store(addr)
 	if old != nil {
 		old.Close()
 	}
-	ids := make([]uint64, 0, len(s.waiting))
-	for id := range s.waiting {
+	ids := make([]uint64, 0, len(s.pending))
+	for id := range s.pending {
 		ids = append(ids, id)
 	}
-	// Why in the order in which they were made: of two asks about one thing
-	// the later must win, and a new life's ask must follow the old one's.
+	// They are sent in the order in which they were made: of two requests about
+	// one thing the later must win, also if a process was restarted in between.
 	slices.Sort(ids)
 	for _, id := range ids {
-		s.waiting[id].sent = time.Time{}
-		s.sendOne(id, s.waiting[id])
+		s.pending[id].sent = time.Time{}
+		s.sendOne(id, s.pending[id])
 	}
-	if s.attached != nil {
-		s.attached()
+	if s.onConnected != nil {
+		s.onConnected()
 	}
 }
 
-// rest gives up what is due, leaves a silent leader and looks for another; it
-// returns when to come back.
-func (s *Seeker) rest(ctx context.Context, now time.Time) time.Duration {
+// endTurn gives up what is due, leaves a silent leader and searches for another;
+// it returns when to come back.
+func (s *Seeker) endTurn(ctx context.Context, now time.Time) time.Duration {
 	s.now = now
 	wake := time.Duration(0)
 	soon := func(d time.Duration) {
@@ -209,20 +215,20 @@
 			wake = d
 		}
 	}
-	if left := tune.Election - now.Sub(s.lost); s.stream == nil && left > 0 {
+	if left := tune.Election - now.Sub(s.lostAt); s.stream == nil && left > 0 {
 		soon(left)
 	}
 	s.expire(soon)
-	if s.silent(soon) {
-		// Why closed: a frozen or cut-off leader answers nothing, and
-		// another may lead by now.
+	if s.leaderSilent(soon) {
+		// A frozen or cut-off leader answers nothing, and another may lead by
+		// now.
 		s.avoid(s.address)
-		s.drop()
+		s.disconnect()
 	}
 	if s.stream == nil && !s.searching {
 		s.searching = true
 		s.searchID++
-		s.seek(ctx, s.searchID)
+		s.search(ctx, s.searchID)
 	}
 	return wake
 }
@@ -230,6 +236,6 @@
 // Known are the addresses of core daemons heard of lately.
 func (s *Seeker) Known() []string {
 	got := make(chan []string, 1)
-	s.in <- event{know: got}
+	s.events <- seekerEvent{known: got}
 	return <-got
 }
--- a/internal/member/seeker_test.go
+++ b/internal/member/seeker_test.go
@@ -17,12 +17,12 @@
 		}
 		seen := map[string]bool{}
 		for round := range 6 {
-			got := few(all, round)
+			got := sample(all, round)
 			if len(got) > tune.SeekPlaces || n > 0 && got[0] != "p0" {
 				t.Fatalf("%d places, round %d: %v", n, round, got)
 			}
-			for _, a := range got {
-				seen[a] = true
+			for _, addr := range got {
+				seen[addr] = true
 			}
 		}
 		if len(seen) != n {
--- a/internal/member/stream_test.go
+++ b/internal/member/stream_test.go
@@ -56,19 +56,19 @@
 		}
 		var streams []*link.Stream
 		open := func() *link.Stream {
-			st, err := link.Dial(ctx, "l", func(link.Event) {})
+			stream, err := link.Dial(ctx, "l", func(link.Event) {})
 			if err != nil {
 				t.Fatal(err)
 			}
-			streams = append(streams, st)
-			return st
+			streams = append(streams, stream)
+			return stream
 		}
 		s := NewSeeker(log.NewNopLogger(), "", []string{"l"}, nil, nil, nil)
 		s.now = time.Now()
 		s.Homing()
 		test(ctx, s, open, sent)
-		for _, st := range streams {
-			st.Close()
+		for _, stream := range streams {
+			stream.Close()
 		}
 		stop()
 		time.Sleep(time.Second)
@@ -80,17 +80,17 @@
 // the seeker with a leader that never answers, and without a search.
 func TestAnEndedStreamIsNotUsed(t *testing.T) {
 	atLeader(t, func(ctx context.Context, s *Seeker, open func() *link.Stream, _ <-chan link.Event) {
-		st := open()
-		st.Close()
-		s.onLink(ctx, &link.Event{Stream: st, Gone: true})
+		stream := open()
+		stream.Close()
+		s.onLink(ctx, &link.Event{Stream: stream, Gone: true})
 		s.searchID, s.searching = 1, true
-		s.onFound(&found{id: 1, stream: st, addr: "l", leads: true})
+		s.onSearchResult(&searchResult{id: 1, stream: stream, addr: "l", leads: true})
 		if s.stream != nil || s.searching {
 			t.Error("a search that found an ended stream: it is used, and no other search follows")
 		}
 		now := open()
-		s.use(now, "l")
-		s.onHop(&hop{addr: "h", stream: st})
+		s.useStream(now, "l")
+		s.onSwitch(&switchResult{addr: "h", stream: stream})
 		if s.stream != now {
 			t.Error("turned from a leader that answers to an ended stream")
 		}
@@ -103,10 +103,10 @@
 	atLeader(t, func(ctx context.Context, s *Seeker, open func() *link.Stream, sent <-chan link.Event) {
 		const asks = 16
 		for range asks {
-			s.take(ctx, event{ask: &pending{ask: Ask{Kind: AskElig}, reply: make(chan Answer, 1), till: s.now.Add(time.Second)}})
+			s.handle(ctx, seekerEvent{ask: &pendingAsk{ask: Ask{Kind: AskElig}, reply: make(chan Answer, 1), deadline: s.now.Add(time.Second)}})
 		}
 		for range 2 {
-			s.use(open(), "l")
+			s.useStream(open(), "l")
 			for want := uint64(1); want <= asks; {
 				if e := <-sent; e.Gone {
 					continue
@@ -124,14 +124,14 @@
 func TestAnswersAreMatchedByTheirStream(t *testing.T) {
 	atLeader(t, func(ctx context.Context, s *Seeker, open func() *link.Stream, _ <-chan link.Event) {
 		old, now := open(), open()
-		s.use(old, "l")
+		s.useStream(old, "l")
 		replies := []chan Answer{make(chan Answer, 1), make(chan Answer, 1)}
 		for _, r := range replies {
-			s.take(ctx, event{ask: &pending{ask: Ask{Kind: AskPut}, reply: r, till: s.now.Add(time.Second)}})
+			s.handle(ctx, seekerEvent{ask: &pendingAsk{ask: Ask{Kind: AskPut}, reply: r, deadline: s.now.Add(time.Second)}})
 		}
-		s.use(now, "l")
-		answer := func(st *link.Stream, id uint64, n int64) {
-			s.onLink(ctx, &link.Event{Stream: st, Frame: link.Frame{Kind: FrameAnswer, ID: id, Body: link.Pack(Answer{Code: 200, N: n})}})
+		s.useStream(now, "l")
+		answer := func(stream *link.Stream, id uint64, n int64) {
+			s.onLink(ctx, &link.Event{Stream: stream, Frame: link.Frame{Kind: FrameAnswer, ID: id, Body: link.Pack(Answer{Code: 200, N: n})}})
 		}
 		answer(old, 1, 66)
 		answer(now, 3, 77)
@@ -143,8 +143,8 @@
 		answer(old, 2, 99)
 		answer(now, 2, 2)
 		for i, r := range replies {
-			if a := <-r; a.N != int64(i+1) {
-				t.Errorf("ask %d got the answer %d", i+1, a.N)
+			if answer := <-r; answer.N != int64(i+1) {
+				t.Errorf("ask %d got the answer %d", i+1, answer.N)
 			}
 		}
 	})
@@ -171,12 +171,12 @@
 	} {
 		atLeader(t, func(ctx context.Context, s *Seeker, open func() *link.Stream, _ <-chan link.Event) {
 			s.searching = true
-			s.use(open(), "l")
+			s.useStream(open(), "l")
 			s.onLink(ctx, &link.Event{Stream: s.stream, Frame: link.Frame{Kind: FrameAnswer, ID: 99, Body: link.Pack(Answer{Body: make([]byte, c.largest)})}})
-			for _, a := range c.asks {
-				s.take(ctx, event{ask: &pending{ask: a, reply: make(chan Answer, 1), till: s.now.Add(time.Minute), known: s.now.Add(time.Minute), noLead: s.now.Add(time.Minute)}})
+			for _, ask := range c.asks {
+				s.handle(ctx, seekerEvent{ask: &pendingAsk{ask: ask, reply: make(chan Answer, 1), deadline: s.now.Add(time.Minute), leaderlessBy: s.now.Add(time.Minute), noLeaderBy: s.now.Add(time.Minute)}})
 			}
-			s.rest(ctx, s.now.Add(c.after))
+			s.endTurn(ctx, s.now.Add(c.after))
 			if left := s.stream == nil; left != c.leaves {
 				t.Errorf("%s, after %v: turned away %v", c.name, c.after, left)
 			}
--- a/internal/member/wait.go
+++ b/internal/member/wait.go
@@ -9,9 +9,9 @@
 
 type leaderWaitKey struct{}
 
-// WithLeaderWait sets how long asks under a context wait for a leader before
+// WithLeaderWait sets how long requests under a context wait for a leader before
 // they are given up as NoLeader, instead of tune.NoLeaderWait. It has no effect
-// on an ask that was sent to one.
+// on a request that was sent to one.
 func WithLeaderWait(ctx context.Context, wait time.Duration) context.Context {
 	return context.WithValue(ctx, leaderWaitKey{}, wait)
 }
