--- a/internal/agg/agg_test.go
+++ b/internal/agg/agg_test.go
@@ -37,15 +37,15 @@
 		return member.Answer{Code: 428}, nil, nil
 	}
 	var odd []member.Odd
-	for i, s := range l.set {
+	for i, seat := range l.set {
 		if !g.Asks(i) {
 			continue
 		}
-		if l.fences[s.Worker] != s.Fence {
+		if l.fences[seat.Worker] != seat.Fence {
 			odd = append(odd, member.Odd{Seat: i, Code: 409})
 			continue
 		}
-		l.granted[s.Worker]++
+		l.granted[seat.Worker]++
 	}
 	return member.Answer{Code: 200, N: 3500}, odd, nil
 }
@@ -70,20 +70,20 @@
 	var late []Batch
 	for range 5000 {
 		l.now = l.now.Add(time.Duration(rnd.Intn(60)) * time.Millisecond)
-		w := fmt.Sprint("w", rnd.Intn(40))
+		worker := fmt.Sprint("w", rnd.Intn(40))
 		if rnd.Intn(20) == 0 {
-			l.fences[w]++
+			l.fences[worker]++
 		}
-		fence := l.fences[w]
+		fence := l.fences[worker]
 		if rnd.Intn(30) == 0 {
 			fence--
 		}
-		asked[w]++
-		waiting[w]++
-		a.Renew(member.Renew{Worker: w, Fence: fence, Ratio: int64(rnd.Intn(3)) * 100}, func(r member.Answer) {
-			waiting[w]--
+		asked[worker]++
+		waiting[worker]++
+		a.Renew(member.Renew{Worker: worker, Fence: fence, Ratio: int64(rnd.Intn(3)) * 100}, func(r member.Answer) {
+			waiting[worker]--
 			if r.Code == 200 {
-				answered[w]++
+				answered[worker]++
 			}
 		}, l.now)
 		bs, _ := a.Rest(l.now)
@@ -104,14 +104,14 @@
 			l.give(a, late[0])
 			late = late[1:]
 		}
-		for w, n := range l.granted {
-			if n > asked[w] {
-				t.Fatalf("%s was granted %d times and asked %d times", w, n, asked[w])
+		for worker, n := range l.granted {
+			if n > asked[worker] {
+				t.Fatalf("%s was granted %d times and asked %d times", worker, n, asked[worker])
 			}
 		}
-		for w, n := range answered {
-			if n > l.granted[w] {
-				t.Fatalf("%s heard of %d grants, the leader gave %d", w, n, l.granted[w])
+		for worker, n := range answered {
+			if n > l.granted[worker] {
+				t.Fatalf("%s heard of %d grants, the leader gave %d", worker, n, l.granted[worker])
 			}
 		}
 	}
@@ -119,9 +119,9 @@
 		l.give(a, b)
 	}
 	a.Drop(member.Answer{Code: member.NotLead})
-	for w, n := range waiting {
+	for worker, n := range waiting {
 		if n != 0 {
-			t.Errorf("%s: %d asks without an answer", w, n)
+			t.Errorf("%s: %d asks without an answer", worker, n)
 		}
 	}
 	if a.Waits() != 0 {
