Door: the leader must have answered within a renewal for a redirect

Cause: three seconds were longer than the time in which a lost leader is noticed (found by reading). Change: one renewal of the membership and its answer.

--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -82,7 +82,7 @@
 	UserTimeout = 1500 * time.Millisecond
 	// StreamInbox is the number of frames waiting to be written to a peer.
 	StreamInbox = 512
-	// FrameBytes is the largest frame, that of a checkpoint.
+	// FrameBytes is the largest frame, and the largest snapshot that is taken in.
 	FrameBytes = 64 << 20
 	// SeekPlaces is how many places a side daemon asks in one look for the
 	// leader; three looks reach all of a core of eight.
@@ -408,8 +408,9 @@
 // Constants of redirects in internal/door.
 const (
 	// RedirectFresh is how lately the leader must have answered for operators
-	// to be sent on to it: one missed renewal of the membership is borne.
-	RedirectFresh = 2 * Claim
+	// to be sent on to it: a renewal of the membership and its answer fit in, a
+	// missed one doesn't.
+	RedirectFresh = Claim + AskRound
 	// RedirectBytes is the size of a configuration from which on a daemon
 	// without a disk sends the operator on instead of carrying it: on a link of
 	// 2 Mbit/s so much takes an eighth of a second each way.
