Replicas: sums name the form of the state, not a revision that the build omits

Cause: the deploy file's build stamps no revision, so two versions made with one compiler would have been compared (found by reading). Change: store.Form.

--- a/internal/core/agree.go
+++ b/internal/core/agree.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"runtime/debug"
+	"fmt"
+	"runtime"
 
 	"tealpond/internal/link"
 	"tealpond/internal/store"
@@ -40,20 +41,9 @@
 	return audit{own: map[uint64]uint64{}, agreed: map[uint64]uint64{}, told: map[uint64]map[string]uint64{}, tallied: map[uint64]bool{}}
 }
 
-// program names the version that this process was built from.
-var program = func() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return ""
-	}
-	out := info.GoVersion
-	for _, s := range info.Settings {
-		if s.Key == "vcs.revision" || s.Key == "vcs.modified" || s.Key == "GOARCH" {
-			out += " " + s.Value
-		}
-	}
-	return out
-}()
+// program names what a sum depends on beside the log: the form of the state and
+// its commands, the compiler and the kind of processor.
+var program = fmt.Sprintf("%d %s %s", store.Form, runtime.Version(), runtime.GOARCH)
 
 // sumAt takes the sum after an entry, if its index is one of the set.
 func (c *Core) sumAt(ctx context.Context, index uint64) {
--- a/internal/store/cmd.go
+++ b/internal/store/cmd.go
@@ -34,6 +34,11 @@
 	Cmds  []Raw
 }
 
+// Form is the version of the state: of its tables, its commands and what they
+// do. It is raised with any change of these, so that replicas of two versions
+// aren't compared.
+const Form = 2
+
 var kinds = map[string]func() Cmd{}
 
 func register(kind string, f func() Cmd) { kinds[kind] = f }
