Texts: queue, route, client, lease and configuration for the house words

Cause: error and help texts, and comments, still said inbox, lane, sender, claim and desired state. Change: the texts say queue and configuration, the comments route, client and membership lease; the core's map of membership leases is named so. Flags, tables, columns, log events and encoded names stay, and so does the text in store, which goes into the digests.

--- a/cmd/tealpond/tools.go
+++ b/cmd/tealpond/tools.go
@@ -29,7 +29,7 @@
 
 // addTools adds the commands that are no daemons.
 func addTools(app *kingpin.Application, jobs map[string]func() int, out, bad io.Writer) {
-	c := app.Command("check", "Check a settings file (TOML) or a desired state (JSON); each fault is printed with its place.")
+	c := app.Command("check", "Check a settings file (TOML) or a configuration (JSON); each fault is printed with its place.")
 	file := c.Arg("file", "The file.").Required().String()
 	jobs[c.FullCommand()] = func() int { return check(*file, out, bad) }
 
@@ -40,7 +40,7 @@
 
 	r := app.Command("record", "Show each deferrable job: where it ran, when, and that it finished once.")
 	cl := r.Flag("cluster", "NAME=HOST:PORT of a daemon of each cluster; repeated.").Required().StringMap()
-	in := r.Flag("inbox", "An inbox whose jobs are deferrable; repeated. Jobs that moved are always shown.").Strings()
+	in := r.Flag("inbox", "A queue whose jobs are deferrable; repeated. Jobs that moved are always shown.").Strings()
 	jobs[r.FullCommand()] = func() int { return record(*cl, *in, out, bad) }
 
 	q := app.Command("query", "Answer one SELECT over daemons, workers, devices, bookings, allocs, inboxes, jobs and rollups.")
--- a/internal/core/appointments.go
+++ b/internal/core/appointments.go
@@ -24,7 +24,7 @@
 
 // zoneOf is the zone of a core daemon, from its membership lease; empty if
 // unknown.
-func (c *Core) zoneOf(node string) string { return c.claims[node+"/edge"].Zone }
+func (c *Core) zoneOf(node string) string { return c.memberLeases[node+"/edge"].Zone }
 
 // eligible tells whether a voter may aggregate for a zone now.
 func (c *Core) eligible(voter raft.Voter, now time.Time) bool {
--- a/internal/core/asks.go
+++ b/internal/core/asks.go
@@ -138,7 +138,7 @@
 		reply(member.Answer{Code: 400})
 		return
 	}
-	c.claims[claim.Node+"/"+claim.Role] = claimed{claim, time.Now()}
+	c.memberLeases[claim.Node+"/"+claim.Role] = memberLease{claim, time.Now()}
 	reply(member.Answer{Code: 200})
 }
 
@@ -181,7 +181,7 @@
 	}
 	route, rest := c.state.Table().Find(call.Host, call.Path)
 	if route == nil {
-		reply(member.Answer{Code: 404, Text: "no such inbox"})
+		reply(member.Answer{Code: 404, Text: "no such queue"})
 		return call, nil, "", false
 	}
 	return call, route, rest, true
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -102,7 +102,7 @@
 	memberSets       map[string]memberSet // by the disk of the aggregator
 	appointments     appointments
 	leadSeen         time.Time
-	claims           map[string]claimed
+	memberLeases     map[string]memberLease
 	statusWaiters    map[string][]statusWaiter
 	leading          bool
 	leadingSince     time.Time
@@ -148,8 +148,8 @@
 	diskLoggedAt     time.Time // when it was last logged that the disk is behind
 }
 
-// claimed is a daemon's membership lease, and when it was last renewed.
-type claimed struct {
+// memberLease is a daemon's membership lease, and when it was last renewed.
+type memberLease struct {
 	member.Claim
 	at time.Time
 }
@@ -167,7 +167,7 @@
 		self:   raft.Voter{Node: b.Setting.NodeName, Addr: b.Setting.Inner()},
 		events: make(chan Event, 4096), diskJobs: make(chan disk.Job, tune.DiskInbox),
 		connections: map[string]*link.Stream{}, dialing: map[string]time.Time{}, addrs: map[string]string{}, inbound: map[string]*link.Stream{},
-		waiters: map[uint64]waiter{}, leases: map[string]*workerLease{}, claims: map[string]claimed{}, statusWaiters: map[string][]statusWaiter{},
+		waiters: map[uint64]waiter{}, leases: map[string]*workerLease{}, memberLeases: map[string]memberLease{}, statusWaiters: map[string][]statusWaiter{},
 		sessions: map[string]*sideSession{}, orders: map[*link.Stream][]member.Order{}, aggregator: agg.New(""), memberSets: map[string]memberSet{}, appointments: newAppointments(), audit: newAudit(), outgoing: map[string]*outgoing{}, incoming: map[string]*incoming{}, cancelWaiters: map[string][]replyFunc{},
 		leaseTime: b.Setting.HoldFor(tune.Hold), meter: newMeter(b.Debug)}
 	core.Seeds(b.Setting.Seeds())
--- a/internal/core/harness_test.go
+++ b/internal/core/harness_test.go
@@ -30,7 +30,7 @@
 func newBench(t *testing.T) *bench {
 	c := &Core{log: log.NewNopLogger(), self: testVoters[0], diskJobs: make(chan disk.Job, 1024), events: make(chan Event, 64),
 		connections: map[string]*link.Stream{}, dialing: map[string]time.Time{}, addrs: map[string]string{}, inbound: map[string]*link.Stream{},
-		waiters: map[uint64]waiter{}, leases: map[string]*workerLease{}, claims: map[string]claimed{}, statusWaiters: map[string][]statusWaiter{},
+		waiters: map[uint64]waiter{}, leases: map[string]*workerLease{}, memberLeases: map[string]memberLease{}, statusWaiters: map[string][]statusWaiter{},
 		sessions: map[string]*sideSession{}, orders: map[*link.Stream][]member.Order{}, aggregator: agg.New("a"), memberSets: map[string]memberSet{},
 		appointments: newAppointments(), audit: newAudit(), outgoing: map[string]*outgoing{}, incoming: map[string]*incoming{}, cancelWaiters: map[string][]replyFunc{}, trace: trace.NewRing(16), meter: newMeter(false), settings: setting.Setting{NodeName: "n-a"},
 		state: store.New(store.Limits{}), leaseTime: tune.Hold}
--- a/internal/core/tools.go
+++ b/internal/core/tools.go
@@ -30,9 +30,9 @@
 // askMembers lists the daemons that hold a membership lease, and the core.
 func (c *Core) askMembers(_ []byte, _ *link.Stream, reply replyFunc) {
 	var out []member.Claim
-	for k, m := range c.claims {
+	for k, m := range c.memberLeases {
 		if time.Since(m.at) > tune.ClaimTime {
-			delete(c.claims, k)
+			delete(c.memberLeases, k)
 			continue
 		}
 		out = append(out, m.Claim)
@@ -65,7 +65,7 @@
 		t.Rows = append(t.Rows, row)
 	}
 	daemons := member.Table{Name: "daemons", Cols: []string{"node", "role", "zone", "addr", "seen_ms"}}
-	for _, m := range c.claims {
+	for _, m := range c.memberLeases {
 		add(&daemons, m.Node, m.Role, m.Zone, m.Addr, time.Since(m.at).Milliseconds())
 	}
 	workers := member.Table{Name: "workers", Cols: []string{"id", "node", "service", "zone", "rack", "cpu", "cpu_used", "mem", "mem_used", "gpus", "fence", "draining", "sick", "lost", "dead"}}
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -21,7 +21,7 @@
 var ErrNobody = Error.New("no daemon reachable")
 
 // Members lists the core daemons known at the given addresses and, if there
-// is a leader, all daemons that hold a claim.
+// is a leader, all daemons that hold a membership lease.
 func Members(ctx context.Context, at []string) (core []string, all []member.Claim, err error) {
 	seen := map[string]bool{}
 	heard := false
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -50,7 +50,7 @@
 }
 
 // Record joins the states of clusters, by name, into one entry a deferrable
-// job: those of the inboxes named, and all that moved.
+// job: those of the queues named, and all that moved.
 func Record(clusters map[string]member.Fleet, inboxes []string) []Entry {
 	want := map[string]bool{}
 	for _, n := range inboxes {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -71,7 +71,7 @@
 // Stream is one side of a two-way stream.
 type Stream struct {
 	Addr string
-	// Tag is set by the owner of the inbox and read by it alone.
+	// Tag is set by the owner of the queue of events and read by it alone.
 	Tag  any
 	out  chan *Frame
 	done chan struct{}
@@ -79,7 +79,7 @@
 	stop context.CancelFunc
 }
 
-// Send queues a frame; false if the stream is gone or its inbox is full.
+// Send queues a frame; false if the stream is gone or its queue is full.
 func (s *Stream) Send(f Frame) bool {
 	if s.Ended() {
 		return false
--- a/internal/move/calls.go
+++ b/internal/move/calls.go
@@ -91,9 +91,9 @@
 	Wall  int64
 	// Open are moves that the peer must settle.
 	Open []Open
-	// Free are jobs that may move: of lanes that may, not begun.
+	// Free are jobs that may move: of routes that may, not begun.
 	Free []Candidate
-	// Demand of the service's lanes in core-ms by bucket, and its room.
+	// Demand of the service's routes in core-ms by bucket, and its room.
 	Demand map[int64]float64
 	Room   int64
 }
--- a/internal/move/setting.go
+++ b/internal/move/setting.go
@@ -23,7 +23,7 @@
 	Key   string   `toml:"key"`   // shared by both, signs each call
 }
 
-// Lane may move: jobs of Here go to There at Peer.
+// Lane is a route that may move: jobs of Here go to There at Peer.
 type Lane struct {
 	Here  string `toml:"here"`
 	Peer  string `toml:"peer"`
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -25,7 +25,7 @@
 	// SaveMs is how much work a run that saves its progress loses at most.
 	SaveMs int64
 	watch  watch
-	over   map[string]float64 // by lane, see Learn
+	over   map[string]float64 // by route, see Learn
 	paces  map[string]pace    // by worker
 }
 
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -274,7 +274,7 @@
 	}
 }
 
-// TestRoughEstimatesAreLearnt: a lane whose runs often take six times as long
+// TestRoughEstimatesAreLearnt: a route whose runs often take six times as long
 // as guessed gets no copies at four times; one that is guessed well keeps its
 // factor low.
 func TestRoughEstimatesAreLearnt(t *testing.T) {
--- a/internal/place/watch.go
+++ b/internal/place/watch.go
@@ -104,7 +104,7 @@
 }
 
 // Learn takes note of a run that ended as done. Estimates are rough, and how
-// rough differs by lane: the factor that CopyRare of the runs exceed is
+// rough differs by route: the factor that CopyRare of the runs exceed is
 // followed, one step a run, up where it was exceeded and down where not.
 func (p *Planner) Learn(s *store.Store, a *store.Alloc, at int64) {
 	j := s.Jobs[a.Job]
@@ -131,7 +131,7 @@
 	p.over[j.Lane] = min(max(f, tune.CopyAfter), tune.CopyTop)
 }
 
-// most is how many times as long as guessed a run of a lane may take.
+// most is how many times as long as guessed a run of a route may take.
 func (p *Planner) most(lane string) float64 {
 	if f := p.over[lane]; f > 0 {
 		return f
--- a/internal/trace/ring.go
+++ b/internal/trace/ring.go
@@ -1,5 +1,5 @@
 // Package trace keeps, in each daemon, a bounded record of what happened to
-// changes: a job, a task's run, a version of the desired state.
+// changes: a job, a task's run, a version of the configuration.
 package trace
 
 import (
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -29,7 +29,7 @@
 	LongRunning  bool     `json:"longRunning,omitempty"`
 }
 
-// Job is what a sender hands in.
+// Job is what a client hands in.
 type Job struct {
 	_          struct{} `cbor:",toarray"`
 	JobSpec    string   `json:"jobSpec"`
