--- a/internal/store/handin.go
+++ b/internal/store/handin.go
@@ -27,7 +27,7 @@
 	// not the one that the taking daemon knew.
 	lane, _ := s.table.Find(c.Host, c.Path)
 	if lane == nil {
-		return Outcome{Code: 404, Text: "no such inbox"}
+		return Outcome{Code: 404, Text: "no such queue"}
 	}
 	s.LastSeq++
 	j := &Job{ID: c.ID, Seq: s.LastSeq, Lane: lane.Name, Service: lane.TargetService, Priority: lane.Priority,
