--- a/internal/sim/calls_test.go
+++ b/internal/sim/calls_test.go
@@ -14,7 +14,7 @@
 	for _, seed := range seeds(4) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			playDay(t, three, seed, func(d *day) {
-				d.tasks, d.taskMs, d.pause = 6, 150, 100*time.Millisecond
+				d.hands(job(150, 400, 6), 100*time.Millisecond)
 				d.pilot(seed, 300*time.Millisecond, nil)
 				for _, r := range d.Runners {
 					r.set(func() { r.Late = 0.15 })
@@ -39,7 +39,7 @@
 	for _, seed := range seeds(4) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			playDay(t, Shape{Core: 3, Edge: 1, Side: 4}, seed, func(d *day) {
-				d.tasks, d.taskMs, d.cpu, d.pause = 8, 120, 200, 100*time.Millisecond
+				d.hands(job(120, 200, 8), 100*time.Millisecond)
 				for range 6 {
 					l := d.Leader()
 					if l == "" {
--- a/internal/sim/day_test.go
+++ b/internal/sim/day_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"tealpond/internal/wire"
 )
 
 // longer multiplies the seeds of the tests that play several:
@@ -43,10 +45,8 @@
 	stop   context.CancelFunc
 	all    sync.WaitGroup
 	mu     sync.Mutex
-	handed []string // jobs that were accepted
-	tasks  int      // of each job
-	taskMs int
-	cpu    int           // units of a task
+	handed []string      // jobs that were accepted
+	work   wire.Job      // handed in again and again
 	pause  time.Duration // between two jobs
 }
 
@@ -59,7 +59,7 @@
 		defer c.End()
 		c.Ready()
 		ctx, stop := context.WithCancel(context.Background())
-		d := &day{Cluster: c, rnd: rand.New(rand.NewSource(seed)), ctx: ctx, stop: stop, tasks: 2, taskMs: 400, cpu: 400, pause: 300 * time.Millisecond}
+		d := &day{Cluster: c, rnd: rand.New(rand.NewSource(seed)), ctx: ctx, stop: stop, work: job(400, 400, 2), pause: 300 * time.Millisecond}
 		defer d.all.Wait()
 		defer stop()
 		c.agree()
@@ -105,18 +105,33 @@
 	rnd := rand.New(rand.NewSource(seed + 1000))
 	d.all.Go(func() {
 		for i := 0; d.ctx.Err() == nil; i++ {
+			d.mu.Lock()
+			work, pause := d.work, d.pause
+			d.mu.Unlock()
 			d.all.Go(func() {
-				if d.HandIn(id(i), job(d.taskMs, d.cpu, d.tasks)) {
-					d.mu.Lock()
-					d.handed = append(d.handed, id(i))
-					d.mu.Unlock()
+				if d.HandIn(id(i), work) {
+					d.accepted(id(i))
 				}
 			})
-			time.Sleep(d.pause/2 + time.Duration(rnd.Int63n(int64(d.pause))))
+			time.Sleep(pause/2 + time.Duration(rnd.Int63n(int64(pause))))
 		}
 	})
 }
 
+// accepted notes a job that must be done in the end.
+func (d *day) accepted(id string) {
+	d.mu.Lock()
+	d.handed = append(d.handed, id)
+	d.mu.Unlock()
+}
+
+// hands sets what is handed in from now on, and how often.
+func (d *day) hands(work wire.Job, pause time.Duration) {
+	d.mu.Lock()
+	d.work, d.pause = work, pause
+	d.mu.Unlock()
+}
+
 // fill has clients cancel jobs that nobody knows, about rate a second, so that
 // the log grows by as many entries and snapshots are cut.
 func (d *day) fill(rate int, most time.Duration) {
@@ -204,13 +219,32 @@
 	o.ReadAll(10 * time.Second)
 	at := d.names("edge")
 	for i, j := range d.handed {
-		d.Until("job "+j+" is done", 60*time.Second, func() bool { return d.State(at[i%len(at)], j) == "done" })
+		d.done(j, at[i%len(at)])
 	}
 	if len(d.handed) == 0 {
 		d.T.Error("no job was accepted")
 	}
 }
 
+// done demands that a job ends as done; else it tells what was seen of it.
+func (d *day) done(job, at string) {
+	d.T.Helper()
+	state := ""
+	for end := time.Now().Add(60 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if state = d.State(at, job); state == "done" {
+			return
+		}
+	}
+	d.T.Errorf("job %s, accepted, is %s at %s for a minute", job, state, at)
+	d.Hist.mu.Lock()
+	defer d.Hist.mu.Unlock()
+	for _, f := range d.Hist.Facts {
+		if j, _, _ := jobOf(f.Task); j == job {
+			d.T.Logf("%s %s %s run %d on %s %s", f.At.Format("05.000"), f.Kind, f.Task, f.Run, f.Node, f.How)
+		}
+	}
+}
+
 // servesTheNewest demands that a daemon is ready and handles by the newest
 // acknowledged configuration, within the bounds after a trouble's end. No other
 // operator is at work.
--- a/internal/sim/kinds_test.go
+++ b/internal/sim/kinds_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -51,15 +52,21 @@
 	{"core_cut seeds both race", func(d *day) {
 		a, b := d.Core()[0], d.Core()[1]
 		mend := d.Harm(a, CutCore)
-		o := d.operators(1, 0)[0]
-		defer o.End()
-		o.Read(3 * time.Second)
-		x, y := d.NewChange(o.base), d.NewChange(o.base)
-		d.all.Go(func() { d.operators(1, 0)[0].SendAt(a, x) })
-		d.all.Go(func() { d.operators(1, 0)[0].SendAt(b, y) })
+		os := d.operators(3, 0)
+		defer func() {
+			for _, o := range os {
+				o.End()
+			}
+		}()
+		os[0].Read(3 * time.Second)
+		x, y := d.NewChange(os[0].base), d.NewChange(os[0].base)
+		var sent sync.WaitGroup
+		sent.Go(func() { os[1].SendAt(a, x) })
+		sent.Go(func() { os[2].SendAt(b, y) })
 		time.Sleep(4 * time.Second)
+		sent.Wait()
 		mend()
-		d.all.Go(func() { d.operators(1, 0)[0].SendAt(a, x) })
+		os[1].SendAt(a, x)
 		time.Sleep(4 * time.Second)
 	}},
 	{"core_cut hard", func(d *day) {
@@ -150,13 +157,6 @@
 	}},
 }
 
-// accepted notes a job that must be done in the end.
-func (d *day) accepted(id string) {
-	d.mu.Lock()
-	d.handed = append(d.handed, id)
-	d.mu.Unlock()
-}
-
 // strike plays a closing fault right after a change was acknowledged, or so
 // long after it was sent, or right after a job was accepted.
 func (d *day) strike(how string, fault func(d *day)) {
--- a/internal/sim/stormy_test.go
+++ b/internal/sim/stormy_test.go
@@ -15,7 +15,7 @@
 	for _, seed := range seeds(5) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			playDay(t, Shape{Core: 3, Edge: 1, Side: 4}, seed, func(d *day) {
-				d.tasks, d.cpu, d.pause = 8, 100, 100*time.Millisecond
+				d.hands(job(400, 100, 8), 100*time.Millisecond)
 				if seed%2 == 1 {
 					// So many that the machine that was cut off needs a snapshot.
 					d.fill(400, 20*time.Second)
