--- a/internal/sim/calls_test.go
+++ b/internal/sim/calls_test.go
@@ -8,8 +8,8 @@
 
 // TestConnectionsReset: connections of daemons by lot, to each other and to
 // clients, are reset again and again while calls are under way; runners carry
-// out part of their orders late, and clients send each job twice. Nothing is
-// started twice, and no answer is taken for another call's.
+// out part of their orders late. Nothing is started twice, and no answer is
+// taken for another call's.
 func TestConnectionsReset(t *testing.T) {
 	for _, seed := range seeds(4) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
