Tests: two tests of a disk that hangs share the making of their leader

Cause: the same three lines twice (found by a second read). Change: test code only; both tests check as before.

--- a/internal/core/diskwait_test.go
+++ b/internal/core/diskwait_test.go
@@ -60,14 +60,21 @@
 	return c
 }
 
+// newTestLeader gives a core that leads, with the identity "a".
+func newTestLeader(t *testing.T, dir string) *Core {
+	t.Helper()
+	c := newTestCore(t, dir)
+	c.self.Disk = "a"
+	elect(t, c)
+	return c
+}
+
 // A leader whose disk syncs nothing hands the lead on, once a second as long as
 // it leads; one whose disk keeps up does not.
 func TestLeaderWithAStalledDiskHandsTheLeadOn(t *testing.T) {
 	dir := t.TempDir()
 	synctest.Test(t, func(t *testing.T) {
-		c := newTestCore(t, dir)
-		c.self.Disk = "a"
-		elect(t, c)
+		c := newTestLeader(t, dir)
 		for _, x := range []struct {
 			behind time.Duration
 			want   int
@@ -90,9 +97,7 @@
 func TestMemberWithAFullDiskTakesNoMoreOn(t *testing.T) {
 	dir := t.TempDir()
 	synctest.Test(t, func(t *testing.T) {
-		c := newTestCore(t, dir)
-		c.self.Disk = "a"
-		elect(t, c)
+		c := newTestLeader(t, dir)
 		for _, x := range []struct {
 			writes int
 			taken  bool
