Agent: incarnations that ended or signed off are forgotten after two minutes

Cause: the tables of ended and signed-off incarnations grew by an entry for each restart of a runner, for as long as the agent lived. Change: both are an incarnationTimes, which drops entries older than tuning.IncarnationRetention (2 min; late heartbeats come seconds late).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -52,13 +52,13 @@
 	runner            RunnerClient
 	callLeader        func(ctx context.Context, kind string, body any) rpc.Response
 	trace             *tracing.Ring
-	session           *runnerSession       // of the present incarnation; nil: no heartbeat was heard yet
-	signedOff         map[string]time.Time // incarnations that signed off, and when they leave
-	endedIncarnations map[string]bool      // ended according to the leader's state or to the runner
-	callsInFlight     int                  // to the runner, about its runs
-	appliedIndex      uint64               // the highest index of the log that a response named as applied
-	ctx               context.Context      // of Run
-	now               time.Time            // when the loop began with its present input
+	session           *runnerSession   // of the present incarnation; nil: no heartbeat was heard yet
+	signedOff         incarnationTimes // when incarnations leave that signed off
+	endedIncarnations incarnationTimes // when their end was noted: by the leader's state or by the runner
+	callsInFlight     int              // to the runner, about its runs
+	appliedIndex      uint64           // the highest index of the log that a response named as applied
+	ctx               context.Context  // of Run
+	now               time.Time        // when the loop began with its present input
 }
 
 // New builds the side role over a way to call its runner.
--- a/internal/agent/heartbeats.go
+++ b/internal/agent/heartbeats.go
@@ -13,7 +13,7 @@
 // runner. The answer waits until the leader has committed what it confirms.
 func (a *Agent) handleHeartbeat(request *heartbeatRequest) {
 	session := a.session
-	if a.endedIncarnations[request.id] && session != nil && session.id != request.id {
+	if _, ended := a.endedIncarnations.of(request.id); ended && session != nil && session.id != request.id {
 		// It is late. A new session for it would replace that of the present
 		// incarnation, with its lease and its runs.
 		request.status <- http.StatusOK
@@ -67,14 +67,14 @@
 // its sign-off. Some runners report the state "ready" again after their sign-off;
 // that changes nothing.
 func (a *Agent) isLeaving(session *runnerSession) bool {
-	_, signedOff := a.signedOff[session.id]
+	_, signedOff := a.signedOff.of(session.id)
 	return signedOff || session.heartbeat.State == protocol.RunnerDraining
 }
 
 // leavesInMs is the least time until the runner leaves, or -1 if that is not
 // known.
 func (a *Agent) leavesInMs(session *runnerSession) int64 {
-	if leavesAt, signedOff := a.signedOff[session.id]; signedOff {
+	if leavesAt, signedOff := a.signedOff.of(session.id); signedOff {
 		return max(0, leavesAt.Sub(a.now).Milliseconds())
 	}
 	if session.heartbeat.LeavesInMs == nil {
@@ -145,7 +145,7 @@
 // noteSignOff records when an incarnation that signs off will leave; a second
 // sign-off changes nothing.
 func (a *Agent) noteSignOff(session *runnerSession) {
-	if _, again := a.signedOff[session.id]; again {
+	if _, again := a.signedOff.of(session.id); again {
 		return
 	}
 	leavesAt := a.now
@@ -153,8 +153,5 @@
 		// It has not drained yet, and stays for the drain time from now on.
 		leavesAt = leavesAt.Add(time.Duration(a.settings.Bounds.DrainMs * float64(time.Millisecond)))
 	}
-	if a.signedOff == nil {
-		a.signedOff = map[string]time.Time{}
-	}
-	a.signedOff[session.id] = leavesAt
+	a.signedOff.note(session.id, leavesAt, a.now)
 }
--- a/internal/agent/registration.go
+++ b/internal/agent/registration.go
@@ -116,8 +116,5 @@
 // noteEnded notes that an incarnation has ended: a late heartbeat of it begins no
 // new session.
 func (a *Agent) noteEnded(id string) {
-	if a.endedIncarnations == nil {
-		a.endedIncarnations = map[string]bool{}
-	}
-	a.endedIncarnations[id] = true
+	a.endedIncarnations.note(id, a.now, a.now)
 }
--- a/internal/tuning/runner.go
+++ b/internal/tuning/runner.go
@@ -41,6 +41,9 @@
 	// remembers before it forgets those that are committed and older than
 	// CompletedRunRetention: the state starts them no more.
 	MaxCompletedRunsKept = 512
+	// IncarnationRetention is how long an agent remembers an incarnation of its
+	// runner that ended or signed off. Heartbeats come seconds late at most.
+	IncarnationRetention = 2 * time.Minute
 	// CompletedRunRetention is how long a completed run is remembered at least.
 	CompletedRunRetention = 30 * time.Second
 	// DrainStopLead is added to the setting stopGraceMs: as long before a worker
