Server, bootstrap: an odd number of voters; the server left out follows as a learner

An even set bears no more losses than the odd one below it. Change: bootstrap proposes an odd number of the candidates; an even set of an older cluster drops one voter by joint consensus once all is well, or the one that was silent for VoterReplacementTimeout. The server left out is a learner, which takes the place of the first voter that leaves or falls silent (as candidates did already), and may aggregate for its zone. A learner that was taken in asks again every 2 s, not 0.25 s. A new leader leaves a zone with the learner that aggregated for it until learners have announced themselves, and with an aggregator whose zone it has not heard yet: both were taken from their zones at each election before. Memberships that expired are forgotten each collection, not only when listed.

--- a/internal/bootstrap/coordinator.go
+++ b/internal/bootstrap/coordinator.go
@@ -77,8 +77,8 @@
 	}
 }
 
-// propose gives the first cluster's voters: all candidates that were heard lately,
-// if they are enough. One of them must be running for the first time: that is so
+// propose gives the first cluster's voters: an odd number of the candidates that were
+// heard lately, if they are enough. One of them must be running for the first time: that is so
 // only when the whole system starts for the first time; machines that were emptied
 // or came new must not form a second cluster beside one that they don't reach.
 func (c *Coordinator) propose(now time.Time) []raft.Member {
@@ -100,5 +100,15 @@
 		return nil
 	}
 	slices.SortFunc(voters, func(a, b raft.Member) int { return strings.Compare(a.ID, b.ID) })
+	return oddVoters(voters)
+}
+
+// oddVoters leaves out the last of an even number of candidates, which joins the
+// cluster as a learner. An even set bears no more losses than the odd one below it,
+// and cut into two halves it has no majority on either side.
+func oddVoters(voters []raft.Member) []raft.Member {
+	if len(voters)%2 == 0 {
+		return voters[:len(voters)-1]
+	}
 	return voters
 }
--- a/internal/bootstrap/coordinator_test.go
+++ b/internal/bootstrap/coordinator_test.go
@@ -21,6 +21,11 @@
 		if len(sets) != 1 {
 			t.Errorf("seed %d, %d candidates: %d clusters were formed", seed, len(model.candidates), len(sets))
 		}
+		for _, size := range sets {
+			if size%2 == 0 {
+				t.Errorf("seed %d, %d candidates: %d voters", seed, len(model.candidates), size)
+			}
+		}
 		for _, candidate := range model.candidates {
 			if notFirstStart := candidate.restarted && len(candidate.bound) == 0; !candidate.member && !candidate.leftOut && !notFirstStart {
 				t.Errorf("seed %d, %d candidates: %s belongs to none; bound to %v", seed, len(model.candidates), candidate.voter.Node, candidate.bound)
@@ -96,3 +101,22 @@
 		t.Errorf("proposed %v", proposal.Voters)
 	}
 }
+
+// TestOddNumberOfVotersIsProposed: of an even number of candidates one is left out, the
+// same one whoever asks; it is proposed nothing that it could bind itself to.
+func TestOddNumberOfVotersIsProposed(t *testing.T) {
+	for candidates, want := range map[int]int{3: 3, 4: 3, 5: 5, 6: 5, 7: 7, 8: 7} {
+		coordinator := Coordinator{MinVoters: 3}
+		now := time.Unix(1000, 0)
+		var proposal rpc.BootstrapProposal
+		for range 20 {
+			now = now.Add(tuning.BootstrapAnnounceInterval)
+			for i := range candidates {
+				proposal = coordinator.HandleAnnouncement(rpc.BootstrapAnnouncement{Voter: raft.Member{ID: fmt.Sprint("d", i)}}, now)
+			}
+		}
+		if len(proposal.Voters) != want || proposal.Voters[want-1].ID != fmt.Sprint("d", want-1) {
+			t.Errorf("%d candidates: proposed %v", candidates, proposal.Voters)
+		}
+	}
+}
--- a/internal/bootstrap/model_test.go
+++ b/internal/bootstrap/model_test.go
@@ -134,8 +134,9 @@
 	}
 }
 
-// run runs the model for a duration and gives the sets of voters that have started.
-func (m *bootstrapModel) run(duration time.Duration) map[string]bool {
+// run runs the model for a duration and gives the sets of voters that have started,
+// with their sizes.
+func (m *bootstrapModel) run(duration time.Duration) map[string]int {
 	for end := m.now.Add(duration); m.now.Before(end); {
 		sort.SliceStable(m.candidates, func(a, b int) bool { return m.candidates[a].nextAt.Before(m.candidates[b].nextAt) })
 		candidate := m.candidates[0]
@@ -146,10 +147,10 @@
 		}
 		m.step(candidate)
 	}
-	sets := map[string]bool{}
+	sets := map[string]int{}
 	for _, candidate := range m.candidates {
 		if candidate.member {
-			sets[fmt.Sprint(candidate.bound)] = true
+			sets[fmt.Sprint(candidate.bound)] = len(candidate.bound)
 		}
 	}
 	return sets
--- a/internal/server/aggregation.go
+++ b/internal/server/aggregation.go
@@ -22,7 +22,18 @@
 func (r *Replica) isAggregating(now time.Time) bool {
 	// It goes on through an election: agents have nowhere better to turn to, and
 	// the batch is sent as soon as a leader is known.
-	return r.node != nil && r.node.IsVoter(r.self.ID) && len(r.leaveWaiters) == 0 && r.leaderlessFor(now) < tuning.AggregatorLeaderLossTimeout
+	mayAggregate := r.node != nil && (r.node.IsVoter(r.self.ID) || r.isAppointed(r.self.ID))
+	return mayAggregate && len(r.leaveWaiters) == 0 && r.leaderlessFor(now) < tuning.AggregatorLeaderLossTimeout
+}
+
+// isAppointed tells whether a member is the aggregator or the standby of a zone.
+func (r *Replica) isAppointed(memberID string) bool {
+	for _, aggregator := range r.state.Aggregators {
+		if memberID != "" && (aggregator.Member == memberID || aggregator.Standby == memberID) {
+			return true
+		}
+	}
+	return false
 }
 
 // leaderlessFor is for how long no leader has been known here.
--- a/internal/server/aggregator_choice.go
+++ b/internal/server/aggregator_choice.go
@@ -37,8 +37,14 @@
 	return appointed, c.worthChanging(appointed)
 }
 
-// inZone tells whether a voter is in the zone.
-func (c *aggregatorChoice) inZone(voter raft.Member) bool { return c.zoneOf(voter.Node) == c.zone }
+// inZone tells whether a server is in the zone. A leader that was elected a moment ago
+// has not heard of all servers' zones yet; of the present aggregator and its standby
+// it takes over what an earlier leader knew.
+func (c *aggregatorChoice) inZone(server raft.Member) bool {
+	zone := c.zoneOf(server.Node)
+	appointed := server.ID == c.current.Member || server.ID == c.current.Standby
+	return zone == c.zone || zone == "" && appointed
+}
 
 // serves tells whether a voter serves the zone better than the leader does itself.
 func (c *aggregatorChoice) serves(voter raft.Member) bool { return c.inZone(voter) || !c.leaderInZone }
--- a/internal/server/announcer.go
+++ b/internal/server/announcer.go
@@ -21,6 +21,8 @@
 	introduceRarely = 40
 	// A candidate tries each askToJoin-th turn to join a cluster that exists already.
 	askToJoin = 12
+	// A learner that the leader has taken in asks again each repeatJoin-th turn.
+	repeatJoin = 8
 	// joinTimeout bounds one request to be taken into a cluster.
 	joinTimeout = time.Second
 	// leaderlessBeforeJoin is how long a voter may know no leader before it asks
@@ -54,9 +56,9 @@
 func (r *Replica) runAnnouncer(ctx context.Context) {
 	ticker := time.NewTicker(tuning.BootstrapAnnounceInterval)
 	defer ticker.Stop()
-	var selector bootstrap.SeedSelector
+	var announcer announcer
 	leader := ""
-	for round := 1; ; round++ {
+	for announcer.round = 1; ; announcer.round++ {
 		received := make(chan announcerState, 1)
 		r.HandleLocal(rpc.Request{Kind: requestAnnouncerState}, func(response rpc.Response) {
 			var announcement rpc.BootstrapAnnouncement
@@ -71,7 +73,7 @@
 				r.leaderClient.AddServer(current.leader)
 			}
 			leader = current.leader
-			r.announce(ctx, round, current, &selector)
+			r.announce(ctx, &announcer, current)
 		case <-ctx.Done():
 			return
 		}
@@ -83,15 +85,28 @@
 	}
 }
 
+// announcer is what the announcer keeps between its turns.
+type announcer struct {
+	round        int
+	selector     bootstrap.SeedSelector
+	joinedLeader string // the address of the leader that has taken this learner in
+}
+
 // announce is one turn of the announcer.
-func (r *Replica) announce(ctx context.Context, round int, current announcerState, selector *bootstrap.SeedSelector) {
+func (r *Replica) announce(ctx context.Context, announcer *announcer, current announcerState) {
+	round := announcer.round
 	switch current.phase {
 	case phaseOpeningStorage:
 		r.leaderClient.Introduce(ctx, *r.seeds.Load())
 	case phaseJoining:
-		r.requestJoin(ctx, current.announcement.Voter, joinTimeout)
+		if current.leader == "" || current.leader != announcer.joinedLeader || round%repeatJoin == 0 {
+			announcer.joinedLeader = ""
+			if r.requestJoin(ctx, current.announcement.Voter, joinTimeout) {
+				announcer.joinedLeader = current.leader
+			}
+		}
 		if current.announcement.NotFirstStart {
-			r.announceToSeed(ctx, selector, current.announcement)
+			r.announceToSeed(ctx, &announcer.selector, current.announcement)
 		}
 	case phaseVoter:
 		often := round < introduceOften && round%announceEvery == 1
@@ -102,7 +117,7 @@
 			r.announceBootstrapped(ctx, current.announcement)
 		}
 	default:
-		r.announceToSeed(ctx, selector, current.announcement)
+		r.announceToSeed(ctx, &announcer.selector, current.announcement)
 		if round%askToJoin == 0 && len(current.announcement.BoundVoters) == 0 {
 			// The cluster may have been bootstrapped while this server was slow,
 			// and the seed may have forgotten it.
--- a/internal/server/appointments.go
+++ b/internal/server/appointments.go
@@ -10,7 +10,7 @@
 	"tealpond/internal/tuning"
 )
 
-// appointments is what the leader knows of the voters that may aggregate for a
+// appointments is what the leader knows of the servers that may aggregate for a
 // zone.
 type appointments struct {
 	heardSince    map[string]time.Time // by member ID: since when it has been heard without a gap
@@ -23,28 +23,28 @@
 	return appointments{heardSince: map[string]time.Time{}, leavingUntil: map[string]time.Time{}, changePending: map[string]bool{}}
 }
 
-// canAggregate tells whether a voter may aggregate for a zone now, and notes since
+// canAggregate tells whether a server may aggregate for a zone now, and notes since
 // when it is heard.
-func (r *Replica) canAggregate(voter raft.Member, now time.Time) bool {
-	heard := r.node.SilentFor(voter.ID) < tuning.AggregatorSilenceTimeout
-	leaving := !now.After(r.appointments.leavingUntil[voter.ID])
-	ok := voter.ID != r.self.ID && heard && !leaving
+func (r *Replica) canAggregate(server raft.Member, now time.Time) bool {
+	heard := r.node.SilentFor(server.ID) < tuning.AggregatorSilenceTimeout
+	leaving := !now.After(r.appointments.leavingUntil[server.ID])
+	ok := server.ID != r.self.ID && heard && !leaving
 	if !ok {
-		delete(r.appointments.heardSince, voter.ID)
-	} else if r.appointments.heardSince[voter.ID].IsZero() {
-		r.appointments.heardSince[voter.ID] = now
+		delete(r.appointments.heardSince, server.ID)
+	} else if r.appointments.heardSince[server.ID].IsZero() {
+		r.appointments.heardSince[server.ID] = now
 	}
 	return ok
 }
 
-// appointAggregators gives each zone that has workers an aggregator: a voter of
+// appointAggregators gives each zone that has workers an aggregator: a server of
 // the zone that does not lead; if there is none and the leader isn't in the zone
-// itself, the voter with the fewest zones.
+// itself, the server with the fewest zones.
 func (r *Replica) appointAggregators(now time.Time) {
 	var candidates []raft.Member
-	for _, voter := range r.node.Voters() {
-		if r.canAggregate(voter, now) {
-			candidates = append(candidates, voter)
+	for _, server := range append(r.node.Voters(), r.caughtUpLearners()...) {
+		if r.canAggregate(server, now) {
+			candidates = append(candidates, server)
 		}
 	}
 	eager, zoneCount := map[string]bool{}, map[string]int{}
@@ -54,12 +54,35 @@
 	}
 	r.node.SetEagerCommitPeers(eager)
 	for _, zone := range r.zonesToServe(now) {
-		if !r.appointments.changePending[zone] {
+		if !r.appointments.changePending[zone] && !r.awaitsLearner(r.state.Aggregators[zone], now) {
 			r.appointAggregator(zone, candidates, zoneCount, now)
 		}
 	}
 }
 
+// caughtUpLearners are the learners that may aggregate: what they have applied is as
+// new as that of a voter.
+func (r *Replica) caughtUpLearners() []raft.Member {
+	var learners []raft.Member
+	for _, candidate := range r.liveCandidates() {
+		if r.canTakePlace(candidate) {
+			learners = append(learners, candidate)
+		}
+	}
+	return learners
+}
+
+// awaitsLearner tells whether a zone's aggregator may be a learner that this leader,
+// elected a moment ago, has not heard of yet: learners announce themselves to each
+// new leader.
+func (r *Replica) awaitsLearner(current state.ZoneAggregator, now time.Time) bool {
+	if current.Member == "" || r.node.IsVoter(current.Member) || now.Before(r.appointments.leavingUntil[current.Member]) {
+		return false
+	}
+	_, announced := r.membership.candidates[current.Member]
+	return !announced && now.Sub(r.leadingSince) < tuning.LearnerAnnounceTimeout
+}
+
 // zonesToServe are the zones that have an aggregator and, once in a while, those of
 // all workers, in the order of their names.
 func (r *Replica) zonesToServe(now time.Time) []string {
--- a/internal/server/leader.go
+++ b/internal/server/leader.go
@@ -72,6 +72,7 @@
 		return
 	}
 	r.garbageCollectedAt = now
+	r.expireMemberships(now)
 	rebuild := now.Sub(r.rollupsRebuiltAt) >= tuning.RollupInterval
 	if rebuild {
 		r.rollupsRebuiltAt = now
--- a/internal/server/leave.go
+++ b/internal/server/leave.go
@@ -53,7 +53,7 @@
 func (r *Replica) requestLeave(ctx context.Context) {
 	r.leaveRequested = true
 	r.aggregator.FailAll(responseNotLeader)
-	if !r.node.IsVoter(r.self.ID) {
+	if !r.node.IsVoter(r.self.ID) && !r.isAppointed(r.self.ID) {
 		r.finishLeaving()
 		return
 	}
--- a/internal/server/membership.go
+++ b/internal/server/membership.go
@@ -76,6 +76,9 @@
 		return
 	}
 	voters := r.node.Voters()
+	if r.dropSurplusVoter(voters, now) {
+		return
+	}
 	for _, candidate := range r.liveCandidates() {
 		if !r.canTakePlace(candidate) {
 			continue
@@ -102,6 +105,55 @@
 	}
 }
 
+// dropSurplusVoter proposes to remove one of an even number of voters, unless it is
+// needed: cut into two halves, an even set has no majority on either side, and it
+// bears no more losses than the odd one below it. It returns false if there is none
+// to remove. The removed server joins again as a learner.
+func (r *Replica) dropSurplusVoter(voters []raft.Member, now time.Time) bool {
+	if len(voters)%2 != 0 || len(voters) <= r.bootstrap.MinVoters {
+		return false
+	}
+	surplus := r.surplusVoter(voters, now)
+	if surplus < 0 {
+		return false
+	}
+	dropped := voters[surplus]
+	if !r.node.ProposeConfChange(slices.Delete(slices.Clone(voters), surplus, surplus+1)) {
+		return false
+	}
+	// It must learn of the change, and its address is known by the voters alone.
+	r.addresses[dropped.ID] = dropped.Addr
+	_ = r.log.Log("level", "info", "event", "voter.removal_proposed", "node", dropped.Node, "disk", dropped.ID, "voters", len(voters))
+	return true
+}
+
+// surplusVoter is the index of the voter to remove from an even set: the one that is
+// silent, faulty or leaving; else the last one besides the leader, if all others have
+// caught up. It is negative if none can go now.
+func (r *Replica) surplusVoter(voters []raft.Member, now time.Time) int {
+	last, unwell := -1, -1
+	for i, voter := range voters {
+		if voter.ID == r.self.ID {
+			continue
+		}
+		last = i
+		if !r.node.CaughtUp(voter.ID) || r.node.SilentFor(voter.ID) > tuning.AggregatorSilenceTimeout || r.isLeaving(voter.ID, now) {
+			if unwell >= 0 {
+				// With two that are unwell a smaller set may lack a majority.
+				return -1
+			}
+			unwell = i
+		}
+	}
+	if unwell >= 0 {
+		if r.node.SilentFor(voters[unwell].ID) <= tuning.VoterReplacementTimeout {
+			return -1
+		}
+		return unwell
+	}
+	return last
+}
+
 // voterToReplace finds the voter whose place a candidate may take, and the reason,
 // which is empty if there is none: an earlier identity of the same node before all
 // others, then one that lost what it had acknowledged, one that said that it leaves,
--- a/internal/server/membership_leases.go
+++ b/internal/server/membership_leases.go
@@ -26,17 +26,23 @@
 
 // handleListMembers lists the daemons that hold a membership lease.
 func (r *Replica) handleListMembers(_ []byte, _ *transport.Stream, reply replyFunc) {
+	r.expireMemberships(time.Now())
 	var members []rpc.MembershipLease
-	for key, lease := range r.memberLeases {
-		if time.Since(lease.renewedAt) > tuning.MembershipLeaseDuration {
-			delete(r.memberLeases, key)
-			continue
-		}
+	for _, lease := range r.memberLeases {
 		members = append(members, lease.MembershipLease)
 	}
 	sort.Slice(members, func(a, b int) bool { return members[a].Node+members[a].Role < members[b].Node+members[b].Role })
 	reply(rpc.Response{Code: rpc.CodeOK, Body: transport.Encode(members)})
 }
 
+// expireMemberships forgets the daemons that have not renewed their lease in time.
+func (r *Replica) expireMemberships(now time.Time) {
+	for key, lease := range r.memberLeases {
+		if now.Sub(lease.renewedAt) > tuning.MembershipLeaseDuration {
+			delete(r.memberLeases, key)
+		}
+	}
+}
+
 // zoneOf is the zone of a server, from its membership lease; empty if unknown.
 func (r *Replica) zoneOf(node string) string { return r.memberLeases[memberKey(node, serverRole)].Zone }
--- a/internal/server/membership_test.go
+++ b/internal/server/membership_test.go
@@ -9,6 +9,8 @@
 	"github.com/go-kit/log"
 
 	"tealpond/internal/raft"
+	"tealpond/internal/rpc"
+	"tealpond/internal/state"
 	"tealpond/internal/tuning"
 )
 
@@ -26,13 +28,19 @@
 func testVoter(node, id string) raft.Member { return raft.Member{Node: node, ID: id, Addr: id} }
 
 func newCluster(t *testing.T) *cluster {
+	t.Helper()
+	return newClusterOf(t, "a", "b", "c")
+}
+
+// newClusterOf makes a cluster of voters, the first of which is "a".
+func newClusterOf(t *testing.T, names ...string) *cluster {
 	t.Helper()
 	c := &cluster{t: t, now: time.Unix(1000, 0), nodes: map[string]*raft.Node{}, down: map[string]bool{}}
 	var voters []raft.Member
-	for _, name := range []string{"a", "b", "c"} {
+	for _, name := range names {
 		voters = append(voters, testVoter("node-"+name, name))
 	}
-	for _, name := range []string{"a", "b", "c"} {
+	for _, name := range names {
 		c.start(name, raft.Snapshot{Index: 1, Voters: voters})
 	}
 	c.replica = newReplica()
@@ -73,7 +81,7 @@
 		c.replica.node.Tick(c.now)
 		for busy := true; busy; {
 			busy = false
-			for _, name := range []string{"a", "b", "c", "d", "e"} {
+			for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
 				busy = c.nodes[name] != nil && !c.down[name] && c.deliver(c.nodes[name]) || busy
 			}
 		}
@@ -178,3 +186,124 @@
 		}
 	}
 }
+
+// TestEvenNumberOfVotersDropsOne: an even set, as an older version formed it, loses the
+// voter that is silent, else the last one that does not lead; never one that may be
+// needed, and never one of the least number.
+func TestEvenNumberOfVotersDropsOne(t *testing.T) {
+	long := tuning.VoterReplacementTimeout + time.Second
+	for _, test := range []struct {
+		name  string
+		size  int
+		fault func(c *cluster)
+		want  string
+	}{
+		{"all are well", 4, func(c *cluster) {}, "[a b c]"},
+		{"one is silent", 4, func(c *cluster) { c.down["b"] = true; c.run(long) }, "[a c d]"},
+		{"one is silent for a moment", 4, func(c *cluster) { c.down["b"] = true; c.run(tuning.AggregatorSilenceTimeout + tuning.ElectionTimeout) }, "[a b c d]"},
+		{"an odd number", 3, func(c *cluster) { c.down["b"] = true; c.run(long) }, "[a b c]"},
+		{"two of six are silent", 6, func(c *cluster) { c.down["b"], c.down["c"] = true, true; c.run(long) }, "[a b c d e f]"},
+	} {
+		c := newClusterOf(t, []string{"a", "b", "c", "d", "e", "f"}[:test.size]...)
+		test.fault(c)
+		c.replica.reconcileVoters(c.now)
+		c.run(time.Second)
+		if got := c.voterIDs(); got != test.want {
+			t.Errorf("%s: voters %s, want %s", test.name, got, test.want)
+		}
+	}
+	c := newClusterOf(t, "a", "b", "c", "d")
+	c.replica.bootstrap.MinVoters = 5
+	c.replica.reconcileVoters(c.now)
+	if got := c.voterIDs(); got != "[a b c d]" {
+		t.Errorf("fewer than the least number: %s", got)
+	}
+}
+
+// TestLearnerStandsIn: the server that is left out of an even number follows as a
+// learner and takes the place of the first voter that is lost; the one that comes back
+// follows in its turn.
+func TestLearnerStandsIn(t *testing.T) {
+	c := newCluster(t)
+	c.addCandidate("node-d")
+	c.replica.reconcileVoters(c.now)
+	c.run(time.Second)
+	if c.replica.reconcileVoters(c.now); c.voterIDs() != "[a b c]" || len(c.replica.caughtUpLearners()) != 1 {
+		t.Fatalf("voters %s, learners %v", c.voterIDs(), c.replica.caughtUpLearners())
+	}
+	c.down["b"] = true
+	c.run(tuning.VoterReplacementTimeout + 100*time.Millisecond)
+	c.replica.reconcileVoters(c.now)
+	c.run(time.Second)
+	if c.voterIDs() != "[a d c]" {
+		t.Fatalf("voters %s", c.voterIDs())
+	}
+	c.down["b"], c.down["c"] = false, true
+	c.replica.candidatesByID()["b"] = testVoter("node-b", "b")
+	c.replica.reconcileVoters(c.now)
+	c.run(tuning.VoterReplacementTimeout + 100*time.Millisecond)
+	c.replica.reconcileVoters(c.now)
+	c.run(time.Second)
+	if c.voterIDs() != "[a d b]" {
+		t.Errorf("after a second loss: voters %s", c.voterIDs())
+	}
+}
+
+// TestNewLeaderWaitsForALearnerThatAggregates: it knows the learners only once they
+// have announced themselves, and does not take their zones from them before.
+func TestNewLeaderWaitsForALearnerThatAggregates(t *testing.T) {
+	c := newCluster(t)
+	c.replica.leadingSince = c.now
+	served := state.ZoneAggregator{Zone: "z", Member: "d"}
+	for _, test := range []struct {
+		name    string
+		current state.ZoneAggregator
+		after   time.Duration
+		want    bool
+	}{
+		{"a learner, not announced yet", served, 0, true},
+		{"a learner that does not announce itself", served, tuning.LearnerAnnounceTimeout, false},
+		{"a voter", state.ZoneAggregator{Zone: "z", Member: "b"}, 0, false},
+		{"none", state.ZoneAggregator{Zone: "z"}, 0, false},
+	} {
+		if got := c.replica.awaitsLearner(test.current, c.now.Add(test.after)); got != test.want {
+			t.Errorf("%s: waits %v", test.name, got)
+		}
+	}
+	c.addCandidate("node-d")
+	if c.replica.awaitsLearner(served, c.now) {
+		t.Error("it waits for a learner that is there")
+	}
+}
+
+// TestLearnerAggregatesWhereAppointed: a learner takes agents' requests for the leader
+// only where it was appointed, and hands its zones over before it ends.
+func TestLearnerAggregatesWhereAppointed(t *testing.T) {
+	c := newCluster(t)
+	c.replica.self = testVoter("node-d", "d")
+	if c.replica.isAggregating(c.now) {
+		t.Error("a learner without an appointment aggregates")
+	}
+	c.replica.state.Aggregators = map[string]state.ZoneAggregator{"z": {Zone: "z", Standby: "d"}}
+	if !c.replica.isAggregating(c.now) {
+		t.Error("an appointed learner does not aggregate")
+	}
+}
+
+// TestExpiredMembershipsAreForgotten: a leader that nobody asks for its members keeps
+// no daemon that is gone for good, and no longer counts it for its zone.
+func TestExpiredMembershipsAreForgotten(t *testing.T) {
+	c := newCluster(t)
+	for i := range 100 {
+		node := fmt.Sprint("node-", i)
+		renewedAt := c.now.Add(-tuning.MembershipLeaseDuration * 2)
+		if i == 7 {
+			renewedAt = c.now
+		}
+		c.replica.memberLeases[memberKey(node, serverRole)] = memberLease{rpc.MembershipLease{Node: node, Role: serverRole, Zone: "z"}, renewedAt}
+	}
+	c.replica.collectGarbage(c.now.Add(time.Second))
+	if n := len(c.replica.memberLeases); n != 1 || c.replica.zoneOf("node-7") != "z" || c.replica.zoneOf("node-8") != "" {
+		t.Errorf("%d memberships are kept", n)
+	}
+}
--- a/internal/tuning/raft.go
+++ b/internal/tuning/raft.go
@@ -56,4 +56,8 @@
 	// CandidateExpiry is the silence after which a candidate is forgotten. It is
 	// above any pause between its announcements.
 	CandidateExpiry = 10 * time.Second
+	// LearnerAnnounceTimeout is how long a new leader leaves a zone to a learner
+	// that it has not heard of yet. A learner asks each new leader to be taken
+	// in, within two of its announcements.
+	LearnerAnnounceTimeout = 1500 * time.Millisecond
 )
