Scheduler: a run is copied only where its worker is proven slow, or its route's tasks rarely take so long

A run was compared with those of its step that were done before it; long tasks end last, so that every worker seemed 1.7 times as slow as the others where tasks of a step differ by ten times (log ratio 0.5 to 0.6 at a weight of 20 to 30). Change: a worker's pace is compared with the usual one of the route (a running median), and counts as slow only if it is two standard deviations of its mean above; how much tasks differ is learnt by route (a running median of the distance). Elsewhere a run may take as long as all but 3% of the route's runs, not twice its siblings.

--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -79,11 +79,14 @@
 }
 
 // complete reports a run as done.
-func (c *testCluster) complete(allocation *state.Allocation) {
+func (c *testCluster) complete(allocation *state.Allocation) { c.end(allocation, "done") }
+
+// end reports the end of a run.
+func (c *testCluster) end(allocation *state.Allocation, result string) {
 	worker := c.store.Workers[allocation.Worker]
 	c.completions[allocation.Worker]++
 	c.apply(state.CommandReportCompletions, &state.ReportCompletions{Worker: allocation.Worker, Fence: worker.Fence,
-		Completions: []protocol.Completion{{Sequence: c.completions[allocation.Worker], Task: allocation.TaskName(), Run: allocation.Run, Result: "done"}}})
+		Completions: []protocol.Completion{{Sequence: c.completions[allocation.Worker], Task: allocation.TaskName(), Run: allocation.Run, Result: result}}})
 }
 
 func (c *testCluster) anyAllocation() *state.Allocation {
--- a/internal/scheduler/planner.go
+++ b/internal/scheduler/planner.go
@@ -39,7 +39,9 @@
 	unmetDemand      map[state.ServicePriority]resources // of the last plan
 	heldResources    map[state.ServicePriority]resources // as of the last plan
 	stragglers       stragglerQueue
-	stragglerFactors map[string]float64      // by route, see RecordCompletion
+	stragglerFactors map[string]float64      // by route, see stragglerFactor
+	siblingFactors   map[string]float64      // by route, see siblingFactor
+	routePaces       map[string]routePace    // by route
 	paces            map[string]paceEstimate // by worker
 }
 
--- a/internal/scheduler/stragglers.go
+++ b/internal/scheduler/stragglers.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"math"
+
 	"tealpond/internal/state"
 	"tealpond/internal/tuning"
 )
@@ -57,10 +59,14 @@
 // way than usual, and when to check it again.
 func (p *Planner) isStraggler(store *state.Store, allocation *state.Allocation, job *state.Job) (bool, int64) {
 	expectedMs, factor := p.expectedDuration(store, allocation, job)
-	if pace, ok := p.Pace(allocation.Worker, store.Clock); ok && pace < tuning.HealthyPaceLimit {
+	switch p.judgePace(allocation.Worker, store.Clock) {
+	case paceHealthy:
 		// Runs take their usual time there, so this is a long task and no slow
 		// worker; a copy would take as long.
 		factor *= tuning.HealthyWorkerDelayFactor
+	case paceSlow:
+		factor = min(factor, tuning.MinStragglerFactor)
+	case paceUnknown:
 	}
 	ageMs := float64(store.Clock - allocation.AllocatedAt)
 	worker := store.Workers[allocation.Worker]
@@ -77,7 +83,7 @@
 	ms, factor = float64(spec.EstimateMs)*max(p.EstimateRatio, minEstimateRatio), p.stragglerFactor(job.Route)
 	if stepState := &job.Instances[allocation.Instance].Steps[allocation.Step]; stepState.DoneRuns >= 2 {
 		// Tasks of one step are alike, while estimates are rough.
-		ms, factor = float64(stepState.DoneRunsMs)/float64(stepState.DoneRuns), tuning.MinStragglerFactor
+		ms, factor = float64(stepState.DoneRunsMs)/float64(stepState.DoneRuns), p.siblingFactor(job.Route)
 	}
 	if worker := store.Workers[allocation.Worker]; worker != nil && worker.RemoteFrom(spec.PreferredRack) {
 		ms *= store.RemoteFactor()
@@ -97,9 +103,8 @@
 }
 
 // RecordCompletion learns from a run that completed successfully at endedAt, in ms
-// of the state's clock: the pace of its worker, and how rough the estimates of its
-// route are. Of the latter it follows the factor that tuning.StragglerFraction of
-// the runs exceed, up by a small part where a run exceeded it and down where not.
+// of the state's clock: the pace of its worker, how much tasks of a step differ, and
+// how rough the estimates of its route are.
 func (p *Planner) RecordCompletion(store *state.Store, allocation *state.Allocation, endedAt int64) {
 	job := store.Jobs[allocation.Job]
 	if job == nil {
@@ -117,17 +122,28 @@
 		expectedMs *= store.RemoteFactor()
 		localMs /= store.RemoteFactor()
 	}
-	p.recordPace(allocation.Worker, &job.Instances[allocation.Instance].Steps[allocation.Step], localMs, endedAt)
-	factor := p.stragglerFactor(job.Route)
-	if tookMs > factor*expectedMs {
+	stepState := &job.Instances[allocation.Instance].Steps[allocation.Step]
+	logRatio, compared := p.recordPace(allocation, stepState, job.Route, localMs, endedAt)
+	if compared && p.judgePace(allocation.Worker, endedAt) != paceSlow {
+		// Runs on a slow worker say nothing of the tasks.
+		p.siblingFactors = learnFactor(p.siblingFactors, job.Route, p.siblingFactor(job.Route), math.Exp(logRatio))
+	}
+	p.stragglerFactors = learnFactor(p.stragglerFactors, job.Route, p.stragglerFactor(job.Route), tookMs/expectedMs)
+}
+
+// learnFactor follows the factor that tuning.StragglerFraction of a route's runs
+// exceed: up by a small part where a run exceeded it, and down where not.
+func learnFactor(factors map[string]float64, route string, factor, ratio float64) map[string]float64 {
+	if ratio > factor {
 		factor *= 1 + tuning.StragglerLearningRate
 	} else {
 		factor *= 1 - tuning.StragglerLearningRate*tuning.StragglerFraction
 	}
-	if p.stragglerFactors == nil {
-		p.stragglerFactors = map[string]float64{}
+	if factors == nil {
+		factors = map[string]float64{}
 	}
-	p.stragglerFactors[job.Route] = min(max(factor, tuning.MinStragglerFactor), tuning.MaxStragglerFactor)
+	factors[route] = min(max(factor, tuning.MinStragglerFactor), tuning.MaxStragglerFactor)
+	return factors
 }
 
 // stragglerFactor is how many times as long as estimated a run of a route may take.
@@ -137,3 +153,12 @@
 	}
 	return tuning.InitialStragglerFactor
 }
+
+// siblingFactor is how many times as long as the other runs of its step a run of a
+// route may take.
+func (p *Planner) siblingFactor(route string) float64 {
+	if factor := p.siblingFactors[route]; factor > 0 {
+		return factor
+	}
+	return tuning.MinStragglerFactor
+}
--- a/internal/tuning/stragglers.go
+++ b/internal/tuning/stragglers.go
@@ -18,6 +18,17 @@
 	MinPaceSampleWeight = 1.5
 	// HealthyPaceLimit is the pace up to which a worker is known to be healthy.
 	HealthyPaceLimit = 1.5
+	// SlowPaceDeviations is how many standard deviations of its mean a worker's
+	// pace must be above the usual one to prove that it is slow. Where tasks of a
+	// step differ by ten times, 1,834 of 1,852 copies of a calm day were of runs on
+	// workers that only seemed slow; 5 of them ended first.
+	SlowPaceDeviations = 2.0
+	// InitialPaceDeviation is the standard deviation of the logarithm of runs of a
+	// step, before it is learnt of a route; MinPaceDeviation and MaxPaceDeviation
+	// bound what is learnt: tasks that differ by a tenth, and by ten times.
+	InitialPaceDeviation = 0.5
+	MinPaceDeviation     = 0.1
+	MaxPaceDeviation     = 1.5
 	// HealthyWorkerDelayFactor is how many times as late a run on a healthy
 	// worker must be before it gets a copy. Of 1,928 copies on a calm day 8
 	// ended first.
