Raft, storage, server: the commit index is stored; committed entries are applied in parts

The new leader lost its leadership to another 0.4 s after its election; the first registration came 1.9 s after the last core machine was up. Followers also had no streams among each other, so that the first requests for votes were lost. Change: writes carry the commit index (etcd's HardState.Commit), and a server that starts applies up to it before there is a leader. Entries are applied for 20 ms a turn. Servers open the streams to voters that they lack each 100 ms.

--- a/internal/raft/log.go
+++ b/internal/raft/log.go
@@ -57,17 +57,29 @@
 }
 
 // NextCommittedEntries returns the committed entries that are to be applied, each
-// of them once. There are none while Ready still has to return a received snapshot:
+// of them once, and at most Config.MaxCommittedEntries. There are none while Ready still has to return a received snapshot:
 // they apply to the state of that snapshot, and the owner has an older one.
 func (n *Node) NextCommittedEntries() []Entry {
 	if n.pending.Snapshot != nil || n.appliedIndex >= n.commitIndex {
 		return nil
 	}
-	entries := n.log[n.appliedIndex-n.base.Index : n.commitIndex-n.base.Index]
-	n.appliedIndex = n.commitIndex
+	last := n.commitIndex
+	if limit := n.config.MaxCommittedEntries; limit > 0 {
+		last = min(last, n.appliedIndex+uint64(limit))
+	}
+	entries := n.log[n.appliedIndex-n.base.Index : last-n.base.Index]
+	n.appliedIndex = last
 	return entries
 }
 
+// RestoreCommit tells a node that was just started that entries up to an index were
+// committed before it stopped: the newest Ready.CommitIndex on its disk. It can then
+// apply them before it knows a leader. What was committed stays so, and the disk held
+// these entries when the index was written.
+func (n *Node) RestoreCommit(index uint64) {
+	n.commitIndex = max(n.commitIndex, min(index, n.LastIndex()))
+}
+
 // Compact drops the entries up to an index, which a snapshot on disk includes.
 // It does nothing if they are dropped already or not applied yet.
 func (n *Node) Compact(index uint64) {
--- a/internal/raft/model_harness_test.go
+++ b/internal/raft/model_harness_test.go
@@ -164,6 +164,7 @@
 	w.checks.started(member, recovered)
 	w.note("start", member.id, recovered.hardState.Term, recovered.snapshot.Index)
 	member.node = New(member.id, recovered.hardState, recovered.snapshot, recovered.log, member.clock(w.now), w.profile.config, w.random.Int63())
+	member.node.RestoreCommit(recovered.commit)
 	node := member.node
 	node.SetSnapshotSource(func() *Snapshot { return w.snapshot(member) })
 	w.scheduleTurn(member)
--- a/internal/raft/model_mutations_test.go
+++ b/internal/raft/model_mutations_test.go
@@ -19,6 +19,7 @@
 	mutationEarlySync      = "a write is reported as synced before it is"
 	mutationForgetVote     = "a disk forgets term and vote"
 	mutationForgetTail     = "a disk forgets the newest entries"
+	mutationCommitAhead    = "a disk holds a commit index that is too high"
 	mutationForgetMiddle   = "a disk forgets an entry between others"
 	mutationDropSuffix     = "a snapshot drops the entries above it"
 	mutationSkipEntry      = "a member skips an entry"
@@ -62,6 +63,7 @@
 		p.config.LeaseFraction, p.config.CheckQuorumTimeout = 20, 20*time.Second
 		p.voters, p.meanFaultGap, p.lossShare = 3, 300*time.Millisecond, 0
 	}}},
+	{checkCommitted, mutation{name: mutationCommitAhead}},
 	{checkDisk, mutation{name: mutationForgetMiddle}},
 	{checkLeaderCompleteness, mutation{name: mutationForgetTail}},
 	{checkDurable, mutation{name: mutationDropSuffix}},
--- a/internal/raft/model_world_test.go
+++ b/internal/raft/model_world_test.go
@@ -59,6 +59,7 @@
 // modelDisk holds what is synced, and the writes that are not.
 type modelDisk struct {
 	hardState    HardState
+	commit       uint64
 	snapshot     Snapshot
 	log          []Entry
 	waiting      []diskWrite // not begun
@@ -70,6 +71,7 @@
 // recoveredDisk is what a member finds on its disk when it starts.
 type recoveredDisk struct {
 	hardState HardState
+	commit    uint64
 	snapshot  Snapshot
 	log       []Entry
 }
@@ -79,6 +81,7 @@
 	if write.ready.HardState != nil {
 		d.hardState = *write.ready.HardState
 	}
+	d.commit = max(d.commit, write.ready.CommitIndex)
 	if write.snapshot != nil {
 		d.snapshot = *write.snapshot
 		d.log = entriesAfter(d.log, d.snapshot.Index)
@@ -130,7 +133,7 @@
 		// The mutation: the write is reported as synced before it is.
 		world.schedule(0, func() { world.enqueue(member, input{written: []diskWrite{write}}) })
 		member.writesInFlight++
-		content := Ready{HardState: write.ready.HardState, Entries: write.ready.Entries, Snapshot: write.ready.Snapshot}
+		content := Ready{HardState: write.ready.HardState, Entries: write.ready.Entries, Snapshot: write.ready.Snapshot, CommitIndex: write.ready.CommitIndex}
 		d.waiting = append(d.waiting, diskWrite{ready: content, snapshot: write.snapshot})
 		d.startWrite(world, member)
 		return
@@ -194,6 +197,8 @@
 		if world.chance(0.5) {
 			d.hardState = HardState{}
 		}
+	case mutationCommitAhead:
+		d.commit += uint64(world.random.Intn(4))
 	case mutationForgetMiddle:
 		if n := len(d.log); n > 2 && world.chance(0.5) {
 			i := 1 + world.random.Intn(n-2)
@@ -204,7 +209,7 @@
 			d.log = d.log[:n-1-world.random.Intn(min(n, 3))]
 		}
 	}
-	return recoveredDisk{d.hardState, d.snapshot, append([]Entry(nil), d.log...)}
+	return recoveredDisk{d.hardState, d.commit, d.snapshot, append([]Entry(nil), d.log...)}
 }
 
 // modelLink is the way of messages from one member to another.
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -234,6 +234,7 @@
 		ready.WriteToken.SnapshotIndex = ready.Snapshot.Index
 	}
 	if ready.MustSync() {
+		ready.CommitIndex = n.commitIndex
 		n.issuedWrites++
 		ready.WriteToken.Sequence = n.issuedWrites
 	}
--- a/internal/raft/snapshot_test.go
+++ b/internal/raft/snapshot_test.go
@@ -108,3 +108,30 @@
 		t.Fatalf("synced %d after all writes", node.syncedIndex)
 	}
 }
+
+// TestRestoredCommitIsAppliedBeforeALeaderIsKnown: a member that was started again
+// applies what it knew to be committed, as far as its log goes, in parts of the
+// configured size.
+func TestRestoredCommitIsAppliedBeforeALeaderIsKnown(t *testing.T) {
+	for _, test := range []struct{ stored, want uint64 }{{0, 1}, {5, 5}, {9, 9}, {100, 9}} {
+		config := testConfig
+		config.MaxCommittedEntries = 3
+		var entries []Entry
+		for index := uint64(2); index <= 9; index++ {
+			entries = append(entries, Entry{Index: index, Term: 1})
+		}
+		voters := []Member{testMember("a"), testMember("b"), testMember("c")}
+		node := New("b", HardState{Term: 1}, Snapshot{Index: 1, Voters: voters}, entries, time.Unix(1000, 0), config, 1)
+		node.RestoreCommit(test.stored)
+		applied := uint64(1)
+		for committed := node.NextCommittedEntries(); len(committed) > 0; committed = node.NextCommittedEntries() {
+			if len(committed) > config.MaxCommittedEntries || committed[0].Index != applied+1 {
+				t.Errorf("stored %d: %d entries from %d follow %d", test.stored, len(committed), committed[0].Index, applied)
+			}
+			applied = committed[len(committed)-1].Index
+		}
+		if applied != test.want || node.AppliedIndex() != test.want {
+			t.Errorf("stored %d: applied up to %d, want %d", test.stored, applied, test.want)
+		}
+	}
+}
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -98,6 +98,9 @@
 	MessagesAfterSync []Message
 	Messages          []Message
 	WriteToken        WriteToken
+	// CommitIndex is stored along with what must be written, for RestoreCommit; it
+	// needs no write of its own.
+	CommitIndex uint64
 }
 
 // WriteToken names what a write holds. The owner passes it to WriteSynced once
@@ -126,4 +129,7 @@
 	LeaseFraction      float64       // share of ElectionTimeout for which a lease holds, below 1
 	MaxInflightEntries int           // entries sent to a member and not yet acknowledged
 	MaxAppendBytes     int           // an append is closed once it holds so many bytes
+	// MaxCommittedEntries is how many entries NextCommittedEntries returns at most;
+	// 0 for all.
+	MaxCommittedEntries int
 }
--- a/internal/server/connections.go
+++ b/internal/server/connections.go
@@ -8,6 +8,7 @@
 	"tealpond/internal/raft"
 	"tealpond/internal/rpc"
 	"tealpond/internal/transport"
+	"tealpond/internal/tuning"
 )
 
 // handleTransport takes a frame from a stream, or the end of the stream.
@@ -130,6 +131,21 @@
 	return r.addresses[memberID]
 }
 
+// connectVoters opens the streams to other voters that are missing. A follower sends
+// nothing until it wants to be elected; its first request for votes would be lost
+// while streams are being opened, and with it a round of the election.
+func (r *Replica) connectVoters(ctx context.Context, now time.Time) {
+	if now.Sub(r.votersConnectedAt) < tuning.VoterConnectInterval {
+		return
+	}
+	r.votersConnectedAt = now
+	for _, voter := range r.node.Voters() {
+		if voter.ID != r.self.ID && r.connections[voter.Addr] == nil {
+			r.dial(ctx, voter.Addr)
+		}
+	}
+}
+
 // dial connects to a peer in the background, unless that is under way or failed
 // a moment ago.
 func (r *Replica) dial(ctx context.Context, address string) {
--- a/internal/server/loop.go
+++ b/internal/server/loop.go
@@ -162,6 +162,7 @@
 	}
 	defer r.metrics.startTimer("end_turn")()
 	wake := r.node.Tick(now)
+	r.connectVoters(ctx, now)
 	r.watchStorageLag(now)
 	// The node is drained before the leader acts on the state: a received snapshot
 	// replaces the state, and the committed entries above it apply to the new one only.
@@ -177,6 +178,9 @@
 	r.sendAssignments()
 	r.replyToCancelWaiters()
 	wake = sooner(wake, r.replyToStatusWaiters(now))
+	if r.applyBacklog {
+		wake = sooner(wake, time.Nanosecond)
+	}
 	return sooner(wake, r.continueLeave(ctx, now))
 }
 
@@ -189,8 +193,13 @@
 }
 
 // drainNode carries out what the node has ready until nothing is left. A received
-// snapshot is installed before any entry is applied.
+// snapshot is installed before any entry is applied. After tuning.MaxApplyDuration the
+// rest of the committed entries is left for the next turn: a replica that has many to
+// apply after a restart would else send and hear no heartbeats for longer than an
+// election timeout, and lose the leadership that it has just won.
 func (r *Replica) drainNode(ctx context.Context) {
+	deadline := time.Now().Add(tuning.MaxApplyDuration)
+	r.applyBacklog = false
 	for {
 		ready := r.node.Ready()
 		if !ready.IsEmpty() {
@@ -207,7 +216,12 @@
 				r.sendRaftMessages(ctx, ready.MessagesAfterSync)
 			}
 		}
-		if !r.apply(ctx) && ready.IsEmpty() {
+		applied := r.apply(ctx)
+		if !applied && ready.IsEmpty() {
+			return
+		}
+		if applied && !time.Now().Before(deadline) {
+			r.applyBacklog = true
 			return
 		}
 	}
--- a/internal/server/membership_test.go
+++ b/internal/server/membership_test.go
@@ -57,15 +57,7 @@
 
 // start starts the node of a member.
 func (c *cluster) start(id string, snapshot raft.Snapshot) {
-	node := raft.New(id, raft.HardState{Term: 1}, snapshot, nil, c.now, raft.Config{
-		HeartbeatInterval:  tuning.HeartbeatInterval,
-		ElectionTimeout:    tuning.ElectionTimeout,
-		ElectionJitter:     tuning.ElectionTimeoutJitter,
-		CheckQuorumTimeout: tuning.QuorumLossTimeout,
-		LeaseFraction:      tuning.LeaderLeaseFraction,
-		MaxInflightEntries: tuning.MaxInflightEntries,
-		MaxAppendBytes:     tuning.MaxAppendBytes,
-	}, int64(id[0]))
+	node := raft.New(id, raft.HardState{Term: 1}, snapshot, nil, c.now, raftConfig(), int64(id[0]))
 	node.SetSnapshotSource(func() *raft.Snapshot {
 		i := node.AppliedIndex()
 		term, _ := node.TermAt(i)
--- a/internal/server/replica.go
+++ b/internal/server/replica.go
@@ -46,6 +46,7 @@
 	writesInFlight     int
 	stopWriter         context.CancelFunc
 	storageOpened      atomic.Bool
+	applyBacklog       bool      // committed entries wait for the next turn, see drainNode
 	storageLagLoggedAt time.Time // when it was last logged that the storage is behind
 	identityResets     int
 	digests            digestTracker
@@ -56,15 +57,16 @@
 	incomingSnapshots  map[string]*snapshotReceiver
 
 	// Other daemons.
-	events          chan loopEvent
-	leaderClient    *discovery.Client
-	seeds           atomic.Pointer[[]string]
-	bootstrap       bootstrap.Coordinator
-	joinRequestedAt time.Time
-	connections     map[string]*transport.Stream // dialed, by address
-	dialing         map[string]time.Time         // by address; zero while under way, else when to retry
-	addresses       map[string]string            // by member ID, of members that aren't voters
-	inbound         map[string]*transport.Stream // by member ID, the stream it was last heard on
+	events            chan loopEvent
+	leaderClient      *discovery.Client
+	seeds             atomic.Pointer[[]string]
+	bootstrap         bootstrap.Coordinator
+	joinRequestedAt   time.Time
+	connections       map[string]*transport.Stream // dialed, by address
+	dialing           map[string]time.Time         // by address; zero while under way, else when to retry
+	addresses         map[string]string            // by member ID, of members that aren't voters
+	votersConnectedAt time.Time                    // when missing streams to voters were last opened
+	inbound           map[string]*transport.Stream // by member ID, the stream it was last heard on
 
 	// Commands and those who wait for them.
 	pending       map[uint64]pendingEntry // by log index
@@ -163,6 +165,20 @@
 	}
 }
 
+// raftConfig is the timing and the limits of a node.
+func raftConfig() raft.Config {
+	return raft.Config{
+		HeartbeatInterval:   tuning.HeartbeatInterval,
+		ElectionTimeout:     tuning.ElectionTimeout,
+		ElectionJitter:      tuning.ElectionTimeoutJitter,
+		CheckQuorumTimeout:  tuning.QuorumLossTimeout,
+		LeaseFraction:       tuning.LeaderLeaseFraction,
+		MaxInflightEntries:  tuning.MaxInflightEntries,
+		MaxAppendBytes:      tuning.MaxAppendBytes,
+		MaxCommittedEntries: tuning.MaxCommittedEntries,
+	}
+}
+
 // startNode starts the consensus node at a snapshot, with the log that the storage
 // holds above it.
 func (r *Replica) startNode(snapshot raft.Snapshot) {
@@ -176,15 +192,8 @@
 	if err := r.state.BindSnapshotIndex(snapshot.Index); err != nil {
 		panic("server: " + err.Error())
 	}
-	r.node = raft.New(r.self.ID, r.persisted.HardState, snapshot, r.persisted.Entries, time.Now(), raft.Config{
-		HeartbeatInterval:  tuning.HeartbeatInterval,
-		ElectionTimeout:    tuning.ElectionTimeout,
-		ElectionJitter:     tuning.ElectionTimeoutJitter,
-		CheckQuorumTimeout: tuning.QuorumLossTimeout,
-		LeaseFraction:      tuning.LeaderLeaseFraction,
-		MaxInflightEntries: tuning.MaxInflightEntries,
-		MaxAppendBytes:     tuning.MaxAppendBytes,
-	}, int64(seed.Sum64())^time.Now().UnixNano())
+	r.node = raft.New(r.self.ID, r.persisted.HardState, snapshot, r.persisted.Entries, time.Now(), raftConfig(), int64(seed.Sum64())^time.Now().UnixNano())
+	r.node.RestoreCommit(r.persisted.Commit)
 	r.node.SetWallClock(func() int64 { return time.Now().UnixMilli() })
 	r.node.SetSnapshotSource(r.snapshotForFollower)
 	r.persisted.Entries = nil
--- a/internal/server/scheduling.go
+++ b/internal/server/scheduling.go
@@ -20,7 +20,7 @@
 // last ran. Only one set of plans is proposed at a time, since the planner sees the
 // applied state alone and would place the same tasks again.
 func (r *Replica) schedule(now time.Time) {
-	if !r.planDue || r.plansProposed {
+	if !r.planDue || r.plansProposed || r.applyBacklog {
 		return
 	}
 	r.planDue = false
--- a/internal/storage/recovery.go
+++ b/internal/storage/recovery.go
@@ -14,6 +14,7 @@
 	Snapshot    raft.Snapshot
 	Entries     []raft.Entry  // those after the snapshot, without a gap
 	Founders    []raft.Member // see Bootstrap; empty before it
+	Commit      uint64        // entries up to here were known to be committed; 0 in files of earlier versions
 	NewIdentity bool          // the file was created by this call
 }
 
@@ -110,7 +111,7 @@
 	for _, field := range []struct {
 		key  []byte
 		into any
-	}{{keyHardState, &recovered.HardState}, {keyFounders, &recovered.Founders}} {
+	}{{keyHardState, &recovered.HardState}, {keyFounders, &recovered.Founders}, {keyCommit, &recovered.Commit}} {
 		if raw := r.meta[string(field.key)]; raw != nil {
 			if err := decodeRecord(field.key, raw, field.into); err != nil {
 				return err
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -21,6 +21,7 @@
 	keyIdentity       = []byte("disk")
 	keyHardState      = []byte("hard")
 	keyFounders       = []byte("founders")
+	keyCommit         = []byte("commit")
 	keySnapshotHeader = []byte("snapshot")
 	// keyLegacySnapshot holds a whole snapshot in one record, as Bootstrap and
 	// earlier versions write it.
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -147,3 +147,25 @@
 	cancel()
 	<-done
 }
+
+// TestCommitIndexSurvivesReopen: the newest commit index that was stored along with
+// entries or a vote is there after a restart; a file without one has none.
+func TestCommitIndexSurvivesReopen(t *testing.T) {
+	dir := t.TempDir()
+	store, recovered := reopen(t, nil, dir)
+	if recovered.Commit != 0 {
+		t.Fatalf("a new file knows %d entries to be committed", recovered.Commit)
+	}
+	mustWrite(t, store,
+		WriteRequest{Ready: raft.Ready{Entries: entries(1, 5, 1), CommitIndex: 2}},
+		WriteRequest{Ready: raft.Ready{HardState: &raft.HardState{Term: 2}, CommitIndex: 4}},
+		entriesRequest(entries(6, 6, 2)...))
+	store, recovered = reopen(t, store, dir)
+	if recovered.Commit != 4 || len(recovered.Entries) != 6 {
+		t.Errorf("after a restart %d of %d entries are known to be committed, want 4 of 6", recovered.Commit, len(recovered.Entries))
+	}
+	mustWrite(t, store, localSnapshot(5, []byte("x")))
+	if _, recovered = reopen(t, store, dir); recovered.Commit != 4 || recovered.Snapshot.Index != 5 {
+		t.Errorf("after a snapshot: %d, snapshot at %d", recovered.Commit, recovered.Snapshot.Index)
+	}
+}
--- a/internal/storage/write_queue.go
+++ b/internal/storage/write_queue.go
@@ -152,7 +152,7 @@
 // keys are only ever added at the end.
 const logFillPercent = 0.95
 
-// putReadies writes hard states and entries. An entry replaces those at and above its
+// putReadies writes hard states, entries and the newest commit index. An entry replaces those at and above its
 // index that were there before.
 func putReadies(tx *bolt.Tx, requests []WriteRequest) error {
 	meta, log := tx.Bucket(bucketMeta), tx.Bucket(bucketLog)
@@ -161,13 +161,11 @@
 	if k, _ := log.Cursor().Last(); k != nil {
 		last = decodeKey(k)
 	}
+	var commit uint64
 	for _, request := range requests {
+		commit = max(commit, request.Ready.CommitIndex)
 		if request.Ready.HardState != nil {
-			raw, err := encodeRecord(keyHardState, request.Ready.HardState)
-			if err != nil {
-				return err
-			}
-			if err := meta.Put(keyHardState, raw); err != nil {
+			if err := putRecord(meta, keyHardState, request.Ready.HardState); err != nil {
 				return err
 			}
 		}
@@ -177,18 +175,25 @@
 					return err
 				}
 			}
-			k := encodeKey(entry.Index)
-			raw, err := encodeRecord(k, entry)
-			if err != nil {
-				return err
-			}
-			if err := log.Put(k, raw); err != nil {
+			if err := putRecord(log, encodeKey(entry.Index), entry); err != nil {
 				return err
 			}
 			last = entry.Index
 		}
 	}
-	return nil
+	if commit == 0 {
+		return nil
+	}
+	return putRecord(meta, keyCommit, commit)
+}
+
+// putRecord stores a value under a key, with its checksum.
+func putRecord(bucket *bolt.Bucket, key []byte, value any) error {
+	raw, err := encodeRecord(key, value)
+	if err != nil {
+		return err
+	}
+	return bucket.Put(key, raw)
 }
 
 // keyBytes is the length of the key of an entry, a frame or a generation.
--- a/internal/tuning/raft.go
+++ b/internal/tuning/raft.go
@@ -36,6 +36,12 @@
 	// that a voter sends and receives fewer than a thousand messages a second
 	// at any load. Longer groups (12 ms with three voters) delayed responses.
 	GroupCommitIntervalPerVoter = time.Millisecond
+	// MaxApplyDuration is how long a replica applies committed entries before it
+	// looks at its events again: a quarter of HeartbeatInterval.
+	MaxApplyDuration = 20 * time.Millisecond
+	// MaxCommittedEntries is the number of entries that it applies between two
+	// looks at the clock. One takes 0.2 ms under load on a small core.
+	MaxCommittedEntries = 16
 	// SnapshotInterval is the number of entries between two snapshots. Replaying
 	// as many takes well under a second on a small core.
 	SnapshotInterval = 3000
@@ -46,6 +52,10 @@
 
 // Changes of the voters.
 const (
+	// VoterConnectInterval is the time between two attempts of a server to open
+	// the streams to other voters that it lacks. Several fit into the wait before
+	// the first election after a start.
+	VoterConnectInterval = 100 * time.Millisecond
 	// VoterReplacementTimeout is the silence of a voter after which a candidate
 	// that has caught up may take its place. It is above the time of any restart
 	// and below the operators' bound catchUpS.
