--- a/cmd/tealpond/daemon.go
+++ b/cmd/tealpond/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log"
 
 	"tealpond/internal/daemon"
+	"tealpond/internal/monitoring"
 	"tealpond/internal/settings"
 	"tealpond/internal/tracing"
 	"tealpond/internal/tuning"
@@ -23,17 +24,33 @@
 	processIDBytes = 6
 )
 
+// daemonFlags are the flags of a role's command.
+type daemonFlags struct {
+	settingsPath   string
+	logLevel       string
+	federationFile string // empty: federation is off
+	metrics        string // PORT/PATH; empty: no figures are served
+}
+
 // runDaemon runs a role until SIGTERM or SIGINT, and returns the exit code. Settings
-// with a fault end it before it has opened anything.
-func (p *program) runDaemon(role daemon.RoleSpec, path, level, federationFile string) int {
-	file, err := settings.Load(path)
+// or flags with a fault end it before it has opened anything.
+func (p *program) runDaemon(role daemon.RoleSpec, flags daemonFlags) int {
+	var endpoint monitoring.Endpoint
+	if flags.metrics != "" {
+		var err error
+		if endpoint, err = monitoring.ParseEndpoint(flags.metrics); err != nil {
+			p.reportf("--metrics %q: %v", flags.metrics, err)
+			return exitUsage
+		}
+	}
+	file, err := settings.Load(flags.settingsPath)
 	if err != nil {
 		p.reportf("%v", err)
 		return exitFault
 	}
 	debug.SetMemoryLimit(int64(float64(file.Limits.MemoryMb) * tuning.MemoryLimitFraction * bytesPerMb))
 	debug.SetGCPercent(tuning.GCPercent)
-	filtered := levelFilter{log.NewLogfmtLogger(log.NewSyncWriter(p.stderr)), logLevels[level]}
+	filtered := levelFilter{log.NewLogfmtLogger(log.NewSyncWriter(p.stderr)), logLevels[flags.logLevel]}
 	logger := log.With(filtered, "node", file.NodeName, "role", role.Name)
 	environment := daemon.Environment{
 		Settings:       file,
@@ -41,8 +58,8 @@
 		ProcessID:      newProcessID(),
 		Reload:         make(chan settings.File, 1),
 		Trace:          tracing.NewRing(tuning.TraceRingLength),
-		FederationFile: federationFile,
-		Debug:          level == "debug",
+		FederationFile: flags.federationFile,
+		Debug:          flags.logLevel == "debug",
 	}
 	process, err := role.New(environment)
 	if err != nil {
@@ -51,8 +68,11 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	go watchSettings(ctx, path, environment.Reload, logger)
+	go watchSettings(ctx, flags.settingsPath, environment.Reload, logger)
 	_ = logger.Log("level", "info", "event", "daemon.started", "version", version, "process", environment.ProcessID)
+	if endpoint.Port != "" {
+		serveMetrics(ctx, file.IPAddress, endpoint, process, logger)
+	}
 	if err := process.Run(ctx); err != nil {
 		_ = logger.Log("level", "error", "event", "daemon.failed", "error", err)
 		return exitFault
@@ -61,6 +81,18 @@
 	return exitOK
 }
 
+// serveMetrics serves the figures of a role; a daemon goes on without them, since
+// another process may use the port.
+func serveMetrics(ctx context.Context, ip string, endpoint monitoring.Endpoint, process daemon.Role, logger log.Logger) {
+	source, ok := process.(monitoring.Source)
+	if !ok {
+		return
+	}
+	if err := monitoring.Serve(ctx, ip, endpoint, source); err != nil {
+		_ = logger.Log("level", "warn", "event", "metrics.serve_failed", "error", err)
+	}
+}
+
 // newProcessID draws a random ID for this process; see daemon.Environment.ProcessID.
 func newProcessID() string {
 	var id [processIDBytes]byte
--- a/cmd/tealpond/main.go
+++ b/cmd/tealpond/main.go
@@ -86,11 +86,12 @@
 		path := command.Flag("settings", "The settings file.").Envar(settings.PathEnvVar).String()
 		level := command.Flag("log", "The least level that is logged: debug, info, warn or error.").
 			Default("info").Enum("debug", "info", "warn", "error")
+		endpoint := command.Flag("metrics", "PORT/PATH at which the daemon serves its figures as text (docs/operate.md); off without it.").String()
 		federation := new(string)
 		if role.AcceptsFederationFile {
 			federation = command.Flag("moves", "The file that turns moving jobs between clusters on (docs/forecast.md); off without it.").String()
 		}
-		p.commands[command.FullCommand()] = func() int { return p.runDaemon(role, *path, *level, *federation) }
+		p.commands[command.FullCommand()] = func() int { return p.runDaemon(role, daemonFlags{*path, *level, *federation, *endpoint}) }
 	}
 }
 
--- /dev/null
+++ b/internal/agent/monitoring.go
@@ -0,0 +1,47 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"tealpond/internal/monitoring"
+)
+
+// WriteMetrics writes the figures of this daemon, as its loop reads them; it
+// implements monitoring.Source.
+func (a *Agent) WriteMetrics(ctx context.Context, w io.Writer) {
+	received := make(chan []monitoring.Gauge, 1)
+	select {
+	case a.events <- event{callback: func() { received <- a.gauges() }}:
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case gauges := <-received:
+		monitoring.WriteGauges(w, gauges)
+	case <-ctx.Done():
+	}
+}
+
+// gauges reads the figures of this agent, in the loop.
+func (a *Agent) gauges() []monitoring.Gauge {
+	gauges := []monitoring.Gauge{
+		{Name: "tealpond_runner_known", Value: monitoring.Flag(a.session != nil)},
+		{Name: "tealpond_runner_calls_in_flight", Value: float64(a.callsInFlight)},
+	}
+	session := a.session
+	if session == nil {
+		return gauges
+	}
+	leaseLeft := time.Duration(session.workerLeaseUntilMs-session.estimatedClockMs(a.now)) * time.Millisecond
+	return append(gauges,
+		monitoring.Gauge{Name: "tealpond_fence", Value: float64(session.fence)},
+		monitoring.Gauge{Name: "tealpond_runner_silent", Value: monitoring.Flag(session.silent(a.now))},
+		monitoring.Gauge{Name: "tealpond_runner_leaving", Value: monitoring.Flag(a.isLeaving(session))},
+		monitoring.Gauge{Name: "tealpond_worker_lease_left_seconds", Value: max(leaseLeft, 0).Seconds()},
+		monitoring.Gauge{Name: "tealpond_runs", Value: float64(len(session.runs))},
+		monitoring.Gauge{Name: "tealpond_completions_read", Value: float64(session.readSequence)},
+		monitoring.Gauge{Name: "tealpond_completions_committed", Value: float64(session.committedSequence)},
+	)
+}
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"sync/atomic"
 	"time"
 
@@ -11,6 +12,7 @@
 	"tealpond/internal/daemon"
 	"tealpond/internal/discovery"
 	"tealpond/internal/federation"
+	"tealpond/internal/monitoring"
 	"tealpond/internal/rpc"
 	"tealpond/internal/server"
 	"tealpond/internal/settings"
@@ -189,6 +191,19 @@
 	}
 }
 
+// WriteMetrics writes the figures of this daemon; it implements monitoring.Source.
+func (s *Server) WriteMetrics(ctx context.Context, w io.Writer) {
+	gauges := []monitoring.Gauge{
+		{Name: "tealpond_ready", Value: monitoring.Flag(s.ready())},
+		{Name: "tealpond_leader_heard", Value: monitoring.Flag(s.leaderContact.heardWithin(tuning.LeaderContactTimeout))},
+		{Name: "tealpond_config_version_heard", Value: float64(s.newestVersion.Load())},
+	}
+	if s.replica != nil {
+		gauges = append(gauges, s.replica.Gauges(ctx)...)
+	}
+	monitoring.WriteGauges(w, gauges)
+}
+
 // ready tells whether load balancers should send clients to this daemon.
 func (s *Server) ready() bool {
 	if s.replica != nil && !s.replica.StorageOpened() {
--- /dev/null
+++ b/internal/server/monitoring.go
@@ -0,0 +1,95 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"tealpond/internal/monitoring"
+	"tealpond/internal/rpc"
+	"tealpond/internal/transport"
+)
+
+// requestGauges is the request of this process for its figures.
+const requestGauges = "gauges"
+
+// Gauges gives the figures of this replica, as its loop reads them; none if the
+// context ends first. It is safe for concurrent use.
+func (r *Replica) Gauges(ctx context.Context) []monitoring.Gauge {
+	received := make(chan rpc.Response, 1)
+	request := &localRequest{request: rpc.Request{Kind: requestGauges}, reply: func(response rpc.Response) { received <- response }}
+	if !r.post(ctx, loopEvent{request: request}) {
+		return nil
+	}
+	var gauges []monitoring.Gauge
+	select {
+	case response := <-received:
+		_ = transport.Decode(response.Body, &gauges) // by this process itself
+	case <-ctx.Done():
+	}
+	return gauges
+}
+
+// gauges reads the figures of this replica, in the loop.
+func (r *Replica) gauges(now time.Time) []monitoring.Gauge {
+	gauges := []monitoring.Gauge{
+		{Name: "tealpond_storage_open", Value: monitoring.Flag(r.StorageOpened())},
+		{Name: "tealpond_loop_events_waiting", Value: float64(len(r.events))},
+		{Name: "tealpond_storage_writes_in_flight", Value: float64(r.writesInFlight)},
+	}
+	if r.node == nil {
+		return gauges
+	}
+	gauges = append(gauges, r.raftGauges(now)...)
+	gauges = append(gauges, r.stateGauges()...)
+	if r.leading {
+		gauges = append(gauges, r.leaderGauges(now)...)
+	}
+	return gauges
+}
+
+// raftGauges are the figures of the consensus node.
+func (r *Replica) raftGauges(now time.Time) []monitoring.Gauge {
+	return []monitoring.Gauge{
+		{Name: "tealpond_raft_term", Value: float64(r.node.Term())},
+		{Name: "tealpond_raft_last_index", Value: float64(r.node.LastIndex())},
+		{Name: "tealpond_raft_commit_index", Value: float64(r.node.CommitIndex())},
+		{Name: "tealpond_raft_applied_index", Value: float64(r.state.AppliedIndex)},
+		{Name: "tealpond_raft_snapshot_index", Value: float64(r.lastSnapshotIndex)},
+		{Name: "tealpond_raft_voters", Value: float64(len(r.node.Voters()))},
+		{Name: "tealpond_raft_votes", Value: monitoring.Flag(r.node.IsVoter(r.self.ID))},
+		{Name: "tealpond_raft_leader", Value: monitoring.Flag(r.leadsWithLease(now))},
+		{Name: "tealpond_raft_leader_known", Value: monitoring.Flag(r.node.Leader() != "")},
+	}
+}
+
+// stateGauges are the figures of the replicated state.
+func (r *Replica) stateGauges() []monitoring.Gauge {
+	schedulable := 0
+	for _, worker := range r.state.Workers {
+		if worker.Schedulable() {
+			schedulable++
+		}
+	}
+	return []monitoring.Gauge{
+		{Name: "tealpond_config_version", Value: float64(r.state.Configuration.Version)},
+		{Name: "tealpond_workers", Value: float64(len(r.state.Workers))},
+		{Name: "tealpond_workers_schedulable", Value: float64(schedulable)},
+		{Name: "tealpond_jobs", Value: float64(len(r.state.Jobs))},
+		{Name: "tealpond_jobs_open", Value: float64(len(r.state.OpenJobs()))},
+		{Name: "tealpond_runs", Value: float64(len(r.state.Allocations))},
+		{Name: "tealpond_sessions", Value: float64(len(r.sessions))},
+	}
+}
+
+// leaderGauges are the figures that only the leader has.
+func (r *Replica) leaderGauges(now time.Time) []monitoring.Gauge {
+	return []monitoring.Gauge{
+		{Name: "tealpond_leader_for_seconds", Value: now.Sub(r.leadingSince).Seconds()},
+		{Name: "tealpond_worker_leases", Value: float64(len(r.leases))},
+		{Name: "tealpond_workers_silent", Value: float64(len(r.planner.SilentWorkers))},
+		{Name: "tealpond_members", Value: float64(len(r.memberLeases))},
+		{Name: "tealpond_learners", Value: float64(len(r.membership.candidates))},
+		{Name: "tealpond_commands_waiting", Value: float64(len(r.commands))},
+		{Name: "tealpond_entries_pending", Value: float64(len(r.pending))},
+	}
+}
--- a/internal/server/requests.go
+++ b/internal/server/requests.go
@@ -19,10 +19,13 @@
 
 // replicaHandlers are the requests that any replica answers, by kind.
 var replicaHandlers = map[string]replicaHandler{
-	rpc.KindLeader:        (*Replica).handleLeaderInfo,
-	rpc.KindBootstrap:     (*Replica).handleBootstrapAnnouncement,
-	rpc.KindTrace:         (*Replica).handleTrace,
-	rpc.KindClusterState:  (*Replica).handleClusterState,
+	rpc.KindLeader:       (*Replica).handleLeaderInfo,
+	rpc.KindBootstrap:    (*Replica).handleBootstrapAnnouncement,
+	rpc.KindTrace:        (*Replica).handleTrace,
+	rpc.KindClusterState: (*Replica).handleClusterState,
+	requestGauges: func(r *Replica, _ []byte, reply replyFunc) {
+		reply(rpc.Response{Code: rpc.CodeOK, Body: transport.Encode(r.gauges(time.Now()))})
+	},
 	requestAnnouncerState: func(r *Replica, _ []byte, reply replyFunc) { reply(r.announcerResponse()) },
 }
 
