--- a/internal/simulation/runner.go
+++ b/internal/simulation/runner.go
@@ -37,6 +37,7 @@
 	Draining         bool    // it says so in its heartbeats
 	Silent           bool    // it answers nothing
 	LateFraction     float64 // part of the requests carried out late, without an answer
+	LostAnswers      float64 // part of the requests that are carried out and whose answers are lost
 	Stalled          bool    // tasks make no progress
 	RejectsStarts    bool    // it answers starts with 503, and its heartbeats go on
 
@@ -182,6 +183,12 @@
 		<-ctx.Done()
 		return agent.RunnerResponse{}
 	}
+	if path != keepAlivePath && runner.random.Float64() < runner.LostAnswers {
+		runner.handle(incarnation, body)
+		runner.mu.Unlock()
+		<-ctx.Done()
+		return agent.RunnerResponse{}
+	}
 	defer runner.mu.Unlock()
 	if poll, ok := body.(protocol.KeepAliveRequest); ok {
 		return runner.keepAlive(ctx, incarnation, poll)
