--- a/internal/scheduler/reservation.go
+++ b/internal/scheduler/reservation.go
@@ -84,6 +84,12 @@
 	if spec.MemoryMB > 0 {
 		n = min(n, int((limit.memory-used.memory)/float64(spec.MemoryMB)))
 	}
+	if idleTooLong(store, request) {
+		if request.isGang() {
+			return true
+		}
+		n = max(n, 1)
+	}
 	if used.cpu == 0 {
 		n = max(n, 1)
 	}
@@ -96,6 +102,27 @@
 	return true
 }
 
+// idleTooLong tells whether nothing of a job runs although its step has been ready for
+// tuning.MaxIdleTime. However much urgent demand is foreseen, such a job gets one task
+// under way where there is room: by the operators' rules it must not stand still beside
+// room for it, however full the service is.
+func idleTooLong(store *state.Store, request *placementRequest) bool {
+	stepState := &request.instance.Steps[request.step]
+	if store.Clock-max(stepState.ReadyAt, stepState.LastAllocatedAt) < tuning.MaxIdleTime.Milliseconds() {
+		return false
+	}
+	for _, instance := range request.job.Instances {
+		for i := range instance.Steps {
+			for task := range instance.Steps[i].Tasks {
+				if len(instance.Steps[i].Tasks[task].Allocations) > 0 {
+					return false
+				}
+			}
+		}
+	}
+	return true
+}
+
 // longTaskLimit is what the long tasks of a request's priority may hold together,
 // or false if there is no limit: long tasks that can wait leave room for the urgent
 // demand foreseen.
--- a/internal/state/job_test.go
+++ b/internal/state/job_test.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"fmt"
 	"testing"
 
 	"tealpond/internal/protocol"
@@ -72,3 +73,24 @@
 		}
 	}
 }
+
+// TestPendingJobsCountsWhatHasNotBegun: of a route's accepted jobs those of which no task
+// has begun, ended and canceled ones left out, those of other routes too.
+func TestPendingJobsCountsWhatHasNotBegun(t *testing.T) {
+	f := newFixture(t)
+	for i := range 5 {
+		f.submit(fmt.Sprint("j", i), protocol.Step{TaskCount: 1, CPUUnits: 100, MemoryMB: 1})
+	}
+	if n := f.store.PendingJobs("a"); n != 5 {
+		t.Fatalf("%d of 5 wait", n)
+	}
+	worker := f.addWorker("w", protocol.Resources{CPUUnits: 1000, MemoryMB: 1000})
+	f.applyPlan("j0", 0, false, Placement{Worker: "w", WorkerVersion: worker.Version})
+	f.apply(&CancelJob{ID: "j1"})
+	if n := f.store.PendingJobs("a"); n != 3 {
+		t.Errorf("%d wait, want 3: one began and one was canceled", n)
+	}
+	if n := f.store.PendingJobs("another"); n != 0 {
+		t.Errorf("%d wait on another route", n)
+	}
+}
--- a/internal/tuning/scheduler.go
+++ b/internal/tuning/scheduler.go
@@ -34,6 +34,10 @@
 	// LongTaskThreshold is the estimate from which a task leaves room to more
 	// urgent ones. Shorter tasks free their room soon enough by themselves.
 	LongTaskThreshold = 2 * time.Second
+	// MaxIdleTime is how long a job of which nothing runs is held back for
+	// foreseen urgent work. By the operators' rules it counts as lost after 3 s
+	// beside room for it.
+	MaxIdleTime = 1500 * time.Millisecond
 	// MinLongTaskFraction is the part of the capacity that long tasks may use
 	// whatever urgent demand is foreseen, so that they never starve.
 	MinLongTaskFraction = 0.1
