--- a/internal/server/aggregator_choice.go
+++ b/internal/server/aggregator_choice.go
@@ -38,12 +38,11 @@
 }
 
 // inZone tells whether a server is in the zone. A leader that was elected a moment ago
-// has not heard of all servers' zones yet; of the present aggregator and its standby
-// it takes over what an earlier leader knew.
+// has not heard of all servers' zones yet; of the present aggregator it takes over what
+// an earlier leader knew.
 func (c *aggregatorChoice) inZone(server raft.Member) bool {
 	zone := c.zoneOf(server.Node)
-	appointed := server.ID == c.current.Member || server.ID == c.current.Standby
-	return zone == c.zone || zone == "" && appointed
+	return zone == c.zone || zone == "" && server.ID == c.current.Member
 }
 
 // serves tells whether a voter serves the zone better than the leader does itself.
--- a/internal/server/leader.go
+++ b/internal/server/leader.go
@@ -96,6 +96,7 @@
 		}
 	}
 	r.planDue, r.plansProposed, r.garbageCollectionProposed = true, false, false
+	r.planNotBefore, r.refusedInARow = time.Time{}, 0
 	r.garbageCollectedAt, r.rollupsRebuiltAt = now, now
 	r.wallClockKnown = false
 	if limits := stateLimits(r.settings); r.state.Limits != limits {
--- a/internal/server/replica.go
+++ b/internal/server/replica.go
@@ -99,9 +99,11 @@
 	appointments              appointments
 	membership                membershipTracker
 	planner                   scheduler.Planner
-	planDue                   bool // the state changed since the planner ran
-	plansProposed             bool // and not yet applied
-	garbageCollectionProposed bool // and not yet applied
+	planDue                   bool      // the state changed since the planner ran
+	plansProposed             bool      // and not yet applied
+	planNotBefore             time.Time // see notePlansApplied
+	refusedInARow             int       // times that all plans were refused
+	garbageCollectionProposed bool      // and not yet applied
 	garbageCollectedAt        time.Time
 	rollupsRebuiltAt          time.Time
 	preemptedAt               time.Time
--- a/internal/server/scheduling.go
+++ b/internal/server/scheduling.go
@@ -20,7 +20,7 @@
 // last ran. Only one set of plans is proposed at a time, since the planner sees the
 // applied state alone and would place the same tasks again.
 func (r *Replica) schedule(now time.Time) {
-	if !r.planDue || r.plansProposed || r.applyBacklog {
+	if !r.planDue || r.plansProposed || r.applyBacklog || now.Before(r.planNotBefore) {
 		return
 	}
 	r.planDue = false
@@ -30,7 +30,10 @@
 	if len(plans) > 0 {
 		r.plansProposed = true
 		r.enqueueCommand(state.CommandApplyPlans, &state.ApplyPlans{Plans: plans},
-			func(state.Outcome, bool) { r.plansProposed = false })
+			func(outcome state.Outcome, known bool) {
+				r.plansProposed = false
+				r.notePlansApplied(known, known && outcome.Value == int64(len(plans)))
+			})
 	}
 	if now.Sub(r.preemptedAt) < tuning.PreemptionInterval {
 		return
@@ -42,6 +45,24 @@
 	}
 }
 
+// maxRefusedInARow is how many times in a row all plans may be refused before the next
+// ones wait. One time is usual: a worker or a job changed while they were under way.
+const maxRefusedInARow = 2
+
+// notePlansApplied puts off the next plans if none could be applied several times in a
+// row: the state changed by the attempts alone, and the same plans would be made and
+// refused at each turn of the loop.
+func (r *Replica) notePlansApplied(known, allRefused bool) {
+	if !allRefused {
+		r.refusedInARow = 0
+		return
+	}
+	r.refusedInARow++
+	if known && r.refusedInARow >= maxRefusedInARow {
+		r.planNotBefore = time.Now().Add(tuning.StragglerCheckInterval)
+	}
+}
+
 // updatePlanner tells the planner which workers are silent or unhealthy, and how
 // much slower than the others each is.
 func (r *Replica) updatePlanner(now time.Time) {
--- a/internal/server/scheduling_test.go
+++ b/internal/server/scheduling_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"testing"
+	"testing/synctest"
+	"time"
+
+	"tealpond/internal/tuning"
 )
 
 // TestMedianRuntimePercent: workers that report nothing don't count, and two are too
@@ -27,3 +31,30 @@
 		}
 	}
 }
+
+// TestRefusedPlansAreNotRepeatedEachTurn: plans that are refused each time, as for a job
+// that finds no resources left in its loan, are made a few times a second and not at each
+// turn of the loop; those that are refused once are made again at once.
+func TestRefusedPlansAreNotRepeatedEachTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newLeader(t)
+		planned := 0
+		for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+			h.replica.planDue = true
+			h.replica.schedule(time.Now())
+			if !h.replica.planDue {
+				planned++
+				h.replica.notePlansApplied(true, true)
+			}
+		}
+		if limit := int(time.Second/tuning.StragglerCheckInterval) + maxRefusedInARow; planned > limit || planned <= maxRefusedInARow {
+			t.Errorf("planned %d times in a second, want at most %d", planned, limit)
+		}
+		h.replica.notePlansApplied(true, false)
+		h.replica.planNotBefore = time.Time{}
+		h.replica.notePlansApplied(true, true)
+		if h.replica.planDue = true; !h.replica.planNotBefore.IsZero() {
+			t.Error("plans that were refused once are put off")
+		}
+	})
+}
