--- a/internal/simulation/fault_kinds_test.go
+++ b/internal/simulation/fault_kinds_test.go
@@ -34,13 +34,7 @@
 		}
 	}},
 	{"after_ack_kill taken", func(s *scenario) {
-		for i := range 4 {
-			if s.SubmitJob(jobID(500000+i), newJob(300, 400, 2)) {
-				s.recordAccepted(jobID(500000 + i))
-			}
-			s.Restart(800*time.Millisecond, s.nodeNames("")...)
-			time.Sleep(2 * time.Second)
-		}
+		s.restartAllOnceSubmitted(500000, 4)
 	}},
 	{"herd_kill of all core", func(s *scenario) {
 		s.Restart(1500*time.Millisecond, s.Servers()...)
@@ -128,6 +122,18 @@
 	}},
 }
 
+// restartAllOnceSubmitted kills all daemons right after a job was accepted, some times
+// over; the jobs are numbered from first on.
+func (s *scenario) restartAllOnceSubmitted(first, times int) {
+	for i := range times {
+		if s.SubmitJob(jobID(first+i), newJob(300, 400, 2)) {
+			s.recordAccepted(jobID(first + i))
+		}
+		s.Restart(800*time.Millisecond, s.nodeNames("")...)
+		time.Sleep(2 * time.Second)
+	}
+}
+
 // closingFaults are the faults at the end of a scenario, after which all that was
 // acknowledged must be there.
 var closingFaults = []namedPlay{
--- a/internal/simulation/trouble_kinds_test.go
+++ b/internal/simulation/trouble_kinds_test.go
@@ -72,13 +72,7 @@
 		s.splitServers(6*time.Second, servers[:len(servers)/2])
 	}},
 	{"herd_kill taken all", func(s *scenario) {
-		for i := range 2 {
-			if s.SubmitJob(jobID(700000+i), newJob(300, 400, 2)) {
-				s.recordAccepted(jobID(700000 + i))
-			}
-			s.Restart(800*time.Millisecond, s.nodeNames("")...)
-			time.Sleep(2 * time.Second)
-		}
+		s.restartAllOnceSubmitted(700000, 2)
 	}},
 }
 
