Simulation: plays that run at the same time share a locked random source

Change: the source of a scenario is locked; the pairs are two tests, so that two processes share them.

--- a/internal/simulation/scenario_test.go
+++ b/internal/simulation/scenario_test.go
@@ -51,13 +51,33 @@
 	submitInterval time.Duration
 }
 
+// lockedSource is a random source for plays that run at the same time.
+type lockedSource struct {
+	mu     sync.Mutex
+	source rand.Source
+}
+
+// Int63 implements rand.Source.
+func (l *lockedSource) Int63() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.source.Int63()
+}
+
+// Seed implements rand.Source.
+func (l *lockedSource) Seed(seed int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.source.Seed(seed)
+}
+
 // runScenario makes a cluster, lets something happen under load, and requires that
 // nothing acknowledged is lost and no rule is violated.
 func runScenario(t *testing.T, spec ClusterSpec, seed int64, play func(s *scenario)) {
 	t.Helper()
 	withCluster(t, spec, func(t *testing.T, c *Cluster) {
 		ctx, stop := context.WithCancel(context.Background())
-		s := &scenario{Cluster: c, random: rand.New(rand.NewSource(seed)), ctx: ctx, stop: stop, workload: newJob(400, 400, 2), submitInterval: 300 * time.Millisecond}
+		s := &scenario{Cluster: c, random: rand.New(&lockedSource{source: rand.NewSource(seed)}), ctx: ctx, stop: stop, workload: newJob(400, 400, 2), submitInterval: 300 * time.Millisecond}
 		defer s.background.Wait()
 		defer stop()
 		c.failOnDivergence()
--- a/internal/simulation/trouble_kinds_test.go
+++ b/internal/simulation/trouble_kinds_test.go
@@ -81,36 +81,50 @@
 var restartsNodes = map[string]bool{"roll_term on side": true, "herd_kill taken all": true}
 
 // TestTroublesOfLargeFleets lays each kind over each other one, over a cluster of six
-// servers that vote or follow, and ends with one of the closing faults.
-func TestTroublesOfLargeFleets(t *testing.T) {
-	for i, first := range largeFleetTroubles {
+// servers that vote or follow, and ends with one of the closing faults. It is two tests,
+// so that two processes share the work.
+func TestTroublesOfLargeFleets(t *testing.T) { playPairsOfTroubles(t, 0) }
+
+// TestMoreTroublesOfLargeFleets plays the pairs that TestTroublesOfLargeFleets leaves.
+func TestMoreTroublesOfLargeFleets(t *testing.T) { playPairsOfTroubles(t, 1) }
+
+// playPairsOfTroubles plays the pairs whose numbers have an even or an odd sum.
+func playPairsOfTroubles(t *testing.T, parity int) {
+	t.Helper()
+	for i := range largeFleetTroubles {
 		for k := i; k < len(largeFleetTroubles); k++ {
-			second := largeFleetTroubles[k]
-			t.Run(first.name+" and "+second.name, func(t *testing.T) {
-				runScenario(t, sixServers, int64(100*i+k), func(s *scenario) {
-					time.Sleep(time.Second)
-					ended := make(chan struct{})
-					s.background.Go(func() {
-						defer close(ended)
-						first.play(s)
-					})
-					if restartsNodes[first.name] && restartsNodes[second.name] {
-						<-ended
-					}
-					if k > i {
-						time.Sleep(time.Duration(s.random.Intn(3000)) * time.Millisecond)
-						second.play(s)
-					}
-					<-ended
-					time.Sleep(catchUpBound)
-					moments := []string{onceChanged, whileChanging, onceSubmitted}
-					s.injectClosingFault(moments[(i+k)%len(moments)], closingFaults[(i+k)%len(closingFaults)].play)
-				})
+			if (i+k)%2 != parity {
+				continue
+			}
+			t.Run(largeFleetTroubles[i].name+" and "+largeFleetTroubles[k].name, func(t *testing.T) {
+				runScenario(t, sixServers, int64(100*i+k), func(s *scenario) { s.playTroubles(i, k) })
 			})
 		}
 	}
 }
 
+// playTroubles lays two kinds of trouble over each other, and a closing fault after them.
+func (s *scenario) playTroubles(i, k int) {
+	first, second := largeFleetTroubles[i], largeFleetTroubles[k]
+	time.Sleep(time.Second)
+	ended := make(chan struct{})
+	s.background.Go(func() {
+		defer close(ended)
+		first.play(s)
+	})
+	if restartsNodes[first.name] && restartsNodes[second.name] {
+		<-ended
+	}
+	if k > i {
+		time.Sleep(time.Duration(s.random.Intn(3000)) * time.Millisecond)
+		second.play(s)
+	}
+	<-ended
+	time.Sleep(catchUpBound)
+	moments := []string{onceChanged, whileChanging, onceSubmitted}
+	s.injectClosingFault(moments[(i+k)%len(moments)], closingFaults[(i+k)%len(closingFaults)].play)
+}
+
 // TestAnswersOfStartsAreLost: copies and restarts of a task whose start was carried out
 // without an answer: it never runs twice at a time, and its job ends once.
 func TestAnswersOfStartsAreLost(t *testing.T) {
