Tenants: keys of calls, and quotas that runs are charged to

Change: the leader finds the caller's tenant by its key; the log names the tenant and the configuration in which the key was found, and the command is refused if another is in force by then. A run is charged to its tenant's quota in the command that adds it; plans are cut to what the quota allows.

--- a/internal/api/jobs.go
+++ b/internal/api/jobs.go
@@ -111,10 +111,19 @@
 		return "", err
 	}
 	r.body = body
-	r.job = rpc.JobRequest{Host: request.Host, Path: request.URL.Path}
+	r.job = rpc.JobRequest{Host: request.Host, Path: request.URL.Path, Key: bearerKey(request)}
 	return phaseValidate, nil
 }
 
+// bearerKey is the key that a request bears; empty if it bears none.
+func bearerKey(request *http.Request) string {
+	scheme, key, _ := strings.Cut(request.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, protocol.AuthorizationScheme) {
+		return ""
+	}
+	return strings.TrimSpace(key)
+}
+
 // headerSize is the size in bytes that the limit of headers bounds: the target
 // and all fields as they are sent.
 func headerSize(request *http.Request) int {
--- a/internal/clusterconfig/config.go
+++ b/internal/clusterconfig/config.go
@@ -26,6 +26,8 @@
 	// Stretch: a job should be done in Stretch times the sum of the estimates on
 	// its critical path, plus TargetMs.
 	Stretch float64 `json:"stretch"`
+	// Public routes are served without a tenant's key.
+	Public bool `json:"public,omitempty"`
 }
 
 // Service is a kind of runner.
@@ -51,16 +53,24 @@
 	Services []Service `json:"serviceList"`
 	Limits   Limits    `json:"limits"`
 	Raw      []byte    `json:"-" cbor:"raw"` // the text as it was sent
+
+	// tenants are not stored beside the text, which has their keys already: see
+	// RestoreTenants.
+	tenants []Tenant
 }
 
 // Parse decodes a configuration and checks that its parts are consistent with one
 // another. The text of the error, which is of class Error, lists all problems.
 func Parse(raw []byte) (*Config, error) {
-	var config Config
-	if err := json.Unmarshal(raw, &config); err != nil {
+	var text struct {
+		Config
+		Tenants []Tenant `json:"tenantList"`
+	}
+	if err := json.Unmarshal(raw, &text); err != nil {
 		return nil, Error.New("cannot be read whole: %v", err)
 	}
-	config.Raw = raw
+	config := text.Config
+	config.Raw, config.tenants = raw, text.Tenants
 	if problems := inconsistencies(&config); len(problems) > 0 {
 		return nil, Error.New("%s", strings.Join(problems, "; "))
 	}
@@ -140,5 +150,5 @@
 		}
 		prefixOwner[key] = route.Name
 	}
-	return problems
+	return append(problems, tenantProblems(config.tenants)...)
 }
--- a/internal/clusterconfig/schema.go
+++ b/internal/clusterconfig/schema.go
@@ -24,6 +24,19 @@
 	targetService: #Name
 	maxTries?:     int & >=0
 	stretch?:      number & >=0
+	public?:       bool
+	...
+}
+#Tenant: {
+	name: #Name
+	apiKeys?: [...#Name]
+	share?: number & >=0
+	upperLimit?: {
+		cpuUnits?: int & >=0
+		memMb?:    int & >=0
+		gpus?:     int & >=0
+		...
+	}
 	...
 }
 #Service: {
@@ -34,6 +47,7 @@
 configVersion: int & >0
 routeList: [...#Lane]
 serviceList: [...#Service]
+tenantList?: [...#Tenant]
 limits?: {
 	maxHeaderBytes?:  int & >=0
 	maxBodyBytes?:    int & >=0
--- a/internal/protocol/headers.go
+++ b/internal/protocol/headers.go
@@ -11,6 +11,9 @@
 	HeaderTimeLeft = "X-Tealpond-Time-Left"
 	// HeaderNotRun is reserved: no daemon sends it.
 	HeaderNotRun = "X-Tealpond-Not-Run"
+	// AuthorizationScheme is the scheme of the Authorization header with which a
+	// call bears a tenant's key.
+	AuthorizationScheme = "Bearer"
 	// HeaderRetryAfter is when to come again, in whole seconds.
 	HeaderRetryAfter = "Retry-After"
 )
--- a/internal/rpc/codes.go
+++ b/internal/rpc/codes.go
@@ -32,7 +32,9 @@
 	CodeAccepted Code = 202
 	// CodeBadRequest: the request can't be read or breaks a rule of its kind.
 	CodeBadRequest Code = 400
-	// CodeForbidden: the caller did not prove who it is.
+	// CodeUnauthorized: the call bears no key of a tenant.
+	CodeUnauthorized Code = 401
+	// CodeForbidden: the caller may not do this, or did not prove who it is.
 	CodeForbidden Code = 403
 	// CodeNotFound: what the request names is not known.
 	CodeNotFound Code = 404
--- a/internal/rpc/golden_test.go
+++ b/internal/rpc/golden_test.go
@@ -38,7 +38,7 @@
 		{Name: "trace", Value: &TraceResult{Node: "node", Role: "role", Since: 11, Events: []tracing.Event{{TimeNs: 12, Subject: "id", Action: "what", Value: 13, Detail: "text"}}}},
 		{Name: "table", Value: &Table{Name: "name", Columns: []string{"column-a", "column-b"}, Rows: [][]any{{"cell", uint64(21)}}, Truncated: true}},
 		{Name: "tables", Value: &ClusterState{Node: "node", IsLeader: true, AppliedIndex: 22, Clock: 23, Tables: []Table{{Name: "name", Columns: []string{"column"}, Rows: [][]any{{"cell"}}}}}},
-		{Name: "client-call", Value: &JobRequest{Host: "host", Path: "path", Job: filledJob()}},
+		{Name: "client-call", Value: &JobRequest{Host: "host", Path: "path", Job: filledJob(), Key: "key"}},
 		{Name: "configuration-change", Value: &ConfigUpdate{BaseVersion: 31, Raw: []byte("text")}},
 		{Name: "lease-renewal", Value: &LeaseRenewal{Worker: "worker", Fence: 32, RuntimePercent: 33, KnownIndex: 34}},
 		{Name: "lease-renewals", Value: &LeaseBatch{AggregatorDisk: "disk", AggregatorProcessID: "life", SetNumber: 35, Members: []BatchMember{{Worker: "worker", Fence: 36}}, Requested: []byte{37}, Runtimes: []MemberRuntime{{Member: 38, RuntimePercent: 39}}}},
--- a/internal/rpc/messages.go
+++ b/internal/rpc/messages.go
@@ -80,6 +80,7 @@
 	Host string   // the HTTP host, which with the path names the queue
 	Path string
 	Job  protocol.Job
+	Key  string // the tenant's key that the call bears; it is put into no log
 }
 
 // ConfigUpdate is an operator's change of the cluster's configuration.
--- a/internal/scheduler/planner.go
+++ b/internal/scheduler/planner.go
@@ -61,11 +61,15 @@
 	p.heldResources = held
 	p.updatePeaks(store.Clock, demand)
 	var plans []state.Plan
+	quotas := newQuotaTally(store)
 	left := tuning.MaxTasksPerPlan
 	for _, request := range requests {
 		if left <= 0 {
 			break
 		}
+		if !quotas.limitToQuota(&request) {
+			continue
+		}
 		if snap.knownUnplaceable(&request) {
 			left--
 			continue
@@ -82,6 +86,7 @@
 		if placed > 0 {
 			plans = append(plans, plan)
 			held[kind] = held[kind].add(spec.CPUUnits, spec.MemoryMB, placed)
+			quotas.add(&request, placed)
 		}
 		if missing := len(request.tasks) - placed; missing > 0 && request.mayPreempt(store.Clock) {
 			p.unmetDemand[kind] = p.unmetDemand[kind].add(spec.CPUUnits, spec.MemoryMB, missing)
@@ -122,6 +127,9 @@
 			request.tasks = append(request.tasks, state.Placement{TaskIndex: placement.TaskIndex, Copy: placement.Copy})
 		}
 	}
+	if !newQuotaTally(store).limitToQuota(&request) {
+		return plan, false
+	}
 	replanned := newExhaustiveSnapshot(store).placeStep(request)
 	return replanned, len(replanned.Placements) > 0
 }
--- a/internal/scheduler/reservation.go
+++ b/internal/scheduler/reservation.go
@@ -23,17 +23,19 @@
 }
 
 // currentDemand gives what each priority of a service holds, and that together
-// with what waits.
+// with what waits, as far as the quotas of tenants allow it to run.
 func currentDemand(store *state.Store, requests []placementRequest) (held, demand map[state.ServicePriority]resources) {
 	held, demand = map[state.ServicePriority]resources{}, map[state.ServicePriority]resources{}
 	for kind, usage := range store.UsedByServicePriority() {
 		held[kind] = resources{float64(usage.MilliCPU), float64(usage.MemoryMB)}
 		demand[kind] = held[kind]
 	}
+	quotas := newQuotaTally(store)
 	for i := range requests {
 		request := &requests[i]
-		spec, kind := request.spec(), request.servicePriority()
-		demand[kind] = demand[kind].add(spec.CPUUnits, spec.MemoryMB, len(request.tasks))
+		spec, kind, n := request.spec(), request.servicePriority(), quotas.allowed(request)
+		demand[kind] = demand[kind].add(spec.CPUUnits, spec.MemoryMB, n)
+		quotas.add(request, n)
 	}
 	return held, demand
 }
--- a/internal/server/job_status.go
+++ b/internal/server/job_status.go
@@ -18,10 +18,11 @@
 // handleJobStatus answers with a job's state, or, for a path without an ID, with
 // the number of jobs that wait on the route.
 func (r *Replica) handleJobStatus(request *rpc.JobRequest, _ *transport.Stream, reply replyFunc) {
-	route, id, ok := r.findRoute(request, reply)
+	call, ok := r.admit(request, reply)
 	if !ok {
 		return
 	}
+	route, id := call.route, call.id
 	if id == "" {
 		reply(rpc.Response{Code: rpc.CodeOK, Text: "count", Value: int64(r.state.PendingJobs(route.Name))})
 		return
--- a/internal/server/jobs.go
+++ b/internal/server/jobs.go
@@ -30,45 +30,83 @@
 	return true
 }
 
-// findRoute finds the route of a request and the rest of its path, the job's ID. If
-// there is none it answers the request, and the last result is false.
-func (r *Replica) findRoute(request *rpc.JobRequest, reply replyFunc) (*clusterconfig.Route, string, bool) {
+// jobCall is a client's call about a job whose route and caller are known.
+type jobCall struct {
+	route  *clusterconfig.Route
+	id     string // of the job; empty if the path names none
+	tenant string // of the caller's key; empty where no key is needed
+}
+
+// admit finds the route of a request and its caller. If there is no such route, or the
+// caller may not call it, it answers the request and the last result is false.
+func (r *Replica) admit(request *rpc.JobRequest, reply replyFunc) (jobCall, bool) {
 	if r.state.Configuration.Version == 0 {
 		reply(responseNotConfigured)
-		return nil, "", false
+		return jobCall{}, false
 	}
 	route, id := r.state.RouteTable().Find(request.Host, request.Path)
 	if route == nil {
 		reply(responseNoSuchRoute)
-		return nil, "", false
+		return jobCall{}, false
+	}
+	tenant, ok := r.state.Authenticate(route, request.Key)
+	if !ok {
+		reply(responseNoSuchKey)
+		return jobCall{}, false
 	}
-	return route, id, true
+	if job := r.state.Jobs[id]; job != nil && !job.VisibleTo(tenant) {
+		reply(responseOthersJob)
+		return jobCall{}, false
+	}
+	return jobCall{route, id, tenant}, true
 }
 
-// findJobRoute is findRoute for a request that must name a job.
-func (r *Replica) findJobRoute(request *rpc.JobRequest, reply replyFunc) (*clusterconfig.Route, string, bool) {
-	route, id, ok := r.findRoute(request, reply)
-	if ok && !validJobID(id) {
+// admitForJob is admit for a request that must name a job.
+func (r *Replica) admitForJob(request *rpc.JobRequest, reply replyFunc) (jobCall, bool) {
+	call, ok := r.admit(request, reply)
+	if ok && !validJobID(call.id) {
 		reply(responseBadJobID)
-		return nil, "", false
+		return jobCall{}, false
 	}
-	return route, id, ok
+	return call, ok
 }
 
 // handleSubmitJob puts a job into the log. A job whose ID is known already stays as
 // it is.
 func (r *Replica) handleSubmitJob(request *rpc.JobRequest, _ *transport.Stream, reply replyFunc) {
-	route, id, ok := r.findJobRoute(request, reply)
+	call, ok := r.admitForJob(request, reply)
 	if !ok {
 		return
 	}
-	if r.state.Jobs[id] == nil && r.overloaded(route) {
+	if r.state.Jobs[call.id] == nil && r.overloaded(call.route) {
 		reply(responseOverloaded)
 		return
 	}
-	r.trace.Record(id, "ordered", int64(r.node.LastIndex()+1), route.Name)
-	submit := &state.SubmitJob{Host: request.Host, Path: request.Path, ID: id, Job: request.Job, DemandBucket: r.demandBucket()}
-	r.enqueueCommand(state.CommandSubmitJob, submit, r.withTrace(id, "settled", outcomeReply(reply)))
+	r.trace.Record(call.id, "ordered", int64(r.node.LastIndex()+1), call.route.Name)
+	submit := state.SubmitJob{Host: request.Host, Path: request.Path, ID: call.id, Job: request.Job, DemandBucket: r.demandBucket()}
+	settle := r.withTrace(call.id, "settled", r.admitAgain(request, reply))
+	if len(r.state.Configuration.Tenants()) == 0 {
+		r.enqueueCommand(state.CommandSubmitJob, &submit, settle)
+		return
+	}
+	r.enqueueCommand(state.CommandSubmitTenantJob,
+		&state.SubmitTenantJob{Submit: submit, Tenant: call.tenant, ConfigVersion: r.state.Configuration.Version}, settle)
+}
+
+// admitAgain answers a submission with the outcome of its command. If a configuration
+// came into force between the two, the caller is judged again by that one.
+func (r *Replica) admitAgain(request *rpc.JobRequest, reply replyFunc) commandReply {
+	return func(outcome state.Outcome, known bool) {
+		switch {
+		case !known || outcome.Code != state.CodeConflict:
+			outcomeReply(reply)(outcome, known)
+		case r.leadsWithLease(time.Now()):
+			r.handleSubmitJob(request, nil, reply)
+		default:
+			// It was surely not accepted, so another leader may be asked.
+			reply(rpc.Response{Code: rpc.CodeNotLeader, Leader: r.leaderAddress()})
+		}
+	}
 }
 
 // overloaded tells whether more work waits than the workers of a route's service
@@ -87,10 +125,11 @@
 
 // handleCancelJob cancels a job.
 func (r *Replica) handleCancelJob(request *rpc.JobRequest, _ *transport.Stream, reply replyFunc) {
-	_, id, ok := r.findJobRoute(request, reply)
+	call, ok := r.admitForJob(request, reply)
 	if !ok {
 		return
 	}
+	id := call.id
 	r.trace.Record(id, "cancel ordered", int64(r.node.LastIndex()+1), "")
 	r.enqueueCommand(state.CommandCancelJob, &state.CancelJob{ID: id}, r.withTrace(id, "cancel settled", r.cancelReply(id, reply)))
 }
--- a/internal/server/responses.go
+++ b/internal/server/responses.go
@@ -11,6 +11,8 @@
 	responseBadRequest    = rpc.Response{Code: rpc.CodeBadRequest}
 	responseUnknownKind   = rpc.Response{Code: rpc.CodeBadRequest, Text: "unknown ask"}
 	responseBadJobID      = rpc.Response{Code: rpc.CodeBadRequest, Text: "the ID wants 16 hex digits"}
+	responseNoSuchKey     = rpc.Response{Code: rpc.CodeUnauthorized, Text: "no tenant's key"}
+	responseOthersJob     = rpc.Response{Code: rpc.CodeForbidden, Text: "another tenant's job"}
 	responseNoSuchRoute   = rpc.Response{Code: rpc.CodeNotFound, Text: "no such queue"}
 	responseNoSuchJob     = rpc.Response{Code: rpc.CodeGone, Text: "no such job"}
 	responseNotConfigured = rpc.Response{Code: rpc.CodeUnavailable, Text: "not configured yet", RetryAfterMs: 1000}
--- a/internal/state/allocation.go
+++ b/internal/state/allocation.go
@@ -21,6 +21,7 @@
 	StopReason      string
 	Checkpoint      string // text that the run starts from
 	servicePriority ServicePriority
+	tenant          string // of its job
 }
 
 // TaskName is the name that runners know the allocation's task by.
--- a/internal/state/apply_plans.go
+++ b/internal/state/apply_plans.go
@@ -102,7 +102,7 @@
 		return true
 	}
 	worker := s.Workers[placement.Worker]
-	if worker == nil || !s.placementStillValid(job, instance, step, worker, placement) {
+	if worker == nil || !s.withinQuota(job, spec) || !s.placementStillValid(job, instance, step, worker, placement) {
 		return false
 	}
 	lock := s.Devices[taskLockID(TaskName(job.ID, instance.Number, step, placement.TaskIndex), placement.Copy)]
--- a/internal/state/collect_garbage.go
+++ b/internal/state/collect_garbage.go
@@ -22,6 +22,7 @@
 		}
 		if !busy {
 			delete(s.Jobs, id)
+			delete(s.JobTenants, id)
 		}
 	}
 	s.forgetOldCrashes()
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -37,6 +37,7 @@
 	CommandSettleTransfer       = "settle"
 	CommandStopRuns             = "halt"
 	CommandSubmitJob            = "handin"
+	CommandSubmitTenantJob      = "submit"
 	CommandVoidOffer            = "void"
 )
 
@@ -61,6 +62,7 @@
 	CommandSettleTransfer:       func() Command { return &SettleTransfer{} },
 	CommandStopRuns:             func() Command { return &StopRuns{} },
 	CommandSubmitJob:            func() Command { return &SubmitJob{} },
+	CommandSubmitTenantJob:      func() Command { return &SubmitTenantJob{} },
 	CommandVoidOffer:            func() Command { return &VoidOffer{} },
 }
 
--- a/internal/state/generator_test.go
+++ b/internal/state/generator_test.go
@@ -24,7 +24,7 @@
 	workers int
 }
 
-const nodeCount, routeCount = 5, 3
+const nodeCount, routeCount, tenantCount = 5, 3, 3
 
 func (g *generator) oneOf(of ...string) string { return of[g.Intn(len(of))] }
 
@@ -127,7 +127,18 @@
 		})
 	}
 	configuration.Services = []clusterconfig.Service{{Name: "s", EnforcesResources: true}, {Name: "t"}}
-	raw, err := json.Marshal(configuration)
+	text := struct {
+		clusterconfig.Config
+		Tenants []clusterconfig.Tenant `json:"tenantList,omitempty"`
+	}{Config: configuration}
+	if g.Intn(2) == 0 {
+		for i := range tenantCount {
+			name := fmt.Sprint("tenant", i)
+			text.Tenants = append(text.Tenants, clusterconfig.Tenant{Name: name, APIKeys: []string{"key-" + name}, Share: 3 * g.Float64(),
+				UpperLimit: clusterconfig.UpperLimit{CPUUnits: int64(g.Intn(200)), MemoryMB: int64(g.Intn(200)), GPUs: g.Intn(3)}})
+		}
+	}
+	raw, err := json.Marshal(text)
 	if err != nil {
 		panic(err)
 	}
@@ -137,6 +148,21 @@
 	return raw
 }
 
+// submission is a client's job.
+func (g *generator) submission() *state.SubmitJob {
+	g.jobs++
+	c := &state.SubmitJob{
+		Host: g.oneOf("h", "h", "h2"),
+		Path: fmt.Sprintf("/%s%d/x", g.oneOf("p", "q"), g.Intn(routeCount)),
+		ID:   g.jobID(),
+		Job:  g.job(),
+	}
+	if g.Intn(2) == 0 {
+		c.DemandBucket = g.store.WallClock / 100
+	}
+	return c
+}
+
 // plan places the tasks of a step on workers by lot, some of them on an older
 // version.
 func (g *generator) plan() state.Plan {
@@ -181,18 +207,13 @@
 	state.CommandReplaceConfiguration: {2, func(g *generator) state.Command {
 		return &state.ReplaceConfiguration{BaseVersion: g.store.Configuration.Version - int64(g.Intn(8)/7), Raw: g.configuration()}
 	}},
-	state.CommandSubmitJob: {10, func(g *generator) state.Command {
-		g.jobs++
-		c := &state.SubmitJob{
-			Host: g.oneOf("h", "h", "h2"),
-			Path: fmt.Sprintf("/%s%d/x", g.oneOf("p", "q"), g.Intn(routeCount)),
-			ID:   g.jobID(),
-			Job:  g.job(),
+	state.CommandSubmitJob: {6, func(g *generator) state.Command { return g.submission() }},
+	state.CommandSubmitTenantJob: {8, func(g *generator) state.Command {
+		return &state.SubmitTenantJob{
+			Submit:        *g.submission(),
+			Tenant:        fmt.Sprint("tenant", g.Intn(tenantCount)),
+			ConfigVersion: g.store.Configuration.Version - int64(g.Intn(8)/7),
 		}
-		if g.Intn(2) == 0 {
-			c.DemandBucket = g.store.WallClock / 100
-		}
-		return c
 	}},
 	state.CommandApplyPlans: {20, func(g *generator) state.Command {
 		c := &state.ApplyPlans{}
--- a/internal/state/outcome.go
+++ b/internal/state/outcome.go
@@ -20,6 +20,7 @@
 	CodeOK                 Code = 200 // it is done, or was before
 	CodeAccepted           Code = 202 // it is noted and takes effect later
 	CodeInvalid            Code = 400 // it contradicts itself or the state; resending is useless
+	CodeForbidden          Code = 403 // it concerns what belongs to another tenant
 	CodeNotFound           Code = 404 // no route leads there
 	CodeConflict           Code = 409 // what it refers to has changed, such as a worker's fence
 	CodeGone               Code = 410 // what it refers to doesn't exist, or has ended
--- a/internal/state/replace_configuration.go
+++ b/internal/state/replace_configuration.go
@@ -88,6 +88,8 @@
 func (s *Store) applyConfiguration(next *clusterconfig.Config) {
 	s.Configuration = *next
 	s.routeTable = clusterconfig.NewRouteTable(&s.Configuration)
+	s.keyTable = clusterconfig.NewKeyTable(&s.Configuration)
+	s.adoptQuotas(s.Configuration.Tenants())
 	for i := range s.Configuration.Routes {
 		route := s.Configuration.Routes[i]
 		s.Routes[route.Name] = &route
--- a/internal/state/scheduling_index.go
+++ b/internal/state/scheduling_index.go
@@ -10,7 +10,7 @@
 // schedulingIndex is what the scheduler reads instead of walking the tables. It
 // follows from them, is kept up as commands apply, is rebuilt with a snapshot or
 // a new configuration, and is not part of the state. No outcome of a command
-// depends on it, so two replicas may have its sets in different orders.
+// depends on the order of its sets, so two replicas may have them in different ones.
 type schedulingIndex struct {
 	placeableSteps map[StepRef]struct{}          // may have tasks to place
 	used           map[ServicePriority]Resources // by all runs
@@ -18,7 +18,8 @@
 	workers        map[string]int                // number of schedulable workers, by service
 	byFreeCPU      map[string]*[freeCPUClasses]workerSet
 	byLabel        map[string]map[string]*workerSet // by service and label
-	newAllocations []uint64                         // since TakeBookedRuns was called
+	newAllocations []uint64                         // since TakeNewAllocations was called
+	tenantUse      map[string]TenantUse             // by tenant
 }
 
 // ServicePriority is a service and a priority, by which use is summed up.
@@ -94,6 +95,7 @@
 		workers:        map[string]int{},
 		byFreeCPU:      map[string]*[freeCPUClasses]workerSet{},
 		byLabel:        map[string]map[string]*workerSet{},
+		tenantUse:      map[string]TenantUse{},
 	}
 	for _, worker := range s.Workers {
 		worker.position = indexPosition{}
@@ -198,6 +200,8 @@
 		allocation.servicePriority = ServicePriority{job.Service, job.Priority}
 		used := s.index.used[allocation.servicePriority]
 		s.index.used[allocation.servicePriority] = used.plus(Resources{allocation.MilliCPU, allocation.MemoryMB})
+		allocation.tenant = job.tenant
+		s.adjustTenantUse(allocation, 1)
 	}
 	s.index.newAllocations = append(s.index.newAllocations, allocation.ID)
 }
@@ -214,6 +218,7 @@
 		s.index.used[allocation.servicePriority] = used
 	}
 	allocation.servicePriority = ServicePriority{}
+	s.adjustTenantUse(allocation, -1)
 }
 
 // markPlaceable notes that a step may have tasks to place, if that can be.
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -33,6 +33,8 @@
 	}
 	frozen.Aggregators = maps.Clone(s.Aggregators)
 	frozen.CrashBackoffs = maps.Clone(s.CrashBackoffs)
+	frozen.Quotas = maps.Clone(s.Quotas)
+	frozen.JobTenants = maps.Clone(s.JobTenants)
 	workers, devices, allocations, jobs := copyRows(s.Workers), copyDevices(s.Devices), copyRows(s.Allocations), copyJobs(s.Jobs)
 	return &Snapshot{&frozen, []func(){
 		func() { frozen.Workers = workers.build() },
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -10,7 +10,7 @@
 // FormatVersion is the version of the state: of its tables, its commands and
 // what they do. It is raised with any change of these, so that the digests of
 // replicas that run different versions aren't compared.
-const FormatVersion = 3
+const FormatVersion = 4
 
 // Limits are figures of the operators' settings that commands need. They are
 // part of the state and come by a command, since the settings of two machines
@@ -50,6 +50,8 @@
 	Aggregators          map[string]ZoneAggregator        `cbor:"Duties"` // by zone
 	CrashBackoffs        map[string]CrashBackoff          `cbor:"Flaps"`  // by node
 	Limits               Limits                           `cbor:"Limits"`
+	Quotas               map[string]Quota                 `cbor:"Quotas,omitempty"`  // by tenant, with those of earlier configurations
+	JobTenants           map[string]string                `cbor:"Tenants,omitempty"` // by job
 	// DigestChain covers all entries from DigestChainFrom on, see digest.go. It
 	// hasn't begun while that is 0.
 	DigestChain     uint64 `cbor:"Chain"`
@@ -62,6 +64,7 @@
 // for the owner of the state to take them. It is not in snapshots.
 type derived struct {
 	routeTable          *clusterconfig.RouteTable
+	keyTable            *clusterconfig.KeyTable
 	openJobs            map[string]*Job
 	periodicJobs        map[string]*Job // that have instances to come
 	allocationsByWorker map[string]map[uint64]*Allocation
@@ -92,10 +95,13 @@
 // derive computes the indexes from the tables. It panics if they contradict one
 // another.
 func (s *Store) derive() {
+	s.Configuration.RestoreTenants()
 	s.routeTable = clusterconfig.NewRouteTable(&s.Configuration)
+	s.keyTable = clusterconfig.NewKeyTable(&s.Configuration)
 	s.openJobs, s.periodicJobs = map[string]*Job{}, map[string]*Job{}
 	s.allocationsByWorker = map[string]map[uint64]*Allocation{}
 	for id, job := range s.Jobs {
+		job.tenant = s.JobTenants[id]
 		if !job.ended() {
 			s.openJobs[id] = job
 			if job.hasMoreInstances() {
--- a/internal/state/submit_job.go
+++ b/internal/state/submit_job.go
@@ -17,9 +17,13 @@
 // Apply accepts the job unless its ID is known: the job that came first stands,
 // and the outcome is CodeOK too. The route is looked up here and not by the
 // daemon that took the request, since the configuration that is in force at this
-// entry decides. The outcome is CodeUnavailable before the first configuration
-// and CodeNotFound if no route leads there.
-func (c *SubmitJob) Apply(s *Store) Outcome {
+// entry decides. The outcome is CodeUnavailable before the first configuration,
+// CodeNotFound if no route leads there, and CodeConflict if callers need a key by the
+// configuration that is in force at this entry.
+func (c *SubmitJob) Apply(s *Store) Outcome { return c.accept(s, "") }
+
+// accept accepts the job for a tenant; an empty one means a caller without a key.
+func (c *SubmitJob) accept(s *Store, tenant string) Outcome {
 	if s.Jobs[c.ID] != nil {
 		return Outcome{Code: CodeOK, Text: "known"}
 	}
@@ -30,7 +34,11 @@
 	if route == nil {
 		return Outcome{Code: CodeNotFound, Text: "no such queue"}
 	}
+	if tenant == "" && !route.Public && len(s.Configuration.Tenants()) > 0 {
+		return Outcome{Code: CodeConflict, Text: textOtherConfiguration}
+	}
 	job := s.newJob(c.ID, route, c.Job)
+	s.setTenant(job, tenant)
 	job.PeriodicInstances, job.FirstRunMs, job.IntervalMs = c.Job.PeriodicInstances, c.Job.FirstRunMs, c.Job.IntervalMs
 	if c.DemandBucket > 0 {
 		s.recordDemand(route.Name, c.DemandBucket, job.coreMs())
