--- a/internal/state/generator_test.go
+++ b/internal/state/generator_test.go
@@ -213,6 +213,7 @@
 			Submit:        *g.submission(),
 			Tenant:        fmt.Sprint("tenant", g.Intn(tenantCount)),
 			ConfigVersion: g.store.Configuration.Version - int64(g.Intn(8)/7),
+			BeyondShare:   g.Intn(3) == 0,
 		}
 	}},
 	state.CommandApplyPlans: {20, func(g *generator) state.Command {
--- a/internal/state/golden_test.go
+++ b/internal/state/golden_test.go
@@ -51,7 +51,7 @@
 		{Name: "release", Value: &ReleaseJob{Peer: "peer", OfferID: 1, ID: "id"}},
 		{Name: "replace", Value: &ReplaceConfiguration{BaseVersion: 1, Raw: []byte("text")}},
 		{Name: "settle", Value: &SettleTransfer{Job: "job", OfferID: 1, Peer: "peer", Epoch: "epoch", Index: 2, Answer: "what"}},
-		{Name: "submit", Value: &SubmitTenantJob{Submit: SubmitJob{Host: "host", Path: "path", ID: "id", Job: job, DemandBucket: 1}, Tenant: "tenant", ConfigVersion: 2}},
+		{Name: "submit", Value: &SubmitTenantJob{Submit: SubmitJob{Host: "host", Path: "path", ID: "id", Job: job, DemandBucket: 1}, Tenant: "tenant", ConfigVersion: 2, BeyondShare: true}},
 		{Name: "sweep", Value: &CollectGarbage{RebuildRollups: true}},
 		{Name: "takeup", Value: &RegisterWorker{ID: "id", Node: "node", AgentProcessID: "life", Service: "service", Zone: "zone", Labels: []string{"label"}, Capacity: resources,
 			Draining: true, LeavesInMs: 1, ReplacesFence: 2}},
@@ -158,7 +158,7 @@
 	s.Loans = map[string]*Loan{"loan": {ID: "loan", Peer: "peer", MilliCPU: 44}}
 	s.Demand = map[string]map[int64]float64{"route": {45: 46.5}}
 	s.Quotas = map[string]Quota{"tenant": {MilliCPU: 49, MemoryMB: 50, GPUs: 51, MilliShare: 52}}
-	s.JobTenants = map[string]string{"job": "tenant"}
+	s.JobTenants = map[string]JobTenant{"job": {Tenant: "tenant", BeyondShare: true}}
 	s.Aggregators, s.CrashBackoffs = map[string]ZoneAggregator{"zone": {Zone: "zone", Revision: 47}}, map[string]CrashBackoff{"node": {Crashes: 1.5, UpdatedAt: 48}}
 
 	tables := reflect.ValueOf(*s)
--- a/internal/state/job.go
+++ b/internal/state/job.go
@@ -34,7 +34,7 @@
 	Done              bool
 	EndedAt           int64 // 0 while it is open
 	Transfer          JobTransfer
-	tenant            string // see Store.JobTenants
+	tenant            JobTenant // see Store.JobTenants
 }
 
 // JobInstance is one execution of all steps of a job: a periodic job has one for
--- a/internal/state/quota.go
+++ b/internal/state/quota.go
@@ -13,7 +13,7 @@
 	MemoryMB int64
 	GPUs     int
 	// MilliShare is the number of jobs that the tenant is served in 1000 s once
-	// everything is full, see ShareMeter.
+	// everything is full.
 	MilliShare int64
 }
 
@@ -80,8 +80,8 @@
 // withinQuota tells whether one more task of a step may be started by the quota of its
 // job's tenant.
 func (s *Store) withinQuota(job *Job, spec *protocol.Step) bool {
-	quota, bounded := s.Quotas[job.tenant]
-	return !bounded || quota.TasksWithin(s.TenantUse(job.tenant), spec, 1) == 1
+	quota, bounded := s.Quotas[job.Tenant()]
+	return !bounded || quota.TasksWithin(s.TenantUse(job.Tenant()), spec, 1) == 1
 }
 
 // adjustTenantUse adds a run to its tenant's use, or takes it off if sign is -1.
--- a/internal/state/scheduling_index.go
+++ b/internal/state/scheduling_index.go
@@ -200,7 +200,7 @@
 		allocation.servicePriority = ServicePriority{job.Service, job.Priority}
 		used := s.index.used[allocation.servicePriority]
 		s.index.used[allocation.servicePriority] = used.plus(Resources{allocation.MilliCPU, allocation.MemoryMB})
-		allocation.tenant = job.tenant
+		allocation.tenant = job.Tenant()
 		s.adjustTenantUse(allocation, 1)
 	}
 	s.index.newAllocations = append(s.index.newAllocations, allocation.ID)
--- a/internal/state/scheduling_index_test.go
+++ b/internal/state/scheduling_index_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 
 	"tealpond/internal/protocol"
@@ -10,7 +11,7 @@
 // schedulingIndexFault compares the index, as commands updated it, with a recount
 // from the tables.
 func schedulingIndexFault(s *Store) string {
-	for _, check := range []func(*Store) string{workerPositionFault, usageFault, capacityFault, placeableStepsFault} {
+	for _, check := range []func(*Store) string{workerPositionFault, usageFault, tenantUseFault, capacityFault, placeableStepsFault} {
 		if fault := check(s); fault != "" {
 			return fault
 		}
@@ -96,6 +97,20 @@
 	return ""
 }
 
+// tenantUseFault compares the use of tenants with a recount.
+func tenantUseFault(s *Store) string {
+	recounted := map[string]TenantUse{}
+	for _, a := range s.Allocations {
+		if job := s.Jobs[a.Job]; job != nil && job.Tenant() != "" {
+			recounted[job.Tenant()] = recounted[job.Tenant()].Plus(&protocol.Step{CPUUnits: a.MilliCPU, MemoryMB: a.MemoryMB, GPUs: len(a.GPUs)}, 1)
+		}
+	}
+	if !maps.Equal(recounted, s.index.tenantUse) {
+		return fmt.Sprintf("tenants use %v, recounted %v", s.index.tenantUse, recounted)
+	}
+	return ""
+}
+
 // capacityFault compares the schedulable capacity of services with a recount.
 func capacityFault(s *Store) string {
 	capacity, workers := map[string]Resources{}, map[string]int{}
@@ -153,6 +168,7 @@
 		"unschedulable":  func(s *Store) { s.Workers["a"].Unhealthy = true },
 		"label":          func(s *Store) { s.index.byLabel["s"]["r1"].workers = nil },
 		"usage":          func(s *Store) { s.index.used[ServicePriority{"s", 0}] = Resources{1, 1} },
+		"tenant":         func(s *Store) { s.index.tenantUse["t"] = TenantUse{Runs: 1} },
 		"capacity":       func(s *Store) { s.index.capacity["s"] = Resources{} },
 		"missing step":   func(s *Store) { delete(s.index.placeableSteps, StepRef{"j", 0, 0}) },
 		"step of no job": func(s *Store) { s.index.placeableSteps[StepRef{"x", 0, 0}] = struct{}{} },
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -51,7 +51,7 @@
 	CrashBackoffs        map[string]CrashBackoff          `cbor:"Flaps"`  // by node
 	Limits               Limits                           `cbor:"Limits"`
 	Quotas               map[string]Quota                 `cbor:"Quotas,omitempty"`  // by tenant, with those of earlier configurations
-	JobTenants           map[string]string                `cbor:"Tenants,omitempty"` // by job
+	JobTenants           map[string]JobTenant             `cbor:"Tenants,omitempty"` // by job
 	// DigestChain covers all entries from DigestChainFrom on, see digest.go. It
 	// hasn't begun while that is 0.
 	DigestChain     uint64 `cbor:"Chain"`
--- a/internal/state/submit_job.go
+++ b/internal/state/submit_job.go
@@ -20,10 +20,10 @@
 // entry decides. The outcome is CodeUnavailable before the first configuration,
 // CodeNotFound if no route leads there, and CodeConflict if callers need a key by the
 // configuration that is in force at this entry.
-func (c *SubmitJob) Apply(s *Store) Outcome { return c.accept(s, "") }
+func (c *SubmitJob) Apply(s *Store) Outcome { return c.accept(s, JobTenant{}) }
 
 // accept accepts the job for a tenant; an empty one means a caller without a key.
-func (c *SubmitJob) accept(s *Store, tenant string) Outcome {
+func (c *SubmitJob) accept(s *Store, tenant JobTenant) Outcome {
 	if s.Jobs[c.ID] != nil {
 		return Outcome{Code: CodeOK, Text: "known"}
 	}
@@ -34,7 +34,7 @@
 	if route == nil {
 		return Outcome{Code: CodeNotFound, Text: "no such queue"}
 	}
-	if tenant == "" && !route.Public && len(s.Configuration.Tenants()) > 0 {
+	if tenant.Tenant == "" && !route.Public && len(s.Configuration.Tenants()) > 0 {
 		return Outcome{Code: CodeConflict, Text: textOtherConfiguration}
 	}
 	job := s.newJob(c.ID, route, c.Job)
--- a/internal/state/submit_tenant_job.go
+++ b/internal/state/submit_tenant_job.go
@@ -8,6 +8,7 @@
 	Tenant string // empty on a public route
 	// ConfigVersion is the configuration in which the leader found the key.
 	ConfigVersion int64
+	BeyondShare   bool // see JobTenant
 }
 
 // textOtherConfiguration is the reason of an outcome CodeConflict: a configuration
@@ -24,5 +25,5 @@
 	if c.ConfigVersion != s.Configuration.Version {
 		return Outcome{Code: CodeConflict, Text: textOtherConfiguration}
 	}
-	return c.Submit.accept(s, c.Tenant)
+	return c.Submit.accept(s, JobTenant{Tenant: c.Tenant, BeyondShare: c.BeyondShare})
 }
--- /dev/null
+++ b/internal/state/submit_tenant_job_test.go
@@ -0,0 +1,74 @@
+package state
+
+import (
+	"testing"
+
+	"tealpond/internal/protocol"
+)
+
+// TestTenantJobNeedsTheConfigurationItWasAdmittedBy: a key that was taken away between
+// the leader's check and the command doesn't bring a job in.
+func TestTenantJobNeedsTheConfigurationItWasAdmittedBy(t *testing.T) {
+	f := newTenantFixture(t, Quota{})
+	step := protocol.Step{TaskCount: 1}
+	admittedBy := f.version
+	f.configure(Quota{})
+	late := &SubmitTenantJob{Tenant: "t", ConfigVersion: admittedBy, Submit: SubmitJob{Host: "h", Path: "/p/j", ID: "j", Job: protocol.Job{Steps: []protocol.Step{step}}}}
+	if outcome := f.apply(late); outcome.Code != CodeConflict || f.store.Jobs["j"] != nil {
+		t.Errorf("outcome %v, want a conflict and no job", outcome)
+	}
+	if outcome := f.submitAs("t", "j", step); outcome.Code != CodeOK {
+		t.Errorf("outcome %v under the present configuration", outcome)
+	}
+	if outcome := f.submitAs("t", "j", step); outcome.Code != CodeOK {
+		t.Errorf("outcome %v when sent again", outcome)
+	}
+	if outcome := f.submitAs("u", "j", step); outcome.Code != CodeForbidden {
+		t.Errorf("outcome %v for another tenant's job", outcome)
+	}
+	if job := f.restored().store.Jobs["j"]; job.Tenant() != "t" {
+		t.Errorf("after a snapshot it is the job of %q", job.Tenant())
+	}
+}
+
+// TestSubmissionWithoutTenantNeedsPublicRoute: where tenants are configured, only a
+// public route takes a job of nobody known.
+func TestSubmissionWithoutTenantNeedsPublicRoute(t *testing.T) {
+	f := newTenantFixture(t, Quota{})
+	for path, want := range map[string]Code{"/p/": CodeConflict, "/open/": CodeOK} {
+		submit := &SubmitJob{Host: "h", Path: path + "j", ID: "j", Job: protocol.Job{Steps: []protocol.Step{{TaskCount: 1}}}}
+		if outcome := f.apply(submit); outcome.Code != want {
+			t.Errorf("%s: outcome %v, want code %d", path, outcome, want)
+		}
+	}
+}
+
+// TestAuthenticate: a key names its tenant; without one only public routes, and
+// clusters without tenants, are open.
+func TestAuthenticate(t *testing.T) {
+	f := newTenantFixture(t, Quota{})
+	closed, open := &f.store.Configuration.Routes[0], &f.store.Configuration.Routes[1]
+	for _, c := range []struct {
+		name, key, tenant string
+		public, admitted  bool
+	}{
+		{"key", "key-t", "t", false, true},
+		{"other key", "key-u", "u", false, true},
+		{"unknown key", "key-x", "", false, false},
+		{"no key", "", "", false, false},
+		{"public", "", "", true, true},
+		{"public, unknown key", "key-x", "", true, true},
+		{"public, key", "key-t", "t", true, true},
+	} {
+		route := closed
+		if c.public {
+			route = open
+		}
+		if tenant, ok := f.store.Authenticate(route, c.key); tenant != c.tenant || ok != c.admitted {
+			t.Errorf("%s: %q %v, want %q %v", c.name, tenant, ok, c.tenant, c.admitted)
+		}
+	}
+	if tenant, ok := newFixture(t).store.Authenticate(closed, "anything"); tenant != "" || !ok {
+		t.Errorf("without tenants: %q %v, want nobody, admitted", tenant, ok)
+	}
+}
--- a/internal/state/tenant.go
+++ b/internal/state/tenant.go
@@ -13,22 +13,34 @@
 	return tenant, known || route.Public
 }
 
+// JobTenant tells whose job it is.
+type JobTenant struct {
+	_      struct{} `cbor:",toarray"`
+	Tenant string
+	// BeyondShare: the tenant had submitted more than its share when it submitted
+	// this job, which therefore comes after those of tenants within theirs.
+	BeyondShare bool
+}
+
 // Tenant is the name of the tenant that submitted the job; empty for none.
-func (j *Job) Tenant() string { return j.tenant }
+func (j *Job) Tenant() string { return j.tenant.Tenant }
+
+// BeyondShare tells whether the job was submitted beyond its tenant's share.
+func (j *Job) BeyondShare() bool { return j.tenant.BeyondShare }
 
 // VisibleTo tells whether a tenant may ask for the job and cancel it. The job belongs
 // to its tenant and not to a key, since keys change while it runs. One that was
 // submitted without a tenant is everybody's.
-func (j *Job) VisibleTo(tenant string) bool { return j.tenant == "" || j.tenant == tenant }
+func (j *Job) VisibleTo(tenant string) bool { return j.Tenant() == "" || j.Tenant() == tenant }
 
 // setTenant notes whose job it is.
-func (s *Store) setTenant(job *Job, tenant string) {
+func (s *Store) setTenant(job *Job, tenant JobTenant) {
 	job.tenant = tenant
-	if tenant == "" {
+	if tenant.Tenant == "" {
 		return
 	}
 	if s.JobTenants == nil {
-		s.JobTenants = map[string]string{}
+		s.JobTenants = map[string]JobTenant{}
 	}
 	s.JobTenants[job.ID] = tenant
 }
