Scheduler: long tasks leave room under their tenant's quota to its urgent work

Cause: a tenant's recalculation filled its quota for seconds, and the tenant's own confirmations waited behind it.

--- a/internal/scheduler/planner.go
+++ b/internal/scheduler/planner.go
@@ -36,6 +36,7 @@
 	CheckpointIntervalMs int64
 
 	demandPeaks      map[state.ServicePriority]*demandPeak
+	tenantPeaks      map[string]map[int]*demandPeak      // by tenant and priority
 	unmetDemand      map[state.ServicePriority]resources // of the last plan
 	heldResources    map[state.ServicePriority]resources // as of the last plan
 	stragglers       stragglerQueue
@@ -60,8 +61,9 @@
 	held, demand := currentDemand(store, requests)
 	p.heldResources = held
 	p.updatePeaks(store.Clock, demand)
+	p.updateTenantPeaks(store, requests)
 	var plans []state.Plan
-	quotas := newQuotaTally(store)
+	quotas := newQuotaTally(store, p)
 	left := tuning.MaxTasksPerPlan
 	for _, request := range requests {
 		if left <= 0 {
@@ -127,7 +129,7 @@
 			request.tasks = append(request.tasks, state.Placement{TaskIndex: placement.TaskIndex, Copy: placement.Copy})
 		}
 	}
-	if !newQuotaTally(store).limitToQuota(&request) {
+	if !newQuotaTally(store, nil).limitToQuota(&request) {
 		return plan, false
 	}
 	replanned := newExhaustiveSnapshot(store).placeStep(request)
--- a/internal/scheduler/quota.go
+++ b/internal/scheduler/quota.go
@@ -1,16 +1,20 @@
 package scheduler
 
-import "tealpond/internal/state"
+import (
+	"tealpond/internal/state"
+	"tealpond/internal/tuning"
+)
 
 // quotaTally is what tenants hold of their quotas while a plan is made: what is in use
 // and what the plan has placed so far.
 type quotaTally struct {
-	store *state.Store
-	use   map[string]state.TenantUse
+	store   *state.Store
+	planner *Planner // nil while a plan is applied: replicas know no planner
+	use     map[string]state.TenantUse
 }
 
-func newQuotaTally(store *state.Store) *quotaTally {
-	return &quotaTally{store: store, use: map[string]state.TenantUse{}}
+func newQuotaTally(store *state.Store, planner *Planner) *quotaTally {
+	return &quotaTally{store: store, planner: planner, use: map[string]state.TenantUse{}}
 }
 
 // useOf is what a tenant holds.
@@ -29,13 +33,40 @@
 	if !bounded {
 		return wanted
 	}
-	n := quota.TasksWithin(t.useOf(request.job.Tenant()), request.spec(), wanted)
+	use := t.useOf(request.job.Tenant())
+	n := quota.TasksWithin(use, request.spec(), wanted)
+	if n > 0 && t.planner != nil && request.isLong() {
+		n = t.allowedBesideUrgent(request, quota, use, n)
+	}
 	if n < wanted && request.isGang() {
 		return 0
 	}
 	return n
 }
 
+// allowedBesideUrgent is how many of n long tasks leave room under their tenant's quota
+// for the more urgent work that is foreseen of it. A job of which nothing runs isn't
+// held back for long.
+func (t *quotaTally) allowedBesideUrgent(request *placementRequest, quota state.Quota, use state.TenantUse, n int) int {
+	reserved := t.planner.tenantReserve(t.store, request.job.Tenant(), request.job.Priority)
+	quota.MilliCPU = reducedLimit(quota.MilliCPU, reserved.cpu)
+	quota.MemoryMB = reducedLimit(quota.MemoryMB, reserved.memory)
+	reduced := quota.TasksWithin(use, request.spec(), n)
+	if reduced < n && idleTooLong(t.store, request) {
+		if request.isGang() {
+			return n
+		}
+		return max(reduced, 1)
+	}
+	return reduced
+}
+
+// reducedLimit is a limit less what is reserved, but never so low that a job waits
+// while its tenant uses little; 0 stays no limit.
+func reducedLimit(limit int64, reserved float64) int64 {
+	return max(limit-int64(reserved), int64(float64(limit)*tuning.LongTaskFreeFraction))
+}
+
 // add notes that n tasks of a request were placed.
 func (t *quotaTally) add(request *placementRequest, n int) {
 	if tenant := request.job.Tenant(); tenant != "" {
@@ -49,3 +80,56 @@
 	request.tasks = request.tasks[:t.allowed(request)]
 	return len(request.tasks) > 0
 }
+
+// tenantReserve is what a priority must leave under its tenant's quota to more urgent
+// work of the same tenant: how far that work's use is below its recent peak.
+func (p *Planner) tenantReserve(store *state.Store, tenant string, priority int) resources {
+	sum := resources{}
+	for urgent, peak := range p.tenantPeaks[tenant] {
+		if urgent < priority {
+			use := store.TenantPriorityUse(state.TenantPriority{Tenant: tenant, Priority: urgent})
+			foreseen := peak.at(store.Clock)
+			sum.cpu += max(foreseen.cpu-float64(use.MilliCPU), 0)
+			sum.memory += max(foreseen.memory-float64(use.MemoryMB), 0)
+		}
+	}
+	return sum
+}
+
+// updateTenantPeaks raises the peaks of tenants to what their short tasks hold and
+// wait for.
+func (p *Planner) updateTenantPeaks(store *state.Store, requests []placementRequest) {
+	demand := map[state.TenantPriority]resources{}
+	quotas := newQuotaTally(store, nil)
+	for i := range requests {
+		request := &requests[i]
+		if request.job.Tenant() == "" || request.isLong() || request.job.BeyondShare() {
+			continue
+		}
+		kind := state.TenantPriority{Tenant: request.job.Tenant(), Priority: request.job.Priority}
+		if _, known := demand[kind]; !known {
+			use := store.TenantPriorityUse(kind)
+			demand[kind] = resources{float64(use.MilliCPU), float64(use.MemoryMB)}
+		}
+		n, spec := quotas.allowed(request), request.spec()
+		demand[kind] = demand[kind].add(spec.CPUUnits, spec.MemoryMB, n)
+		quotas.add(request, n)
+	}
+	for kind, wanted := range demand {
+		p.tenantPeak(kind, store.Clock).raise(wanted, store.Clock)
+	}
+}
+
+// tenantPeak gives the peak of a tenant's priority, a new one if there is none.
+func (p *Planner) tenantPeak(kind state.TenantPriority, now int64) *demandPeak {
+	if p.tenantPeaks == nil {
+		p.tenantPeaks = map[string]map[int]*demandPeak{}
+	}
+	if p.tenantPeaks[kind.Tenant] == nil {
+		p.tenantPeaks[kind.Tenant] = map[int]*demandPeak{}
+	}
+	if p.tenantPeaks[kind.Tenant][kind.Priority] == nil {
+		p.tenantPeaks[kind.Tenant][kind.Priority] = &demandPeak{updatedAt: now}
+	}
+	return p.tenantPeaks[kind.Tenant][kind.Priority]
+}
--- a/internal/scheduler/requests.go
+++ b/internal/scheduler/requests.go
@@ -29,6 +29,11 @@
 
 func (r *placementRequest) isGang() bool { return r.job.IsGang(r.step) }
 
+// isLong tells whether the tasks take so long that they leave room to more urgent ones.
+func (r *placementRequest) isLong() bool {
+	return r.spec().EstimateMs >= tuning.LongTaskThreshold.Milliseconds()
+}
+
 func (r *placementRequest) servicePriority() state.ServicePriority {
 	return state.ServicePriority{Service: r.job.Service, Priority: r.job.Priority}
 }
@@ -41,7 +46,7 @@
 // mayPreempt tells whether tasks that find no room may preempt less urgent runs:
 // they still gain by it, and have waited long enough for room to come free.
 func (r *placementRequest) mayPreempt(now int64) bool {
-	return r.class < tooLate && !r.speculative && now-r.instance.Steps[r.step].ReadyAt >= tuning.PreemptionDelay.Milliseconds()
+	return r.class < tooLate && !r.speculative && !r.job.BeyondShare() && now-r.instance.Steps[r.step].ReadyAt >= tuning.PreemptionDelay.Milliseconds()
 }
 
 // deadlineClass is what a job can still achieve if the rest of it starts now.
@@ -101,10 +106,13 @@
 	return requests
 }
 
-// moreUrgent orders requests. Within a priority, jobs that can meet their target
-// come first: one that is late already gains nothing by being sooner.
+// moreUrgent orders requests. Those of tenants within their shares come first,
+// whatever their priority. Within a priority, jobs that can meet their target come
+// first: one that is late already gains nothing by being sooner.
 func (r *placementRequest) moreUrgent(other *placementRequest) bool {
 	switch {
+	case r.job.BeyondShare() != other.job.BeyondShare():
+		return other.job.BeyondShare()
 	case r.job.Priority != other.job.Priority:
 		return r.job.Priority < other.job.Priority
 	case r.class != other.class:
--- a/internal/scheduler/reservation.go
+++ b/internal/scheduler/reservation.go
@@ -22,6 +22,19 @@
 	updatedAt int64
 }
 
+// at is the peak as it has decayed by now.
+func (p *demandPeak) at(now int64) resources {
+	decay := math.Exp(-float64(now-p.updatedAt) / float64(tuning.DemandPeakDecay.Milliseconds()))
+	return resources{p.cpu * decay, p.memory * decay}
+}
+
+// raise lets the peak decay and raises it to a demand.
+func (p *demandPeak) raise(demand resources, now int64) {
+	decayed := p.at(now)
+	p.updatedAt = now
+	p.cpu, p.memory = max(decayed.cpu, demand.cpu), max(decayed.memory, demand.memory)
+}
+
 // currentDemand gives what each priority of a service holds, and that together
 // with what waits, as far as the quotas of tenants allow it to run.
 func currentDemand(store *state.Store, requests []placementRequest) (held, demand map[state.ServicePriority]resources) {
@@ -30,9 +43,12 @@
 		held[kind] = resources{float64(usage.MilliCPU), float64(usage.MemoryMB)}
 		demand[kind] = held[kind]
 	}
-	quotas := newQuotaTally(store)
+	quotas := newQuotaTally(store, nil)
 	for i := range requests {
 		request := &requests[i]
+		if request.job.BeyondShare() {
+			continue // no room is kept for it
+		}
 		spec, kind, n := request.spec(), request.servicePriority(), quotas.allowed(request)
 		demand[kind] = demand[kind].add(spec.CPUUnits, spec.MemoryMB, n)
 		quotas.add(request, n)
@@ -51,10 +67,7 @@
 		}
 	}
 	for kind, peak := range p.demandPeaks {
-		decay := math.Exp(-float64(now-peak.updatedAt) / float64(tuning.DemandPeakDecay.Milliseconds()))
-		peak.updatedAt = now
-		peak.cpu = max(peak.cpu*decay, demand[kind].cpu)
-		peak.memory = max(peak.memory*decay, demand[kind].memory)
+		peak.raise(demand[kind], now)
 	}
 }
 
@@ -129,7 +142,7 @@
 // or false if there is no limit: long tasks that can wait leave room for the urgent
 // demand foreseen.
 func (p *Planner) longTaskLimit(store *state.Store, request *placementRequest, held map[state.ServicePriority]resources) (resources, bool) {
-	if request.spec().EstimateMs < tuning.LongTaskThreshold.Milliseconds() {
+	if !request.isLong() {
 		return resources{}, false
 	}
 	kind := request.servicePriority()
--- a/internal/state/quota.go
+++ b/internal/state/quota.go
@@ -74,9 +74,18 @@
 	}
 }
 
+// TenantPriority is a tenant and a priority, by which use is summed up.
+type TenantPriority struct {
+	Tenant   string
+	Priority int
+}
+
 // TenantUse is what the runs of a tenant's jobs hold.
 func (s *Store) TenantUse(tenant string) TenantUse { return s.index.tenantUse[tenant] }
 
+// TenantPriorityUse is what the runs of a tenant's jobs of one priority hold.
+func (s *Store) TenantPriorityUse(of TenantPriority) TenantUse { return s.index.tenantPriorityUse[of] }
+
 // withinQuota tells whether one more task of a step may be started by the quota of its
 // job's tenant.
 func (s *Store) withinQuota(job *Job, spec *protocol.Step) bool {
@@ -89,14 +98,16 @@
 	if allocation.tenant == "" {
 		return
 	}
-	use := s.index.tenantUse[allocation.tenant]
-	use.Runs += sign
-	use.MilliCPU += int64(sign) * allocation.MilliCPU
-	use.MemoryMB += int64(sign) * allocation.MemoryMB
-	use.GPUs += sign * len(allocation.GPUs)
-	if use == (TenantUse{}) {
-		delete(s.index.tenantUse, allocation.tenant)
+	run := &protocol.Step{CPUUnits: allocation.MilliCPU, MemoryMB: allocation.MemoryMB, GPUs: len(allocation.GPUs)}
+	adjustUse(s.index.tenantUse, allocation.tenant, run, sign)
+	adjustUse(s.index.tenantPriorityUse, TenantPriority{allocation.tenant, allocation.servicePriority.Priority}, run, sign)
+}
+
+// adjustUse adds n runs to an entry of a map, and drops it when nothing is left.
+func adjustUse[K comparable](uses map[K]TenantUse, of K, run *protocol.Step, n int) {
+	if use := uses[of].Plus(run, n); use != (TenantUse{}) {
+		uses[of] = use
 	} else {
-		s.index.tenantUse[allocation.tenant] = use
+		delete(uses, of)
 	}
 }
--- a/internal/state/scheduling_index.go
+++ b/internal/state/scheduling_index.go
@@ -20,6 +20,8 @@
 	byLabel        map[string]map[string]*workerSet // by service and label
 	newAllocations []uint64                         // since TakeNewAllocations was called
 	tenantUse      map[string]TenantUse             // by tenant
+	// tenantPriorityUse has the same by tenant and priority.
+	tenantPriorityUse map[TenantPriority]TenantUse
 }
 
 // ServicePriority is a service and a priority, by which use is summed up.
@@ -96,6 +98,8 @@
 		byFreeCPU:      map[string]*[freeCPUClasses]workerSet{},
 		byLabel:        map[string]map[string]*workerSet{},
 		tenantUse:      map[string]TenantUse{},
+
+		tenantPriorityUse: map[TenantPriority]TenantUse{},
 	}
 	for _, worker := range s.Workers {
 		worker.position = indexPosition{}
@@ -217,8 +221,8 @@
 	} else {
 		s.index.used[allocation.servicePriority] = used
 	}
-	allocation.servicePriority = ServicePriority{}
 	s.adjustTenantUse(allocation, -1)
+	allocation.servicePriority = ServicePriority{}
 }
 
 // markPlaceable notes that a step may have tasks to place, if that can be.
--- a/internal/state/scheduling_index_test.go
+++ b/internal/state/scheduling_index_test.go
@@ -99,13 +99,14 @@
 
 // tenantUseFault compares the use of tenants with a recount.
 func tenantUseFault(s *Store) string {
-	recounted := map[string]TenantUse{}
+	recounted, byPriority := map[string]TenantUse{}, map[TenantPriority]TenantUse{}
 	for _, a := range s.Allocations {
 		if job := s.Jobs[a.Job]; job != nil && job.Tenant() != "" {
-			recounted[job.Tenant()] = recounted[job.Tenant()].Plus(&protocol.Step{CPUUnits: a.MilliCPU, MemoryMB: a.MemoryMB, GPUs: len(a.GPUs)}, 1)
+			run, kind := &protocol.Step{CPUUnits: a.MilliCPU, MemoryMB: a.MemoryMB, GPUs: len(a.GPUs)}, TenantPriority{job.Tenant(), job.Priority}
+			recounted[job.Tenant()], byPriority[kind] = recounted[job.Tenant()].Plus(run, 1), byPriority[kind].Plus(run, 1)
 		}
 	}
-	if !maps.Equal(recounted, s.index.tenantUse) {
+	if !maps.Equal(recounted, s.index.tenantUse) || !maps.Equal(byPriority, s.index.tenantPriorityUse) {
 		return fmt.Sprintf("tenants use %v, recounted %v", s.index.tenantUse, recounted)
 	}
 	return ""
