Counter, api: counts of what tenants submit, merged over all daemons

Cause: what a tenant sends beyond its share is seen at many daemons at once, and the bound on queued work had all tenants refused for the flood of one. Change: package counter merges growing counts by exchange and bounds how far a daemon may run ahead; daemons mark jobs beyond the share, which are planned last and refused first.

--- a/internal/api/jobs.go
+++ b/internal/api/jobs.go
@@ -182,6 +182,9 @@
 		r.response = r.server.Call(r.ctx, r.kind, &r.job)
 		return phaseRespond, nil
 	}
+	if r.kind == rpc.KindSubmitJob {
+		r.job.BeyondShare = r.server.shares.admit(r.job.Key, time.Now())
+	}
 	jobID := r.job.Path[strings.LastIndexByte(r.job.Path, '/')+1:]
 	r.server.env.Trace.Record(jobID, "taken", 0, r.kind)
 	r.response = r.server.Call(r.ctx, r.kind, &r.job)
--- a/internal/api/limits.go
+++ b/internal/api/limits.go
@@ -78,8 +78,9 @@
 }
 
 // followLimits fetches the limits when a newer configuration is heard of, until
-// ctx ends. Only the limits are fetched: routes are looked up by the leader, so a
-// change costs a daemon some hundred bytes whatever the number of routes.
+// ctx ends. Only the limits are fetched, and the tenants if they have changed: routes
+// are looked up by the leader, so a change costs a daemon some hundred bytes whatever
+// the number of routes.
 func (s *Server) followLimits(ctx context.Context) {
 	for {
 		select {
@@ -92,7 +93,11 @@
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, tuning.LimitsRequestTimeout)
-		_, err := s.fetchLimits(callCtx)
+		err := s.fetchTenants(callCtx)
+		if err == nil {
+			// Last, since the version of the limits tells what is known here.
+			_, err = s.fetchLimits(callCtx)
+		}
 		cancel()
 		if err != nil {
 			// The version is forgotten, so that the leader's next response
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -50,6 +50,7 @@
 	leaderAddress func() string
 	leaderContact *leaderContact
 	limits        atomic.Pointer[sizeLimits]
+	shares        *tenantShares
 	newestVersion atomic.Int64  // version of the newest configuration heard of
 	limitsStale   chan struct{} // signals followLimits that a newer version was heard of
 }
@@ -63,6 +64,7 @@
 		bootstraps:    make(chan bootstrapRequest),
 		leaderContact: newLeaderContact(),
 		limitsStale:   make(chan struct{}, 1),
+		shares:        newTenantShares(env.ProcessID, env.Settings.ShareWindow(tuning.DefaultShareWindow), time.Now()),
 	}
 	s.callLeader = s.forward
 	s.leaderAddress = func() string { return "" }
@@ -148,6 +150,7 @@
 	}
 	go s.renewMembership(ctx)
 	go s.followLimits(ctx)
+	go s.exchangeCounts(ctx)
 	return nil
 }
 
--- /dev/null
+++ b/internal/api/shares.go
@@ -0,0 +1,141 @@
+package api
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"tealpond/internal/clusterconfig"
+	"tealpond/internal/counter"
+	"tealpond/internal/rpc"
+	"tealpond/internal/transport"
+	"tealpond/internal/tuning"
+)
+
+// tenantShares tells, of each job that comes in here, whether its tenant is within its
+// share over all daemons together. It decides by counts that are merged with those of
+// the other daemons; what it doesn't know yet is bounded, see counter.Exchange. It is
+// safe for concurrent use.
+type tenantShares struct {
+	window time.Duration
+
+	mu       sync.Mutex
+	counts   *counter.Set
+	exchange *counter.Exchange
+	byKey    map[clusterconfig.KeyDigest]*rpc.TenantShare
+	digest   string // of the tenants in byKey
+}
+
+func newTenantShares(processID string, window time.Duration, now time.Time) *tenantShares {
+	counts := counter.NewSet(processID, window, tuning.CountSlotWidth, now)
+	return &tenantShares{window: window, counts: counts, exchange: counter.NewExchange(counts)}
+}
+
+// admit counts a job of the tenant whose key a call bears, and tells whether it is
+// beyond the tenant's share. A key that isn't known here is left to the leader.
+func (s *tenantShares) admit(key string, now time.Time) (beyondShare bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	tenant := s.byKey[clusterconfig.DigestOf(key)]
+	if tenant == nil || tenant.MilliShare <= 0 {
+		return false
+	}
+	limit := uint64(max(float64(tenant.MilliShare)*s.window.Seconds()/milli, 1))
+	return !s.exchange.Admit(tenant.Name, limit, shareAllowance(tenant.MilliShare), now)
+}
+
+// milli is the factor between a number and its thousandths.
+const milli = 1000
+
+// shareAllowance is how many jobs of a tenant may be admitted ahead of the exchange: what
+// its share gives in tuning.CountAllowanceTime, and at least two, so that a tenant whose
+// clients all come to one daemon is served there.
+func shareAllowance(milliShare int64) uint64 {
+	return uint64(max(float64(milliShare)*tuning.CountAllowanceTime.Seconds()/milli, 2))
+}
+
+// nextRequest makes the next request to the leader; false if there is no need of one:
+// nothing is new here, and the last one was made lately.
+func (s *tenantShares) nextRequest(now, lastAt time.Time) (counter.Request, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Expire(now)
+	if len(s.byKey) == 0 || !s.exchange.HasNews() && now.Sub(lastAt) < tuning.CountRefreshInterval {
+		return counter.Request{}, false
+	}
+	return s.exchange.Request(now), true
+}
+
+func (s *tenantShares) handleResponse(response counter.Response, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.exchange.HandleResponse(response, now)
+}
+
+// knownDigest is the digest of the tenants that are known here.
+func (s *tenantShares) knownDigest() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.digest
+}
+
+// replace takes over the tenants of a configuration.
+func (s *tenantShares) replace(shares []rpc.TenantShare, digest string) {
+	byKey := map[clusterconfig.KeyDigest]*rpc.TenantShare{}
+	for i := range shares {
+		for _, raw := range shares[i].KeyDigests {
+			var key clusterconfig.KeyDigest
+			copy(key[:], raw)
+			byKey[key] = &shares[i]
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.byKey, s.digest = byKey, digest
+}
+
+// fetchTenants gets the tenants of the newest configuration from the leader, if they
+// differ from those that are known here.
+func (s *Server) fetchTenants(ctx context.Context) error {
+	known := s.shares.knownDigest()
+	response := s.Call(ctx, rpc.KindGetTenants, rpc.TenantQuery{KnownDigest: known})
+	if response.Code != rpc.CodeOK {
+		return fmt.Errorf("tenants of the newest configuration: the leader's response has code %d", response.Code)
+	}
+	if response.Text == known {
+		return nil
+	}
+	var shares []rpc.TenantShare
+	if err := transport.Decode(response.Body, &shares); err != nil {
+		return fmt.Errorf("tenants of the newest configuration: %w", err)
+	}
+	s.shares.replace(shares, response.Text)
+	return nil
+}
+
+// exchangeCounts exchanges counts with the leader, until ctx ends.
+func (s *Server) exchangeCounts(ctx context.Context) {
+	ticker := time.NewTicker(tuning.CountExchangeInterval)
+	defer ticker.Stop()
+	lastAt := time.Time{}
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		request, due := s.shares.nextRequest(time.Now(), lastAt)
+		if !due {
+			continue
+		}
+		lastAt = time.Now()
+		callCtx, cancel := context.WithTimeout(ctx, tuning.CountExchangeTimeout)
+		response := s.Call(callCtx, rpc.KindExchangeCounts, request)
+		cancel()
+		var counts counter.Response
+		if response.Code == rpc.CodeOK && transport.Decode(response.Body, &counts) == nil {
+			s.shares.handleResponse(counts, time.Now())
+		}
+	}
+}
--- a/internal/clusterconfig/tenants.go
+++ b/internal/clusterconfig/tenants.go
@@ -79,15 +79,21 @@
 // changes. It holds digests of the keys: how long a search takes tells nothing of
 // how much of a key was right.
 type KeyTable struct {
-	tenants map[[sha256.Size]byte]string
+	tenants map[KeyDigest]string
 }
 
+// KeyDigest stands for a key where the key itself must not.
+type KeyDigest [sha256.Size]byte
+
+// DigestOf gives the digest of a key.
+func DigestOf(key string) KeyDigest { return sha256.Sum256([]byte(key)) }
+
 // NewKeyTable indexes the keys of a configuration's tenants.
 func NewKeyTable(config *Config) *KeyTable {
-	table := &KeyTable{tenants: map[[sha256.Size]byte]string{}}
+	table := &KeyTable{tenants: map[KeyDigest]string{}}
 	for _, tenant := range config.tenants {
 		for _, key := range tenant.APIKeys {
-			table.tenants[sha256.Sum256([]byte(key))] = tenant.Name
+			table.tenants[DigestOf(key)] = tenant.Name
 		}
 	}
 	return table
@@ -98,6 +104,6 @@
 	if key == "" {
 		return "", false
 	}
-	tenant, ok := t.tenants[sha256.Sum256([]byte(key))]
+	tenant, ok := t.tenants[DigestOf(key)]
 	return tenant, ok
 }
--- a/internal/rpc/messages.go
+++ b/internal/rpc/messages.go
@@ -81,6 +81,24 @@
 	Path string
 	Job  protocol.Job
 	Key  string // the tenant's key that the call bears; it is put into no log
+	// BeyondShare: by the merged counts, the tenant has submitted more jobs than its
+	// share.
+	BeyondShare bool
+}
+
+// TenantQuery asks for the tenants of the newest configuration.
+type TenantQuery struct {
+	_           struct{} `cbor:",toarray"`
+	KnownDigest string   // of the tenants that the caller has; empty if it has none
+}
+
+// TenantShare is what daemons need to know of a tenant to count what it submits.
+type TenantShare struct {
+	_          struct{} `cbor:",toarray"`
+	Name       string
+	MilliShare int64 // jobs in 1000 s; 0: none was agreed
+	// KeyDigests are the digests of its keys, as clusterconfig.DigestOf gives them.
+	KeyDigests [][]byte
 }
 
 // ConfigUpdate is an operator's change of the cluster's configuration.
--- a/internal/rpc/request.go
+++ b/internal/rpc/request.go
@@ -105,4 +105,10 @@
 	// KindGetLimits asks for the limits of the newest configuration: Value is its
 	// version, the body holds them.
 	KindGetLimits = "limits"
+	// KindGetTenants asks for the tenants of the newest configuration: TenantQuery, a
+	// list of TenantShare. The response's Text is their digest; its body is empty if
+	// the caller has them.
+	KindGetTenants = "tenants"
+	// KindExchangeCounts exchanges merged counts: counter.Request, counter.Response.
+	KindExchangeCounts = "counts"
 )
--- a/internal/server/harness_test.go
+++ b/internal/server/harness_test.go
@@ -35,6 +35,7 @@
 	replica.self, replica.aggregator = testVoters[0], aggregator.New("a")
 	replica.events, replica.writeQueue = make(chan loopEvent, 64), make(chan storage.WriteRequest, 1024)
 	replica.leaseDuration = tuning.MaxLeaseDuration
+	replica.counts = newCounts("a", tuning.DefaultShareWindow, time.Now())
 	replica.storageOpened.Store(true)
 	replica.startNode(raft.Snapshot{Index: 1, Voters: testVoters})
 	return &harness{t: t, replica: replica}
--- a/internal/server/jobs.go
+++ b/internal/server/jobs.go
@@ -78,7 +78,7 @@
 	if !ok {
 		return
 	}
-	if r.state.Jobs[call.id] == nil && r.overloaded(call.route) {
+	if r.state.Jobs[call.id] == nil && r.overloaded(call.route, request.BeyondShare) {
 		reply(responseOverloaded)
 		return
 	}
@@ -90,7 +90,7 @@
 		return
 	}
 	r.enqueueCommand(state.CommandSubmitTenantJob,
-		&state.SubmitTenantJob{Submit: submit, Tenant: call.tenant, ConfigVersion: r.state.Configuration.Version}, settle)
+		&state.SubmitTenantJob{Submit: submit, Tenant: call.tenant, ConfigVersion: r.state.Configuration.Version, BeyondShare: request.BeyondShare}, settle)
 }
 
 // admitAgain answers a submission with the outcome of its command. If a configuration
@@ -110,8 +110,9 @@
 }
 
 // overloaded tells whether more work waits than the workers of a route's service
-// can finish in good time.
-func (r *Replica) overloaded(route *clusterconfig.Route) bool {
+// can finish in good time. What a tenant submits beyond its share is refused long
+// before that, so that a flood of one tenant has none of the others refused.
+func (r *Replica) overloaded(route *clusterconfig.Route, beyondShare bool) bool {
 	capacity, _ := r.state.SchedulableCapacity(route.TargetService)
 	if capacity.MilliCPU == 0 {
 		return false
@@ -120,7 +121,11 @@
 		// Not computed for each call, since it walks all open jobs.
 		r.queuedWork, r.queuedWorkAt = r.state.PendingWork(), now
 	}
-	return float64(r.queuedWork)/float64(capacity.MilliCPU) > tuning.MaxBacklogSecondsPerCore*msPerSecond
+	limit := tuning.MaxBacklogSecondsPerCore
+	if beyondShare {
+		limit = tuning.MaxBacklogBeyondShare
+	}
+	return float64(r.queuedWork)/float64(capacity.MilliCPU) > limit*msPerSecond
 }
 
 // handleCancelJob cancels a job.
--- a/internal/server/replica.go
+++ b/internal/server/replica.go
@@ -10,6 +10,7 @@
 
 	"tealpond/internal/aggregator"
 	"tealpond/internal/bootstrap"
+	"tealpond/internal/counter"
 	"tealpond/internal/daemon"
 	"tealpond/internal/discovery"
 	"tealpond/internal/federation"
@@ -99,11 +100,12 @@
 	appointments              appointments
 	membership                membershipTracker
 	planner                   scheduler.Planner
-	planDue                   bool      // the state changed since the planner ran
-	plansProposed             bool      // and not yet applied
-	planNotBefore             time.Time // see notePlansApplied
-	refusedInARow             int       // times that all plans were refused
-	garbageCollectionProposed bool      // and not yet applied
+	counts                    *counter.Set // merged counts of all daemons, in memory
+	planDue                   bool         // the state changed since the planner ran
+	plansProposed             bool         // and not yet applied
+	planNotBefore             time.Time    // see notePlansApplied
+	refusedInARow             int          // times that all plans were refused
+	garbageCollectionProposed bool         // and not yet applied
 	garbageCollectedAt        time.Time
 	rollupsRebuiltAt          time.Time
 	preemptedAt               time.Time
@@ -137,6 +139,7 @@
 	r.events = make(chan loopEvent, eventQueueLength)
 	r.writeQueue = make(chan storage.WriteRequest, tuning.StorageQueueLength)
 	r.leaderClient = leaderClient
+	r.counts = newCounts(env.ProcessID, env.Settings.ShareWindow(tuning.DefaultShareWindow), time.Now())
 	r.leaseDuration = env.Settings.LeaseDuration(tuning.MaxLeaseDuration)
 	r.SetSeeds(env.Settings.SeedAddresses())
 	r.bootstrap.MinVoters = 2*env.Settings.Tolerance.LostMachines + 1
--- a/internal/server/requests.go
+++ b/internal/server/requests.go
@@ -45,6 +45,8 @@
 		rpc.KindPutConfig:         decoded((*Replica).handlePutConfig),
 		rpc.KindGetConfig:         (*Replica).handleGetConfig,
 		rpc.KindGetLimits:         (*Replica).handleGetLimits,
+		rpc.KindGetTenants:        decoded((*Replica).handleGetTenants),
+		rpc.KindExchangeCounts:    decoded((*Replica).handleExchangeCounts),
 		rpc.KindRegisterWorker:    decoded((*Replica).handleRegisterWorker),
 		rpc.KindRenewLease:        decoded((*Replica).handleRenewLease),
 		rpc.KindReportCompletions: decoded((*Replica).handleReportCompletions),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -53,6 +53,8 @@
 	MaxLeaseMs int64 `toml:"maxHoldMs"`
 	// StopGraceMs is how long a run may go on after it was to be stopped.
 	StopGraceMs int64 `toml:"stopGraceMs"`
+	// QuotaWindowS is the window in which rates of tenants are counted.
+	QuotaWindowS float64 `toml:"quotaWindowS"`
 	// DrainMs is how long a runner that leaves serves on.
 	DrainMs float64 `toml:"drainMs"`
 	// GangWaitMs is how long started tasks of a gang may wait for the others.
@@ -153,6 +155,15 @@
 // state.
 func (f *File) HoldsState() bool { return f.DataDir != "" && f.LossCounts }
 
+// ShareWindow is the window in which rates of tenants are counted; the given one if the
+// file names none.
+func (f *File) ShareWindow(unnamed time.Duration) time.Duration {
+	if f.Bounds.QuotaWindowS <= 0 {
+		return unnamed
+	}
+	return time.Duration(f.Bounds.QuotaWindowS * float64(time.Second))
+}
+
 // LeaseDuration is the length of workers' leases under these settings, at most the
 // limit.
 func (f *File) LeaseDuration(limit time.Duration) time.Duration {
--- a/internal/state/quota.go
+++ b/internal/state/quota.go
@@ -58,6 +58,10 @@
 // milli is the factor between a number and its thousandths.
 const milli = 1000
 
+// MilliShare is the number of jobs that a tenant is served in 1000 s once everything is
+// full.
+func MilliShare(tenant clusterconfig.Tenant) int64 { return int64(tenant.Share * milli) }
+
 // adoptQuotas takes over the limits of a configuration's tenants. Those of tenants
 // that it no longer names stay, since their jobs go on.
 func (s *Store) adoptQuotas(tenants []clusterconfig.Tenant) {
@@ -69,7 +73,7 @@
 			MilliCPU:   tenant.UpperLimit.CPUUnits,
 			MemoryMB:   tenant.UpperLimit.MemoryMB,
 			GPUs:       tenant.UpperLimit.GPUs,
-			MilliShare: int64(tenant.Share * milli),
+			MilliShare: MilliShare(tenant),
 		}
 	}
 }
--- a/internal/tuning/scheduler.go
+++ b/internal/tuning/scheduler.go
@@ -23,6 +23,9 @@
 	// each core of capacity. Above it submitted jobs are refused, with a time to
 	// come back.
 	MaxBacklogSecondsPerCore = 60.0
+	// MaxBacklogBeyondShare is the same for jobs beyond their tenant's share: with so
+	// much waiting, everything is full.
+	MaxBacklogBeyondShare = 6.0
 )
 
 // Room kept free for urgent work.
