--- /dev/null
+++ b/internal/api/shares_test.go
@@ -0,0 +1,91 @@
+package api
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tealpond/internal/clusterconfig"
+	"tealpond/internal/counter"
+	"tealpond/internal/rpc"
+	"tealpond/internal/tuning"
+)
+
+// shareOf is what is told of a tenant with one key.
+func shareOf(tenant, key string, milliShare int64) rpc.TenantShare {
+	digest := clusterconfig.DigestOf(key)
+	return rpc.TenantShare{Name: tenant, MilliShare: milliShare, KeyDigests: [][]byte{digest[:]}}
+}
+
+// TestJobsBeyondTheShareAreMarked: by what all daemons have counted together, and not for
+// good; a key that isn't known here is left to the leader.
+func TestJobsBeyondTheShareAreMarked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const window = 5 * time.Second
+		hub := counter.NewSet("hub", window, tuning.CountSlotWidth, time.Now())
+		daemons := []*tenantShares{newTenantShares("d1", window, time.Now()), newTenantShares("d2", window, time.Now())}
+		exchange := func() {
+			for _, s := range daemons {
+				if request, due := s.nextRequest(time.Now(), time.Time{}); due {
+					s.handleResponse(hub.Answer(request, time.Now()), time.Now())
+				}
+			}
+		}
+		for _, s := range daemons {
+			if s.admit("key", time.Now()) {
+				t.Error("marked though no tenant is known")
+			}
+			s.replace([]rpc.TenantShare{shareOf("a", "key", 4000), shareOf("b", "free", 0)}, "digest")
+		}
+		within := 0
+		for range 20 {
+			for _, s := range daemons {
+				for range 4 {
+					if !s.admit("key", time.Now()) {
+						within++
+					}
+				}
+				if s.admit("free", time.Now()) || s.admit("unknown", time.Now()) {
+					t.Error("a tenant without a share, or an unknown key, is marked")
+				}
+			}
+			exchange()
+			time.Sleep(100 * time.Millisecond)
+		}
+		// The share gives 20 in the window; two daemons may be ahead by 4 each.
+		if within < 20 || within > 20+3*4 {
+			t.Errorf("%d of 160 jobs are within a share of 20", within)
+		}
+		time.Sleep(window + tuning.CountSlotWidth)
+		if daemons[0].admit("key", time.Now()) {
+			t.Error("still marked when the window has passed")
+		}
+	})
+}
+
+// TestDaemonThatHearsNothingStopsAtItsAllowance.
+func TestDaemonThatHearsNothingStopsAtItsAllowance(t *testing.T) {
+	s := newTenantShares("d", 5*time.Second, time.Now())
+	s.replace([]rpc.TenantShare{shareOf("a", "key", 4000)}, "digest")
+	within := 0
+	for range 30 {
+		if !s.admit("key", time.Now()) {
+			within++
+		}
+	}
+	if want := int(shareAllowance(4000)); within != want {
+		t.Errorf("%d jobs are within the share, want the allowance of %d", within, want)
+	}
+}
+
+// TestBearerKey: the key of the Authorization header, whatever the case of its scheme.
+func TestBearerKey(t *testing.T) {
+	for header, want := range map[string]string{"Bearer abc": "abc", "bearer  abc ": "abc", "Basic abc": "", "abc": "", "": "", "Bearer": "", "Bearer ": ""} {
+		request := &http.Request{Header: http.Header{}}
+		request.Header.Set("Authorization", header)
+		if got := bearerKey(request); got != want {
+			t.Errorf("%q: key %q, want %q", header, got, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/server/tenants_test.go
@@ -0,0 +1,177 @@
+package server
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tealpond/internal/counter"
+	"tealpond/internal/protocol"
+	"tealpond/internal/rpc"
+	"tealpond/internal/state"
+	"tealpond/internal/transport"
+	"tealpond/internal/tuning"
+)
+
+const tenantJobID = "0123456789abcdef"
+
+// configureTenants puts a configuration in force with a route for tenants, /r/, a public
+// one, /open/, and tenants with the given text.
+func (h *harness) configureTenants(version int, tenants string) {
+	h.t.Helper()
+	route := func(name, prefix, more string) string {
+		return `{"name":"` + name + `","hostName":"h.example","pathPrefix":"` + prefix + `","timeoutMs":3000,"targetService":"s"` + more + `}`
+	}
+	raw := fmt.Sprintf(`{"configVersion":%d,"routeList":[%s,%s],"serviceList":[{"name":"s"}],"tenantList":[%s]}`,
+		version, route("r", "/r/", ""), route("open", "/open/", `,"public":true`), tenants)
+	base := h.replica.state.Configuration.Version
+	if response := h.call(rpc.KindPutConfig, rpc.ConfigUpdate{BaseVersion: base, Raw: []byte(raw)}); response.Code != rpc.CodeOK {
+		h.t.Fatalf("the configuration: %+v", response)
+	}
+}
+
+// tenantRequest is a client's call with a key.
+func tenantRequest(path, key string) rpc.JobRequest {
+	return rpc.JobRequest{Host: "h.example", Path: path, Key: key,
+		Job: protocol.Job{Spec: "spec", Steps: []protocol.Step{{TaskCount: 1, CPUUnits: 100, EstimateMs: 1000}}}}
+}
+
+// TestCallsNeedTheirTenantsKey: an unknown key gets 401 on each call but on public
+// routes, another tenant's 403, and the job's own tenant reaches it by any of its keys.
+func TestCallsNeedTheirTenantsKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newLeader(t)
+		h.configureTenants(1, `{"name":"a","apiKeys":["a1","a2"]},{"name":"b","apiKeys":["b1"]}`)
+		for _, step := range []struct {
+			name, kind, path, key string
+			code                  rpc.Code
+		}{
+			{"no route, no key", rpc.KindSubmitJob, "/x/" + tenantJobID, "", rpc.CodeNotFound},
+			{"no key", rpc.KindSubmitJob, "/r/" + tenantJobID, "", rpc.CodeUnauthorized},
+			{"unknown key", rpc.KindSubmitJob, "/r/" + tenantJobID, "c1", rpc.CodeUnauthorized},
+			{"submit", rpc.KindSubmitJob, "/r/" + tenantJobID, "a1", rpc.CodeOK},
+			{"again, other key", rpc.KindSubmitJob, "/r/" + tenantJobID, "a2", rpc.CodeOK},
+			{"another tenant's ID", rpc.KindSubmitJob, "/r/" + tenantJobID, "b1", rpc.CodeForbidden},
+			{"status", rpc.KindJobStatus, "/r/" + tenantJobID, "a2", rpc.CodeOK},
+			{"status without key", rpc.KindJobStatus, "/r/" + tenantJobID, "", rpc.CodeUnauthorized},
+			{"status of another tenant's", rpc.KindJobStatus, "/r/" + tenantJobID, "b1", rpc.CodeForbidden},
+			{"count", rpc.KindJobStatus, "/r/", "b1", rpc.CodeOK},
+			{"count without key", rpc.KindJobStatus, "/r/", "", rpc.CodeUnauthorized},
+			{"cancel another tenant's", rpc.KindCancelJob, "/r/" + tenantJobID, "b1", rpc.CodeForbidden},
+			{"cancel without key", rpc.KindCancelJob, "/r/" + tenantJobID, "x", rpc.CodeUnauthorized},
+			{"cancel", rpc.KindCancelJob, "/r/" + tenantJobID, "a1", rpc.CodeOK},
+			{"public", rpc.KindSubmitJob, "/open/" + strings.Repeat("f", jobIDDigits), "", rpc.CodeOK},
+			{"public, anybody's", rpc.KindJobStatus, "/open/" + strings.Repeat("f", jobIDDigits), "b1", rpc.CodeOK},
+		} {
+			if response := h.call(step.kind, tenantRequest(step.path, step.key)); response.Code != step.code {
+				t.Errorf("%s: %+v, want code %d", step.name, response, step.code)
+			}
+		}
+	})
+}
+
+// TestRevokedKeyIsRefusedAtOnce: also if the change comes into force while a submission
+// is on its way through the log; a key that moved goes to its new tenant.
+func TestRevokedKeyIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newLeader(t)
+		h.configureTenants(1, `{"name":"a","apiKeys":["a1","moved"]},{"name":"b","apiKeys":["b1"]}`)
+		responses := map[string]rpc.Response{}
+		submit := func(key, id string) {
+			request := tenantRequest("/r/"+id, key)
+			h.replica.handleRequest(rpc.Request{Kind: rpc.KindSubmitJob, Body: transport.Encode(request)}, nil,
+				func(response rpc.Response) { responses[key] = response })
+		}
+		// The change is in the log first, the submissions behind it were let in before.
+		raw := `{"configVersion":2,"routeList":[{"name":"r","hostName":"h.example","pathPrefix":"/r/","timeoutMs":3000,"targetService":"s"}],` +
+			`"serviceList":[{"name":"s"}],"tenantList":[{"name":"a"},{"name":"b","apiKeys":["b1","moved"]}]}`
+		h.replica.enqueueCommand(state.CommandReplaceConfiguration, &state.ReplaceConfiguration{BaseVersion: 1, Raw: []byte(raw)}, nil)
+		submit("a1", tenantJobID)
+		submit("moved", strings.Repeat("e", jobIDDigits))
+		for i := 0; i < 100 && len(responses) < 2; i++ {
+			h.turn()
+		}
+		if responses["a1"].Code != rpc.CodeUnauthorized || h.replica.state.Jobs[tenantJobID] != nil {
+			t.Errorf("with the revoked key: %+v", responses["a1"])
+		}
+		if job := h.replica.state.Jobs[strings.Repeat("e", jobIDDigits)]; responses["moved"].Code != rpc.CodeOK || job == nil || job.Tenant() != "b" {
+			t.Errorf("with the key that moved: %+v, job %+v", responses["moved"], job)
+		}
+	})
+}
+
+// TestFloodOfOneTenantHasNobodyElseRefused: with much work waiting, a job beyond its
+// tenant's share is refused with a time to come again, one within it is accepted.
+func TestFloodOfOneTenantHasNobodyElseRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newLeader(t)
+		h.configureTenants(1, `{"name":"a","apiKeys":["a1"]},{"name":"b","apiKeys":["b1"]}`)
+		h.call(rpc.KindRegisterWorker, state.RegisterWorker{ID: "w", Node: "n", Service: "s", Capacity: protocol.Resources{CPUUnits: 1000, MemoryMB: 1000}, LeavesInMs: -1})
+		flood := tenantRequest("/r/"+tenantJobID, "a1")
+		flood.Job.Steps[0].TaskCount, flood.Job.Steps[0].CPUUnits = 20, 1000
+		if response := h.call(rpc.KindSubmitJob, flood); response.Code != rpc.CodeOK {
+			t.Fatalf("%+v", response)
+		}
+		time.Sleep(tuning.HeartbeatInterval)
+		beyond, within := tenantRequest("/r/"+strings.Repeat("1", jobIDDigits), "a1"), tenantRequest("/r/"+strings.Repeat("2", jobIDDigits), "b1")
+		beyond.BeyondShare = true
+		if response := h.call(rpc.KindSubmitJob, beyond); response.Code != rpc.CodeTooManyRequests || response.RetryAfterMs == 0 {
+			t.Errorf("beyond the share: %+v", response)
+		}
+		if response := h.call(rpc.KindSubmitJob, within); response.Code != rpc.CodeOK {
+			t.Errorf("within the share: %+v", response)
+		}
+	})
+}
+
+// TestTenantsAreToldOnce: daemons get the tenants, without their keys, and nothing while
+// those they have are the newest.
+func TestTenantsAreToldOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newLeader(t)
+		if response := h.call(rpc.KindGetTenants, rpc.TenantQuery{}); response.Code != rpc.CodeUnavailable {
+			t.Errorf("without a configuration: %+v", response)
+		}
+		h.configureTenants(1, `{"name":"a","apiKeys":["secret"],"share":2.5}`)
+		first := h.call(rpc.KindGetTenants, rpc.TenantQuery{})
+		var shares []rpc.TenantShare
+		if err := transport.Decode(first.Body, &shares); err != nil || len(shares) != 1 || shares[0].MilliShare != 2500 || len(shares[0].KeyDigests) != 1 {
+			t.Fatalf("%+v, %v", shares, err)
+		}
+		if strings.Contains(string(first.Body), "secret") {
+			t.Error("a key is told")
+		}
+		h.configureTenants(2, `{"name":"a","apiKeys":["secret"],"share":2.5}`)
+		if again := h.call(rpc.KindGetTenants, rpc.TenantQuery{KnownDigest: first.Text}); len(again.Body) != 0 || again.Text != first.Text {
+			t.Errorf("told again though nothing changed: %+v", again)
+		}
+		h.configureTenants(3, `{"name":"a","apiKeys":["secret"],"share":3}`)
+		if changed := h.call(rpc.KindGetTenants, rpc.TenantQuery{KnownDigest: first.Text}); len(changed.Body) == 0 {
+			t.Errorf("a changed share is not told: %+v", changed)
+		}
+	})
+}
+
+// TestCountsAreMergedThroughTheLeader: what one daemon has counted, another hears of.
+func TestCountsAreMergedThroughTheLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newLeader(t)
+		now := time.Now()
+		first := counter.NewSet("d1", tuning.DefaultShareWindow, tuning.CountSlotWidth, now)
+		second := counter.NewSet("d2", tuning.DefaultShareWindow, tuning.CountSlotWidth, now)
+		first.Add("a", 3, now)
+		for _, set := range []*counter.Set{first, second} {
+			response := h.call(rpc.KindExchangeCounts, counter.NewExchange(set).Request(time.Now()))
+			var counts counter.Response
+			if err := transport.Decode(response.Body, &counts); response.Code != rpc.CodeOK || err != nil {
+				t.Fatalf("%+v, %v", response, err)
+			}
+			set.Merge(counts.Entries, counts.Process, time.Now())
+		}
+		if sum := second.Sum("a", time.Now()); sum != 3 {
+			t.Errorf("the other daemon knows of %d, want 3", sum)
+		}
+	})
+}
