--- a/cmd/tealpond/tools.go
+++ b/cmd/tealpond/tools.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"maps"
@@ -38,7 +39,12 @@
 	queues := recordCommand.Flag("inbox", "A queue whose jobs are deferrable; repeated. Jobs that moved are always shown.").Strings()
 	p.commands[recordCommand.FullCommand()] = func() int { return p.showRecords(*clusters, *queues) }
 
-	queryCommand := app.Command("query", "Answer one SELECT over daemons, workers, devices, bookings, allocs, inboxes, jobs and rollups.")
+	tenantsCommand := app.Command("tenants", "Show each tenant's limit, what it uses of it, and what waits.")
+	tenantsAddresses := tenantsCommand.Flag("at", "A daemon's address for daemons; may be repeated.").Required().Strings()
+	asJSON := tenantsCommand.Flag("json", "Print one JSON object a line.").Bool()
+	p.commands[tenantsCommand.FullCommand()] = func() int { return p.showTenants(*tenantsAddresses, *asJSON) }
+
+	queryCommand := app.Command("query", "Answer one SELECT over daemons, workers, devices, bookings, allocs, inboxes, jobs, tenants and rollups.")
 	text := queryCommand.Arg("sql", "The query.").Required().String()
 	queryAddresses := queryCommand.Flag("at", "A daemon's address for daemons; may be repeated.").Required().Strings()
 	limit := queryCommand.Flag("limit", "The most rows that are printed.").Default("1000").Int()
@@ -126,6 +132,38 @@
 	return code
 }
 
+// tenantsQuery selects what showTenants prints.
+const tenantsQuery = "SELECT * FROM tenants ORDER BY name"
+
+// showTenants prints the tenants as a table, or as one JSON object a line.
+func (p *program) showTenants(addresses []string, asJSON bool) int {
+	if !asJSON {
+		return p.runQuery(addresses, tenantsQuery, tuning.MaxQueryRows)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), tuning.ToolTotalTimeout)
+	defer cancel()
+	cluster, err := admin.FetchState(ctx, addresses)
+	if err != nil {
+		return p.fail(err)
+	}
+	result, err := admin.Query(ctx, cluster, tenantsQuery, tuning.MaxQueryRows)
+	if err != nil {
+		return p.fail(err)
+	}
+	for _, row := range result.Rows {
+		object := map[string]string{}
+		for i, column := range result.Columns {
+			object[column] = row[i]
+		}
+		line, err := json.Marshal(object)
+		if err != nil {
+			return p.fail(err)
+		}
+		p.printf("%s\n", line)
+	}
+	return exitOK
+}
+
 // runQuery prints the answer to an SQL query.
 func (p *program) runQuery(addresses []string, query string, limit int) int {
 	ctx, cancel := context.WithTimeout(context.Background(), tuning.ToolTotalTimeout)
--- a/internal/server/state_tables.go
+++ b/internal/server/state_tables.go
@@ -40,7 +40,7 @@
 	devices, bookings := deviceTables(store)
 	return []rpc.Table{
 		workerTable(store), devices, bookings, allocationTable(store), routeTable(store), jobTable(store),
-		transferTable(store), rollupTable(store), aggregatorTable(store),
+		transferTable(store), rollupTable(store), aggregatorTable(store), tenantTable(store),
 	}
 }
 
@@ -131,6 +131,48 @@
 	return table
 }
 
+// tenantTable lists the tenants with their limits and what they use of them, in the
+// units of the configuration; a limit of 0 is none. Keys are never in a table.
+func tenantTable(store *state.Store) rpc.Table {
+	table := newTable("tenants", "name", "share_milli", "cpu_limit", "cpu_used", "mem_limit", "mem_used", "gpu_limit", "gpu_used",
+		"runs", "open_jobs", "waiting_jobs", "beyond_share", "waits_for")
+	type jobCounts struct{ open, waiting, beyondShare int }
+	counts := map[string]jobCounts{}
+	for _, job := range store.OpenJobs() {
+		count := counts[job.Tenant()]
+		count.open++
+		if job.Status() == state.StatusPending {
+			count.waiting++
+		}
+		if job.BeyondShare() {
+			count.beyondShare++
+		}
+		counts[job.Tenant()] = count
+	}
+	for name, quota := range store.Quotas {
+		use, count := store.TenantUse(name), counts[name]
+		addRow(&table, name, quota.MilliShare, quota.MilliCPU, use.MilliCPU, quota.MemoryMB, use.MemoryMB, quota.GPUs, use.GPUs,
+			use.Runs, count.open, count.waiting, count.beyondShare, waitsFor(quota, use, count.waiting))
+	}
+	return table
+}
+
+// quotaFullPercent is the use of a quota, in percent, from which its tenant's waiting
+// work is said to wait for it.
+const quotaFullPercent = 90
+
+// waitsFor tells what the waiting jobs of a tenant wait for; empty if none wait.
+func waitsFor(quota state.Quota, use state.TenantUse, waiting int) string {
+	full := func(bound, used int64) bool { return bound > 0 && used*percent >= bound*quotaFullPercent }
+	switch {
+	case waiting == 0:
+		return ""
+	case full(quota.MilliCPU, use.MilliCPU), full(quota.MemoryMB, use.MemoryMB), full(int64(quota.GPUs), int64(use.GPUs)):
+		return "quota"
+	}
+	return "room"
+}
+
 func aggregatorTable(store *state.Store) rpc.Table {
 	table := newTable("duties", "zone", "no", "holder", "addr", "next_addr")
 	for _, aggregator := range store.Aggregators {
--- a/internal/server/state_tables_test.go
+++ b/internal/server/state_tables_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -25,6 +26,7 @@
 moves: job inbox peer no state guest job_state born_ms ended_ms
 rollups: service cpu_total cpu_allocatable cpu_allocated mem_total mem_allocatable mem_allocated gpu_total gpu_allocated draining unreachable at_ms
 duties: zone no holder addr next_addr
+tenants: name share_milli cpu_limit cpu_used mem_limit mem_used gpu_limit gpu_used runs open_jobs waiting_jobs beyond_share waits_for
 `
 	synctest.Test(t, func(t *testing.T) {
 		h := newLeader(t)
@@ -59,6 +61,30 @@
 	})
 }
 
+// TestTenantTable: what a tenant uses of its limit, what waits, and what it waits for.
+func TestTenantTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newLeader(t)
+		h.configureTenants(1, `{"name":"a","apiKeys":["secret"],"share":2.5,"upperLimit":{"cpuUnits":100}},{"name":"b","apiKeys":["b1"]}`)
+		h.call(rpc.KindRegisterWorker, state.RegisterWorker{ID: "w", Node: "n-w", Service: "s", Capacity: protocol.Resources{CPUUnits: 4000, MemoryMB: 1000}, LeavesInMs: -1})
+		for _, id := range []string{tenantJobID, strings.Repeat("1", jobIDDigits)} {
+			h.call(rpc.KindSubmitJob, tenantRequest("/r/"+id, "secret"))
+		}
+		h.turn()
+		table := tenantTable(h.replica.state)
+		for _, row := range table.Rows {
+			text := strings.Trim(fmt.Sprint(row), "[]")
+			want := map[string]string{"a": "a 2500 100 100 0 0 0 0 1 2 1 0 quota", "b": "b 0 0 0 0 0 0 0 0 0 0 0 "}[row[0].(string)]
+			if text != want {
+				t.Errorf("row %q, want %q", text, want)
+			}
+		}
+		if len(table.Rows) != 2 {
+			t.Errorf("%d rows", len(table.Rows))
+		}
+	})
+}
+
 // TestTablesAreTruncated: a table holds only so many rows, and says so.
 func TestTablesAreTruncated(t *testing.T) {
 	table := newTable("t", "n")
