--- a/internal/clusterconfig/config.go
+++ b/internal/clusterconfig/config.go
@@ -12,10 +12,10 @@
 // Error is the class of all errors of a configuration; their texts name the field.
 var Error = errs.Class("configuration")
 
-// Route directs the jobs of one host and path prefix (a queue) to a service.
+// Route directs the jobs or requests of one host and path prefix to a service.
 type Route struct {
 	Name          string `json:"name"`
-	HostName      string `json:"hostName"`
+	HostName      string `json:"hostName"` // the case of letters doesn't matter
 	PathPrefix    string `json:"pathPrefix"`
 	Kind          string `json:"kind"`
 	TimeoutMs     int64  `json:"timeoutMs"`
@@ -28,6 +28,14 @@
 	Stretch float64 `json:"stretch"`
 	// Public routes are served without a tenant's key.
 	Public bool `json:"public,omitempty"`
+	// Split shares the requests out among several services, instead of TargetService.
+	Split []SplitPart `json:"trafficSplit,omitempty"`
+}
+
+// SplitPart is a service's part of a route's requests.
+type SplitPart struct {
+	TargetService string  `json:"targetService"`
+	Share         float64 `json:"share"` // against the sum of all parts
 }
 
 // Service is a kind of runner.
@@ -141,7 +149,11 @@
 		if route.TimeoutMs <= 0 {
 			report("timeoutMs", "not above 0")
 		}
-		if !serviceNames[route.TargetService] {
+		if len(route.Split) > 0 {
+			for field, problem := range splitProblems(route.Split, serviceNames) {
+				report(field, problem)
+			}
+		} else if !serviceNames[route.TargetService] {
 			report("targetService", fmt.Sprintf("%q is not in serviceList", route.TargetService))
 		}
 		key := strings.ToLower(route.HostName) + " " + route.PathPrefix
--- a/internal/clusterconfig/golden_test.go
+++ b/internal/clusterconfig/golden_test.go
@@ -15,7 +15,7 @@
 	return Config{
 		Version: 11,
 		Routes: []Route{{Name: "route", HostName: "host", PathPrefix: "/path/", Kind: "kind", TimeoutMs: 21, TargetMs: 22, Priority: 23,
-			TargetService: "service", MaxAttempts: 24, Stretch: 2.5, Public: true}},
+			TargetService: "service", MaxAttempts: 24, Stretch: 2.5, Public: true, Split: []SplitPart{{TargetService: "service", Share: 3.5}}}},
 		Services: []Service{{Name: "service", EnforcesResources: true}},
 		Limits:   Limits{MaxHeaderBytes: 31, MaxBodyBytes: 32, HeaderTimeoutMs: 33, IdleTimeoutMs: 34},
 	}
--- a/internal/clusterconfig/schema.go
+++ b/internal/clusterconfig/schema.go
@@ -21,7 +21,12 @@
 	timeoutMs:     int & >0
 	targetMs?:     number & >=0
 	priority?:     int & >=0
-	targetService: #Name
+	targetService?: #Name
+	trafficSplit?: [...{
+		targetService: #Name
+		share:         number & >=0
+		...
+	}]
 	maxTries?:     int & >=0
 	stretch?:      number & >=0
 	public?:       bool
--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,116 @@
+// Package platform reads the list of runners from the platform on which the cluster
+// stands. It only reads; who reads, and how often, is decided by its callers, since each
+// call has a price.
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/zeebo/errs"
+
+	"tealpond/internal/registry"
+	"tealpond/internal/tuning"
+)
+
+// Error is the class of errors of a reading.
+var Error = errs.Class("platform")
+
+// ErrRateExceeded tells that the platform refused a call for its rate.
+var ErrRateExceeded = Error.New("too many calls")
+
+// Client reads from one platform.
+type Client struct {
+	address string // HOST:PORT
+	http    *http.Client
+}
+
+// NewClient makes a client of the platform at an address.
+func NewClient(address string) *Client {
+	return &Client{address: address, http: &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     tuning.PlatformIdleTimeout,
+		DisableCompression:  true,
+	}}}
+}
+
+// listedRunner is an entry of the platform's list. Unknown members are skipped.
+type listedRunner struct {
+	ID         string `json:"id"`
+	Service    string `json:"targetService"`
+	Address    string `json:"address"`
+	Zone       string `json:"zone"`
+	Slots      int    `json:"slots"`
+	State      string `json:"state"`
+	ColdLeftMs int64  `json:"coldLeftMs"`
+}
+
+// listPage is one page of the list.
+type listPage struct {
+	Runners   []listedRunner `json:"instanceList"`
+	NextToken *string        `json:"nextToken"` // nil on the last page
+}
+
+// stateDraining is the state of a runner that is about to leave.
+const stateDraining = "draining"
+
+// List reads the whole list, page by page. A list that can't be read to its end is an
+// error: a part of it would look as if the other runners had gone.
+func (c *Client) List(ctx context.Context) ([]registry.Runner, error) {
+	var runners []registry.Runner
+	token := ""
+	for range tuning.MaxPlatformPages {
+		page, err := c.page(ctx, token)
+		if err != nil {
+			return nil, err
+		}
+		for _, listed := range page.Runners {
+			runners = append(runners, registry.Runner{
+				ID: listed.ID, Service: listed.Service, Address: listed.Address, Zone: listed.Zone,
+				Slots: listed.Slots, Draining: listed.State == stateDraining, ColdMs: listed.ColdLeftMs,
+			})
+		}
+		if page.NextToken == nil || *page.NextToken == "" {
+			return runners, nil
+		}
+		token = *page.NextToken
+	}
+	return nil, Error.New("the list has more than %d pages", tuning.MaxPlatformPages)
+}
+
+// page reads one page.
+func (c *Client) page(ctx context.Context, token string) (page listPage, err error) {
+	ctx, cancel := context.WithTimeout(ctx, tuning.PlatformCallTimeout)
+	defer cancel()
+	target := url.URL{Scheme: "http", Host: c.address, Path: "/runners"}
+	if token != "" {
+		target.RawQuery = url.Values{"pageToken": {token}}.Encode()
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
+	if err != nil {
+		return listPage{}, Error.Wrap(err)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return listPage{}, Error.Wrap(err)
+	}
+	defer func() { err = errs.Combine(err, response.Body.Close()) }()
+	if response.StatusCode == http.StatusTooManyRequests {
+		return listPage{}, ErrRateExceeded
+	}
+	if response.StatusCode != http.StatusOK {
+		return listPage{}, Error.New("the list of runners: status %d", response.StatusCode)
+	}
+	raw, err := io.ReadAll(io.LimitReader(response.Body, tuning.MaxPlatformPageBytes))
+	if err != nil {
+		return listPage{}, Error.Wrap(err)
+	}
+	if err := json.Unmarshal(raw, &page); err != nil {
+		return listPage{}, Error.Wrap(fmt.Errorf("the list of runners: %w", err))
+	}
+	return page, nil
+}
--- a/internal/rpc/messages.go
+++ b/internal/rpc/messages.go
@@ -86,6 +86,14 @@
 	BeyondShare bool
 }
 
+// RunnerWatch tells what a daemon knows of the list of runners and of the configuration.
+type RunnerWatch struct {
+	_             struct{} `cbor:",toarray"`
+	Epoch         string   // of the list; empty if it has none
+	Version       uint64   // of the list
+	ConfigVersion int64
+}
+
 // TenantQuery asks for the tenants of the newest configuration.
 type TenantQuery struct {
 	_           struct{} `cbor:",toarray"`
--- a/internal/rpc/request.go
+++ b/internal/rpc/request.go
@@ -109,6 +109,14 @@
 	// list of TenantShare. The response's Text is their digest; its body is empty if
 	// the caller has them.
 	KindGetTenants = "tenants"
+	// KindChangeConfig changes items of the cluster's configuration: ConfigUpdate.
+	KindChangeConfig = "change"
+	// KindPublishRunners gives the leader the platform's list of runners, read by its
+	// own process: a list of registry.Runner.
+	KindPublishRunners = "listed"
+	// KindWatchRunners asks what has changed in the list of runners, and waits a moment
+	// if nothing has: RunnerWatch, registry.Delta.
+	KindWatchRunners = "runners"
 	// KindExchangeCounts exchanges merged counts: counter.Request, counter.Response.
 	KindExchangeCounts = "counts"
 )
--- a/internal/server/configuration.go
+++ b/internal/server/configuration.go
@@ -20,6 +20,15 @@
 	r.enqueueCommand(state.CommandReplaceConfiguration, replace, r.withTrace(id, "settled", outcomeReply(reply)))
 }
 
+// handleChangeConfig changes items of the cluster's configuration, under the same
+// condition.
+func (r *Replica) handleChangeConfig(request *rpc.ConfigUpdate, _ *transport.Stream, reply replyFunc) {
+	id := "desired/" + strconv.FormatInt(clusterconfig.VersionOf(request.Raw), 10)
+	r.trace.Record(id, "ordered", int64(r.node.LastIndex()+1), "")
+	change := &state.ChangeConfiguration{BaseVersion: request.BaseVersion, Raw: request.Raw}
+	r.enqueueCommand(state.CommandChangeConfiguration, change, r.withTrace(id, "settled", outcomeReply(reply)))
+}
+
 // handleGetConfig gives the newest configuration, whole. A change that this leader has
 // confirmed is applied here, since it is confirmed by being applied; one that an
 // earlier leader confirmed lies before the first entry of this term, which is
--- a/internal/server/loop.go
+++ b/internal/server/loop.go
@@ -178,6 +178,7 @@
 	r.sendAssignments()
 	r.replyToCancelWaiters()
 	wake = sooner(wake, r.replyToStatusWaiters(now))
+	wake = sooner(wake, r.replyToRunnerWatchers(now))
 	if r.applyBacklog {
 		wake = sooner(wake, time.Nanosecond)
 	}
--- a/internal/server/replica.go
+++ b/internal/server/replica.go
@@ -15,6 +15,7 @@
 	"tealpond/internal/discovery"
 	"tealpond/internal/federation"
 	"tealpond/internal/raft"
+	"tealpond/internal/registry"
 	"tealpond/internal/rpc"
 	"tealpond/internal/scheduler"
 	"tealpond/internal/settings"
@@ -100,12 +101,14 @@
 	appointments              appointments
 	membership                membershipTracker
 	planner                   scheduler.Planner
-	counts                    *counter.Set // merged counts of all daemons, in memory
-	planDue                   bool         // the state changed since the planner ran
-	plansProposed             bool         // and not yet applied
-	planNotBefore             time.Time    // see notePlansApplied
-	refusedInARow             int          // times that all plans were refused
-	garbageCollectionProposed bool         // and not yet applied
+	counts                    *counter.Set    // merged counts of all daemons, in memory
+	runnerTable               *registry.Table // the platform's list, while this leader reads it
+	runnerWatchers            []runnerWatcher
+	planDue                   bool      // the state changed since the planner ran
+	plansProposed             bool      // and not yet applied
+	planNotBefore             time.Time // see notePlansApplied
+	refusedInARow             int       // times that all plans were refused
+	garbageCollectionProposed bool      // and not yet applied
 	garbageCollectedAt        time.Time
 	rollupsRebuiltAt          time.Time
 	preemptedAt               time.Time
--- a/internal/settings/checks.go
+++ b/internal/settings/checks.go
@@ -76,6 +76,11 @@
 	{"app", func(f *File) string {
 		return faultUnless(!f.serves("side") || isAddress(f.RunnerAddress), "is missing for a role that serves side")
 	}},
-	{"bounds.maxHoldMs", func(f *File) string { return faultUnless(f.Bounds.MaxLeaseMs > 0, "is missing or not above 0") }},
+	{"bounds.maxHoldMs", func(f *File) string {
+		return faultUnless(!f.RunsJobs() || f.Bounds.MaxLeaseMs > 0, "is missing or not above 0 where jobs run")
+	}},
+	{"cloudApi.address", func(f *File) string {
+		return faultUnless(f.Discovery != DiscoveryPlatform || isAddress(f.Platform.Address), "is missing though the platform lists the runners")
+	}},
 	{"limits.memoryMb", func(f *File) string { return faultUnless(f.Limits.MemoryMb > 0, "is missing or not above 0") }},
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -53,6 +54,12 @@
 	MaxLeaseMs int64 `toml:"maxHoldMs"`
 	// StopGraceMs is how long a run may go on after it was to be stopped.
 	StopGraceMs int64 `toml:"stopGraceMs"`
+	// RetryRatio is how many further attempts may be made, against the requests.
+	RetryRatio float64 `toml:"retryRatio"`
+	// RetryWindowS is the window in which they are counted.
+	RetryWindowS float64 `toml:"retryWindowS"`
+	// RetrySlack is how many further attempts of all daemons are free in a window.
+	RetrySlack float64 `toml:"retrySlack"`
 	// QuotaWindowS is the window in which rates of tenants are counted.
 	QuotaWindowS float64 `toml:"quotaWindowS"`
 	// DrainMs is how long a runner that leaves serves on.
@@ -74,6 +81,23 @@
 	CheckpointEveryS float64 `toml:"checkpointEveryS"`
 }
 
+// Platform tells how to read the platform's list of runners.
+type Platform struct {
+	Address  string  `toml:"address"`  // HOST:PORT
+	RatePerS float64 `toml:"ratePerS"` // calls a second that all daemons together may make
+	MaxLagMs float64 `toml:"maxLagMs"` // how far the list runs behind
+}
+
+// Values of fields that other packages compare.
+const (
+	// DeploymentAPI is the deployment of gateways for API traffic.
+	DeploymentAPI = "api"
+	// DiscoveryPlatform means that the platform keeps the list of runners.
+	DiscoveryPlatform = "cloud_api"
+	// ContractJobs is the part of the rules that concerns jobs.
+	ContractJobs = "sched"
+)
+
 // File is one whole settings file. The keys are the operators'.
 type File struct {
 	NodeName            string          `toml:"nodeName"`
@@ -88,6 +112,10 @@
 	DataDir             string          `toml:"dataDir"`
 	HeartbeatIntervalMs int64           `toml:"beatIntervalMs"`
 	AssignmentProtocol  string          `toml:"orders"`
+	Deployment          string          `toml:"deployment"` // empty: that of schedulers
+	Discovery           string          `toml:"discovery"`
+	Contracts           []string        `toml:"contracts"` // the parts of the rules that are in force
+	Platform            Platform        `toml:"cloudApi"`
 	RunnerAddress       string          `toml:"app"`
 	TargetService       string          `toml:"targetService"`
 	ListenAddresses     ListenAddresses `toml:"listenAddrs"`
@@ -155,6 +183,12 @@
 // state.
 func (f *File) HoldsState() bool { return f.DataDir != "" && f.LossCounts }
 
+// RunsJobs tells whether the rules on jobs are in force; a file that names no rules is one
+// of a deployment with jobs.
+func (f *File) RunsJobs() bool {
+	return len(f.Contracts) == 0 || slices.Contains(f.Contracts, ContractJobs)
+}
+
 // ShareWindow is the window in which rates of tenants are counted; the given one if the
 // file names none.
 func (f *File) ShareWindow(unnamed time.Duration) time.Duration {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -35,17 +35,18 @@
 		t.Fatalf("%v %v", file.SeedAddresses(), err)
 	}
 	for edit, want := range map[[2]string]string{
-		{`nodeName = "e1"`, ``}:                         "field nodeName",
-		{`"10.1.0.10"`, `"here"`}:                       "field ipAddress",
-		{`[7720,7735]`, `[7720]`}:                       "field innerPortRange",
-		{`seedNodes = ["10.1.0.10:8166"]`, ``}:          "field seedNodes",
-		{`"duty_call"`, `"heartbeat"`}:                  "field orders",
-		{`frontHttp = "10.1.0.10:8161"`, ``}:            "field listenAddrs.frontHttp",
-		{`maxHoldMs = 6000`, ``}:                        "field bounds.maxHoldMs",
-		{`memoryMb = 284`, `memoryMb = "much"`}:         "memoryMb",
-		{`["edge","control"]`, `["side"]`}:              "field app",
-		{`controlAddr = "10.1.0.10:8166"`, ``}:          "field listenAddrs.controlAddr",
-		{`readiness = "10.1.0.10:8167"`, `readiness=1`}: "readiness",
+		{`nodeName = "e1"`, ``}:                "field nodeName",
+		{`"10.1.0.10"`, `"here"`}:              "field ipAddress",
+		{`[7720,7735]`, `[7720]`}:              "field innerPortRange",
+		{`seedNodes = ["10.1.0.10:8166"]`, ``}: "field seedNodes",
+		{`"duty_call"`, `"heartbeat"`}:         "field orders",
+		{`frontHttp = "10.1.0.10:8161"`, ``}:   "field listenAddrs.frontHttp",
+		{`maxHoldMs = 6000`, ``}:               "field bounds.maxHoldMs",
+		{`orders = "duty_call"`, `contracts = ["base","sched"]` + "\n" + `discovery = "cloud_api"`}: "field cloudApi.address",
+		{`memoryMb = 284`, `memoryMb = "much"`}:                                                     "memoryMb",
+		{`["edge","control"]`, `["side"]`}:                                                          "field app",
+		{`controlAddr = "10.1.0.10:8166"`, ``}:                                                      "field listenAddrs.controlAddr",
+		{`readiness = "10.1.0.10:8167"`, `readiness=1`}:                                             "readiness",
 	} {
 		_, err := Parse("f.toml", []byte(strings.Replace(validFile, edit[0], edit[1], 1)))
 		if err == nil || !strings.Contains(err.Error(), want) || !strings.Contains(err.Error(), "f.toml") || strings.Contains(err.Error(), "\n") {
@@ -54,6 +55,19 @@
 	}
 }
 
+// TestSettingsOfJobsAreNeededWhereJobsRun: a gateway's file has none of them.
+func TestSettingsOfJobsAreNeededWhereJobsRun(t *testing.T) {
+	withoutLease := strings.Replace(validFile, "maxHoldMs = 6000", "", 1)
+	gateway := strings.Replace(withoutLease, `orders = "duty_call"`, `contracts = ["base","retry"]`+"\ndeployment = \"api\"", 1)
+	if file, err := Parse("f.toml", []byte(gateway)); err != nil || file.RunsJobs() || file.Deployment != DeploymentAPI {
+		t.Errorf("a gateway's file: %v, runs jobs: %v", err, file.RunsJobs())
+	}
+	jobs := strings.Replace(withoutLease, `orders = "duty_call"`, `contracts = ["base","sched"]`, 1)
+	if _, err := Parse("f.toml", []byte(jobs)); err == nil || !strings.Contains(err.Error(), "field bounds.maxHoldMs") {
+		t.Errorf("a scheduler's file without it: %v", err)
+	}
+}
+
 // TestFieldFaultsAreTyped: callers can tell a fault of a field from a file that can't
 // be read.
 func TestFieldFaultsAreTyped(t *testing.T) {
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -22,6 +22,7 @@
 	CommandAppointAggregator    = "appoint"
 	CommandApplyPlans           = "book"
 	CommandCancelJob            = "cancel"
+	CommandChangeConfiguration  = "change"
 	CommandCollectGarbage       = "sweep"
 	CommandConfirmDigest        = "agree"
 	CommandExpireLeases         = "lapse"
@@ -47,6 +48,7 @@
 	CommandAppointAggregator:    func() Command { return &AppointAggregator{} },
 	CommandApplyPlans:           func() Command { return &ApplyPlans{} },
 	CommandCancelJob:            func() Command { return &CancelJob{} },
+	CommandChangeConfiguration:  func() Command { return &ChangeConfiguration{} },
 	CommandCollectGarbage:       func() Command { return &CollectGarbage{} },
 	CommandConfirmDigest:        func() Command { return &ConfirmDigest{} },
 	CommandExpireLeases:         func() Command { return &ExpireLeases{} },
--- a/internal/state/generator_test.go
+++ b/internal/state/generator_test.go
@@ -207,6 +207,12 @@
 	state.CommandReplaceConfiguration: {2, func(g *generator) state.Command {
 		return &state.ReplaceConfiguration{BaseVersion: g.store.Configuration.Version - int64(g.Intn(8)/7), Raw: g.configuration()}
 	}},
+	state.CommandChangeConfiguration: {2, func(g *generator) state.Command {
+		g.version++
+		raw := fmt.Sprintf(`{"configVersion":%d,"upsert":{"routeList":[{"name":"l%d","hostName":"h","pathPrefix":"/c%d/","timeoutMs":1000,"targetService":"s"}]},"remove":{"routeList":["l%d"]}}`,
+			g.version, g.Intn(routeCount), g.Intn(routeCount), g.Intn(routeCount))
+		return &state.ChangeConfiguration{BaseVersion: g.store.Configuration.Version - int64(g.Intn(8)/7), Raw: []byte(raw)}
+	}},
 	state.CommandSubmitJob: {6, func(g *generator) state.Command { return g.submission() }},
 	state.CommandSubmitTenantJob: {8, func(g *generator) state.Command {
 		return &state.SubmitTenantJob{
--- a/internal/state/golden_test.go
+++ b/internal/state/golden_test.go
@@ -36,6 +36,7 @@
 		{Name: "appoint", Value: &AppointAggregator{Aggregator: ZoneAggregator{Zone: "zone", Revision: 1, Member: "disk", Address: "address", Standby: "next", StandbyAddress: "next-address"}, BaseRevision: 2}},
 		{Name: "book", Value: &ApplyPlans{Plans: []Plan{{Job: "job", Instance: 1, Step: 2, AllOrNothing: true, Placements: []Placement{{TaskIndex: 3, Copy: 4, Worker: "worker", WorkerVersion: 5}}}}}},
 		{Name: "cancel", Value: &CancelJob{ID: "id"}},
+		{Name: "change", Value: &ChangeConfiguration{BaseVersion: 1, Raw: []byte("text")}},
 		{Name: "eligible/draining", Value: &SetEligibility{ID: "id", Draining: true, LeavesInMs: 1}},
 		{Name: "eligible/gone", Value: &SetEligibility{ID: "id", Leaving: true, LeavesInMs: 1}},
 		{Name: "eligible/sick", Value: &SetEligibility{ID: "id", Unhealthy: true, LeavesInMs: 1}},
--- a/internal/state/replace_configuration.go
+++ b/internal/state/replace_configuration.go
@@ -30,43 +30,56 @@
 // each time: CodeOK if it was accepted, CodePreconditionFailed or CodeInvalid if it
 // was refused. If it is older than the history the outcome is CodeUnknown.
 func (c *ReplaceConfiguration) Apply(s *Store) Outcome {
-	if outcome, decided := c.alreadyDecided(s); decided {
+	update := configurationUpdate{baseVersion: c.BaseVersion, text: c.Raw}
+	if outcome, decided := update.alreadyDecided(s); decided {
 		return outcome
 	}
-	next, err := clusterconfig.Parse(c.Raw)
+	return update.accept(s, c.Raw)
+}
+
+// configurationUpdate is an update of either kind, as it was sent.
+type configurationUpdate struct {
+	baseVersion int64
+	text        []byte
+}
+
+// accept puts the configuration in force that an update leads to, if it is valid and its
+// version is above the present one.
+func (c *configurationUpdate) accept(s *Store, whole []byte) Outcome {
+	next, err := clusterconfig.Parse(whole)
 	if err != nil {
 		return Outcome{Code: CodeInvalid, Text: err.Error()}
 	}
 	if next.Version <= s.Configuration.Version {
 		return Outcome{Code: CodeInvalid, Text: textVersionNotAbove, Value: s.Configuration.Version}
 	}
-	s.ConfigurationHistory.recordAccepted(c.BaseVersion, next.Version, configurationDigest(c.Raw))
+	s.ConfigurationHistory.recordAccepted(c.baseVersion, next.Version, configurationDigest(c.text))
 	s.applyConfiguration(next)
 	return Outcome{Code: CodeOK, Value: next.Version}
 }
 
 // alreadyDecided returns the outcome of an update that was decided before, or
 // that isn't based on the present version.
-func (c *ReplaceConfiguration) alreadyDecided(s *Store) (Outcome, bool) {
+func (c *configurationUpdate) alreadyDecided(s *Store) (Outcome, bool) {
 	current := s.Configuration.Version
-	digest := configurationDigest(c.Raw)
+	digest := configurationDigest(c.text)
 	notCurrent := Outcome{Code: CodePreconditionFailed, Text: textNotCurrent, Value: current}
-	if record, ok := s.ConfigurationHistory.acceptedOn(c.BaseVersion); ok {
+	if record, ok := s.ConfigurationHistory.acceptedOn(c.baseVersion); ok {
 		if record.Digest == digest {
 			return Outcome{Code: CodeOK, Text: textKnown, Value: record.Version}, true
 		}
 		return notCurrent, true
 	}
-	if forgotten := s.ConfigurationHistory.forgottenVersion(current); c.BaseVersion < forgotten {
+	if forgotten := s.ConfigurationHistory.forgottenVersion(current); c.baseVersion < forgotten {
 		return c.decideForgotten(s, forgotten, notCurrent), true
 	}
 	switch {
-	case c.BaseVersion > current:
+	case c.baseVersion > current:
 		// It is refused for good: if its base comes into force later, a delayed
 		// copy of this update must not be accepted.
-		s.ConfigurationHistory.recordRefused(c.BaseVersion, digest)
+		s.ConfigurationHistory.recordRefused(c.baseVersion, digest)
 		return notCurrent, true
-	case c.BaseVersion < current || s.ConfigurationHistory.wasRefused(c.BaseVersion, digest):
+	case c.baseVersion < current || s.ConfigurationHistory.wasRefused(c.baseVersion, digest):
 		return notCurrent, true
 	}
 	return Outcome{}, false
@@ -74,11 +87,11 @@
 
 // decideForgotten returns the outcome of an update whose base is older than the
 // history. It can have been accepted only if its own version is at most forgotten.
-func (c *ReplaceConfiguration) decideForgotten(s *Store, forgotten int64, notCurrent Outcome) Outcome {
-	if len(s.ConfigurationHistory.Accepted) == 0 && bytes.Equal(c.Raw, s.Configuration.Raw) {
+func (c *configurationUpdate) decideForgotten(s *Store, forgotten int64, notCurrent Outcome) Outcome {
+	if len(s.ConfigurationHistory.Accepted) == 0 && bytes.Equal(c.text, s.Configuration.Raw) {
 		return Outcome{Code: CodeOK, Text: textKnown, Value: s.Configuration.Version}
 	}
-	if config, err := clusterconfig.Parse(c.Raw); err != nil || config.Version > forgotten {
+	if config, err := clusterconfig.Parse(c.text); err != nil || config.Version > forgotten {
 		return notCurrent
 	}
 	return Outcome{Code: CodeUnknown, Text: textForgotten, Value: s.Configuration.Version}
--- /dev/null
+++ b/internal/tuning/gateway.go
@@ -0,0 +1,62 @@
+package tuning
+
+import "time"
+
+// The platform's list of runners.
+const (
+	// PlatformReadInterval is the time between two readings of the list. Each page
+	// has a price, and a runner that is about to leave serves on for seconds.
+	PlatformReadInterval = time.Second
+	// PlatformBackoff is the pause after a reading that failed.
+	PlatformBackoff = 700 * time.Millisecond
+	// PlatformCallTimeout bounds one call.
+	PlatformCallTimeout = 2 * time.Second
+	// PlatformIdleTimeout is how long a connection is kept between two readings.
+	PlatformIdleTimeout = 30 * time.Second
+	// MaxPlatformPages bounds one reading.
+	MaxPlatformPages = 1000
+	// MaxPlatformPageBytes bounds one page.
+	MaxPlatformPageBytes = 4 << 20
+	// RunnerWatchWait is how long the leader holds a question for changes of the
+	// list. It is below RequestAttemptTimeout, after which a leader seems to be in
+	// trouble.
+	RunnerWatchWait = 350 * time.Millisecond
+	// RunnerWatchTimeout bounds one question.
+	RunnerWatchTimeout = 1500 * time.Millisecond
+	// RunnerWatchRetry is the pause after a question that brought no answer.
+	RunnerWatchRetry = 100 * time.Millisecond
+)
+
+// Requests through the gateway.
+const (
+	// RunnerIdleTimeout is how long a connection to a runner is kept idle. Runners
+	// close theirs after ten seconds or more.
+	RunnerIdleTimeout = 7 * time.Second
+	// RunnerDialTimeout bounds the opening of a connection to a runner.
+	RunnerDialTimeout = time.Second
+	// GatewayResponseReserve is the part of a client's time that is left for the
+	// answer's way back.
+	GatewayResponseReserve = 30 * time.Millisecond
+	// MaxReplayBytes is how much of a request's body is kept for another attempt,
+	// in bytes.
+	MaxReplayBytes = 512 << 10
+	// LatencySmoothing is the weight of a new latency in a runner's average.
+	LatencySmoothing = 0.2
+	// EjectionFailures is the number of failures in a row that eject a runner.
+	EjectionFailures = 2
+	// EjectionTime is for how long a runner is ejected first; it doubles each time,
+	// up to MaxEjectionTime.
+	EjectionTime = 500 * time.Millisecond
+	// MaxEjectionTime bounds EjectionTime.
+	MaxEjectionTime = 8 * time.Second
+	// MaxEjectedFraction is the part of a service's runners that may be ejected.
+	MaxEjectedFraction = 0.5
+	// RetryShare is the part of the operators' ratio of retries that a daemon uses
+	// up by itself.
+	RetryShare = 0.5
+	// RetryReserve is the number of retries that a daemon has beyond that.
+	RetryReserve = 2.0
+	// RefusedRetryAfter is the time after which a client may try again that found no
+	// runner.
+	RefusedRetryAfter = 150 * time.Millisecond
+)
