Gateway, thin: a role that forwards API requests to runners

Cause: every daemon of the gateway deployments ended at its start. Change: role gateway with configuration and list of runners from the leader, attempts by kind of route within a budget, choice by latency and what is under way; Config.Change.

--- a/internal/api/frames.go
+++ b/internal/api/frames.go
@@ -35,7 +35,7 @@
 		info := rpc.LeaderInfo{KnownServers: s.discovery.KnownServers()}
 		response = rpc.Response{Code: rpc.CodeOK, Body: transport.Encode(info)}
 	case rpc.KindTrace:
-		response = rpc.HandleTrace(s.env.Trace, s.settings.NodeName, roleName, request.Body)
+		response = rpc.HandleTrace(s.env.Trace, s.settings.NodeName, s.role, request.Body)
 	case rpc.KindBootstrap:
 		var message rpc.BootstrapAnnouncement
 		if transport.Decode(request.Body, &message) == nil {
--- /dev/null
+++ b/internal/api/gateway.go
@@ -0,0 +1,169 @@
+package api
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"tealpond/internal/clusterconfig"
+	"tealpond/internal/daemon"
+	"tealpond/internal/gateway"
+	"tealpond/internal/platform"
+	"tealpond/internal/registry"
+	"tealpond/internal/rpc"
+	"tealpond/internal/transport"
+	"tealpond/internal/tuning"
+)
+
+// newGateway builds the gateway role.
+func newGateway(env daemon.Environment) (daemon.Role, error) {
+	s, err := newServer(env, gatewayRole)
+	if err != nil {
+		return nil, err
+	}
+	s.gateway = gateway.New(gateway.Options{
+		Zone:        env.Settings.Zone,
+		RetryRatio:  env.Settings.Bounds.RetryRatio,
+		RetryWindow: time.Duration(env.Settings.Bounds.RetryWindowS * float64(time.Second)),
+		Refresh:     s.refreshConfiguration,
+	})
+	return s, nil
+}
+
+// startGateway starts what keeps the configuration and the list of runners up to date;
+// it runs until ctx ends.
+func (s *Server) startGateway(ctx context.Context) {
+	go s.followConfiguration(ctx)
+	go s.followRunners(ctx)
+	if s.replica != nil && s.settings.Platform.Address != "" {
+		go s.readRunners(ctx, platform.NewClient(s.settings.Platform.Address))
+	}
+}
+
+// followConfiguration fetches the configuration when a newer one is heard of, until ctx
+// ends.
+func (s *Server) followConfiguration(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.limitsStale:
+		}
+		wanted := s.newestVersion.Load()
+		if s.gateway.ConfigVersion() >= wanted {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, tuning.LimitsRequestTimeout)
+		err := s.fetchConfiguration(callCtx)
+		cancel()
+		if err != nil {
+			// The version is forgotten, so that the leader's next response
+			// names it again.
+			s.newestVersion.CompareAndSwap(wanted, 0)
+		}
+	}
+}
+
+// fetchConfiguration puts the leader's configuration in force here.
+func (s *Server) fetchConfiguration(ctx context.Context) error {
+	response := s.Call(ctx, rpc.KindGetConfig, struct{}{})
+	if response.Code != rpc.CodeOK {
+		return fmt.Errorf("the newest configuration: the leader's response has code %d", response.Code)
+	}
+	config, err := clusterconfig.Parse(response.Body)
+	if err != nil {
+		return fmt.Errorf("the newest configuration: %w", err)
+	}
+	s.gateway.SetConfig(config)
+	_ = s.log.Log("level", "info", "event", "configuration.applied", "version", config.Version)
+	return nil
+}
+
+// refreshConfiguration makes sure that the newest configuration is in force here: it asks
+// the leader for its version, and fetches it if it is another.
+func (s *Server) refreshConfiguration(ctx context.Context) error {
+	response := s.Call(ctx, rpc.KindGetLimits, struct{}{})
+	if response.Code != rpc.CodeOK {
+		return fmt.Errorf("the newest configuration's version: the leader's response has code %d", response.Code)
+	}
+	if s.gateway.ConfigVersion() >= response.Value {
+		return nil
+	}
+	return s.fetchConfiguration(ctx)
+}
+
+// followRunners asks the leader for changes of the list of runners, until ctx ends.
+func (s *Server) followRunners(ctx context.Context) {
+	view := registry.NewView()
+	for ctx.Err() == nil {
+		watch := rpc.RunnerWatch{ConfigVersion: s.gateway.ConfigVersion()}
+		watch.Epoch, watch.Version = view.Position()
+		callCtx, cancel := context.WithTimeout(ctx, tuning.RunnerWatchTimeout)
+		response := s.Call(callCtx, rpc.KindWatchRunners, watch)
+		cancel()
+		var delta registry.Delta
+		if response.Code == rpc.CodeOK && len(response.Body) > 0 && transport.Decode(response.Body, &delta) == nil {
+			if view.Apply(delta) {
+				s.gateway.SetRunners(view.Runners())
+			}
+		}
+		if response.Code != rpc.CodeOK || s.newestVersion.Load() > s.gateway.ConfigVersion() {
+			// The leader isn't reached, or would answer at once since the
+			// configuration is on its way.
+			pause(ctx, tuning.RunnerWatchRetry)
+		}
+	}
+}
+
+// readRunners reads the platform's list while this daemon leads, until ctx ends. The
+// leader is the only reader: it holds a lease, so there are never two for long.
+func (s *Server) readRunners(ctx context.Context, client *platform.Client) {
+	for ctx.Err() == nil {
+		if !s.leads(ctx) {
+			pause(ctx, tuning.RunnerWatchRetry)
+			continue
+		}
+		list, err := client.List(ctx)
+		if err != nil {
+			_ = s.log.Log("level", "warn", "event", "runners.read_failed", "error", err)
+			pause(ctx, tuning.PlatformBackoff)
+			continue
+		}
+		s.askReplica(ctx, rpc.Request{Kind: rpc.KindPublishRunners, Body: transport.Encode(list)})
+		pause(ctx, tuning.PlatformReadInterval)
+	}
+}
+
+// leads tells whether this daemon's replica leads now.
+func (s *Server) leads(ctx context.Context) bool {
+	response := s.askReplica(ctx, rpc.Request{Kind: rpc.KindLeader})
+	var info rpc.LeaderInfo
+	return response.Code == rpc.CodeOK && transport.Decode(response.Body, &info) == nil && info.IsLeader
+}
+
+// askReplica sends a request to this daemon's own replica.
+func (s *Server) askReplica(ctx context.Context, request rpc.Request) rpc.Response {
+	responses := make(chan rpc.Response, 1)
+	s.replica.HandleLocal(request, func(response rpc.Response) {
+		select {
+		case responses <- response:
+		default:
+		}
+	})
+	select {
+	case response := <-responses:
+		return response
+	case <-ctx.Done():
+		return rpc.Response{Code: rpc.CodeTimeout}
+	}
+}
+
+// pause waits for a time, or until ctx ends.
+func pause(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/api/jobs.go
+++ b/internal/api/jobs.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -72,12 +71,7 @@
 // remainingTime is the time that the client will still wait, less a reserve for
 // the answer to arrive: a tenth of it, tuning.ResponseReserve at most.
 func remainingTime(request *http.Request) time.Duration {
-	left := tuning.DefaultRequestBudget
-	if header := request.Header.Get(protocol.HeaderTimeLeft); header != "" {
-		if ms, err := strconv.ParseFloat(header, 64); err == nil && ms > 0 {
-			left = min(left, time.Duration(ms*float64(time.Millisecond)))
-		}
-	}
+	left := protocol.TimeLeft(request, tuning.DefaultRequestBudget)
 	return left - min(left/10, tuning.ResponseReserve)
 }
 
@@ -101,7 +95,7 @@
 	if r.kind == "" {
 		return "", &statusError{status: http.StatusMethodNotAllowed, text: "this method is not served"}
 	}
-	size := headerSize(request)
+	size := protocol.HeaderSize(request)
 	tooLarge := func(l *sizeLimits) bool { return size > l.headerBytes }
 	if _, err := r.server.checkSize(r.ctx, tooLarge, errHeaderTooLarge); err != nil {
 		return "", err
@@ -111,32 +105,10 @@
 		return "", err
 	}
 	r.body = body
-	r.job = rpc.JobRequest{Host: request.Host, Path: request.URL.Path, Key: bearerKey(request)}
+	r.job = rpc.JobRequest{Host: request.Host, Path: request.URL.Path, Key: protocol.BearerKey(request)}
 	return phaseValidate, nil
 }
 
-// bearerKey is the key that a request bears; empty if it bears none.
-func bearerKey(request *http.Request) string {
-	scheme, key, _ := strings.Cut(request.Header.Get(protocol.HeaderAuthorization), " ")
-	if !strings.EqualFold(scheme, protocol.AuthorizationScheme) {
-		return ""
-	}
-	return strings.TrimSpace(key)
-}
-
-// headerSize is the size in bytes that the limit of headers bounds: the target
-// and all fields as they are sent.
-func headerSize(request *http.Request) int {
-	const separators = len(": \r\n")
-	size := len(request.RequestURI)
-	for name, values := range request.Header {
-		for _, value := range values {
-			size += len(name) + len(value) + separators
-		}
-	}
-	return size
-}
-
 // readBody reads a body of at most the size allowed. The limit may be raised
 // while the body comes in.
 func (r *jobRequest) readBody(request *http.Request) ([]byte, error) {
--- a/internal/api/listeners.go
+++ b/internal/api/listeners.go
@@ -15,30 +15,34 @@
 func (s *Server) listen(ctx context.Context) ([]*http.Server, error) {
 	clients, readiness, operators := echo.New(), echo.New(), echo.New()
 	clients.Any("/*", s.serveJob)
+	var front http.Handler = clients
+	if s.gateway != nil {
+		front = s.gateway
+	}
 	readiness.GET("/-/readiness", s.serveReadiness)
 	operators.POST("/-/Config.Replace", s.serveConfigReplace)
+	operators.POST("/-/Config.Change", s.serveConfigChange)
 	operators.GET("/-/Config.Read", s.serveConfigRead)
 	addresses := s.settings.ListenAddresses
 	var httpServers []*http.Server
 	for _, listener := range []struct {
 		address     string
-		router      *echo.Echo
+		handler     http.Handler
 		idleTimeout time.Duration
 	}{
-		{addresses.FrontHTTP, clients, tuning.DefaultIdleTimeout},
+		{addresses.FrontHTTP, front, tuning.DefaultIdleTimeout},
 		{addresses.Readiness, readiness, time.Minute},
 		{addresses.Control, operators, tuning.DefaultIdleTimeout},
 	} {
 		if listener.address == "" {
 			continue
 		}
-		listener.router.HideBanner, listener.router.HidePort = true, true
 		socket, err := transport.Listen(ctx, listener.address)
 		if err != nil {
 			return nil, err
 		}
 		httpServer := &http.Server{
-			Handler:           listener.router,
+			Handler:           listener.handler,
 			ReadHeaderTimeout: tuning.DefaultHeaderTimeout,
 			IdleTimeout:       listener.idleTimeout,
 			MaxHeaderBytes:    tuning.MaxHeaderBytes,
--- a/internal/api/operators.go
+++ b/internal/api/operators.go
@@ -19,6 +19,26 @@
 // serveConfigReplace serves POST /-/Config.Replace: a configuration that is to
 // follow the version that the Based-On header names.
 func (s *Server) serveConfigReplace(c echo.Context) error {
+	return s.serveConfigUpdate(c, rpc.KindPutConfig, checkConfiguration)
+}
+
+// serveConfigChange serves POST /-/Config.Change: a change of single items of the version
+// that the Based-On header names.
+func (s *Server) serveConfigChange(c echo.Context) error {
+	return s.serveConfigUpdate(c, rpc.KindChangeConfig, func([]byte) error { return nil })
+}
+
+// checkConfiguration checks a whole configuration.
+func checkConfiguration(raw []byte) error {
+	if _, err := clusterconfig.Parse(raw); err != nil {
+		return err
+	}
+	return clusterconfig.Validate(raw)
+}
+
+// serveConfigUpdate serves an operator's update, once it has been checked, by a request
+// of a kind to the leader.
+func (s *Server) serveConfigUpdate(c echo.Context, kind string, check func([]byte) error) error {
 	raw, err := io.ReadAll(io.LimitReader(c.Request().Body, tuning.MaxControlBodyBytes+1))
 	if err != nil {
 		return writeOperatorError(c, badRequest("the body ended early"))
@@ -33,18 +53,14 @@
 	if err != nil {
 		return writeOperatorError(c, badRequest(protocol.HeaderBasedOn+": missing or no number"))
 	}
-	config, err := clusterconfig.Parse(raw)
-	if err != nil {
-		return writeOperatorError(c, statusOf(err))
-	}
-	if err := clusterconfig.Validate(raw); err != nil {
+	if err := check(raw); err != nil {
 		return writeOperatorError(c, statusOf(err))
 	}
 	ctx, cancel := s.operatorContext(c.Request().Context(), len(raw))
 	defer cancel()
-	traceID := "desired/" + strconv.FormatInt(config.Version, 10)
+	traceID := "desired/" + strconv.FormatInt(clusterconfig.VersionOf(raw), 10)
 	s.env.Trace.Record(traceID, "taken", base, "")
-	response := s.Call(ctx, rpc.KindPutConfig, rpc.ConfigUpdate{BaseVersion: base, Raw: raw})
+	response := s.Call(ctx, kind, rpc.ConfigUpdate{BaseVersion: base, Raw: raw})
 	s.env.Trace.Record(traceID, "answered", int64(response.Code), response.Text)
 	if err := errorOf(configChange, response); err != nil {
 		return writeOperatorError(c, statusOf(err))
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -12,6 +12,7 @@
 	"tealpond/internal/daemon"
 	"tealpond/internal/discovery"
 	"tealpond/internal/federation"
+	"tealpond/internal/gateway"
 	"tealpond/internal/monitoring"
 	"tealpond/internal/rpc"
 	"tealpond/internal/server"
@@ -20,21 +21,31 @@
 	"tealpond/internal/tuning"
 )
 
-// roleName is the server's role in the deploy file and in membership leases.
-const roleName = "edge"
+// Names of the roles in the deploy file and in membership leases.
+const (
+	edgeRole    = "edge"
+	gatewayRole = "gateway"
+)
 
 func init() {
 	daemon.Register(daemon.RoleSpec{
-		Name:                  roleName,
-		Description:           "serves clients and operators; holds state where it has a disk",
+		Name:                  edgeRole,
+		Description:           "serves clients of jobs and operators; holds state where it has a disk",
 		AcceptsFederationFile: true,
-		New:                   newServer,
+		New:                   newEdge,
+	})
+	daemon.Register(daemon.RoleSpec{
+		Name:        gatewayRole,
+		Description: "forwards API requests to runners and serves operators; holds state where it has a disk",
+		New:         newGateway,
 	})
 }
 
-// Server is the edge role: the HTTP listeners of a daemon and, where the machine
-// has a disk, its replica of the state.
+// Server is the edge role and the gateway role: the HTTP listeners of a daemon and,
+// where the machine has a disk, its replica of the state.
 type Server struct {
+	role       string         // edgeRole or gatewayRole
+	gateway    *gateway.Proxy // nil in the edge role
 	settings   settings.File
 	log        log.Logger
 	env        daemon.Environment
@@ -55,9 +66,13 @@
 	limitsStale   chan struct{} // signals followLimits that a newer version was heard of
 }
 
-// newServer builds the edge role, with a replica of the state if there is a disk.
-func newServer(env daemon.Environment) (daemon.Role, error) {
+// newEdge builds the edge role.
+func newEdge(env daemon.Environment) (daemon.Role, error) { return newServer(env, edgeRole) }
+
+// newServer builds a server, with a replica of the state if there is a disk.
+func newServer(env daemon.Environment, role string) (*Server, error) {
 	s := &Server{
+		role:          role,
 		settings:      env.Settings,
 		log:           env.Log,
 		env:           env,
@@ -149,8 +164,12 @@
 		go s.runBootstrap(ctx)
 	}
 	go s.renewMembership(ctx)
-	go s.followLimits(ctx)
-	go s.exchangeCounts(ctx)
+	if s.gateway != nil {
+		s.startGateway(ctx)
+	} else {
+		go s.followLimits(ctx)
+		go s.exchangeCounts(ctx)
+	}
 	return nil
 }
 
@@ -175,7 +194,7 @@
 func (s *Server) renewMembership(ctx context.Context) {
 	lease := rpc.MembershipLease{
 		Node:      s.settings.NodeName,
-		Role:      roleName,
+		Role:      s.role,
 		Zone:      s.settings.Zone,
 		Addr:      s.settings.InternalAddress(),
 		ProcessID: s.env.ProcessID,
@@ -212,5 +231,8 @@
 	if s.replica != nil && !s.replica.StorageOpened() {
 		return false
 	}
+	if s.gateway != nil && !s.gateway.Ready() {
+		return false
+	}
 	return !s.leaving.Load() && s.leaderContact.heardWithin(tuning.LeaderContactTimeout)
 }
--- a/internal/api/shares_test.go
+++ b/internal/api/shares_test.go
@@ -8,6 +8,7 @@
 
 	"tealpond/internal/clusterconfig"
 	"tealpond/internal/counter"
+	"tealpond/internal/protocol"
 	"tealpond/internal/rpc"
 	"tealpond/internal/tuning"
 )
@@ -84,7 +85,7 @@
 	for header, want := range map[string]string{"Bearer abc": "abc", "bearer  abc ": "abc", "Basic abc": "", "abc": "", "": "", "Bearer": "", "Bearer ": ""} {
 		request := &http.Request{Header: http.Header{}}
 		request.Header.Set("Authorization", header)
-		if got := bearerKey(request); got != want {
+		if got := protocol.BearerKey(request); got != want {
 			t.Errorf("%q: key %q, want %q", header, got, want)
 		}
 	}
--- a/internal/clusterconfig/change.go
+++ b/internal/clusterconfig/change.go
@@ -29,6 +29,9 @@
 			return nil, Error.New("the configuration in force cannot be read: %v", err)
 		}
 	}
+	if whole == nil {
+		return nil, Error.New("no configuration is in force")
+	}
 	for _, name := range listNames {
 		list, err := changeList(whole[name], c.Upsert[name], c.Remove[name])
 		if err != nil {
--- /dev/null
+++ b/internal/gateway/balancer.go
@@ -0,0 +1,182 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"tealpond/internal/registry"
+	"tealpond/internal/tuning"
+)
+
+// runnerState is what this daemon knows of one runner by its own requests.
+type runnerState struct {
+	registry.Runner
+	outstanding int
+	latency     time.Duration // smoothed; 0: not known yet
+	failures    int           // in a row
+	ejections   int           // in a row
+	ejectedTill time.Time
+	slowTill    time.Time // it has started lately
+}
+
+// balancer chooses the runner of each request. It is pure but for the random numbers,
+// and is used by one goroutine at a time.
+type balancer struct {
+	zone     string
+	runners  map[string]*runnerState   // by ID
+	services map[string][]*runnerState // those that take requests, of the own zone if it has any
+}
+
+func newBalancer(zone string) *balancer {
+	return &balancer{zone: zone, runners: map[string]*runnerState{}, services: map[string][]*runnerState{}}
+}
+
+// setRunners takes over the list of runners. What is known of those that stay is kept.
+func (b *balancer) setRunners(list []registry.Runner, now time.Time) {
+	next := map[string]*runnerState{}
+	near, all := map[string][]*runnerState{}, map[string][]*runnerState{}
+	for _, listed := range list {
+		runner := b.runners[listed.ID]
+		if runner == nil {
+			runner = &runnerState{slowTill: now.Add(time.Duration(listed.ColdMs) * time.Millisecond)}
+		}
+		runner.Runner = listed
+		next[listed.ID] = runner
+		if listed.Draining {
+			continue
+		}
+		all[listed.Service] = append(all[listed.Service], runner)
+		if listed.Zone == b.zone {
+			near[listed.Service] = append(near[listed.Service], runner)
+		}
+	}
+	for service, runners := range all {
+		if len(near[service]) > 0 {
+			all[service] = near[service]
+		} else {
+			all[service] = runners
+		}
+	}
+	b.runners, b.services = next, all
+}
+
+// pick chooses a runner for a request: of two drawn by lot the one with the shorter
+// expected wait. It passes over those that were tried; nil if no other is left.
+func (b *balancer) pick(service string, tried []*runnerState, now time.Time) *runnerState {
+	runners := b.services[service]
+	if len(runners) == 0 {
+		return nil
+	}
+	sound := 0
+	for _, runner := range runners {
+		if !now.Before(runner.ejectedTill) {
+			sound++
+		}
+	}
+	// With too many ejected the fault is likely not theirs, and all are used.
+	useEjected := float64(len(runners)-sound) > tuning.MaxEjectedFraction*float64(len(runners))
+	var first, second *runnerState
+	for range pickDraws {
+		runner := runners[rand.IntN(len(runners))]
+		if runner == first || !useEjected && now.Before(runner.ejectedTill) || contains(tried, runner) {
+			continue
+		}
+		if first == nil {
+			first = runner
+			continue
+		}
+		second = runner
+		break
+	}
+	switch {
+	case first == nil:
+		return b.anyUntried(runners, tried)
+	case second != nil && second.cost(now) < first.cost(now):
+		return second
+	}
+	return first
+}
+
+// pickDraws is how often a runner is drawn by lot until two are found.
+const pickDraws = 8
+
+// anyUntried gives a runner that was not tried, ejected or not.
+func (b *balancer) anyUntried(runners, tried []*runnerState) *runnerState {
+	offset := rand.IntN(len(runners))
+	for i := range runners {
+		if runner := runners[(offset+i)%len(runners)]; !contains(tried, runner) {
+			return runner
+		}
+	}
+	return nil
+}
+
+func contains(runners []*runnerState, runner *runnerState) bool {
+	for _, other := range runners {
+		if other == runner {
+			return true
+		}
+	}
+	return false
+}
+
+// coldFactor is how many times as long a request is expected to take on a runner that
+// has started lately.
+const coldFactor = 2
+
+// cost is the wait that is expected of a runner.
+func (r *runnerState) cost(now time.Time) float64 {
+	cost := float64(r.outstanding+1) * float64(max(r.latency, time.Millisecond))
+	if now.Before(r.slowTill) {
+		cost *= coldFactor
+	}
+	return cost
+}
+
+// begin counts a request that is sent to a runner.
+func (b *balancer) begin(runner *runnerState) { runner.outstanding++ }
+
+// result is what a request's attempt tells of its runner.
+type result int
+
+const (
+	resultSound   result = iota // it answered in order
+	resultFull                  // it turned the request away
+	resultFailed                // it failed, or its answer was not one
+	resultUnknown               // the client left, or the time ended, before it answered
+)
+
+// end takes note of how an attempt ended.
+func (b *balancer) end(runner *runnerState, how result, took time.Duration, now time.Time) {
+	runner.outstanding--
+	switch how {
+	case resultSound:
+		runner.failures, runner.ejections = 0, 0
+		runner.observe(took)
+	case resultFull:
+		// Whoever sends it so much shouldn't for a while: it counts as slow.
+		runner.observe(max(2*runner.latency, took))
+	case resultUnknown:
+		runner.observe(max(runner.latency, took))
+	case resultFailed:
+		runner.failures++
+		if runner.failures >= tuning.EjectionFailures {
+			pause := min(tuning.EjectionTime<<min(runner.ejections, maxEjectionShift), tuning.MaxEjectionTime)
+			runner.ejectedTill = now.Add(pause)
+			runner.ejections++
+			runner.failures = 0
+		}
+	}
+}
+
+// maxEjectionShift bounds the doubling of tuning.EjectionTime.
+const maxEjectionShift = 6
+
+// observe smooths a latency into the runner's average.
+func (r *runnerState) observe(latency time.Duration) {
+	if r.latency == 0 {
+		r.latency = latency
+		return
+	}
+	r.latency += time.Duration(tuning.LatencySmoothing * float64(latency-r.latency))
+}
--- /dev/null
+++ b/internal/gateway/exchange.go
@@ -0,0 +1,312 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"tealpond/internal/clusterconfig"
+	"tealpond/internal/protocol"
+	"tealpond/internal/tuning"
+)
+
+// phase is a state of a request in this daemon.
+type phase int
+
+const (
+	phaseAdmit   phase = iota // its sizes, route and tenant are looked at
+	phaseAttempt              // a runner is chosen and the request is sent to it
+	phaseAnswer               // the runner's answer goes back
+	phaseRefuse               // an answer of this daemon's own goes back
+	phaseEnded
+)
+
+// phaseHandlers do the work of each phase and return the next one.
+var phaseHandlers = map[phase]func(*exchange) phase{
+	phaseAdmit:   (*exchange).admit,
+	phaseAttempt: (*exchange).attempt,
+	phaseAnswer:  (*exchange).answer,
+	phaseRefuse:  (*exchange).refuse,
+}
+
+// exchange is one request of a client and its answer.
+type exchange struct {
+	proxy   *Proxy
+	writer  http.ResponseWriter
+	request *http.Request
+	until   time.Time          // when the client's time, or the route's, is used up
+	ctx     context.Context    // ends with the client, or at until
+	cancel  context.CancelFunc // of ctx
+
+	route   *clusterconfig.Route
+	service string
+	tenant  string
+	body    *requestBody // nil: there is none
+	tried   []*runnerState
+	// mayHaveRun: an attempt may have run, or may yet, so nothing can be promised.
+	mayHaveRun bool
+
+	runner   *runnerState
+	sentAt   time.Time
+	response *http.Response
+	refusal  refusal
+}
+
+// refusal is an answer of this daemon's own.
+type refusal struct {
+	status     int
+	text       string
+	retryAfter time.Duration // 0: not said
+}
+
+// Refusals. A 503 promises that the request was not run and never will be; a 502 and a
+// 504 promise nothing.
+var (
+	refusalNotConfigured  = refusal{http.StatusServiceUnavailable, "not configured yet", time.Second}
+	refusalNoRoute        = refusal{status: http.StatusNotFound, text: "no such route"}
+	refusalNoKey          = refusal{status: http.StatusUnauthorized, text: "no tenant's key"}
+	refusalHeaderTooLarge = refusal{status: http.StatusRequestHeaderFieldsTooLarge, text: "the headers are too large"}
+	refusalBodyTooLarge   = refusal{status: http.StatusRequestEntityTooLarge, text: "the body is too large"}
+	refusalNoRunner       = refusal{http.StatusServiceUnavailable, "no runner took the request", tuning.RefusedRetryAfter}
+	refusalRunnerFailed   = refusal{status: http.StatusBadGateway, text: "the runner failed"}
+	refusalTooLate        = refusal{status: http.StatusGatewayTimeout, text: "no answer in time"}
+)
+
+// ServeHTTP serves one request.
+func (p *Proxy) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	left := protocol.TimeLeft(request, tuning.MaxGatewayTime)
+	left -= min(left/10, tuning.GatewayResponseReserve)
+	e := &exchange{proxy: p, writer: writer, request: request, until: time.Now().Add(left)}
+	e.ctx, e.cancel = context.WithDeadline(request.Context(), e.until)
+	defer func() { e.cancel() }()
+	for next := phaseAdmit; next != phaseEnded; {
+		next = phaseHandlers[next](e)
+	}
+}
+
+// refuseWith ends the request with an answer of this daemon's own.
+func (e *exchange) refuseWith(refusal refusal) phase {
+	e.refusal = refusal
+	return phaseRefuse
+}
+
+// refuse writes an answer of this daemon's own. If the request's body was not read, the
+// library closes the connection.
+func (e *exchange) refuse() phase {
+	if errors.Is(e.request.Context().Err(), context.Canceled) {
+		return phaseEnded // nobody is there to read it
+	}
+	header := e.writer.Header()
+	if e.refusal.retryAfter > 0 {
+		header.Set(protocol.HeaderRetryAfter, strconv.FormatFloat(e.refusal.retryAfter.Seconds(), 'f', -1, 64))
+	}
+	header.Set("Content-Type", "text/plain")
+	e.writer.WriteHeader(e.refusal.status)
+	_, _ = io.WriteString(e.writer, e.refusal.text+"\n") // the client may have gone
+	return phaseEnded
+}
+
+// admit finds the request's route and tenant.
+func (e *exchange) admit() phase {
+	known := e.proxy.routing.Load()
+	if known == nil {
+		return e.refuseWith(refusalNotConfigured)
+	}
+	refused, ok := e.judge(known)
+	if !ok {
+		// Before a request is refused for good the newest configuration is asked
+		// for: the one known here may be older.
+		if err := e.proxy.options.Refresh(e.ctx); err != nil {
+			return e.refuseWith(refusalNotConfigured)
+		}
+		if refused, ok = e.judge(e.proxy.routing.Load()); !ok {
+			return e.refuseWith(refused)
+		}
+	}
+	if limit := time.Duration(e.route.TimeoutMs) * time.Millisecond; time.Until(e.until) > limit {
+		e.cancel()
+		e.until = time.Now().Add(limit)
+		e.ctx, e.cancel = context.WithDeadline(e.request.Context(), e.until)
+	}
+	e.service = e.route.ServiceFor(draw())
+	e.body = newRequestBody(e.request)
+	e.proxy.countRequest(e.service)
+	return phaseAttempt
+}
+
+// judge tells whether a configuration allows the request, and how it is refused else.
+func (e *exchange) judge(by *routing) (refusal, bool) {
+	limits := by.config.Limits
+	switch {
+	case limits.MaxHeaderBytes > 0 && protocol.HeaderSize(e.request) > limits.MaxHeaderBytes:
+		return refusalHeaderTooLarge, false
+	case limits.MaxBodyBytes > 0 && e.request.ContentLength > limits.MaxBodyBytes:
+		return refusalBodyTooLarge, false
+	}
+	e.route, _ = by.routes.Find(e.request.Host, e.request.URL.Path)
+	if e.route == nil || !strings.HasPrefix(e.request.URL.Path, e.route.PathPrefix) {
+		return refusalNoRoute, false
+	}
+	if len(by.config.Tenants()) == 0 {
+		return refusal{}, true
+	}
+	tenant, ok := by.keys.Tenant(protocol.BearerKey(e.request))
+	e.tenant = tenant
+	return refusalNoKey, ok || e.route.Public
+}
+
+// repeatable tells whether the request may run more than once.
+func (e *exchange) repeatable() bool {
+	return e.route.Kind == protocol.KindReadOnly || e.route.Kind == protocol.KindDownload
+}
+
+// attempt sends the request to a runner. It goes on to another one as long as the first
+// surely did not run it, or it may run twice, within the bounds of the route and the
+// budget.
+func (e *exchange) attempt() phase {
+	most := max(e.route.MaxAttempts, 1)
+	for {
+		if e.runner = e.proxy.pick(e.service, e.tried); e.runner == nil {
+			return e.giveUp()
+		}
+		e.tried = append(e.tried, e.runner)
+		switch e.send() {
+		case outcomeAnswered:
+			return phaseAnswer
+		case outcomeMayHaveRun:
+			e.mayHaveRun = true
+		}
+		again := len(e.tried) < most && e.ctx.Err() == nil && (!e.mayHaveRun || e.repeatable()) && (e.body == nil || e.body.canReplay())
+		if !again || !e.proxy.takeRetry(e.service) {
+			return e.giveUp()
+		}
+	}
+}
+
+// giveUp refuses a request of which no attempt was answered.
+func (e *exchange) giveUp() phase {
+	switch {
+	case !e.mayHaveRun:
+		return e.refuseWith(refusalNoRunner)
+	case e.ctx.Err() != nil:
+		return e.refuseWith(refusalTooLate)
+	}
+	return e.refuseWith(refusalRunnerFailed)
+}
+
+// outcome is what became of one attempt.
+type outcome int
+
+const (
+	outcomeAnswered   outcome = iota
+	outcomeNotRun             // the runner surely did not run it
+	outcomeMayHaveRun         // it ran, or not, or is running
+)
+
+// send makes one attempt and waits for the head of the answer.
+func (e *exchange) send() outcome {
+	written := false
+	trace := &httptrace.ClientTrace{WroteHeaders: func() { written = true }}
+	request, err := e.outgoing(httptrace.WithClientTrace(e.ctx, trace))
+	if err != nil {
+		e.proxy.end(e.runner, resultUnknown, 0)
+		return outcomeNotRun
+	}
+	e.sentAt = time.Now()
+	response, err := e.proxy.transport.RoundTrip(request)
+	took := time.Since(e.sentAt)
+	switch {
+	case err != nil && e.ctx.Err() != nil:
+		e.proxy.end(e.runner, resultUnknown, took)
+		return outcomeMayHaveRun
+	case err != nil:
+		e.proxy.end(e.runner, resultFailed, took)
+		if !written {
+			return outcomeNotRun
+		}
+		return outcomeMayHaveRun
+	case response.Header.Get(protocol.HeaderNotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest:
+		e.discard(response)
+		e.proxy.end(e.runner, resultFull, took)
+		return outcomeNotRun
+	case response.Header.Get(protocol.HeaderAttemptID) != e.request.Header.Get(protocol.HeaderAttemptID):
+		// It is the answer to another request: nobody may see it, and nothing more
+		// may be read from this connection.
+		_ = response.Body.Close()
+		e.proxy.transport.CloseIdleConnections()
+		e.proxy.end(e.runner, resultFailed, took)
+		return outcomeMayHaveRun
+	}
+	e.response = response
+	return outcomeAnswered
+}
+
+// discard reads a short answer that isn't used, so that its connection can be kept.
+func (e *exchange) discard(response *http.Response) {
+	const shortBytes = 4 << 10
+	_, _ = io.CopyN(io.Discard, response.Body, shortBytes) // the connection is closed if that fails
+	_ = response.Body.Close()
+}
+
+// outgoing makes the request as the runner gets it: method, path and body unchanged, and
+// all headers but those of the client's connection.
+func (e *exchange) outgoing(ctx context.Context) (*http.Request, error) {
+	path, query, _ := strings.Cut(e.request.RequestURI, "?")
+	target := &url.URL{Scheme: "http", Host: e.runner.Address, Opaque: path, RawQuery: query}
+	request, err := http.NewRequestWithContext(ctx, e.request.Method, "http://"+e.runner.Address+"/", nil)
+	if err != nil {
+		return nil, err
+	}
+	request.URL, request.Host = target, e.request.Host
+	request.Body, request.ContentLength = bodyFor(e.request, e.body), e.request.ContentLength
+	copyHeaders(request.Header, e.request.Header)
+	if request.Header.Get("User-Agent") == "" {
+		request.Header.Set("User-Agent", "") // the library would add its own
+	}
+	if e.tenant != "" {
+		request.Header.Del(protocol.HeaderAuthorization)
+		request.Header.Set(protocol.HeaderTenant, e.tenant)
+	}
+	left := max(time.Until(e.until).Milliseconds(), 1)
+	request.Header.Set(protocol.HeaderTimeLeft, strconv.FormatInt(left, 10))
+	request.Header.Set(protocol.HeaderTargetRunner, e.runner.ID)
+	return request, nil
+}
+
+// answer passes the runner's answer on, unchanged.
+func (e *exchange) answer() phase {
+	defer func() { _ = e.response.Body.Close() }()
+	header := e.writer.Header()
+	copyHeaders(header, e.response.Header)
+	for _, name := range []string{"Content-Type", "Date"} {
+		if header.Get(name) == "" {
+			header[name] = nil // the library would add its own
+		}
+	}
+	if e.response.ContentLength >= 0 && e.request.Method != http.MethodHead {
+		header.Set("Content-Length", strconv.FormatInt(e.response.ContentLength, 10))
+	}
+	e.writer.WriteHeader(e.response.StatusCode)
+	_, err := io.Copy(e.writer, e.response.Body)
+	took := time.Since(e.sentAt)
+	if err != nil {
+		how := resultFailed
+		if e.ctx.Err() != nil {
+			how = resultUnknown
+		}
+		e.proxy.end(e.runner, how, took)
+		panic(http.ErrAbortHandler) // the client must see that its answer is not whole
+	}
+	how := resultSound
+	if e.response.StatusCode >= http.StatusInternalServerError {
+		how = resultFailed
+	}
+	e.proxy.end(e.runner, how, took)
+	return phaseEnded
+}
--- /dev/null
+++ b/internal/gateway/harness_test.go
@@ -0,0 +1,134 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"tealpond/internal/clusterconfig"
+	"tealpond/internal/protocol"
+	"tealpond/internal/registry"
+)
+
+// testConfig has a route for each kind, all of service s.
+const testConfig = `{"configVersion":%d,"routeList":[` +
+	`{"name":"r","hostName":"h","pathPrefix":"/read/","kind":"read_only","timeoutMs":2000,"targetService":"s","maxTries":3},` +
+	`{"name":"w","hostName":"h","pathPrefix":"/write/","kind":"writing","timeoutMs":2000,"targetService":"s","maxTries":3},` +
+	`{"name":"u","hostName":"h","pathPrefix":"/upload/","kind":"upload","timeoutMs":2000,"targetService":"s","maxTries":2}],` +
+	`"serviceList":[{"name":"s"}],"limits":{"maxHeaderBytes":2000,"maxBodyBytes":1000000}%s}`
+
+// arrival is a request as a runner got it.
+type arrival struct {
+	runner, method, uri, host, body string
+	header                          http.Header
+}
+
+// harness is a proxy with runners on the loopback interface.
+type harness struct {
+	t      *testing.T
+	proxy  *Proxy
+	front  *httptest.Server
+	config string // what Refresh fetches; empty: the leader is out of reach
+
+	mu       sync.Mutex
+	arrivals []arrival
+}
+
+// runnerBehavior answers a request that a runner got.
+type runnerBehavior func(w http.ResponseWriter, r *http.Request)
+
+// sound answers in order.
+func sound(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(protocol.HeaderAttemptID, r.Header.Get(protocol.HeaderAttemptID))
+	w.Header().Set("X-Seal", "seal")
+	_, _ = io.WriteString(w, "answer")
+}
+
+// full turns the request away without having run it.
+func full(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(protocol.HeaderNotRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// broken closes the connection without an answer.
+func broken(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+// newHarness starts a proxy with runners of service s.
+func newHarness(t *testing.T, runners ...runnerBehavior) *harness {
+	t.Helper()
+	h := &harness{t: t, config: fmt.Sprintf(testConfig, 1, "")}
+	h.proxy = New(Options{Zone: "z", RetryRatio: 0.2, RetryWindow: 0, Refresh: h.refresh})
+	if err := h.refresh(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	var list []registry.Runner
+	for i, behavior := range runners {
+		id := fmt.Sprint("i-", i)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body) // what came in before it broke off
+			h.mu.Lock()
+			h.arrivals = append(h.arrivals, arrival{id, r.Method, r.RequestURI, r.Host, string(body), r.Header})
+			h.mu.Unlock()
+			behavior(w, r)
+		}))
+		t.Cleanup(server.Close)
+		list = append(list, registry.Runner{ID: id, Service: "s", Zone: "z", Slots: 2, Address: strings.TrimPrefix(server.URL, "http://")})
+	}
+	h.proxy.SetRunners(list)
+	h.front = httptest.NewServer(h.proxy)
+	t.Cleanup(h.front.Close)
+	return h
+}
+
+var errLeaderOutOfReach = errors.New("the leader is out of reach")
+
+// refresh stands in for the way to the leader.
+func (h *harness) refresh(context.Context) error {
+	if h.config == "" {
+		return errLeaderOutOfReach
+	}
+	config, err := clusterconfig.Parse([]byte(h.config))
+	if err != nil {
+		return err
+	}
+	h.proxy.SetConfig(config)
+	return nil
+}
+
+// call makes a client's request and gives its status and body.
+func (h *harness) call(method, path, body string, headers map[string]string) (int, string, http.Header) {
+	h.t.Helper()
+	request, err := http.NewRequestWithContext(h.t.Context(), method, h.front.URL+path, strings.NewReader(body))
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	request.Host = "h"
+	request.Header.Set(protocol.HeaderAttemptID, "attempt-1")
+	request.Header.Set(protocol.HeaderTimeLeft, "3000")
+	for name, value := range headers {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	return response.StatusCode, string(text), response.Header
+}
+
+// seen gives the requests that runners got.
+func (h *harness) seen() []arrival {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]arrival(nil), h.arrivals...)
+}
--- /dev/null
+++ b/internal/gateway/proxy.go
@@ -0,0 +1,144 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"tealpond/internal/clusterconfig"
+	"tealpond/internal/registry"
+	"tealpond/internal/tuning"
+)
+
+// Options are what a Proxy is built from.
+type Options struct {
+	Zone        string // of this daemon
+	RetryRatio  float64
+	RetryWindow time.Duration
+	// Refresh fetches the newest configuration and hands it to SetConfig if it is
+	// newer. An error means that the newest one isn't known.
+	Refresh func(context.Context) error
+}
+
+// Proxy forwards requests of clients to runners. It is an http.Handler, and safe for
+// concurrent use.
+type Proxy struct {
+	options   Options
+	transport *http.Transport
+	routing   atomic.Pointer[routing] // nil: no configuration is known
+
+	mu       sync.Mutex // guards what follows
+	balancer *balancer
+	budget   *retryBudget
+	listed   bool // a list of runners is known
+}
+
+// routing is a configuration as it is used here.
+type routing struct {
+	config *clusterconfig.Config
+	routes *clusterconfig.RouteTable
+	keys   *clusterconfig.KeyTable
+}
+
+// New builds a proxy; it serves once it has a configuration and a list of runners.
+func New(options Options) *Proxy {
+	dialer := &net.Dialer{Timeout: tuning.RunnerDialTimeout, KeepAlive: tuning.RunnerIdleTimeout}
+	return &Proxy{
+		options: options,
+		transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			IdleConnTimeout:     tuning.RunnerIdleTimeout,
+			MaxIdleConnsPerHost: maxIdlePerRunner,
+			DisableCompression:  true,
+			ReadBufferSize:      connectionBufferBytes,
+			WriteBufferSize:     connectionBufferBytes,
+		},
+		balancer: newBalancer(options.Zone),
+		budget:   newRetryBudget(options.RetryRatio, options.RetryWindow),
+	}
+}
+
+const (
+	// maxIdlePerRunner is how many idle connections are kept to one runner: what it
+	// works on at once is little.
+	maxIdlePerRunner = 4
+	// connectionBufferBytes is the size of each buffer of a connection to a runner,
+	// in bytes. There are many connections, and memory has a price.
+	connectionBufferBytes = 2 << 10
+)
+
+// SetConfig puts a configuration in force, unless a newer one is.
+func (p *Proxy) SetConfig(config *clusterconfig.Config) {
+	next := &routing{config: config, routes: clusterconfig.NewRouteTable(config), keys: clusterconfig.NewKeyTable(config)}
+	for {
+		known := p.routing.Load()
+		if known != nil && known.config.Version >= config.Version {
+			return
+		}
+		if p.routing.CompareAndSwap(known, next) {
+			return
+		}
+	}
+}
+
+// ConfigVersion is the version of the configuration in force; 0 if there is none.
+func (p *Proxy) ConfigVersion() int64 {
+	if known := p.routing.Load(); known != nil {
+		return known.config.Version
+	}
+	return 0
+}
+
+// SetRunners takes over the list of runners.
+func (p *Proxy) SetRunners(list []registry.Runner) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.balancer.setRunners(list, time.Now())
+	p.listed = true
+}
+
+// Ready tells whether requests can be served: a configuration and the runners are known.
+func (p *Proxy) Ready() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listed && p.routing.Load() != nil
+}
+
+// pick chooses a runner and counts the attempt; nil if none is left.
+func (p *Proxy) pick(service string, tried []*runnerState) *runnerState {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	runner := p.balancer.pick(service, tried, time.Now())
+	if runner != nil {
+		p.balancer.begin(runner)
+	}
+	return runner
+}
+
+// end takes note of how an attempt ended.
+func (p *Proxy) end(runner *runnerState, how result, took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.balancer.end(runner, how, took, time.Now())
+}
+
+// countRequest counts a client's request in the budget of further attempts.
+func (p *Proxy) countRequest(service string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget.request(service, time.Now())
+}
+
+// takeRetry takes a further attempt from the budget.
+func (p *Proxy) takeRetry(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budget.take(service, time.Now())
+}
+
+// draw gives a number between 0 and 1 for the choice of a part of a split route.
+func draw() float64 { return rand.Float64() }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -33,6 +33,7 @@
 type Delta struct {
 	_       struct{} `cbor:",toarray"`
 	Epoch   string   // of the table; versions of another epoch mean nothing
+	From    uint64   // the version that it follows, unless it is whole
 	Version uint64
 	Whole   bool // Runners are all that there are
 	Runners []Runner
@@ -104,7 +105,7 @@
 
 // Since gives what changed after a version of an epoch, whole if that isn't known here.
 func (t *Table) Since(epoch string, version uint64) Delta {
-	delta := Delta{Epoch: t.epoch, Version: t.version, Whole: epoch != t.epoch || version > t.version || version < t.forgotten}
+	delta := Delta{Epoch: t.epoch, From: version, Version: t.version, Whole: epoch != t.epoch || version > t.version || version < t.forgotten}
 	for _, r := range t.rows {
 		if delta.Whole || r.changedAt > version {
 			delta.Runners = append(delta.Runners, r.runner)
@@ -140,7 +141,7 @@
 	if delta.Epoch == v.epoch && delta.Version <= v.version {
 		return false
 	}
-	if delta.Epoch != v.epoch && !delta.Whole {
+	if !delta.Whole && (delta.Epoch != v.epoch || delta.From > v.version) {
 		return false // it was made for another copy
 	}
 	if delta.Whole {
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,103 @@
+package registry
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"testing"
+)
+
+// TestDeltasGiveTheWholeList: whatever deltas a daemon misses, repeats or gets late, it
+// has the table's list once it has the newest one; nothing is told twice.
+func TestDeltasGiveTheWholeList(t *testing.T) {
+	for seed := range int64(50) {
+		random := rand.New(rand.NewSource(seed))
+		table, view := NewTable("e0"), NewView()
+		var list []Runner
+		var earlier []Delta
+		for i := range 400 {
+			list = changeByLot(random, list, i)
+			table.Update(list)
+			if random.Intn(3) == 0 {
+				delta := table.Since(view.Position())
+				earlier = append(earlier, delta)
+				view.Apply(delta)
+				requireSame(t, view, list)
+				if again := table.Since(view.Position()); len(again.Runners)+len(again.Removed) != 0 || again.Whole {
+					t.Fatalf("seed %d: %+v is told again", seed, again)
+				}
+			}
+			if len(earlier) > 0 && random.Intn(4) == 0 {
+				view.Apply(earlier[random.Intn(len(earlier))])
+			}
+			if random.Intn(100) == 0 {
+				// Another daemon reads the list from now on.
+				table = NewTable(fmt.Sprint("e", i+1))
+				table.Update(list)
+			}
+		}
+		view.Apply(table.Since(view.Position()))
+		requireSame(t, view, list)
+	}
+}
+
+// changeByLot adds, changes or removes a runner, at times nearly all of them.
+func changeByLot(random *rand.Rand, list []Runner, i int) []Runner {
+	list = slices.Clone(list)
+	switch {
+	case len(list) == 0 || random.Intn(3) == 0:
+		return append(list, Runner{ID: fmt.Sprint("r", i), Service: "s", Slots: 2, ColdMs: 100})
+	case random.Intn(50) == 0:
+		return list[:1]
+	}
+	k := random.Intn(len(list))
+	switch random.Intn(3) {
+	case 0:
+		list[k].Draining = !list[k].Draining
+	case 1:
+		list[k].ColdMs = 0 // is no change
+	case 2:
+		list = slices.Delete(list, k, k+1)
+	}
+	return list
+}
+
+func requireSame(t *testing.T, view *View, list []Runner) {
+	t.Helper()
+	want := slices.Clone(list)
+	sortByID(want)
+	if !slices.EqualFunc(view.Runners(), want, Runner.sameState) {
+		t.Fatalf("the copy has\n%+v, want\n%+v", view.Runners(), want)
+	}
+}
+
+// TestDeltaOfAnotherEpochChangesNothing unless it is whole.
+func TestDeltaOfAnotherEpochChangesNothing(t *testing.T) {
+	view := NewView()
+	view.Apply(Delta{Epoch: "a", Version: 3, Whole: true, Runners: []Runner{{ID: "x"}}})
+	if view.Apply(Delta{Epoch: "b", Version: 9, Removed: []string{"x"}}) || len(view.Runners()) != 1 {
+		t.Error("a delta of another epoch was taken over")
+	}
+	if !view.Apply(Delta{Epoch: "b", Version: 1, Whole: true}) || len(view.Runners()) != 0 {
+		t.Error("the whole list of another epoch was not taken over")
+	}
+}
+
+// TestManyRemovalsAreToldWhole: removals that are no longer remembered are told by the
+// whole list.
+func TestManyRemovalsAreToldWhole(t *testing.T) {
+	table, view := NewTable("e"), NewView()
+	var list []Runner
+	for i := range maxRemovals + 1 {
+		list = append(list, Runner{ID: fmt.Sprint(i)})
+	}
+	table.Update(list)
+	view.Apply(table.Since(view.Position()))
+	table.Update(nil)
+	table.Update(list[:1])
+	if delta := table.Since(view.Position()); !delta.Whole {
+		t.Error("told by removals that are not all remembered")
+	}
+	view.Apply(table.Since(view.Position()))
+	requireSame(t, view, list[:1])
+}
--- /dev/null
+++ b/internal/server/runners_test.go
@@ -0,0 +1,81 @@
+package server
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tealpond/internal/raft"
+	"tealpond/internal/registry"
+	"tealpond/internal/rpc"
+	"tealpond/internal/transport"
+	"tealpond/internal/tuning"
+)
+
+// publish gives the leader a list, as its own process does.
+func (h *harness) publish(list ...registry.Runner) {
+	h.t.Helper()
+	if response := h.call(rpc.KindPublishRunners, list); response.Code != rpc.CodeOK {
+		h.t.Fatalf("%+v", response)
+	}
+}
+
+// watch asks for changes and gives the delta and how long the answer took.
+func (h *harness) watch(view *registry.View, configVersion int64) (registry.Delta, time.Duration) {
+	h.t.Helper()
+	question := rpc.RunnerWatch{ConfigVersion: configVersion}
+	question.Epoch, question.Version = view.Position()
+	askedAt := time.Now()
+	response := h.call(rpc.KindWatchRunners, question)
+	var delta registry.Delta
+	if response.Code != rpc.CodeOK || len(response.Body) > 0 && transport.Decode(response.Body, &delta) != nil {
+		h.t.Fatalf("%+v", response)
+	}
+	return delta, time.Since(askedAt)
+}
+
+// TestWatchersHearOfChanges: at once if they lack something, else when it changes or
+// after a moment.
+func TestWatchersHearOfChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newLeader(t)
+		h.configure()
+		view := registry.NewView()
+		if _, took := h.watch(view, 7); took < tuning.RunnerWatchWait {
+			t.Errorf("answered after %v, though no list is known", took)
+		}
+		h.publish(registry.Runner{ID: "a", Service: "s"}, registry.Runner{ID: "b", Service: "s"})
+		delta, took := h.watch(view, 7)
+		if view.Apply(delta); len(view.Runners()) != 2 || took >= tuning.RunnerWatchWait {
+			t.Errorf("%+v after %v", delta, took)
+		}
+		if _, took = h.watch(view, 7); took < tuning.RunnerWatchWait {
+			t.Errorf("answered after %v, though nothing is new", took)
+		}
+		if _, took = h.watch(view, 6); took >= tuning.RunnerWatchWait {
+			t.Errorf("answered after %v, though the configuration is new", took)
+		}
+		h.publish(registry.Runner{ID: "b", Service: "s", Draining: true})
+		delta, _ = h.watch(view, 7)
+		if view.Apply(delta); len(delta.Removed) != 1 || len(view.Runners()) != 1 || !view.Runners()[0].Draining {
+			t.Errorf("%+v", delta)
+		}
+	})
+}
+
+// TestWatchersOfALeaderThatIsNoneAreSentOn.
+func TestWatchersOfALeaderThatIsNoneAreSentOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newLeader(t)
+		h.configure()
+		var responses []rpc.Response
+		body := transport.Encode(rpc.RunnerWatch{ConfigVersion: 7})
+		h.replica.handleRequest(rpc.Request{Kind: rpc.KindWatchRunners, Body: body}, nil, func(response rpc.Response) { responses = append(responses, response) })
+		// Another has been elected.
+		h.receive(raft.Message{Kind: raft.MsgAppend, From: "b", Term: h.replica.node.Term() + 1})
+		h.endTurn()
+		if len(responses) != 1 || responses[0].Code == rpc.CodeOK {
+			t.Errorf("%+v", responses)
+		}
+	})
+}
--- a/internal/tuning/gateway.go
+++ b/internal/tuning/gateway.go
@@ -37,6 +37,9 @@
 	// GatewayResponseReserve is the part of a client's time that is left for the
 	// answer's way back.
 	GatewayResponseReserve = 30 * time.Millisecond
+	// MaxGatewayTime is the time that a request has if its client names none, and the
+	// most that it has.
+	MaxGatewayTime = 60 * time.Second
 	// MaxReplayBytes is how much of a request's body is kept for another attempt,
 	// in bytes.
 	MaxReplayBytes = 512 << 10
