--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -118,14 +118,13 @@
 	if known == nil {
 		return e.refuseWith(refusalNotConfigured)
 	}
-	refused, ok := e.judge(known)
-	if !ok {
+	if _, ok := e.judge(known); !ok {
 		// Before a request is refused for good the newest configuration is asked
 		// for: the one known here may be older.
 		if err := e.proxy.options.Refresh(e.ctx); err != nil {
 			return e.refuseWith(refusalNotConfigured)
 		}
-		if refused, ok = e.judge(e.proxy.routing.Load()); !ok {
+		if refused, ok := e.judge(e.proxy.routing.Load()); !ok {
 			return e.refuseWith(refused)
 		}
 	}
