Gateway: what requests tell of runners is shared; the list is read more often while it changes

Each daemon saw too little to learn the runners' speeds. Change: the list is read each 0.7 s, each 0.35 s while it changes; a runner that closes its connection is left out for a moment; daemons report latencies and failures, the leader tells the averages with the list.

--- a/internal/api/gateway.go
+++ b/internal/api/gateway.go
@@ -96,7 +96,7 @@
 func (s *Server) followRunners(ctx context.Context) {
 	view := registry.NewView()
 	for ctx.Err() == nil {
-		watch := rpc.RunnerWatch{ConfigVersion: s.gateway.ConfigVersion()}
+		watch := rpc.RunnerWatch{ConfigVersion: s.gateway.ConfigVersion(), Observations: s.gateway.TakeObservations()}
 		watch.Epoch, watch.Version = view.Position()
 		callCtx, cancel := context.WithTimeout(ctx, tuning.RunnerWatchTimeout)
 		response := s.Call(callCtx, rpc.KindWatchRunners, watch)
@@ -118,6 +118,8 @@
 // readRunners reads the platform's list while this daemon leads, until ctx ends. The
 // leader is the only reader: it holds a lease, so there are never two for long.
 func (s *Server) readRunners(ctx context.Context, client *platform.Client) {
+	var last []registry.Runner
+	var changedAt time.Time
 	for ctx.Err() == nil {
 		if !s.leads(ctx) {
 			pause(ctx, tuning.RunnerWatchRetry)
@@ -130,7 +132,14 @@
 			continue
 		}
 		s.askReplica(ctx, rpc.Request{Kind: rpc.KindPublishRunners, Body: transport.Encode(list)})
-		pause(ctx, tuning.PlatformReadInterval)
+		if !registry.SameState(last, list) {
+			last, changedAt = list, time.Now()
+		}
+		interval := tuning.PlatformReadInterval
+		if time.Since(changedAt) < tuning.BusyReadTime {
+			interval = tuning.BusyReadInterval
+		}
+		pause(ctx, interval)
 	}
 }
 
--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -12,11 +12,12 @@
 type runnerState struct {
 	registry.Runner
 	outstanding int
-	latency     time.Duration // smoothed; 0: not known yet
-	failures    int           // in a row
-	ejections   int           // in a row
-	ejectedTill time.Time
-	slowTill    time.Time // it has started lately
+	latency     time.Duration        // smoothed; 0: not known yet
+	failures    int                  // in a row
+	ejections   int                  // in a row
+	ejectedTill time.Time            // by its failures, or since it seems to leave
+	slowTill    time.Time            // it has started lately
+	observed    registry.Observation // by this daemon, and not yet reported
 }
 
 // balancer chooses the runner of each request. It is pure but for the random numbers,
@@ -24,6 +25,7 @@
 type balancer struct {
 	zone     string
 	runners  map[string]*runnerState   // by ID
+	observed []*runnerState            // those with something to report
 	services map[string][]*runnerState // those that take requests, of the own zone if it has any
 }
 
@@ -120,13 +122,50 @@
 	return false
 }
 
+// takeObservations gives what is to be reported of runners.
+func (b *balancer) takeObservations() []registry.Observation {
+	var reports []registry.Observation
+	for _, runner := range b.observed {
+		reports = append(reports, runner.observed)
+		runner.observed = registry.Observation{}
+	}
+	b.observed = b.observed[:0]
+	return reports
+}
+
+// report adds a request's attempt to what is to be reported.
+func (b *balancer) report(runner *runnerState, how result, took time.Duration) {
+	if how != resultSound && how != resultFailed {
+		return
+	}
+	if runner.observed == (registry.Observation{}) {
+		b.observed = append(b.observed, runner)
+		runner.observed.ID = runner.ID
+	}
+	if how == resultFailed {
+		runner.observed.Failures++
+		return
+	}
+	runner.observed.Answers++
+	runner.observed.LatencyMs += took.Milliseconds()
+}
+
 // coldFactor is how many times as long a request is expected to take on a runner that
 // has started lately.
 const coldFactor = 2
 
-// cost is the wait that is expected of a runner.
+// failureCost is how many times as much a runner costs of whose requests all fail.
+const failureCost = 20
+
+// cost is the wait that is expected of a runner: by what all daemons see of it, or else
+// by what this one does.
 func (r *runnerState) cost(now time.Time) float64 {
-	cost := float64(r.outstanding+1) * float64(max(r.latency, time.Millisecond))
+	latency := r.latency
+	if r.Health.LatencyMs > 0 {
+		latency = time.Duration(r.Health.LatencyMs) * time.Millisecond
+	}
+	cost := float64(r.outstanding+1) * float64(max(latency, time.Millisecond))
+	cost *= 1 + failureCost*float64(r.Health.FailedPct)/100
 	if now.Before(r.slowTill) {
 		cost *= coldFactor
 	}
@@ -149,6 +188,7 @@
 // end takes note of how an attempt ended.
 func (b *balancer) end(runner *runnerState, how result, took time.Duration, now time.Time) {
 	runner.outstanding--
+	b.report(runner, how, took)
 	switch how {
 	case resultSound:
 		runner.failures, runner.ejections = 0, 0
@@ -169,6 +209,13 @@
 	}
 }
 
+// suspectLeaving leaves a runner out for a moment that closed its connection.
+func (b *balancer) suspectLeaving(runner *runnerState, now time.Time) {
+	if till := now.Add(tuning.LeavingSuspicion); till.After(runner.ejectedTill) {
+		runner.ejectedTill = till
+	}
+}
+
 // maxEjectionShift bounds the doubling of tuning.EjectionTime.
 const maxEjectionShift = 6
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"tealpond/internal/clusterconfig"
@@ -53,8 +54,8 @@
 	mayHaveRun bool
 
 	runner   *runnerState
-	sentAt   time.Time
 	response *http.Response
+	took     time.Duration // until the head of the answer
 	refusal  refusal
 }
 
@@ -210,23 +211,34 @@
 
 // send makes one attempt and waits for the head of the answer.
 func (e *exchange) send() outcome {
-	written := false
-	trace := &httptrace.ClientTrace{WroteHeaders: func() { written = true }}
+	var written, sent atomic.Bool
+	var sentAt atomic.Int64 // ns since the attempt began
+	begunAt := time.Now()
+	trace := &httptrace.ClientTrace{
+		WroteHeaders: func() { written.Store(true) },
+		WroteRequest: func(httptrace.WroteRequestInfo) {
+			sentAt.Store(int64(time.Since(begunAt)))
+			sent.Store(true)
+		},
+	}
 	request, err := e.outgoing(httptrace.WithClientTrace(e.ctx, trace))
 	if err != nil {
 		e.proxy.end(e.runner, resultUnknown, 0)
 		return outcomeNotRun
 	}
-	e.sentAt = time.Now()
 	response, err := e.proxy.transport.RoundTrip(request)
-	took := time.Since(e.sentAt)
+	took := time.Since(begunAt)
+	if sent.Load() {
+		// Sending a large body says nothing of the runner.
+		took -= time.Duration(sentAt.Load())
+	}
 	switch {
 	case err != nil && e.ctx.Err() != nil:
 		e.proxy.end(e.runner, resultUnknown, took)
 		return outcomeMayHaveRun
 	case err != nil:
 		e.proxy.end(e.runner, resultFailed, took)
-		if !written {
+		if !written.Load() {
 			return outcomeNotRun
 		}
 		return outcomeMayHaveRun
@@ -242,7 +254,10 @@
 		e.proxy.end(e.runner, resultFailed, took)
 		return outcomeMayHaveRun
 	}
-	e.response = response
+	if response.Close {
+		e.proxy.suspectLeaving(e.runner)
+	}
+	e.response, e.took = response, took
 	return outcomeAnswered
 }
 
@@ -292,20 +307,18 @@
 		header.Set("Content-Length", strconv.FormatInt(e.response.ContentLength, 10))
 	}
 	e.writer.WriteHeader(e.response.StatusCode)
-	_, err := io.Copy(e.writer, e.response.Body)
-	took := time.Since(e.sentAt)
-	if err != nil {
+	if _, err := io.Copy(e.writer, e.response.Body); err != nil {
 		how := resultFailed
 		if e.ctx.Err() != nil {
 			how = resultUnknown
 		}
-		e.proxy.end(e.runner, how, took)
+		e.proxy.end(e.runner, how, e.took)
 		panic(http.ErrAbortHandler) // the client must see that its answer is not whole
 	}
 	how := resultSound
 	if e.response.StatusCode >= http.StatusInternalServerError {
 		how = resultFailed
 	}
-	e.proxy.end(e.runner, how, took)
+	e.proxy.end(e.runner, how, e.took)
 	return phaseEnded
 }
--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -101,6 +101,13 @@
 	p.listed = true
 }
 
+// TakeObservations gives what the requests since the last call told of runners.
+func (p *Proxy) TakeObservations() []registry.Observation {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.balancer.takeObservations()
+}
+
 // Ready tells whether requests can be served: a configuration and the runners are known.
 func (p *Proxy) Ready() bool {
 	p.mu.Lock()
@@ -126,6 +133,13 @@
 	p.balancer.end(runner, how, took, time.Now())
 }
 
+// suspectLeaving takes note that a runner closed its connection after an answer.
+func (p *Proxy) suspectLeaving(runner *runnerState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.balancer.suspectLeaving(runner, time.Now())
+}
+
 // countRequest counts a client's request in the budget of further attempts.
 func (p *Proxy) countRequest(service string) {
 	p.mu.Lock()
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -20,6 +20,7 @@
 	Slots    int   // requests that it works on at once
 	Draining bool  // it is about to leave and takes nothing new
 	ColdMs   int64 // for how long it was still slow when it was first listed
+	Health   Health
 }
 
 // sameState tells whether nothing that matters has changed. How long a runner is still
@@ -29,6 +30,9 @@
 	return r == other
 }
 
+// SameState tells whether nothing that matters differs between two lists in one order.
+func SameState(a, b []Runner) bool { return slices.EqualFunc(a, b, Runner.sameState) }
+
 // Delta is what changed in a table after a version.
 type Delta struct {
 	_       struct{} `cbor:",toarray"`
--- a/internal/rpc/golden_test.go
+++ b/internal/rpc/golden_test.go
@@ -8,6 +8,7 @@
 	"tealpond/internal/golden"
 	"tealpond/internal/protocol"
 	"tealpond/internal/raft"
+	"tealpond/internal/registry"
 	"tealpond/internal/tracing"
 	"tealpond/internal/transport"
 )
@@ -39,7 +40,7 @@
 		{Name: "table", Value: &Table{Name: "name", Columns: []string{"column-a", "column-b"}, Rows: [][]any{{"cell", uint64(21)}}, Truncated: true}},
 		{Name: "tables", Value: &ClusterState{Node: "node", IsLeader: true, AppliedIndex: 22, Clock: 23, Tables: []Table{{Name: "name", Columns: []string{"column"}, Rows: [][]any{{"cell"}}}}}},
 		{Name: "client-call", Value: &JobRequest{Host: "host", Path: "path", Job: filledJob(), Key: "key", BeyondShare: true}},
-		{Name: "runner-watch", Value: &RunnerWatch{Epoch: "epoch", Version: 82, ConfigVersion: 83}},
+		{Name: "runner-watch", Value: &RunnerWatch{Epoch: "epoch", Version: 82, ConfigVersion: 83, Observations: []registry.Observation{{ID: "runner", Answers: 84, LatencyMs: 85, Failures: 86}}}},
 		{Name: "tenant-query", Value: &TenantQuery{KnownDigest: "digest"}},
 		{Name: "tenant-share", Value: &TenantShare{Name: "tenant", MilliShare: 81, KeyDigests: [][]byte{[]byte("digest")}}},
 		{Name: "configuration-change", Value: &ConfigUpdate{BaseVersion: 31, Raw: []byte("text")}},
--- a/internal/rpc/messages.go
+++ b/internal/rpc/messages.go
@@ -3,6 +3,7 @@
 import (
 	"tealpond/internal/protocol"
 	"tealpond/internal/raft"
+	"tealpond/internal/registry"
 	"tealpond/internal/tracing"
 )
 
@@ -92,6 +93,9 @@
 	Epoch         string   // of the list; empty if it has none
 	Version       uint64   // of the list
 	ConfigVersion int64
+	// Observations are what the daemon's requests told of runners since its last
+	// question.
+	Observations []registry.Observation
 }
 
 // TenantQuery asks for the tenants of the newest configuration.
--- a/internal/server/replica.go
+++ b/internal/server/replica.go
@@ -104,11 +104,12 @@
 	counts                    *counter.Set    // merged counts of all daemons, in memory
 	runnerTable               *registry.Table // the platform's list, while this leader reads it
 	runnerWatchers            []runnerWatcher
-	planDue                   bool      // the state changed since the planner ran
-	plansProposed             bool      // and not yet applied
-	planNotBefore             time.Time // see notePlansApplied
-	refusedInARow             int       // times that all plans were refused
-	garbageCollectionProposed bool      // and not yet applied
+	observations              *registry.Observations // of runners, by all daemons
+	planDue                   bool                   // the state changed since the planner ran
+	plansProposed             bool                   // and not yet applied
+	planNotBefore             time.Time              // see notePlansApplied
+	refusedInARow             int                    // times that all plans were refused
+	garbageCollectionProposed bool                   // and not yet applied
 	garbageCollectedAt        time.Time
 	rollupsRebuiltAt          time.Time
 	preemptedAt               time.Time
@@ -153,6 +154,7 @@
 func newReplica() *Replica {
 	return &Replica{
 		state:              state.New(state.Limits{}),
+		observations:       registry.NewObservations(),
 		digests:            newDigestTracker(),
 		outgoingSnapshots:  map[string]*snapshotSender{},
 		incomingSnapshots:  map[string]*snapshotReceiver{},
--- a/internal/server/runners.go
+++ b/internal/server/runners.go
@@ -26,6 +26,7 @@
 	if r.runnerTable == nil {
 		r.runnerTable = registry.NewTable(r.processID + "/" + time.Now().Format(time.RFC3339Nano))
 	}
+	r.observations.Annotate(*list, time.Now())
 	r.runnerTable.Update(*list)
 	reply(responseOK)
 }
@@ -33,6 +34,7 @@
 // handleWatchRunners tells a daemon what has changed in the list, or holds its question
 // for a moment.
 func (r *Replica) handleWatchRunners(watch *rpc.RunnerWatch, _ *transport.Stream, reply replyFunc) {
+	r.observations.Add(watch.Observations)
 	if r.hasNewsFor(watch) {
 		r.replyWithRunners(watch, reply)
 		return
@@ -62,7 +64,7 @@
 // over; it returns after how long the next one must be answered, 0 for none.
 func (r *Replica) replyToRunnerWatchers(now time.Time) time.Duration {
 	if !r.leading {
-		r.runnerTable = nil
+		r.runnerTable, r.observations = nil, registry.NewObservations()
 	}
 	wake := time.Duration(0)
 	kept := r.runnerWatchers[:0]
--- a/internal/tuning/gateway.go
+++ b/internal/tuning/gateway.go
@@ -5,8 +5,14 @@
 // The platform's list of runners.
 const (
 	// PlatformReadInterval is the time between two readings of the list. Each page
-	// has a price, and a runner that is about to leave serves on for seconds.
-	PlatformReadInterval = time.Second
+	// has a price. A runner that leaves serves on for 2.5 s; the list runs 0.8 s
+	// behind, and a daemon's link may hold its news and its requests up by 0.3 s each.
+	PlatformReadInterval = 700 * time.Millisecond
+	// BusyReadInterval is that time while the list changes: runners mostly leave one
+	// after the other.
+	BusyReadInterval = 350 * time.Millisecond
+	// BusyReadTime is how long after a change the list counts as changing.
+	BusyReadTime = 5 * time.Second
 	// PlatformBackoff is the pause after a reading that failed.
 	PlatformBackoff = 700 * time.Millisecond
 	// PlatformCallTimeout bounds one call.
@@ -45,6 +51,10 @@
 	MaxReplayBytes = 512 << 10
 	// LatencySmoothing is the weight of a new latency in a runner's average.
 	LatencySmoothing = 0.2
+	// LeavingSuspicion is for how long a runner is left out that closes its connection
+	// after an answer, as those do that leave, and at times others. The list tells
+	// by then.
+	LeavingSuspicion = 1500 * time.Millisecond
 	// EjectionFailures is the number of failures in a row that eject a runner.
 	EjectionFailures = 2
 	// EjectionTime is for how long a runner is ejected first; it doubles each time,
