Gateway: even subsets of runners by a daemon's place in its zone

Cause: of a runner's load a daemon of 24 knew a twenty-fourth; requests were sent behind others that it could not see. Change: the leader tells each daemon its place among those of its zone; each uses the runners of an arc of a circle, so that each runner serves three daemons.

--- a/internal/api/gateway.go
+++ b/internal/api/gateway.go
@@ -94,17 +94,22 @@
 
 // followRunners asks the leader for changes of the list of runners, until ctx ends.
 func (s *Server) followRunners(ctx context.Context) {
-	view := registry.NewView()
+	view, position := registry.NewView(), gateway.Position{}
 	for ctx.Err() == nil {
-		watch := rpc.RunnerWatch{ConfigVersion: s.gateway.ConfigVersion(), Observations: s.gateway.TakeObservations()}
+		watch := rpc.RunnerWatch{Node: s.settings.NodeName, ConfigVersion: s.gateway.ConfigVersion(), Observations: s.gateway.TakeObservations()}
 		watch.Epoch, watch.Version = view.Position()
 		callCtx, cancel := context.WithTimeout(ctx, tuning.RunnerWatchTimeout)
 		response := s.Call(callCtx, rpc.KindWatchRunners, watch)
 		cancel()
-		var delta registry.Delta
-		if response.Code == rpc.CodeOK && len(response.Body) > 0 && transport.Decode(response.Body, &delta) == nil {
-			if view.Apply(delta) {
-				s.gateway.SetRunners(view.Runners())
+		var news rpc.RunnerNews
+		if response.Code == rpc.CodeOK && len(response.Body) > 0 && transport.Decode(response.Body, &news) == nil {
+			next := gateway.Position{Index: news.DaemonIndex, Count: news.DaemonCount}
+			moved := next.Count > 0 && next != position
+			if moved {
+				position = next
+			}
+			if view.Apply(news.Delta) || moved {
+				s.gateway.SetRunners(view.Runners(), position)
 			}
 		}
 		if response.Code != rpc.CodeOK || s.newestVersion.Load() > s.gateway.ConfigVersion() {
--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -24,17 +24,20 @@
 // and is used by one goroutine at a time.
 type balancer struct {
 	zone     string
+	position Position
 	runners  map[string]*runnerState   // by ID
 	observed []*runnerState            // those with something to report
-	services map[string][]*runnerState // those that take requests, of the own zone if it has any
+	services map[string][]*runnerState // those that get this daemon's requests
 }
 
 func newBalancer(zone string) *balancer {
 	return &balancer{zone: zone, runners: map[string]*runnerState{}, services: map[string][]*runnerState{}}
 }
 
-// setRunners takes over the list of runners. What is known of those that stay is kept.
-func (b *balancer) setRunners(list []registry.Runner, now time.Time) {
+// setRunners takes over the list of runners, and this daemon's position among those that
+// use them. What is known of runners that stay is kept.
+func (b *balancer) setRunners(list []registry.Runner, position Position, now time.Time) {
+	b.position = position
 	next := map[string]*runnerState{}
 	near, all := map[string][]*runnerState{}, map[string][]*runnerState{}
 	for _, listed := range list {
@@ -54,10 +57,9 @@
 	}
 	for service, runners := range all {
 		if len(near[service]) > 0 {
-			all[service] = near[service]
-		} else {
-			all[service] = runners
+			runners = near[service]
 		}
+		all[service] = b.position.subset(runners)
 	}
 	b.runners, b.services = next, all
 }
--- a/internal/gateway/balancer_test.go
+++ b/internal/gateway/balancer_test.go
@@ -18,7 +18,7 @@
 	for i := range n {
 		list = append(list, registry.Runner{ID: fmt.Sprint(i), Service: "s", Zone: "z"})
 	}
-	b.setRunners(list, testStart)
+	b.setRunners(list, Position{}, testStart)
 	return b
 }
 
@@ -114,11 +114,11 @@
 	b := testBalancer(1)
 	known := b.runners["0"]
 	known.latency = time.Second
-	b.setRunners([]registry.Runner{{ID: "0", Service: "s", Zone: "z", Draining: true}, {ID: "far", Service: "s", Zone: "y"}}, testStart)
+	b.setRunners([]registry.Runner{{ID: "0", Service: "s", Zone: "z", Draining: true}, {ID: "far", Service: "s", Zone: "y"}}, Position{}, testStart)
 	if got := b.pick("s", nil, testStart); got == nil || got.ID != "far" {
 		t.Errorf("picked %v", got)
 	}
-	b.setRunners([]registry.Runner{{ID: "0", Service: "s", Zone: "z"}}, testStart)
+	b.setRunners([]registry.Runner{{ID: "0", Service: "s", Zone: "z"}}, Position{}, testStart)
 	if b.runners["0"] != known {
 		t.Error("what was known of a runner is forgotten")
 	}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -80,7 +80,7 @@
 		t.Cleanup(server.Close)
 		list = append(list, registry.Runner{ID: id, Service: "s", Zone: "z", Slots: 2, Address: strings.TrimPrefix(server.URL, "http://")})
 	}
-	h.proxy.SetRunners(list)
+	h.proxy.SetRunners(list, Position{})
 	h.front = httptest.NewServer(h.proxy)
 	t.Cleanup(h.front.Close)
 	return h
--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -93,11 +93,12 @@
 	return 0
 }
 
-// SetRunners takes over the list of runners.
-func (p *Proxy) SetRunners(list []registry.Runner) {
+// SetRunners takes over the list of runners, and this daemon's position among the
+// daemons that use them.
+func (p *Proxy) SetRunners(list []registry.Runner, position Position) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.balancer.setRunners(list, time.Now())
+	p.balancer.setRunners(list, position, time.Now())
 	p.listed = true
 }
 
--- a/internal/rpc/messages.go
+++ b/internal/rpc/messages.go
@@ -90,6 +90,7 @@
 // RunnerWatch tells what a daemon knows of the list of runners and of the configuration.
 type RunnerWatch struct {
 	_             struct{} `cbor:",toarray"`
+	Node          string   // the daemon's
 	Epoch         string   // of the list; empty if it has none
 	Version       uint64   // of the list
 	ConfigVersion int64
@@ -98,6 +99,15 @@
 	Observations []registry.Observation
 }
 
+// RunnerNews is what a daemon lacks of the list of runners, and its place among the
+// daemons of its zone that use them.
+type RunnerNews struct {
+	_           struct{} `cbor:",toarray"`
+	Delta       registry.Delta
+	DaemonIndex int
+	DaemonCount int // 0: not known yet
+}
+
 // TenantQuery asks for the tenants of the newest configuration.
 type TenantQuery struct {
 	_           struct{} `cbor:",toarray"`
--- a/internal/rpc/request.go
+++ b/internal/rpc/request.go
@@ -115,7 +115,7 @@
 	// own process: a list of registry.Runner.
 	KindPublishRunners = "listed"
 	// KindWatchRunners asks what has changed in the list of runners, and waits a moment
-	// if nothing has: RunnerWatch, registry.Delta.
+	// if nothing has: RunnerWatch, RunnerNews.
 	KindWatchRunners = "runners"
 	// KindExchangeCounts exchanges merged counts: counter.Request, counter.Response.
 	KindExchangeCounts = "counts"
--- a/internal/server/runners.go
+++ b/internal/server/runners.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"slices"
 	"time"
 
 	"tealpond/internal/registry"
@@ -57,9 +58,51 @@
 		reply(responseOK)
 		return
 	}
-	reply(rpc.Response{Code: rpc.CodeOK, Body: transport.Encode(r.runnerTable.Since(watch.Epoch, watch.Version))})
+	news := rpc.RunnerNews{Delta: r.runnerTable.Since(watch.Epoch, watch.Version)}
+	news.DaemonIndex, news.DaemonCount = r.daemonPosition(watch.Node)
+	reply(rpc.Response{Code: rpc.CodeOK, Body: transport.Encode(news)})
 }
 
+// daemonPosition is a daemon's place among those of its role and zone that hold a
+// membership lease, by their names, and their number. It isn't known to a leader that
+// has not heard all of them yet.
+func (r *Replica) daemonPosition(node string) (index, count int) {
+	now := time.Now()
+	if !r.leading || now.Sub(r.leadingSince) < 2*tuning.MembershipRenewInterval {
+		return 0, 0
+	}
+	if now.Sub(r.positionsAt) >= tuning.MembershipRenewInterval {
+		r.expireMemberships(now)
+		r.positions, r.positionsAt = positionsByZone(r.memberLeases), now
+	}
+	position := r.positions[node]
+	return position.index, position.count
+}
+
+// zonePosition is a daemon's place among the daemons of its zone.
+type zonePosition struct{ index, count int }
+
+// positionsByZone gives each gateway's place among those of its zone.
+func positionsByZone(leases map[string]memberLease) map[string]zonePosition {
+	byZone := map[string][]string{}
+	for _, lease := range leases {
+		if lease.Role == gatewayRole {
+			byZone[lease.Zone] = append(byZone[lease.Zone], lease.Node)
+		}
+	}
+	positions := map[string]zonePosition{}
+	for _, nodes := range byZone {
+		slices.Sort(nodes)
+		for i, node := range nodes {
+			positions[node] = zonePosition{i, len(nodes)}
+		}
+	}
+	return positions
+}
+
+// gatewayRole is the role of the daemons that watch the list of runners.
+const gatewayRole = "gateway"
+
 // replyToRunnerWatchers answers the questions for which there is news, or whose time is
 // over; it returns after how long the next one must be answered, 0 for none.
 func (r *Replica) replyToRunnerWatchers(now time.Time) time.Duration {
--- a/internal/server/runners_test.go
+++ b/internal/server/runners_test.go
@@ -27,11 +27,11 @@
 	question.Epoch, question.Version = view.Position()
 	askedAt := time.Now()
 	response := h.call(rpc.KindWatchRunners, question)
-	var delta registry.Delta
-	if response.Code != rpc.CodeOK || len(response.Body) > 0 && transport.Decode(response.Body, &delta) != nil {
+	var news rpc.RunnerNews
+	if response.Code != rpc.CodeOK || len(response.Body) > 0 && transport.Decode(response.Body, &news) != nil {
 		h.t.Fatalf("%+v", response)
 	}
-	return delta, time.Since(askedAt)
+	return news.Delta, time.Since(askedAt)
 }
 
 // TestWatchersHearOfChanges: at once if they lack something, else when it changes or
