--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -64,7 +65,7 @@
 	b.runners, b.services = next, all
 }
 
-// pick chooses a runner for a request: of two drawn by lot the one with the shorter
+// pick chooses a runner for a request: of some drawn by lot the one with the shortest
 // expected wait. It passes over those that were tried; nil if no other is left.
 func (b *balancer) pick(service string, tried []*runnerState, now time.Time) *runnerState {
 	runners := b.services[service]
@@ -79,30 +80,48 @@
 	}
 	// With too many ejected the fault is likely not theirs, and all are used.
 	useEjected := float64(len(runners)-sound) > tuning.MaxEjectedFraction*float64(len(runners))
-	var first, second *runnerState
-	for range pickDraws {
-		runner := runners[rand.IntN(len(runners))]
-		if runner == first || !useEjected && now.Before(runner.ejectedTill) || contains(tried, runner) {
+	var best *runnerState
+	lowest, drawn := math.Inf(1), 0
+	offset := rand.IntN(len(runners))
+	step := strideOf(len(runners))
+	for i := range runners {
+		runner := runners[(offset+i*step)%len(runners)]
+		if !useEjected && now.Before(runner.ejectedTill) || contains(tried, runner) {
 			continue
 		}
-		if first == nil {
-			first = runner
-			continue
+		if cost := runner.cost(now); cost < lowest {
+			best, lowest = runner, cost
+		}
+		if drawn++; drawn == choices {
+			break
 		}
-		second = runner
-		break
 	}
-	switch {
-	case first == nil:
+	if best == nil {
 		return b.anyUntried(runners, tried)
-	case second != nil && second.cost(now) < first.cost(now):
-		return second
 	}
-	return first
+	return best
 }
 
-// pickDraws is how often a runner is drawn by lot until two are found.
-const pickDraws = 8
+// choices is how many runners are compared. More find the quickest more often, and crowd
+// it until its latency is told.
+const choices = 3
+
+// strideOf gives a random step that visits each of n places once.
+func strideOf(n int) int {
+	for {
+		step := 1 + rand.IntN(n)
+		if gcd(step, n) == 1 {
+			return step
+		}
+	}
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
 
 // anyUntried gives a runner that was not tried, ejected or not.
 func (b *balancer) anyUntried(runners, tried []*runnerState) *runnerState {
