Gateway: configurations come with the watch, as changes; attempts last longer on full links

A full link of 3.6 Mbit/s holds everything up for 0.3 to 0.5 s each way; with a question held for 0.35 s the attempt's 0.5 s was over, the leader counted as silent, and the daemon connected anew. Change: a gateway's attempt lasts 1.2 s; the watch brings the configuration itself, as a change of the version that the daemon has; the health of runners is told in their zone only.

--- a/internal/api/gateway.go
+++ b/internal/api/gateway.go
@@ -33,49 +33,50 @@
 // startGateway starts what keeps the configuration and the list of runners up to date;
 // it runs until ctx ends.
 func (s *Server) startGateway(ctx context.Context) {
-	go s.followConfiguration(ctx)
 	go s.followRunners(ctx)
 	if s.replica != nil && s.settings.Platform.Address != "" {
 		go s.readRunners(ctx, platform.NewClient(s.settings.Platform.Address))
 	}
 }
 
-// followConfiguration fetches the configuration when a newer one is heard of, until ctx
-// ends.
-func (s *Server) followConfiguration(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-s.limitsStale:
-		}
-		wanted := s.newestVersion.Load()
-		if s.gateway.ConfigVersion() >= wanted {
-			continue
-		}
-		callCtx, cancel := context.WithTimeout(ctx, tuning.LimitsRequestTimeout)
-		err := s.fetchConfiguration(callCtx)
-		cancel()
-		if err != nil {
-			// The version is forgotten, so that the leader's next response
-			// names it again.
-			s.newestVersion.CompareAndSwap(wanted, 0)
-		}
-	}
-}
-
 // fetchConfiguration puts the leader's configuration in force here.
 func (s *Server) fetchConfiguration(ctx context.Context) error {
 	response := s.Call(ctx, rpc.KindGetConfig, struct{}{})
 	if response.Code != rpc.CodeOK {
 		return fmt.Errorf("the newest configuration: the leader's response has code %d", response.Code)
 	}
-	config, err := clusterconfig.Parse(response.Body)
+	return s.applyConfiguration(response.Body)
+}
+
+// applyConfigNews puts the configuration in force that the leader has told, whole or as a
+// change of the one that is known here.
+func (s *Server) applyConfigNews(news rpc.RunnerNews) error {
+	if len(news.Config) == 0 {
+		return nil
+	}
+	if news.ConfigBase == 0 {
+		return s.applyConfiguration(news.Config)
+	}
+	known, version := s.gateway.ConfigText()
+	if version != news.ConfigBase {
+		return nil // another one came meanwhile
+	}
+	whole, err := clusterconfig.ApplyChange(known, news.Config)
+	if err != nil {
+		return err
+	}
+	return s.applyConfiguration(whole)
+}
+
+// applyConfiguration puts a configuration in force here, unless a newer one is.
+func (s *Server) applyConfiguration(text []byte) error {
+	config, err := clusterconfig.Parse(text)
 	if err != nil {
 		return fmt.Errorf("the newest configuration: %w", err)
 	}
-	s.gateway.SetConfig(config)
-	_ = s.log.Log("level", "info", "event", "configuration.applied", "version", config.Version)
+	if s.gateway.SetConfig(config) {
+		_ = s.log.Log("level", "info", "event", "configuration.applied", "version", config.Version)
+	}
 	return nil
 }
 
@@ -96,7 +97,7 @@
 func (s *Server) followRunners(ctx context.Context) {
 	view, position := registry.NewView(), gateway.Position{}
 	for ctx.Err() == nil {
-		watch := rpc.RunnerWatch{Node: s.settings.NodeName, ConfigVersion: s.gateway.ConfigVersion(), Observations: s.gateway.TakeObservations()}
+		watch := rpc.RunnerWatch{Node: s.settings.NodeName, Zone: s.settings.Zone, ConfigVersion: s.gateway.ConfigVersion(), Observations: s.gateway.TakeObservations()}
 		watch.Epoch, watch.Version = view.Position()
 		callCtx, cancel := context.WithTimeout(ctx, tuning.RunnerWatchTimeout)
 		response := s.Call(callCtx, rpc.KindWatchRunners, watch)
@@ -111,10 +112,11 @@
 			if view.Apply(news.Delta) || moved {
 				s.gateway.SetRunners(view.Runners(), position)
 			}
+			if err := s.applyConfigNews(news); err != nil {
+				_ = s.log.Log("level", "error", "event", "configuration.rejected", "error", err)
+			}
 		}
-		if response.Code != rpc.CodeOK || s.newestVersion.Load() > s.gateway.ConfigVersion() {
-			// The leader isn't reached, or would answer at once since the
-			// configuration is on its way.
+		if response.Code != rpc.CodeOK {
 			pause(ctx, tuning.RunnerWatchRetry)
 		}
 	}
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -66,6 +66,10 @@
 	limitsStale   chan struct{} // signals followLimits that a newer version was heard of
 }
 
+// attemptTimeouts are how long requests to the leader wait, by role; the usual time for
+// those that aren't named.
+var attemptTimeouts = map[string]time.Duration{gatewayRole: tuning.GatewayAttemptTimeout}
+
 // newEdge builds the edge role.
 func newEdge(env daemon.Environment) (daemon.Role, error) { return newServer(env, edgeRole) }
 
@@ -92,6 +96,7 @@
 		SelfAddress:     selfAddress,
 		Seeds:           env.Settings.SeedAddresses(),
 		OnConfigVersion: s.noteVersion,
+		AttemptTimeout:  attemptTimeouts[role],
 	})
 	if !env.Settings.HoldsState() {
 		s.leaderAddress = s.discovery.CurrentAddress
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -27,6 +27,9 @@
 	// PreferAggregator connects to the aggregator of the zone, as responses name
 	// it, and back to the leader when that one fails.
 	PreferAggregator bool
+	// AttemptTimeout is how long one attempt of a request waits for the leader;
+	// 0: tuning.RequestAttemptTimeout.
+	AttemptTimeout time.Duration
 	// OnAssignment gets each assignment that the leader sends.
 	OnAssignment func(rpc.Assignment)
 	// OnConfigVersion gets the version of the configuration that a response names.
--- a/internal/discovery/pending.go
+++ b/internal/discovery/pending.go
@@ -187,7 +187,7 @@
 // long; wakeIn takes when to check again.
 func (c *Client) leaderSilent(wakeIn func(time.Duration)) bool {
 	silent := false
-	timeout := tuning.RequestAttemptTimeout + c.transferTime()
+	timeout := c.attemptTimeout() + c.transferTime()
 	for _, pending := range c.pending {
 		if pending.sentAt.IsZero() {
 			continue
@@ -207,6 +207,14 @@
 	return silent
 }
 
+// attemptTimeout is how long one attempt waits, without the time of large transfers.
+func (c *Client) attemptTimeout() time.Duration {
+	if c.options.AttemptTimeout > 0 {
+		return c.options.AttemptTimeout
+	}
+	return tuning.RequestAttemptTimeout
+}
+
 // transferTime is how long the requests under way may take on a slow link, all
 // together, since a small one waits behind a large one.
 func (c *Client) transferTime() time.Duration {
--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -71,20 +71,28 @@
 	connectionBufferBytes = 2 << 10
 )
 
-// SetConfig puts a configuration in force, unless a newer one is.
-func (p *Proxy) SetConfig(config *clusterconfig.Config) {
+// SetConfig puts a configuration in force, unless one as new is. It tells whether it did.
+func (p *Proxy) SetConfig(config *clusterconfig.Config) bool {
 	next := &routing{config: config, routes: clusterconfig.NewRouteTable(config), keys: clusterconfig.NewKeyTable(config)}
 	for {
 		known := p.routing.Load()
 		if known != nil && known.config.Version >= config.Version {
-			return
+			return false
 		}
 		if p.routing.CompareAndSwap(known, next) {
-			return
+			return true
 		}
 	}
 }
 
+// ConfigText is the text of the configuration in force and its version; 0 if there is none.
+func (p *Proxy) ConfigText() ([]byte, int64) {
+	if known := p.routing.Load(); known != nil {
+		return known.config.Raw, known.config.Version
+	}
+	return nil, 0
+}
+
 // ConfigVersion is the version of the configuration in force; 0 if there is none.
 func (p *Proxy) ConfigVersion() int64 {
 	if known := p.routing.Load(); known != nil {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -44,10 +44,26 @@
 	Removed []string // IDs
 }
 
-// row is a runner and the version in which it last changed.
+// sameButHealth tells whether nothing has changed but what requests tell.
+func (r Runner) sameButHealth(other Runner) bool {
+	r.Health = other.Health
+	return r.sameState(other)
+}
+
+// row is a runner and the version in which it last changed, also apart from its health.
 type row struct {
 	runner    Runner
 	changedAt uint64
+	stateAt   uint64
+}
+
+// changedFor is the version in which the runner changed in a way that matters to daemons of
+// a zone: the health of runners of other zones doesn't, since they are hardly used.
+func (r row) changedFor(zone string) uint64 {
+	if r.runner.Zone == zone {
+		return r.changedAt
+	}
+	return r.stateAt
 }
 
 // Table is the list as it was last read, with versions.
@@ -84,10 +100,15 @@
 	changed := false
 	for _, runner := range list {
 		listed[runner.ID] = true
-		if known, ok := t.rows[runner.ID]; ok && known.runner.sameState(runner) {
+		known, ok := t.rows[runner.ID]
+		if ok && known.runner.sameState(runner) {
 			continue
 		}
-		t.rows[runner.ID] = row{runner, next}
+		stateAt := next
+		if ok && known.runner.sameButHealth(runner) {
+			stateAt = known.stateAt
+		}
+		t.rows[runner.ID] = row{runner, next, stateAt}
 		delete(t.removed, runner.ID)
 		changed = true
 	}
@@ -107,11 +128,12 @@
 	return changed
 }
 
-// Since gives what changed after a version of an epoch, whole if that isn't known here.
-func (t *Table) Since(epoch string, version uint64) Delta {
+// Since gives what changed for daemons of a zone after a version of an epoch, whole if that
+// isn't known here.
+func (t *Table) Since(epoch string, version uint64, zone string) Delta {
 	delta := Delta{Epoch: t.epoch, From: version, Version: t.version, Whole: epoch != t.epoch || version > t.version || version < t.forgotten}
 	for _, r := range t.rows {
-		if delta.Whole || r.changedAt > version {
+		if delta.Whole || r.changedFor(zone) > version {
 			delta.Runners = append(delta.Runners, r.runner)
 		}
 	}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -19,11 +19,11 @@
 			list = changeByLot(random, list, i)
 			table.Update(list)
 			if random.Intn(3) == 0 {
-				delta := table.Since(view.Position())
+				delta := since(table, view)
 				earlier = append(earlier, delta)
 				view.Apply(delta)
 				requireSame(t, view, list)
-				if again := table.Since(view.Position()); len(again.Runners)+len(again.Removed) != 0 || again.Whole {
+				if again := since(table, view); len(again.Runners)+len(again.Removed) != 0 || again.Whole {
 					t.Fatalf("seed %d: %+v is told again", seed, again)
 				}
 			}
@@ -36,11 +36,35 @@
 				table.Update(list)
 			}
 		}
-		view.Apply(table.Since(view.Position()))
+		view.Apply(since(table, view))
 		requireSame(t, view, list)
 	}
 }
 
+// since gives a copy what it lacks, for daemons of zone z.
+func since(table *Table, view *View) Delta {
+	epoch, version := view.Position()
+	return table.Since(epoch, version, "z")
+}
+
+// TestHealthIsToldInItsZone alone; any other change everywhere.
+func TestHealthIsToldInItsZone(t *testing.T) {
+	table, view := NewTable("e"), NewView()
+	near, far := Runner{ID: "near", Zone: "z"}, Runner{ID: "far", Zone: "y"}
+	table.Update([]Runner{near, far})
+	view.Apply(since(table, view))
+	near.Health.LatencyMs, far.Health.LatencyMs = 5, 5
+	table.Update([]Runner{near, far})
+	if delta := since(table, view); len(delta.Runners) != 1 || delta.Runners[0].ID != "near" {
+		t.Errorf("told of %+v", delta.Runners)
+	}
+	far.Draining = true
+	table.Update([]Runner{near, far})
+	if delta := since(table, view); len(delta.Runners) != 2 {
+		t.Errorf("told of %+v", delta.Runners)
+	}
+}
+
 // changeByLot adds, changes or removes a runner, at times nearly all of them.
 func changeByLot(random *rand.Rand, list []Runner, i int) []Runner {
 	list = slices.Clone(list)
@@ -92,12 +116,12 @@
 		list = append(list, Runner{ID: fmt.Sprint(i)})
 	}
 	table.Update(list)
-	view.Apply(table.Since(view.Position()))
+	view.Apply(since(table, view))
 	table.Update(nil)
 	table.Update(list[:1])
-	if delta := table.Since(view.Position()); !delta.Whole {
+	if delta := since(table, view); !delta.Whole {
 		t.Error("told by removals that are not all remembered")
 	}
-	view.Apply(table.Since(view.Position()))
+	view.Apply(since(table, view))
 	requireSame(t, view, list[:1])
 }
--- a/internal/rpc/messages.go
+++ b/internal/rpc/messages.go
@@ -91,6 +91,7 @@
 type RunnerWatch struct {
 	_             struct{} `cbor:",toarray"`
 	Node          string   // the daemon's
+	Zone          string   // its
 	Epoch         string   // of the list; empty if it has none
 	Version       uint64   // of the list
 	ConfigVersion int64
@@ -106,6 +107,10 @@
 	Delta       registry.Delta
 	DaemonIndex int
 	DaemonCount int // 0: not known yet
+	// Config is the newest configuration if the daemon has another: whole, or, if
+	// ConfigBase isn't 0, the change of that version that leads to it.
+	Config     []byte
+	ConfigBase int64
 }
 
 // TenantQuery asks for the tenants of the newest configuration.
--- a/internal/server/replica.go
+++ b/internal/server/replica.go
@@ -104,6 +104,7 @@
 	counts                    *counter.Set    // merged counts of all daemons, in memory
 	runnerTable               *registry.Table // the platform's list, while this leader reads it
 	runnerWatchers            []runnerWatcher
+	configNews                configNews
 	positions                 map[string]zonePosition // of daemons, by node
 	positionsAt               time.Time
 	observations              *registry.Observations // of runners, by all daemons
--- a/internal/server/runners.go
+++ b/internal/server/runners.go
@@ -54,11 +54,13 @@
 // replyWithRunners gives a daemon what it lacks of the list. Each response names the
 // version of the configuration.
 func (r *Replica) replyWithRunners(watch *rpc.RunnerWatch, reply replyFunc) {
-	if r.runnerTable == nil {
-		reply(responseOK)
-		return
+	news := rpc.RunnerNews{}
+	if r.runnerTable != nil {
+		news.Delta = r.runnerTable.Since(watch.Epoch, watch.Version, watch.Zone)
+	}
+	if r.state.Configuration.Version > watch.ConfigVersion {
+		news.Config, news.ConfigBase = r.configNews.since(watch.ConfigVersion, &r.state.Configuration)
 	}
-	news := rpc.RunnerNews{Delta: r.runnerTable.Since(watch.Epoch, watch.Version)}
 	news.DaemonIndex, news.DaemonCount = r.daemonPosition(watch.Node)
 	reply(rpc.Response{Code: rpc.CodeOK, Body: transport.Encode(news)})
 }
--- a/internal/tuning/gateway.go
+++ b/internal/tuning/gateway.go
@@ -28,7 +28,11 @@
 	// trouble.
 	RunnerWatchWait = 350 * time.Millisecond
 	// RunnerWatchTimeout bounds one question.
-	RunnerWatchTimeout = 1500 * time.Millisecond
+	RunnerWatchTimeout = 3 * time.Second
+	// GatewayAttemptTimeout is how long a gateway's request waits for the leader. Its
+	// link may be full of clients' bodies for half a second each way, and to connect
+	// anew would take as long again.
+	GatewayAttemptTimeout = 1200 * time.Millisecond
 	// RunnerWatchRetry is the pause after a question that brought no answer.
 	RunnerWatchRetry = 100 * time.Millisecond
 )
