--- a/internal/server/tenants_test.go
+++ b/internal/server/tenants_test.go
@@ -110,7 +110,7 @@
 		h.configureTenants(1, `{"name":"a","apiKeys":["a1"]},{"name":"b","apiKeys":["b1"]}`)
 		h.call(rpc.KindRegisterWorker, state.RegisterWorker{ID: "w", Node: "n", Service: "s", Capacity: protocol.Resources{CPUUnits: 1000, MemoryMB: 1000}, LeavesInMs: -1})
 		flood := tenantRequest("/r/"+tenantJobID, "a1")
-		flood.Job.Steps[0].TaskCount, flood.Job.Steps[0].CPUUnits = 20, 1000
+		flood.Job.Steps[0].TaskCount, flood.Job.Steps[0].CPUUnits = int(1.5*tuning.MaxBacklogBeyondShare), 1000
 		if response := h.call(rpc.KindSubmitJob, flood); response.Code != rpc.CodeOK {
 			t.Fatalf("%+v", response)
 		}
--- a/internal/tuning/scheduler.go
+++ b/internal/tuning/scheduler.go
@@ -25,7 +25,7 @@
 	MaxBacklogSecondsPerCore = 60.0
 	// MaxBacklogBeyondShare is the same for jobs beyond their tenant's share: with so
 	// much waiting, everything is full.
-	MaxBacklogBeyondShare = 6.0
+	MaxBacklogBeyondShare = 20.0
 )
 
 // Room kept free for urgent work.
