--- a/internal/settings/checks.go
+++ b/internal/settings/checks.go
@@ -80,7 +80,8 @@
 		return faultUnless(!f.RunsJobs() || f.Bounds.MaxLeaseMs > 0, "is missing or not above 0 where jobs run")
 	}},
 	{"cloudApi.address", func(f *File) string {
-		return faultUnless(f.Discovery != DiscoveryPlatform || isAddress(f.Platform.Address), "is missing though the platform lists the runners")
+		needed := f.Deployment == DeploymentAPI && f.Discovery == DiscoveryPlatform
+		return faultUnless(!needed || isAddress(f.Platform.Address), "is missing though the platform lists the runners")
 	}},
 	{"limits.memoryMb", func(f *File) string { return faultUnless(f.Limits.MemoryMb > 0, "is missing or not above 0") }},
 }
