--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -43,10 +43,10 @@
 		{`frontHttp = "10.1.0.10:8161"`, ``}:   "field listenAddrs.frontHttp",
 		{`maxHoldMs = 6000`, ``}:               "field bounds.maxHoldMs",
 		{`orders = "duty_call"`, `deployment = "api"` + "\n" + `discovery = "cloud_api"`}: "field cloudApi.address",
-		{`memoryMb = 284`, `memoryMb = "much"`}:                                                     "memoryMb",
-		{`["edge","control"]`, `["side"]`}:                                                          "field app",
-		{`controlAddr = "10.1.0.10:8166"`, ``}:                                                      "field listenAddrs.controlAddr",
-		{`readiness = "10.1.0.10:8167"`, `readiness=1`}:                                             "readiness",
+		{`memoryMb = 284`, `memoryMb = "much"`}:                                           "memoryMb",
+		{`["edge","control"]`, `["side"]`}:                                                "field app",
+		{`controlAddr = "10.1.0.10:8166"`, ``}:                                            "field listenAddrs.controlAddr",
+		{`readiness = "10.1.0.10:8167"`, `readiness=1`}:                                   "readiness",
 	} {
 		_, err := Parse("f.toml", []byte(strings.Replace(validFile, edit[0], edit[1], 1)))
 		if err == nil || !strings.Contains(err.Error(), want) || !strings.Contains(err.Error(), "f.toml") || strings.Contains(err.Error(), "\n") {
