--- a/internal/gateway/retry_budget.go
+++ b/internal/gateway/retry_budget.go
@@ -9,8 +9,8 @@
 // retryBudget bounds the attempts beyond the first of each request, by service. The
 // operators' bound holds for all daemons together: ratio times the requests of a window
 // plus a slack. Each daemon uses only a part of the ratio for the requests that it has
-// itself, and a fixed reserve, so that the sum of all daemons keeps to the bound whatever
-// they know of one another.
+// itself, and a fixed reserve, and hears nothing of the others: where they are many and a
+// service has few requests, the reserves of all together are more than the slack.
 type retryBudget struct {
 	ratio  float64       // of the operators' settings
 	window time.Duration // too
