Test of public routes: a store of its own for each case

Cause: the cases ran over a map with one store and one job ID. Change: a table with a store a case, the repeated attempt and the store looked at too; a test of its own for a repeated submission on a closed route.

--- a/internal/state/submit_tenant_job_test.go
+++ b/internal/state/submit_tenant_job_test.go
@@ -32,15 +32,43 @@
 }
 
 // TestSubmissionWithoutTenantNeedsPublicRoute: where tenants are configured, only a
-// public route takes a job of nobody known.
+// public route takes a job of nobody known. Each case has a store of its own, since a
+// repeated submission of a known ID gets its first answer on any route.
 func TestSubmissionWithoutTenantNeedsPublicRoute(t *testing.T) {
+	for _, c := range []struct {
+		path     string
+		want     Code
+		accepted bool
+	}{
+		{"/p/", CodeConflict, false},
+		{"/open/", CodeOK, true},
+	} {
+		f := newTenantFixture(t, Quota{})
+		submit := &SubmitJob{Host: "h", Path: c.path + "j", ID: "j", Job: protocol.Job{Steps: []protocol.Step{{TaskCount: 1}}}}
+		for _, attempt := range []string{"first", "repeated"} {
+			if outcome := f.apply(submit); outcome.Code != c.want {
+				t.Errorf("%s, %s: outcome %v, want code %d", c.path, attempt, outcome, c.want)
+			}
+		}
+		if accepted := f.store.Jobs["j"] != nil; accepted != c.accepted {
+			t.Errorf("%s: job in the store: %v, want %v", c.path, accepted, c.accepted)
+		}
+	}
+}
+
+// TestRepeatedSubmissionOnAClosedRoute: a job that a public route took is known; the
+// same ID on a route that needs a tenant gets the first answer and adds nothing.
+func TestRepeatedSubmissionOnAClosedRoute(t *testing.T) {
 	f := newTenantFixture(t, Quota{})
-	for path, want := range map[string]Code{"/p/": CodeConflict, "/open/": CodeOK} {
-		submit := &SubmitJob{Host: "h", Path: path + "j", ID: "j", Job: protocol.Job{Steps: []protocol.Step{{TaskCount: 1}}}}
-		if outcome := f.apply(submit); outcome.Code != want {
-			t.Errorf("%s: outcome %v, want code %d", path, outcome, want)
+	job := protocol.Job{Steps: []protocol.Step{{TaskCount: 1}}}
+	for _, path := range []string{"/open/j", "/p/j"} {
+		if outcome := f.apply(&SubmitJob{Host: "h", Path: path, ID: "j", Job: job}); outcome.Code != CodeOK {
+			t.Errorf("%s: outcome %v, want code %d", path, outcome, CodeOK)
 		}
 	}
+	if len(f.store.Jobs) != 1 {
+		t.Errorf("%d jobs, want 1", len(f.store.Jobs))
+	}
 }
 
 // TestAuthenticate: a key names its tenant; without one only public routes, and
