Gateway: requests wait for the first configuration; a strict budget of retries

Cause: after a restart of all daemons clients come before the leader is elected. They got 503 with a second's pause, which took their only further try and their aim. The budget's reserves (8 a daemon and service) added up to 760 with 95 daemons, over the operators' slack of 230. Change: a request waits up to 0.8 s for the first configuration and list. A request earns half of the ratio, for a window; what isn't used lapses. The reserve is the daemon's share of 0.45 of the slack; the leader tells the number of daemons.

--- a/internal/api/gateway.go
+++ b/internal/api/gateway.go
@@ -11,6 +11,7 @@
 	"tealpond/internal/platform"
 	"tealpond/internal/registry"
 	"tealpond/internal/rpc"
+	"tealpond/internal/settings"
 	"tealpond/internal/transport"
 	"tealpond/internal/tuning"
 )
@@ -22,14 +23,22 @@
 		return nil, err
 	}
 	s.gateway = gateway.New(gateway.Options{
-		Zone:        env.Settings.Zone,
-		RetryRatio:  env.Settings.Bounds.RetryRatio,
-		RetryWindow: time.Duration(env.Settings.Bounds.RetryWindowS * float64(time.Second)),
-		Refresh:     s.refreshConfiguration,
+		Zone:    env.Settings.Zone,
+		Retries: retryLimit(env.Settings.Bounds),
+		Refresh: s.refreshConfiguration,
 	})
 	return s, nil
 }
 
+// retryLimit gives the operators' bound on further attempts.
+func retryLimit(bounds settings.Bounds) gateway.RetryLimit {
+	return gateway.RetryLimit{
+		Ratio:  bounds.RetryRatio,
+		Slack:  bounds.RetrySlack,
+		Window: time.Duration(bounds.RetryWindowS * float64(time.Second)),
+	}
+}
+
 // startGateway starts what keeps the configuration and the list of runners up to date;
 // it runs until ctx ends.
 func (s *Server) startGateway(ctx context.Context) {
@@ -104,7 +113,7 @@
 		cancel()
 		var news rpc.RunnerNews
 		if response.Code == rpc.CodeOK && len(response.Body) > 0 && transport.Decode(response.Body, &news) == nil {
-			next := gateway.Position{Index: news.DaemonIndex, Count: news.DaemonCount}
+			next := gateway.Position{Index: news.DaemonIndex, Count: news.DaemonCount, Total: news.DaemonTotal}
 			moved := next.Count > 0 && next != position
 			if moved {
 				position = next
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -69,7 +69,7 @@
 // Refusals. A 503 promises that the request was not run and never will be; a 502 and a
 // 504 promise nothing.
 var (
-	refusalNotConfigured  = refusal{http.StatusServiceUnavailable, "not configured yet", time.Second}
+	refusalNotConfigured  = refusal{http.StatusServiceUnavailable, "not configured yet", tuning.StartupRetryAfter}
 	refusalNoRoute        = refusal{status: http.StatusNotFound, text: "no such route"}
 	refusalNoKey          = refusal{status: http.StatusUnauthorized, text: "no tenant's key"}
 	refusalHeaderTooLarge = refusal{status: http.StatusRequestHeaderFieldsTooLarge, text: "the headers are too large"}
@@ -115,10 +115,10 @@
 
 // admit finds the request's route and tenant.
 func (e *exchange) admit() phase {
-	known := e.proxy.routing.Load()
-	if known == nil {
+	if !e.proxy.awaitReady(e.ctx, min(tuning.StartupWait, time.Until(e.until)/2)) {
 		return e.refuseWith(refusalNotConfigured)
 	}
+	known := e.proxy.routing.Load()
 	if _, ok := e.judge(known); !ok {
 		// Before a request is refused for good the newest configuration is asked
 		// for: the one known here may be older.
--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -16,9 +16,8 @@
 
 // Options are what a Proxy is built from.
 type Options struct {
-	Zone        string // of this daemon
-	RetryRatio  float64
-	RetryWindow time.Duration
+	Zone    string // of this daemon
+	Retries RetryLimit
 	// Refresh fetches the newest configuration and hands it to SetConfig if it is
 	// newer. An error means that the newest one isn't known.
 	Refresh func(context.Context) error
@@ -35,6 +34,9 @@
 	balancer *balancer
 	budget   *retryBudget
 	listed   bool // a list of runners is known
+
+	ready     chan struct{} // closed once requests can be served
+	readyOnce sync.Once     // closes ready
 }
 
 // routing is a configuration as it is used here.
@@ -58,7 +60,8 @@
 			WriteBufferSize:     connectionBufferBytes,
 		},
 		balancer: newBalancer(options.Zone),
-		budget:   newRetryBudget(options.RetryRatio, options.RetryWindow),
+		budget:   newRetryBudget(options.Retries),
+		ready:    make(chan struct{}),
 	}
 }
 
@@ -80,6 +83,7 @@
 			return false
 		}
 		if p.routing.CompareAndSwap(known, next) {
+			p.announceReady()
 			return true
 		}
 	}
@@ -105,9 +109,11 @@
 // daemons that use them.
 func (p *Proxy) SetRunners(list []registry.Runner, position Position) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.balancer.setRunners(list, position, time.Now())
+	p.budget.setDaemons(position.Total)
 	p.listed = true
+	p.mu.Unlock()
+	p.announceReady()
 }
 
 // TakeObservations gives what the requests since the last call told of runners.
@@ -124,6 +130,33 @@
 	return p.listed && p.routing.Load() != nil
 }
 
+// announceReady lets the requests go on that wait for the proxy to be ready, if it is.
+func (p *Proxy) announceReady() {
+	if p.Ready() {
+		p.readyOnce.Do(func() { close(p.ready) })
+	}
+}
+
+// awaitReady waits until requests can be served, for a time at most; false if they can't
+// by then. After a restart of all daemons that takes a moment, in which clients come all
+// the same: whoever waits here needs none of its few further tries.
+func (p *Proxy) awaitReady(ctx context.Context, most time.Duration) bool {
+	select {
+	case <-p.ready:
+		return true // as ever but for the first moments
+	default:
+	}
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-p.ready:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // pick chooses a runner and counts the attempt; nil if none is left.
 func (p *Proxy) pick(service string, tried []*runnerState) *runnerState {
 	p.mu.Lock()
--- a/internal/gateway/retry_budget.go
+++ b/internal/gateway/retry_budget.go
@@ -6,60 +6,115 @@
 	"tealpond/internal/tuning"
 )
 
-// retryBudget bounds the attempts beyond the first of each request, by service. The
-// operators' bound holds for all daemons together: ratio times the requests of a window
-// plus a slack. Each daemon uses only a part of the ratio for the requests that it has
-// itself, and a fixed reserve, and hears nothing of the others: where they are many and a
-// service has few requests, the reserves of all together are more than the slack.
+// RetryLimit is the operators' bound on attempts beyond the first of each request. It
+// holds for all daemons together and for each service: Ratio times the requests of a
+// Window plus Slack.
+type RetryLimit struct {
+	Ratio  float64
+	Slack  float64
+	Window time.Duration // 0: tuning.DefaultRetryWindow
+}
+
+// retryBudget is one daemon's part of a RetryLimit. It asks no other daemon, and yet all
+// daemons together keep to the limit, whatever fails:
+//
+//   - Each request earns tuning.RetryShare, one half, of Ratio. What isn't used lapses after
+//     a window. So what all daemons use of it in a window was earned in this one or the one
+//     before, and is at most Ratio times the larger of the two.
+//   - Each daemon has a reserve for each window, its share of a part of Slack. The rest of
+//     Slack is for daemons that start anew and have forgotten what they used.
 type retryBudget struct {
-	ratio  float64       // of the operators' settings
-	window time.Duration // too
-	tokens map[string]*retryTokens
+	limit    RetryLimit
+	reserve  int // attempts a window and service that need not be earned
+	accounts map[string]*retryAccount
+}
+
+// retryAccount is what a daemon may use for one service.
+type retryAccount struct {
+	earned      []earnedAttempts // the oldest first
+	reserveUsed []time.Time      // the oldest first
+}
+
+// earnedAttempts is what the requests of a short time earned and is not used yet.
+type earnedAttempts struct {
+	since time.Time
+	left  float64
 }
 
-// retryTokens are the further attempts that may be made for a service.
-type retryTokens struct {
-	left      float64
-	updatedAt time.Time
+// budgetSlots is the number of parts of a window that are accounted for apart.
+const budgetSlots = 20
+
+func newRetryBudget(limit RetryLimit) *retryBudget {
+	if limit.Window <= 0 {
+		limit.Window = tuning.DefaultRetryWindow
+	}
+	return &retryBudget{limit: limit, accounts: map[string]*retryAccount{}}
 }
 
-func newRetryBudget(ratio float64, window time.Duration) *retryBudget {
-	return &retryBudget{ratio: ratio, window: window, tokens: map[string]*retryTokens{}}
+// setDaemons tells among how many daemons the slack is shared; 0: not known.
+func (b *retryBudget) setDaemons(count int) {
+	b.reserve = 0
+	if count > 0 {
+		b.reserve = int(b.limit.Slack * tuning.RetrySlackShare / float64(count))
+	}
 }
 
 // request counts a client's request for a service: it earns a part of a further attempt.
 func (b *retryBudget) request(service string, now time.Time) {
-	tokens := b.of(service, now)
-	tokens.left = min(tokens.left+b.ratio*tuning.RetryShare, b.most())
+	account := b.account(service, now)
+	last := len(account.earned) - 1
+	if last < 0 || now.Sub(account.earned[last].since) >= b.limit.Window/budgetSlots {
+		account.earned = append(account.earned, earnedAttempts{since: now})
+		last++
+	}
+	account.earned[last].left += b.limit.Ratio * tuning.RetryShare
 }
 
 // take takes a further attempt; false if none is left.
 func (b *retryBudget) take(service string, now time.Time) bool {
-	tokens := b.of(service, now)
-	if tokens.left < 1 {
+	account := b.account(service, now)
+	if account.takeEarned() {
+		return true
+	}
+	if len(account.reserveUsed) >= b.reserve {
 		return false
 	}
-	tokens.left--
+	account.reserveUsed = append(account.reserveUsed, now)
 	return true
 }
 
-// most is how many attempts may be saved up.
-func (b *retryBudget) most() float64 { return tuning.RetryReserve + maxSavedRetries }
-
-// maxSavedRetries bounds what requests of quiet times earn.
-const maxSavedRetries = 4
+// account gives a service's account, without what has lapsed.
+func (b *retryBudget) account(service string, now time.Time) *retryAccount {
+	account := b.accounts[service]
+	if account == nil {
+		account = &retryAccount{}
+		b.accounts[service] = account
+	}
+	for len(account.earned) > 0 && now.Sub(account.earned[0].since) >= b.limit.Window {
+		account.earned = account.earned[1:]
+	}
+	for len(account.reserveUsed) > 0 && now.Sub(account.reserveUsed[0]) > b.limit.Window {
+		account.reserveUsed = account.reserveUsed[1:]
+	}
+	return account
+}
 
-// of gives the tokens of a service. The reserve is refilled over a window.
-func (b *retryBudget) of(service string, now time.Time) *retryTokens {
-	tokens := b.tokens[service]
-	if tokens == nil {
-		tokens = &retryTokens{left: tuning.RetryReserve, updatedAt: now}
-		b.tokens[service] = tokens
+// takeEarned takes one attempt of what was earned, the oldest first.
+func (a *retryAccount) takeEarned() bool {
+	// Sums of many small parts fall short of a whole by rounding.
+	const wholeAttempt = 1 - 1e-9
+	sum := 0.0
+	for _, part := range a.earned {
+		sum += part.left
+	}
+	if sum < wholeAttempt {
+		return false
 	}
-	if b.window > 0 {
-		refilled := tuning.RetryReserve * now.Sub(tokens.updatedAt).Seconds() / b.window.Seconds()
-		tokens.left = min(tokens.left+max(refilled, 0), b.most())
+	missing := 1.0
+	for i := range a.earned {
+		used := min(a.earned[i].left, missing)
+		a.earned[i].left -= used
+		missing -= used
 	}
-	tokens.updatedAt = now
-	return tokens
+	return true
 }
--- /dev/null
+++ b/internal/gateway/startup_test.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tealpond/internal/protocol"
+	"tealpond/internal/registry"
+	"tealpond/internal/tuning"
+)
+
+// TestRequestsWaitForTheFirstConfiguration: whoever comes before a daemon knows its
+// configuration and its runners waits a moment for them, and is refused after it, with a
+// promise that nothing ran and a time to come back.
+func TestRequestsWaitForTheFirstConfiguration(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		leftMs     string
+		configured time.Duration // 0: never
+		listed     time.Duration
+		wait       time.Duration // until the answer
+		status     int
+	}{
+		{"both known in time, no runner", "3000", 100 * time.Millisecond, 200 * time.Millisecond, 200 * time.Millisecond, http.StatusServiceUnavailable},
+		{"no such route", "3000", 200 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, http.StatusNotFound},
+		{"never configured", "3000", 0, 100 * time.Millisecond, tuning.StartupWait, http.StatusServiceUnavailable},
+		{"never listed", "3000", 100 * time.Millisecond, 0, tuning.StartupWait, http.StatusServiceUnavailable},
+		{"little time left", "1000", 0, 0, 485 * time.Millisecond, http.StatusServiceUnavailable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := &harness{t: t, config: testConfigText(1)}
+				h.proxy = New(Options{Zone: "z", Refresh: h.refresh})
+				begin := time.Now()
+				after := func(wait time.Duration, do func()) {
+					if wait > 0 {
+						time.AfterFunc(wait, do)
+					}
+				}
+				after(c.configured, func() { _ = h.refresh(t.Context()) })
+				after(c.listed, func() { h.proxy.SetRunners([]registry.Runner{}, Position{}) })
+				path := "/read/x"
+				if c.status == http.StatusNotFound {
+					path = "/none/x"
+				}
+				request := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "http://h"+path, nil)
+				request.Header.Set(protocol.HeaderTimeLeft, c.leftMs)
+				recorder := httptest.NewRecorder()
+				h.proxy.ServeHTTP(recorder, request)
+				if took := time.Since(begin); took != c.wait || recorder.Code != c.status {
+					t.Errorf("status %d after %v, want %d after %v", recorder.Code, took, c.status, c.wait)
+				}
+				if again := recorder.Header().Get(protocol.HeaderRetryAfter); (again != "") != (c.status == http.StatusServiceUnavailable) {
+					t.Errorf("%s is %q", protocol.HeaderRetryAfter, again)
+				}
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/internal/gateway/subset.go
+++ b/internal/gateway/subset.go
@@ -10,6 +10,7 @@
 type Position struct {
 	Index int
 	Count int // 0: not known
+	Total int // of the daemons of all zones
 }
 
 const (
--- a/internal/rpc/messages.go
+++ b/internal/rpc/messages.go
@@ -109,8 +109,9 @@
 	DaemonCount int // 0: not known yet
 	// Config is the newest configuration if the daemon has another: whole, or, if
 	// ConfigBase isn't 0, the change of that version that leads to it.
-	Config     []byte
-	ConfigBase int64
+	Config      []byte
+	ConfigBase  int64
+	DaemonTotal int // of all zones
 }
 
 // TenantQuery asks for the tenants of the newest configuration.
--- a/internal/server/replica.go
+++ b/internal/server/replica.go
@@ -105,7 +105,7 @@
 	runnerTable               *registry.Table // the platform's list, while this leader reads it
 	runnerWatchers            []runnerWatcher
 	configNews                configNews
-	positions                 map[string]zonePosition // of daemons, by node
+	positions                 map[string]daemonPosition // of daemons, by node
 	positionsAt               time.Time
 	observations              *registry.Observations // of runners, by all daemons
 	planDue                   bool                   // the state changed since the planner ran
--- a/internal/server/runners.go
+++ b/internal/server/runners.go
@@ -61,42 +61,43 @@
 	if r.state.Configuration.Version > watch.ConfigVersion {
 		news.Config, news.ConfigBase = r.configNews.since(watch.ConfigVersion, &r.state.Configuration)
 	}
-	news.DaemonIndex, news.DaemonCount = r.daemonPosition(watch.Node)
+	position := r.daemonPosition(watch.Node)
+	news.DaemonIndex, news.DaemonCount, news.DaemonTotal = position.index, position.count, position.total
 	reply(rpc.Response{Code: rpc.CodeOK, Body: transport.Encode(news)})
 }
 
 // daemonPosition is a daemon's place among those of its role and zone that hold a
-// membership lease, by their names, and their number. It isn't known to a leader that
-// has not heard all of them yet.
-func (r *Replica) daemonPosition(node string) (index, count int) {
+// membership lease. It isn't known to a leader that has not heard all of them yet.
+func (r *Replica) daemonPosition(node string) daemonPosition {
 	now := time.Now()
 	if !r.leading || now.Sub(r.leadingSince) < 2*tuning.MembershipRenewInterval {
-		return 0, 0
+		return daemonPosition{}
 	}
 	if now.Sub(r.positionsAt) >= tuning.MembershipRenewInterval {
 		r.expireMemberships(now)
 		r.positions, r.positionsAt = positionsByZone(r.memberLeases), now
 	}
-	position := r.positions[node]
-	return position.index, position.count
+	return r.positions[node]
 }
 
-// zonePosition is a daemon's place among the daemons of its zone.
-type zonePosition struct{ index, count int }
+// daemonPosition is a daemon's place among the daemons of its zone, by their names, and
+// the numbers of these and of the daemons of all zones.
+type daemonPosition struct{ index, count, total int }
 
 // positionsByZone gives each gateway's place among those of its zone.
-func positionsByZone(leases map[string]memberLease) map[string]zonePosition {
-	byZone := map[string][]string{}
+func positionsByZone(leases map[string]memberLease) map[string]daemonPosition {
+	byZone, total := map[string][]string{}, 0
 	for _, lease := range leases {
 		if lease.Role == gatewayRole {
 			byZone[lease.Zone] = append(byZone[lease.Zone], lease.Node)
+			total++
 		}
 	}
-	positions := map[string]zonePosition{}
+	positions := map[string]daemonPosition{}
 	for _, nodes := range byZone {
 		slices.Sort(nodes)
 		for i, node := range nodes {
-			positions[node] = zonePosition{i, len(nodes)}
+			positions[node] = daemonPosition{i, len(nodes), total}
 		}
 	}
 	return positions
--- a/internal/tuning/gateway.go
+++ b/internal/tuning/gateway.go
@@ -68,11 +68,23 @@
 	MaxEjectionTime = 8 * time.Second
 	// MaxEjectedFraction is the part of a service's runners that may be ejected.
 	MaxEjectedFraction = 0.5
-	// RetryShare is the part of the operators' ratio of retries that a daemon uses
-	// up by itself.
+	// DefaultRetryWindow is the window in which further attempts are counted, where
+	// the settings name none.
+	DefaultRetryWindow = 10 * time.Second
+	// RetryShare is the part of the operators' ratio of further attempts that a
+	// request earns. Attempts may be used for a window after they were earned, so
+	// those of two windows may come together.
 	RetryShare = 0.5
-	// RetryReserve is the number of retries that a daemon has beyond that.
-	RetryReserve = 2.0
+	// RetrySlackShare is the part of the operators' slack that the daemons share out
+	// among them. As much again is for daemons that were started again in a window.
+	RetrySlackShare = 0.45
+	// StartupWait is how long a request waits in a daemon that has no configuration or
+	// list of runners yet. After a restart of all daemons an election and the first
+	// reading of the list take half a second.
+	StartupWait = 800 * time.Millisecond
+	// StartupRetryAfter is the time after which a client may try again that came to
+	// such a daemon.
+	StartupRetryAfter = 300 * time.Millisecond
 	// RefusedRetryAfter is the time after which a client may try again that found no
 	// runner.
 	RefusedRetryAfter = 150 * time.Millisecond
