Gateway: reads that a client sends behind each other run together

Cause: the HTTP server looks at a request only after it has answered the one before on its connection. Change: a client's connection reads along with the server; read_only requests without a body are sent to a runner as they come in, and their answers wait for their turn. What may run only once still waits for its turn.

--- a/internal/api/listeners.go
+++ b/internal/api/listeners.go
@@ -7,6 +7,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"tealpond/internal/gateway"
 	"tealpond/internal/transport"
 	"tealpond/internal/tuning"
 )
@@ -41,11 +42,15 @@
 		if err != nil {
 			return nil, err
 		}
+		if listener.address == addresses.FrontHTTP && s.gateway != nil {
+			socket = s.gateway.Listener(socket)
+		}
 		httpServer := &http.Server{
 			Handler:           listener.handler,
 			ReadHeaderTimeout: tuning.DefaultHeaderTimeout,
 			IdleTimeout:       listener.idleTimeout,
 			MaxHeaderBytes:    tuning.MaxHeaderBytes,
+			ConnContext:       gateway.ConnContext,
 		}
 		httpServers = append(httpServers, httpServer)
 		go func() { _ = httpServer.Serve(socket) }() // until Run closes it
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -81,12 +81,30 @@
 
 // ServeHTTP serves one request.
 func (p *Proxy) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if conn, ok := request.Context().Value(connKey{}).(*clientConn); ok {
+		early := conn.begin(request)
+		defer conn.end()
+		if early != nil {
+			early.serve(writer, request)
+			return
+		}
+	}
+	p.newExchange(writer, request).run(phaseAdmit)
+}
+
+// newExchange begins a client's request; the time that the client gives it runs from now.
+func (p *Proxy) newExchange(writer http.ResponseWriter, request *http.Request) *exchange {
 	left := protocol.TimeLeft(request, tuning.MaxGatewayTime)
 	left -= min(left/10, tuning.GatewayResponseReserve)
 	e := &exchange{proxy: p, writer: writer, request: request, until: time.Now().Add(left)}
 	e.ctx, e.cancel = context.WithDeadline(request.Context(), e.until)
+	return e
+}
+
+// run goes through the phases of a request to its end.
+func (e *exchange) run(next phase) {
 	defer func() { e.cancel() }()
-	for next := phaseAdmit; next != phaseEnded; {
+	for next != phaseEnded {
 		next = phaseHandlers[next](e)
 	}
 }
