Gateway: keys without word from the leader; no tenant that a client claims

Where tenants are configured a client without a key on a public route could name a tenant to the runner. Change: a key is served for 0.8 of revokeMs after the leader's last confirmation, then the leader is asked, and without an answer the request gets 503. X-Tealpond-Tenant of clients is dropped where there are tenants. Result: tests of both.

--- a/internal/api/gateway.go
+++ b/internal/api/gateway.go
@@ -23,9 +23,10 @@
 		return nil, err
 	}
 	s.gateway = gateway.New(gateway.Options{
-		Zone:    env.Settings.Zone,
-		Retries: retryLimit(env.Settings.Bounds),
-		Refresh: s.refreshConfiguration,
+		Zone:     env.Settings.Zone,
+		Retries:  retryLimit(env.Settings.Bounds),
+		KeyTrust: keyTrust(env.Settings.Bounds),
+		Refresh:  s.refreshConfiguration,
 	})
 	return s, nil
 }
@@ -39,6 +40,16 @@
 	}
 }
 
+// keyTrust is for how long a key is served without word from the leader.
+func keyTrust(bounds settings.Bounds) time.Duration {
+	if !bounds.RevokedKeysFail {
+		return 0
+	}
+	// At least a moment: 0 would be for ever.
+	trust := tuning.KeyTrustShare * float64(bounds.RevokeMs) * float64(time.Millisecond)
+	return max(time.Duration(trust), time.Millisecond)
+}
+
 // startGateway starts what keeps the configuration and the list of runners up to date;
 // it runs until ctx ends.
 func (s *Server) startGateway(ctx context.Context) {
@@ -92,14 +103,18 @@
 // refreshConfiguration makes sure that the newest configuration is in force here: it asks
 // the leader for its version, and fetches it if it is another.
 func (s *Server) refreshConfiguration(ctx context.Context) error {
+	askedAt := time.Now()
 	response := s.Call(ctx, rpc.KindGetLimits, struct{}{})
 	if response.Code != rpc.CodeOK {
 		return fmt.Errorf("the newest configuration's version: the leader's response has code %d", response.Code)
 	}
-	if s.gateway.ConfigVersion() >= response.Value {
-		return nil
+	if s.gateway.ConfigVersion() < response.Value {
+		if err := s.fetchConfiguration(ctx); err != nil {
+			return err
+		}
 	}
-	return s.fetchConfiguration(ctx)
+	s.gateway.ConfirmConfig(askedAt)
+	return nil
 }
 
 // followRunners asks the leader for changes of the list of runners, until ctx ends.
@@ -108,6 +123,7 @@
 	for ctx.Err() == nil {
 		watch := rpc.RunnerWatch{Node: s.settings.NodeName, Zone: s.settings.Zone, ConfigVersion: s.gateway.ConfigVersion(), Observations: s.gateway.TakeObservations()}
 		watch.Epoch, watch.Version = view.Position()
+		askedAt := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, tuning.RunnerWatchTimeout)
 		response := s.Call(callCtx, rpc.KindWatchRunners, watch)
 		cancel()
@@ -121,6 +137,9 @@
 			if view.Apply(news.Delta) || moved {
 				s.gateway.SetRunners(view.Runners(), position)
 			}
+			if len(news.Config) == 0 && watch.ConfigVersion > 0 {
+				s.gateway.ConfirmConfig(askedAt)
+			}
 			if err := s.applyConfigNews(news); err != nil {
 				_ = s.log.Log("level", "error", "event", "configuration.rejected", "error", err)
 			}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -47,9 +47,11 @@
 
 	route   *clusterconfig.Route
 	service string
-	tenant  string
-	body    *requestBody // nil: there is none
-	tried   []*runnerState
+	tenant  string // of its key; empty: none
+	// tenantsKnown: the configuration names tenants.
+	tenantsKnown bool
+	body         *requestBody // nil: there is none
+	tried        []*runnerState
 	// mayHaveRun: an attempt may have run, or may yet, so nothing can be promised.
 	mayHaveRun bool
 
@@ -137,9 +139,10 @@
 		return e.refuseWith(refusalNotConfigured)
 	}
 	known := e.proxy.routing.Load()
-	if _, ok := e.judge(known); !ok {
+	if _, ok := e.judge(known); !ok || e.tenant != "" && !e.route.Public && !e.proxy.trustsKeys() {
 		// Before a request is refused for good the newest configuration is asked
-		// for: the one known here may be older.
+		// for: the one known here may be older. So it is before a key is served that
+		// may have been taken away.
 		if err := e.proxy.options.Refresh(e.ctx); err != nil {
 			return e.refuseWith(refusalNotConfigured)
 		}
@@ -171,7 +174,8 @@
 	if e.route == nil || !strings.HasPrefix(e.request.URL.Path, e.route.PathPrefix) {
 		return refusalNoRoute, false
 	}
-	if len(by.config.Tenants()) == 0 {
+	e.tenantsKnown = len(by.config.Tenants()) > 0
+	if !e.tenantsKnown {
 		return refusal{}, true
 	}
 	tenant, ok := by.keys.Tenant(protocol.BearerKey(e.request))
@@ -301,6 +305,9 @@
 	if request.Header.Get("User-Agent") == "" {
 		request.Header.Set("User-Agent", "") // the library would add its own
 	}
+	if e.tenantsKnown {
+		request.Header.Del(protocol.HeaderTenant) // a client may claim anything
+	}
 	if e.tenant != "" {
 		request.Header.Del(protocol.HeaderAuthorization)
 		request.Header.Set(protocol.HeaderTenant, e.tenant)
--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -18,6 +18,9 @@
 type Options struct {
 	Zone    string // of this daemon
 	Retries RetryLimit
+	// KeyTrust is for how long keys are trusted after the leader has confirmed that the
+	// configuration here is the newest; 0: for ever.
+	KeyTrust time.Duration
 	// Refresh fetches the newest configuration and hands it to SetConfig if it is
 	// newer. An error means that the newest one isn't known.
 	Refresh func(context.Context) error
@@ -29,6 +32,8 @@
 	options   Options
 	transport *http.Transport
 	routing   atomic.Pointer[routing] // nil: no configuration is known
+	// confirmedAt is when the leader last confirmed the configuration; nil: never.
+	confirmedAt atomic.Pointer[time.Time]
 
 	mu       sync.Mutex // guards what follows
 	balancer *balancer
@@ -89,6 +94,23 @@
 	}
 }
 
+// ConfirmConfig takes note that the configuration in force was the newest at a time.
+func (p *Proxy) ConfirmConfig(at time.Time) {
+	if known := p.confirmedAt.Load(); known == nil || at.After(*known) {
+		p.confirmedAt.Store(&at)
+	}
+}
+
+// trustsKeys tells whether a key that the configuration names may still be served: without
+// word from the leader it may have been taken away meanwhile.
+func (p *Proxy) trustsKeys() bool {
+	if p.options.KeyTrust <= 0 {
+		return true
+	}
+	confirmedAt := p.confirmedAt.Load()
+	return confirmedAt != nil && time.Since(*confirmedAt) < p.options.KeyTrust
+}
+
 // ConfigText is the text of the configuration in force and its version; 0 if there is none.
 func (p *Proxy) ConfigText() ([]byte, int64) {
 	if known := p.routing.Load(); known != nil {
--- a/internal/gateway/proxy_test.go
+++ b/internal/gateway/proxy_test.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"tealpond/internal/protocol"
 )
@@ -166,6 +168,65 @@
 	}
 }
 
+// TestTenantIsNotWhatAClientClaims: on a public route without a key the runner is told of no
+// tenant; where there are no tenants the header is one like any other.
+func TestTenantIsNotWhatAClientClaims(t *testing.T) {
+	h := newHarness(t, sound)
+	claim := map[string]string{protocol.HeaderTenant: "claimed"}
+	h.call("GET", "/read/x", "", claim)
+	public := strings.ReplaceAll(testConfig, `"targetService":"s"`, `"targetService":"s","public":true`)
+	h.config = fmt.Sprintf(public, 2, `,"tenantList":[{"name":"t","apiKeys":["secret"]}]`)
+	if err := h.refresh(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	h.call("GET", "/read/x", "", claim)
+	var told []string
+	for _, got := range h.seen() {
+		told = append(told, got.header.Get(protocol.HeaderTenant))
+	}
+	if !slices.Equal(told, []string{"claimed", ""}) {
+		t.Errorf("the runner was told %q", told)
+	}
+}
+
+// TestKeysWithoutWordFromTheLeader: a key is served for a while after the leader's last word,
+// then the leader is asked, and without an answer the request is refused with a promise.
+func TestKeysWithoutWordFromTheLeader(t *testing.T) {
+	const trust = time.Minute
+	for _, c := range []struct {
+		name      string
+		trust     time.Duration
+		confirmed time.Duration // before now; 0: never
+		inReach   bool
+		status    int
+	}{
+		{"confirmed lately", trust, time.Second, false, http.StatusOK},
+		{"confirmed long ago", trust, 2 * trust, false, http.StatusServiceUnavailable},
+		{"confirmed long ago, the leader answers", trust, 2 * trust, true, http.StatusOK},
+		{"never confirmed", trust, 0, false, http.StatusServiceUnavailable},
+		{"never confirmed, the leader answers", trust, 0, true, http.StatusOK},
+		{"keys are trusted for ever", 0, 0, false, http.StatusOK},
+	} {
+		h := newHarness(t, sound)
+		h.proxy.options.KeyTrust = c.trust
+		h.config = fmt.Sprintf(testConfig, 2, `,"tenantList":[{"name":"t","apiKeys":["secret"]}]`)
+		if err := h.refresh(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		if c.confirmed > 0 {
+			h.proxy.ConfirmConfig(time.Now().Add(-c.confirmed))
+			h.proxy.ConfirmConfig(time.Now().Add(-9 * trust)) // an older answer that comes late
+		}
+		if !c.inReach {
+			h.config = ""
+		}
+		code, _, header := h.call("GET", "/read/x", "", map[string]string{"Authorization": "Bearer secret"})
+		if code != c.status || (code != http.StatusOK) != (header.Get(protocol.HeaderRetryAfter) != "") {
+			t.Errorf("%s: %d, %s %q; want %d", c.name, code, protocol.HeaderRetryAfter, header.Get(protocol.HeaderRetryAfter), c.status)
+		}
+	}
+}
+
 // TestNoAnswerInTime: the client hears of it within its time, and a writing request is
 // not sent again.
 func TestNoAnswerInTime(t *testing.T) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -62,6 +62,10 @@
 	RetrySlack float64 `toml:"retrySlack"`
 	// QuotaWindowS is the window in which rates of tenants are counted.
 	QuotaWindowS float64 `toml:"quotaWindowS"`
+	// RevokedKeysFail: no daemon may serve a key for longer than RevokeMs after it was
+	// taken away, in touch or not.
+	RevokedKeysFail bool  `toml:"revokedKeysFail"`
+	RevokeMs        int64 `toml:"revokeMs"`
 	// DrainMs is how long a runner that leaves serves on.
 	DrainMs float64 `toml:"drainMs"`
 	// GangWaitMs is how long started tasks of a gang may wait for the others.
--- a/internal/tuning/gateway.go
+++ b/internal/tuning/gateway.go
@@ -78,6 +78,11 @@
 	// RetrySlackShare is the part of the operators' slack that the daemons share out
 	// among them. As much again is for daemons that were started again in a window.
 	RetrySlackShare = 0.45
+	// KeyTrustShare is the part of the time within which a key that was taken away must
+	// be refused by all daemons, for which one is served without word from the leader.
+	// Operators owe nothing at daemons without a way to the core for 0.6 of it; the
+	// rest is for requests on their way and for clocks that differ.
+	KeyTrustShare = 0.8
 	// StartupWait is how long a request waits in a daemon that has no configuration or
 	// list of runners yet. After a restart of all daemons an election and the first
 	// reading of the list take half a second.
