Gateway: a whole simulation of the tier; probes wait a second for an answer

Cause: a daemon asked who leads had 250 ms to answer. Behind a link that is full of clients' bodies, 150 ms longer each way, a gateway never found a new leader; seen by the new simulation, where such a daemon had no configuration 3 s after the leader's death. Change: gateways wait a second. The simulation has clusters of gateways with a platform that lists runners by pages, and the runners; connections to both use the context's network. Checked of each attempt: a write runs once at most, a promise holds, answers are their own.

--- a/internal/api/listeners.go
+++ b/internal/api/listeners.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -42,15 +43,16 @@
 		if err != nil {
 			return nil, err
 		}
-		if listener.address == addresses.FrontHTTP && s.gateway != nil {
-			socket = s.gateway.Listener(socket)
-		}
 		httpServer := &http.Server{
 			Handler:           listener.handler,
 			ReadHeaderTimeout: tuning.DefaultHeaderTimeout,
 			IdleTimeout:       listener.idleTimeout,
 			MaxHeaderBytes:    tuning.MaxHeaderBytes,
-			ConnContext:       gateway.ConnContext,
+		}
+		if listener.address == addresses.FrontHTTP && s.gateway != nil {
+			socket = s.gateway.Listener(ctx, socket)
+			httpServer.BaseContext = func(net.Listener) context.Context { return ctx }
+			httpServer.ConnContext = gateway.ConnContext
 		}
 		httpServers = append(httpServers, httpServer)
 		go func() { _ = httpServer.Serve(socket) }() // until Run closes it
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -66,9 +66,12 @@
 	limitsStale   chan struct{} // signals followLimits that a newer version was heard of
 }
 
-// attemptTimeouts are how long requests to the leader wait, by role; the usual time for
-// those that aren't named.
-var attemptTimeouts = map[string]time.Duration{gatewayRole: tuning.GatewayAttemptTimeout}
+// attemptTimeouts are how long requests to the leader wait, and probeTimeouts those for
+// who leads, by role; the usual time for roles that aren't named.
+var (
+	attemptTimeouts = map[string]time.Duration{gatewayRole: tuning.GatewayAttemptTimeout}
+	probeTimeouts   = map[string]time.Duration{gatewayRole: tuning.GatewayProbeTimeout}
+)
 
 // newEdge builds the edge role.
 func newEdge(env daemon.Environment) (daemon.Role, error) { return newServer(env, edgeRole) }
@@ -97,6 +100,7 @@
 		Seeds:           env.Settings.SeedAddresses(),
 		OnConfigVersion: s.noteVersion,
 		AttemptTimeout:  attemptTimeouts[role],
+		ProbeTimeout:    probeTimeouts[role],
 	})
 	if !env.Settings.HoldsState() {
 		s.leaderAddress = s.discovery.CurrentAddress
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -30,6 +30,9 @@
 	// AttemptTimeout is how long one attempt of a request waits for the leader;
 	// 0: tuning.RequestAttemptTimeout.
 	AttemptTimeout time.Duration
+	// ProbeTimeout is how long a daemon that is asked who leads may take to answer;
+	// 0: tuning.LeaderProbeInterval.
+	ProbeTimeout time.Duration
 	// OnAssignment gets each assignment that the leader sends.
 	OnAssignment func(rpc.Assignment)
 	// OnConfigVersion gets the version of the configuration that a response names.
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -261,3 +261,30 @@
 		}
 	})
 }
+
+// TestLeaderBehindASlowLink: with a time for probes above the way there and back the leader
+// is found; with the usual one it never is.
+func TestLeaderBehindASlowLink(t *testing.T) {
+	for _, c := range []struct {
+		probeTimeout time.Duration
+		want         rpc.Code
+	}{
+		{0, rpc.CodeNoLeader},
+		{time.Second, rpc.CodeOK},
+	} {
+		withServers(t, 3, func(f *fixture) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			f.net.SetDelay(f.clientIP, 200*time.Millisecond)
+			var seeds []string
+			for _, server := range f.servers {
+				seeds = append(seeds, server.addr)
+			}
+			f.client = discovery.NewClient(discovery.Options{Seeds: seeds, ProbeTimeout: c.probeTimeout, AttemptTimeout: time.Second})
+			go f.client.Run(transport.WithNetwork(ctx, f.net.Host(f.clientIP)))
+			if code, took := f.call(rpc.KindGetLimits, 5*time.Second); code != c.want {
+				t.Errorf("probes of %v: code %d after %v, want %d", c.probeTimeout, code, took, c.want)
+			}
+		})
+	}
+}
--- a/internal/discovery/search.go
+++ b/internal/discovery/search.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -294,7 +295,7 @@
 	}
 	request := rpc.Request{Kind: rpc.KindLeader, Body: []byte(c.options.SelfAddress)}
 	stream.Send(transport.Frame{Kind: rpc.FrameRequest, ID: probeFrameID, Body: transport.Encode(request)})
-	timer := time.NewTimer(tuning.LeaderProbeInterval)
+	timer := time.NewTimer(cmp.Or(c.options.ProbeTimeout, tuning.LeaderProbeInterval))
 	defer timer.Stop()
 	select {
 	case info := <-infos:
--- a/internal/gateway/pipeline.go
+++ b/internal/gateway/pipeline.go
@@ -51,11 +51,13 @@
 type clientListener struct {
 	net.Listener
 	proxy *Proxy
+	ctx   context.Context
 }
 
-// Listener wraps the listener of clients, for a server with ConnContext.
-func (p *Proxy) Listener(listener net.Listener) net.Listener {
-	return clientListener{listener, p}
+// Listener wraps the listener of clients, for a server with ConnContext. Requests that are
+// sent ahead of their turn end with ctx.
+func (p *Proxy) Listener(ctx context.Context, listener net.Listener) net.Listener {
+	return clientListener{listener, p, ctx}
 }
 
 // Accept implements net.Listener.
@@ -65,7 +67,7 @@
 		return nil, err
 	}
 	c := &clientConn{Conn: conn, proxy: l.proxy, early: map[int]*earlyRequest{}}
-	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.ctx, c.cancel = context.WithCancel(l.ctx)
 	return c, nil
 }
 
--- a/internal/gateway/pipeline_test.go
+++ b/internal/gateway/pipeline_test.go
@@ -27,7 +27,7 @@
 func (h *harness) dialPipeline() *pipelineClient {
 	h.t.Helper()
 	server := httptest.NewUnstartedServer(h.proxy)
-	server.Listener = h.proxy.Listener(server.Listener)
+	server.Listener = h.proxy.Listener(h.t.Context(), server.Listener)
 	server.Config.ConnContext = ConnContext
 	server.Start()
 	h.t.Cleanup(server.Close)
--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -11,6 +11,7 @@
 
 	"tealpond/internal/clusterconfig"
 	"tealpond/internal/registry"
+	"tealpond/internal/transport"
 	"tealpond/internal/tuning"
 )
 
@@ -57,7 +58,9 @@
 	return &Proxy{
 		options: options,
 		transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+				return transport.DialWith(ctx, dialer, addr)
+			},
 			IdleConnTimeout:     tuning.RunnerIdleTimeout,
 			MaxIdleConnsPerHost: maxIdlePerRunner,
 			DisableCompression:  true,
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -8,12 +8,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 
 	"github.com/zeebo/errs"
 
 	"tealpond/internal/registry"
+	"tealpond/internal/transport"
 	"tealpond/internal/tuning"
 )
 
@@ -31,7 +33,11 @@
 
 // NewClient makes a client of the platform at an address.
 func NewClient(address string) *Client {
+	dialer := &net.Dialer{Timeout: tuning.PlatformCallTimeout}
 	return &Client{address: address, http: &http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+			return transport.DialWith(ctx, dialer, addr)
+		},
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     tuning.PlatformIdleTimeout,
 		DisableCompression:  true,
--- a/internal/simulation/cluster.go
+++ b/internal/simulation/cluster.go
@@ -20,6 +20,8 @@
 const (
 	edgeRole  = "edge" // serves clients and operators, and may be a server
 	agentRole = "side" // works for the runner on its machine
+	// gatewayRole forwards requests of clients, and may be a server.
+	gatewayRole = "gateway"
 )
 
 // Cluster is a cluster of whole daemons on one simulated network. A node is a
@@ -45,6 +47,7 @@
 	stopHeartbeats  context.CancelFunc
 	federationFile  string
 	onLog           atomic.Pointer[func(line string)] // called for each line of a log
+	platform        *Platform                         // of a cluster of gateways; nil: none
 }
 
 // node is a daemon and its machine.
@@ -81,6 +84,9 @@
 	Federation string
 	// History is a history shared with another cluster, if any.
 	History *History
+	// Gateway makes all servers and edges gateways, with a platform that lists their
+	// runners. There are no jobs.
+	Gateway bool
 	// Debug makes daemons log at the debug level, which the fault Frozen needs.
 	Debug bool
 }
@@ -93,6 +99,14 @@
 	return fmt.Sprint("z", i%spec.Zones)
 }
 
+// frontRole is the role of servers and edges.
+func (spec ClusterSpec) frontRole() string {
+	if spec.Gateway {
+		return gatewayRole
+	}
+	return edgeRole
+}
+
 // seedCount is the number of seeds in the settings of a new cluster.
 const seedCount = 3
 
@@ -119,6 +133,9 @@
 		c.logOutput = os.Stderr
 	}
 	c.lastVersion.Store(1)
+	if spec.Gateway {
+		c.platform = NewPlatform(c)
+	}
 	c.addNodes(spec)
 	c.client = &http.Client{Transport: &http.Transport{DialContext: c.Network.Host(c.hostIP(clientHost)).DialContext}}
 	c.startAll()
@@ -141,7 +158,7 @@
 func (c *Cluster) addNodes(spec ClusterSpec) {
 	for i := range spec.Servers + spec.Edges {
 		ip := c.hostIP(i + 1)
-		c.addNode(&node{zone: spec.zone(i), name: fmt.Sprintf("%sedge-%d", spec.Name, i+1), ip: ip, role: edgeRole, server: i < spec.Servers, firstStart: true})
+		c.addNode(&node{zone: spec.zone(i), name: fmt.Sprintf("%sedge-%d", spec.Name, i+1), ip: ip, role: spec.frontRole(), server: i < spec.Servers, firstStart: true})
 		if i < seedCount {
 			c.seeds = append(c.seeds, address(ip, controlPort))
 		}
@@ -188,7 +205,7 @@
 // Servers gives the nodes that hold the state.
 func (c *Cluster) Servers() []string {
 	var servers []string
-	for _, name := range c.nodeNames(edgeRole) {
+	for _, name := range c.nodeNames("") {
 		if c.node(name).server {
 			servers = append(servers, name)
 		}
--- a/internal/simulation/daemons.go
+++ b/internal/simulation/daemons.go
@@ -54,7 +54,7 @@
 	if n.role == agentRole {
 		return agent.New(environment, c.Runners[n.name])
 	}
-	spec, _ := daemon.FindRole(edgeRole)
+	spec, _ := daemon.FindRole(n.role)
 	role, err := spec.New(environment)
 	if err != nil {
 		c.T.Fatalf("%s: %v", n.name, err)
@@ -75,6 +75,12 @@
 		return file
 	}
 	file.Serves = []string{edgeRole, "control"}
+	if n.role == gatewayRole {
+		file.Deployment, file.Discovery = settings.DeploymentAPI, settings.DiscoveryPlatform
+		file.Contracts = []string{"base", "config", "retry"}
+		file.Platform.Address = c.platform.Address
+		file.Bounds.RetryRatio, file.Bounds.RetryWindowS, file.Bounds.RetrySlack = 0.2, 10, 30
+	}
 	file.ListenAddresses.FrontHTTP, file.ListenAddresses.Readiness = address(n.ip, clientPort), address(n.ip, readinessPort)
 	if n.server {
 		file.DataDir, file.LossCounts = filepath.Join(c.dir, n.name), true
--- /dev/null
+++ b/internal/simulation/gateway_test.go
@@ -0,0 +1,263 @@
+package simulation
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tealpond/internal/protocol"
+)
+
+// gatewayConfiguration is a configuration for gateways, given its version.
+const gatewayConfiguration = `{"configVersion":%d,"routeList":[` +
+	`{"name":"r","hostName":"h","pathPrefix":"/read/","kind":"read_only","timeoutMs":2000,"targetMs":500,"targetService":"svc","maxTries":3},` +
+	`{"name":"w","hostName":"h","pathPrefix":"/write/","kind":"writing","timeoutMs":2000,"targetMs":500,"targetService":"svc","maxTries":3}%s],` +
+	`"serviceList":[{"name":"svc"}],"limits":{"maxHeaderBytes":4000,"maxBodyBytes":100000}}`
+
+// gatewayLoad is a load on a cluster of gateways, and what became of it.
+type gatewayLoad struct {
+	c      *Cluster
+	random *rand.Rand
+	wait   sync.WaitGroup
+
+	mu       sync.Mutex
+	attempts []gatewayAttempt
+}
+
+// gatewayAttempt is an attempt of a client.
+type gatewayAttempt struct {
+	id, path, node string
+	sentAt         time.Time
+	code           int
+	took           time.Duration
+	wrong          string // what is wrong with the answer; empty: nothing
+}
+
+// gatewayDay runs a test on a ready cluster of gateways with four runners in two zones.
+func gatewayDay(t *testing.T, test func(c *Cluster, load *gatewayLoad)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := NewCluster(t, ClusterSpec{Servers: 3, Edges: 3, Zones: 2, Gateway: true})
+		defer c.Shutdown()
+		defer c.platform.Close()
+		for i := range 4 {
+			c.platform.StartRunner("svc", fmt.Sprint("z", i%2))
+		}
+		c.putGatewayConfiguration(1, 0, "")
+		load := &gatewayLoad{c: c, random: rand.New(rand.NewPCG(1, 2))}
+		c.WaitUntil("all gateways serve", 10*time.Second, func() bool { return load.allServe("/read/") })
+		test(c, load)
+		load.wait.Wait()
+		load.check()
+	})
+}
+
+// putGatewayConfiguration sends a configuration until it is accepted.
+func (c *Cluster) putGatewayConfiguration(version, base int, moreRoutes string) {
+	c.T.Helper()
+	c.WaitUntil(fmt.Sprintf("configuration %d is accepted", version), 20*time.Second, func() bool {
+		for _, node := range c.nodeNames(gatewayRole) {
+			code, _, _ := c.request(http.MethodPost, c.nodeURL(node, controlPort, "/-/Config.Replace"), "", fmt.Sprintf(gatewayConfiguration, version, moreRoutes), map[string]string{protocol.HeaderBasedOn: fmt.Sprint(base)})
+			if code == http.StatusOK {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// allServe tells whether each daemon serves a path.
+func (l *gatewayLoad) allServe(prefix string) bool {
+	for _, node := range l.c.nodeNames(gatewayRole) {
+		if l.send(node, prefix).code != http.StatusOK {
+			return false
+		}
+	}
+	return true
+}
+
+// send makes an attempt at a daemon and records it.
+func (l *gatewayLoad) send(node, prefix string) gatewayAttempt {
+	l.mu.Lock()
+	id := fmt.Sprintf("%08x", len(l.attempts))
+	attempt := gatewayAttempt{id: id, path: prefix + id, node: node, sentAt: time.Now()}
+	l.attempts = append(l.attempts, attempt)
+	place := len(l.attempts) - 1
+	l.mu.Unlock()
+	method, body := http.MethodGet, ""
+	if strings.HasPrefix(prefix, "/write/") {
+		method, body = http.MethodPost, "body"
+	}
+	code, raw, header := l.c.request(method, l.c.nodeURL(node, clientPort, attempt.path), "h", body, map[string]string{protocol.HeaderAttemptID: id, protocol.HeaderTimeLeft: "2000"})
+	attempt.code, attempt.took = code, time.Since(attempt.sentAt)
+	if want := fmt.Sprintf("%s %s %d", id, attempt.path, len(body)); code == http.StatusOK && string(raw) != want {
+		attempt.wrong = fmt.Sprintf("the answer is %q, want %q", raw, want)
+	}
+	if code == http.StatusServiceUnavailable && header.Get(protocol.HeaderRetryAfter) == "" {
+		attempt.wrong = "no time to come back"
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.attempts[place] = attempt
+	return attempt
+}
+
+// run sends requests to daemons by lot for a time, reads and writes by turns.
+func (l *gatewayLoad) run(duration time.Duration, nodes ...string) {
+	const pause = 20 * time.Millisecond
+	for i := range int(duration / pause) {
+		node, prefix := nodes[l.random.IntN(len(nodes))], []string{"/read/", "/write/"}[i%2]
+		l.wait.Add(1)
+		go func() {
+			defer l.wait.Done()
+			l.send(node, prefix)
+		}()
+		time.Sleep(pause)
+	}
+}
+
+// check holds all attempts against the rules: a write ran once at most, a promise that
+// nothing ran is true, and each answer is that of its request.
+func (l *gatewayLoad) check() {
+	l.c.T.Helper()
+	for _, attempt := range l.attempts {
+		runs := l.c.platform.RunsOf(attempt.id)
+		if attempt.wrong != "" {
+			l.c.T.Errorf("%s at %s: %s", attempt.path, attempt.node, attempt.wrong)
+		}
+		if strings.HasPrefix(attempt.path, "/write/") && runs > 1 {
+			l.c.T.Errorf("%s at %s ran %d times", attempt.path, attempt.node, runs)
+		}
+		if attempt.code == http.StatusServiceUnavailable && runs > 0 {
+			l.c.T.Errorf("%s at %s ran, and the client was promised that it did not", attempt.path, attempt.node)
+		}
+		if attempt.code == http.StatusOK && runs == 0 {
+			l.c.T.Errorf("%s at %s was answered and never ran", attempt.path, attempt.node)
+		}
+	}
+}
+
+// served is the part of the attempts sent since a time that were served.
+func (l *gatewayLoad) served(since time.Time) float64 {
+	l.wait.Wait()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	served, all := 0, 0
+	for _, attempt := range l.attempts {
+		if attempt.sentAt.Before(since) {
+			continue
+		}
+		all++
+		if attempt.code == http.StatusOK {
+			served++
+		}
+	}
+	return float64(served) / float64(max(all, 1))
+}
+
+// wantServed fails the test if less than a part of what was sent since a time was served.
+func (l *gatewayLoad) wantServed(what string, since time.Time, part float64) {
+	l.c.T.Helper()
+	if got := l.served(since); got < part {
+		l.c.T.Errorf("%s: %.3f served, want %.3f", what, got, part)
+	}
+}
+
+// TestGatewayWithRunnersThatComeAndGo: runners are replaced, crash and come to life; what
+// is sent goes to those that are there.
+func TestGatewayWithRunnersThatComeAndGo(t *testing.T) {
+	gatewayDay(t, func(c *Cluster, load *gatewayLoad) {
+		all := c.nodeNames(gatewayRole)
+		begin := time.Now()
+		c.platform.Drain("i-01")
+		c.platform.StartRunner("svc", "z0")
+		load.run(4*time.Second, all...)
+		load.wantServed("one replaced", begin, 1)
+		begin = time.Now()
+		time.AfterFunc(time.Second, func() { c.platform.Crash("i-02", 3*time.Second) })
+		time.AfterFunc(2*time.Second, func() { c.platform.Crash("i-03", 3*time.Second) })
+		load.run(5*time.Second, all...)
+		load.wantServed("two crashed", begin, 0.95) // writes under way are lost
+		begin = time.Now()
+		load.run(2*time.Second, all...)
+		load.wantServed("afterwards", begin, 1)
+	})
+}
+
+// TestGatewayWithoutTheLeader: daemons go on by what they know while the leader is lost,
+// while the core is cut off from them, and a new one reads the list.
+func TestGatewayWithoutTheLeader(t *testing.T) {
+	gatewayDay(t, func(c *Cluster, load *gatewayLoad) {
+		leader := c.Leader()
+		others := c.nodesExcept(gatewayRole, leader)
+		begin := time.Now()
+		c.Kill(leader)
+		load.run(3*time.Second, others...)
+		load.wantServed("leader lost", begin, 1)
+		c.platform.StartRunner("svc", "z0")
+		for _, old := range []string{"i-01", "i-02", "i-03", "i-04"} {
+			c.platform.Drain(old)
+		}
+		c.platform.StartRunner("svc", "z1")
+		begin = time.Now()
+		load.run(6*time.Second, others...)
+		load.wantServed("all runners replaced under the next leader", begin, 1)
+		c.Start(leader)
+		begin = time.Now()
+		c.partitionFor(4*time.Second, "edge-6", c.Servers()...)
+		load.run(6*time.Second, "edge-6")
+		load.wantServed("cut off", begin, 1)
+	})
+}
+
+// TestGatewayFollowsConfigurations: each daemon serves new routes soon, and refuses what
+// never was one with 404 only if it is sure.
+func TestGatewayFollowsConfigurations(t *testing.T) {
+	gatewayDay(t, func(c *Cluster, load *gatewayLoad) {
+		// It hears late of changes, and must ask before it refuses.
+		c.Network.SetDelay(c.NodeIP("edge-6"), 150*time.Millisecond)
+		for version := 2; version < 8; version++ {
+			route := fmt.Sprintf(`,{"name":"n%d","hostName":"h","pathPrefix":"/new%d/","kind":"read_only","timeoutMs":2000,"targetService":"svc","maxTries":2}`, version, version)
+			if version == 5 {
+				c.Kill(c.Leader())
+			}
+			c.putGatewayConfiguration(version, version-1, route)
+			c.WaitUntil("all that run serve it", 3*time.Second, func() bool {
+				for _, node := range c.nodeNames(gatewayRole) {
+					attempt := load.send(node, fmt.Sprintf("/new%d/", version))
+					if attempt.code == http.StatusNotFound {
+						c.T.Errorf("%s refuses a route that is in force", node)
+					}
+					if attempt.code != http.StatusOK && attempt.code != 0 {
+						return false
+					}
+				}
+				return true
+			})
+		}
+		for _, node := range c.nodeNames(gatewayRole) {
+			if attempt := load.send(node, "/new2/"); attempt.code != http.StatusNotFound && attempt.code != 0 {
+				c.T.Errorf("%s answers %d on a route that was removed", node, attempt.code)
+			}
+		}
+	})
+}
+
+// TestAllGatewaysRestarted: what comes while no daemon knows its configuration waits for
+// it, and is served.
+func TestAllGatewaysRestarted(t *testing.T) {
+	gatewayDay(t, func(c *Cluster, load *gatewayLoad) {
+		all := c.nodeNames(gatewayRole)
+		c.Restart(300*time.Millisecond, all...)
+		begin := time.Now()
+		load.run(2*time.Second, all...)
+		load.wantServed("from the restart on", begin, 0.9)
+		begin = time.Now()
+		load.run(2*time.Second, all...)
+		load.wantServed("afterwards", begin, 1)
+	})
+}
--- a/internal/transport/network.go
+++ b/internal/transport/network.go
@@ -38,6 +38,15 @@
 	return listener, Error.Wrap(err)
 }
 
+// DialWith opens a connection with a caller's own dialer, or on the network that a test
+// has put into the context.
+func DialWith(ctx context.Context, dialer *net.Dialer, addr string) (net.Conn, error) {
+	if network, ok := ctx.Value(networkKey{}).(Network); ok {
+		return network.Dial(ctx, addr)
+	}
+	return dialer.DialContext(ctx, "tcp", addr)
+}
+
 // tcpNetwork is the network of real machines.
 type tcpNetwork struct{}
 
--- a/internal/tuning/gateway.go
+++ b/internal/tuning/gateway.go
@@ -33,6 +33,9 @@
 	// link may be full of clients' bodies for half a second each way, and to connect
 	// anew would take as long again.
 	GatewayAttemptTimeout = 1200 * time.Millisecond
+	// GatewayProbeTimeout is how long a gateway waits for a daemon to say who leads: as
+	// long, for the same reason.
+	GatewayProbeTimeout = time.Second
 	// RunnerWatchRetry is the pause after a question that brought no answer.
 	RunnerWatchRetry = 100 * time.Millisecond
 )
