Simulation: data folders of this version for TestUpgrade

The tables show quotas and tenants of jobs; folders of versions since there are tenants must hold these and the command that submits with a tenant, instead of the earlier command, which v1 still must hold.

--- a/internal/simulation/upgrade_tables_test.go
+++ b/internal/simulation/upgrade_tables_test.go
@@ -116,6 +116,7 @@
 	x.configurations(s)
 	x.machines(s)
 	x.jobs(s)
+	x.tenants(s)
 	x.moves(s)
 }
 
@@ -199,6 +200,16 @@
 	}
 }
 
+// tenants writes the quotas of tenants and whose jobs there are.
+func (x *tables) tenants(s *state.Store) {
+	for name, quota := range sorted(s.Quotas) {
+		x.row("quota", "tenant", name, "cpu", quota.MilliCPU, "memory", quota.MemoryMB, "gpus", quota.GPUs, "share", quota.MilliShare)
+	}
+	for id, job := range sorted(s.JobTenants) {
+		x.row("job-tenant", "job", id, "tenant", job.Tenant, "beyond-share", job.BeyondShare)
+	}
+}
+
 // moves writes what is known of peers, loans and demand.
 func (x *tables) moves(s *state.Store) {
 	for name, peer := range sorted(s.Peers) {
--- a/internal/simulation/upgrade_test.go
+++ b/internal/simulation/upgrade_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -152,7 +153,7 @@
 		}
 		all.WriteString(text)
 	}
-	for _, part := range covered {
+	for _, part := range slices.Concat(covered, submissions(filepath.Base(folder))) {
 		if !regexp.MustCompile("(?m)^" + part).MatchString(all.String()) {
 			t.Errorf("no data folder of %s holds %q", folder, part)
 		}
@@ -161,7 +162,7 @@
 
 // covered is what the data folders must hold, or they would prove little.
 var covered = []string{
-	"founder", "snapshot-voter node=\"a-new-1\"", "entry .* kind=0", " command kind=\"handin\"",
+	"founder", "snapshot-voter node=\"a-new-1\"", "entry .* kind=0",
 	"configuration version=7", "route", "service", "accepted base=5 version=7", "refused base=60",
 	"worker .* dead=false", "worker .* dead=true", "device .* class=\"gpu\"", "device .* class=\"turn\"", "device .* class=\"loan\"", " booking", "allocation .* gpus=\\[\"",
 	"rollup", "aggregator", "flaps", "job .* times=3 .* ended=0", "job .* state=\"pending\"", "job .* state=\"serving\"", "job .* state=\"done\"", "job .* state=\"failed\"",
@@ -169,6 +170,15 @@
 	" move .* state=[12] .* guest=false", " move .* guest=true",
 }
 
+// submissions is what the folders of a version must hold of submitted jobs: there were no
+// tenants in the first.
+func submissions(version string) []string {
+	if version == "v1" {
+		return []string{" command kind=\"handin\""}
+	}
+	return []string{" command kind=\"submit\"", "quota tenant=", "job-tenant .* tenant="}
+}
+
 // goOn starts the daemons on copies of the data folders and has them finish what
 // was accepted, and more.
 func goOn(t *testing.T, folder string) {
