--- a/internal/api/gateway.go
+++ b/internal/api/gateway.go
@@ -117,36 +117,50 @@
 	return nil
 }
 
+// runnerFollower is what a daemon knows of the runners by the leader's news.
+type runnerFollower struct {
+	view     *registry.View
+	position gateway.Position
+}
+
 // followRunners asks the leader for changes of the list of runners, until ctx ends.
 func (s *Server) followRunners(ctx context.Context) {
-	view, position := registry.NewView(), gateway.Position{}
+	follower := &runnerFollower{view: registry.NewView()}
 	for ctx.Err() == nil {
 		watch := rpc.RunnerWatch{Node: s.settings.NodeName, Zone: s.settings.Zone, ConfigVersion: s.gateway.ConfigVersion(), Observations: s.gateway.TakeObservations()}
-		watch.Epoch, watch.Version = view.Position()
+		watch.Epoch, watch.Version = follower.view.Position()
 		askedAt := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, tuning.RunnerWatchTimeout)
 		response := s.Call(callCtx, rpc.KindWatchRunners, watch)
 		cancel()
-		var news rpc.RunnerNews
-		if response.Code == rpc.CodeOK && len(response.Body) > 0 && transport.Decode(response.Body, &news) == nil {
-			next := gateway.Position{Index: news.DaemonIndex, Count: news.DaemonCount, Total: news.DaemonTotal}
-			moved := next.Count > 0 && next != position
-			if moved {
-				position = next
-			}
-			if view.Apply(news.Delta) || moved {
-				s.gateway.SetRunners(view.Runners(), position)
-			}
-			if len(news.Config) == 0 && watch.ConfigVersion > 0 {
-				s.gateway.ConfirmConfig(askedAt)
-			}
-			if err := s.applyConfigNews(news); err != nil {
-				_ = s.log.Log("level", "error", "event", "configuration.rejected", "error", err)
-			}
-		}
 		if response.Code != rpc.CodeOK {
 			pause(ctx, tuning.RunnerWatchRetry)
+			continue
+		}
+		var news rpc.RunnerNews
+		if len(response.Body) == 0 || transport.Decode(response.Body, &news) != nil {
+			continue
 		}
+		if len(news.Config) == 0 && watch.ConfigVersion > 0 {
+			s.gateway.ConfirmConfig(askedAt)
+		}
+		s.applyRunnerNews(follower, news)
+		if err := s.applyConfigNews(news); err != nil {
+			_ = s.log.Log("level", "error", "event", "configuration.rejected", "error", err)
+		}
+	}
+}
+
+// applyRunnerNews takes over what the leader tells of the runners, and of this daemon's
+// place among the daemons, which is told only by a leader that knows it.
+func (s *Server) applyRunnerNews(follower *runnerFollower, news rpc.RunnerNews) {
+	next := gateway.Position{Index: news.DaemonIndex, Count: news.DaemonCount, Total: news.DaemonTotal}
+	moved := next.Count > 0 && next != follower.position
+	if moved {
+		follower.position = next
+	}
+	if follower.view.Apply(news.Delta) || moved {
+		s.gateway.SetRunners(follower.view.Runners(), follower.position)
 	}
 }
 
@@ -187,15 +201,8 @@
 
 // askReplica sends a request to this daemon's own replica.
 func (s *Server) askReplica(ctx context.Context, request rpc.Request) rpc.Response {
-	responses := make(chan rpc.Response, 1)
-	s.replica.HandleLocal(request, func(response rpc.Response) {
-		select {
-		case responses <- response:
-		default:
-		}
-	})
 	select {
-	case response := <-responses:
+	case response := <-callLocal(request, s.replica.HandleLocal):
 		return response
 	case <-ctx.Done():
 		return rpc.Response{Code: rpc.CodeTimeout}
--- a/internal/api/leader.go
+++ b/internal/api/leader.go
@@ -61,6 +61,18 @@
 	return callLocalThenLeader(ctx, request, s.replica.HandleLocal, s.discovery.Do)
 }
 
+// callLocal sends a request to the local replica; the channel gets its first response.
+func callLocal(request rpc.Request, local func(rpc.Request, func(rpc.Response))) <-chan rpc.Response {
+	responses := make(chan rpc.Response, 1)
+	local(request, func(response rpc.Response) {
+		select {
+		case responses <- response:
+		default:
+		}
+	})
+	return responses
+}
+
 // callLocalThenLeader sends a request to the local replica and, if that doesn't
 // lead or is slow, to the leader elsewhere. If the local replica may have put the
 // request into its log, rpc.CodeNoLeader from elsewhere becomes rpc.CodeTimeout:
@@ -69,13 +81,7 @@
 	ctx context.Context, request rpc.Request,
 	local func(rpc.Request, func(rpc.Response)), leader func(context.Context, rpc.Request) rpc.Response,
 ) rpc.Response {
-	responses := make(chan rpc.Response, 1)
-	local(request, func(response rpc.Response) {
-		select {
-		case responses <- response:
-		default:
-		}
-	})
+	responses := callLocal(request, local)
 	timer := time.NewTimer(tuning.RequestAttemptTimeout)
 	defer timer.Stop()
 	maybeLogged := true
--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -25,7 +25,6 @@
 // and is used by one goroutine at a time.
 type balancer struct {
 	zone     string
-	position Position
 	runners  map[string]*runnerState   // by ID
 	observed []*runnerState            // those with something to report
 	services map[string][]*runnerState // those that get this daemon's requests
@@ -38,7 +37,6 @@
 // setRunners takes over the list of runners, and this daemon's position among those that
 // use them. What is known of runners that stay is kept.
 func (b *balancer) setRunners(list []registry.Runner, position Position, now time.Time) {
-	b.position = position
 	next := map[string]*runnerState{}
 	near, all := map[string][]*runnerState{}, map[string][]*runnerState{}
 	for _, listed := range list {
@@ -60,7 +58,7 @@
 		if len(near[service]) > 0 {
 			runners = near[service]
 		}
-		all[service] = b.position.subset(runners)
+		all[service] = position.subset(runners)
 	}
 	b.runners, b.services = next, all
 }
