Gateway: the list is read as often as drainMs asks, within the platform's rate

Cause: the interval was a constant made for a drainMs of 2.5 s. A platform with a lower rate than pages in a reading refused each reading midway, and it began anew each time. Change: the interval follows from drainMs and maxLagMs (0.35 to 1.2 s); pages are paced at 0.45 of ratePerS (x/time/rate), and a refused page is asked for again. x/time was there indirectly. Result: tests; a list of 30 pages at 5 calls a second is read to its end.

--- a/internal/api/gateway.go
+++ b/internal/api/gateway.go
@@ -55,7 +55,7 @@
 func (s *Server) startGateway(ctx context.Context) {
 	go s.followRunners(ctx)
 	if s.replica != nil && s.settings.Platform.Address != "" {
-		go s.readRunners(ctx, platform.NewClient(s.settings.Platform.Address))
+		go s.readRunners(ctx, platform.NewClient(s.settings.Platform.Address, s.settings.Platform.RatePerS))
 	}
 }
 
@@ -167,6 +167,7 @@
 // readRunners reads the platform's list while this daemon leads, until ctx ends. The
 // leader is the only reader: it holds a lease, so there are never two for long.
 func (s *Server) readRunners(ctx context.Context, client *platform.Client) {
+	calm, busy := readIntervals(&s.settings)
 	var last []registry.Runner
 	var changedAt time.Time
 	for ctx.Err() == nil {
@@ -184,14 +185,27 @@
 		if !registry.SameState(last, list) {
 			last, changedAt = list, time.Now()
 		}
-		interval := tuning.PlatformReadInterval
+		interval := calm
 		if time.Since(changedAt) < tuning.BusyReadTime {
-			interval = tuning.BusyReadInterval
+			interval = busy
 		}
 		pause(ctx, interval)
 	}
 }
 
+// readIntervals gives the time between two readings of the platform's list, and that while
+// the list changes: a runner that leaves must be known to leave before it ends.
+func readIntervals(file *settings.File) (calm, busy time.Duration) {
+	calm = tuning.MaxPlatformReadInterval
+	if file.Bounds.DrainMs > 0 {
+		spare := time.Duration((file.Bounds.DrainMs-file.Platform.MaxLagMs)*float64(time.Millisecond)) - tuning.PlatformNewsTime
+		calm = min(calm, spare)
+	}
+	calm = max(calm, tuning.MinPlatformReadInterval)
+	busy = max(time.Duration(tuning.BusyReadFraction*float64(calm)), tuning.MinPlatformReadInterval)
+	return calm, busy
+}
+
 // leads tells whether this daemon's replica leads now.
 func (s *Server) leads(ctx context.Context) bool {
 	response := s.askReplica(ctx, rpc.Request{Kind: rpc.KindLeader})
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -6,13 +6,16 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/url"
+	"time"
 
 	"github.com/zeebo/errs"
+	"golang.org/x/time/rate"
 
 	"tealpond/internal/registry"
 	"tealpond/internal/transport"
@@ -29,12 +32,14 @@
 type Client struct {
 	address string // HOST:PORT
 	http    *http.Client
+	limiter *rate.Limiter
 }
 
-// NewClient makes a client of the platform at an address.
-func NewClient(address string) *Client {
+// NewClient makes a client of the platform at an address, which accepts so many calls a
+// second from all daemons together; 0: any number.
+func NewClient(address string, callsPerSecond float64) *Client {
 	dialer := &net.Dialer{Timeout: tuning.PlatformCallTimeout}
-	return &Client{address: address, http: &http.Client{Transport: &http.Transport{
+	return &Client{address: address, limiter: newLimiter(callsPerSecond), http: &http.Client{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
 			return transport.DialWith(ctx, dialer, addr)
 		},
@@ -44,6 +49,15 @@
 	}}}
 }
 
+// newLimiter keeps a client below the platform's rate.
+func newLimiter(callsPerSecond float64) *rate.Limiter {
+	if callsPerSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	used := callsPerSecond * tuning.PlatformRateShare
+	return rate.NewLimiter(rate.Limit(used), max(int(used), 1))
+}
+
 // listedRunner is an entry of the platform's list. Unknown members are skipped.
 type listedRunner struct {
 	ID         string `json:"id"`
@@ -70,7 +84,7 @@
 	var runners []registry.Runner
 	token := ""
 	for range tuning.MaxPlatformPages {
-		page, err := c.page(ctx, token)
+		page, err := c.pageWithinRate(ctx, token)
 		if err != nil {
 			return nil, err
 		}
@@ -88,6 +102,25 @@
 	return nil, Error.New("the list has more than %d pages", tuning.MaxPlatformPages)
 }
 
+// pageWithinRate reads one page at the client's pace, and again if the platform refuses it
+// for its rate: a list that is begun anew each time might never be read to its end.
+func (c *Client) pageWithinRate(ctx context.Context, token string) (page listPage, err error) {
+	for range tuning.PlatformPageAttempts {
+		if err := c.limiter.Wait(ctx); err != nil {
+			return listPage{}, Error.Wrap(err)
+		}
+		if page, err = c.page(ctx, token); !errors.Is(err, ErrRateExceeded) {
+			break
+		}
+		select {
+		case <-time.After(tuning.PlatformRatePause):
+		case <-ctx.Done():
+			return listPage{}, Error.Wrap(ctx.Err())
+		}
+	}
+	return page, err
+}
+
 // page reads one page.
 func (c *Client) page(ctx context.Context, token string) (page listPage, err error) {
 	ctx, cancel := context.WithTimeout(ctx, tuning.PlatformCallTimeout)
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"tealpond/internal/registry"
 )
@@ -27,7 +30,7 @@
 		}
 	}))
 	t.Cleanup(server.Close)
-	return NewClient(strings.TrimPrefix(server.URL, "http://"))
+	return NewClient(strings.TrimPrefix(server.URL, "http://"), 0)
 }
 
 // TestListReadsAllPages to the last one, which has no token or null.
@@ -67,3 +70,61 @@
 		t.Error("read to its end")
 	}
 }
+
+// scriptedPlatform answers calls at a rate, without a network.
+type scriptedPlatform struct {
+	pages   int           // of the list
+	spacing time.Duration // between two calls that are accepted
+	burst   int           // calls that are accepted at once
+	calls   []time.Time
+	refused int
+}
+
+// RoundTrip implements http.RoundTripper.
+func (p *scriptedPlatform) RoundTrip(r *http.Request) (*http.Response, error) {
+	now := time.Now()
+	recent := 0
+	for _, at := range p.calls {
+		if now.Sub(at) < time.Duration(p.burst)*p.spacing {
+			recent++
+		}
+	}
+	if recent >= p.burst {
+		p.refused++
+		return &http.Response{StatusCode: http.StatusTooManyRequests, Body: http.NoBody, Request: r}, nil
+	}
+	p.calls = append(p.calls, now)
+	var page int
+	_, _ = fmt.Sscan(r.URL.Query().Get("pageToken"), &page) // the first page has none
+	text := fmt.Sprintf(`{"instanceList":[{"id":"i-%d"}],"nextToken":"%d"}`, page, page+1)
+	if page == p.pages-1 {
+		text = fmt.Sprintf(`{"instanceList":[{"id":"i-%d"}],"nextToken":null}`, page)
+	}
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(text)), Request: r}, nil
+}
+
+// TestListKeepsToTheRate: a list of more pages than the platform answers in a second is
+// read to its end, at a pace that it accepts; and also if others use up its rate.
+func TestListKeepsToTheRate(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		rate         float64 // that the settings name
+		mayBeRefused bool
+	}{
+		{"rate is known", 5, false},
+		{"no rate is known", 0, true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			stand := &scriptedPlatform{pages: 30, spacing: 200 * time.Millisecond, burst: 5}
+			client := NewClient("10.0.0.1:80", c.rate)
+			client.http.Transport = stand
+			list, err := client.List(t.Context())
+			if err != nil || len(list) != stand.pages {
+				t.Errorf("%s: %d runners, %v", c.name, len(list), err)
+			}
+			if stand.refused > 0 && !c.mayBeRefused {
+				t.Errorf("%s: %d calls were refused", c.name, stand.refused)
+			}
+		})
+	}
+}
--- a/internal/tuning/gateway.go
+++ b/internal/tuning/gateway.go
@@ -4,13 +4,25 @@
 
 // The platform's list of runners.
 const (
-	// PlatformReadInterval is the time between two readings of the list. Each page
-	// has a price. A runner that leaves serves on for 2.5 s; the list runs 0.8 s
-	// behind, and a daemon's link may hold its news and its requests up by 0.3 s each.
-	PlatformReadInterval = 700 * time.Millisecond
-	// BusyReadInterval is that time while the list changes: runners mostly leave one
-	// after the other.
-	BusyReadInterval = 350 * time.Millisecond
+	// MaxPlatformReadInterval is the longest time between two readings of the list, and
+	// the time where the settings don't say how long a runner that leaves serves on.
+	MaxPlatformReadInterval = 1200 * time.Millisecond
+	// MinPlatformReadInterval is the shortest. Each page has a price.
+	MinPlatformReadInterval = 350 * time.Millisecond
+	// PlatformNewsTime is what is left of a leaving runner's time, after the list's lag
+	// and one interval, for a reading, its news and a request on its way: a daemon's link
+	// may hold the last two up by 0.3 s each.
+	PlatformNewsTime = time.Second
+	// BusyReadFraction is the part of the interval after which the list is read while
+	// it changes: runners mostly leave one after the other.
+	BusyReadFraction = 0.5
+	// PlatformRateShare is the part of the platform's rate that its reader uses. For a
+	// moment after a change of leader there may be two.
+	PlatformRateShare = 0.45
+	// PlatformPageAttempts is how often a page is asked for that the platform refuses
+	// for its rate, and PlatformRatePause the pause between two.
+	PlatformPageAttempts = 6
+	PlatformRatePause    = 250 * time.Millisecond
 	// BusyReadTime is how long after a change the list counts as changing.
 	BusyReadTime = 5 * time.Second
 	// PlatformBackoff is the pause after a reading that failed.
