--- a/cmd/tealpond/tools.go
+++ b/cmd/tealpond/tools.go
@@ -44,11 +44,18 @@
 	asJSON := tenantsCommand.Flag("json", "Print one JSON object a line.").Bool()
 	p.commands[tenantsCommand.FullCommand()] = func() int { return p.showTenants(*tenantsAddresses, *asJSON) }
 
-	queryCommand := app.Command("query", "Answer one SELECT over daemons, workers, devices, bookings, allocs, inboxes, jobs, tenants and rollups.")
+	queryCommand := app.Command("query", "Answer one SELECT over daemons, runners, workers, devices, bookings, allocs, inboxes, jobs, tenants and rollups.")
 	text := queryCommand.Arg("sql", "The query.").Required().String()
 	queryAddresses := queryCommand.Flag("at", "A daemon's address for daemons; may be repeated.").Required().Strings()
 	limit := queryCommand.Flag("limit", "The most rows that are printed.").Default("1000").Int()
-	p.commands[queryCommand.FullCommand()] = func() int { return p.runQuery(*queryAddresses, *text, *limit) }
+	ofLeader := queryCommand.Flag("leader", "Ask the leader, which alone knows daemons and runners.").Bool()
+	p.commands[queryCommand.FullCommand()] = func() int {
+		fetch := admin.FetchState
+		if *ofLeader {
+			fetch = admin.FetchLeaderState
+		}
+		return p.runQuery(fetch, *queryAddresses, *text, *limit)
+	}
 }
 
 // fail reports an error and returns the exit code for it.
@@ -138,7 +145,7 @@
 // showTenants prints the tenants as a table, or as one JSON object a line.
 func (p *program) showTenants(addresses []string, asJSON bool) int {
 	if !asJSON {
-		return p.runQuery(addresses, tenantsQuery, tuning.MaxQueryRows)
+		return p.runQuery(admin.FetchState, addresses, tenantsQuery, tuning.MaxQueryRows)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), tuning.ToolTotalTimeout)
 	defer cancel()
@@ -164,11 +171,14 @@
 	return exitOK
 }
 
+// fetchState takes a server's state for a query.
+type fetchState func(ctx context.Context, addresses []string) (rpc.ClusterState, error)
+
 // runQuery prints the answer to an SQL query.
-func (p *program) runQuery(addresses []string, query string, limit int) int {
+func (p *program) runQuery(fetch fetchState, addresses []string, query string, limit int) int {
 	ctx, cancel := context.WithTimeout(context.Background(), tuning.ToolTotalTimeout)
 	defer cancel()
-	cluster, err := admin.FetchState(ctx, addresses)
+	cluster, err := fetch(ctx, addresses)
 	if err != nil {
 		return p.fail(err)
 	}
--- a/internal/admin/query.go
+++ b/internal/admin/query.go
@@ -29,26 +29,42 @@
 // query does not slow the leader's scheduling. The error is ErrUnreachable if no
 // server answered.
 func FetchState(ctx context.Context, addresses []string) (rpc.ClusterState, error) {
+	return fetchState(ctx, addresses, false)
+}
+
+// FetchLeaderState takes the state of the leader, which alone knows the daemons and the
+// runners of a platform. The error is ErrUnreachable if it didn't answer.
+func FetchLeaderState(ctx context.Context, addresses []string) (rpc.ClusterState, error) {
+	cluster, err := fetchState(ctx, addresses, true)
+	if err == nil && !cluster.IsLeader {
+		return rpc.ClusterState{}, ErrUnreachable
+	}
+	return cluster, err
+}
+
+// fetchState takes the state of the leader or of a follower, or else of any server that
+// answers.
+func fetchState(ctx context.Context, addresses []string, ofLeader bool) (rpc.ClusterState, error) {
 	servers, _, err := ListMembers(ctx, addresses)
 	if err != nil {
 		return rpc.ClusterState{}, err
 	}
-	var leaderState *rpc.ClusterState
+	var other *rpc.ClusterState
 	for _, address := range servers {
 		response, err := rpc.Call(ctx, address, rpc.KindClusterState, nil, tuning.ToolRequestTimeout)
 		var fetched rpc.ClusterState
 		if err != nil || transport.Decode(response.Body, &fetched) != nil {
 			continue
 		}
-		if !fetched.IsLeader {
+		if fetched.IsLeader == ofLeader {
 			return fetched, nil
 		}
-		leaderState = &fetched
+		other = &fetched
 	}
-	if leaderState == nil {
+	if other == nil {
 		return rpc.ClusterState{}, ErrUnreachable
 	}
-	return *leaderState, nil
+	return *other, nil
 }
 
 // columnType is the SQL type of a value; empty if it has none of its own.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -93,6 +93,16 @@
 	return epoch == t.epoch && version == t.version
 }
 
+// Runners lists the runners by their IDs.
+func (t *Table) Runners() []Runner {
+	runners := make([]Runner, 0, len(t.rows))
+	for _, row := range t.rows {
+		runners = append(runners, row.runner)
+	}
+	sortByID(runners)
+	return runners
+}
+
 // Update takes over a list that was read to its end. It tells whether anything changed.
 func (t *Table) Update(list []Runner) bool {
 	next := t.version + 1
--- a/internal/server/admin.go
+++ b/internal/server/admin.go
@@ -21,6 +21,6 @@
 	if r.node != nil {
 		response.IsLeader, response.AppliedIndex = r.node.IsLeader(), r.state.AppliedIndex
 	}
-	response.Tables = append([]rpc.Table{daemonTable(r.memberLeases)}, stateTables(r.state)...)
+	response.Tables = append([]rpc.Table{daemonTable(r.memberLeases), runnerTable(r.runnerTable)}, stateTables(r.state)...)
 	reply(rpc.Response{Code: rpc.CodeOK, Body: transport.Encode(response)})
 }
--- a/internal/server/state_tables.go
+++ b/internal/server/state_tables.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"tealpond/internal/registry"
 	"tealpond/internal/rpc"
 	"tealpond/internal/state"
 	"tealpond/internal/tuning"
@@ -35,6 +36,19 @@
 	return table
 }
 
+// runnerTable lists the runners of a gateway's platform, with what the requests of all
+// daemons tell of them. Only the leader has it; list is nil elsewhere.
+func runnerTable(list *registry.Table) rpc.Table {
+	table := newTable("runners", "id", "service", "zone", "addr", "slots", "draining", "latency_ms", "failed_pct")
+	if list == nil {
+		return table
+	}
+	for _, runner := range list.Runners() {
+		addRow(&table, runner.ID, runner.Service, runner.Zone, runner.Address, runner.Slots, runner.Draining, runner.Health.LatencyMs, runner.Health.FailedPct)
+	}
+	return table
+}
+
 // stateTables are the tables of the replicated state.
 func stateTables(store *state.Store) []rpc.Table {
 	devices, bookings := deviceTables(store)
--- a/internal/server/state_tables_test.go
+++ b/internal/server/state_tables_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 
 	"tealpond/internal/protocol"
+	"tealpond/internal/registry"
 	"tealpond/internal/rpc"
 	"tealpond/internal/state"
 	"tealpond/internal/transport"
@@ -17,6 +18,7 @@
 // row has a value for each column.
 func TestClusterStateTables(t *testing.T) {
 	want := `daemons: node role zone addr seen_ms
+runners: id service zone addr slots draining latency_ms failed_pct
 workers: id node service zone rack cpu cpu_used mem mem_used gpus fence draining sick lost dead
 devices: id class worker healthy bookings
 bookings: device alloc from_ms to_ms
@@ -32,6 +34,7 @@
 		h := newLeader(t)
 		h.configure()
 		h.call(rpc.KindRenewMembership, rpc.MembershipLease{Node: "n", Role: "edge"})
+		h.publish(registry.Runner{ID: "r", Service: "s", Zone: "z", Address: "10.0.0.1:80", Slots: 2})
 		h.call(rpc.KindRegisterWorker, state.RegisterWorker{ID: "w", Node: "n-w", Service: "s", Zone: "z", Capacity: protocol.Resources{CPUUnits: 4000, MemoryMB: 1000, GPUs: 2}, LeavesInMs: -1})
 		h.call(rpc.KindSubmitJob, rpc.JobRequest{Host: "h.example", Path: "/r/0123456789abcdef", Job: protocol.Job{Steps: []protocol.Step{{TaskCount: 1, CPUUnits: 100, EstimateMs: 1000}}}})
 		h.turn()
@@ -53,7 +56,7 @@
 		if got != want {
 			t.Errorf("the tables are\n%s", got)
 		}
-		for _, name := range []string{"daemons", "workers", "devices", "inboxes", "jobs", "allocs"} {
+		for _, name := range []string{"daemons", "runners", "workers", "devices", "inboxes", "jobs", "allocs"} {
 			if rows[name] == 0 {
 				t.Errorf("%s is empty: %v", name, rows)
 			}
--- a/internal/simulation/gateway_test.go
+++ b/internal/simulation/gateway_test.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -10,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"tealpond/internal/admin"
 	"tealpond/internal/protocol"
 )
 
@@ -261,3 +263,35 @@
 		load.wantServed("afterwards", begin, 1)
 	})
 }
+
+// TestRunnersAreReadFromTheLeader: it shows those that the platform lists and what the
+// daemons' requests tell of them; a leader that can't be reached is said to be.
+func TestRunnersAreReadFromTheLeader(t *testing.T) {
+	gatewayDay(t, func(c *Cluster, load *gatewayLoad) {
+		load.run(2*time.Second, c.nodeNames(gatewayRole)...)
+		cluster, err := admin.FetchLeaderState(c.adminContext(), []string{c.nodeAddress("edge-6", daemonPort)})
+		if err != nil || !cluster.IsLeader {
+			t.Fatalf("leads %v, %v", cluster.IsLeader, err)
+		}
+		for _, table := range cluster.Tables {
+			if table.Name != "runners" {
+				continue
+			}
+			if len(table.Rows) != 4 {
+				t.Errorf("%d runners, want 4", len(table.Rows))
+			}
+			for _, row := range table.Rows {
+				if latency := fmt.Sprint(row[6]); latency == "0" {
+					t.Errorf("of %v no latency is known", row[0])
+				}
+			}
+		}
+		left := c.Servers()[2]
+		for _, server := range c.Servers()[:2] {
+			c.Kill(server)
+		}
+		if _, err := admin.FetchLeaderState(c.adminContext(), []string{c.nodeAddress(left, daemonPort)}); !errors.Is(err, admin.ErrUnreachable) {
+			t.Errorf("without a leader: %v", err)
+		}
+	})
+}
