--- a/internal/simulation/gateway_test.go
+++ b/internal/simulation/gateway_test.go
@@ -13,6 +13,7 @@
 
 	"tealpond/internal/admin"
 	"tealpond/internal/protocol"
+	"tealpond/internal/tuning"
 )
 
 // gatewayConfiguration is a configuration for gateways, given its version.
@@ -290,6 +291,7 @@
 		for _, server := range c.Servers()[:2] {
 			c.Kill(server)
 		}
+		time.Sleep(2 * tuning.QuorumLossTimeout) // the third may have led
 		if _, err := admin.FetchLeaderState(c.adminContext(), []string{c.nodeAddress(left, daemonPort)}); !errors.Is(err, admin.ErrUnreachable) {
 			t.Errorf("without a leader: %v", err)
 		}
