--- a/internal/server/apply.go
+++ b/internal/server/apply.go
@@ -71,6 +71,7 @@
 		return
 	}
 	outcomes := r.state.ApplyEntry(entry.Index, entry.Data)
+	r.learnClocks(time.Now())
 	r.planDue = true
 	if !r.leading {
 		// Only a leader plans, and a new one looks at all jobs.
--- a/internal/server/clock.go
+++ b/internal/server/clock.go
@@ -1,36 +1,58 @@
 package server
 
 import (
+	"math"
 	"slices"
 	"time"
 )
 
-// clock is the state's clock in ms: it goes on from the newest reading in the log, so
-// that it never runs backwards when the leader changes.
+// clockNeverSeen is the offset of a state clock of which no entry is known.
+const clockNeverSeen = time.Duration(math.MinInt64 / 2)
+
+// clock is the state's clock in ms, which never runs backwards when the leader changes: it
+// goes on from the newest reading in the log, or from where this replica, as a follower,
+// saw the leader's clock, which takes the time between two leaders into account. It is
+// never ahead of the time that has passed since any entry was stamped.
 func (r *Replica) clock(now time.Time) int64 {
 	return r.clockBase + now.Sub(r.leadingSince).Milliseconds()
 }
 
-// wallClock is the wall-clock time in Unix ms: the median of the members' offsets
-// from this leader's monotonic clock, so that a jump of one machine's clock alone has
-// no effect. Without a recent reading of another member it goes on from the last
-// offset.
+// learnClocks takes note of the clocks of the newest entry that was applied.
+func (r *Replica) learnClocks(now time.Time) {
+	if r.state.WallClock > 0 {
+		r.clusterTime.learn(now, time.Duration(r.state.WallClock)*time.Millisecond)
+	}
+	r.clockSeen = max(r.clockSeen, time.Duration(r.state.Clock)*time.Millisecond-now.Sub(r.clusterTime.origin))
+}
+
+// beginClocks begins the clocks of a term of leadership.
+func (r *Replica) beginClocks(now time.Time) {
+	seen := r.clockSeen + now.Sub(r.clusterTime.origin)
+	r.clockBase = max(r.state.Clock, seen.Milliseconds())
+	r.clusterTime.beginTerm()
+}
+
+// wallClock is the wall-clock time in Unix ms, see clusterTime. Members without a recent
+// reading count for nothing.
 func (r *Replica) wallClock(now time.Time) int64 {
-	elapsed := now.Sub(r.leadingSince).Milliseconds()
-	offsets := []int64{now.UnixMilli() - elapsed}
+	members := []time.Duration{r.timeOfDay.read(now, machineTime(now))}
 	for _, clock := range r.node.PeerWallClocks(now) {
-		offsets = append(offsets, clock-elapsed)
+		members = append(members, time.Duration(clock)*time.Millisecond)
 	}
-	if !r.wallClockKnown || len(offsets) > 1 {
-		r.wallClockOffset, r.wallClockKnown = lowerMedian(offsets), true
+	wall, step := r.clusterTime.read(now, members)
+	switch {
+	case step.adopted:
+		_ = r.log.Log("level", "warn", "event", "clock.adopted", "off_ms", step.offBy.Milliseconds(), "members", len(members))
+	case step.began:
+		_ = r.log.Log("level", "warn", "event", "clock.apart", "off_ms", step.offBy.Milliseconds(), "members", len(members))
 	}
-	return r.wallClockOffset + elapsed
+	return wall.Milliseconds()
 }
 
-// lowerMedian is the median of some offsets, the lower of two in the middle, since a
+// lowerMedian is the median of some times, the lower of two in the middle, since a
 // periodic job may start late but not early. It sorts its argument, which must not be
 // empty.
-func lowerMedian(offsets []int64) int64 {
-	slices.Sort(offsets)
-	return offsets[(len(offsets)-1)/2]
+func lowerMedian(times []time.Duration) time.Duration {
+	slices.Sort(times)
+	return times[(len(times)-1)/2]
 }
--- a/internal/server/clock_test.go
+++ b/internal/server/clock_test.go
@@ -1,22 +1,49 @@
 package server
 
 import (
+	"slices"
 	"testing"
+	"time"
 )
 
 // TestLowerMedian: of two in the middle the lower one, so that no run starts too early.
 func TestLowerMedian(t *testing.T) {
 	for _, test := range []struct {
-		offsets []int64
-		want    int64
+		times []time.Duration
+		want  time.Duration
 	}{
-		{[]int64{7}, 7},
-		{[]int64{9, 7}, 7},
-		{[]int64{9, -100, 7}, 7},
-		{[]int64{9, 8, 1 << 40, 7}, 8},
+		{[]time.Duration{7}, 7},
+		{[]time.Duration{9, 7}, 7},
+		{[]time.Duration{9, -100, 7}, 7},
+		{[]time.Duration{9, 8, 1 << 40, 7}, 8},
 	} {
-		if got := lowerMedian(append([]int64(nil), test.offsets...)); got != test.want {
-			t.Errorf("%v: %d, want %d", test.offsets, got, test.want)
+		if got := lowerMedian(slices.Clone(test.times)); got != test.want {
+			t.Errorf("%v: %d, want %d", test.times, got, test.want)
 		}
 	}
 }
+
+// TestStateClockGoesOnOverElections: a new leader's clock takes in the time since the
+// last entry of the one before it, and is never ahead of it.
+func TestStateClockGoesOnOverElections(t *testing.T) {
+	start := time.Now()
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	r := newReplica()
+	r.clusterTime = newClusterTime(start)
+	r.state.Clock = 50_000
+	r.learnClocks(at(10)) // as the leader stamped it at 10 s
+	r.state.Clock = 50_100
+	r.learnClocks(at(13)) // applied 2.9 s late
+	r.leadingSince = at(15)
+	r.beginClocks(at(15))
+	if got := r.clock(at(16)); got != 56_000 {
+		t.Errorf("6 s after an entry of 50 s the clock shows %d ms", got)
+	}
+	// Without any entry seen while it was up it goes on from the newest in the log.
+	r = newReplica()
+	r.clusterTime, r.state.Clock, r.leadingSince = newClusterTime(start), 20_000, at(100)
+	r.beginClocks(at(100))
+	if got := r.clock(at(101)); got != 21_000 {
+		t.Errorf("1 s after a start at an entry of 20 s the clock shows %d ms", got)
+	}
+}
--- a/internal/server/leader.go
+++ b/internal/server/leader.go
@@ -85,7 +85,8 @@
 
 // becomeLeader begins a term of leadership: nothing of an earlier one is kept.
 func (r *Replica) becomeLeader(now time.Time) {
-	r.leading, r.leadingSince, r.leadingTerm, r.clockBase = true, now, r.node.Term(), r.state.Clock
+	r.leading, r.leadingSince, r.leadingTerm = true, now, r.node.Term()
+	r.beginClocks(now)
 	r.memberSets, r.appointments = map[string]memberSet{}, newAppointments()
 	// All sessions are synced again: before this replica led, assignments may
 	// have been held back for workers that it knew nothing of yet.
@@ -101,7 +102,6 @@
 	r.planDue, r.plansProposed, r.garbageCollectionProposed = true, false, false
 	r.planNotBefore, r.refusedInARow = time.Time{}, 0
 	r.garbageCollectedAt, r.rollupsRebuiltAt = now, now
-	r.wallClockKnown = false
 	if limits := stateLimits(r.settings); r.state.Limits != limits {
 		r.enqueueCommand(state.CommandSetLimits, &state.SetLimits{Limits: limits}, nil)
 	}
--- a/internal/server/replica.go
+++ b/internal/server/replica.go
@@ -71,6 +71,11 @@
 	votersConnectedAt time.Time                    // when missing streams to voters were last opened
 	inbound           map[string]*transport.Stream // by member ID, the stream it was last heard on
 
+	// Clocks of the log, see clock.go.
+	timeOfDay   timeOfDay
+	clusterTime clusterTime
+	clockSeen   time.Duration // the state's clock at clusterTime's origin, as a follower saw it
+
 	// Commands and those who wait for them.
 	pending       map[uint64]pendingEntry // by log index
 	commands      []state.EncodedCommand  // of the next entry
@@ -94,9 +99,7 @@
 	leading                   bool
 	leadingSince              time.Time
 	leadingTerm               uint64
-	clockBase                 int64 // the state's clock when the term began, in ms
-	wallClockOffset           int64
-	wallClockKnown            bool
+	clockBase                 int64                   // the state's clock when the term began, in ms
 	leases                    map[string]*workerLease // by worker ID
 	memberSets                map[string]memberSet    // by the aggregator's member ID
 	memberLeases              map[string]memberLease  // by node and role
@@ -178,6 +181,8 @@
 		leases:             map[string]*workerLease{},
 		memberSets:         map[string]memberSet{},
 		memberLeases:       map[string]memberLease{},
+		clusterTime:        newClusterTime(time.Now()),
+		clockSeen:          clockNeverSeen,
 		appointments:       newAppointments(),
 	}
 }
@@ -211,7 +216,11 @@
 	}
 	r.node = raft.New(r.self.ID, r.persisted.HardState, snapshot, r.persisted.Entries, time.Now(), raftConfig(), int64(seed.Sum64())^time.Now().UnixNano())
 	r.node.RestoreCommit(r.persisted.Commit)
-	r.node.SetWallClock(func() int64 { return time.Now().UnixMilli() })
+	r.learnClocks(time.Now())
+	r.node.SetWallClock(func() int64 {
+		now := time.Now()
+		return r.timeOfDay.read(now, machineTime(now)).Milliseconds()
+	})
 	r.node.SetSnapshotSource(r.snapshotForFollower)
 	r.persisted.Entries = nil
 	r.persisted.Snapshot.Data = nil
