Coordination: tests; an acquisition gets a fence of its own; the clock's zero

Cause: the simulation (one-way cuts, killed leaders, lost disks) found two ways to two holders of a lock. A release without an answer could come after its caller had acquired the lock anew under the same fence, and ended that hold. And a replica took its own start for the zero of the cluster's clock, so that a new leader could be 170 ms ahead.

Change: each acquisition has a new fence, renewals count under any of the hold, a release under the newest alone; clocks are learned from entries only.

--- a/internal/api/server_test.go
+++ b/internal/api/server_test.go
@@ -20,7 +20,7 @@
 func newTestServer(leader leaderStub) *Server {
 	return &Server{log: log.NewNopLogger(), env: daemon.Environment{Trace: tracing.NewRing(64)}, leaderContact: newLeaderContact(),
 		limitsStale: make(chan struct{}, 1), callLeader: leader, leaderAddress: func() string { return "" },
-		shares: newTenantShares("p", tuning.DefaultShareWindow, time.Now())}
+		shares: newTenantShares("p", tuning.DefaultShareWindow, time.Now()), leavingCtx: context.Background()}
 }
 
 // respondByKind gives one response to each kind of request.
--- a/internal/api/status_test.go
+++ b/internal/api/status_test.go
@@ -33,6 +33,9 @@
 		{rpc.Response{Code: 504},
 			statusError{504, "", 0}, statusError{504, "", 0}, statusError{504, "", 1}, statusError{504, "", 1}},
 	} {
+		if got, want := errorOf(coordinationChange, test.response), errorOf(configChange, test.response); (got == nil) != (want == nil) || got != nil && statusOf(got).status != statusOf(want).status {
+			t.Errorf("an application's change, code %d: %v, want %v", test.response.Code, got, want)
+		}
 		for call, want := range map[operation]statusError{
 			jobChange:    test.jobChange,
 			jobRead:      test.jobRead,
--- a/internal/coordination/lock.go
+++ b/internal/coordination/lock.go
@@ -17,13 +17,13 @@
 type Lock struct {
 	_          struct{} `cbor:",toarray"`
 	Holder     string
-	Fence      int64 // fencing token: above that of every earlier hold of any lock
+	Fence      int64 // fencing token, of the newest acquisition: above those of all before it, of any lock
+	FirstFence int64 // of the acquisition with which the hold began
 	ExpiresAt  int64 // by the state's clock, in ms
 	AcquiredAt int64 // likewise
 }
 
-// Acquire asks for a lock. Repeated or late it does no harm: for one who holds the lock it
-// is a renewal that keeps the fence.
+// Acquire asks for a lock. One who holds the lock gets more time and a new fence.
 type Acquire struct {
 	_      struct{} `cbor:",toarray"`
 	Name   string
@@ -73,31 +73,38 @@
 	return ok && lock.Holder != request.Holder && !lock.expired(clock)
 }
 
-// Acquire gives a lock to a caller, with a new fence unless the caller holds it already;
-// the error is ErrHeld.
+// Acquire gives a lock to a caller, under a new fence; the error is ErrHeld.
+//
+// The fence is new for a caller who holds the lock already, too. Let a caller release a
+// lock, hear nothing, and acquire it again; the release may still be on its way, and under
+// the same fence would end the hold that the caller has by now. The price is paid by an
+// acquisition that comes twice: the caller knows the fence of one of them, renews under it,
+// but may not release under it, and the lock is free when its time is over.
 func (t *Tables) Acquire(request Acquire, clock int64) (fence int64, err error) {
 	if t.HeldByOther(request, clock) {
 		return 0, ErrHeld
 	}
+	t.LastFence++
 	lock, ok := t.Locks[request.Name]
 	if !ok || lock.expired(clock) || lock.Holder != request.Holder {
-		t.LastFence++
-		lock = Lock{Holder: request.Holder, Fence: t.LastFence, AcquiredAt: clock}
+		lock = Lock{Holder: request.Holder, FirstFence: t.LastFence, AcquiredAt: clock}
 	}
+	lock.Fence = t.LastFence
 	// A late call never shortens what a newer one was given.
 	lock.ExpiresAt = max(lock.ExpiresAt, expiry(clock, request.HoldMs))
 	t.Locks[request.Name] = lock
 	return lock.Fence, nil
 }
 
-// Holds tells whether a caller holds a lock under a fence. Tables that are nil hold
-// nothing.
+// Holds tells whether a caller holds a lock under a fence: that of any acquisition of the
+// present hold, since of two copies of one either may be the one that the caller knows.
+// Tables that are nil hold nothing.
 func (t *Tables) Holds(name, holder string, fence, clock int64) bool {
 	if t == nil {
 		return false
 	}
 	lock, ok := t.Locks[name]
-	return ok && lock.Holder == holder && lock.Fence == fence && !lock.expired(clock)
+	return ok && lock.Holder == holder && lock.FirstFence <= fence && fence <= lock.Fence && !lock.expired(clock)
 }
 
 // Renew gives the holder more time; the error is ErrLost. A hold that is over isn't
@@ -112,7 +119,7 @@
 	return nil
 }
 
-// Release ends a hold, if the caller has it under that fence.
+// Release ends a hold, if its newest acquisition has that fence.
 func (t *Tables) Release(request Release) {
 	if lock, ok := t.Locks[request.Name]; ok && lock.Holder == request.Holder && lock.Fence == request.Fence {
 		delete(t.Locks, request.Name)
--- a/internal/rpc/fuzz_test.go
+++ b/internal/rpc/fuzz_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"testing"
 
+	"tealpond/internal/coordination"
 	"tealpond/internal/raft"
 	"tealpond/internal/transport"
 )
@@ -46,5 +47,11 @@
 		testRoundTrip[BootstrapProposal](t, raw)
 		testRoundTrip[MembershipLease](t, raw)
 		testRoundTrip[LeaseRenewal](t, raw)
+		testRoundTrip[KeyWatch](t, raw)
+		testRoundTrip[coordination.Acquire](t, raw)
+		testRoundTrip[coordination.Renew](t, raw)
+		testRoundTrip[coordination.Release](t, raw)
+		testRoundTrip[coordination.Put](t, raw)
+		testRoundTrip[coordination.News](t, raw)
 	})
 }
--- a/internal/rpc/golden_test.go
+++ b/internal/rpc/golden_test.go
@@ -46,6 +46,7 @@
 		{Name: "runner-news", Value: &RunnerNews{DaemonIndex: 91, DaemonCount: 92, Config: []byte("text"), ConfigBase: 99, DaemonTotal: 100, Delta: registry.Delta{Epoch: "epoch", From: 93, Version: 94, Whole: true,
 			Runners: []registry.Runner{{ID: "runner", Service: "service", Address: "address", Zone: "zone", Slots: 95, Draining: true, ColdMs: 96,
 				Health: registry.Health{LatencyMs: 97, FailedPct: 98}}}, Removed: []string{"gone"}}}},
+		{Name: "key-watch", Value: &KeyWatch{Group: "group.", After: 102, WaitMs: 103}},
 		{Name: "tenant-query", Value: &TenantQuery{KnownDigest: "digest"}},
 		{Name: "tenant-share", Value: &TenantShare{Name: "tenant", MilliShare: 81, KeyDigests: [][]byte{[]byte("digest")}}},
 		{Name: "configuration-change", Value: &ConfigUpdate{BaseVersion: 31, Raw: []byte("text")}},
--- a/internal/server/clock.go
+++ b/internal/server/clock.go
@@ -17,12 +17,16 @@
 	return r.clockBase + now.Sub(r.leadingSince).Milliseconds()
 }
 
-// learnClocks takes note of the clocks of the newest entry that was applied.
+// learnClocks takes note of the clocks of the newest entry that was applied. Before any
+// entry the clock doesn't run yet: replicas start at different moments, and each would
+// take its own for the zero of the cluster's clock.
 func (r *Replica) learnClocks(now time.Time) {
 	if r.state.WallClock > 0 {
 		r.clusterTime.learn(now, time.Duration(r.state.WallClock)*time.Millisecond)
 	}
-	r.clockSeen = max(r.clockSeen, time.Duration(r.state.Clock)*time.Millisecond-now.Sub(r.clusterTime.origin))
+	if r.state.Clock > 0 {
+		r.clockSeen = max(r.clockSeen, time.Duration(r.state.Clock)*time.Millisecond-now.Sub(r.clusterTime.origin))
+	}
 }
 
 // beginClocks begins the clocks of a term of leadership.
--- a/internal/server/clock_test.go
+++ b/internal/server/clock_test.go
@@ -39,6 +39,16 @@
 	if got := r.clock(at(16)); got != 56_000 {
 		t.Errorf("6 s after an entry of 50 s the clock shows %d ms", got)
 	}
+	// The start of a replica without any entry isn't the zero of the cluster's clock.
+	r = newReplica()
+	r.clusterTime = newClusterTime(start)
+	r.learnClocks(at(1))
+	r.state.Clock, r.leadingSince = 3_000, at(5)
+	r.learnClocks(at(5))
+	r.beginClocks(at(5))
+	if got := r.clock(at(5)); got != 3_000 {
+		t.Errorf("at an entry of 3 s the clock shows %d ms", got)
+	}
 	// Without any entry seen while it was up it goes on from the newest in the log.
 	r = newReplica()
 	r.clusterTime, r.state.Clock, r.leadingSince = newClusterTime(start), 20_000, at(100)
--- /dev/null
+++ b/internal/server/coordination_test.go
@@ -0,0 +1,144 @@
+package server
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"tealpond/internal/coordination"
+	"tealpond/internal/raft"
+	"tealpond/internal/rpc"
+	"tealpond/internal/transport"
+)
+
+func acquire(holder string) coordination.Acquire {
+	return coordination.Acquire{Name: "l", Holder: holder, HoldMs: 3000}
+}
+
+// TestHeldLockCostsNoEntry: an election that many ask for is refused from the applied
+// state, and so is the renewal of a lock that is lost; a lock whose time is over is given
+// to the next caller.
+func TestHeldLockCostsNoEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newLeader(t)
+		first := h.call(rpc.KindAcquireLock, acquire("a"))
+		if first.Code != rpc.CodeOK || first.Value == 0 {
+			t.Fatalf("%+v", first)
+		}
+		last := h.replica.node.LastIndex()
+		for kind, body := range map[string]any{rpc.KindAcquireLock: acquire("b"), rpc.KindRenewLock: coordination.Renew{Name: "l", Holder: "b", Fence: first.Value, HoldMs: 3000}} {
+			if response := h.call(kind, body); response.Code != rpc.CodeConflict || response.Text == "" {
+				t.Errorf("%s: %+v", kind, response)
+			}
+		}
+		if h.replica.node.LastIndex() != last {
+			t.Errorf("%d entries for calls that were refused", h.replica.node.LastIndex()-last)
+		}
+		if response := h.call(rpc.KindRenewLock, coordination.Renew{Name: "l", Holder: "a", Fence: first.Value, HoldMs: 3000}); response.Code != rpc.CodeOK {
+			t.Errorf("the holder's renewal: %+v", response)
+		}
+		for end := time.Now().Add(3100 * time.Millisecond); time.Now().Before(end); {
+			h.turn()
+		}
+		if second := h.call(rpc.KindAcquireLock, acquire("b")); second.Code != rpc.CodeOK || second.Value <= first.Value {
+			t.Errorf("after the hold: %+v", second)
+		}
+		if response := h.call(rpc.KindReleaseLock, coordination.Release{Name: "l", Holder: "b", Fence: first.Value}); response.Code != rpc.CodeOK {
+			t.Errorf("a release of what isn't held: %+v", response)
+		}
+	})
+}
+
+// TestPutsNumbersAndReads through the log and from the applied state.
+func TestPutsNumbersAndReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newLeader(t)
+		if response := h.call(rpc.KindReadKey, "g.a"); response.Code != rpc.CodeNotFound {
+			t.Errorf("%+v", response)
+		}
+		if response := h.call(rpc.KindPutKey, coordination.Put{Key: "g.a", Value: "v"}); response.Code != rpc.CodeOK || response.Value != 1 {
+			t.Errorf("%+v", response)
+		}
+		refused := h.call(rpc.KindPutKey, coordination.Put{Key: "g.a", Value: "w", Expected: 5})
+		if refused.Code != rpc.CodePreconditionFailed || refused.Value != 1 {
+			t.Errorf("%+v", refused)
+		}
+		if h.replica.state.Coordination.HistoryMs == 0 {
+			t.Error("puts are kept for no time")
+		}
+		var value coordination.KeyValue
+		if response := h.call(rpc.KindReadKey, "g.a"); transport.Decode(response.Body, &value) != nil || value.Value != "v" || response.Value != 1 {
+			t.Errorf("%+v, %+v", response, value)
+		}
+		for want := range int64(3) {
+			if response := h.call(rpc.KindNextNumber, "n"); response.Code != rpc.CodeOK || response.Value != want+1 {
+				t.Errorf("number %d: %+v", want, response)
+			}
+		}
+	})
+}
+
+// watchKeys asks for news of a group and gives a function that tells the answers so far.
+func (h *harness) watchKeys(after, waitMs int64) func() []rpc.Response {
+	var responses []rpc.Response
+	body := transport.Encode(rpc.KeyWatch{Group: "g.", After: after, WaitMs: waitMs})
+	h.replica.handleRequest(rpc.Request{Kind: rpc.KindWatchKeys, Body: body}, nil, func(response rpc.Response) { responses = append(responses, response) })
+	return func() []rpc.Response { return responses }
+}
+
+func newsOf(t *testing.T, responses []rpc.Response) coordination.News {
+	t.Helper()
+	var news coordination.News
+	if len(responses) != 1 || responses[0].Code != rpc.CodeOK || transport.Decode(responses[0].Body, &news) != nil {
+		t.Fatalf("%+v", responses)
+	}
+	return news
+}
+
+// TestWatchesAreHeldUntilAPut: of the group, or until their time is over; also from the
+// beginning of a group in which nothing was put yet.
+func TestWatchesAreHeldUntilAPut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newLeader(t)
+		fromNothing := h.watchKeys(0, 2000)
+		h.call(rpc.KindPutKey, coordination.Put{Key: "h.a", Value: "other"})
+		if responses := fromNothing(); len(responses) != 0 {
+			t.Errorf("a put of another group answers %+v", responses)
+		}
+		h.call(rpc.KindPutKey, coordination.Put{Key: "g.a", Value: "v"})
+		if news := newsOf(t, fromNothing()); news.Revision != 1 || len(news.Events) != 1 {
+			t.Errorf("%+v", news)
+		}
+		if news := newsOf(t, h.watchKeys(0, 2000)()); news.Revision != 1 || len(news.Events) != 0 {
+			t.Errorf("the present revision: %+v", news)
+		}
+		short, long := h.watchKeys(1, 300), h.watchKeys(1, 2000)
+		for end := time.Now().Add(400 * time.Millisecond); time.Now().Before(end); {
+			h.turn()
+		}
+		if news := newsOf(t, short()); news.Revision != 1 || len(news.Events) != 0 || len(long()) != 0 {
+			t.Errorf("%+v, the longer one %+v", news, long())
+		}
+		h.call(rpc.KindPutKey, coordination.Put{Key: "g.b", Value: "w"})
+		if news := newsOf(t, long()); news.Revision != 2 || len(news.Events) != 1 || news.Events[0].Name != "g.b" {
+			t.Errorf("%+v", news)
+		}
+		if len(h.replica.keyWatchers.byGroup) != 0 || len(h.replica.keyWatchers.told) != 0 {
+			t.Errorf("kept: %+v", h.replica.keyWatchers)
+		}
+	})
+}
+
+// TestWatchesOfALeaderThatIsNoneAreSentOn to the next leader, with what they know.
+func TestWatchesOfALeaderThatIsNoneAreSentOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newLeader(t)
+		h.call(rpc.KindPutKey, coordination.Put{Key: "g.a", Value: "v"})
+		held := h.watchKeys(1, 20_000)
+		h.receive(raft.Message{Kind: raft.MsgAppend, From: "b", Term: h.replica.node.Term() + 1})
+		h.endTurn()
+		if responses := held(); len(responses) != 1 || responses[0].Code != rpc.CodeNotLeader {
+			t.Errorf("%+v", responses)
+		}
+	})
+}
--- a/internal/settings/golden_test.go
+++ b/internal/settings/golden_test.go
@@ -22,7 +22,7 @@
 		Limits:          Limits{CPUShare: 0.5, MemoryMb: 284, MaxFileDescriptors: 1024, DiskMb: 300},
 		Tolerance:       Tolerance{LostMachines: 1},
 		Bounds: Bounds{InTouchMs: 3001, GraceS: 6.5, MaxLeaseMs: 6002, StopGraceMs: 403, DrainMs: 2508, GangWaitMs: 3004, EarlyMs: 105, StatusS: 120.5,
-			SpreadFactor: 1.5, QuotaWindowS: 5.5, QuotaOverrun: 0.15, QuotaSlack: 16.5, RestoreMs: 4006, ConfigApplyMs: 2007, CheckpointEveryS: 1.25},
+			SpreadFactor: 1.5, QuotaWindowS: 5.5, QuotaOverrun: 0.15, QuotaSlack: 16.5, RestoreMs: 4006, ConfigApplyMs: 2007, HistoryS: 20.5, FreeAfterMs: 1501, CheckpointEveryS: 1.25},
 	}
 	var text bytes.Buffer
 	if err := toml.NewEncoder(&text).Encode(want); err != nil {
--- a/internal/simulation/daemons.go
+++ b/internal/simulation/daemons.go
@@ -66,7 +66,7 @@
 func (c *Cluster) nodeSettings(n *node) settings.File {
 	file := settings.File{NodeName: n.name, IPAddress: n.ip, Zone: n.zone, InnerPortRange: []int{daemonPort, daemonPort + 10}, SeedNodes: c.seeds,
 		FirstStart: n.firstStart, HeartbeatIntervalMs: heartbeatInterval.Milliseconds(), RunnerAddress: address(n.ip, runnerPort)}
-	file.Bounds = settings.Bounds{GraceS: 6, MaxLeaseMs: 6000, StopGraceMs: 400, DrainMs: 2500, GangWaitMs: 3000, StatusS: 120, SpreadFactor: 1.5, CheckpointEveryS: 1}
+	file.Bounds = settings.Bounds{GraceS: 6, MaxLeaseMs: 6000, StopGraceMs: 400, DrainMs: 2500, GangWaitMs: 3000, StatusS: 120, SpreadFactor: 1.5, CheckpointEveryS: 1, HistoryS: 20, FreeAfterMs: 1500}
 	file.Tolerance.LostMachines = c.toleratedLosses
 	file.Limits.MemoryMb = 284
 	file.ListenAddresses.Control = address(n.ip, controlPort)
--- a/internal/state/generator_test.go
+++ b/internal/state/generator_test.go
@@ -291,6 +291,19 @@
 	state.CommandCollectGarbage: {2, func(g *generator) state.Command { return &state.CollectGarbage{RebuildRollups: g.Intn(2) == 0} }},
 	state.CommandForgetUnused:   {2, func(*generator) state.Command { return &state.ForgetUnused{} }},
 	state.CommandCancelJob:      {1, func(g *generator) state.Command { return &state.CancelJob{ID: g.jobID()} }},
+	state.CommandAcquireLock: {2, func(g *generator) state.Command {
+		return &state.AcquireLock{Name: g.oneOf("l1", "l2"), Holder: g.oneOf("a", "b"), HoldMs: int64(g.Intn(400))}
+	}},
+	state.CommandRenewLock: {1, func(g *generator) state.Command {
+		return &state.RenewLock{Name: g.oneOf("l1", "l2"), Holder: g.oneOf("a", "b"), Fence: int64(g.Intn(20)), HoldMs: int64(g.Intn(400))}
+	}},
+	state.CommandReleaseLock: {1, func(g *generator) state.Command {
+		return &state.ReleaseLock{Name: g.oneOf("l1", "l2"), Holder: g.oneOf("a", "b"), Fence: int64(g.Intn(20))}
+	}},
+	state.CommandNextNumber: {1, func(g *generator) state.Command { return &state.NextNumber{Name: g.oneOf("n1", "n2")} }},
+	state.CommandPutKey: {2, func(g *generator) state.Command {
+		return &state.PutKey{Key: g.oneOf("g.a", "g.b", "h.a"), Value: fmt.Sprint(g.Intn(200)), Expected: int64(g.Intn(10)), HistoryMs: int64(g.Intn(2000))}
+	}},
 	state.CommandAppointAggregator: {1, func(g *generator) state.Command {
 		z := g.oneOf("z1", "z2")
 		return &state.AppointAggregator{
--- a/internal/state/golden_test.go
+++ b/internal/state/golden_test.go
@@ -12,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"tealpond/internal/clusterconfig"
+	"tealpond/internal/coordination"
 	"tealpond/internal/golden"
 	"tealpond/internal/protocol"
 )
@@ -48,15 +49,20 @@
 		{Name: "lapse", Value: &ExpireLeases{Workers: []FencedWorker{{ID: "id", Fence: 1}}}},
 		{Name: "lend", Value: &LendCapacity{ID: "id", Peer: "peer", Service: "service", MilliCPU: 1, MinMilliCPU: 2, DurationMs: 3, Slices: 4, SliceMilliCPU: 5}},
 		{Name: "limits", Value: &SetLimits{Limits: Limits{JobRetentionMs: 1, MaxReplans: 2, RemoteFactor: 3.5}}},
+		{Name: "lock", Value: &AcquireLock{Name: "name", Holder: "holder", HoldMs: 1}},
 		{Name: "mint", Value: &SetEpoch{Epoch: "epoch"}},
+		{Name: "number", Value: &NextNumber{Name: "name"}},
 		{Name: "offer", Value: &OfferJob{Job: "job", Peer: "peer"}},
+		{Name: "put", Value: &PutKey{Key: "key", Value: "value", Expected: 1, HistoryMs: 2}},
 		{Name: "release", Value: &ReleaseJob{Peer: "peer", OfferID: 1, ID: "id"}},
+		{Name: "relock", Value: &RenewLock{Name: "name", Holder: "holder", Fence: 1, HoldMs: 2}},
 		{Name: "replace", Value: &ReplaceConfiguration{BaseVersion: 1, Raw: []byte("text")}},
 		{Name: "settle", Value: &SettleTransfer{Job: "job", OfferID: 1, Peer: "peer", Epoch: "epoch", Index: 2, Answer: "what"}},
 		{Name: "submit", Value: &SubmitTenantJob{Submit: SubmitJob{Host: "host", Path: "path", ID: "id", Job: job, DemandBucket: 1}, Tenant: "tenant", ConfigVersion: 2, BeyondShare: true}},
 		{Name: "sweep", Value: &CollectGarbage{RebuildRollups: true}},
 		{Name: "takeup", Value: &RegisterWorker{ID: "id", Node: "node", AgentProcessID: "life", Service: "service", Zone: "zone", Labels: []string{"label"}, Capacity: resources,
 			Draining: true, LeavesInMs: 1, ReplacesFence: 2}},
+		{Name: "unlock", Value: &ReleaseLock{Name: "name", Holder: "holder", Fence: 1}},
 		{Name: "void", Value: &VoidOffer{Peer: "peer", OfferID: 1, ID: "id", Cancel: true}},
 	}
 }
@@ -162,6 +168,11 @@
 	s.Quotas = map[string]Quota{"tenant": {MilliCPU: 49, MemoryMB: 50, GPUs: 51, MilliShare: 52}}
 	s.JobTenants = map[string]JobTenant{"job": {Tenant: "tenant", BeyondShare: true}}
 	s.GoneWorkers = map[string]int64{"worker": 53}
+	s.Coordination = &coordination.Tables{LastFence: 54, HistoryMs: 55, Counters: map[string]int64{"number": 56},
+		Locks: map[string]coordination.Lock{"lock": {Holder: "holder", Fence: 57, FirstFence: 58, ExpiresAt: 59, AcquiredAt: 60}},
+		Groups: map[string]*coordination.Group{"group.": {Revision: 62, Compacted: 61, Keys: map[string]coordination.KeyValue{"group.key": {Value: "value", Revision: 62}},
+			History:  []coordination.Event{{Name: "group.key", Value: "value", Revision: 62, At: 63}},
+			Outcomes: map[string]coordination.PutOutcome{"group.key\x00value": {Revision: 62, Refused: true, At: 63}}}}}
 	s.Aggregators, s.CrashBackoffs = map[string]ZoneAggregator{"zone": {Zone: "zone", Revision: 47}}, map[string]CrashBackoff{"node": {Crashes: 1.5, UpdatedAt: 48}}
 
 	tables := reflect.ValueOf(*s)
--- a/internal/state/snapshot_test.go
+++ b/internal/state/snapshot_test.go
@@ -26,6 +26,9 @@
 			field.Set(reflect.MakeSlice(field.Type(), 1, 1))
 		case field.Kind() == reflect.Struct:
 			fillTables(field)
+		case field.Kind() == reflect.Pointer:
+			field.Set(reflect.New(field.Type().Elem()))
+			fillTables(field.Elem())
 		}
 	}
 }
@@ -48,7 +51,10 @@
 		case reflect.Struct:
 			checkNotShared(t, path+field.Name+".", v.Field(i), frozen.Field(i))
 		case reflect.Pointer:
-			t.Errorf("%s%s: say in Store.Snapshot and here how it is copied", path, field.Name)
+			if v.Field(i).Pointer() == frozen.Field(i).Pointer() {
+				t.Errorf("%s%s is shared with the snapshot: copy it in Store.Snapshot", path, field.Name)
+			}
+			checkNotShared(t, path+field.Name+".", v.Field(i).Elem(), frozen.Field(i).Elem())
 		}
 	}
 }
