--- /dev/null
+++ b/cmd/tealpond/coordination.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"tealpond/internal/admin"
+	"tealpond/internal/protocol"
+	"tealpond/internal/tuning"
+)
+
+// Queries of the tables that applications share. The leader is asked, since a follower may
+// be behind.
+const (
+	locksQuery   = "SELECT name, holder, fence, held_ms, left_ms FROM locks ORDER BY name"
+	numbersQuery = "SELECT name, value FROM numbers ORDER BY name"
+	keysQuery    = "SELECT name, revision, value FROM keys ORDER BY name"
+)
+
+// addCoordinationTools adds the commands that show locks, numbers and keys.
+func (p *program) addCoordinationTools(app *kingpin.Application) {
+	locks := app.Command("locks", "Show who holds which lock, under which fence, since when and for how long.")
+	p.addTableTool(locks, locksQuery)
+	numbers := app.Command("numbers", "Show the newest number given under each name.")
+	p.addTableTool(numbers, numbersQuery)
+
+	keys := app.Command("keys", "Show, read or watch the keys that applications share.")
+	p.addTableTool(keys.Command("list", "Show all keys with their revisions."), keysQuery)
+
+	get := keys.Command("get", "Read a key.")
+	key := get.Arg("key", "The key.").Required().String()
+	getAddresses := get.Flag("control", "A daemon's control address (HOST:PORT); may be repeated.").Required().Strings()
+	p.commands[get.FullCommand()] = func() int { return p.readKey(*getAddresses, *key) }
+
+	watch := keys.Command("watch", "Print each put of a group, one JSON object a line.")
+	group := watch.Arg("group", "The group with its dot, as g1.").Required().String()
+	from := watch.Flag("from", "The revision after which to begin; 0 begins with the next put.").Int64()
+	most := watch.Flag("count", "End after so many puts; 0: never.").Int()
+	watchAddresses := watch.Flag("control", "A daemon's control address (HOST:PORT); may be repeated.").Required().Strings()
+	p.commands[watch.FullCommand()] = func() int { return p.watchGroup(*watchAddresses, *group, *from, *most) }
+}
+
+// addTableTool has a command print a query's answer.
+func (p *program) addTableTool(command *kingpin.CmdClause, query string) {
+	addresses := command.Flag("at", "A daemon's address for daemons; may be repeated.").Required().Strings()
+	asJSON := command.Flag("json", "Print one JSON object a line.").Bool()
+	p.commands[command.FullCommand()] = func() int { return p.showTable(admin.FetchLeaderState, *addresses, query, *asJSON) }
+}
+
+// errNotFound: the key doesn't exist.
+var errNotFound = errors.New("no such key")
+
+// readKey prints a key as JSON.
+func (p *program) readKey(addresses []string, key string) int {
+	var answer protocol.KeyResponse
+	err := getJSON(addresses, "/-/Cells.Read/"+url.PathEscape(key), tuning.ToolRequestTimeout, &answer)
+	switch {
+	case errors.Is(err, errNotFound):
+		p.reportf("%s: %v", key, err)
+		return exitUnknown
+	case err != nil:
+		return p.fail(err)
+	}
+	return p.printJSON(answer)
+}
+
+// watchGroup prints the puts of a group until so many were seen, or for good.
+func (p *program) watchGroup(addresses []string, group string, after int64, most int) int {
+	for seen := 0; most <= 0 || seen < most; {
+		path := fmt.Sprintf("/-/watch/%s?dependsOn=%d&waitMs=%d", url.PathEscape(group), after, tuning.MaxWatchWait.Milliseconds())
+		var answer protocol.WatchResponse
+		if err := getJSON(addresses, path, tuning.MaxWatchWait+tuning.ToolRequestTimeout, &answer); err != nil {
+			return p.fail(err)
+		}
+		for _, event := range answer.Events {
+			if code := p.printJSON(event); code != exitOK {
+				return code
+			}
+			seen++
+		}
+		after = answer.Revision
+	}
+	return exitOK
+}
+
+// printJSON prints a value as one line of JSON.
+func (p *program) printJSON(value any) int {
+	line, err := json.Marshal(value)
+	if err != nil {
+		return p.fail(err)
+	}
+	p.printf("%s\n", line)
+	return exitOK
+}
+
+// getJSON reads a path of the first daemon that answers. The error is errNotFound, or says
+// what each daemon answered.
+func getJSON(addresses []string, path string, timeout time.Duration, into any) error {
+	faults := []error{admin.ErrUnreachable}
+	for _, address := range addresses {
+		status, raw, err := get("http://"+address+path, timeout)
+		switch {
+		case err != nil:
+			faults = append(faults, err)
+		case status == http.StatusOK:
+			if err := json.Unmarshal(raw, into); err != nil {
+				return fmt.Errorf("%s: unreadable answer: %w", address, err)
+			}
+			return nil
+		case status == http.StatusNotFound:
+			return errNotFound
+		case status < http.StatusInternalServerError:
+			return fmt.Errorf("%s: %d %s", address, status, raw)
+		default:
+			faults = append(faults, fmt.Errorf("%s: %d %s", address, status, raw))
+		}
+	}
+	return errors.Join(faults...)
+}
+
+// get makes one request and gives the status and the body of the answer.
+func get(target string, timeout time.Duration) (status int, body []byte, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return 0, nil, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { err = errors.Join(err, response.Body.Close()) }()
+	body, err = io.ReadAll(io.LimitReader(response.Body, tuning.MaxControlBodyBytes))
+	return response.StatusCode, body, err
+}
--- /dev/null
+++ b/cmd/tealpond/coordination_test.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+// TestKeysAreReadAndWatched at the first daemon that answers; a watch goes on from where
+// the last answer ended.
+func TestKeysAreReadAndWatched(t *testing.T) {
+	asked := []string{}
+	daemon := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked = append(asked, r.URL.String())
+		switch {
+		case strings.HasPrefix(r.URL.Path, "/-/watch/") && r.URL.Query().Get("dependsOn") == "5":
+			_, _ = w.Write([]byte(`{"events":[{"name":"g.a","value":"v","revision":6}],"revision":6}`))
+		case strings.HasPrefix(r.URL.Path, "/-/watch/"):
+			_, _ = w.Write([]byte(`{"events":[{"name":"g.b","value":"w","revision":7}],"revision":7}`))
+		case r.URL.Path == "/-/Cells.Read/g.a":
+			_, _ = w.Write([]byte(`{"value":"v","revision":6}`))
+		default:
+			http.Error(w, "no such key", http.StatusNotFound)
+		}
+	}))
+	defer daemon.Close()
+	broken := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		http.Error(w, "no leader", http.StatusServiceUnavailable)
+	}))
+	defer broken.Close()
+	addresses := []string{"--control", strings.TrimPrefix(broken.URL, "http://"), "--control", strings.TrimPrefix(daemon.URL, "http://")}
+	for _, test := range []struct {
+		args []string
+		code int
+		want string
+	}{
+		{[]string{"keys", "get", "g.a"}, exitOK, `{"value":"v","revision":6}` + "\n"},
+		{[]string{"keys", "get", "g.c"}, exitUnknown, "tealpond: g.c: no such key\n"},
+		{[]string{"keys", "watch", "g.", "--from", "5", "--count", "2"}, exitOK, `{"name":"g.a","value":"v","revision":6}` + "\n" + `{"name":"g.b","value":"w","revision":7}` + "\n"},
+	} {
+		var out bytes.Buffer
+		if code := run(append(test.args, addresses...), &out, &out); code != test.code || out.String() != test.want {
+			t.Errorf("%v: %d, %q", test.args, code, out.String())
+		}
+	}
+	if last := asked[len(asked)-1]; !strings.Contains(last, "dependsOn=6") {
+		t.Errorf("the watch goes on with %s", last)
+	}
+}
--- a/cmd/tealpond/tools.go
+++ b/cmd/tealpond/tools.go
@@ -42,9 +42,12 @@
 	tenantsCommand := app.Command("tenants", "Show each tenant's limit, what it uses of it, and what waits.")
 	tenantsAddresses := tenantsCommand.Flag("at", "A daemon's address for daemons; may be repeated.").Required().Strings()
 	asJSON := tenantsCommand.Flag("json", "Print one JSON object a line.").Bool()
-	p.commands[tenantsCommand.FullCommand()] = func() int { return p.showTenants(*tenantsAddresses, *asJSON) }
+	p.commands[tenantsCommand.FullCommand()] = func() int {
+		return p.showTable(admin.FetchState, *tenantsAddresses, tenantsQuery, *asJSON)
+	}
+	p.addCoordinationTools(app)
 
-	queryCommand := app.Command("query", "Answer one SELECT over daemons, runners, workers, devices, bookings, allocs, inboxes, jobs, tenants and rollups.")
+	queryCommand := app.Command("query", "Answer one SELECT over daemons, runners, workers, devices, bookings, allocs, inboxes, jobs, tenants, rollups, locks, numbers and keys.")
 	text := queryCommand.Arg("sql", "The query.").Required().String()
 	queryAddresses := queryCommand.Flag("at", "A daemon's address for daemons; may be repeated.").Required().Strings()
 	limit := queryCommand.Flag("limit", "The most rows that are printed.").Default("1000").Int()
@@ -139,21 +142,21 @@
 	return code
 }
 
-// tenantsQuery selects what showTenants prints.
+// tenantsQuery selects what the command tenants prints.
 const tenantsQuery = "SELECT * FROM tenants ORDER BY name"
 
-// showTenants prints the tenants as a table, or as one JSON object a line.
-func (p *program) showTenants(addresses []string, asJSON bool) int {
+// showTable prints the answer to a query as a table, or as one JSON object a line.
+func (p *program) showTable(fetch fetchState, addresses []string, query string, asJSON bool) int {
 	if !asJSON {
-		return p.runQuery(admin.FetchState, addresses, tenantsQuery, tuning.MaxQueryRows)
+		return p.runQuery(fetch, addresses, query, tuning.MaxQueryRows)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), tuning.ToolTotalTimeout)
 	defer cancel()
-	cluster, err := admin.FetchState(ctx, addresses)
+	cluster, err := fetch(ctx, addresses)
 	if err != nil {
 		return p.fail(err)
 	}
-	result, err := admin.Query(ctx, cluster, tenantsQuery, tuning.MaxQueryRows)
+	result, err := admin.Query(ctx, cluster, query, tuning.MaxQueryRows)
 	if err != nil {
 		return p.fail(err)
 	}
--- a/internal/server/state_tables.go
+++ b/internal/server/state_tables.go
@@ -55,6 +55,7 @@
 	return []rpc.Table{
 		workerTable(store), devices, bookings, allocationTable(store), routeTable(store), jobTable(store),
 		transferTable(store), rollupTable(store), aggregatorTable(store), tenantTable(store),
+		lockTable(store), numberTable(store), keyTable(store),
 	}
 }
 
@@ -194,3 +195,40 @@
 	}
 	return table
 }
+
+// lockTable lists the locks that are held, or were until a moment ago: left_ms is below 0
+// once the next caller may have the lock.
+func lockTable(store *state.Store) rpc.Table {
+	table := newTable("locks", "name", "holder", "fence", "held_ms", "left_ms")
+	if store.Coordination == nil {
+		return table
+	}
+	for name, lock := range store.Coordination.Locks {
+		addRow(&table, name, lock.Holder, lock.Fence, store.Clock-lock.AcquiredAt, lock.ExpiresAt-store.Clock)
+	}
+	return table
+}
+
+func numberTable(store *state.Store) rpc.Table {
+	table := newTable("numbers", "name", "value")
+	if store.Coordination == nil {
+		return table
+	}
+	for name, value := range store.Coordination.Counters {
+		addRow(&table, name, value)
+	}
+	return table
+}
+
+func keyTable(store *state.Store) rpc.Table {
+	table := newTable("keys", "name", "group_name", "value", "revision")
+	if store.Coordination == nil {
+		return table
+	}
+	for name, group := range store.Coordination.Groups {
+		for key, value := range group.Keys {
+			addRow(&table, key, name, value.Value, value.Revision)
+		}
+	}
+	return table
+}
--- a/internal/server/state_tables_test.go
+++ b/internal/server/state_tables_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"testing/synctest"
 
+	"tealpond/internal/coordination"
 	"tealpond/internal/protocol"
 	"tealpond/internal/registry"
 	"tealpond/internal/rpc"
@@ -29,6 +30,9 @@
 rollups: service cpu_total cpu_allocatable cpu_allocated mem_total mem_allocatable mem_allocated gpu_total gpu_allocated draining unreachable at_ms
 duties: zone no holder addr next_addr
 tenants: name share_milli cpu_limit cpu_used mem_limit mem_used gpu_limit gpu_used runs open_jobs waiting_jobs beyond_share waits_for
+locks: name holder fence held_ms left_ms
+numbers: name value
+keys: name group_name value revision
 `
 	synctest.Test(t, func(t *testing.T) {
 		h := newLeader(t)
@@ -37,6 +41,9 @@
 		h.publish(registry.Runner{ID: "r", Service: "s", Zone: "z", Address: "10.0.0.1:80", Slots: 2})
 		h.call(rpc.KindRegisterWorker, state.RegisterWorker{ID: "w", Node: "n-w", Service: "s", Zone: "z", Capacity: protocol.Resources{CPUUnits: 4000, MemoryMB: 1000, GPUs: 2}, LeavesInMs: -1})
 		h.call(rpc.KindSubmitJob, rpc.JobRequest{Host: "h.example", Path: "/r/0123456789abcdef", Job: protocol.Job{Steps: []protocol.Step{{TaskCount: 1, CPUUnits: 100, EstimateMs: 1000}}}})
+		h.call(rpc.KindAcquireLock, coordination.Acquire{Name: "l", Holder: "a", HoldMs: 3000})
+		h.call(rpc.KindNextNumber, "n")
+		h.call(rpc.KindPutKey, coordination.Put{Key: "g.a", Value: "v"})
 		h.turn()
 		response := h.call(rpc.KindClusterState, nil)
 		var cluster rpc.ClusterState
