--- a/internal/coordination/key.go
+++ b/internal/coordination/key.go
@@ -56,7 +56,7 @@
 	HistoryMs int64
 }
 
-// RevisionError: a put was refused since the key is at another revision.
+// RevisionError is the refusal of a put whose key is at another revision.
 type RevisionError struct {
 	Revision int64 // of the key; 0: it doesn't exist
 }
--- a/internal/coordination/lock.go
+++ b/internal/coordination/lock.go
@@ -7,10 +7,10 @@
 	"tealpond/internal/tuning"
 )
 
-// ErrHeld: another caller holds the lock, or may still believe so.
+// ErrHeld is the refusal of a lock that another holds, or may still believe to hold.
 var ErrHeld = errors.New("another holds the lock")
 
-// ErrLost: the caller doesn't hold the lock under that fence any more.
+// ErrLost is the refusal of a caller that no longer holds the lock under its fence.
 var ErrLost = errors.New("the lock was lost")
 
 // Lock is a lock that is held.
--- a/internal/coordination/watch.go
+++ b/internal/coordination/watch.go
@@ -6,7 +6,7 @@
 	"tealpond/internal/tuning"
 )
 
-// ErrCompacted: puts after the revision of a watch are no longer kept.
+// ErrCompacted is the refusal of a watch whose later puts are no longer kept.
 var ErrCompacted = errors.New("the history from that revision on is no longer kept")
 
 // News is what a watch is answered: all puts of a group above the revision that the caller
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -306,3 +306,34 @@
 		}
 	})
 }
+
+// TestHeldRequestIsNotSilence: a leader may hold a request for as long as its context says;
+// only then is it silent, and the request goes to the next one.
+func TestHeldRequestIsNotSilence(t *testing.T) {
+	withServers(t, 2, func(f *fixture) {
+		sent := 0
+		f.servers[0].become(rpc.LeaderInfo{Term: 1, IsLeader: true}, func(request rpc.Request) (rpc.Response, bool) {
+			if request.Kind == rpc.KindWatchKeys {
+				sent++
+			}
+			return rpc.Response{}, false
+		})
+		ctx, cancel := context.WithTimeout(discovery.WithHold(t.Context(), 3*time.Second), 20*time.Second)
+		defer cancel()
+		answered := make(chan time.Time, 1)
+		start := time.Now()
+		go func() {
+			f.client.Call(ctx, rpc.KindWatchKeys, struct{}{})
+			answered <- time.Now()
+		}()
+		time.Sleep(3 * time.Second)
+		if sent != 1 {
+			t.Errorf("the leader was sent it %d times while it may hold it", sent)
+		}
+		f.servers[0].become(rpc.LeaderInfo{Term: 1}, nil)
+		f.servers[1].become(rpc.LeaderInfo{Term: 2, IsLeader: true}, nil)
+		if took := (<-answered).Sub(start); took < 3*time.Second || took > 3*time.Second+4*tuning.RequestAttemptTimeout {
+			t.Errorf("answered by the next leader after %v", took)
+		}
+	})
+}
--- a/internal/gateway/tenant_rates.go
+++ b/internal/gateway/tenant_rates.go
@@ -60,7 +60,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.exchange.Admit(tenant.Name, limit, allowance, now) {
-		if r.nearLimit(tenant.Name, limit, now) || r.exchange.Ahead(tenant.Name)*2 >= allowance {
+		if nearLimit(r.counts.Sum(tenant.Name, now), limit) || r.exchange.Ahead(tenant.Name)*2 >= allowance {
 			r.askSoon() // the others must hear of it
 		}
 		return 0, true
@@ -81,7 +81,7 @@
 	}
 	sum := r.counts.Sum(tenant, now)
 	most := tuning.RateOldNewsAge
-	if r.nearLimit(tenant, limit, now) {
+	if nearLimit(sum, limit) {
 		most = tuning.RateNewsAge
 	}
 	if sum >= limit || now.Sub(r.answeredAt) <= most && r.exchange.Ahead(tenant) < allowance {
@@ -91,10 +91,8 @@
 	return r.answered
 }
 
-// nearLimit tells whether a tenant's requests come near its limit, as far as is known.
-func (r *TenantRates) nearLimit(tenant string, limit uint64, now time.Time) bool {
-	return float64(r.counts.Sum(tenant, now)) >= tuning.RateAskFirst*float64(limit)
-}
+// nearLimit tells whether a tenant's sum of requests comes near its limit.
+func nearLimit(sum, limit uint64) bool { return float64(sum) >= tuning.RateAskFirst*float64(limit) }
 
 // askSoon has counts exchanged with the leader as soon as may be.
 func (r *TenantRates) askSoon() {
--- a/internal/server/configuration.go
+++ b/internal/server/configuration.go
@@ -12,21 +12,23 @@
 // handlePutConfig replaces the cluster's configuration, if the version that the
 // update is based on is still in force.
 func (r *Replica) handlePutConfig(request *rpc.ConfigUpdate, _ *transport.Stream, reply replyFunc) {
-	// Only the version is read here: the text was checked where it came in, and
-	// is parsed when the command is applied.
-	id := "desired/" + strconv.FormatInt(clusterconfig.VersionOf(request.Raw), 10)
-	r.trace.Record(id, "ordered", int64(r.node.LastIndex()+1), "")
-	replace := &state.ReplaceConfiguration{BaseVersion: request.BaseVersion, Raw: request.Raw}
-	r.enqueueCommand(state.CommandReplaceConfiguration, replace, r.withTrace(id, "settled", outcomeReply(reply)))
+	r.enqueueConfigUpdate(request, state.CommandReplaceConfiguration,
+		&state.ReplaceConfiguration{BaseVersion: request.BaseVersion, Raw: request.Raw}, reply)
 }
 
 // handleChangeConfig changes items of the cluster's configuration, under the same
 // condition.
 func (r *Replica) handleChangeConfig(request *rpc.ConfigUpdate, _ *transport.Stream, reply replyFunc) {
+	r.enqueueConfigUpdate(request, state.CommandChangeConfiguration,
+		&state.ChangeConfiguration{BaseVersion: request.BaseVersion, Raw: request.Raw}, reply)
+}
+
+// enqueueConfigUpdate puts an operator's update into the log. Only the version is read
+// here: the text was checked where it came in, and is parsed when the command is applied.
+func (r *Replica) enqueueConfigUpdate(request *rpc.ConfigUpdate, name string, command state.Command, reply replyFunc) {
 	id := "desired/" + strconv.FormatInt(clusterconfig.VersionOf(request.Raw), 10)
 	r.trace.Record(id, "ordered", int64(r.node.LastIndex()+1), "")
-	change := &state.ChangeConfiguration{BaseVersion: request.BaseVersion, Raw: request.Raw}
-	r.enqueueCommand(state.CommandChangeConfiguration, change, r.withTrace(id, "settled", outcomeReply(reply)))
+	r.enqueueCommand(name, command, r.withTrace(id, "settled", outcomeReply(reply)))
 }
 
 // handleGetConfig gives the newest configuration, whole. A change that this leader has
