--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -311,14 +312,14 @@
 // only then is it silent, and the request goes to the next one.
 func TestHeldRequestIsNotSilence(t *testing.T) {
 	withServers(t, 2, func(f *fixture) {
-		sent := 0
+		var sent atomic.Int64
 		f.servers[0].become(rpc.LeaderInfo{Term: 1, IsLeader: true}, func(request rpc.Request) (rpc.Response, bool) {
 			if request.Kind == rpc.KindWatchKeys {
-				sent++
+				sent.Add(1)
 			}
 			return rpc.Response{}, false
 		})
-		ctx, cancel := context.WithTimeout(discovery.WithHold(t.Context(), 3*time.Second), 20*time.Second)
+		ctx, cancel := context.WithTimeout(discovery.WithHold(context.Background(), 3*time.Second), 20*time.Second)
 		defer cancel()
 		answered := make(chan time.Time, 1)
 		start := time.Now()
@@ -327,8 +328,8 @@
 			answered <- time.Now()
 		}()
 		time.Sleep(3 * time.Second)
-		if sent != 1 {
-			t.Errorf("the leader was sent it %d times while it may hold it", sent)
+		if n := sent.Load(); n != 1 {
+			t.Errorf("the leader was sent it %d times while it may hold it", n)
 		}
 		f.servers[0].become(rpc.LeaderInfo{Term: 1}, nil)
 		f.servers[1].become(rpc.LeaderInfo{Term: 2, IsLeader: true}, nil)
