--- a/internal/server/coordination_test.go
+++ b/internal/server/coordination_test.go
@@ -135,6 +135,13 @@
 		h := newLeader(t)
 		h.call(rpc.KindPutKey, coordination.Put{Key: "g.a", Value: "v"})
 		held := h.watchKeys(1, 20_000)
+		values := map[string]float64{}
+		for _, gauge := range h.replica.gauges(time.Now()) {
+			values[gauge.Name] = gauge.Value
+		}
+		if values["tealpond_key_watches"] != 1 || values["tealpond_key_groups"] != 1 {
+			t.Errorf("%v", values)
+		}
 		h.receive(raft.Message{Kind: raft.MsgAppend, From: "b", Term: h.replica.node.Term() + 1})
 		h.endTurn()
 		if responses := held(); len(responses) != 1 || responses[0].Code != rpc.CodeNotLeader {
--- a/internal/server/key_watches.go
+++ b/internal/server/key_watches.go
@@ -61,6 +61,15 @@
 	}
 }
 
+// count is the number of watches that are held.
+func (w *keyWatchers) count() int {
+	count := 0
+	for _, watchers := range w.byGroup {
+		count += len(watchers)
+	}
+	return count
+}
+
 // handleWatchKeys answers a watch at once if there are puts for it, if its history is no
 // longer kept, or if it only asks for the present revision; else it is held. A group in
 // which nothing was ever put has no revision that its watcher could resume from: the
--- a/internal/server/monitoring.go
+++ b/internal/server/monitoring.go
@@ -70,7 +70,7 @@
 			schedulable++
 		}
 	}
-	return []monitoring.Gauge{
+	gauges := []monitoring.Gauge{
 		{Name: "tealpond_config_version", Value: float64(r.state.Configuration.Version)},
 		{Name: "tealpond_workers", Value: float64(len(r.state.Workers))},
 		{Name: "tealpond_workers_schedulable", Value: float64(schedulable)},
@@ -79,6 +79,13 @@
 		{Name: "tealpond_runs", Value: float64(len(r.state.Allocations))},
 		{Name: "tealpond_sessions", Value: float64(len(r.sessions))},
 	}
+	if tables := r.state.Coordination; tables != nil {
+		gauges = append(gauges,
+			monitoring.Gauge{Name: "tealpond_locks", Value: float64(len(tables.Locks))},
+			monitoring.Gauge{Name: "tealpond_numbers", Value: float64(len(tables.Counters))},
+			monitoring.Gauge{Name: "tealpond_key_groups", Value: float64(len(tables.Groups))})
+	}
+	return gauges
 }
 
 // leaderGauges are the figures that only the leader has.
@@ -91,5 +98,6 @@
 		{Name: "tealpond_learners", Value: float64(len(r.membership.candidates))},
 		{Name: "tealpond_commands_waiting", Value: float64(len(r.commands))},
 		{Name: "tealpond_entries_pending", Value: float64(len(r.pending))},
+		{Name: "tealpond_key_watches", Value: float64(r.keyWatchers.count())},
 	}
 }
