--- a/internal/simulation/load_test.go
+++ b/internal/simulation/load_test.go
@@ -53,6 +53,8 @@
 			}
 		}
 		c.requireNoViolations()
+		c.History.mu.Lock() // agents go on polling
+		defer c.History.mu.Unlock()
 		t.Logf("%d jobs, %d events", n, len(c.History.Events))
 	})
 }
