Daemons say what they leave behind: open requests, abandoned ones, each signal

Cause: the log of a daemon could tell none of the hypotheses of lost answers apart: it said that it had ended in order, whatever was open. Change: events signal.received, shutdown.begun and shutdown.ended, figure tealpond_requests_abandoned; no behavior.

--- a/cmd/tealpond/daemon.go
+++ b/cmd/tealpond/daemon.go
@@ -68,6 +68,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	context.AfterFunc(ctx, func() {
+		_ = logger.Log("level", "info", "event", "signal.received", "signal", context.Cause(ctx))
+	})
 	go watchSettings(ctx, flags.settingsPath, environment.Reload, logger)
 	_ = logger.Log("level", "info", "event", "daemon.started", "version", version, "process", environment.ProcessID)
 	if endpoint.Port != "" {
@@ -114,6 +117,7 @@
 		case <-ctx.Done():
 			return
 		case <-signals:
+			_ = logger.Log("level", "info", "event", "signal.received", "signal", syscall.SIGHUP)
 		case <-ticker.C:
 			if modified := modTime(path); modified == last {
 				continue
--- a/internal/api/listeners.go
+++ b/internal/api/listeners.go
@@ -2,20 +2,20 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/labstack/echo/v4"
 
 	"tealpond/internal/gateway"
+	"tealpond/internal/httpserver"
 	"tealpond/internal/settings"
 	"tealpond/internal/transport"
 	"tealpond/internal/tuning"
 )
 
 // listen opens the HTTP listeners that the settings name and serves on them.
-func (s *Server) listen(ctx context.Context) ([]*http.Server, error) {
+func (s *Server) listen(ctx context.Context) ([]*httpserver.Server, error) {
 	clients, readiness, operators := echo.New(), echo.New(), echo.New()
 	clients.Any("/*", s.serveJob)
 	var front http.Handler = clients
@@ -34,7 +34,7 @@
 		operators.POST("/-/Runners.SignOff/:id", s.serveRunnerSignOff)
 	}
 	addresses := s.settings.ListenAddresses
-	var httpServers []*http.Server
+	var httpServers []*httpserver.Server
 	for _, listener := range []struct {
 		address     string
 		handler     http.Handler
@@ -51,19 +51,19 @@
 		if err != nil {
 			return nil, err
 		}
-		httpServer := &http.Server{
-			Handler:           listener.handler,
-			ReadHeaderTimeout: tuning.DefaultHeaderTimeout,
-			IdleTimeout:       listener.idleTimeout,
-			MaxHeaderBytes:    tuning.MaxHeaderBytes,
+		options := httpserver.Options{
+			Handler:        listener.handler,
+			HeaderTimeout:  tuning.DefaultHeaderTimeout,
+			IdleTimeout:    listener.idleTimeout,
+			MaxHeaderBytes: tuning.MaxHeaderBytes,
 		}
 		if listener.address == addresses.FrontHTTP && s.gateway != nil {
 			socket = s.gateway.Listener(ctx, socket)
-			httpServer.BaseContext = func(net.Listener) context.Context { return ctx }
-			httpServer.ConnContext = gateway.ConnContext
+			options.BaseContext, options.ConnContext = ctx, gateway.ConnContext
 		}
+		httpServer := httpserver.New(options)
 		httpServers = append(httpServers, httpServer)
-		go func() { _ = httpServer.Serve(socket) }() // until Run closes it
+		go httpServer.Serve(socket) // until Run closes it
 	}
 	return httpServers, nil
 }
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -13,6 +13,7 @@
 	"tealpond/internal/discovery"
 	"tealpond/internal/federation"
 	"tealpond/internal/gateway"
+	"tealpond/internal/httpserver"
 	"tealpond/internal/monitoring"
 	"tealpond/internal/rpc"
 	"tealpond/internal/server"
@@ -146,6 +147,8 @@
 	}
 	// First no new callers are accepted, then leadership is transferred, and then
 	// the requests in flight are finished.
+	begunAt := time.Now()
+	_ = s.log.Log("level", "info", "event", "shutdown.begun", "open", openRequests(httpServers))
 	s.leaving.Store(true)
 	s.startLeaving()
 	if s.replica != nil {
@@ -157,9 +160,32 @@
 	for _, httpServer := range httpServers {
 		_ = httpServer.Shutdown(shutdownCtx) // fails for requests that outlast the grace time
 	}
+	s.logShutdown(openRequests(httpServers), time.Since(begunAt))
 	return nil
 }
 
+// openRequests is how many requests are being handled by all listeners.
+func openRequests(httpServers []*httpserver.Server) int {
+	open := 0
+	for _, httpServer := range httpServers {
+		open += httpServer.Open()
+	}
+	return open
+}
+
+// logShutdown logs what an end in order leaves behind: requests that have no whole answer,
+// and those that were sent ahead of their turn and given up since the process began.
+func (s *Server) logShutdown(open int, took time.Duration) {
+	level, abandoned := "info", int64(0)
+	if s.gateway != nil {
+		abandoned = s.gateway.AbandonedRequests()
+	}
+	if open > 0 {
+		level = "warn"
+	}
+	_ = s.log.Log("level", level, "event", "shutdown.ended", "open", open, "abandoned", abandoned, "took_ms", took.Milliseconds())
+}
+
 // start starts everything but the HTTP listeners; it runs until ctx ends.
 func (s *Server) start(ctx context.Context) error {
 	handleFrame := s.handleFrame
@@ -235,6 +261,9 @@
 		{Name: "tealpond_leader_heard", Value: monitoring.Flag(s.leaderContact.heardWithin(tuning.LeaderContactTimeout))},
 		{Name: "tealpond_config_version_heard", Value: float64(s.newestVersion.Load())},
 	}
+	if s.gateway != nil {
+		gauges = append(gauges, monitoring.Gauge{Name: "tealpond_requests_abandoned", Value: float64(s.gateway.AbandonedRequests())})
+	}
 	if s.replica != nil {
 		gauges = append(gauges, s.replica.Gauges(ctx)...)
 	}
--- a/internal/gateway/pipeline.go
+++ b/internal/gateway/pipeline.go
@@ -219,6 +219,7 @@
 
 // abandon gives up a request of which the client's connection has ended.
 func (r *earlyRequest) abandon() {
+	r.exchange.proxy.abandoned.Add(1)
 	r.cancel()
 	<-r.done
 	r.exchange.cancel()
--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -46,6 +46,9 @@
 
 	rates *TenantRates
 
+	// abandoned counts requests that were sent ahead of their turn and given up.
+	abandoned atomic.Int64
+
 	ready     chan struct{} // closed once requests can be served
 	readyOnce sync.Once     // closes ready
 }
@@ -102,6 +105,10 @@
 	return limited
 }
 
+// AbandonedRequests is how many requests of clients were sent to runners ahead of their
+// turn and then given up, since the connection ended first.
+func (p *Proxy) AbandonedRequests() int64 { return p.abandoned.Load() }
+
 // Rates is what tells whether tenants are within their rates; it wants to exchange counts
 // with the leader.
 func (p *Proxy) Rates() *TenantRates { return p.rates }
