Soak of real processes; three tests that fail: answers lost at the end of a gateway

Package soak plays schedules of signals, restarts, changes of configuration and runners, drawn from one seed, on the built program; package localcluster starts it as processes on loopback; the platform and runners are the simulation's, taken out into package standin. The checker is a pure function over what clients and runners saw; planted violations are found.

--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -240,6 +240,9 @@
 	return floorOf
 }
 
+// forTests are the packages that no daemon imports; they stand on no floor.
+var forTests = map[string]bool{"simulation": true, "golden": true, "soak": true, "standin": true, "localcluster": true}
+
 // TestImportsNeverPointUp holds the table of packages against the imports.
 func TestImportsNeverPointUp(t *testing.T) {
 	floorOf := floors(t)
@@ -249,7 +252,7 @@
 	}
 	for _, path := range paths {
 		pkg := filepath.Base(filepath.Dir(path))
-		if strings.HasSuffix(path, "_test.go") || pkg == "simulation" || pkg == "golden" {
+		if strings.HasSuffix(path, "_test.go") || forTests[pkg] {
 			continue
 		}
 		if floorOf[pkg] == 0 {
@@ -262,6 +265,9 @@
 		}
 		for _, spec := range file.Imports {
 			imported, own := strings.CutPrefix(strings.Trim(spec.Path.Value, `"`), "tealpond/internal/")
+			if forTests[imported] {
+				t.Errorf("%s imports %s, which is for tests", path, imported)
+			}
 			if own && floorOf[imported] < floorOf[pkg] {
 				t.Errorf("%s imports %s, which is on a higher floor", path, imported)
 			}
--- a/internal/simulation/announcer.go
+++ b/internal/simulation/announcer.go
@@ -16,9 +16,7 @@
 // daemons in turn, and to the next at once where one gives no acknowledgement.
 func (p *Platform) announce(ctx context.Context, id string) {
 	for sequence := int64(1); ; sequence++ {
-		p.mu.Lock()
-		runner, alive := p.listed[id]
-		p.mu.Unlock()
+		runner, alive := p.Runner(id)
 		if !alive || ctx.Err() != nil {
 			return
 		}
--- a/internal/simulation/daemons.go
+++ b/internal/simulation/daemons.go
@@ -78,7 +78,7 @@
 	if n.role == gatewayRole {
 		file.Deployment, file.Discovery = settings.DeploymentAPI, "local"
 		if !c.platform.announces {
-			file.Discovery, file.Platform.Address = settings.DiscoveryPlatform, c.platform.Address
+			file.Discovery, file.Platform.Address = settings.DiscoveryPlatform, c.platform.Address()
 		}
 		file.Contracts = []string{"base", "config", "retry"}
 		file.Bounds.DrainMs = float64(drainTime.Milliseconds())
--- /dev/null
+++ b/internal/soak/run.go
@@ -0,0 +1,414 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"tealpond/internal/localcluster"
+	"tealpond/internal/protocol"
+	"tealpond/internal/settings"
+	"tealpond/internal/standin"
+)
+
+// Times of a run.
+const (
+	// readyTime is how long all daemons may take until they serve.
+	readyTime = 30 * time.Second
+	// restartPause is the pause between the end of a daemon and its next start.
+	restartPause = 300 * time.Millisecond
+	// hangupStartTime is how long after the start of a process the first SIGHUP comes: the
+	// time that the runtime and its packages may take before the program has a say.
+	hangupStartTime = 30 * time.Millisecond
+	// hangupsAtStart is how many come, and hangupGap the time between two.
+	hangupsAtStart = 7
+	hangupGap      = 15 * time.Millisecond
+	// afterTime is how long the load goes on after the last step.
+	afterTime = 2 * time.Second
+	// pollPause is the pause between two looks at something that is waited for.
+	pollPause = 20 * time.Millisecond
+	// operatorTime is how long an operator waits for an answer.
+	operatorTime = 2 * time.Second
+)
+
+// Hosts of a run's subnet, and ports. Daemons begin at host 1.
+const (
+	platformHost    = 250
+	firstRunnerHost = 150
+	platformPort    = 18100
+	runnerPort      = 18080
+)
+
+// service is the one that all routes lead to.
+const service = "svc"
+
+// errNotReady is the error for daemons that don't serve in time.
+var errNotReady = errors.New("not all daemons serve in time")
+
+// Options are what a run is made of.
+type Options struct {
+	Program   string // path of the built program
+	Directory string
+	Subnet    localcluster.Subnet
+	Seed      uint64
+	Servers   int
+	Proxies   int
+	Runners   int
+	Clients   int
+	Length    time.Duration // of the schedule
+	Grace     time.Duration
+}
+
+// Result is what a run showed.
+type Result struct {
+	Schedule   Schedule
+	Record     Record
+	Log        []localcluster.Line
+	Violations []Violation
+	BeganAt    time.Time
+}
+
+// run is a run under way.
+type run struct {
+	options  Options
+	schedule Schedule
+	platform *standin.Platform
+	cluster  *localcluster.Cluster
+	ledger   *Ledger
+	nextID   atomic.Int64
+	version  atomic.Int64 // of the configuration that was accepted last
+
+	mu      sync.Mutex
+	leaving map[string]bool // daemons that are being started again
+	hangups map[string]bool // daemons whose next process gets SIGHUPs
+	restart sync.WaitGroup
+}
+
+// Run plays a seed and checks what came of it. The error is one of the run itself.
+func Run(ctx context.Context, options Options) (Result, error) {
+	r := &run{options: options, ledger: NewLedger(), leaving: map[string]bool{}, hangups: map[string]bool{}}
+	r.schedule = Draw(options.Seed, options.Servers+options.Proxies, options.Length)
+	if err := r.start(ctx); err != nil {
+		return Result{Schedule: r.schedule}, err
+	}
+	defer r.platform.Close()
+	defer r.cluster.Close()
+	loadCtx, stopLoad := context.WithCancel(ctx)
+	defer stopLoad()
+	var clients sync.WaitGroup
+	r.startClients(loadCtx, &clients)
+	begunAt := time.Now()
+	r.play(ctx, begunAt)
+	pause(ctx, afterTime)
+	stopLoad()
+	clients.Wait()
+	r.restart.Wait()
+	result := Result{Schedule: r.schedule, BeganAt: begunAt, Log: r.cluster.Log()}
+	result.Record = r.ledger.Snapshot(r.exits())
+	result.Violations = Check(result.Record, Bounds{Grace: options.Grace, LostTime: lostTime, InTouch: inTouch})
+	return result, ctx.Err()
+}
+
+// Bounds of the operators' rules, as their deployments have them.
+const (
+	lostTime = 200 * time.Millisecond
+	inTouch  = 5 * time.Second
+)
+
+// start starts the stand-ins and the daemons, and waits until all serve.
+func (r *run) start(ctx context.Context) error {
+	subnet := r.options.Subnet
+	var err error
+	r.platform, err = standin.NewPlatform(standin.Options{
+		Address:       hostPort(subnet.Host(platformHost), platformPort),
+		RunnerAddress: func(n int) string { return hostPort(subnet.Host(firstRunnerHost+n%90), runnerPort) },
+		Listen:        func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
+		Observe:       r.ledger.AddRun,
+	})
+	if err != nil {
+		return err
+	}
+	r.cluster, err = localcluster.Start(localcluster.Options{
+		Program: r.options.Program, Directory: r.options.Directory, Subnet: subnet, Role: "gateway",
+		Servers: r.options.Servers, Proxies: r.options.Proxies, Zones: 1, Settings: r.settings(),
+	})
+	if err != nil {
+		r.platform.Close()
+		return err
+	}
+	if err := r.makeReady(ctx); err != nil {
+		r.cluster.Close()
+		r.platform.Close()
+		return err
+	}
+	return nil
+}
+
+// settings are those that all daemons share.
+func (r *run) settings() settings.File {
+	return settings.File{
+		Deployment: settings.DeploymentAPI, Discovery: settings.DiscoveryPlatform, Contracts: []string{"base", "config", "drain"},
+		Platform:  settings.Platform{Address: r.platform.Address(), RatePerS: 50},
+		Limits:    settings.Limits{MemoryMb: 184},
+		Tolerance: settings.Tolerance{LostMachines: 1},
+		Bounds:    settings.Bounds{GraceS: r.options.Grace.Seconds(), InTouchMs: inTouch.Milliseconds(), DrainMs: 3000, ConfigApplyMs: 3000, RetryRatio: 0.2, RetryWindowS: 10, RetrySlack: 192},
+	}
+}
+
+// makeReady starts the runners and puts the first configuration in force.
+func (r *run) makeReady(ctx context.Context) error {
+	for range r.options.Runners {
+		if _, err := r.platform.StartRunner(service, "z0"); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	for !r.changeConfiguration(ctx) || !r.allReady(ctx) {
+		if ctx.Err() != nil {
+			return errNotReady
+		}
+		pause(ctx, pollPause)
+	}
+	return nil
+}
+
+// allReady tells whether each daemon says that it is ready.
+func (r *run) allReady(ctx context.Context) bool {
+	for _, name := range r.cluster.Names() {
+		daemon, err := r.cluster.Daemon(name)
+		if err != nil {
+			return false
+		}
+		if status, err := call(ctx, http.MethodGet, daemon.ReadinessAddress(), "/-/readiness", "", nil); err != nil || status != http.StatusOK {
+			return false
+		}
+	}
+	return true
+}
+
+// configuration is a configuration of the routes, given its version and a time limit that
+// differs between versions.
+const configuration = `{"configVersion":%d,"routeList":[` +
+	`{"name":"r","hostName":"h","pathPrefix":"/read/","kind":"read_only","timeoutMs":%[2]d,"targetMs":500,"targetService":"svc","maxTries":2},` +
+	`{"name":"w","hostName":"h","pathPrefix":"/write/","kind":"writing","timeoutMs":%[2]d,"targetMs":500,"targetService":"svc","maxTries":2},` +
+	`{"name":"u","hostName":"h","pathPrefix":"/upload/","kind":"upload","timeoutMs":%[2]d,"targetMs":500,"targetService":"svc","maxTries":2},` +
+	`{"name":"d","hostName":"h","pathPrefix":"/download/","kind":"download","timeoutMs":%[2]d,"targetMs":500,"targetService":"svc","maxTries":2}],` +
+	`"serviceList":[{"name":"svc"}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000000}}`
+
+// routeTimeoutMs is the time limit of the routes, above that of all clients.
+const routeTimeoutMs = 20_000
+
+// changeConfiguration replaces the configuration by the next version, at the first daemon
+// that accepts it; false if none does.
+func (r *run) changeConfiguration(ctx context.Context) bool {
+	base := r.version.Load()
+	text := fmt.Sprintf(configuration, base+1, routeTimeoutMs+base)
+	for _, name := range r.cluster.Names() {
+		daemon, err := r.cluster.Daemon(name)
+		if err != nil {
+			return false
+		}
+		status, err := call(ctx, http.MethodPost, daemon.ControlAddress(), "/-/Config.Replace", text, http.Header{protocol.HeaderBasedOn: {strconv.FormatInt(base, 10)}})
+		if err == nil && status == http.StatusOK {
+			r.version.Store(base + 1)
+			return true
+		}
+	}
+	return false
+}
+
+// call makes an operator's call and gives the status.
+func call(ctx context.Context, method, address, path, body string, header http.Header) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, operatorTime)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewBufferString(body))
+	if err != nil {
+		return 0, err
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	_, _ = io.Copy(io.Discard, response.Body) // only the status counts
+	return response.StatusCode, response.Body.Close()
+}
+
+// startClients starts clients of all habits; they end with ctx.
+func (r *run) startClients(ctx context.Context, clients *sync.WaitGroup) {
+	var drawn []habit
+	for _, entry := range habits {
+		for range entry.share {
+			drawn = append(drawn, entry.habit)
+		}
+	}
+	for i := range r.options.Clients {
+		c := &client{
+			habit: drawn[i%len(drawn)], random: rand.New(rand.NewPCG(r.options.Seed, uint64(i)+1)), ledger: r.ledger, targets: r.targets,
+			newID: func() string { return fmt.Sprintf("%d-%06d", r.options.Seed, r.nextID.Add(1)) },
+		}
+		clients.Go(func() { c.run(ctx) })
+	}
+}
+
+// targets are the daemons that clients send to: all, since clients don't know who leaves.
+func (r *run) targets() []target {
+	var targets []target
+	for _, name := range r.cluster.Names() {
+		if daemon, err := r.cluster.Daemon(name); err == nil {
+			targets = append(targets, target{name, daemon.ClientAddress()})
+		}
+	}
+	return targets
+}
+
+// play carries out the schedule.
+func (r *run) play(ctx context.Context, begunAt time.Time) {
+	names := r.cluster.Names()
+	for _, step := range r.schedule.Steps {
+		pause(ctx, time.Until(begunAt.Add(step.At)))
+		switch step.Kind {
+		case StepSignal:
+			r.signal(ctx, names[step.Daemon], step.Signal)
+		case StepRestart:
+			r.mu.Lock()
+			r.hangups[names[step.Daemon]] = true
+			r.mu.Unlock()
+			r.signal(ctx, names[step.Daemon], syscall.SIGTERM)
+		case StepConfig:
+			r.restart.Go(func() {
+				r.note("", "configuration is changed")
+				if r.changeConfiguration(ctx) {
+					r.note("", fmt.Sprint("configuration ", r.version.Load(), " is acknowledged"))
+				}
+			})
+		case StepDrainRunner:
+			r.replaceRunner()
+		}
+	}
+}
+
+// note records what was done without a signal.
+func (r *run) note(daemon, what string) {
+	r.ledger.AddAction(Action{At: time.Now(), Daemon: daemon, What: what})
+}
+
+// replaceRunner starts a runner and has the oldest one leave.
+func (r *run) replaceRunner() {
+	id, err := r.platform.StartRunner(service, "z0")
+	if err != nil {
+		r.note("", "no runner could be started: "+err.Error())
+		return
+	}
+	for _, runner := range r.platform.Runners() {
+		if runner.State == protocol.RunnerReady && runner.ID != id {
+			r.platform.Drain(runner.ID)
+			r.note("", "runner "+runner.ID+" leaves, "+id+" comes")
+			return
+		}
+	}
+}
+
+// signal sends a signal to a daemon; one that ends by it is started again.
+func (r *run) signal(ctx context.Context, name string, signal syscall.Signal) {
+	daemon, err := r.cluster.Daemon(name)
+	if err != nil {
+		return
+	}
+	r.ledger.AddAction(Action{At: time.Now(), Daemon: name, What: signal.String(), Signal: signal})
+	if err := r.cluster.Signal(name, signal); err != nil {
+		r.note(name, err.Error())
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.leaving[name] || signal == syscall.SIGSTOP || signal == syscall.SIGCONT {
+		return
+	}
+	r.leaving[name] = true
+	ended := daemon.Ended()
+	r.restart.Go(func() { r.startAgain(ctx, daemon, ended) })
+}
+
+// startAgain starts a daemon again if it ends within the grace time.
+func (r *run) startAgain(ctx context.Context, daemon *localcluster.Daemon, ended <-chan struct{}) {
+	defer func() {
+		r.mu.Lock()
+		r.leaving[daemon.Name] = false
+		r.mu.Unlock()
+	}()
+	select {
+	case <-ended:
+	case <-time.After(r.options.Grace):
+		// It was a signal that doesn't end it, or it outlives its time.
+		r.endOverdue(daemon)
+		return
+	case <-ctx.Done():
+		return
+	}
+	pause(ctx, restartPause)
+	if err := daemon.Restart(); err != nil {
+		r.note(daemon.Name, err.Error())
+		return
+	}
+	r.note(daemon.Name, "is started")
+	r.mu.Lock()
+	wanted := r.hangups[daemon.Name]
+	delete(r.hangups, daemon.Name)
+	r.mu.Unlock()
+	if wanted {
+		r.hangUpAtStart(ctx, daemon.Name)
+	}
+}
+
+// endOverdue kills a daemon that was told to end and hasn't within the grace time, as its
+// operators would.
+func (r *run) endOverdue(daemon *localcluster.Daemon) {
+	for _, action := range r.ledger.Snapshot(nil).Actions {
+		told := action.Daemon == daemon.Name && action.Signal == syscall.SIGTERM
+		if told && time.Since(action.At) >= r.options.Grace && time.Since(action.At) < 2*r.options.Grace {
+			r.note(daemon.Name, overdueNote)
+			_ = r.cluster.Signal(daemon.Name, syscall.SIGKILL)
+			return
+		}
+	}
+}
+
+// overdueNote marks a daemon that was killed since its time was over.
+const overdueNote = "has not ended within its grace time and is killed"
+
+// hangUpAtStart sends SIGHUPs to a process that has just been started.
+func (r *run) hangUpAtStart(ctx context.Context, name string) {
+	pause(ctx, hangupStartTime)
+	for range hangupsAtStart {
+		r.ledger.AddAction(Action{At: time.Now(), Daemon: name, What: syscall.SIGHUP.String(), Signal: syscall.SIGHUP})
+		_ = r.cluster.Signal(name, syscall.SIGHUP)
+		pause(ctx, hangupGap)
+	}
+}
+
+// exits lists the ends of all processes.
+func (r *run) exits() []localcluster.Exit {
+	var exits []localcluster.Exit
+	for _, name := range r.cluster.Names() {
+		if daemon, err := r.cluster.Daemon(name); err == nil {
+			exits = append(exits, daemon.Exits()...)
+		}
+	}
+	return exits
+}
+
+// hostPort joins an address and a port.
+func hostPort(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
