The end of a daemon has one owner: what was taken is answered, in one order for all roles

Cause: four owners each ended a part by a clock of their own. The HTTP library closed connections behind the first answer and dropped what it had just read, not knowing of reads that were sent ahead; half of the grace time was for open requests, after the hand-over had used its own part; SIGHUP was given back to its default with the first SIGTERM, and not taken before; the agent closed its listener at once and answered calls under way with 503.

The gateway ends a connection with the answer behind which nothing was sent ahead. One value has the signals from the first line of main on. A server that ends tells each leader so until it has ended: two that ended at the same moment were away together while the first still answered.

--- a/cmd/tealpond/daemon.go
+++ b/cmd/tealpond/daemon.go
@@ -5,9 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
@@ -61,17 +59,17 @@
 		FederationFile: flags.federationFile,
 		Debug:          flags.logLevel == "debug",
 	}
+	ctx, reload := p.signals.watch(context.Background(), logger)
+	if ctx.Err() != nil {
+		_ = logger.Log("level", "info", "event", "daemon.stopped")
+		return exitOK
+	}
 	process, err := role.New(environment)
 	if err != nil {
 		p.reportf("%v", err)
 		return exitFault
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	context.AfterFunc(ctx, func() {
-		_ = logger.Log("level", "info", "event", "signal.received", "signal", context.Cause(ctx))
-	})
-	go watchSettings(ctx, flags.settingsPath, environment.Reload, logger)
+	go watchSettings(ctx, flags.settingsPath, reload, environment.Reload, logger)
 	_ = logger.Log("level", "info", "event", "daemon.started", "version", version, "process", environment.ProcessID)
 	if endpoint.Port != "" {
 		serveMetrics(ctx, file.IPAddress, endpoint, process, logger)
@@ -103,12 +101,10 @@
 	return hex.EncodeToString(id[:])
 }
 
-// watchSettings sends a changed settings file to reload, after a SIGHUP or when the
-// file's time has changed, until ctx ends. A file with a fault is logged and ignored.
-func watchSettings(ctx context.Context, path string, reload chan<- settings.File, logger log.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+// watchSettings sends a changed settings file to reload, after a SIGHUP, which hangups tells,
+// or when the file's time has changed, until ctx ends. A file with a fault is logged and
+// ignored.
+func watchSettings(ctx context.Context, path string, hangups <-chan struct{}, reload chan<- settings.File, logger log.Logger) {
 	ticker := time.NewTicker(tuning.SettingsPollInterval)
 	defer ticker.Stop()
 	last := modTime(path)
@@ -116,8 +112,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
-			_ = logger.Log("level", "info", "event", "signal.received", "signal", syscall.SIGHUP)
+		case <-hangups:
 		case <-ticker.C:
 			if modified := modTime(path); modified == last {
 				continue
--- a/cmd/tealpond/main.go
+++ b/cmd/tealpond/main.go
@@ -32,13 +32,16 @@
 
 // program is one call of the command line.
 type program struct {
+	signals        *processSignals
 	stdout, stderr io.Writer
 	commands       map[string]func() int // by name; each returns the exit code
+	daemons        map[string]bool       // names of the commands that run a daemon
 }
 
 // run carries out a command line and returns the exit code.
 func run(args []string, stdout, stderr io.Writer) int {
-	p := &program{stdout: stdout, stderr: stderr, commands: map[string]func() int{}}
+	// First of all, since a signal that comes before has its default effect.
+	p := &program{signals: takeSignals(), stdout: stdout, stderr: stderr, commands: map[string]func() int{}, daemons: map[string]bool{}}
 	app := kingpin.New("tealpond", "A cluster scheduler for jobs.")
 	app.UsageWriter(stdout)
 	app.ErrorWriter(stderr)
@@ -59,6 +62,9 @@
 	case name == "":
 		return exitOK
 	}
+	if !p.daemons[name] {
+		p.signals.release()
+	}
 	return p.commands[name]()
 }
 
@@ -91,6 +97,7 @@
 		if role.AcceptsFederationFile {
 			federation = command.Flag("moves", "The file that turns moving jobs between clusters on (docs/forecast.md); off without it.").String()
 		}
+		p.daemons[command.FullCommand()] = true
 		p.commands[command.FullCommand()] = func() int { return p.runDaemon(role, daemonFlags{*path, *level, *federation, *endpoint}) }
 	}
 }
--- a/internal/agent/role.go
+++ b/internal/agent/role.go
@@ -2,13 +2,15 @@
 
 import (
 	"context"
-	"net/http"
+	"errors"
 	"time"
 
 	"github.com/labstack/echo/v4"
 
 	"tealpond/internal/daemon"
+	"tealpond/internal/httpserver"
 	"tealpond/internal/rpc"
+	"tealpond/internal/shutdown"
 	"tealpond/internal/transport"
 	"tealpond/internal/tuning"
 )
@@ -26,10 +28,13 @@
 	})
 }
 
-// Run serves the runner's calls and runs the loop until ctx ends. All goroutines
-// that it starts end with ctx.
+// Run serves the runner's calls and runs the loop until ctx ends, and then leaves in order:
+// the calls that it has taken are answered first, by the loop. daemon.ErrKilled ends it at
+// once. All goroutines that it starts end when it returns.
 func (a *Agent) Run(ctx context.Context) error {
-	a.ctx = ctx
+	loopCtx, endLoop := context.WithCancel(context.WithoutCancel(ctx))
+	defer endLoop()
+	a.ctx = loopCtx
 	router := echo.New()
 	router.HideBanner, router.HidePort = true, true
 	router.POST("/-/Runners.Heartbeat/:id", a.serveHeartbeat)
@@ -38,20 +43,40 @@
 	if err != nil {
 		return err
 	}
-	httpServer := &http.Server{Handler: router, ReadHeaderTimeout: tuning.DefaultHeaderTimeout, IdleTimeout: time.Minute}
-	go func() { _ = httpServer.Serve(listener) }() // until it is closed below
-	go a.discovery.Run(ctx)
-	if err := transport.Serve(ctx, a.settings.AgentAddress(), a.handleFrame); err != nil {
+	httpServer := httpserver.New(loopCtx, listener, httpserver.Options{Handler: router, HeaderTimeout: tuning.DefaultHeaderTimeout, IdleTimeout: time.Minute})
+	go httpServer.Serve() // until it is closed
+	go a.discovery.Run(loopCtx)
+	if err := transport.Serve(loopCtx, a.settings.AgentAddress(), a.handleFrame); err != nil {
 		// The daemon goes on, since only traces need it.
 		_ = a.log.Log("level", "warn", "event", "trace.serve_failed", "error", err)
 	}
-	go a.renewMembership(ctx)
-	go a.followSettings(ctx)
-	daemon.Loop(ctx, a.events, a.handle, a.advance)
-	_ = httpServer.Close() // the daemon ends, whatever is open
+	go a.renewMembership(loopCtx)
+	go a.followSettings(loopCtx)
+	go func() {
+		defer endLoop()
+		<-ctx.Done()
+		if errors.Is(context.Cause(ctx), daemon.ErrKilled) {
+			httpServer.Close() // the process ends, whatever is open
+			return
+		}
+		a.leave(httpServer)
+	}()
+	daemon.Loop(loopCtx, a.events, a.handle, a.advance)
 	return nil
 }
 
+// leave ends the listener in order. The runner's next call goes to the next process, so its
+// connections are closed without notice.
+func (a *Agent) leave(httpServer *httpserver.Server) {
+	grace := time.Duration(a.settings.Bounds.GraceS * float64(time.Second))
+	leaving := httpserver.BeginLeaving([]*httpserver.Server{httpServer}, shutdown.TimesOf(grace, 0))
+	_ = a.log.Log("level", "info", "event", "shutdown.begun", "open", leaving.Open())
+	nothingToHandOver := make(chan struct{})
+	close(nothingToHandOver)
+	remains := leaving.Finish(nothingToHandOver)
+	_ = a.log.Log("level", "info", "event", "shutdown.ended", "open", remains.Open, "busy", remains.Busy, "took_ms", remains.Took.Milliseconds())
+}
+
 // followSettings applies settings that were read again, until ctx ends.
 func (a *Agent) followSettings(ctx context.Context) {
 	for {
--- a/internal/api/listeners.go
+++ b/internal/api/listeners.go
@@ -58,12 +58,11 @@
 			MaxHeaderBytes: tuning.MaxHeaderBytes,
 		}
 		if listener.address == addresses.FrontHTTP && s.gateway != nil {
-			socket = s.gateway.Listener(ctx, socket)
-			options.BaseContext, options.ConnContext = ctx, gateway.ConnContext
+			options.Wrap, options.ConnContext, options.ClosesItself = s.gateway.Listener, gateway.ConnContext, true
 		}
-		httpServer := httpserver.New(options)
+		httpServer := httpserver.New(ctx, socket, options)
 		httpServers = append(httpServers, httpServer)
-		go httpServer.Serve(socket) // until Run closes it
+		go httpServer.Serve() // until Run closes it
 	}
 	return httpServers, nil
 }
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -18,6 +18,7 @@
 	"tealpond/internal/rpc"
 	"tealpond/internal/server"
 	"tealpond/internal/settings"
+	"tealpond/internal/shutdown"
 	"tealpond/internal/transport"
 	"tealpond/internal/tuning"
 )
@@ -125,8 +126,8 @@
 	return s, nil
 }
 
-// Run serves until ctx ends, and for up to half of the grace time after it, so
-// that requests in flight are answered; daemon.ErrKilled ends it at once. The
+// Run serves until ctx ends, and then leaves in order: within the grace time all that was
+// taken is answered, while leadership is handed over. daemon.ErrKilled ends it at once. The
 // context of all goroutines that it starts ends when it returns.
 func (s *Server) Run(ctx context.Context) error {
 	serveCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -141,49 +142,45 @@
 	s.followSettings(ctx)
 	if errors.Is(context.Cause(ctx), daemon.ErrKilled) {
 		for _, httpServer := range httpServers {
-			_ = httpServer.Close() // the process ends, whatever is open
+			httpServer.Close() // the process ends, whatever is open
 		}
 		return nil
 	}
-	// First no new callers are accepted, then leadership is transferred, and then
-	// the requests in flight are finished.
-	begunAt := time.Now()
-	_ = s.log.Log("level", "info", "event", "shutdown.begun", "open", openRequests(httpServers))
-	s.leaving.Store(true)
-	s.startLeaving()
-	if s.replica != nil {
-		s.replica.Leave()
-	}
-	grace := time.Duration(s.settings.Bounds.GraceS*float64(time.Second)) / 2
-	shutdownCtx, cancelShutdown := context.WithTimeout(context.Background(), grace)
-	defer cancelShutdown()
-	for _, httpServer := range httpServers {
-		_ = httpServer.Shutdown(shutdownCtx) // fails for requests that outlast the grace time
-	}
-	s.logShutdown(openRequests(httpServers), time.Since(begunAt))
+	s.leave(httpServers)
 	return nil
 }
 
-// openRequests is how many requests are being handled by all listeners.
-func openRequests(httpServers []*httpserver.Server) int {
-	open := 0
-	for _, httpServer := range httpServers {
-		open += httpServer.Open()
+// leave ends this daemon in order.
+func (s *Server) leave(httpServers []*httpserver.Server) {
+	grace := time.Duration(s.settings.Bounds.GraceS * float64(time.Second))
+	s.leaving.Store(true)
+	leaving := httpserver.BeginLeaving(httpServers, shutdown.TimesOf(grace, tuning.ShutdownNotice))
+	_ = s.log.Log("level", "info", "event", "shutdown.begun", "open", leaving.Open())
+	s.startLeaving()
+	if s.gateway != nil {
+		s.gateway.BeginLeaving(leaving.RefusesFrom())
 	}
-	return open
+	handedOver := make(chan struct{})
+	go func() {
+		defer close(handedOver)
+		if s.replica != nil {
+			s.replica.Leave()
+		}
+	}()
+	s.logRemains(leaving.Finish(handedOver))
 }
 
-// logShutdown logs what an end in order leaves behind: requests that have no whole answer,
-// and those that were sent ahead of their turn and given up since the process began.
-func (s *Server) logShutdown(open int, took time.Duration) {
+// logRemains logs what an end in order leaves behind, and the requests that were sent ahead
+// of their turn and given up since the process began.
+func (s *Server) logRemains(remains httpserver.Remains) {
 	level, abandoned := "info", int64(0)
 	if s.gateway != nil {
 		abandoned = s.gateway.AbandonedRequests()
 	}
-	if open > 0 {
+	if remains.Busy > 0 {
 		level = "warn"
 	}
-	_ = s.log.Log("level", level, "event", "shutdown.ended", "open", open, "abandoned", abandoned, "took_ms", took.Milliseconds())
+	_ = s.log.Log("level", level, "event", "shutdown.ended", "open", remains.Open, "busy", remains.Busy, "abandoned", abandoned, "took_ms", remains.Took.Milliseconds())
 }
 
 // start starts everything but the HTTP listeners; it runs until ctx ends.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"tealpond/internal/clusterconfig"
+	"tealpond/internal/httpserver"
 	"tealpond/internal/protocol"
 	"tealpond/internal/registry"
 	"tealpond/internal/tuning"
@@ -40,6 +41,7 @@
 // exchange is one request of a client and its answer.
 type exchange struct {
 	proxy   *Proxy
+	conn    *clientConn // nil: the connection is not one of Listener
 	writer  http.ResponseWriter
 	request *http.Request
 	until   time.Time          // when the client's time, or the route's, is used up
@@ -74,6 +76,7 @@
 // 504 promise nothing.
 var (
 	refusalNotConfigured  = refusal{http.StatusServiceUnavailable, "not configured yet", tuning.StartupRetryAfter}
+	refusalLeaving        = refusal{http.StatusServiceUnavailable, "this daemon ends", tuning.RefusedRetryAfter}
 	refusalNoRoute        = refusal{status: http.StatusNotFound, text: "no such route"}
 	refusalNoKey          = refusal{status: http.StatusUnauthorized, text: "no tenant's key"}
 	refusalHeaderTooLarge = refusal{status: http.StatusRequestHeaderFieldsTooLarge, text: "the headers are too large"}
@@ -85,7 +88,8 @@
 
 // ServeHTTP serves one request.
 func (p *Proxy) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	if conn, ok := request.Context().Value(connKey{}).(*clientConn); ok {
+	conn, ok := request.Context().Value(connKey{}).(*clientConn)
+	if ok {
 		early := conn.begin(request)
 		defer conn.end()
 		if early != nil {
@@ -93,14 +97,14 @@
 			return
 		}
 	}
-	p.newExchange(writer, request).run(phaseAdmit)
+	p.newExchange(writer, request, conn).run(phaseAdmit)
 }
 
 // newExchange begins a client's request; the time that the client gives it runs from now.
-func (p *Proxy) newExchange(writer http.ResponseWriter, request *http.Request) *exchange {
+func (p *Proxy) newExchange(writer http.ResponseWriter, request *http.Request, conn *clientConn) *exchange {
 	left := protocol.TimeLeft(request, tuning.MaxGatewayTime)
 	left -= min(left/10, tuning.GatewayResponseReserve)
-	e := &exchange{proxy: p, writer: writer, request: request, until: time.Now().Add(left)}
+	e := &exchange{proxy: p, conn: conn, writer: writer, request: request, until: time.Now().Add(left)}
 	e.ctx, e.cancel = context.WithDeadline(request.Context(), e.until)
 	return e
 }
@@ -122,10 +126,13 @@
 // refuse writes an answer of this daemon's own. If the request's body was not read, the
 // library closes the connection.
 func (e *exchange) refuse() phase {
-	if errors.Is(e.request.Context().Err(), context.Canceled) {
-		return phaseEnded // nobody is there to read it
+	if e.clientHasGone() {
+		// Without this the library would write an empty success: a client may have closed
+		// its sending side only.
+		panic(http.ErrAbortHandler)
 	}
 	header := e.writer.Header()
+	e.endConnectionIfLast(header)
 	if e.refusal.retryAfter > 0 {
 		header.Set(protocol.HeaderRetryAfter, strconv.FormatFloat(e.refusal.retryAfter.Seconds(), 'f', -1, 64))
 	}
@@ -135,8 +142,26 @@
 	return phaseEnded
 }
 
+// clientHasGone tells whether the client has ended its connection. At the latest moment of
+// a daemon's end the request's context ends too, and the client is there.
+func (e *exchange) clientHasGone() bool {
+	ctx := e.request.Context()
+	return errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), httpserver.ErrEnding)
+}
+
+// endConnectionIfLast says in an answer's headers that the connection ends with it, if the
+// daemon leaves and nothing behind it was passed on.
+func (e *exchange) endConnectionIfLast(header http.Header) {
+	if e.conn != nil && e.conn.endsWithAnswer() {
+		header.Set("Connection", "close")
+	}
+}
+
 // admit finds the request's route and tenant.
 func (e *exchange) admit() phase {
+	if e.proxy.refuses() {
+		return e.refuseWith(refusalLeaving)
+	}
 	if !e.proxy.awaitReady(e.ctx, min(tuning.StartupWait, time.Until(e.until)/2)) {
 		return e.refuseWith(refusalNotConfigured)
 	}
@@ -343,6 +368,7 @@
 	if e.response.ContentLength >= 0 && e.request.Method != http.MethodHead {
 		header.Set("Content-Length", strconv.FormatInt(e.response.ContentLength, 10))
 	}
+	e.endConnectionIfLast(header)
 	e.writer.WriteHeader(e.response.StatusCode)
 	if err := e.copyBody(); err != nil {
 		how := resultFailed
--- a/internal/gateway/pipeline.go
+++ b/internal/gateway/pipeline.go
@@ -37,6 +37,7 @@
 	started  int                   // requests that the server has begun to answer
 	finished int                   // requests that were answered
 	early    map[int]*earlyRequest // by their number on the connection
+	closing  bool                  // it ends with the answer that is being written
 }
 
 // earlyRequest is a request that was sent ahead of its turn.
@@ -130,12 +131,35 @@
 		number := c.scanned
 		c.scanned++
 		// The server itself takes the first of those that aren't answered.
-		if number > c.finished && c.early != nil && len(c.early) < maxEarlyRequests && c.proxy.mayBeEarly(request) {
-			c.early[number] = c.proxy.startEarly(c.ctx, request)
+		if number > c.finished && c.takesAhead() && c.proxy.mayBeEarly(request) {
+			c.early[number] = c.startEarly(request)
 		}
 	}
 }
 
+// takesAhead tells whether one more request may be sent ahead of its turn. It is called
+// with mu held.
+func (c *clientConn) takesAhead() bool {
+	return c.early != nil && !c.closing && len(c.early) < maxEarlyRequests && !c.proxy.leaves()
+}
+
+// endsWithAnswer decides whether the connection of a daemon that leaves ends with the answer
+// that is about to be written. The library closes it right behind that answer: whatever has
+// been sent ahead would be lost, so it ends with the answer behind which nothing was. From
+// then on nothing is.
+func (c *clientConn) endsWithAnswer() bool {
+	if !c.proxy.leaves() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = c.closing || len(c.early) == 0
+	return c.closing
+}
+
+// NetConn gives the connection beneath.
+func (c *clientConn) NetConn() net.Conn { return c.Conn }
+
 // begin counts a request that the server begins to answer. If it was sent ahead already,
 // that is returned.
 func (c *clientConn) begin(request *http.Request) *earlyRequest {
@@ -178,9 +202,9 @@
 }
 
 // startEarly sends a request ahead of its turn.
-func (p *Proxy) startEarly(ctx context.Context, request *http.Request) *earlyRequest {
-	ctx, cancel := context.WithCancel(ctx)
-	early := &earlyRequest{exchange: p.newExchange(nil, request.WithContext(ctx)), cancel: cancel, done: make(chan struct{})}
+func (c *clientConn) startEarly(request *http.Request) *earlyRequest {
+	ctx, cancel := context.WithCancel(c.ctx)
+	early := &earlyRequest{exchange: c.proxy.newExchange(nil, request.WithContext(ctx), c), cancel: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(early.done)
 		early.next = early.exchange.runUntilItsTurn()
--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -46,6 +46,8 @@
 
 	rates *TenantRates
 
+	// refusesFrom is from when on a daemon that leaves begins no request; nil: it stays.
+	refusesFrom atomic.Pointer[time.Time]
 	// abandoned counts requests that were sent ahead of their turn and given up.
 	abandoned atomic.Int64
 
@@ -105,6 +107,19 @@
 	return limited
 }
 
+// BeginLeaving takes note that the daemon leaves: connections end with the answer behind
+// which nothing was passed on, and from a time on no request is begun.
+func (p *Proxy) BeginLeaving(refusesFrom time.Time) { p.refusesFrom.Store(&refusesFrom) }
+
+// leaves tells whether the daemon leaves.
+func (p *Proxy) leaves() bool { return p.refusesFrom.Load() != nil }
+
+// refuses tells whether it begins no request any more.
+func (p *Proxy) refuses() bool {
+	from := p.refusesFrom.Load()
+	return from != nil && time.Now().After(*from)
+}
+
 // AbandonedRequests is how many requests of clients were sent to runners ahead of their
 // turn and then given up, since the connection ended first.
 func (p *Proxy) AbandonedRequests() int64 { return p.abandoned.Load() }
--- /dev/null
+++ b/internal/httpserver/listener.go
@@ -0,0 +1,49 @@
+package httpserver
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"tealpond/internal/tuning"
+)
+
+// listener accepts the connections of a Server.
+type listener struct {
+	net.Listener
+	server  *Server
+	closing atomic.Bool // what waits is accepted, and no more
+	closed  atomic.Bool
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	switch {
+	case err == nil:
+		return newConn(raw, l.server), nil
+	case l.closing.Load() && errors.Is(err, os.ErrDeadlineExceeded):
+		_ = l.Close()
+		return nil, net.ErrClosed
+	}
+	return nil, err
+}
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	err := l.Listener.Close()
+	l.closed.Store(true)
+	return err
+}
+
+// closeSoon accepts for a moment what waits to be accepted, and closes the listener: the
+// kernel resets connections that wait there when it is closed.
+func (l *listener) closeSoon() {
+	l.closing.Store(true)
+	socket, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
+	if !ok || socket.SetDeadline(time.Now().Add(tuning.LastAcceptTime)) != nil {
+		_ = l.Close()
+	}
+}
--- a/internal/localcluster/daemon.go
+++ b/internal/localcluster/daemon.go
@@ -36,8 +36,9 @@
 
 // process is one process of a daemon.
 type process struct {
-	command *exec.Cmd
-	ended   chan struct{} // closed once it has ended and its log was read
+	command   *exec.Cmd
+	startedAt time.Time
+	ended     chan struct{} // closed once it has ended and its log was read
 }
 
 // ClientAddress is where the daemon serves clients.
@@ -79,7 +80,7 @@
 	if err := command.Start(); err != nil {
 		return fmt.Errorf("%s: %w", d.Name, err)
 	}
-	d.process = &process{command, make(chan struct{})}
+	d.process = &process{command, time.Now(), make(chan struct{})}
 	go d.watch(d.process, log)
 	return nil
 }
@@ -115,6 +116,13 @@
 	return d.process.ended
 }
 
+// StartedAt is when the present process was started.
+func (d *Daemon) StartedAt() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.process.startedAt
+}
+
 // Exits lists the ends of the daemon's processes so far.
 func (d *Daemon) Exits() []Exit {
 	d.mu.Lock()
--- a/internal/server/leave.go
+++ b/internal/server/leave.go
@@ -35,7 +35,8 @@
 	}
 }
 
-// beginLeave begins to leave; done is closed once the process may end.
+// beginLeave begins to leave; done is closed once the process may end. Until it does, this
+// server goes on as a replica, and the leader knows that it ends.
 func (r *Replica) beginLeave(ctx context.Context, done chan struct{}) {
 	r.leaveWaiters = append(r.leaveWaiters, done)
 	if len(r.leaveWaiters) > 1 {
@@ -61,22 +62,55 @@
 	}
 	deadline := r.leaveDeadline
 	go func() {
-		callCtx, cancel := context.WithDeadline(ctx, deadline)
-		defer cancel()
-		for callCtx.Err() == nil {
-			response := r.leaderClient.Call(callCtx, rpc.KindReleaseZones, &rpc.ZoneRelease{Disk: r.self.ID})
-			if response.Code == rpc.CodeOK {
-				break
-			}
-			select {
-			case <-time.After(max(tuning.ShutdownPollInterval, time.Duration(response.RetryAfterMs)*time.Millisecond)):
-			case <-callCtx.Done():
-			}
-		}
+		r.awaitRelease(ctx, deadline)
 		r.post(ctx, loopEvent{leaveGranted: true})
+		r.renewRelease(ctx)
 	}()
 }
 
+// release asks the leader whether this server may end; it returns after how long to ask
+// again, 0 if it may.
+func (r *Replica) release(ctx context.Context) time.Duration {
+	response := r.leaderClient.Call(ctx, rpc.KindReleaseZones, &rpc.ZoneRelease{Disk: r.self.ID})
+	if response.Code == rpc.CodeOK {
+		return 0
+	}
+	return max(tuning.ShutdownPollInterval, time.Duration(response.RetryAfterMs)*time.Millisecond)
+}
+
+// awaitRelease asks the leader until this server may end, or its time is over.
+func (r *Replica) awaitRelease(ctx context.Context, deadline time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	for ctx.Err() == nil {
+		wait := r.release(ctx)
+		if wait == 0 {
+			return
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// renewRelease tells the leader again and again that this server ends, until it has: its
+// requests may take much of the grace time, and another leader may know nothing of it.
+func (r *Replica) renewRelease(ctx context.Context) {
+	ticker := time.NewTicker(tuning.ShutdownRenewInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		callCtx, cancel := context.WithTimeout(ctx, tuning.ShutdownReleasePeriod)
+		r.release(callCtx)
+		cancel()
+	}
+}
+
 // finishLeaving lets the process end.
 func (r *Replica) finishLeaving() {
 	for _, done := range r.leaveWaiters {
@@ -88,17 +122,18 @@
 // continueLeave takes the next step of leaving; it returns after how long the next
 // one is due, 0 if this server isn't leaving.
 func (r *Replica) continueLeave(ctx context.Context, now time.Time) time.Duration {
-	switch {
-	case len(r.leaveWaiters) == 0:
+	if r.leaveDeadline.IsZero() || r.node == nil {
 		return 0
-	case now.After(r.leaveDeadline) || r.transferringLeadership && !r.node.IsLeader():
-		// The transfer is over once another leads.
+	}
+	if now.After(r.leaveDeadline) {
 		r.finishLeaving()
-		return 0
+	}
+	switch {
 	case r.node.IsLeader():
 		r.transferLeadership(now)
 	case !r.leaveRequested:
-		// Leadership was lost without a transfer.
+		// Another leads, by a transfer or without one, and is to know that this server
+		// ends: two that do at the same moment wait for each other.
 		r.requestLeave(ctx)
 	}
 	return leavePollInterval
@@ -112,13 +147,20 @@
 		r.finishLeaving()
 		return
 	}
+	if r.transferringLeadership {
+		if now.After(r.transferDeadline) {
+			r.transferringLeadership = false
+			r.finishLeaving()
+		}
+		return
+	}
 	noTimeLeft := r.leaveDeadline.Sub(now) <= tuning.LeadershipTransferTimeout
-	if r.transferringLeadership || !noTimeLeft && r.node.LeaderReady() && r.reasonToStay(r.self.ID) != "" {
+	if !noTimeLeft && r.node.LeaderReady() && r.reasonToStay(r.self.ID) != "" {
 		return
 	}
 	if r.node.TransferLeadership() {
 		r.transferringLeadership = true
-		r.leaveDeadline = now.Add(tuning.LeadershipTransferTimeout)
+		r.transferDeadline = now.Add(tuning.LeadershipTransferTimeout)
 	}
 }
 
--- a/internal/server/membership.go
+++ b/internal/server/membership.go
@@ -204,6 +204,8 @@
 		return "a change of the voters is under way"
 	case !r.node.IsVoter(id):
 		return ""
+	case time.Since(r.leadingSince) < 2*tuning.ShutdownRenewInterval:
+		return "the leader is new and may not know yet who ends"
 	}
 	for _, candidate := range r.liveCandidates() {
 		if r.node.SilentFor(candidate.ID) <= tuning.CandidateContactTimeout {
@@ -231,7 +233,7 @@
 // about to: it is heard until it does. The leader itself ends once it hands over.
 func (r *Replica) isReleased(id string, now time.Time) bool {
 	if id == r.self.ID {
-		return r.transferringLeadership && len(r.leaveWaiters) > 0
+		return r.transferringLeadership
 	}
 	at, released := r.appointments.releasedAt[id]
 	return released && now.Sub(at) < tuning.ShutdownReleasePeriod
--- a/internal/server/replica.go
+++ b/internal/server/replica.go
@@ -130,7 +130,8 @@
 
 	// The end of the process.
 	leaveWaiters           []chan struct{}
-	leaveDeadline          time.Time
+	leaveDeadline          time.Time // zero: it stays
+	transferDeadline       time.Time // of the transfer of leadership under way
 	transferringLeadership bool
 	leaveRequested         bool // the leader is being asked whether this server may end
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -373,12 +373,12 @@
 	}
 }
 
-// endOverdue kills a daemon that was told to end and hasn't within the grace time, as its
+// endOverdue kills a process that was told to end and hasn't within the grace time, as its
 // operators would.
 func (r *run) endOverdue(daemon *localcluster.Daemon) {
 	for _, action := range r.ledger.Snapshot(nil).Actions {
-		told := action.Daemon == daemon.Name && action.Signal == syscall.SIGTERM
-		if told && time.Since(action.At) >= r.options.Grace && time.Since(action.At) < 2*r.options.Grace {
+		told := action.Daemon == daemon.Name && action.Signal == syscall.SIGTERM && action.At.After(daemon.StartedAt())
+		if told && time.Since(action.At) >= r.options.Grace {
 			r.note(daemon.Name, overdueNote)
 			_ = r.cluster.Signal(daemon.Name, syscall.SIGKILL)
 			return
