Soak: edge daemons with locks, watches and jobs; tests of the end of a server

Waiting connections are closed at the latest moment too: one whose last answer didn't end it was kept until its idle time was over (found by a test). Descriptors and memory of daemons can be made short by hand.

--- a/internal/httpserver/leave.go
+++ b/internal/httpserver/leave.go
@@ -64,7 +64,7 @@
 		if phase == shutdown.Ended {
 			break
 		}
-		if phase == shutdown.Closing {
+		if phase != shutdown.Announcing {
 			l.closeWaiting(now)
 		}
 		<-ticker.C
--- a/internal/localcluster/daemon.go
+++ b/internal/localcluster/daemon.go
@@ -11,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // maxLogLineBytes is the length of the longest line that is read from a daemon's log.
@@ -80,6 +82,11 @@
 	if err := command.Start(); err != nil {
 		return fmt.Errorf("%s: %w", d.Name, err)
 	}
+	if files := d.cluster.options.MaxFiles; files > 0 {
+		if err := unix.Prlimit(command.Process.Pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: files, Max: files}, nil); err != nil {
+			d.cluster.addLine(d.Name, "the limit of open files can't be set: "+err.Error())
+		}
+	}
 	d.process = &process{command, time.Now(), make(chan struct{})}
 	go d.watch(d.process, log)
 	return nil
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -41,7 +41,7 @@
 }
 
 // target is a daemon as clients see it.
-type target struct{ daemon, address string }
+type target struct{ daemon, address, control string }
 
 // connection is one connection of a client.
 type connection struct {
@@ -69,7 +69,11 @@
 		if c.habit.slow {
 			dialer.Control = smallReceiveBuffer
 		}
-		conn, err := dialer.DialContext(ctx, "tcp", chosen.address)
+		address := chosen.address
+		if c.habit.control {
+			address = chosen.control
+		}
+		conn, err := dialer.DialContext(ctx, "tcp", address)
 		if err != nil {
 			pause(ctx, reconnectPause)
 			continue
@@ -185,7 +189,7 @@
 		bodyBytes = len(o.body) / o.parts * o.parts
 	}
 	want := standin.Answer(request.ID, o.path+request.ID, bodyBytes)
-	request.Sealed = response.Header.Get(protocol.HeaderAttemptID) == request.ID && strings.TrimRight(text.String(), " ") == want
+	request.Sealed = o.kind == kindCall || o.kind == kindJob || response.Header.Get(protocol.HeaderAttemptID) == request.ID && strings.TrimRight(text.String(), " ") == want
 	request.Status, request.Ending, request.EndedAt = response.StatusCode, EndAnswered, time.Now()
 	return !response.Close
 }
--- a/internal/soak/habit.go
+++ b/internal/soak/habit.go
@@ -17,6 +17,7 @@
 	writePath    = "/write/"
 	uploadPath   = "/upload/"
 	downloadPath = "/download/"
+	jobPath      = "/p/"
 	// uploadBytes is the size of an upload, in bytes.
 	uploadBytes = 60_000
 	// partPause is the longest pause between two parts of a body.
@@ -33,16 +34,23 @@
 	name  string
 	fresh bool // a new connection for each request
 	slow  bool // the kernel holds little for it
-	pause time.Duration
+	// control: it calls the port of operators and applications.
+	control bool
+	pause   time.Duration
 	// next draws the requests that are sent behind each other next.
 	next func(*rand.Rand) []order
 }
 
-// habits are those of the clients, and how many clients in 20 have them.
-var habits = []struct {
+// sharedHabit is a habit and how many clients in 20 have it.
+type sharedHabit struct {
 	share int
 	habit habit
-}{
+}
+
+// habitsOf are those of the clients of each role.
+var habitsOf = map[string][]sharedHabit{gatewayRole: gatewayHabits, edgeRole: edgeHabits}
+
+var gatewayHabits = []sharedHabit{
 	{4, habit{name: "kept reads", pause: 20 * time.Millisecond, next: one(read)}},
 	{3, habit{name: "kept writes", pause: 20 * time.Millisecond, next: one(write)}},
 	{4, habit{name: "behind each other", pause: 20 * time.Millisecond, next: several(read)}},
@@ -55,6 +63,16 @@
 	{1, habit{name: "long work", pause: 20 * time.Millisecond, next: one(longWork)}},
 }
 
+var edgeHabits = []sharedHabit{
+	{4, habit{name: "locks", control: true, pause: 20 * time.Millisecond, next: one(acquireLock)}},
+	{2, habit{name: "locks, fresh", control: true, fresh: true, pause: 20 * time.Millisecond, next: one(acquireLock)}},
+	{2, habit{name: "locks behind each other", control: true, pause: 20 * time.Millisecond, next: several(acquireLock)}},
+	{3, habit{name: "puts", control: true, pause: 20 * time.Millisecond, next: one(put)}},
+	{2, habit{name: "numbers", control: true, pause: 20 * time.Millisecond, next: one(number)}},
+	{4, habit{name: "watches", control: true, pause: 20 * time.Millisecond, next: one(watch)}},
+	{3, habit{name: "jobs", pause: 20 * time.Millisecond, next: one(submitOrAsk)}},
+}
+
 // one draws a single request.
 func one(draw func(*rand.Rand) order) func(*rand.Rand) []order {
 	return func(random *rand.Rand) []order { return []order{draw(random)} }
@@ -118,3 +136,37 @@
 	o.query, o.wait = workQuery(random, 2000, 4200), longRequestTime
 	return o
 }
+
+// Kinds of calls that the daemons answer themselves.
+const (
+	kindCall = "call"
+	kindJob  = "job" // that is submitted
+)
+
+// callJSON makes a call with a body.
+func callJSON(path, body string) order {
+	return order{method: http.MethodPost, path: path, kind: kindCall, body: body, wait: requestTime}
+}
+
+func acquireLock(*rand.Rand) order {
+	return callJSON("/-/Locks.Begin/", `{"holder":"soak","holdMs":1000}`)
+}
+
+func put(*rand.Rand) order { return callJSON("/-/Cells.Replace/g.", `{"value":"v","active":0}`) }
+
+func number(*rand.Rand) order { return callJSON("/-/numbers/", "{}") }
+
+// watch draws a watch of a group in which nothing is ever put, so that it is held.
+func watch(random *rand.Rand) order {
+	return order{method: http.MethodGet, path: "/-/watch/", query: fmt.Sprintf("dependsOn=0&waitMs=%d", 500+random.IntN(3000)), kind: kindCall, wait: longRequestTime}
+}
+
+// submitOrAsk draws a job that runs nowhere, or a question for one that is unknown.
+func submitOrAsk(random *rand.Rand) order {
+	if random.IntN(2) == 0 {
+		return order{method: http.MethodGet, path: jobPath, kind: kindCall, wait: requestTime}
+	}
+	job := callJSON(jobPath, `{"jobSpec":"soak","steps":[{"taskCount":1,"cpuUnits":1000,"memMb":10,"estimateMs":100}]}`)
+	job.kind = kindJob
+	return job
+}
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -22,14 +22,20 @@
 
 // Summary counts what a run did, in one line.
 func (r Result) Summary() string {
-	endings := map[Ending]int{}
+	endings, statuses := map[Ending]int{}, map[int]int{}
 	for _, request := range r.Record.Requests {
 		endings[request.Ending]++
+		if request.Ending == EndAnswered {
+			statuses[request.Status]++
+		}
 	}
 	text := fmt.Sprintf("seed %d (%s): %d requests, %d reached runners, %d processes ended", r.Schedule.Seed, r.Schedule.Trouble, len(r.Record.Requests), len(r.Record.Runs), len(r.Record.Exits))
 	for _, ending := range slices.Sorted(maps.Keys(endings)) {
 		text += fmt.Sprintf(", %d %s", endings[ending], ending)
 	}
+	for _, status := range slices.Sorted(maps.Keys(statuses)) {
+		text += fmt.Sprintf(", %d x %d", statuses[status], status)
+	}
 	return text + fmt.Sprintf("; %d violations", len(r.Violations))
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -49,6 +49,12 @@
 	runnerPort      = 18080
 )
 
+// Roles of the daemons of a run.
+const (
+	gatewayRole = "gateway"
+	edgeRole    = "edge"
+)
+
 // service is the one that all routes lead to.
 const service = "svc"
 
@@ -58,6 +64,7 @@
 // Options are what a run is made of.
 type Options struct {
 	Program   string // path of the built program
+	Role      string // gatewayRole or edgeRole
 	Directory string
 	Subnet    localcluster.Subnet
 	Seed      uint64
@@ -67,6 +74,8 @@
 	Clients   int
 	Length    time.Duration // of the schedule
 	Grace     time.Duration
+	MemoryMb  int    // that the settings name
+	MaxFiles  uint64 // of each daemon; 0: as this process may
 }
 
 // Result is what a run showed.
@@ -116,6 +125,7 @@
 	result := Result{Schedule: r.schedule, BeganAt: begunAt, Log: r.cluster.Log()}
 	result.Record = r.ledger.Snapshot(r.exits())
 	result.Violations = Check(result.Record, Bounds{Grace: options.Grace, LostTime: lostTime, InTouch: inTouch})
+	result.Violations = append(result.Violations, r.lostJobs(ctx, result.Record)...)
 	return result, ctx.Err()
 }
 
@@ -139,8 +149,8 @@
 		return err
 	}
 	r.cluster, err = localcluster.Start(localcluster.Options{
-		Program: r.options.Program, Directory: r.options.Directory, Subnet: subnet, Role: "gateway",
-		Servers: r.options.Servers, Proxies: r.options.Proxies, Zones: 1, Settings: r.settings(),
+		Program: r.options.Program, Directory: r.options.Directory, Subnet: subnet, Role: r.options.Role,
+		Servers: r.options.Servers, Proxies: r.options.Proxies, Zones: 1, MaxFiles: r.options.MaxFiles, Settings: r.settings(),
 	})
 	if err != nil {
 		r.platform.Close()
@@ -156,13 +166,20 @@
 
 // settings are those that all daemons share.
 func (r *run) settings() settings.File {
-	return settings.File{
-		Deployment: settings.DeploymentAPI, Discovery: settings.DiscoveryPlatform, Contracts: []string{"base", "config", "drain"},
-		Platform:  settings.Platform{Address: r.platform.Address(), RatePerS: 50},
-		Limits:    settings.Limits{MemoryMb: 184},
+	file := settings.File{
+		Contracts: []string{"base", "config", "drain"},
+		Limits:    settings.Limits{MemoryMb: r.options.MemoryMb},
 		Tolerance: settings.Tolerance{LostMachines: 1},
 		Bounds:    settings.Bounds{GraceS: r.options.Grace.Seconds(), InTouchMs: inTouch.Milliseconds(), DrainMs: 3000, ConfigApplyMs: 3000, RetryRatio: 0.2, RetryWindowS: 10, RetrySlack: 192},
 	}
+	if r.options.Role == gatewayRole {
+		file.Deployment, file.Discovery = settings.DeploymentAPI, settings.DiscoveryPlatform
+		file.Platform = settings.Platform{Address: r.platform.Address(), RatePerS: 50}
+		return file
+	}
+	file.Contracts = append(file.Contracts, settings.ContractJobs)
+	file.Bounds.MaxLeaseMs, file.Bounds.StatusS, file.Bounds.HistoryS, file.Bounds.FreeAfterMs = 6000, 120, 20, 1500
+	return file
 }
 
 // makeReady starts the runners and puts the first configuration in force.
@@ -203,7 +220,8 @@
 	`{"name":"r","hostName":"h","pathPrefix":"/read/","kind":"read_only","timeoutMs":%[2]d,"targetMs":500,"targetService":"svc","maxTries":2},` +
 	`{"name":"w","hostName":"h","pathPrefix":"/write/","kind":"writing","timeoutMs":%[2]d,"targetMs":500,"targetService":"svc","maxTries":2},` +
 	`{"name":"u","hostName":"h","pathPrefix":"/upload/","kind":"upload","timeoutMs":%[2]d,"targetMs":500,"targetService":"svc","maxTries":2},` +
-	`{"name":"d","hostName":"h","pathPrefix":"/download/","kind":"download","timeoutMs":%[2]d,"targetMs":500,"targetService":"svc","maxTries":2}],` +
+	`{"name":"d","hostName":"h","pathPrefix":"/download/","kind":"download","timeoutMs":%[2]d,"targetMs":500,"targetService":"svc","maxTries":2},` +
+	`{"name":"j","hostName":"h","pathPrefix":"/p/","kind":"writing","timeoutMs":%[2]d,"targetMs":500,"targetService":"svc","maxTries":2}],` +
 	`"serviceList":[{"name":"svc"}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000000}}`
 
 // routeTimeoutMs is the time limit of the routes, above that of all clients.
@@ -236,6 +254,7 @@
 	if err != nil {
 		return 0, err
 	}
+	request.Host = header.Get("Host")
 	for name, values := range header {
 		request.Header[name] = values
 	}
@@ -250,7 +269,7 @@
 // startClients starts clients of all habits; they end with ctx.
 func (r *run) startClients(ctx context.Context, clients *sync.WaitGroup) {
 	var drawn []habit
-	for _, entry := range habits {
+	for _, entry := range habitsOf[r.options.Role] {
 		for range entry.share {
 			drawn = append(drawn, entry.habit)
 		}
@@ -258,7 +277,7 @@
 	for i := range r.options.Clients {
 		c := &client{
 			habit: drawn[i%len(drawn)], random: rand.New(rand.NewPCG(r.options.Seed, uint64(i)+1)), ledger: r.ledger, targets: r.targets,
-			newID: func() string { return fmt.Sprintf("%d-%06d", r.options.Seed, r.nextID.Add(1)) },
+			newID: func() string { return fmt.Sprintf("%08x%08x", r.options.Seed, r.nextID.Add(1)) },
 		}
 		clients.Go(func() { c.run(ctx) })
 	}
@@ -269,7 +288,7 @@
 	var targets []target
 	for _, name := range r.cluster.Names() {
 		if daemon, err := r.cluster.Daemon(name); err == nil {
-			targets = append(targets, target{name, daemon.ClientAddress()})
+			targets = append(targets, target{name, daemon.ClientAddress(), daemon.ControlAddress()})
 		}
 	}
 	return targets
@@ -301,6 +320,45 @@
 	}
 }
 
+// maxAskedJobs is how many of the accepted jobs are asked for at the end of a run.
+const maxAskedJobs = 300
+
+// lostJobs asks for accepted jobs once all daemons are back, and gives those that the
+// cluster doesn't know.
+func (r *run) lostJobs(ctx context.Context, record Record) []Violation {
+	var accepted []Request
+	for _, request := range record.Requests {
+		if request.Kind == kindJob && request.Ending == EndAnswered && request.Status < http.StatusMultipleChoices {
+			accepted = append(accepted, request)
+		}
+	}
+	step := max(len(accepted)/maxAskedJobs, 1)
+	ctx, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	var lost []Violation
+	for i := 0; i < len(accepted); i += step {
+		if status := r.jobStatus(ctx, accepted[i].ID); status != http.StatusOK {
+			lost = append(lost, Violation{"LOST", fmt.Sprintf("an accepted job is answered %d at the end", status), accepted[i]})
+		}
+	}
+	return lost
+}
+
+// jobStatus asks the daemons for a job until one knows an answer, and gives its status; 0:
+// none does in time.
+func (r *run) jobStatus(ctx context.Context, id string) int {
+	for ctx.Err() == nil {
+		for _, target := range r.targets() {
+			status, err := call(ctx, http.MethodGet, target.address, jobPath+id, "", http.Header{"Host": {routeHost}})
+			if err == nil && status != http.StatusServiceUnavailable && status != http.StatusGatewayTimeout {
+				return status
+			}
+		}
+		pause(ctx, pollPause)
+	}
+	return 0
+}
+
 // note records what was done without a signal.
 func (r *run) note(daemon, what string) {
 	r.ledger.AddAction(Action{At: time.Now(), Daemon: daemon, What: what})
