--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -154,8 +154,9 @@
 }
 
 // Close implements net.Conn. A close while the client has sent more than was read makes the
-// kernel drop what the client hasn't received yet: then only this side is closed at first,
-// and the rest once the client's side has all, or after a time.
+// kernel drop what the client hasn't received yet. Only a daemon that leaves ends connections
+// on which more may come: there only this side is closed at first, and the rest once the
+// client's side has all, or after a time.
 func (c *conn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -163,21 +164,29 @@
 		return net.ErrClosed
 	}
 	c.closed, c.waiting = true, false
-	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok || c.peerEnded || c.server.closed.Load() || unreceived(c.Conn) == 0 || half.CloseWrite() != nil {
-		c.server.remove(c)
-		return c.Conn.Close()
+	if c.mayBeReset() && c.CloseWrite() == nil {
+		go c.linger()
+		return nil
 	}
-	go c.linger()
-	return nil
+	c.server.remove(c)
+	return c.Conn.Close()
+}
+
+// mayBeReset tells whether the client might lose a part of its answer if the connection were
+// closed now. It is called with mu held.
+func (c *conn) mayBeReset() bool {
+	return c.server.leaving.Load() && !c.server.closed.Load() && !c.peerEnded && unreceived(c.Conn) > 0
 }
 
+// errNoHalfClose is the error of a connection both of whose sides close together.
+var errNoHalfClose = errors.New("the connection has no half close")
+
 // CloseWrite closes this side only.
 func (c *conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
-	return nil
+	return errNoHalfClose
 }
 
 // linger closes the connection once the client's side has received all.
