--- a/internal/gateway/pipeline_test.go
+++ b/internal/gateway/pipeline_test.go
@@ -188,3 +188,23 @@
 	}
 	return sum
 }
+
+// TestHalfClosedClientGetsNoEmptySuccess: a client that closes its sending side counts as
+// gone. What it then reads must not look like an answer: the library writes an empty success
+// for a handler that writes nothing.
+func TestHalfClosedClientGetsNoEmptySuccess(t *testing.T) {
+	arrived := make(chan struct{}, 1)
+	h := newHarness(t, func(_ http.ResponseWriter, r *http.Request) {
+		arrived <- struct{}{}
+		<-r.Context().Done()
+	})
+	client := h.dialPipeline()
+	client.send("GET /read/a")
+	<-arrived
+	if err := client.conn.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if text, _ := io.ReadAll(client.reader); len(text) > 0 {
+		t.Errorf("it reads %q", text)
+	}
+}
