--- a/internal/localcluster/cluster.go
+++ b/internal/localcluster/cluster.go
@@ -45,7 +45,9 @@
 	Servers   int    // daemons with a disk
 	Proxies   int    // daemons without one
 	Zones     int
-	MaxFiles  uint64 // open files of each daemon at most; 0: as this process may
+	// Environment is added to that of this process, as NAME=VALUE.
+	Environment []string
+	MaxFiles    uint64 // open files of each daemon at most; 0: as this process may
 	// Settings are those that all daemons share. What belongs to one daemon is filled in:
 	// names, addresses, seeds and the data folder.
 	Settings settings.File
--- a/internal/localcluster/daemon.go
+++ b/internal/localcluster/daemon.go
@@ -73,6 +73,7 @@
 		return fmt.Errorf("%s: %w", d.Name, err)
 	}
 	command := exec.Command(d.cluster.options.Program, d.cluster.options.Role, "--settings", path)
+	command.Env = append(os.Environ(), d.cluster.options.Environment...)
 	// A daemon must not outlive whoever started it.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	log, err := command.StderrPipe()
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -58,6 +58,7 @@
 	parts                     int           // the body goes in so many parts in chunks; 0: whole, with its length
 	wait                      time.Duration // the time that the client gives it
 	slow                      time.Duration // pause between two reads of its answer
+	stall                     time.Duration // one longer pause after the first read
 }
 
 // run sends requests until ctx ends.
@@ -180,7 +181,7 @@
 		return false
 	}
 	text := strings.Builder{}
-	if _, err := io.Copy(&text, &slowReader{response.Body, o.slow}); err != nil {
+	if _, err := io.Copy(&text, &slowReader{response.Body, o.slow, o.stall}); err != nil {
 		c.fail(request, err)
 		return false
 	}
@@ -219,6 +220,7 @@
 type slowReader struct {
 	source io.Reader
 	pause  time.Duration // 0: it reads as fast as it can
+	stall  time.Duration // one more pause, before the next read; 0: none
 }
 
 // slowReadBytes is how much a slow reader reads at once.
@@ -230,5 +232,8 @@
 		return r.source.Read(into)
 	}
 	time.Sleep(r.pause)
-	return r.source.Read(into[:min(len(into), slowReadBytes)])
+	n, err := r.source.Read(into[:min(len(into), slowReadBytes)])
+	time.Sleep(r.stall)
+	r.stall = 0
+	return n, err
 }
--- a/internal/soak/habit.go
+++ b/internal/soak/habit.go
@@ -27,6 +27,10 @@
 	// slowReadPause is the pause of slow readers after each part: such an answer takes them
 	// about two seconds.
 	slowReadPause = 10 * time.Millisecond
+	// kernelBytes is the size of an answer beyond what kernels hold for a connection, and
+	// stallTime how long such an answer is left unread.
+	kernelBytes = 8 << 20
+	stallTime   = 4 * time.Second
 )
 
 // habit is how a client uses its connections.
@@ -58,6 +62,7 @@
 	{2, habit{name: "fresh", fresh: true, pause: 20 * time.Millisecond, next: one(readOrWrite)}},
 	{1, habit{name: "slow reader", slow: true, pause: 20 * time.Millisecond, next: one(slowDownload)}},
 	{1, habit{name: "slow reader with more behind", slow: true, pause: 20 * time.Millisecond, next: downloadThenReads}},
+	{1, habit{name: "stalling reader", slow: true, pause: 20 * time.Millisecond, next: one(stalledDownload)}},
 	{1, habit{name: "bodies in parts", pause: 20 * time.Millisecond, next: one(uploadInParts)}},
 	{1, habit{name: "uploads", pause: 20 * time.Millisecond, next: one(upload)}},
 	{1, habit{name: "long work", pause: 20 * time.Millisecond, next: one(longWork)}},
@@ -113,6 +118,14 @@
 	return order{method: http.MethodGet, path: downloadPath, query: workQuery(random, 1, 200) + fmt.Sprintf("&size=%d", downloadBytes), kind: protocol.KindDownload, wait: longRequestTime, slow: slowReadPause}
 }
 
+// stalledDownload draws a large answer that its client leaves unread for a while.
+func stalledDownload(random *rand.Rand) order {
+	download := slowDownload(random)
+	download.query = workQuery(random, 1, 200) + fmt.Sprintf("&size=%d", kernelBytes)
+	download.slow, download.stall = time.Millisecond, stallTime
+	return download
+}
+
 // downloadThenReads draws a large answer that is read slowly, with reads behind it.
 func downloadThenReads(random *rand.Rand) []order {
 	download := slowDownload(random)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -150,7 +150,7 @@
 	}
 	r.cluster, err = localcluster.Start(localcluster.Options{
 		Program: r.options.Program, Directory: r.options.Directory, Subnet: subnet, Role: r.options.Role,
-		Servers: r.options.Servers, Proxies: r.options.Proxies, Zones: 1, MaxFiles: r.options.MaxFiles, Settings: r.settings(),
+		Servers: r.options.Servers, Proxies: r.options.Proxies, Zones: 1, Environment: []string{kernelOf(r.options.Seed)}, MaxFiles: r.options.MaxFiles, Settings: r.settings(),
 	})
 	if err != nil {
 		r.platform.Close()
@@ -164,6 +164,10 @@
 	return nil
 }
 
+// kernelOf has the daemons of every other seed do without Multipath TCP, as on machines whose
+// kernel doesn't have it: the options of sockets differ.
+func kernelOf(seed uint64) string { return fmt.Sprint("GODEBUG=multipathtcp=", seed%2) }
+
 // settings are those that all daemons share.
 func (r *run) settings() settings.File {
 	file := settings.File{
