Clients may leave an answer unread; ports for daemons time out whatever the kernel has

TCP_USER_TIMEOUT of 1.5 s, by which daemons notice a lost peer, reset clients that left a large answer unread for two seconds. Multipath TCP, with which the library listens, refuses the option: there clients were spared, and daemons did not notice lost peers on streams that they had accepted.

Change: ports for clients have no such option; ports for daemons do without Multipath TCP. Who answers bounds the time: a gateway until a second after the client's time, the others a minute.

--- a/internal/agent/role.go
+++ b/internal/agent/role.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return err
 	}
-	httpServer := httpserver.New(loopCtx, listener, httpserver.Options{Handler: router, HeaderTimeout: tuning.DefaultHeaderTimeout, IdleTimeout: time.Minute})
+	httpServer := httpserver.New(loopCtx, listener, httpserver.Options{Handler: router, HeaderTimeout: tuning.DefaultHeaderTimeout, AnswerTime: tuning.MaxAnswerTime, IdleTimeout: time.Minute})
 	go httpServer.Serve() // until it is closed
 	go a.discovery.Run(loopCtx)
 	if err := transport.Serve(loopCtx, a.settings.AgentAddress(), a.handleFrame); err != nil {
--- a/internal/api/listeners.go
+++ b/internal/api/listeners.go
@@ -54,10 +54,12 @@
 		options := httpserver.Options{
 			Handler:        listener.handler,
 			HeaderTimeout:  tuning.DefaultHeaderTimeout,
+			AnswerTime:     tuning.MaxAnswerTime,
 			IdleTimeout:    listener.idleTimeout,
 			MaxHeaderBytes: tuning.MaxHeaderBytes,
 		}
 		if listener.address == addresses.FrontHTTP && s.gateway != nil {
+			options.AnswerTime = 0 // it is that of each request
 			options.Wrap, options.ConnContext, options.ClosesItself = s.gateway.Listener, gateway.ConnContext, true
 		}
 		httpServer := httpserver.New(ctx, socket, options)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -369,6 +369,8 @@
 		header.Set("Content-Length", strconv.FormatInt(e.response.ContentLength, 10))
 	}
 	e.endConnectionIfLast(header)
+	// A client may be slow to read, and one that has gone without a word reads nothing.
+	_ = http.NewResponseController(e.writer).SetWriteDeadline(e.until.Add(tuning.UnreadAnswerTime)) // a writer of a test has none
 	e.writer.WriteHeader(e.response.StatusCode)
 	if err := e.copyBody(); err != nil {
 		how := resultFailed
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -25,10 +25,13 @@
 
 // Options are what a Server is built from.
 type Options struct {
-	Handler        http.Handler
-	HeaderTimeout  time.Duration // for the head of a request
-	IdleTimeout    time.Duration // for the next request on a connection
-	MaxHeaderBytes int           // 0: the library's default
+	Handler       http.Handler
+	HeaderTimeout time.Duration // for the head of a request
+	IdleTimeout   time.Duration // for the next request on a connection
+	// AnswerTime bounds the time from a request's head to the end of its answer: a client
+	// that has gone without a word reads none. 0: the handler bounds it.
+	AnswerTime     time.Duration
+	MaxHeaderBytes int // 0: the library's default
 	// Wrap makes the connections of a listener those that the handler knows; nil: they
 	// stay. Its connections have a method NetConn that gives the one beneath.
 	Wrap func(context.Context, net.Listener) net.Listener
@@ -63,6 +66,7 @@
 	s.http = &http.Server{
 		Handler:           s.handler(options.Handler),
 		ReadHeaderTimeout: options.HeaderTimeout,
+		WriteTimeout:      options.AnswerTime,
 		IdleTimeout:       options.IdleTimeout,
 		MaxHeaderBytes:    options.MaxHeaderBytes,
 		BaseContext:       func(net.Listener) context.Context { return s.base },
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -166,7 +166,7 @@
 
 // kernelOf has the daemons of every other seed do without Multipath TCP, as on machines whose
 // kernel doesn't have it: the options of sockets differ.
-func kernelOf(seed uint64) string { return fmt.Sprint("GODEBUG=multipathtcp=", seed%2) }
+func kernelOf(seed uint64) string { return fmt.Sprint("GODEBUG=multipathtcp=", 2*(seed%2)) }
 
 // settings are those that all daemons share.
 func (r *run) settings() settings.File {
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -84,9 +84,9 @@
 // calls deliver with the events of all streams, from a goroutine for each stream; the
 // last one of a stream has Closed set. Errors are of class Error.
 func Serve(ctx context.Context, addr string, deliver func(Event)) error {
-	listener, err := Listen(ctx, addr)
+	listener, err := networkOf(ctx).Listen(ctx, addr)
 	if err != nil {
-		return err
+		return Error.Wrap(err)
 	}
 	server := drpcserver.NewWithOptions(&streamServer{deliver: deliver}, drpcserver.Options{Manager: managerOptions()})
 	go func() {
--- a/internal/transport/listen_test.go
+++ b/internal/transport/listen_test.go
@@ -20,7 +20,8 @@
 // TestListenersTimeOutDaemonsOnly: a client may be slow to read; a daemon that acknowledges
 // nothing is gone, whatever kinds of TCP the kernel has.
 func TestListenersTimeOutDaemonsOnly(t *testing.T) {
-	for _, multipath := range []string{"multipathtcp=0", "multipathtcp=1"} {
+	// 0: never; 2: on ports, the library's default.
+	for _, multipath := range []string{"multipathtcp=0", "multipathtcp=2"} {
 		t.Setenv("GODEBUG", multipath)
 		clients, err := Listen(t.Context(), "127.0.0.1:0")
 		if err != nil {
--- a/internal/transport/network.go
+++ b/internal/transport/network.go
@@ -11,8 +11,8 @@
 	"tealpond/internal/tuning"
 )
 
-// Network opens connections and ports. Daemons use TCP; tests put a network of their
-// own, with partitions and delays, into the context.
+// Network opens connections and ports between daemons. They use TCP; tests put a network
+// of their own, with partitions and delays, into the context.
 type Network interface {
 	Dial(ctx context.Context, addr string) (net.Conn, error)
 	Listen(ctx context.Context, addr string) (net.Listener, error)
@@ -32,9 +32,19 @@
 	return tcpNetwork{}
 }
 
-// Listen opens a port on the context's network. Errors are of class Error.
+// Listen opens a port for clients, operators and runners on the context's network. Errors
+// are of class Error.
+//
+// They may be slow to read: no option of the socket may end a connection on which they leave
+// an answer unread for a while, as TCP_USER_TIMEOUT does. Who answers bounds the time.
 func Listen(ctx context.Context, addr string) (net.Listener, error) {
-	listener, err := networkOf(ctx).Listen(ctx, addr)
+	var listener net.Listener
+	var err error
+	if network, ok := ctx.Value(networkKey{}).(Network); ok {
+		listener, err = network.Listen(ctx, addr)
+	} else {
+		listener, err = (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp", addr)
+	}
 	return listener, Error.Wrap(err)
 }
 
@@ -59,6 +69,7 @@
 // Listen opens a TCP port whose connections notice a lost peer.
 func (tcpNetwork) Listen(ctx context.Context, addr string) (net.Listener, error) {
 	config := net.ListenConfig{Control: UserTimeoutControl(tuning.TCPUserTimeout), KeepAlive: -1}
+	config.SetMultipathTCP(false) // its ports refuse the option
 	return config.Listen(ctx, "tcp", addr)
 }
 
--- a/internal/tuning/api.go
+++ b/internal/tuning/api.go
@@ -24,6 +24,9 @@
 	DefaultHeaderTimeout = 3 * time.Second
 	// DefaultIdleTimeout is how long an idle connection of a client stays open.
 	DefaultIdleTimeout = 15 * time.Second
+	// MaxAnswerTime is the longest time from the head of a request to the end of its answer,
+	// except at gateways: above MaxWatchWait, for which an answer may be held.
+	MaxAnswerTime = time.Minute
 	// LimitsRequestTimeout is how long a request for the current limits waits
 	// for the leader. Another one follows soon.
 	LimitsRequestTimeout = 2 * time.Second
--- a/internal/tuning/gateway.go
+++ b/internal/tuning/gateway.go
@@ -62,6 +62,9 @@
 	// GatewayResponseReserve is the part of a client's time that is left for the
 	// answer's way back.
 	GatewayResponseReserve = 30 * time.Millisecond
+	// UnreadAnswerTime is how long after the end of a client's time its daemon goes on to
+	// write an answer that the client doesn't read.
+	UnreadAnswerTime = time.Second
 	// MaxGatewayTime is the time that a request has if its client names none, and the
 	// most that it has.
 	MaxGatewayTime = 60 * time.Second
