--- a/internal/simulation/lost_answers_test.go
+++ b/internal/simulation/lost_answers_test.go
@@ -178,3 +178,31 @@
 		}
 	})
 }
+
+// TestSecondThatEndsWaitsForOneThatStillAnswers: of three servers one is told to end, and a
+// runner works for its clients for most of the grace time. Another that is told three seconds
+// later is away only once the first is back.
+func TestSecondThatEndsWaitsForOneThatStillAnswers(t *testing.T) {
+	gatewayDay(t, func(c *Cluster, _ *gatewayLoad) {
+		c.putGatewayConfiguration(2, 1, longRoute)
+		time.Sleep(time.Second) // it is in force at all daemons
+		followers := without(c.Servers(), c.Leader())
+		client := c.dialRaw(followers[0])
+		if err := client.send(rawRequest(http.MethodPost, "/long/first", 4500)); err != nil {
+			c.T.Fatal(err)
+		}
+		time.Sleep(10 * time.Millisecond)
+		var first, second endedTime
+		var both sync.WaitGroup
+		both.Go(func() { first = c.terminateFor(300*time.Millisecond, followers[0]) })
+		time.Sleep(3 * time.Second)
+		both.Go(func() { second = c.terminateFor(300*time.Millisecond, followers[1]) })
+		if err := client.receive("/long/first"); err != nil {
+			c.T.Error(err)
+		}
+		both.Wait()
+		if second.ended.Before(first.started) {
+			c.T.Errorf("the second is away from %v on, the first until %v", second.ended, first.started)
+		}
+	})
+}
