Full tables and jobs on their way: no promise that may be false

Cause: the bound on locks, keys and puts was looked at before the log, where an earlier leader may have put the same call already; a submission was refused by the backlog while a copy of it was in the log. 429 promises that nothing was done.

Change: the commands decide on the bound, behind the present holder and the remembered outcome; what is new and doesn't fit gets 504. Jobs on their way through the log are counted and not refused. The format's version is 7.

--- a/internal/api/coordination.go
+++ b/internal/api/coordination.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -60,13 +59,13 @@
 func (s *Server) serveLock(c echo.Context, kind string, request func(name string, body protocol.LockRequest) any, answer func(rpc.Response) any) error {
 	name, body := c.Param("id"), protocol.LockRequest{}
 	if err := readCoordinationBody(c, name, &body); err != nil {
-		return writeOperatorError(c, err)
+		return writeStatusError(c, err)
 	}
 	switch {
 	case !validName(body.Holder):
-		return writeOperatorError(c, badRequest("holder: missing or too long"))
+		return writeStatusError(c, badRequest("holder: missing or too long"))
 	case kind != rpc.KindReleaseLock && body.HoldMs <= 0:
-		return writeOperatorError(c, badRequest("holdMs: missing or not above 0"))
+		return writeStatusError(c, badRequest("holdMs: missing or not above 0"))
 	}
 	return s.answerCoordination(c, coordinationChange, kind, request(name, body), answer)
 }
@@ -75,7 +74,7 @@
 func (s *Server) serveNumber(c echo.Context) error {
 	name := c.Param("id")
 	if err := readCoordinationBody(c, name, &struct{}{}); err != nil {
-		return writeOperatorError(c, err)
+		return writeStatusError(c, err)
 	}
 	return s.answerCoordination(c, coordinationChange, rpc.KindNextNumber, name,
 		func(response rpc.Response) any { return protocol.NumberResponse{Value: response.Value} })
@@ -86,10 +85,10 @@
 func (s *Server) serveKeyReplace(c echo.Context) error {
 	name, body := c.Param("id"), protocol.PutRequest{}
 	if err := readCoordinationBody(c, name, &body); err != nil {
-		return writeOperatorError(c, err)
+		return writeStatusError(c, err)
 	}
 	if body.Expected < 0 {
-		return writeOperatorError(c, badRequest("active: below 0"))
+		return writeStatusError(c, badRequest("active: below 0"))
 	}
 	return s.answerCoordination(c, coordinationChange, rpc.KindPutKey, coordination.Put{Key: name, Value: body.Value, Expected: body.Expected},
 		func(response rpc.Response) any { return protocol.RevisionResponse{Revision: response.Value} })
@@ -99,7 +98,7 @@
 func (s *Server) serveKeyRead(c echo.Context) error {
 	name := c.Param("id")
 	if !validName(name) {
-		return writeOperatorError(c, errBadName)
+		return writeStatusError(c, errBadName)
 	}
 	return s.answerCoordination(c, coordinationRead, rpc.KindReadKey, name, func(response rpc.Response) any {
 		var value coordination.KeyValue
@@ -124,11 +123,11 @@
 		return c.JSON(http.StatusPreconditionFailed, protocol.RevisionResponse{Revision: response.Value})
 	}
 	if err := errorOf(call, response); err != nil {
-		return writeOperatorError(c, statusOf(err))
+		return writeStatusError(c, statusOf(err))
 	}
 	body := answer(response)
 	if body == nil {
-		return writeOperatorError(c, &statusError{status: http.StatusInternalServerError, text: "the leader's response can't be read"})
+		return writeStatusError(c, &statusError{status: http.StatusInternalServerError, text: "the leader's response can't be read"})
 	}
 	return c.JSON(http.StatusOK, body)
 }
@@ -139,12 +138,12 @@
 func (s *Server) serveWatch(c echo.Context) error {
 	group := c.Param("id")
 	if !validName(group) {
-		return writeOperatorError(c, errBadName)
+		return writeStatusError(c, errBadName)
 	}
 	after, errAfter := queryNumber(c, "dependsOn")
 	waitMs, errWait := queryNumber(c, "waitMs")
 	if errAfter != nil || errWait != nil {
-		return writeOperatorError(c, badRequest("dependsOn, waitMs: no number, or below 0"))
+		return writeStatusError(c, badRequest("dependsOn, waitMs: no number, or below 0"))
 	}
 	wait := time.Duration(min(waitMs, tuning.MaxWatchWait.Milliseconds())) * time.Millisecond
 	ctx, cancel := context.WithTimeout(c.Request().Context(), wait+tuning.CoordinationRequestTimeout)
@@ -193,14 +192,9 @@
 	if !validName(name) {
 		return errBadName
 	}
-	raw, err := io.ReadAll(io.LimitReader(c.Request().Body, tuning.MaxCoordinationBodyBytes+1))
-	switch {
-	case err != nil:
-		return badRequest("the body ended early")
-	case len(raw) > tuning.MaxCoordinationBodyBytes:
-		return &statusError{status: http.StatusRequestEntityTooLarge, text: "the body is too large"}
-	case len(raw) == 0:
-		return nil
+	raw, unread := readBody(c, tuning.MaxCoordinationBodyBytes)
+	if unread != nil || len(raw) == 0 {
+		return unread
 	}
 	if err := json.Unmarshal(raw, body); err != nil {
 		return badRequest("the body can't be read: " + err.Error())
--- a/internal/api/gateway.go
+++ b/internal/api/gateway.go
@@ -147,7 +147,7 @@
 		response := s.Call(callCtx, rpc.KindWatchRunners, watch)
 		cancel()
 		if response.Code != rpc.CodeOK {
-			pause(ctx, tuning.RunnerWatchRetry)
+			daemon.Pause(ctx, tuning.RunnerWatchRetry)
 			continue
 		}
 		var news rpc.RunnerNews
@@ -185,13 +185,13 @@
 	var changedAt time.Time
 	for ctx.Err() == nil {
 		if !s.leads(ctx) {
-			pause(ctx, tuning.RunnerWatchRetry)
+			daemon.Pause(ctx, tuning.RunnerWatchRetry)
 			continue
 		}
 		list, err := client.List(ctx)
 		if err != nil {
 			_ = s.log.Log("level", "warn", "event", "runners.read_failed", "error", err)
-			pause(ctx, tuning.PlatformBackoff)
+			daemon.Pause(ctx, tuning.PlatformBackoff)
 			continue
 		}
 		s.askReplica(ctx, rpc.Request{Kind: rpc.KindPublishRunners, Body: transport.Encode(list)})
@@ -202,7 +202,7 @@
 		if time.Since(changedAt) < tuning.BusyReadTime {
 			interval = busy
 		}
-		pause(ctx, interval)
+		daemon.Pause(ctx, interval)
 	}
 }
 
@@ -235,13 +235,3 @@
 		return rpc.Response{Code: rpc.CodeTimeout}
 	}
 }
-
-// pause waits for a time, or until ctx ends.
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/api/operators.go
+++ b/internal/api/operators.go
@@ -39,22 +39,19 @@
 // serveConfigUpdate serves an operator's update, once it has been checked, by a request
 // of a kind to the leader.
 func (s *Server) serveConfigUpdate(c echo.Context, kind string, check func([]byte) error) error {
-	raw, err := io.ReadAll(io.LimitReader(c.Request().Body, tuning.MaxControlBodyBytes+1))
-	if err != nil {
-		return writeOperatorError(c, badRequest("the body ended early"))
-	}
-	if len(raw) > tuning.MaxControlBodyBytes {
-		return writeOperatorError(c, &statusError{status: http.StatusRequestEntityTooLarge, text: "the configuration is too large"})
+	raw, unread := readBody(c, tuning.MaxControlBodyBytes)
+	if unread != nil {
+		return writeStatusError(c, unread)
 	}
 	if len(raw) > tuning.MinRedirectBodyBytes && s.redirectToLeader(c) {
 		return nil
 	}
 	base, err := strconv.ParseInt(c.Request().Header.Get(protocol.HeaderBasedOn), 10, 64)
 	if err != nil {
-		return writeOperatorError(c, badRequest(protocol.HeaderBasedOn+": missing or no number"))
+		return writeStatusError(c, badRequest(protocol.HeaderBasedOn+": missing or no number"))
 	}
 	if err := check(raw); err != nil {
-		return writeOperatorError(c, statusOf(err))
+		return writeStatusError(c, statusOf(err))
 	}
 	ctx, cancel := s.operatorContext(c.Request().Context(), len(raw))
 	defer cancel()
@@ -63,7 +60,7 @@
 	response := s.Call(ctx, kind, rpc.ConfigUpdate{BaseVersion: base, Raw: raw})
 	s.env.Trace.Record(traceID, "answered", int64(response.Code), response.Text)
 	if err := errorOf(configChange, response); err != nil {
-		return writeOperatorError(c, statusOf(err))
+		return writeStatusError(c, statusOf(err))
 	}
 	return c.JSONBlob(http.StatusOK, []byte("{}"))
 }
@@ -78,7 +75,7 @@
 	defer cancel()
 	response := s.Call(ctx, rpc.KindGetConfig, struct{}{})
 	if err := errorOf(configRead, response); err != nil {
-		return writeOperatorError(c, statusOf(err))
+		return writeStatusError(c, statusOf(err))
 	}
 	return c.JSONBlob(http.StatusOK, response.Body)
 }
@@ -97,8 +94,21 @@
 	return context.WithTimeout(ctx, tuning.ControlRequestTimeout+time.Duration(bodyBytes/bytesPerKB)*tuning.ControlRequestTimeoutPerKB)
 }
 
-// writeOperatorError answers an operator's call with an error, as plain text.
-func writeOperatorError(c echo.Context, err *statusError) error {
+// readBody reads the body of a call whole, up to a size in bytes.
+func readBody(c echo.Context, most int64) ([]byte, *statusError) {
+	raw, err := io.ReadAll(io.LimitReader(c.Request().Body, most+1))
+	switch {
+	case err != nil:
+		return nil, badRequest("the body ended early")
+	case int64(len(raw)) > most:
+		return nil, &statusError{status: http.StatusRequestEntityTooLarge, text: "the body is too large"}
+	}
+	return raw, nil
+}
+
+// writeStatusError answers a call of an operator or an application with an error, as plain
+// text.
+func writeStatusError(c echo.Context, err *statusError) error {
 	err.setRetryAfter(c.Response().Header())
 	return c.String(err.status, err.text)
 }
--- a/internal/api/shares.go
+++ b/internal/api/shares.go
@@ -8,6 +8,7 @@
 
 	"tealpond/internal/clusterconfig"
 	"tealpond/internal/counter"
+	"tealpond/internal/daemon"
 	"tealpond/internal/rpc"
 	"tealpond/internal/transport"
 	"tealpond/internal/tuning"
@@ -139,7 +140,7 @@
 		select {
 		case <-ticker.C:
 		case <-counts.Urgent():
-			pause(ctx, tuning.UrgentExchangeInterval-time.Since(lastAt))
+			daemon.Pause(ctx, tuning.UrgentExchangeInterval-time.Since(lastAt))
 		case <-ctx.Done():
 			return
 		}
--- a/internal/coordination/key.go
+++ b/internal/coordination/key.go
@@ -73,17 +73,16 @@
 	return key
 }
 
-// Put sets a key and gives its new revision; the error is a *RevisionError. A put that comes
+// Put sets a key and gives its new revision; the error is a *RevisionError, or ErrFull if the
+// put was not decided before and there is no room for it. A put that comes
 // again, with the same value, has no further effect and gets the answer of the first time:
 // of two copies of one put only one is ever decided, whichever comes first. A refusal is
 // remembered too, since the caller was told that the put will never happen, and a copy of
 // it may come when it would succeed.
 func (t *Tables) Put(put Put, clock int64) (revision int64, err error) {
-	name := GroupOf(put.Key)
-	group := t.Groups[name]
-	if group == nil {
-		group = newGroup()
-		t.Groups[name] = group
+	group, err := t.groupFor(GroupOf(put.Key))
+	if err != nil {
+		return 0, err
 	}
 	t.HistoryMs = put.HistoryMs
 	id := putID(put.Key, put.Value)
@@ -94,6 +93,9 @@
 	if present.Revision > 0 && present.Value == put.Value {
 		return present.Revision, nil // its outcome is forgotten, and still to be seen
 	}
+	if group.lacksRoomFor(put.Key, clock, put.HistoryMs) {
+		return 0, ErrFull
+	}
 	outcome := PutOutcome{Revision: present.Revision, Refused: present.Revision != put.Expected, At: clock}
 	if !outcome.Refused {
 		outcome.Revision = group.add(put, clock)
@@ -103,6 +105,29 @@
 	return outcome.result()
 }
 
+// groupFor gives a group, a new one if there is none of the name; the error is ErrFull.
+func (t *Tables) groupFor(name string) (*Group, error) {
+	if group := t.Groups[name]; group != nil {
+		return group, nil
+	}
+	if lacksRoom(t.Groups) {
+		return nil, ErrFull
+	}
+	group := newGroup()
+	t.Groups[name] = group
+	return group, nil
+}
+
+// lacksRoomFor tells whether one more put of a key does not fit into the group. What need
+// not be kept any more makes room first.
+func (g *Group) lacksRoomFor(key string, clock, historyMs int64) bool {
+	if len(g.History) >= tuning.MaxCoordinationRows {
+		g.compact(clock, historyMs)
+	}
+	newKey := g.Keys[key].Revision == 0
+	return newKey && lacksRoom(g.Keys) || lacksRoom(g.Outcomes) || len(g.History) >= tuning.MaxCoordinationRows
+}
+
 // putID names a put by the key and the value, which callers choose to be unique. No key
 // contains the byte between them.
 func putID(key, value string) string { return key + "\x00" + value }
--- a/internal/coordination/key_test.go
+++ b/internal/coordination/key_test.go
@@ -151,17 +151,21 @@
 func TestCopiesAreIndependent(t *testing.T) {
 	tables := New()
 	tables.put("g.a", "1", 0, 0)
-	tables.NextNumber("n")
+	if _, err := tables.NextNumber("n"); err != nil {
+		t.Fatal(err)
+	}
 	tables.mustAcquire(t, "a", 0)
 	copied := tables.Clone()
 	tables.put("g.a", "2", 1, 1)
 	tables.put("h.a", "3", 0, 1)
-	tables.NextNumber("n")
+	if _, err := tables.NextNumber("n"); err != nil {
+		t.Fatal(err)
+	}
 	tables.Release(Release{Name: "l", Holder: "a", Fence: 1})
 	if news, _ := copied.Since("g.", 0); len(news.Events) != 1 || copied.revisionOf("g.a") != 1 || copied.revisionOf("h.a") != 0 || copied.Counters["n"] != 1 || len(copied.Locks) != 1 {
 		t.Errorf("the copy became %+v", copied)
 	}
-	if n := copied.NextNumber("n"); n != 2 {
-		t.Errorf("the copy's next number is %d", n)
+	if n, err := copied.NextNumber("n"); n != 2 || err != nil {
+		t.Errorf("the copy's next number is %d, %v", n, err)
 	}
 }
--- a/internal/coordination/lock.go
+++ b/internal/coordination/lock.go
@@ -73,7 +73,8 @@
 	return ok && lock.Holder != request.Holder && !lock.expired(clock)
 }
 
-// Acquire gives a lock to a caller, under a new fence; the error is ErrHeld.
+// Acquire gives a lock to a caller, under a new fence; the error is ErrHeld, or ErrFull if the
+// lock is not held and there is no room for one more.
 //
 // The fence is new for a caller who holds the lock already, too. Let a caller release a
 // lock, hear nothing, and acquire it again; the release may still be on its way, and under
@@ -84,8 +85,11 @@
 	if t.HeldByOther(request, clock) {
 		return 0, ErrHeld
 	}
-	t.LastFence++
 	lock, ok := t.Locks[request.Name]
+	if !ok && lacksRoom(t.Locks) {
+		return 0, ErrFull
+	}
+	t.LastFence++
 	if !ok || lock.expired(clock) || lock.Holder != request.Holder {
 		lock = Lock{Holder: request.Holder, FirstFence: t.LastFence, AcquiredAt: clock}
 	}
--- a/internal/coordination/tables.go
+++ b/internal/coordination/tables.go
@@ -1,6 +1,15 @@
 package coordination
 
-import "maps"
+import (
+	"errors"
+	"maps"
+
+	"tealpond/internal/tuning"
+)
+
+// ErrFull is the refusal of a name, or of a put, for which there is no room. Nothing was done,
+// and a copy of the same call that comes later may be carried out.
+var ErrFull = errors.New("too many names are in use")
 
 // Tables is everything that applications have put here. It is part of the replicated
 // state and of its snapshots, under the names of the tags.
@@ -64,21 +73,17 @@
 	}
 }
 
-// NextNumber gives a number above all that were given under the name before.
-func (t *Tables) NextNumber(name string) int64 {
+// NextNumber gives a number above all that were given under the name before; the error is
+// ErrFull.
+func (t *Tables) NextNumber(name string) (int64, error) {
+	if t.Counters[name] == 0 && lacksRoom(t.Counters) {
+		return 0, ErrFull
+	}
 	t.Counters[name]++
-	return t.Counters[name]
+	return t.Counters[name], nil
 }
 
-// Rows is the largest number of rows of a kind that belong to a group, or to the groups
-// altogether. Tables that are nil have none.
-func (t *Tables) Rows(group string) int {
-	if t == nil {
-		return 0
-	}
-	rows := len(t.Groups)
-	if g := t.Groups[group]; g != nil {
-		rows = max(rows, len(g.Keys), len(g.Outcomes), len(g.History))
-	}
-	return rows
+// lacksRoom tells whether a table has as many rows as it may.
+func lacksRoom[K comparable, V any](rows map[K]V) bool {
+	return len(rows) >= tuning.MaxCoordinationRows
 }
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -51,3 +51,13 @@
 		}
 	}
 }
+
+// Pause waits for a time, or until ctx ends.
+func Pause(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/server/backlog_test.go
+++ b/internal/server/backlog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -10,6 +11,7 @@
 	"tealpond/internal/protocol"
 	"tealpond/internal/rpc"
 	"tealpond/internal/state"
+	"tealpond/internal/transport"
 	"tealpond/internal/tuning"
 )
 
@@ -85,3 +87,33 @@
 		h.t.Fatalf("the configuration: %+v", response)
 	}
 }
+
+// TestJobOnItsWayThroughTheLogIsNotRefused: a copy of a submission comes while the first is
+// in the log and not applied yet, and a flood has begun in between. A refusal would promise
+// that the job is never taken.
+func TestJobOnItsWayThroughTheLogIsNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newLeader(t)
+		h.configureBacklog()
+		h.call(rpc.KindRegisterWorker, state.RegisterWorker{ID: "w", Node: "n", Service: "s", LeavesInMs: -1,
+			Capacity: protocol.Resources{CPUUnits: 1000, MemoryMB: 1000}})
+		var codes []rpc.Code
+		submit := func(id string) {
+			request := tenantRequest("/r/"+id, "b1")
+			body := transport.Encode(request)
+			h.replica.handleRequest(rpc.Request{Kind: rpc.KindSubmitJob, Body: body}, nil, func(response rpc.Response) { codes = append(codes, response.Code) })
+		}
+		first := strings.Repeat("1", jobIDDigits)
+		submit(first)
+		h.replica.backlog[state.BacklogKey{Service: "s", Tenant: "a"}] = 1e12
+		submit(first)
+		submit(strings.Repeat("2", jobIDDigits))
+		for range 20 {
+			h.turn()
+		}
+		want := []rpc.Code{rpc.CodeTooManyRequests, rpc.CodeOK, rpc.CodeOK}
+		if !slices.Equal(codes, want) || len(h.replica.submitting) != 0 {
+			t.Errorf("answers %v, want %v; on their way %v", codes, want, h.replica.submitting)
+		}
+	})
+}
--- a/internal/server/coordination.go
+++ b/internal/server/coordination.go
@@ -13,27 +13,22 @@
 // The calls of applications. Each change goes through the log, and is answered once it is
 // applied. What the applied state refuses already is refused without an entry, where that
 // can't change any more for the call: the leader's lease shows that no other leader has
-// decided otherwise.
+// decided otherwise. Whether there is room is not such a thing: an earlier leader may have
+// put the call into the log already, so the commands decide on it.
 
 var (
 	responseLockHeld    = rpc.Response{Code: rpc.CodeConflict, Text: coordination.ErrHeld.Error()}
 	responseLockLost    = rpc.Response{Code: rpc.CodeConflict, Text: coordination.ErrLost.Error()}
 	responseKeyNotFound = rpc.Response{Code: rpc.CodeNotFound, Text: "no such key"}
-	responseTooManyRows = rpc.Response{Code: rpc.CodeTooManyRequests, Text: "too many names are in use", RetryAfterMs: 1000}
 )
 
 // handleAcquireLock asks for a lock. Elections are asked for by many while one holds them,
 // so a lock that another holds costs no entry.
 func (r *Replica) handleAcquireLock(request *coordination.Acquire, _ *transport.Stream, reply replyFunc) {
-	tables := r.state.Coordination
-	if tables.HeldByOther(*request, r.clock(time.Now())) {
+	if r.state.Coordination.HeldByOther(*request, r.clock(time.Now())) {
 		reply(responseLockHeld)
 		return
 	}
-	if tables != nil && len(tables.Locks) >= tuning.MaxCoordinationRows {
-		reply(responseTooManyRows)
-		return
-	}
 	r.enqueueCommand(state.CommandAcquireLock, (*state.AcquireLock)(request), outcomeReply(reply))
 }
 
@@ -53,20 +48,12 @@
 
 // handleNextNumber gives a number.
 func (r *Replica) handleNextNumber(name *string, _ *transport.Stream, reply replyFunc) {
-	if tables := r.state.Coordination; tables != nil && len(tables.Counters) >= tuning.MaxCoordinationRows && tables.Counters[*name] == 0 {
-		reply(responseTooManyRows)
-		return
-	}
 	r.enqueueCommand(state.CommandNextNumber, &state.NextNumber{Name: *name}, outcomeReply(reply))
 }
 
 // handlePutKey sets a key. Also what will be refused goes through the log: a copy of the
 // same put may be on its way, and must be refused then too.
 func (r *Replica) handlePutKey(request *coordination.Put, _ *transport.Stream, reply replyFunc) {
-	if r.state.Coordination.Rows(coordination.GroupOf(request.Key)) >= tuning.MaxCoordinationRows {
-		reply(responseTooManyRows)
-		return
-	}
 	request.HistoryMs = r.settings.KeyHistory(tuning.DefaultKeyHistory).Milliseconds()
 	r.enqueueCommand(state.CommandPutKey, (*state.PutKey)(request), outcomeReply(reply))
 }
--- a/internal/server/coordination_test.go
+++ b/internal/server/coordination_test.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"fmt"
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +11,7 @@
 	"tealpond/internal/raft"
 	"tealpond/internal/rpc"
 	"tealpond/internal/transport"
+	"tealpond/internal/tuning"
 )
 
 func acquire(holder string) coordination.Acquire {
@@ -149,3 +152,46 @@
 		}
 	})
 }
+
+// TestCallsRepeatedAtFullTables: a call that an earlier leader has put into the log already is
+// answered with its outcome though no more names fit, and whoever holds a lock gets it again.
+// What doesn't fit is not promised never to happen.
+func TestCallsRepeatedAtFullTables(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newLeader(t)
+		acquired := h.call(rpc.KindAcquireLock, acquire("a"))
+		put := coordination.Put{Key: "g.a", Value: "v"}
+		set := h.call(rpc.KindPutKey, put)
+		refusedPut := coordination.Put{Key: "g.a", Value: "w", Expected: 5}
+		refused := h.call(rpc.KindPutKey, refusedPut)
+		// The next leader has this state.
+		h.replica.becomeLeader(time.Now())
+		tables := h.replica.state.Coordination
+		group := tables.Groups["g."]
+		for i := range tuning.MaxCoordinationRows {
+			name := fmt.Sprint("n", i)
+			tables.Locks[name] = coordination.Lock{Holder: "x", ExpiresAt: math.MaxInt64}
+			group.Keys["g."+name], group.Outcomes[name] = coordination.KeyValue{Revision: 1}, coordination.PutOutcome{At: math.MaxInt64}
+		}
+		if again := h.call(rpc.KindAcquireLock, acquire("a")); again.Code != rpc.CodeOK || again.Value <= acquired.Value {
+			t.Errorf("the holder's lock: %+v", again)
+		}
+		if again := h.call(rpc.KindPutKey, put); again.Code != rpc.CodeOK || again.Value != set.Value {
+			t.Errorf("a put that was done: %+v", again)
+		}
+		if again := h.call(rpc.KindPutKey, refusedPut); again.Code != rpc.CodePreconditionFailed || again.Value != refused.Value {
+			t.Errorf("a put that was refused: %+v", again)
+		}
+		for kind, body := range map[string]any{
+			rpc.KindAcquireLock: coordination.Acquire{Name: "new", Holder: "a", HoldMs: 3000},
+			rpc.KindPutKey:      coordination.Put{Key: "g.new", Value: "v"},
+		} {
+			if response := h.call(kind, body); response.Code != rpc.CodeOutcomeForgotten || response.Text == "" {
+				t.Errorf("%s: %+v", kind, response)
+			}
+		}
+		if _, ok := tables.Locks["new"]; ok || group.Keys["g.new"].Revision != 0 {
+			t.Error("what was refused is there")
+		}
+	})
+}
--- a/internal/server/jobs.go
+++ b/internal/server/jobs.go
@@ -77,7 +77,8 @@
 	if !ok {
 		return
 	}
-	if r.state.Jobs[call.id] == nil {
+	// A refusal promises that the job is not taken, so it must not be in the log either.
+	if r.state.Jobs[call.id] == nil && r.submitting[call.id] == 0 {
 		if wait := r.backlogWait(call, request); wait > 0 {
 			reply(responseOverloaded(wait))
 			return
@@ -86,7 +87,7 @@
 	}
 	r.trace.Record(call.id, "ordered", int64(r.node.LastIndex()+1), call.route.Name)
 	submit := state.SubmitJob{Host: request.Host, Path: request.Path, ID: call.id, Job: request.Job, DemandBucket: r.demandBucket()}
-	settle := r.withTrace(call.id, "settled", r.admitAgain(request, reply))
+	settle := r.whileSubmitting(call.id, r.withTrace(call.id, "settled", r.admitAgain(request, reply)))
 	if len(r.state.Configuration.Tenants()) == 0 {
 		r.enqueueCommand(state.CommandSubmitJob, &submit, settle)
 		return
@@ -95,6 +96,18 @@
 		&state.SubmitTenantJob{Submit: submit, Tenant: call.tenant, ConfigVersion: r.state.Configuration.Version, BeyondShare: request.BeyondShare}, settle)
 }
 
+// whileSubmitting counts a job among those that are on their way through the log until its
+// command has an outcome.
+func (r *Replica) whileSubmitting(id string, next commandReply) commandReply {
+	r.submitting[id]++
+	return func(outcome state.Outcome, known bool) {
+		if r.submitting[id]--; r.submitting[id] == 0 {
+			delete(r.submitting, id)
+		}
+		next(outcome, known)
+	}
+}
+
 // admitAgain answers a submission with the outcome of its command. If a configuration
 // came into force between the two, the caller is judged again by that one.
 func (r *Replica) admitAgain(request *rpc.JobRequest, reply replyFunc) commandReply {
--- a/internal/server/replica.go
+++ b/internal/server/replica.go
@@ -83,6 +83,7 @@
 	proposedAt    time.Time
 	statusWaiters map[string][]statusWaiter // by job ID
 	keyWatchers   keyWatchers
+	submitting    map[string]int             // jobs on their way through the log, by ID
 	cancelWaiters map[string][]replyFunc     // by job ID
 	backlog       map[state.BacklogKey]int64 // as of backlogAt
 	backlogAt     time.Time
@@ -177,6 +178,7 @@
 		pending:            map[uint64]pendingEntry{},
 		statusWaiters:      map[string][]statusWaiter{},
 		keyWatchers:        newKeyWatchers(),
+		submitting:         map[string]int{},
 		cancelWaiters:      map[string][]replyFunc{},
 		sessions:           map[string]*agentSession{},
 		pendingAssignments: map[*transport.Stream][]rpc.Assignment{},
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"tealpond/internal/daemon"
 	"tealpond/internal/protocol"
 	"tealpond/internal/standin"
 )
@@ -76,12 +77,12 @@
 		}
 		conn, err := dialer.DialContext(ctx, "tcp", address)
 		if err != nil {
-			pause(ctx, reconnectPause)
+			daemon.Pause(ctx, reconnectPause)
 			continue
 		}
 		connection := &connection{client: c, target: chosen, conn: conn, reader: bufio.NewReader(conn)}
 		for ctx.Err() == nil && connection.exchange(c.habit.next(c.random)) && !c.habit.fresh {
-			pause(ctx, time.Duration(c.random.Int64N(int64(c.habit.pause)+1)))
+			daemon.Pause(ctx, time.Duration(c.random.Int64N(int64(c.habit.pause)+1)))
 		}
 		_ = conn.Close()
 	}
@@ -98,16 +99,6 @@
 	return err
 }
 
-// pause waits for a time, or until ctx ends.
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // exchange sends requests behind each other and reads their answers; false once the
 // connection can't be used any more.
 func (c *connection) exchange(orders []order) bool {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -1,20 +1,18 @@
 package soak
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"tealpond/internal/daemon"
 	"tealpond/internal/localcluster"
 	"tealpond/internal/protocol"
 	"tealpond/internal/settings"
@@ -115,7 +113,7 @@
 	r.startClients(loadCtx, &clients)
 	begunAt := time.Now()
 	r.play(ctx, begunAt)
-	pause(ctx, afterTime)
+	daemon.Pause(ctx, afterTime)
 	stopLoad()
 	clients.Wait()
 	r.restart.Wait()
@@ -183,90 +181,6 @@
 	return file
 }
 
-// makeReady starts the runners and puts the first configuration in force.
-func (r *run) makeReady(ctx context.Context) error {
-	for range r.options.Runners {
-		if _, err := r.platform.StartRunner(service, "z0"); err != nil {
-			return err
-		}
-	}
-	ctx, cancel := context.WithTimeout(ctx, readyTime)
-	defer cancel()
-	for !r.changeConfiguration(ctx) || !r.allReady(ctx) {
-		if ctx.Err() != nil {
-			return errNotReady
-		}
-		pause(ctx, pollPause)
-	}
-	return nil
-}
-
-// allReady tells whether each daemon says that it is ready.
-func (r *run) allReady(ctx context.Context) bool {
-	for _, name := range r.cluster.Names() {
-		daemon, err := r.cluster.Daemon(name)
-		if err != nil {
-			return false
-		}
-		if status, err := call(ctx, http.MethodGet, daemon.ReadinessAddress(), "/-/readiness", "", nil); err != nil || status != http.StatusOK {
-			return false
-		}
-	}
-	return true
-}
-
-// configuration is a configuration of the routes, given its version and a time limit that
-// differs between versions.
-const configuration = `{"configVersion":%d,"routeList":[` +
-	`{"name":"r","hostName":"h","pathPrefix":"/read/","kind":"read_only","timeoutMs":%[2]d,"targetMs":500,"targetService":"svc","maxTries":2},` +
-	`{"name":"w","hostName":"h","pathPrefix":"/write/","kind":"writing","timeoutMs":%[2]d,"targetMs":500,"targetService":"svc","maxTries":2},` +
-	`{"name":"u","hostName":"h","pathPrefix":"/upload/","kind":"upload","timeoutMs":%[2]d,"targetMs":500,"targetService":"svc","maxTries":2},` +
-	`{"name":"d","hostName":"h","pathPrefix":"/download/","kind":"download","timeoutMs":%[2]d,"targetMs":500,"targetService":"svc","maxTries":2},` +
-	`{"name":"j","hostName":"h","pathPrefix":"/p/","kind":"writing","timeoutMs":%[2]d,"targetMs":500,"targetService":"svc","maxTries":2}],` +
-	`"serviceList":[{"name":"svc"}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000000}}`
-
-// routeTimeoutMs is the time limit of the routes, above that of all clients.
-const routeTimeoutMs = 20_000
-
-// changeConfiguration replaces the configuration by the next version, at the first daemon
-// that accepts it; false if none does.
-func (r *run) changeConfiguration(ctx context.Context) bool {
-	base := r.version.Load()
-	text := fmt.Sprintf(configuration, base+1, routeTimeoutMs+base)
-	for _, name := range r.cluster.Names() {
-		daemon, err := r.cluster.Daemon(name)
-		if err != nil {
-			return false
-		}
-		status, err := call(ctx, http.MethodPost, daemon.ControlAddress(), "/-/Config.Replace", text, http.Header{protocol.HeaderBasedOn: {strconv.FormatInt(base, 10)}})
-		if err == nil && status == http.StatusOK {
-			r.version.Store(base + 1)
-			return true
-		}
-	}
-	return false
-}
-
-// call makes an operator's call and gives the status.
-func call(ctx context.Context, method, address, path, body string, header http.Header) (int, error) {
-	ctx, cancel := context.WithTimeout(ctx, operatorTime)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewBufferString(body))
-	if err != nil {
-		return 0, err
-	}
-	request.Host = header.Get("Host")
-	for name, values := range header {
-		request.Header[name] = values
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return 0, err
-	}
-	_, _ = io.Copy(io.Discard, response.Body) // only the status counts
-	return response.StatusCode, response.Body.Close()
-}
-
 // startClients starts clients of all habits; they end with ctx.
 func (r *run) startClients(ctx context.Context, clients *sync.WaitGroup) {
 	var drawn []habit
@@ -288,8 +202,8 @@
 func (r *run) targets() []target {
 	var targets []target
 	for _, name := range r.cluster.Names() {
-		if daemon, err := r.cluster.Daemon(name); err == nil {
-			targets = append(targets, target{name, daemon.ClientAddress(), daemon.ControlAddress()})
+		if node, err := r.cluster.Daemon(name); err == nil {
+			targets = append(targets, target{name, node.ClientAddress(), node.ControlAddress()})
 		}
 	}
 	return targets
@@ -299,7 +213,7 @@
 func (r *run) play(ctx context.Context, begunAt time.Time) {
 	names := r.cluster.Names()
 	for _, step := range r.schedule.Steps {
-		pause(ctx, time.Until(begunAt.Add(step.At)))
+		daemon.Pause(ctx, time.Until(begunAt.Add(step.At)))
 		switch step.Kind {
 		case StepSignal:
 			r.signal(ctx, names[step.Daemon], step.Signal)
@@ -321,45 +235,6 @@
 	}
 }
 
-// maxAskedJobs is how many of the accepted jobs are asked for at the end of a run.
-const maxAskedJobs = 300
-
-// lostJobs asks for accepted jobs once all daemons are back, and gives those that the
-// cluster doesn't know.
-func (r *run) lostJobs(ctx context.Context, record Record) []Violation {
-	var accepted []Request
-	for _, request := range record.Requests {
-		if request.Kind == kindJob && request.Ending == EndAnswered && request.Status < http.StatusMultipleChoices {
-			accepted = append(accepted, request)
-		}
-	}
-	step := max(len(accepted)/maxAskedJobs, 1)
-	ctx, cancel := context.WithTimeout(ctx, readyTime)
-	defer cancel()
-	var lost []Violation
-	for i := 0; i < len(accepted); i += step {
-		if status := r.jobStatus(ctx, accepted[i].ID); status != http.StatusOK {
-			lost = append(lost, Violation{"LOST", fmt.Sprintf("an accepted job is answered %d at the end", status), accepted[i]})
-		}
-	}
-	return lost
-}
-
-// jobStatus asks the daemons for a job until one knows an answer, and gives its status; 0:
-// none does in time.
-func (r *run) jobStatus(ctx context.Context, id string) int {
-	for ctx.Err() == nil {
-		for _, target := range r.targets() {
-			status, err := call(ctx, http.MethodGet, target.address, jobPath+id, "", http.Header{"Host": {routeHost}})
-			if err == nil && status != http.StatusServiceUnavailable && status != http.StatusGatewayTimeout {
-				return status
-			}
-		}
-		pause(ctx, pollPause)
-	}
-	return 0
-}
-
 // note records what was done without a signal.
 func (r *run) note(daemon, what string) {
 	r.ledger.AddAction(Action{At: time.Now(), Daemon: daemon, What: what})
@@ -381,89 +256,12 @@
 	}
 }
 
-// signal sends a signal to a daemon; one that ends by it is started again.
-func (r *run) signal(ctx context.Context, name string, signal syscall.Signal) {
-	daemon, err := r.cluster.Daemon(name)
-	if err != nil {
-		return
-	}
-	r.ledger.AddAction(Action{At: time.Now(), Daemon: name, What: signal.String(), Signal: signal})
-	if err := r.cluster.Signal(name, signal); err != nil {
-		r.note(name, err.Error())
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.leaving[name] || signal == syscall.SIGSTOP || signal == syscall.SIGCONT {
-		return
-	}
-	r.leaving[name] = true
-	ended := daemon.Ended()
-	r.restart.Go(func() { r.startAgain(ctx, daemon, ended) })
-}
-
-// startAgain starts a daemon again if it ends within the grace time.
-func (r *run) startAgain(ctx context.Context, daemon *localcluster.Daemon, ended <-chan struct{}) {
-	defer func() {
-		r.mu.Lock()
-		r.leaving[daemon.Name] = false
-		r.mu.Unlock()
-	}()
-	select {
-	case <-ended:
-	case <-time.After(r.options.Grace):
-		// It was a signal that doesn't end it, or it outlives its time.
-		r.endOverdue(daemon)
-		return
-	case <-ctx.Done():
-		return
-	}
-	pause(ctx, restartPause)
-	if err := daemon.Restart(); err != nil {
-		r.note(daemon.Name, err.Error())
-		return
-	}
-	r.note(daemon.Name, "is started")
-	r.mu.Lock()
-	wanted := r.hangups[daemon.Name]
-	delete(r.hangups, daemon.Name)
-	r.mu.Unlock()
-	if wanted {
-		r.hangUpAtStart(ctx, daemon.Name)
-	}
-}
-
-// endOverdue kills a process that was told to end and hasn't within the grace time, as its
-// operators would.
-func (r *run) endOverdue(daemon *localcluster.Daemon) {
-	for _, action := range r.ledger.Snapshot(nil).Actions {
-		told := action.Daemon == daemon.Name && action.Signal == syscall.SIGTERM && action.At.After(daemon.StartedAt())
-		if told && time.Since(action.At) >= r.options.Grace {
-			r.note(daemon.Name, overdueNote)
-			_ = r.cluster.Signal(daemon.Name, syscall.SIGKILL)
-			return
-		}
-	}
-}
-
-// overdueNote marks a daemon that was killed since its time was over.
-const overdueNote = "has not ended within its grace time and is killed"
-
-// hangUpAtStart sends SIGHUPs to a process that has just been started.
-func (r *run) hangUpAtStart(ctx context.Context, name string) {
-	pause(ctx, startTime)
-	for range hangupsAtStart {
-		r.ledger.AddAction(Action{At: time.Now(), Daemon: name, What: syscall.SIGHUP.String(), Signal: syscall.SIGHUP})
-		_ = r.cluster.Signal(name, syscall.SIGHUP)
-		pause(ctx, hangupGap)
-	}
-}
-
 // exits lists the ends of all processes.
 func (r *run) exits() []localcluster.Exit {
 	var exits []localcluster.Exit
 	for _, name := range r.cluster.Names() {
-		if daemon, err := r.cluster.Daemon(name); err == nil {
-			exits = append(exits, daemon.Exits()...)
+		if node, err := r.cluster.Daemon(name); err == nil {
+			exits = append(exits, node.Exits()...)
 		}
 	}
 	return exits
--- a/internal/state/coordinate.go
+++ b/internal/state/coordinate.go
@@ -57,7 +57,7 @@
 
 // Apply gives the number.
 func (c *NextNumber) Apply(s *Store) Outcome {
-	return coordinationOutcome(s.coordination().NextNumber(c.Name), nil)
+	return coordinationOutcome(s.coordination().NextNumber(c.Name))
 }
 
 // Apply sets the key.
@@ -72,6 +72,9 @@
 	switch {
 	case err == nil:
 		return Outcome{Code: CodeOK, Value: value}
+	case errors.Is(err, coordination.ErrFull):
+		// No promise: a copy of the call may find room.
+		return Outcome{Code: CodeUnknown, Text: err.Error()}
 	case errors.As(err, &mismatch):
 		return Outcome{Code: CodePreconditionFailed, Text: mismatch.Error(), Value: mismatch.Revision}
 	}
--- a/internal/state/outcome.go
+++ b/internal/state/outcome.go
@@ -26,5 +26,5 @@
 	CodeGone               Code = 410 // what it refers to doesn't exist, or has ended
 	CodePreconditionFailed Code = 412 // it was decided on an older version; Value is the present one
 	CodeUnavailable        Code = 503 // nothing is configured yet
-	CodeUnknown            Code = 504 // whether it was accepted earlier is no longer known
+	CodeUnknown            Code = 504 // whether it was accepted earlier is no longer known, or whether a copy of it will be
 )
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -11,7 +11,7 @@
 // FormatVersion is the version of the state: of its tables, its commands and
 // what they do. It is raised with any change of these, so that the digests of
 // replicas that run different versions aren't compared.
-const FormatVersion = 6
+const FormatVersion = 7
 
 // Limits are figures of the operators' settings that commands need. They are
 // part of the state and come by a command, since the settings of two machines
