Transfers go to the voter heard last; the test of a diverged leader elects it by construction

Cause: TestDivergedReplicaReplacesItsState/leader ended one leader after another until the corrupted replica led. Of two voters with equal logs a transfer took the first by disk ID, so where the corrupted one had the larger ID the other two handed over to each other for the whole 20 s (traced: terms 3 to 15, transfers 1, 2, 1, 2; a voter that had just restarted was chosen before it could be reached, 100 to 150 ms without a leader). It passed before only since elections without a transfer were common.

Change: among equal logs the voter heard last takes over (raft, own test). The set-up cuts the third server off and ends the leader, so that the corrupted one is the only voter that can win. Stricter: the replica must have led when it found that it diverged.

--- a/internal/raft/leader_transfer.go
+++ b/internal/raft/leader_transfer.go
@@ -11,9 +11,11 @@
 }
 
 // TransferLeadership hands the leadership to the voter whose log is longest
-// (thesis, section 3.10). It returns false if this member does not lead, is
-// handing over already, or has heard from no voter lately. If the transfer has
-// no outcome within an election timeout, this member leads on.
+// (thesis, section 3.10), and among equal ones to the one heard last: a voter that
+// has just restarted has all entries too, but may not be reached yet. It returns
+// false if this member does not lead, is handing over already, or has heard from no
+// voter lately. If the transfer has no outcome within an election timeout, this
+// member leads on.
 func (n *Node) TransferLeadership() bool {
 	if n.role != leader || n.transferring {
 		return false
@@ -24,7 +26,7 @@
 		if peer == nil || peer.probing || peer.faulty || n.now.Sub(peer.lastContact) > n.config.ElectionTimeout {
 			continue
 		}
-		if best == "" || peer.match > n.peers[best].match {
+		if best == "" || peer.isBetterTransferee(n.peers[best]) {
 			best = voter.ID
 		}
 	}
@@ -38,6 +40,14 @@
 	return true
 }
 
+// isBetterTransferee tells whether a voter is to lead rather than another one.
+func (p *progress) isBetterTransferee(other *progress) bool {
+	if p.match != other.match {
+		return p.match > other.match
+	}
+	return p.lastContact.After(other.lastContact)
+}
+
 // sendTimeoutNow makes the transferee campaign, once it has the last entry: before
 // that the others would not vote for it.
 func (n *Node) sendTimeoutNow() {
--- a/internal/raft/leader_transfer_test.go
+++ b/internal/raft/leader_transfer_test.go
@@ -20,6 +20,28 @@
 	c.commit("2")
 }
 
+// TestTransferToTheVoterHeardLast: of two voters with the same log, the one that is still
+// heard takes over, whichever it is.
+func TestTransferToTheVoterHeardLast(t *testing.T) {
+	for silent := range 2 {
+		c := newTestCluster(t, 4, "a", "b", "c")
+		c.commit("1")
+		old := c.leader()
+		others := c.others(old)
+		c.until("all have acknowledged all", func() bool {
+			return old.peers[others[0]].match == old.LastIndex() && old.peers[others[1]].match == old.LastIndex()
+		})
+		heardAt := old.peers[others[silent]].lastContact
+		old.peers[others[1-silent]].lastContact = heardAt.Add(time.Millisecond)
+		if !old.TransferLeadership() {
+			t.Fatal("no voter to hand over to")
+		}
+		if old.transfer.transferee != others[1-silent] {
+			t.Errorf("%s is to lead, %s was heard last", old.transfer.transferee, others[1-silent])
+		}
+	}
+}
+
 func TestLeaderResumesAfterLostTransfer(t *testing.T) {
 	for seed := int64(0); seed < 10; seed++ {
 		c := newTestCluster(t, seed, "a", "b", "c")
--- a/internal/simulation/divergence_test.go
+++ b/internal/simulation/divergence_test.go
@@ -11,6 +11,7 @@
 	"tealpond/internal/raft"
 	"tealpond/internal/state"
 	"tealpond/internal/storage"
+	"tealpond/internal/tuning"
 )
 
 // CorruptState changes a number in the stored state of a server that isn't running, as a
@@ -44,17 +45,50 @@
 	<-done
 }
 
+// makeLeader has one of three servers elected, by construction: it is the only one
+// that the leader hears when it ends, and votes are for the leader and itself.
+func (c *Cluster) makeLeader(name string) {
+	leader := c.Leader()
+	for leader == "" {
+		time.Sleep(50 * time.Millisecond)
+		leader = c.Leader()
+	}
+	if leader == name {
+		return
+	}
+	for _, other := range c.Servers() {
+		if other == leader || other == name {
+			continue
+		}
+		c.SetPartition(other, true, leader, name)
+		// The leader forgets that it heard the other, whose log stays behind besides.
+		time.Sleep(2 * tuning.ElectionTimeout)
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			c.Terminate(leader)
+		}()
+		c.WaitUntil(name+" leads", 10*time.Second, func() bool { return c.leaderKnownTo(name) == name })
+		c.SetPartition(other, false, leader, name)
+		<-ended
+		c.Start(leader)
+	}
+}
+
 // TestDivergedReplicaReplacesItsState: a replica whose state differs from that of the
 // majority notices, gives its identity up, and votes again once it has the state anew;
 // the same for one that leads.
 func TestDivergedReplicaReplacesItsState(t *testing.T) {
 	for _, leads := range []bool{false, true} {
 		t.Run(map[bool]string{false: "follower", true: "leader"}[leads], func(t *testing.T) {
-			var diverged, rejoined atomic.Int32
+			var diverged, divergedLeading, rejoined atomic.Int32
 			runWithFault(t, threeServers, func(c *Cluster) {
 				observe := func(line string) {
 					if strings.Contains(line, "event=replica.diverged") {
 						diverged.Add(1)
+						if strings.Contains(line, "leads=true") {
+							divergedLeading.Add(1)
+						}
 					}
 					if strings.Contains(line, "event=replica.rejoined") {
 						rejoined.Add(1)
@@ -71,14 +105,7 @@
 				c.CorruptState(corrupted)
 				c.Start(corrupted)
 				if leads {
-					c.WaitUntil("the corrupted replica leads", 20*time.Second, func() bool {
-						leader := c.Leader()
-						if leader != "" && leader != corrupted {
-							c.Terminate(leader)
-							c.Start(leader)
-						}
-						return leader == corrupted || diverged.Load() > 0
-					})
+					c.makeLeader(corrupted)
 				}
 			}, func(c *Cluster) {
 				for i := 0; i < 200 && rejoined.Load() == 0; i++ {
@@ -92,6 +119,9 @@
 			if diverged.Load() != 1 || rejoined.Load() != 1 {
 				t.Errorf("%d replicas found that they diverged, %d rejoined", diverged.Load(), rejoined.Load())
 			}
+			if leads && divergedLeading.Load() != 1 {
+				t.Error("the replica that diverged did not lead")
+			}
 		})
 	}
 }
