Evacuation of zones: orders in the log, no start in the zone after 0.4 of evacuateMs

Change: EvacuateZone is a command that names the order it follows, so that a copy that comes late, behind the order that takes it back, changes nothing. Agents are told again of runs placed before, which may be started for 0.4 of evacuateMs, so that gangs are not broken, and never after it.

The check looked at the sum of a command; it now looks at each added run, in order, so that nothing hides behind another run.

--- a/cmd/tealpond/coordination.go
+++ b/cmd/tealpond/coordination.go
@@ -23,6 +23,7 @@
 	locksQuery   = "SELECT name, holder, fence, held_ms, left_ms FROM locks ORDER BY name"
 	numbersQuery = "SELECT name, value FROM numbers ORDER BY name"
 	keysQuery    = "SELECT name, revision, value FROM keys ORDER BY name"
+	zonesQuery   = "SELECT zone, evacuated, since_ms, revision FROM zones ORDER BY zone"
 )
 
 // addCoordinationTools adds the commands that show locks, numbers and keys.
@@ -32,6 +33,9 @@
 	numbers := app.Command("numbers", "Show the newest number given under each name.")
 	p.addTableTool(numbers, numbersQuery)
 
+	zones := app.Command("zones", "Show which zones are evacuated, since when, and the number of the last order about each.")
+	p.addTableTool(zones, zonesQuery)
+
 	keys := app.Command("keys", "Show, read or watch the keys that applications share.")
 	p.addTableTool(keys.Command("list", "Show all keys with their revisions."), keysQuery)
 
--- a/internal/agent/runs.go
+++ b/internal/agent/runs.go
@@ -33,6 +33,7 @@
 	attempts           int       // starts sent
 	unhealthyResponses int       // to starts, of an unhealthy runner
 	notBefore          time.Time // no call and no report before
+	startUntil         time.Time // no start from then on, since the zone is evacuated; zero: it isn't
 	pollAtLastCall     uint64    // number of the last poll sent when its call returned
 	unanswered         bool      // that call brought no answer: the lists are read first
 	unansweredStarts   int       // starts whose effect is unknown: they may still be carried out
@@ -70,6 +71,9 @@
 		session.runs[key] = run
 	}
 	mark := "start received"
+	if assignment.Evacuated {
+		run.startUntil = a.now.Add(time.Duration(assignment.StartWithinMs) * time.Millisecond)
+	}
 	if assignment.Stop {
 		run.stopRequested, mark = true, "stop received"
 	}
@@ -102,8 +106,13 @@
 	return 0
 }
 
-// startRun starts a run, unless it is to be stopped, the runner is leaving or its
-// lease is too short. A start that had no answer is sent again under the same
+// startsTooLate tells whether the run's zone was evacuated for too long to start it.
+func (r *taskRun) startsTooLate(now time.Time) bool {
+	return !r.startUntil.IsZero() && !now.Before(r.startUntil)
+}
+
+// startRun starts a run, unless it is to be stopped, the runner is leaving, its zone is
+// evacuated or its lease is too short. A start that had no answer is sent again under the same
 // conditions.
 func (a *Agent) startRun(session *runnerSession, run *taskRun) time.Duration {
 	if run.stopRequested {
@@ -114,7 +123,7 @@
 		run.phase = runStopping
 		return a.stopRun(session, run)
 	}
-	if session.drainingCommitted || a.isLeaving(session) {
+	if session.drainingCommitted || a.isLeaving(session) || run.startsTooLate(a.now) {
 		if run.attempts == 0 {
 			a.declareResult(session, run, protocol.ResultRefused)
 			return 0
--- a/internal/api/listeners.go
+++ b/internal/api/listeners.go
@@ -27,6 +27,8 @@
 	operators.POST("/-/Config.Change", s.serveConfigChange)
 	operators.GET("/-/Config.Read", s.serveConfigRead)
 	if s.gateway == nil {
+		operators.POST("/-/Evacuation.Begin/:zone", s.serveEvacuationBegin)
+		operators.POST("/-/Evacuation.Finish/:zone", s.serveEvacuationFinish)
 		s.addCoordinationRoutes(operators)
 	}
 	if s.gateway != nil && s.settings.Discovery != settings.DiscoveryPlatform {
--- a/internal/server/replica.go
+++ b/internal/server/replica.go
@@ -95,7 +95,8 @@
 	sessionsUnsynced   bool
 	pendingAssignments map[*transport.Stream][]rpc.Assignment
 	aggregator         *aggregator.Batcher
-	leaderSeenAt       time.Time // when a leader was last known
+	leaderSeenAt       time.Time                   // when a leader was last known
+	evacuationNotices  map[string]evacuationNotice // by zone
 
 	// The term of leadership.
 	leading                   bool
--- a/internal/server/requests.go
+++ b/internal/server/requests.go
@@ -59,6 +59,8 @@
 		rpc.KindLeaseBatch:        decoded((*Replica).handleLeaseBatch),
 		rpc.KindBatch:             decoded((*Replica).handleBatch),
 		rpc.KindFederationCall:    (*Replica).handleFederationCall,
+		rpc.KindZoneEvacuation:    decoded((*Replica).handleZoneEvacuation),
+		rpc.KindEvacuateZone:      decoded((*Replica).handleEvacuateZone),
 		rpc.KindAcquireLock:       decoded((*Replica).handleAcquireLock),
 		rpc.KindRenewLock:         decoded((*Replica).handleRenewLock),
 		rpc.KindReleaseLock:       decoded((*Replica).handleReleaseLock),
--- a/internal/server/sessions.go
+++ b/internal/server/sessions.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"time"
+
 	"tealpond/internal/rpc"
 	"tealpond/internal/state"
 	"tealpond/internal/transport"
@@ -117,6 +119,8 @@
 		if job == nil {
 			return
 		}
+		grace, evacuated := r.startGrace(worker.Zone, time.Now())
+		assignment.Evacuated, assignment.StartWithinMs = evacuated, grace.Milliseconds()
 		assignment.JobSpec, assignment.Checkpoint = job.Spec, allocation.Checkpoint
 		step := job.Steps[allocation.Step]
 		assignment.EstimateMs, assignment.LongRunning = step.EstimateMs, step.LongRunning
@@ -134,6 +138,7 @@
 
 // sendAssignments sends the assignments of this turn, one frame for each stream.
 func (r *Replica) sendAssignments() {
+	r.noticeEvacuations(time.Now())
 	for _, id := range r.state.TakeChangedRuns() {
 		if allocation := r.state.Allocations[id]; allocation != nil {
 			r.queueAssignment(allocation)
--- a/internal/server/state_tables.go
+++ b/internal/server/state_tables.go
@@ -55,7 +55,7 @@
 	return []rpc.Table{
 		workerTable(store), devices, bookings, allocationTable(store), routeTable(store), jobTable(store),
 		transferTable(store), rollupTable(store), aggregatorTable(store), tenantTable(store),
-		lockTable(store), numberTable(store), keyTable(store),
+		lockTable(store), numberTable(store), keyTable(store), zoneTable(store),
 	}
 }
 
@@ -198,6 +198,15 @@
 
 // lockTable lists the locks that are held, or were until a moment ago: left_ms is below 0
 // once the next caller may have the lock.
+// zoneTable lists the zones about whose evacuation there was an order.
+func zoneTable(store *state.Store) rpc.Table {
+	table := newTable("zones", "zone", "evacuated", "revision", "since_ms")
+	for zone, evacuation := range store.Evacuations {
+		addRow(&table, zone, evacuation.Evacuated, evacuation.Revision, store.Clock-evacuation.ChangedAt)
+	}
+	return table
+}
+
 func lockTable(store *state.Store) rpc.Table {
 	table := newTable("locks", "name", "holder", "fence", "held_ms", "left_ms")
 	if store.Coordination == nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -83,6 +83,8 @@
 	SpreadFactor float64 `toml:"spreadFactor"`
 	// RestoreMs is how long a run takes to resume from a checkpoint.
 	RestoreMs int64 `toml:"restoreMs"`
+	// EvacuateMs is how soon after an order to evacuate a zone nothing is started there.
+	EvacuateMs int64 `toml:"evacuateMs"`
 	// ConfigApplyMs is how soon machines in touch follow a new configuration.
 	ConfigApplyMs int64 `toml:"configApplyMs"`
 	// HistoryS is how long a watch of keys may resume from a revision that it was given.
@@ -113,28 +115,30 @@
 
 // File is one whole settings file. The keys are the operators'.
 type File struct {
-	NodeName            string          `toml:"nodeName"`
-	Role                string          `toml:"role"`
-	Serves              []string        `toml:"serves"` // of edge, control and side
-	IPAddress           string          `toml:"ipAddress"`
-	Zone                string          `toml:"zone"`
-	InnerPortRange      []int           `toml:"innerPortRange"` // first and last port for other daemons
-	SeedNodes           []string        `toml:"seedNodes"`      // controlAddr of some machines
-	FirstStart          bool            `toml:"firstStart"`     // the whole system starts for the first time
-	LossCounts          bool            `toml:"lossCounts"`     // the machine counts among those of Tolerance
-	DataDir             string          `toml:"dataDir"`
-	HeartbeatIntervalMs int64           `toml:"beatIntervalMs"`
-	AssignmentProtocol  string          `toml:"orders"`
-	Deployment          string          `toml:"deployment"` // empty: that of schedulers
-	Discovery           string          `toml:"discovery"`
-	Contracts           []string        `toml:"contracts"` // the parts of the rules that are in force
-	Platform            Platform        `toml:"cloudApi"`
-	RunnerAddress       string          `toml:"app"`
-	TargetService       string          `toml:"targetService"`
-	ListenAddresses     ListenAddresses `toml:"listenAddrs"`
-	Limits              Limits          `toml:"limits"`
-	Tolerance           Tolerance       `toml:"tolerate"`
-	Bounds              Bounds          `toml:"bounds"`
+	NodeName  string   `toml:"nodeName"`
+	Role      string   `toml:"role"`
+	Serves    []string `toml:"serves"` // of edge, control and side
+	IPAddress string   `toml:"ipAddress"`
+	Zone      string   `toml:"zone"`
+	// Zones has the region of each zone.
+	Zones               map[string]string `toml:"zones"`
+	InnerPortRange      []int             `toml:"innerPortRange"` // first and last port for other daemons
+	SeedNodes           []string          `toml:"seedNodes"`      // controlAddr of some machines
+	FirstStart          bool              `toml:"firstStart"`     // the whole system starts for the first time
+	LossCounts          bool              `toml:"lossCounts"`     // the machine counts among those of Tolerance
+	DataDir             string            `toml:"dataDir"`
+	HeartbeatIntervalMs int64             `toml:"beatIntervalMs"`
+	AssignmentProtocol  string            `toml:"orders"`
+	Deployment          string            `toml:"deployment"` // empty: that of schedulers
+	Discovery           string            `toml:"discovery"`
+	Contracts           []string          `toml:"contracts"` // the parts of the rules that are in force
+	Platform            Platform          `toml:"cloudApi"`
+	RunnerAddress       string            `toml:"app"`
+	TargetService       string            `toml:"targetService"`
+	ListenAddresses     ListenAddresses   `toml:"listenAddrs"`
+	Limits              Limits            `toml:"limits"`
+	Tolerance           Tolerance         `toml:"tolerate"`
+	Bounds              Bounds            `toml:"bounds"`
 }
 
 // Load reads and checks the file at path. The error is of class Error and names the
--- a/internal/simulation/checkers.go
+++ b/internal/simulation/checkers.go
@@ -18,6 +18,7 @@
 	"LOST":     checkAcceptedJobsKept,
 	"REFUSED":  checkRejectedJobsNeverRun,
 	"DRAIN":    checkDraining,
+	"EVAC":     checkEvacuations,
 	"CONFIG":   checkConfiguration,
 	"ALONE":    checkIsolatedAnswers,
 	"REPEATED": checkNoRepeatedStart,
@@ -28,7 +29,9 @@
 // Times within which what was acknowledged must have reached all runners.
 const (
 	cancelGrace = 3 * time.Second
-	drainGrace  = 2 * time.Second
+	// evacuationGrace is evacuateMs of the operators.
+	evacuationGrace = 5 * time.Second
+	drainGrace      = 2 * time.Second
 )
 
 // Violations runs all checkers on the history.
@@ -290,3 +293,21 @@
 	}
 	return violations
 }
+
+// checkEvacuations: nothing starts in a zone later than evacuationGrace after its evacuation
+// was acknowledged, until it is taken back.
+func checkEvacuations(h *History) (violations []string) {
+	since := map[string]time.Time{}
+	for _, event := range h.Events {
+		zone := h.zones[event.Node]
+		switch {
+		case event.Kind == EventEvacuated && since[event.Node].IsZero():
+			since[event.Node] = event.At
+		case event.Kind == EventTakenBack:
+			delete(since, event.Node)
+		case event.Kind == EventRunStarted && !since[zone].IsZero() && event.At.Sub(since[zone]) > evacuationGrace:
+			violations = append(violations, event.Task+" starts on "+event.Node+" in an evacuated zone")
+		}
+	}
+	return violations
+}
--- a/internal/simulation/checkers_test.go
+++ b/internal/simulation/checkers_test.go
@@ -43,8 +43,10 @@
 		"over quota":  {"QUOTA", []Event{start(1, "a", "wide7.0.0.0", 1), start(2, "b", "wide7.0.0.1", 1)}},
 		"no such key": {"ROUTE", nil},
 		"draining":    {"DRAIN", []Event{{At: at(1), Kind: EventDraining, Node: "a", Incarnation: "a"}, start(4, "a", "j.0.0.0", 1)}},
+		"evacuated":   {"EVAC", []Event{{At: at(1), Kind: EventEvacuated, Node: "zone"}, start(7, "a", "j.0.0.0", 1)}},
 	} {
 		h := NewHistory()
+		h.zones["a"] = "zone"
 		h.Jobs["j"], h.Jobs["off"], h.Jobs["no"] = two, off, no
 		h.Jobs["wide7"] = &SubmittedJob{JobSpec: "x", TaskCounts: []int{2}, MilliCPU: []int64{boundTenantMilliCPU}, MaxAttempts: 3, Accepted: true}
 		h.Jobs["key"] = &SubmittedJob{JobSpec: "x", TaskCounts: []int{1}, MaxAttempts: 3, Accepted: name == "no such key", UnknownKey: true}
@@ -59,7 +61,10 @@
 func TestCorrectHistoryViolatesNothing(t *testing.T) {
 	h := NewHistory()
 	h.Jobs["j"] = &SubmittedJob{JobSpec: "x", TaskCounts: []int{1}, Dependencies: [][]int{nil}, MaxAttempts: 2, Accepted: true}
+	h.zones["a"], h.zones["b"] = "zone-a", "zone-b"
 	for _, event := range []Event{
+		{Kind: EventEvacuated, Node: "zone-a"},
+		{Kind: EventTakenBack, Node: "zone-a"},
 		{Kind: EventRunStarted, Node: "a", Incarnation: "a", Task: "j.0.0.0", Run: 1, JobSpec: "x", EnforcesCapacity: true},
 		{Kind: EventRunEnded, Node: "a", Incarnation: "a", Task: "j.0.0.0", Run: 1, Outcome: "failed", Completion: 1},
 		{Kind: EventAcknowledged, Node: "a", Incarnation: "a", Completion: 1},
--- a/internal/simulation/cluster.go
+++ b/internal/simulation/cluster.go
@@ -172,6 +172,7 @@
 		c.addNode(&node{zone: spec.zone(i), name: name, ip: c.hostIP(agentHost(i)), role: agentRole, firstStart: true})
 		c.Runners[name] = NewRunner(c.History, name, "svc", int64(i+1))
 		c.Runners[name].Zone = spec.zone(i)
+		c.History.zones[name] = spec.zone(i)
 	}
 }
 
--- a/internal/simulation/daemons.go
+++ b/internal/simulation/daemons.go
@@ -68,6 +68,11 @@
 		FirstStart: n.firstStart, HeartbeatIntervalMs: heartbeatInterval.Milliseconds(), RunnerAddress: address(n.ip, runnerPort)}
 	file.Bounds = settings.Bounds{GraceS: 6, MaxLeaseMs: 6000, StopGraceMs: 400, DrainMs: 2500, GangWaitMs: 3000, StatusS: 120, SpreadFactor: 1.5, CheckpointEveryS: 1, HistoryS: 20, FreeAfterMs: 1500}
 	file.Tolerance.LostMachines = c.toleratedLosses
+	file.Bounds.EvacuateMs = evacuationGrace.Milliseconds()
+	file.Zones = map[string]string{n.zone: "region"}
+	for _, zone := range c.History.zones {
+		file.Zones[zone] = "region"
+	}
 	file.Limits.MemoryMb = 284
 	file.ListenAddresses.Control = address(n.ip, controlPort)
 	if n.role == agentRole {
--- /dev/null
+++ b/internal/simulation/evacuation_test.go
@@ -0,0 +1,100 @@
+package simulation
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// orderEvacuation has a zone evacuated, or taken back, by calls to a node until one is
+// acknowledged. It gives how long that took.
+func (c *Cluster) orderEvacuation(node, order, zone string) time.Duration {
+	c.T.Helper()
+	begin := time.Now()
+	if order == "Finish" {
+		c.History.record(Event{Kind: EventTakenBack, Node: zone})
+	}
+	c.WaitUntil(order+" of "+zone+" is acknowledged", 10*time.Second, func() bool {
+		code, _, _ := c.request(http.MethodPost, c.nodeURL(node, controlPort, "/-/Evacuation."+order+"/"+zone), "", "", nil)
+		return code == http.StatusOK
+	})
+	if order == "Begin" {
+		c.History.record(Event{Kind: EventEvacuated, Node: zone})
+	}
+	return time.Since(begin)
+}
+
+// TestEvacuation: a zone's runners get nothing more soon after the order, also under a leader
+// that is lost, agents that restart and runners that are slow to take a start, until it is
+// taken back; all jobs end.
+func TestEvacuation(t *testing.T) {
+	spec := ClusterSpec{Servers: 3, Edges: 1, Agents: 4, Zones: 2}
+	for name, trouble := range map[string]func(c *Cluster){
+		"calm":           func(*Cluster) {},
+		"leader lost":    func(c *Cluster) { c.Restart(time.Second, c.Leader()) },
+		"agents restart": func(c *Cluster) { c.Restart(300*time.Millisecond, "side-2", "side-4") },
+		"all killed":     func(c *Cluster) { c.Restart(500*time.Millisecond, c.Servers()...) },
+		"sick runners": func(c *Cluster) {
+			c.changeRunners(3*time.Second, func(r *Runner, on bool) { r.RejectsStarts = on }, "side-2", "side-4")
+		},
+		"silent runners": func(c *Cluster) {
+			c.changeRunners(3*time.Second, func(r *Runner, on bool) { r.Silent = on }, "side-2", "side-4")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWithFault(t, spec, func(c *Cluster) {
+				if took := c.orderEvacuation(disklessEdge, "Begin", "z1"); took > time.Second {
+					t.Errorf("acknowledged after %v", took)
+				}
+				trouble(c)
+				time.Sleep(6 * time.Second)
+			}, func(c *Cluster) {
+				// Jobs go on in the other zone.
+				for i := range 4 {
+					c.SubmitJob(jobID(900+i), newJob(200, 4000, 4))
+				}
+				time.Sleep(3 * time.Second)
+				before := len(c.startsIn("z1"))
+				c.orderEvacuation(disklessEdge, "Finish", "z1")
+				for i := range 8 {
+					c.SubmitJob(jobID(950+i), newJob(500, 4000, 4))
+				}
+				c.WaitUntil("the zone is used again", 10*time.Second, func() bool { return len(c.startsIn("z1")) > before })
+			})
+		})
+	}
+}
+
+// startsIn gives the runs that were started in a zone.
+func (c *Cluster) startsIn(zone string) (starts []Event) {
+	c.History.mu.Lock()
+	defer c.History.mu.Unlock()
+	for _, event := range c.History.Events {
+		if event.Kind == EventRunStarted && c.History.zones[event.Node] == zone {
+			starts = append(starts, event)
+		}
+	}
+	return starts
+}
+
+// TestEvacuationOrders: they are answered alike when they are repeated, at any node; a zone
+// that nobody knows is refused.
+func TestEvacuationOrders(t *testing.T) {
+	withCluster(t, ClusterSpec{Servers: 3, Edges: 1, Agents: 2, Zones: 2}, func(t *testing.T, c *Cluster) {
+		for i, want := range []struct {
+			order string
+			code  int
+		}{
+			{"Begin/z0", http.StatusOK}, {"Begin/z0", http.StatusOK}, {"Begin/z1", http.StatusOK},
+			{"Finish/z0", http.StatusOK}, {"Finish/z0", http.StatusOK}, {"Finish/z1", http.StatusOK},
+			{"Begin/nowhere", http.StatusNotFound},
+		} {
+			nodes := c.nodeNames(edgeRole)
+			node := nodes[i%len(nodes)]
+			if code, body, _ := c.request(http.MethodPost, c.nodeURL(node, controlPort, "/-/Evacuation."+want.order), "", "", nil); code != want.code {
+				t.Error(fmt.Sprint(want.order, " at ", node, ": ", code, " ", string(body)))
+			}
+		}
+	})
+}
--- a/internal/simulation/history.go
+++ b/internal/simulation/history.go
@@ -26,6 +26,8 @@
 // What is seen from outside.
 const (
 	EventDraining    EventKind = "draining"    // a heartbeat that said so was acknowledged
+	EventEvacuated   EventKind = "evacuated"   // an order to evacuate the zone Node was acknowledged
+	EventTakenBack   EventKind = "taken back"  // an order to use it again was sent
 	EventIsolated    EventKind = "isolated"    // a node lost its majority
 	EventReconnected EventKind = "reconnected" // and has it again
 	EventJobShown    EventKind = "job shown"   // a client was told a job's state
@@ -118,12 +120,13 @@
 	Events     []Event
 	Calls      []Call
 	Jobs       map[string]*SubmittedJob
-	failedRuns map[string]int // so far, by task
+	failedRuns map[string]int    // so far, by task
+	zones      map[string]string // of agents, by node
 }
 
 // NewHistory makes an empty history.
 func NewHistory() *History {
-	return &History{Jobs: map[string]*SubmittedJob{}, failedRuns: map[string]int{}}
+	return &History{Jobs: map[string]*SubmittedJob{}, failedRuns: map[string]int{}, zones: map[string]string{}}
 }
 
 // record adds an event that is seen now.
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -26,6 +26,7 @@
 	CommandChangeConfiguration  = "change"
 	CommandCollectGarbage       = "sweep"
 	CommandConfirmDigest        = "agree"
+	CommandEvacuateZone         = "evacuate"
 	CommandExpireLeases         = "lapse"
 	CommandForgetUnused         = "forget"
 	CommandLendCapacity         = "lend"
@@ -58,6 +59,7 @@
 	CommandChangeConfiguration:  func() Command { return &ChangeConfiguration{} },
 	CommandCollectGarbage:       func() Command { return &CollectGarbage{} },
 	CommandConfirmDigest:        func() Command { return &ConfirmDigest{} },
+	CommandEvacuateZone:         func() Command { return &EvacuateZone{} },
 	CommandExpireLeases:         func() Command { return &ExpireLeases{} },
 	CommandForgetUnused:         func() Command { return &ForgetUnused{} },
 	CommandLendCapacity:         func() Command { return &LendCapacity{} },
--- a/internal/state/generator_test.go
+++ b/internal/state/generator_test.go
@@ -264,6 +264,10 @@
 		a, b := g.worker(), g.worker()
 		return &state.ExpireLeases{Workers: []state.FencedWorker{{ID: a.ID, Fence: a.Fence}, {ID: b.ID, Fence: b.Fence}}}
 	}},
+	state.CommandEvacuateZone: {2, func(g *generator) state.Command {
+		zone := g.oneOf("z1", "z2")
+		return &state.EvacuateZone{Zone: zone, Evacuated: g.Intn(3) == 0, BaseRevision: g.store.Evacuations[zone].Revision - int64(g.Intn(8)/7)}
+	}},
 	state.CommandRegisterWorker: {4, func(g *generator) state.Command {
 		w, node := g.worker(), g.node()
 		id := w.ID
--- a/internal/state/golden_test.go
+++ b/internal/state/golden_test.go
@@ -43,6 +43,7 @@
 		{Name: "eligible/sick", Value: &SetEligibility{ID: "id", Unhealthy: true, LeavesInMs: 1}},
 		{Name: "ends", Value: &ReportCompletions{Worker: "worker", Fence: 1, Completions: []protocol.Completion{{Sequence: 2, Task: "task", Run: 3, Result: "how", Checkpoint: "saved"}},
 			Checkpoints: []protocol.RunProgress{{Task: "task", Run: 4, Checkpoint: "saved", Percent: 5}}, FromOldest: true}},
+		{Name: "evacuate", Value: &EvacuateZone{Zone: "zone", Evacuated: true, BaseRevision: 1}},
 		{Name: "forget", Value: &ForgetUnused{}},
 		{Name: "halt", Value: &StopRuns{Allocations: []uint64{1, 2}, Reason: "why"}},
 		{Name: "handin", Value: &SubmitJob{Host: "host", Path: "path", ID: "id", Job: job, DemandBucket: 1}},
@@ -168,6 +169,7 @@
 	s.Quotas = map[string]Quota{"tenant": {MilliCPU: 49, MemoryMB: 50, GPUs: 51, MilliShare: 52}}
 	s.JobTenants = map[string]JobTenant{"job": {Tenant: "tenant", BeyondShare: true}}
 	s.GoneWorkers = map[string]int64{"worker": 53}
+	s.Evacuations = map[string]ZoneEvacuation{"zone": {Revision: 64, Evacuated: true, ChangedAt: 65}}
 	s.Coordination = &coordination.Tables{LastFence: 54, HistoryMs: 55, Counters: map[string]int64{"number": 56},
 		Locks: map[string]coordination.Lock{"lock": {Holder: "holder", Fence: 57, FirstFence: 58, ExpiresAt: 59, AcquiredAt: 60}},
 		Groups: map[string]*coordination.Group{"group.": {Revision: 62, Compacted: 61, Keys: map[string]coordination.KeyValue{"group.key": {Value: "value", Revision: 62}},
--- a/internal/state/quota_commands_test.go
+++ b/internal/state/quota_commands_test.go
@@ -1,12 +1,15 @@
 package state_test
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
+	"slices"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"tealpond/internal/protocol"
 	"tealpond/internal/state"
 )
 
@@ -29,17 +32,39 @@
 	return uses
 }
 
-// quotaFault holds a tenant's use after a command against its limit: it may not grow
-// beyond that, but for a single run that is wider than the limit.
-func quotaFault(quota state.Quota, before, after state.TenantUse) string {
-	over := func(limit, used, was int64) bool { return limit > 0 && used > limit && used > was && after.Runs > 1 }
-	if over(quota.MilliCPU, after.MilliCPU, before.MilliCPU) || over(quota.MemoryMB, after.MemoryMB, before.MemoryMB) ||
-		over(int64(quota.GPUs), int64(after.GPUs), int64(before.GPUs)) {
-		return fmt.Sprintf("%+v is in use of %+v, %+v was before", after, quota, before)
+// quotaFault holds the runs that a command has added against their tenant's limit, each by
+// itself, in the order in which they were added: none may take more of a kind than is left,
+// but for one that is wider than the limit and runs alone. known are the runs of before.
+func quotaFault(s *state.Store, tenant string, known map[uint64]bool) string {
+	quota := s.Quotas[tenant]
+	var use state.TenantUse
+	var added []*state.Allocation
+	for id, allocation := range s.Allocations {
+		switch {
+		case s.JobTenants[allocation.Job].Tenant != tenant:
+		case known[id]:
+			use = use.Plus(stepOf(allocation), 1)
+		default:
+			added = append(added, allocation)
+		}
+	}
+	slices.SortFunc(added, func(a, b *state.Allocation) int { return cmp.Compare(a.ID, b.ID) })
+	over := func(limit, used, size int64) bool { return limit > 0 && size > 0 && used+size > limit && use.Runs > 0 }
+	for _, run := range added {
+		if over(quota.MilliCPU, use.MilliCPU, run.MilliCPU) || over(quota.MemoryMB, use.MemoryMB, run.MemoryMB) ||
+			over(int64(quota.GPUs), int64(use.GPUs), int64(len(run.GPUs))) {
+			return fmt.Sprintf("%+v was added to %+v, the limit is %+v", run, use, quota)
+		}
+		use = use.Plus(stepOf(run), 1)
 	}
 	return ""
 }
 
+// stepOf gives a step whose tasks take what a run holds.
+func stepOf(run *state.Allocation) *protocol.Step {
+	return &protocol.Step{CPUUnits: run.MilliCPU, MemoryMB: run.MemoryMB, GPUs: len(run.GPUs)}
+}
+
 // TestQuotasHoldUnderAllCommands applies all commands by lot, one at a time: leases that
 // expire, runners that crash and are registered again, moves, cancels, configurations that
 // drop a tenant or change its limit, and a reload from a snapshot now and then. What
@@ -55,6 +80,10 @@
 			test.wall += int64(test.generator.Intn(60) - 10)
 			for _, single := range singleCommands(t, test.generator.entry(test.clock, test.wall, commands)) {
 				before, limits := recountTenantUse(replica.store), maps.Clone(replica.store.Quotas)
+				known := map[uint64]bool{}
+				for id := range replica.store.Allocations {
+					known[id] = true
+				}
 				replica.store.ApplyEntry(replica.store.AppliedIndex+1, single)
 				after := recountTenantUse(replica.store)
 				for i := range tenantCount {
@@ -66,7 +95,7 @@
 					if _, wasLimited := limits[tenant]; wasLimited && !limited && after[tenant].Runs > 0 {
 						t.Fatalf("seed %d, entry %d: the limit of %s was forgotten, its jobs go on", seed, entry, tenant)
 					}
-					if fault := quotaFault(quota, before[tenant], after[tenant]); fault != "" {
+					if fault := quotaFault(replica.store, tenant, known); fault != "" {
 						t.Fatalf("seed %d, entry %d: %s: %s", seed, entry, tenant, fault)
 					}
 					if after[tenant].Runs > before[tenant].Runs {
--- a/internal/state/scheduling_index.go
+++ b/internal/state/scheduling_index.go
@@ -122,6 +122,7 @@
 // any write to the row.
 func (s *Store) reindexWorker(worker *Worker) {
 	position := &worker.position
+	worker.evacuated = s.Evacuations[worker.Zone].Evacuated
 	schedulable := worker.Schedulable()
 	class := freeCPUClass(worker.FreeMilliCPU())
 	capacity := resourcesOf(worker.Capacity)
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -36,6 +36,7 @@
 	frozen.Quotas = maps.Clone(s.Quotas)
 	frozen.JobTenants = maps.Clone(s.JobTenants)
 	frozen.GoneWorkers = maps.Clone(s.GoneWorkers)
+	frozen.Evacuations = maps.Clone(s.Evacuations)
 	frozen.Coordination = s.Coordination.Clone()
 	workers, devices, allocations, jobs := copyRows(s.Workers), copyDevices(s.Devices), copyRows(s.Allocations), copyJobs(s.Jobs)
 	return &Snapshot{&frozen, []func(){
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -11,7 +11,7 @@
 // FormatVersion is the version of the state: of its tables, its commands and
 // what they do. It is raised with any change of these, so that the digests of
 // replicas that run different versions aren't compared.
-const FormatVersion = 7
+const FormatVersion = 8
 
 // Limits are figures of the operators' settings that commands need. They are
 // part of the state and come by a command, since the settings of two machines
@@ -56,6 +56,8 @@
 	GoneWorkers          map[string]int64                 `cbor:"Gone,omitempty"`    // when ForgetUnused first saw that a worker is gone, by ID
 	// Coordination is the applications' locks, counters and keys; nil until the first.
 	Coordination *coordination.Tables `cbor:"Coordination,omitempty"`
+	// Evacuations has the zones about which there was an order.
+	Evacuations map[string]ZoneEvacuation `cbor:"Evacuations,omitempty"`
 	// DigestChain covers all entries from DigestChainFrom on, see digest.go. It
 	// hasn't begun while that is 0.
 	DigestChain     uint64 `cbor:"Chain"`
--- a/internal/state/worker.go
+++ b/internal/state/worker.go
@@ -30,6 +30,7 @@
 	LastCompletion int64 // all completions up to this number are committed
 	BackoffUntil   int64 // no new work before this time, after a refused start or a crash on its node
 	position       indexPosition
+	evacuated      bool // its zone is; from Store.Evacuations
 }
 
 // Rack is the label of the worker's rack. A worker's labels begin with its kind
@@ -49,7 +50,9 @@
 func (w *Worker) RemoteFrom(label string) bool { return label != "" && !w.HasLabel(label) }
 
 // Schedulable tells whether the worker may be given new work.
-func (w *Worker) Schedulable() bool { return !w.Draining && !w.Unhealthy && !w.LeaseExpired && !w.Dead }
+func (w *Worker) Schedulable() bool {
+	return !w.Draining && !w.Unhealthy && !w.LeaseExpired && !w.Dead && !w.evacuated
+}
 
 // FreeMilliCPU is the CPU that isn't used; never below 0.
 func (w *Worker) FreeMilliCPU() int64 { return max(0, w.Capacity.CPUUnits-w.UsedMilliCPU) }
--- a/internal/tuning/leases.go
+++ b/internal/tuning/leases.go
@@ -26,4 +26,14 @@
 	// WorkerSilenceTimeout is the silence of an agent after which its worker
 	// gets no new tasks. Two renewals were lost by then.
 	WorkerSilenceTimeout = 900 * time.Millisecond
+	// DefaultEvacuationTime is how soon after an order nothing is started in an evacuated
+	// zone, where the settings don't say.
+	DefaultEvacuationTime = 5 * time.Second
+	// EvacuationGraceShare is the part of that time in which runs that were placed before
+	// the order may still be started, so that gangs are not broken. The rest is for the
+	// order's way to the replicas and agents, and for a start on its way.
+	EvacuationGraceShare = 0.4
+	// EvacuationAttempts is how often a daemon reads a zone's order and changes it,
+	// where other orders about the zone come at the same time.
+	EvacuationAttempts = 3
 )
