--- a/internal/server/state_tables_test.go
+++ b/internal/server/state_tables_test.go
@@ -33,6 +33,7 @@
 locks: name holder fence held_ms left_ms
 numbers: name value
 keys: name group_name value revision
+zones: zone evacuated revision since_ms
 `
 	synctest.Test(t, func(t *testing.T) {
 		h := newLeader(t)
