Tallies go on at both sides of a partition: adds as a replicated set, without a leader

Change: package tally (pure): adds known by tally and ID, numbered by origin (a process), told by vectors, merged by union. Acknowledged once on lostMachines + 1 disks, or on those of all that are not silent where these are fewer; a replica that answers is waited for however slow its disk is. storage keeps them in a file of their own, server carries the messages beside the log, api asks its own replica and the next ones 90 ms later each; what a daemon has acknowledged it shows (a vector goes with each read).

--- a/internal/api/listeners.go
+++ b/internal/api/listeners.go
@@ -31,6 +31,9 @@
 		operators.POST("/-/Evacuation.Finish/:zone", s.serveEvacuationFinish)
 		s.addCoordinationRoutes(operators)
 	}
+	if s.settings.HasTallies() {
+		s.addTallyRoutes(operators)
+	}
 	if s.gateway != nil && s.settings.Discovery != settings.DiscoveryPlatform {
 		operators.POST("/-/Runners.Heartbeat/:id", s.serveRunnerHeartbeat)
 		operators.POST("/-/Runners.SignOff/:id", s.serveRunnerSignOff)
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -54,6 +54,7 @@
 	replica    *server.Replica       // nil on a machine without a disk
 	offloader  *federation.Offloader // nil: no work is moved between clusters
 	discovery  *discovery.Client
+	tallies    tallyMemory
 	bootstraps chan bootstrapRequest
 	leaving    atomic.Bool
 	// leavingCtx ends when this daemon begins to leave: watches are answered then.
@@ -202,6 +203,9 @@
 		go s.runBootstrap(ctx)
 	}
 	go s.renewMembership(ctx)
+	if s.settings.HasTallies() {
+		go s.followServers(ctx)
+	}
 	if s.gateway != nil {
 		s.startGateway(ctx)
 	} else {
--- a/internal/rpc/golden_test.go
+++ b/internal/rpc/golden_test.go
@@ -9,6 +9,7 @@
 	"tealpond/internal/protocol"
 	"tealpond/internal/raft"
 	"tealpond/internal/registry"
+	"tealpond/internal/tally"
 	"tealpond/internal/tracing"
 	"tealpond/internal/transport"
 )
@@ -49,6 +50,10 @@
 		{Name: "runner-delta", Value: &registry.Delta{Epoch: "epoch", From: 93, Version: 94, Whole: true, FromDigest: 109,
 			Runners: []registry.Runner{{ID: "runner", Service: "service", Address: "address", Zone: "zone", Slots: 95, Draining: true, ColdMs: 96,
 				Health: registry.Health{LatencyMs: 97, FailedPct: 98}}}, Removed: []string{"gone"}}},
+		{Name: "tally-read", Value: &TallyRead{Tally: "tally", After: map[string]uint64{"origin": 112}}},
+		{Name: "tally-answer", Value: &TallyAnswer{Total: 113, Position: tally.Position{Origin: "origin", Number: 114}, Servers: []string{"address"}}},
+		{Name: "tally-message", Value: &TallyMessage{From: "disk", Address: "address", To: "other-disk", Message: tally.Message{Vector: tally.Vector{"origin": 115}, Exchange: true,
+			Runs: []tally.Run{{Origin: "other", First: 116, Adds: []tally.Add{{Tally: "tally", ID: "id", Amount: 117}}}}}}},
 		{Name: "key-watch", Value: &KeyWatch{Group: "group.", After: 102, WaitMs: 103}},
 		{Name: "tenant-query", Value: &TenantQuery{KnownDigest: "digest"}},
 		{Name: "tenant-share", Value: &TenantShare{Name: "tenant", MilliShare: 81, KeyDigests: [][]byte{[]byte("digest")}}},
--- a/internal/rpc/messages.go
+++ b/internal/rpc/messages.go
@@ -4,6 +4,7 @@
 	"tealpond/internal/protocol"
 	"tealpond/internal/raft"
 	"tealpond/internal/registry"
+	"tealpond/internal/tally"
 	"tealpond/internal/tracing"
 )
 
@@ -198,3 +199,27 @@
 	Evacuated bool
 	Revision  int64 // of the order that it follows, or, of one in force, its own
 }
+
+// TallyRead reads a tally at a replica that has all adds of a vector, by their origins.
+type TallyRead struct {
+	_     struct{} `cbor:",toarray"`
+	Tally string
+	After map[string]uint64
+}
+
+// TallyAnswer is a replica's answer to a change or a read.
+type TallyAnswer struct {
+	_        struct{}       `cbor:",toarray"`
+	Total    int64          // of a read
+	Position tally.Position // of a change
+	Servers  []string       // addresses of the replicas that it knows, its own among them
+}
+
+// TallyMessage is what replicas tell one another of tallies, in a frame.
+type TallyMessage struct {
+	_       struct{} `cbor:",toarray"`
+	From    string   // the sender's member ID
+	Address string   // the sender's, for other daemons
+	To      string   // the receiver's member ID
+	Message tally.Message
+}
--- a/internal/rpc/request.go
+++ b/internal/rpc/request.go
@@ -136,6 +136,10 @@
 	// KindReadKey reads a key: its name as text, coordination.KeyValue; Value is its
 	// revision.
 	KindReadKey = "read-key"
+	// KindChangeTally adds to a tally, at any replica: tally.Add, TallyAnswer.
+	KindChangeTally = "tally-change"
+	// KindReadTally reads a tally, at any replica: TallyRead, TallyAnswer.
+	KindReadTally = "tally-read"
 	// KindZoneEvacuation asks for the order in force about a zone: its name as text,
 	// ZoneEvacuation.
 	KindZoneEvacuation = "evacuation"
--- a/internal/server/connections.go
+++ b/internal/server/connections.go
@@ -25,6 +25,8 @@
 		r.handleSnapshotChunk(ctx, event.Frame.Body, event.Stream)
 	case frameSnapshotAck:
 		r.handleSnapshotAck(ctx, event.Frame.Body)
+	case frameTally:
+		r.handleTallyFrame(event.Frame.Body, event.Stream)
 	case frameDigest:
 		r.handleDigestReport(event.Frame.Body)
 	case rpc.FrameRequest:
--- a/internal/server/loop.go
+++ b/internal/server/loop.go
@@ -49,6 +49,10 @@
 	// end. leaveGranted is the leader's consent.
 	leave        chan struct{}
 	leaveGranted bool
+	// talliesOpened is the file of the tallies, once it could be opened; talliesWritten
+	// tells that what was handed to it is on the disk.
+	talliesOpened  *openedTallies
+	talliesWritten bool
 }
 
 // localRequest is a request of this process.
@@ -67,6 +71,9 @@
 func (r *Replica) Run(ctx context.Context) error {
 	defer close(r.ended)
 	go r.openStorage(ctx)
+	if r.settings.HasTallies() {
+		go r.openTallies(ctx)
+	}
 	go r.runAnnouncer(ctx)
 	daemon.Loop(ctx, r.events,
 		func(event loopEvent) { r.handleEvent(ctx, event) },
@@ -112,6 +119,11 @@
 		r.handleStorageOpened(ctx, event.storageOpened)
 	case event.bootstrapProposal != nil && r.StorageOpened():
 		r.handleBootstrapProposal(*event.bootstrapProposal)
+	case event.talliesOpened != nil:
+		r.handleTalliesOpened(ctx, event.talliesOpened)
+	case event.talliesWritten:
+		r.tallies.replica.Written(time.Now())
+		r.tallies.changed = true
 	case event.leave != nil:
 		r.beginLeave(ctx, event.leave)
 	case event.leaveGranted:
@@ -181,6 +193,7 @@
 	wake = sooner(wake, r.replyToStatusWaiters(now))
 	wake = sooner(wake, r.replyToRunnerWatchers(now))
 	wake = sooner(wake, r.replyToKeyWatchers(now))
+	wake = sooner(wake, r.tallyWork(ctx, now))
 	if r.applyBacklog {
 		wake = sooner(wake, time.Nanosecond)
 	}
--- a/internal/server/replica.go
+++ b/internal/server/replica.go
@@ -95,7 +95,8 @@
 	sessionsUnsynced   bool
 	pendingAssignments map[*transport.Stream][]rpc.Assignment
 	aggregator         *aggregator.Batcher
-	leaderSeenAt       time.Time                   // when a leader was last known
+	leaderSeenAt       time.Time // when a leader was last known
+	tallies            tallyService
 	evacuationNotices  map[string]evacuationNotice // by zone
 
 	// The term of leadership.
@@ -192,6 +193,7 @@
 		clusterTime:        newClusterTime(time.Now()),
 		clockSeen:          clockNeverSeen,
 		appointments:       newAppointments(),
+		tallies:            tallyService{guests: map[string]time.Time{}},
 	}
 }
 
--- a/internal/server/requests.go
+++ b/internal/server/requests.go
@@ -23,6 +23,8 @@
 	rpc.KindBootstrap:    (*Replica).handleBootstrapAnnouncement,
 	rpc.KindTrace:        (*Replica).handleTrace,
 	rpc.KindClusterState: (*Replica).handleClusterState,
+	rpc.KindChangeTally:  (*Replica).handleChangeTally,
+	rpc.KindReadTally:    (*Replica).handleReadTally,
 	requestGauges: func(r *Replica, _ []byte, reply replyFunc) {
 		reply(rpc.Response{Code: rpc.CodeOK, Body: transport.Encode(r.gauges(time.Now()))})
 	},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -111,6 +111,9 @@
 	DiscoveryPlatform = "cloud_api"
 	// ContractJobs is the part of the rules that concerns jobs.
 	ContractJobs = "sched"
+	// ContractTallies is the part that concerns tallies, which go on at each side of a
+	// partition.
+	ContractTallies = "apart"
 )
 
 // File is one whole settings file. The keys are the operators'.
@@ -206,6 +209,9 @@
 	return len(f.Contracts) == 0 || slices.Contains(f.Contracts, ContractJobs)
 }
 
+// HasTallies tells whether the rules on tallies are in force.
+func (f *File) HasTallies() bool { return slices.Contains(f.Contracts, ContractTallies) }
+
 // KeyHistory is how long puts are kept for watches; the given one if the file names none.
 func (f *File) KeyHistory(unnamed time.Duration) time.Duration {
 	if f.Bounds.HistoryS <= 0 {
--- a/internal/simulation/cluster.go
+++ b/internal/simulation/cluster.go
@@ -39,6 +39,7 @@
 	subnet          int
 	toleratedLosses int
 	debug           bool
+	tallies         bool
 	addedServers    atomic.Int64
 	lastVersion     atomic.Int64 // the newest number given to a configuration
 	seeds           []string
@@ -90,6 +91,8 @@
 	// Announced has the gateways' runners tell of themselves by heartbeats, instead of
 	// a platform that lists them.
 	Announced bool
+	// Tallies has the rules on tallies in force, which go on at each side of a partition.
+	Tallies bool
 	// Debug makes daemons log at the debug level, which the fault Frozen needs.
 	Debug bool
 }
@@ -125,7 +128,7 @@
 		spec.ToleratedLosses = (spec.Servers - 1) / 2
 	}
 	c := &Cluster{T: t, Network: spec.Network, History: spec.History, Name: spec.Name, dir: t.TempDir(), nodes: map[string]*node{}, Runners: map[string]*Runner{},
-		subnet: spec.Subnet, toleratedLosses: spec.ToleratedLosses, debug: spec.Debug, logOutput: io.Discard}
+		subnet: spec.Subnet, toleratedLosses: spec.ToleratedLosses, debug: spec.Debug, tallies: spec.Tallies, logOutput: io.Discard}
 	if spec.Federation != "" {
 		c.federationFile = filepath.Join(c.dir, "moves.toml")
 		if err := os.WriteFile(c.federationFile, []byte(spec.Federation), 0o600); err != nil {
--- a/internal/simulation/daemons.go
+++ b/internal/simulation/daemons.go
@@ -73,6 +73,9 @@
 	for _, zone := range c.History.zones {
 		file.Zones[zone] = "region"
 	}
+	if c.tallies {
+		file.Contracts = []string{settings.ContractJobs, settings.ContractTallies}
+	}
 	file.Limits.MemoryMb = 284
 	file.ListenAddresses.Control = address(n.ip, controlPort)
 	if n.role == agentRole {
--- /dev/null
+++ b/internal/simulation/tallies_test.go
@@ -0,0 +1,253 @@
+package simulation
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"tealpond/internal/protocol"
+)
+
+// mergeTime is mergeMs of the operators.
+const mergeTime = 3 * time.Second
+
+// tallyCallers add to tallies at all nodes, and hold what they are shown against the rules.
+type tallyCallers struct {
+	c       *Cluster
+	running sync.WaitGroup
+	stop    context.CancelFunc
+
+	mu     sync.Mutex
+	sent   map[string]int64          // amounts by ID, of all that were ever sent
+	kept   map[string]time.Time      // when an ID was first acknowledged, by any node
+	byNode map[string]map[string]int // IDs that a node acknowledged, by its lives
+	lives  map[string]int
+	failed int // calls without a good answer
+	calls  int
+}
+
+const tallyName = "t1"
+
+// startTallyCallers starts a caller at each node.
+func (c *Cluster) startTallyCallers() *tallyCallers {
+	ctx, stop := context.WithCancel(context.Background())
+	callers := &tallyCallers{c: c, stop: stop, sent: map[string]int64{}, kept: map[string]time.Time{}, byNode: map[string]map[string]int{}, lives: map[string]int{}}
+	for i, node := range c.nodeNames(edgeRole) {
+		callers.byNode[node] = map[string]int{}
+		callers.running.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				callers.addOnce(i, n, node)
+				callers.read(node)
+				time.Sleep(150 * time.Millisecond)
+			}
+		})
+	}
+	return callers
+}
+
+// addOnce adds under a new ID; without a good answer the same goes to the next nodes.
+func (l *tallyCallers) addOnce(caller, n int, node string) {
+	id := fmt.Sprintf("%04d%012d", caller, n)
+	l.mu.Lock()
+	l.sent[id] = int64(1 + n%7)
+	l.mu.Unlock()
+	nodes := l.c.nodeNames(edgeRole)
+	for attempt := range 3 {
+		if l.add(nodes[(caller+attempt)%len(nodes)], id) {
+			return
+		}
+	}
+}
+
+// add makes one call.
+func (l *tallyCallers) add(node, id string) bool {
+	l.mu.Lock()
+	life, amount := l.lives[node], l.sent[id]
+	l.calls++
+	l.mu.Unlock()
+	code, _, _ := l.c.requestFrom(l.c.client, time.Second, http.MethodPost, l.c.nodeURL(node, controlPort, "/-/Tallies.Change/"+tallyName), "", protocol.TallyChange{ID: id, Amount: amount}, nil)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if code != http.StatusOK {
+		l.failed++
+		return false
+	}
+	if _, known := l.kept[id]; !known {
+		l.kept[id] = time.Now()
+	}
+	if life == l.lives[node] {
+		l.byNode[node][id] = life
+	}
+	return true
+}
+
+// read reads at a node and checks what it shows: TWICE and STALE.
+func (l *tallyCallers) read(node string) {
+	l.mu.Lock()
+	life, least := l.lives[node], int64(0)
+	for id, acknowledgedIn := range l.byNode[node] {
+		if acknowledgedIn == life {
+			least += l.sent[id]
+		}
+	}
+	l.mu.Unlock()
+	total, ok := l.total(node)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	most := int64(0)
+	for _, amount := range l.sent {
+		most += amount
+	}
+	if ok && life == l.lives[node] && (total < least || total > most) {
+		l.c.T.Errorf("%s shows %d, it has acknowledged %d, and %d was ever sent", node, total, least, most)
+	}
+}
+
+// total reads the tally at a node.
+func (l *tallyCallers) total(node string) (int64, bool) {
+	code, body, _ := l.c.requestFrom(l.c.client, time.Second, http.MethodGet, l.c.nodeURL(node, controlPort, "/-/Tallies.Read/"+tallyName), "", nil, nil)
+	var answer protocol.TallyResponse
+	if code != http.StatusOK || json.Unmarshal(body, &answer) != nil {
+		return 0, false
+	}
+	return answer.Total, true
+}
+
+// restarted takes note that a node has another life from now on.
+func (l *tallyCallers) restarted(nodes ...string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, node := range nodes {
+		l.lives[node]++
+	}
+}
+
+// requireMerged ends the callers; mergeMs later each node shows all that was acknowledged.
+func (l *tallyCallers) requireMerged() {
+	l.c.T.Helper()
+	l.stop()
+	l.running.Wait()
+	time.Sleep(mergeTime)
+	least, most := int64(0), int64(0)
+	for id, amount := range l.sent {
+		most += amount
+		if _, kept := l.kept[id]; kept {
+			least += amount
+		}
+	}
+	for _, node := range l.c.nodeNames(edgeRole) {
+		total, ok := l.total(node)
+		if !ok || total < least || total > most {
+			l.c.T.Errorf("%s shows %d (%v), %d was acknowledged, %d sent", node, total, ok, least, most)
+		}
+	}
+	l.c.T.Logf("%d calls, %d without a good answer", l.calls, l.failed)
+}
+
+// inZone gives the nodes of a zone among those that serve applications.
+func (c *Cluster) inZone(zone string) (inside, outside []string) {
+	for _, name := range c.nodeNames("") {
+		if c.node(name).zone == zone {
+			inside = append(inside, name)
+		} else {
+			outside = append(outside, name)
+		}
+	}
+	return inside, outside
+}
+
+// cutZone cuts a zone off from the others; the function that it returns joins them.
+func (c *Cluster) cutZone(zone string) (join func()) {
+	inside, outside := c.inZone(zone)
+	for _, name := range inside {
+		c.SetPartition(name, true, outside...)
+	}
+	return func() {
+		for _, name := range inside {
+			c.SetPartition(name, false, outside...)
+		}
+	}
+}
+
+// TestTalliesAtBothSides: tallies go on at each side of a partition, also under losses while
+// the sides are apart, and meet soon after it.
+func TestTalliesAtBothSides(t *testing.T) {
+	spec := ClusterSpec{Servers: 6, Edges: 3, Agents: 3, Zones: 3, ToleratedLosses: 2, Tallies: true}
+	for name, trouble := range map[string]func(t *testing.T, c *Cluster, l *tallyCallers){
+		"calm": func(*testing.T, *Cluster, *tallyCallers) { time.Sleep(5 * time.Second) },
+		"long cut": func(t *testing.T, c *Cluster, l *tallyCallers) {
+			join := c.cutZone("z1")
+			time.Sleep(3 * time.Second)
+			l.mu.Lock()
+			calls, failed := l.calls, l.failed
+			l.mu.Unlock()
+			time.Sleep(60 * time.Second)
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			if share := float64(l.failed-failed) / float64(l.calls-calls); share > 0.02 {
+				t.Errorf("%.3f of the calls have no good answer while the zone is cut off", share)
+			}
+			join()
+		},
+		"killed while apart": func(_ *testing.T, c *Cluster, l *tallyCallers) {
+			join := c.cutZone("z1")
+			time.Sleep(3 * time.Second)
+			inside, _ := c.inZone("z1")
+			for _, node := range inside[:2] {
+				l.restarted(node)
+				c.Restart(time.Second, node)
+				l.restarted(node)
+				time.Sleep(2 * time.Second)
+			}
+			join()
+		},
+		"disks lost": func(_ *testing.T, c *Cluster, l *tallyCallers) {
+			for _, node := range c.Servers()[:2] {
+				l.restarted(node)
+				c.restartWiped(500*time.Millisecond, node)
+				l.restarted(node)
+				time.Sleep(7 * time.Second)
+			}
+		},
+		"cut after cut": func(_ *testing.T, c *Cluster, _ *tallyCallers) {
+			for _, zone := range []string{"z0", "z1", "z2", "z0"} {
+				join := c.cutZone(zone)
+				time.Sleep(2500 * time.Millisecond)
+				join()
+			}
+		},
+		"bridge": func(_ *testing.T, c *Cluster, _ *tallyCallers) {
+			// z0 and z1 can't reach each other, z2 reaches both.
+			z0, _ := c.inZone("z0")
+			z1, _ := c.inZone("z1")
+			for _, name := range z0 {
+				c.SetPartition(name, true, z1...)
+			}
+			time.Sleep(10 * time.Second)
+			for _, name := range z0 {
+				c.SetPartition(name, false, z1...)
+			}
+		},
+		"all killed": func(_ *testing.T, c *Cluster, l *tallyCallers) {
+			l.restarted(c.nodeNames(edgeRole)...)
+			c.Restart(time.Second, c.nodeNames(edgeRole)...)
+			l.restarted(c.nodeNames(edgeRole)...)
+			time.Sleep(5 * time.Second)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withCluster(t, spec, func(t *testing.T, c *Cluster) {
+				callers := c.startTallyCallers()
+				time.Sleep(3 * time.Second)
+				trouble(t, c, callers)
+				time.Sleep(2 * time.Second)
+				callers.requireMerged()
+				c.requireNoViolations()
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/tally/replica.go
@@ -0,0 +1,334 @@
+package tally
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Config is what a Replica needs to know.
+type Config struct {
+	// Origin names this process among all that ever were; it is never used again.
+	Origin string
+	// Copies is on how many disks an add is before it is acknowledged.
+	Copies int
+	// PeerTimeout is the silence of a peer after which it counts as cut off, AnswerTimeout
+	// how long it may take to answer an add that it is told of.
+	PeerTimeout, AnswerTimeout time.Duration
+	// ExchangeInterval is the time between two exchanges of vectors with each peer, and
+	// RepeatInterval that after which a peer that lacks something is told again.
+	ExchangeInterval, RepeatInterval time.Duration
+	// StartupTimeout is for how long after its start a replica answers no reads unless it
+	// has what some peer has.
+	StartupTimeout time.Duration
+	// MaxAdds bounds the adds that are kept, MaxMessageAdds those of a message.
+	MaxAdds, MaxMessageAdds int
+}
+
+// Message is what replicas tell one another.
+type Message struct {
+	_      struct{} `cbor:",toarray"`
+	Vector Vector   // what the sender has on its disk
+	Runs   []Run    // adds that the receiver may lack
+	// Exchange asks the receiver for what it has beyond the vector.
+	Exchange bool
+}
+
+// Envelope is a message and the peer that it goes to.
+type Envelope struct {
+	To      string
+	Message Message
+}
+
+// Result is the outcome of a change or a read.
+type Result int
+
+// Outcomes.
+const (
+	ResultOK      Result = iota
+	ResultFull           // there is no room for another add
+	ResultBehind         // a read asks for adds that are not here
+	ResultStarted        // the replica has just started, and may lack what it acknowledged
+)
+
+// peer is another replica, as this one knows it.
+type peer struct {
+	durable Vector    // what it has on its disk
+	sent    uint64    // the number of the newest add of this process that it was told of
+	heardAt time.Time // zero: never
+	toldAt  time.Time // when it was last told of adds of this process
+}
+
+// change is an add that waits to be acknowledged.
+type change struct {
+	position Position
+	since    time.Time
+	done     func(Result, Position)
+}
+
+// Replica is the state of one replica, as a machine: inputs change it, and what it wants
+// written and sent is taken from it afterwards. It is used by one task.
+type Replica struct {
+	config    Config
+	set       *Set  // what is on the disk
+	staged    *Set  // that, and what is being written
+	toWrite   []Run // handed to the disk next
+	writing   []Run // being written
+	askedBy   []string
+	peers     map[string]*peer
+	changes   []change
+	outbox    []Envelope
+	exchanged time.Time
+	startedAt time.Time
+	caughtUp  bool
+}
+
+// NewReplica makes a replica of what its disk holds.
+func NewReplica(config Config, stored []Run, now time.Time) *Replica {
+	r := &Replica{config: config, set: NewSet(), staged: NewSet(), peers: map[string]*peer{}, startedAt: now}
+	for _, run := range stored {
+		r.set.Merge(run)
+		r.staged.Merge(run)
+	}
+	return r
+}
+
+// SetPeers says who the other replicas are. What is known of those that stay is kept.
+func (r *Replica) SetPeers(ids []string) {
+	for _, id := range ids {
+		if r.peers[id] == nil {
+			r.peers[id] = &peer{durable: Vector{}}
+		}
+	}
+	maps.DeleteFunc(r.peers, func(id string, _ *peer) bool { return !slices.Contains(ids, id) })
+}
+
+// Change adds to a tally; done is called with the add's place once it is acknowledged. An
+// add whose ID has come before counts no second time, and is acknowledged on the same terms.
+func (r *Replica) Change(add Add, now time.Time, done func(Result, Position)) {
+	position, known := r.staged.Find(add.Tally, add.ID)
+	if !known {
+		if r.staged.Len() >= r.config.MaxAdds {
+			done(ResultFull, Position{})
+			return
+		}
+		position = r.append(add)
+	}
+	r.changes = append(r.changes, change{position, now, done})
+	r.tellChanges(now)
+	r.acknowledge(now)
+}
+
+// append gives an add the next number of this process. Peers are told of it at once: if it
+// is lost here before it is written, its number is not used again, since the next process
+// has another origin.
+func (r *Replica) append(add Add) Position {
+	number := r.staged.Newest(r.config.Origin) + 1
+	run := Run{Origin: r.config.Origin, First: number, Adds: []Add{add}}
+	r.staged.Merge(run)
+	r.toWrite = append(r.toWrite, run)
+	return Position{Origin: run.Origin, Number: number}
+}
+
+// tellChanges tells each peer of the adds of this process that it was not told of.
+func (r *Replica) tellChanges(now time.Time) {
+	for _, id := range r.peerIDs() {
+		peer := r.peers[id]
+		known := Vector{r.config.Origin: max(peer.sent, peer.durable[r.config.Origin])}
+		runs := r.staged.Missing(known, r.config.Origin, r.config.MaxMessageAdds)
+		if len(runs) == 0 {
+			continue
+		}
+		peer.sent = runs[0].First + uint64(len(runs[0].Adds)) - 1
+		peer.toldAt = now
+		r.send(id, Message{Vector: r.set.Vector(), Runs: runs})
+	}
+}
+
+// Receive takes a message of a peer.
+func (r *Replica) Receive(from string, message Message, now time.Time) {
+	sender := r.peers[from]
+	if sender == nil {
+		return
+	}
+	sender.durable, sender.heardAt = message.Vector, now
+	if sender.durable == nil {
+		sender.durable = Vector{}
+	}
+	for _, run := range message.Runs {
+		if taken := r.staged.Merge(run); taken > 0 {
+			skipped := len(run.Adds) - taken
+			r.toWrite = append(r.toWrite, Run{Origin: run.Origin, First: run.First + uint64(skipped), Adds: run.Adds[skipped:]})
+		}
+	}
+	switch {
+	case len(message.Runs) > 0 && !slices.Contains(r.askedBy, from):
+		r.askedBy = append(r.askedBy, from) // it is answered once that is on the disk
+	case message.Exchange:
+		r.send(from, Message{Vector: r.set.Vector(), Runs: r.set.Missing(sender.durable, "", r.config.MaxMessageAdds)})
+	}
+	if !r.caughtUp && r.set.Vector().Covers(sender.durable) {
+		r.caughtUp = true
+	}
+	r.acknowledge(now)
+}
+
+// TakeWrites gives what is to be written next, if nothing is being written; nil if nothing
+// is. Written must be called once it is on the disk.
+func (r *Replica) TakeWrites() []Run {
+	if r.writing != nil || len(r.toWrite) == 0 && len(r.askedBy) == 0 {
+		return nil
+	}
+	if len(r.toWrite) == 0 {
+		r.answerPeers() // all that they told is here already
+		return nil
+	}
+	r.writing, r.toWrite = r.toWrite, nil
+	return r.writing
+}
+
+// Written takes note that what TakeWrites gave is on the disk.
+func (r *Replica) Written(now time.Time) {
+	for _, run := range r.writing {
+		r.set.Merge(run)
+	}
+	r.writing = nil
+	if len(r.toWrite) == 0 {
+		r.answerPeers()
+	}
+	r.acknowledge(now)
+}
+
+// answerPeers tells those peers what is on the disk that have told of adds, and asks for the
+// rest of what they have: a message holds a bounded number.
+func (r *Replica) answerPeers() {
+	for _, id := range r.askedBy {
+		if peer := r.peers[id]; peer != nil {
+			r.send(id, Message{Vector: r.set.Vector(), Exchange: !r.staged.Vector().Covers(peer.durable)})
+		}
+	}
+	r.askedBy = nil
+}
+
+// Tick does what is due: peers that lack adds are told again, and vectors are exchanged.
+func (r *Replica) Tick(now time.Time) {
+	for _, peer := range r.peers {
+		if peer.durable[r.config.Origin] < peer.sent && now.Sub(peer.toldAt) >= r.config.RepeatInterval {
+			peer.sent = peer.durable[r.config.Origin]
+		}
+	}
+	r.tellChanges(now)
+	if now.Sub(r.exchanged) >= r.config.ExchangeInterval {
+		r.exchanged = now
+		for _, id := range r.peerIDs() {
+			r.send(id, Message{Vector: r.set.Vector(), Exchange: true})
+		}
+	}
+	r.acknowledge(now)
+}
+
+// acknowledge answers the changes that are on enough disks.
+func (r *Replica) acknowledge(now time.Time) {
+	if len(r.changes) == 0 {
+		return
+	}
+	kept := r.changes[:0]
+	var answered []change
+	for _, change := range r.changes {
+		if r.isSafe(change, now) {
+			answered = append(answered, change)
+		} else {
+			kept = append(kept, change)
+		}
+	}
+	r.changes = kept
+	for _, change := range answered {
+		change.done(ResultOK, change.position)
+	}
+}
+
+// isSafe tells whether a change may be acknowledged. A peer that answers is waited for,
+// however slow its disk: only those that are silent are done without, and only where there
+// are too few others.
+func (r *Replica) isSafe(change change, now time.Time) bool {
+	if !r.set.Has(change.position) {
+		return false
+	}
+	copies, heard, lacking := 1, 1, 0
+	for _, peer := range r.peers {
+		has := peer.durable[change.position.Origin] >= change.position.Number
+		if has {
+			copies++
+		}
+		if r.isSilent(peer, change.since, now) {
+			continue
+		}
+		heard++
+		if !has {
+			lacking++
+		}
+	}
+	needed := min(r.config.Copies, len(r.peers)+1)
+	return copies >= needed || heard < needed && lacking == 0
+}
+
+// isSilent tells whether a peer is cut off, or ended, as far as can be told.
+func (r *Replica) isSilent(peer *peer, since, now time.Time) bool {
+	if now.Sub(peer.heardAt) > r.config.PeerTimeout {
+		return true
+	}
+	return peer.heardAt.Before(since) && now.Sub(since) > r.config.AnswerTimeout
+}
+
+// Read gives the sum of a tally, if all adds of a vector are here.
+func (r *Replica) Read(tally string, after Vector, now time.Time) (int64, Result) {
+	switch {
+	case !r.set.Vector().Covers(after):
+		return 0, ResultBehind
+	case !r.caughtUp && len(r.peers) > 0 && now.Sub(r.startedAt) < r.config.StartupTimeout:
+		return 0, ResultStarted
+	}
+	return r.set.Total(tally), ResultOK
+}
+
+// Abandon forgets the changes that have waited since before a time; they are not answered.
+func (r *Replica) Abandon(before time.Time) {
+	r.changes = slices.DeleteFunc(r.changes, func(c change) bool { return c.since.Before(before) })
+}
+
+// TakeMessages gives what is to be sent.
+func (r *Replica) TakeMessages() []Envelope {
+	taken := r.outbox
+	r.outbox = nil
+	return taken
+}
+
+// PeerState is what a replica knows of a peer, for operators.
+type PeerState struct {
+	ID      string
+	HeardAt time.Time // zero: never
+	// Lacks is how many adds that are here are not known to be on the peer's disk.
+	Lacks uint64
+}
+
+// Peers lists what is known of the peers, by their IDs.
+func (r *Replica) Peers() []PeerState {
+	states := make([]PeerState, 0, len(r.peers))
+	for _, id := range r.peerIDs() {
+		state := PeerState{ID: id, HeardAt: r.peers[id].heardAt}
+		for origin, number := range r.set.Vector() {
+			state.Lacks += number - min(number, r.peers[id].durable[origin])
+		}
+		states = append(states, state)
+	}
+	return states
+}
+
+// Totals gives all tallies with their sums. The caller must not change it.
+func (r *Replica) Totals() map[string]int64 { return r.set.Totals() }
+
+func (r *Replica) send(to string, message Message) {
+	r.outbox = append(r.outbox, Envelope{to, message})
+}
+
+func (r *Replica) peerIDs() []string { return slices.Sorted(maps.Keys(r.peers)) }
--- /dev/null
+++ b/internal/tally/replica_test.go
@@ -0,0 +1,357 @@
+package tally
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand"
+	"testing"
+	"time"
+)
+
+// troubleSeeds is how many days of troubles are played.
+var troubleSeeds = flag.Int64("tally.seeds", 12, "seeds of TestTalliesUnderTroubles")
+
+var testStart = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func testConfig(origin string) Config {
+	return Config{Origin: origin, Copies: 2, PeerTimeout: 1200 * time.Millisecond, AnswerTimeout: 400 * time.Millisecond,
+		ExchangeInterval: 500 * time.Millisecond, RepeatInterval: 250 * time.Millisecond, StartupTimeout: 1500 * time.Millisecond, MaxAdds: 1000, MaxMessageAdds: 50}
+}
+
+// machine is a replica with its disk.
+type machine struct {
+	replica *Replica
+	disk    []Run
+	started int
+	stalled bool // its disk
+	down    bool
+	// acknowledged are the IDs that it has acknowledged in this life.
+	acknowledged map[string]bool
+}
+
+// world is a group of machines with a network that loses, delays and cuts.
+type world struct {
+	random   *rand.Rand
+	now      time.Time
+	machines []*machine
+	inFlight []flight
+	cut      map[[2]int]bool
+	sent     map[string]int64 // the amount of each ID that was ever sent
+	kept     map[string]bool  // IDs that were acknowledged and must not be lost
+}
+
+type flight struct {
+	from, to  int
+	arrivesAt time.Time
+	message   Message
+}
+
+func newWorld(seed int64, size int) *world {
+	w := &world{random: rand.New(rand.NewSource(seed)), now: testStart, cut: map[[2]int]bool{}, sent: map[string]int64{}, kept: map[string]bool{}}
+	for range size {
+		w.machines = append(w.machines, &machine{})
+	}
+	for i := range w.machines {
+		w.start(i)
+	}
+	return w
+}
+
+func memberID(i int) string { return fmt.Sprint("m", i) }
+
+// start starts a machine with what is on its disk.
+func (w *world) start(i int) {
+	m := w.machines[i]
+	m.started++
+	m.down, m.acknowledged = false, map[string]bool{}
+	m.replica = NewReplica(testConfig(fmt.Sprintf("%s/%d", memberID(i), m.started)), m.disk, w.now)
+	var peers []string
+	for j := range w.machines {
+		if j != i {
+			peers = append(peers, memberID(j))
+		}
+	}
+	m.replica.SetPeers(peers)
+}
+
+// step lets 10 ms pass.
+func (w *world) step() {
+	w.now = w.now.Add(10 * time.Millisecond)
+	flights := w.inFlight
+	w.inFlight = nil
+	for _, f := range flights {
+		switch {
+		case f.arrivesAt.After(w.now) || w.cut[[2]int{f.from, f.to}]:
+			w.inFlight = append(w.inFlight, f)
+		case !w.machines[f.to].down:
+			w.machines[f.to].replica.Receive(memberID(f.from), f.message, w.now)
+		}
+	}
+	for i, m := range w.machines {
+		if m.down {
+			continue
+		}
+		m.replica.Tick(w.now)
+		m.replica.Abandon(w.now.Add(-900 * time.Millisecond))
+		if !m.stalled {
+			if runs := m.replica.TakeWrites(); runs != nil {
+				m.disk = append(m.disk, runs...)
+				m.replica.Written(w.now)
+			}
+		}
+		for _, envelope := range m.replica.TakeMessages() {
+			if w.random.Intn(20) == 0 {
+				continue // lost
+			}
+			var to int
+			_, _ = fmt.Sscanf(envelope.To, "m%d", &to)
+			w.inFlight = append(w.inFlight, flight{i, to, w.now.Add(time.Duration(w.random.Intn(30)) * time.Millisecond), envelope.Message})
+		}
+	}
+}
+
+// add has a caller add at a machine.
+func (w *world) add(i int, id string) {
+	m := w.machines[i]
+	if m.down {
+		return
+	}
+	w.sent[id] = int64(1 + len(id))
+	m.replica.Change(Add{Tally: "t", ID: id, Amount: w.sent[id]}, w.now, func(result Result, _ Position) {
+		if result == ResultOK {
+			w.kept[id], m.acknowledged[id] = true, true
+		}
+	})
+}
+
+// checkReads holds the sum that each machine shows against the rules: TWICE, and STALE of
+// what it has acknowledged itself.
+func (w *world) checkReads(t *testing.T) {
+	t.Helper()
+	most := int64(0)
+	for _, amount := range w.sent {
+		most += amount
+	}
+	for i, m := range w.machines {
+		if m.down {
+			continue
+		}
+		total, result := m.replica.Read("t", nil, w.now)
+		if result != ResultOK {
+			continue
+		}
+		least := int64(0)
+		for id := range m.acknowledged {
+			least += w.sent[id]
+		}
+		if total > most || total < least {
+			t.Fatalf("TWICE or STALE: machine %d shows %d, %d was sent, %d acknowledged there", i, total, most, least)
+		}
+	}
+}
+
+// checkKept: after a calm time all machines show all that was acknowledged, and no more than
+// what was sent.
+func (w *world) checkKept(t *testing.T) {
+	t.Helper()
+	least := int64(0)
+	for id := range w.kept {
+		least += w.sent[id]
+	}
+	w.checkReads(t)
+	for i, m := range w.machines {
+		if total, result := m.replica.Read("t", nil, w.now); result != ResultOK || total < least {
+			t.Fatalf("LOST: machine %d shows %d (%v), %d was acknowledged", i, total, result, least)
+		}
+		if !maps.Equal(m.replica.set.Vector(), w.machines[0].replica.set.Vector()) {
+			t.Fatalf("machines 0 and %d differ", i)
+		}
+	}
+}
+
+// TestTalliesUnderTroubles: partitions, machines that end, disks that stall, and one disk
+// that is lost at a time outside partitions: nothing acknowledged is lost, nothing counts
+// twice, and three seconds after the last trouble all show the same.
+func TestTalliesUnderTroubles(t *testing.T) {
+	for seed := range *troubleSeeds {
+		w := newWorld(seed, 5)
+		for range 100 {
+			w.step()
+		}
+		wiped := false
+		for step := range 3000 {
+			switch w.random.Intn(100) {
+			case 0: // a partition, whichever
+				side := w.random.Intn(1 << len(w.machines))
+				for i := range w.machines {
+					for j := range w.machines {
+						if side>>i&1 != side>>j&1 {
+							w.cut[[2]int{i, j}] = true
+						}
+					}
+				}
+			case 1, 2:
+				clear(w.cut)
+			case 3:
+				w.machines[w.random.Intn(len(w.machines))].down = true
+			case 4, 5:
+				if i := w.random.Intn(len(w.machines)); w.machines[i].down {
+					w.start(i)
+				}
+			case 6:
+				w.machines[w.random.Intn(len(w.machines))].stalled = true
+			case 7, 8:
+				w.machines[w.random.Intn(len(w.machines))].stalled = false
+			}
+			if w.random.Intn(5) == 0 {
+				id := fmt.Sprint(w.random.Intn(1 + step/4))
+				w.add(w.random.Intn(len(w.machines)), id)
+			}
+			w.step()
+			w.checkReads(t)
+		}
+		clear(w.cut)
+		for i, m := range w.machines {
+			m.stalled = false
+			if m.down {
+				w.start(i)
+			}
+		}
+		for range 300 {
+			w.step()
+		}
+		w.checkKept(t)
+		// A disk is lost right after an acknowledgement in a calm time.
+		for i := 0; !wiped; i++ {
+			id, victim := fmt.Sprint("last", i), w.random.Intn(len(w.machines))
+			w.add(victim, id)
+			for range 50 {
+				w.step()
+				if w.machines[victim].acknowledged[id] {
+					w.machines[victim].disk = nil
+					w.start(victim)
+					wiped = true
+					break
+				}
+			}
+		}
+		for range 300 {
+			w.step()
+		}
+		w.checkKept(t)
+	}
+}
+
+// TestSlowIsNotCutOff: an add is not acknowledged while the others that are needed answer,
+// and have it not on their disks yet; it is once they are silent.
+func TestSlowIsNotCutOff(t *testing.T) {
+	w := newWorld(1, 3)
+	for range 100 {
+		w.step()
+	}
+	w.machines[1].stalled, w.machines[2].stalled = true, true
+	w.add(0, "slow")
+	for range 85 {
+		w.step()
+	}
+	if w.kept["slow"] {
+		t.Fatal("acknowledged, and on one disk")
+	}
+	w.machines[1].stalled = false
+	w.add(0, "slow") // the caller tries again
+	for range 30 {
+		w.step()
+	}
+	if !w.kept["slow"] {
+		t.Fatal("on two disks, and not acknowledged")
+	}
+	w.cut[[2]int{0, 1}], w.cut[[2]int{1, 0}], w.cut[[2]int{0, 2}], w.cut[[2]int{2, 0}] = true, true, true, true
+	w.add(0, "alone")
+	begin := w.now
+	for !w.kept["alone"] && w.now.Sub(begin) < 2*time.Second {
+		w.step()
+	}
+	if took := w.now.Sub(begin); took < 400*time.Millisecond || took > 800*time.Millisecond {
+		t.Errorf("acknowledged after %v of a partition", took)
+	}
+	for range 100 {
+		w.step()
+	}
+	w.add(0, "soon")
+	for range 3 {
+		w.step()
+	}
+	if !w.kept["soon"] {
+		t.Error("in a partition that is known an add waits")
+	}
+}
+
+// TestPlantedBreaksAreFound: a replica that acknowledges too early, and one that counts an
+// ID twice, break what the checks hold.
+func TestPlantedBreaksAreFound(t *testing.T) {
+	w := newWorld(1, 3)
+	for range 100 {
+		w.step()
+	}
+	w.machines[0].replica.config.Copies = 1
+	w.add(0, "x")
+	for range 2 {
+		w.step()
+		w.inFlight = nil
+	}
+	if !w.kept["x"] {
+		t.Fatal("not acknowledged")
+	}
+	w.machines[0].disk = nil
+	w.start(0)
+	for range 300 {
+		w.step()
+	}
+	if total, _ := w.machines[1].replica.Read("t", nil, w.now); total >= w.sent["x"] {
+		t.Error("an add that was on one disk alone is still there")
+	}
+	double := NewSet()
+	double.Merge(Run{Origin: "a", First: 1, Adds: []Add{{Tally: "t", ID: "x", Amount: 3}}})
+	double.entries = map[addKey]entry{} // it forgets what has counted
+	double.Merge(Run{Origin: "b", First: 1, Adds: []Add{{Tally: "t", ID: "x", Amount: 3}}})
+	if double.Total("t") != 6 {
+		t.Error("the planted break doesn't double")
+	}
+}
+
+// TestReadsOfWhatACallerKnows: a replica that lacks it says so.
+func TestReadsOfWhatACallerKnows(t *testing.T) {
+	replica := NewReplica(testConfig("a"), []Run{{Origin: "b", First: 1, Adds: []Add{{Tally: "t", ID: "1", Amount: 4}}}}, testStart)
+	for _, c := range []struct {
+		after Vector
+		want  Result
+	}{{nil, ResultOK}, {Vector{"b": 1}, ResultOK}, {Vector{"b": 2}, ResultBehind}, {Vector{"c": 1}, ResultBehind}} {
+		if total, result := replica.Read("t", c.after, testStart); result != c.want || result == ResultOK && total != 4 {
+			t.Errorf("after %v: %d, %v", c.after, total, result)
+		}
+	}
+	replica.SetPeers([]string{"other"})
+	if _, result := replica.Read("t", nil, testStart); result != ResultStarted {
+		t.Errorf("just started: %v", result)
+	}
+	if _, result := replica.Read("t", nil, testStart.Add(2*time.Second)); result != ResultOK {
+		t.Errorf("alone for long: %v", result)
+	}
+}
+
+// TestNoRoom: beyond the bound adds are refused, those that have counted are not.
+func TestNoRoom(t *testing.T) {
+	config := testConfig("a")
+	config.MaxAdds = 1
+	replica := NewReplica(config, nil, testStart)
+	var results []Result
+	for _, id := range []string{"1", "2", "1"} {
+		replica.Change(Add{Tally: "t", ID: id, Amount: 1}, testStart, func(result Result, _ Position) { results = append(results, result) })
+		replica.TakeWrites()
+		replica.Written(testStart)
+	}
+	if len(results) != 3 || results[0] != ResultOK || results[1] != ResultFull || results[2] != ResultOK {
+		t.Errorf("%v", results)
+	}
+}
