--- a/cmd/tealpond/coordination.go
+++ b/cmd/tealpond/coordination.go
@@ -23,6 +23,8 @@
 	locksQuery   = "SELECT name, holder, fence, held_ms, left_ms FROM locks ORDER BY name"
 	numbersQuery = "SELECT name, value FROM numbers ORDER BY name"
 	keysQuery    = "SELECT name, revision, value FROM keys ORDER BY name"
+	talliesQuery = "SELECT name, total FROM tallies ORDER BY name"
+	peersQuery   = "SELECT id, silent_ms, lacks FROM tally_peers ORDER BY id"
 	zonesQuery   = "SELECT zone, evacuated, since_ms, revision FROM zones ORDER BY zone"
 )
 
@@ -33,6 +35,10 @@
 	numbers := app.Command("numbers", "Show the newest number given under each name.")
 	p.addTableTool(numbers, numbersQuery)
 
+	// Any server is asked: at each side of a partition the tallies go on by themselves.
+	tallies := app.Command("tallies", "Show tallies as one server has them, and what it knows of the others.")
+	p.addTableToolOf(admin.FetchState, tallies.Command("list", "Show each tally with its sum."), talliesQuery)
+	p.addTableToolOf(admin.FetchState, tallies.Command("peers", "Show the other servers: since when each is silent, and how many adds it may lack."), peersQuery)
 	zones := app.Command("zones", "Show which zones are evacuated, since when, and the number of the last order about each.")
 	p.addTableTool(zones, zonesQuery)
 
@@ -52,11 +58,16 @@
 	p.commands[watch.FullCommand()] = func() int { return p.watchGroup(*watchAddresses, *group, *from, *most) }
 }
 
-// addTableTool has a command print a query's answer.
+// addTableTool has a command print a query's answer by the leader.
 func (p *program) addTableTool(command *kingpin.CmdClause, query string) {
+	p.addTableToolOf(admin.FetchLeaderState, command, query)
+}
+
+// addTableToolOf is addTableTool with the answer of another server.
+func (p *program) addTableToolOf(fetch fetchState, command *kingpin.CmdClause, query string) {
 	addresses := command.Flag("at", "A daemon's address for daemons; may be repeated.").Required().Strings()
 	asJSON := command.Flag("json", "Print one JSON object a line.").Bool()
-	p.commands[command.FullCommand()] = func() int { return p.showTable(admin.FetchLeaderState, *addresses, query, *asJSON) }
+	p.commands[command.FullCommand()] = func() int { return p.showTable(fetch, *addresses, query, *asJSON) }
 }
 
 // errNotFound: the key doesn't exist.
--- a/cmd/tealpond/tools.go
+++ b/cmd/tealpond/tools.go
@@ -47,7 +47,7 @@
 	}
 	p.addCoordinationTools(app)
 
-	queryCommand := app.Command("query", "Answer one SELECT over daemons, runners, workers, devices, bookings, allocs, inboxes, jobs, tenants, rollups, locks, numbers and keys.")
+	queryCommand := app.Command("query", "Answer one SELECT over daemons, runners, workers, devices, bookings, allocs, inboxes, jobs, tenants, rollups, locks, numbers, keys, zones, tallies and tally_peers.")
 	text := queryCommand.Arg("sql", "The query.").Required().String()
 	queryAddresses := queryCommand.Flag("at", "A daemon's address for daemons; may be repeated.").Required().Strings()
 	limit := queryCommand.Flag("limit", "The most rows that are printed.").Default("1000").Int()
--- a/internal/server/admin.go
+++ b/internal/server/admin.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"time"
+
 	"tealpond/internal/rpc"
 	"tealpond/internal/transport"
 )
@@ -22,5 +24,6 @@
 		response.IsLeader, response.AppliedIndex = r.node.IsLeader(), r.state.AppliedIndex
 	}
 	response.Tables = append([]rpc.Table{daemonTable(r.memberLeases), runnerTable(r.runnerTable)}, stateTables(r.state)...)
+	response.Tables = append(response.Tables, tallyTables(r.tallies.replica, time.Now())...)
 	reply(rpc.Response{Code: rpc.CodeOK, Body: transport.Encode(response)})
 }
--- a/internal/server/replica.go
+++ b/internal/server/replica.go
@@ -193,7 +193,7 @@
 		clusterTime:        newClusterTime(time.Now()),
 		clockSeen:          clockNeverSeen,
 		appointments:       newAppointments(),
-		tallies:            tallyService{guests: map[string]time.Time{}},
+		tallies:            tallyService{guests: map[string]time.Time{}, silent: map[string]bool{}},
 	}
 }
 
--- a/internal/server/state_tables.go
+++ b/internal/server/state_tables.go
@@ -6,6 +6,7 @@
 	"tealpond/internal/registry"
 	"tealpond/internal/rpc"
 	"tealpond/internal/state"
+	"tealpond/internal/tally"
 	"tealpond/internal/tuning"
 )
 
@@ -207,6 +208,27 @@
 	return table
 }
 
+// tallyTables are this replica's tallies, and what it knows of the other replicas of them:
+// since when each is silent (-1: it was never heard), and how many adds that are here are not
+// known to be there. The replica is nil where there are no tallies.
+func tallyTables(replica *tally.Replica, now time.Time) []rpc.Table {
+	tallies, peers := newTable("tallies", "name", "total"), newTable("tally_peers", "id", "silent_ms", "lacks")
+	if replica == nil {
+		return []rpc.Table{tallies, peers}
+	}
+	for name, total := range replica.Totals() {
+		addRow(&tallies, name, total)
+	}
+	for _, peer := range replica.Peers() {
+		silent := int64(-1)
+		if !peer.HeardAt.IsZero() {
+			silent = now.Sub(peer.HeardAt).Milliseconds()
+		}
+		addRow(&peers, peer.ID, silent, peer.Lacks)
+	}
+	return []rpc.Table{tallies, peers}
+}
+
 func lockTable(store *state.Store) rpc.Table {
 	table := newTable("locks", "name", "holder", "fence", "held_ms", "left_ms")
 	if store.Coordination == nil {
--- a/internal/server/state_tables_test.go
+++ b/internal/server/state_tables_test.go
@@ -34,6 +34,8 @@
 numbers: name value
 keys: name group_name value revision
 zones: zone evacuated revision since_ms
+tallies: name total
+tally_peers: id silent_ms lacks
 `
 	synctest.Test(t, func(t *testing.T) {
 		h := newLeader(t)
--- a/internal/server/tallies.go
+++ b/internal/server/tallies.go
@@ -30,6 +30,7 @@
 	guests  map[string]time.Time // replicas that are no voters, and when they were last heard
 	changed bool                 // there may be something to write or send
 	tickAt  time.Time            // when the replica is to look at the time
+	silent  map[string]bool      // of each other replica, as it was logged last
 }
 
 // openedTallies is the outcome of opening the file of the tallies.
@@ -157,6 +158,24 @@
 	r.tallies.replica.SetPeers(r.tallyPeers())
 	r.tallies.replica.Abandon(now.Add(-tuning.TallyRequestTimeout))
 	r.tallies.replica.Tick(now)
+	r.logTallyPeers(now)
+}
+
+// logTallyPeers logs which other replicas fall silent, and are heard again with how many
+// adds that they may lack.
+func (r *Replica) logTallyPeers(now time.Time) {
+	for _, peer := range r.tallies.replica.Peers() {
+		silent := now.Sub(peer.HeardAt) > tuning.TallyPeerTimeout
+		switch {
+		case peer.HeardAt.IsZero() || silent == r.tallies.silent[peer.ID]:
+			continue
+		case silent:
+			_ = r.log.Log("level", "warn", "event", "tally.peer_silent", "disk", peer.ID)
+		default:
+			_ = r.log.Log("level", "info", "event", "tally.peer_heard", "disk", peer.ID, "lacks", peer.Lacks)
+		}
+		r.tallies.silent[peer.ID] = silent
+	}
 }
 
 // handleChangeTally adds to a tally. There is no answer to an add that is not acknowledged
