--- a/internal/agent/role.go
+++ b/internal/agent/role.go
@@ -68,8 +68,7 @@
 // leave ends the listener in order. The runner's next call goes to the next process, so its
 // connections are closed without notice.
 func (a *Agent) leave(httpServer *httpserver.Server) {
-	grace := time.Duration(a.settings.Bounds.GraceS * float64(time.Second))
-	leaving := httpserver.BeginLeaving([]*httpserver.Server{httpServer}, shutdown.TimesOf(grace, 0))
+	leaving := httpserver.BeginLeaving([]*httpserver.Server{httpServer}, shutdown.TimesOf(a.settings.Grace(), 0))
 	_ = a.log.Log("level", "info", "event", "shutdown.begun", "open", leaving.Open())
 	nothingToHandOver := make(chan struct{})
 	close(nothingToHandOver)
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -153,9 +153,8 @@
 
 // leave ends this daemon in order.
 func (s *Server) leave(httpServers []*httpserver.Server) {
-	grace := time.Duration(s.settings.Bounds.GraceS * float64(time.Second))
 	s.leaving.Store(true)
-	leaving := httpserver.BeginLeaving(httpServers, shutdown.TimesOf(grace, tuning.ShutdownNotice))
+	leaving := httpserver.BeginLeaving(httpServers, shutdown.TimesOf(s.settings.Grace(), tuning.ShutdownNotice))
 	_ = s.log.Log("level", "info", "event", "shutdown.begun", "open", leaving.Open())
 	s.startLeaving()
 	if s.gateway != nil {
--- a/internal/gateway/pipeline.go
+++ b/internal/gateway/pipeline.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"tealpond/internal/clusterconfig"
+	"tealpond/internal/httpserver"
 	"tealpond/internal/protocol"
 )
 
@@ -116,12 +117,7 @@
 }
 
 // CloseWrite lets the server end a connection without a reset.
-func (c *clientConn) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
-	}
-	return nil
-}
+func (c *clientConn) CloseWrite() error { return httpserver.CloseWrite(c.Conn) }
 
 // scan looks for requests in what has come in, and sends those ahead that may be.
 func (c *clientConn) scan(data []byte) {
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -164,7 +164,7 @@
 		return net.ErrClosed
 	}
 	c.closed, c.waiting = true, false
-	if c.mayBeReset() && c.CloseWrite() == nil {
+	if c.mayBeReset() && CloseWrite(c.Conn) == nil {
 		go c.linger()
 		return nil
 	}
@@ -181,14 +181,18 @@
 // errNoHalfClose is the error of a connection both of whose sides close together.
 var errNoHalfClose = errors.New("the connection has no half close")
 
-// CloseWrite closes this side only.
-func (c *conn) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+// CloseWrite closes this side of a connection only. The error tells that it has no half
+// close, or is broken.
+func CloseWrite(conn net.Conn) error {
+	if half, ok := conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
 	return errNoHalfClose
 }
 
+// CloseWrite lets the library end a connection without a reset.
+func (c *conn) CloseWrite() error { return CloseWrite(c.Conn) }
+
 // linger closes the connection once the client's side has received all.
 func (c *conn) linger() {
 	defer c.server.remove(c)
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -161,6 +161,29 @@
 	}
 }
 
+// TestHeadInPartsIsAwaited: a request of which a part has come in is not a wait, also the
+// first one of its connection, for which the library sets one deadline only.
+func TestHeadInPartsIsAwaited(t *testing.T) {
+	s := newTestServer(t)
+	c := s.dial()
+	if _, err := io.WriteString(c.conn, "GET /now HTTP/1.1\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	for until := time.Now().Add(time.Minute); ; runtime.Gosched() {
+		if connections := s.server.connections(); len(connections) == 1 && !connections[0].isWaiting() {
+			break
+		}
+		if time.Now().After(until) {
+			t.Fatal("the request still counts as not begun")
+		}
+	}
+	s.server.closeWaiting(time.Now().Add(time.Hour), 0)
+	if _, err := io.WriteString(c.conn, "Host: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	c.wantAnswer(http.StatusOK)
+}
+
 // TestRequestsOfAMomentAreAnsweredOrUnread: clients send on kept connections without a pause
 // while the daemon ends. What was handled is answered, each time.
 func TestRequestsOfAMomentAreAnsweredOrUnread(t *testing.T) {
--- a/internal/server/leave.go
+++ b/internal/server/leave.go
@@ -19,7 +19,7 @@
 
 // leaveTimeout is the longest that a server waits before it ends.
 func (r *Replica) leaveTimeout() time.Duration {
-	return max(tuning.LeadershipTransferTimeout, time.Duration(r.settings.Bounds.GraceS*tuning.ShutdownWaitFraction*float64(time.Second)))
+	return max(tuning.LeadershipTransferTimeout, time.Duration(tuning.ShutdownWaitFraction*float64(r.settings.Grace())))
 }
 
 // Leave hands over leadership or aggregation before the process ends, and waits,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -209,6 +209,11 @@
 	return len(f.Contracts) == 0 || slices.Contains(f.Contracts, ContractJobs)
 }
 
+// Grace is how long a daemon that was told to end may take before it is killed.
+func (f *File) Grace() time.Duration {
+	return time.Duration(f.Bounds.GraceS * float64(time.Second))
+}
+
 // HasTallies tells whether the rules on tallies are in force.
 func (f *File) HasTallies() bool { return slices.Contains(f.Contracts, ContractTallies) }
 
