--- a/internal/simulation/again_test.go
+++ b/internal/simulation/again_test.go
@@ -120,7 +120,7 @@
 		time.Sleep(5 * time.Second)
 		done := 0
 		for _, name := range c.nodeNames(agentRole) {
-			for _, event := range c.History.seen(EventRunEnded, c.Runners[name].incarnation, time.Time{}) {
+			for _, event := range c.History.seen(EventRunEnded, c.Runners[name].Incarnation(), time.Time{}) {
 				if event.Outcome == runDone {
 					done++
 				}
--- a/internal/simulation/cluster_test.go
+++ b/internal/simulation/cluster_test.go
@@ -135,12 +135,9 @@
 		c.SubmitJob(jobID(0), newJob(800, 500, 6))
 		time.Sleep(300 * time.Millisecond)
 		for _, runner := range c.Runners {
-			runner.mu.Lock()
-			runner.advance()
-			if len(runner.runs) > 0 {
-				runner.Silent = true
+			if runner.Running() > 0 {
+				runner.update(func() { runner.Silent = true })
 			}
-			runner.mu.Unlock()
 		}
 		from := time.Now()
 		c.waitJobDone(jobID(0), 30*time.Second)
@@ -159,19 +156,14 @@
 		time.Sleep(500 * time.Millisecond)
 		var left *Runner
 		for _, runner := range c.Runners {
-			runner.mu.Lock()
-			if len(runner.runs) > 0 {
-				runner.Draining, left = true, runner
+			if runner.Running() > 0 {
+				runner.update(func() { runner.Draining, left = true, runner })
 			}
-			runner.mu.Unlock()
 		}
 		time.Sleep(5500 * time.Millisecond)
-		left.mu.Lock()
-		left.advance()
-		if len(left.runs) > 0 {
+		if left.Running() > 0 {
 			t.Error("it still runs on a worker that has left")
 		}
-		left.mu.Unlock()
 		c.waitJobDone(jobID(0), 20*time.Second)
 		c.requireNoViolations()
 	})
--- a/internal/simulation/history.go
+++ b/internal/simulation/history.go
@@ -6,6 +6,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"tealpond/internal/standin"
 )
 
 // EventKind tells what a stand-in saw.
@@ -14,13 +16,13 @@
 // What runners see. An agent requests a start and the run starts, or not; it ends;
 // its end is listed to the agent, which acknowledges it.
 const (
-	EventStartRequested EventKind = "start requested"
-	EventRunStarted     EventKind = "run started"
-	EventRunEnded       EventKind = "run ended"
-	EventListed         EventKind = "end listed"
-	EventAcknowledged   EventKind = "end acknowledged"
-	EventLeaseExpired   EventKind = "lease expired"
-	EventCrashed        EventKind = "runner crashed"
+	EventStartRequested = EventKind(standin.WorkerStartRequested)
+	EventRunStarted     = EventKind(standin.WorkerRunStarted)
+	EventRunEnded       = EventKind(standin.WorkerRunEnded)
+	EventListed         = EventKind(standin.WorkerEndListed)
+	EventAcknowledged   = EventKind(standin.WorkerAcknowledged)
+	EventLeaseExpired   = EventKind(standin.WorkerLeaseExpired)
+	EventCrashed        = EventKind(standin.WorkerCrashed)
 )
 
 // What is seen from outside.
@@ -35,11 +37,11 @@
 
 // Outcomes of a run, as runners list them, and one for runs lost in a crash.
 const (
-	runDone    = "done"
-	runFailed  = "failed"
-	runStopped = "stopped"
-	runLapsed  = "lapsed"
-	runCrashed = "crashed"
+	runDone    = standin.RunDone
+	runFailed  = standin.RunFailed
+	runStopped = standin.RunStopped
+	runLapsed  = standin.RunLapsed
+	runCrashed = standin.RunCrashed
 )
 
 // States of a job that the checkers know, as clients are told them.
--- a/internal/simulation/overload_test.go
+++ b/internal/simulation/overload_test.go
@@ -58,13 +58,11 @@
 		}
 	}, func(c *Cluster) {
 		runner := c.Runners["side-2"]
-		runner.update(func() { runner.started = 0 })
+		runner.ForgetStarted()
 		time.Sleep(4 * time.Second)
 		c.SubmitJob(jobID(100), newJob(300, 1000, 20))
 		c.waitJobDone(jobID(100), 10*time.Second)
-		runner.mu.Lock()
-		defer runner.mu.Unlock()
-		if runner.started == 0 {
+		if runner.Started() == 0 {
 			t.Error("it is not used again")
 		}
 	})
--- a/internal/simulation/upgrade_test.go
+++ b/internal/simulation/upgrade_test.go
@@ -198,10 +198,7 @@
 		c.addMachines(false, servers...)
 		for name, runner := range c.Runners {
 			// The runners' machines were restarted too: their next incarnations begin.
-			runner.update(func() {
-				runner.incarnations = before.incarnations[name]
-				runner.startIncarnation()
-			})
+			runner.SkipIncarnations(before.incarnations[name])
 		}
 		c.failOnDivergence()
 		c.startAll()
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,470 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"tealpond/internal/agent"
+	"tealpond/internal/protocol"
+)
+
+// keepAlivePath is the protocol's path for renewing a lease and polling the lists.
+const keepAlivePath = "/-/hold"
+
+// maxLeaseAheadMs is how far ahead a lease may lie that a runner accepts.
+const maxLeaseAheadMs = 10000
+
+// WorkerEventKind tells what a worker's runner saw.
+type WorkerEventKind string
+
+// What runners see. An agent requests a start and the run starts, or not; it ends; its end
+// is listed to the agent, which acknowledges it.
+const (
+	WorkerStartRequested WorkerEventKind = "start requested"
+	WorkerRunStarted     WorkerEventKind = "run started"
+	WorkerRunEnded       WorkerEventKind = "run ended"
+	WorkerEndListed      WorkerEventKind = "end listed"
+	WorkerAcknowledged   WorkerEventKind = "end acknowledged"
+	WorkerLeaseExpired   WorkerEventKind = "lease expired"
+	WorkerCrashed        WorkerEventKind = "runner crashed"
+)
+
+// Results of a run, as runners list them, and one for runs lost in a crash.
+const (
+	RunDone    = "done"
+	RunFailed  = "failed"
+	RunStopped = "stopped"
+	RunLapsed  = "lapsed"
+	RunCrashed = "crashed"
+)
+
+// WorkerEvent is one thing that a worker's runner saw. Which fields are set depends on its
+// kind.
+type WorkerEvent struct {
+	Kind             WorkerEventKind
+	Node             string
+	Incarnation      string // of the runner
+	Task             string
+	Run              int
+	Outcome          string
+	Completion       int64 // the sequence number of a run's end
+	JobSpec          string
+	CPUInUse         int64 // thousandths of a core, the run that starts included
+	CPUCapacity      int64
+	EnforcesCapacity bool
+}
+
+// WorkerOptions are what a Worker is built from.
+type WorkerOptions struct {
+	Node, Service, Zone string
+	Seed                int64 // of its clock, and of what it does late
+	// Observe is told of each event; nil: nobody is. It must not call the worker.
+	Observe func(WorkerEvent)
+	// FailsNow tells whether a run of a task fails that may fail so many times.
+	FailsNow func(task string, times int) bool
+}
+
+// Worker is a stand-in for the runner of a worker machine, by the operators' protocol. A
+// jobSpec of the form "ms=300 cpu=500 fail=1" gives a run's duration, the thousandths of a
+// core that it uses, and how many runs of its task fail.
+//
+// Exported fields may be changed at any time, by Update.
+type Worker struct {
+	mu               sync.Mutex
+	options          WorkerOptions
+	Node             string
+	Service          string
+	Zone             string
+	Labels           []string
+	Capacity         protocol.Resources
+	EnforcesCapacity bool
+	Draining         bool    // it says so in its heartbeats
+	Silent           bool    // it answers nothing
+	LateFraction     float64 // part of the requests carried out late, without an answer
+	LostAnswers      float64 // part of the requests that are carried out and whose answers are lost
+	Stalled          bool    // tasks make no progress
+	RejectsStarts    bool    // it answers starts with 503, and its heartbeats go on
+
+	incarnation    string
+	incarnations   int // so far
+	clockStart     time.Time
+	clockSlowdown  float64 // how many times as slow as time its clock runs
+	fence          int64
+	leaseUntil     int64 // on the runner's clock, in ms; 0 if there is no lease
+	acknowledged   int64 // the last completion that was acknowledged
+	lastCompletion int64
+	runs           map[string]*runnerTask // by taskRunKey
+	highestRun     map[string]int         // that stopped or ended, by task
+	completions    []protocol.Completion  // not acknowledged yet
+	changed        chan struct{}          // closed at the next completion
+	random         *rand.Rand
+	started        int // runs
+	heartbeatSeq   int64
+}
+
+// runnerTask is a run under way.
+type runnerTask struct {
+	task      string
+	run       int
+	spec      string
+	duration  time.Duration
+	progress  time.Duration
+	updatedAt time.Time // when progress was
+}
+
+func taskRunKey(task string, run int) string { return task + "/" + strconv.Itoa(run) }
+
+// NewWorker makes a worker with a runner in its first incarnation.
+func NewWorker(options WorkerOptions) *Worker {
+	w := &Worker{options: options, Node: options.Node, Service: options.Service, Zone: options.Zone, Labels: []string{"a", "r1"},
+		Capacity: protocol.Resources{CPUUnits: 8000, MemoryMB: 8000}, EnforcesCapacity: true,
+		changed: make(chan struct{}), random: rand.New(rand.NewSource(options.Seed)), clockSlowdown: 1}
+	w.startIncarnation()
+	return w
+}
+
+// record tells of an event.
+func (w *Worker) record(event WorkerEvent) {
+	if w.options.Observe != nil {
+		event.Node = w.Node
+		w.options.Observe(event)
+	}
+}
+
+// startIncarnation begins an incarnation that runs nothing and knows no fence.
+func (w *Worker) startIncarnation() {
+	w.incarnations++
+	w.incarnation = fmt.Sprintf("i-%s-%d", w.Node, w.incarnations)
+	w.clockStart = time.Now().Add(-time.Duration(w.random.Intn(100000)) * time.Millisecond)
+	w.fence, w.leaseUntil, w.acknowledged, w.lastCompletion = 0, 0, 0, 0
+	w.runs, w.highestRun, w.completions = map[string]*runnerTask{}, map[string]int{}, nil
+}
+
+// clock is the runner's monotonic clock, in ms.
+func (w *Worker) clock() int64 {
+	return int64(float64(time.Since(w.clockStart).Milliseconds()) / w.clockSlowdown)
+}
+
+// Update changes how the runner behaves from now on.
+func (w *Worker) Update(change func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	change()
+}
+
+// Crash ends this incarnation and begins the next one.
+func (w *Worker) Crash() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	for _, running := range w.runs {
+		w.record(WorkerEvent{Kind: WorkerRunEnded, Incarnation: w.incarnation, Task: running.task, Run: running.run, Outcome: RunCrashed})
+	}
+	w.record(WorkerEvent{Kind: WorkerCrashed, Incarnation: w.incarnation})
+	w.startIncarnation()
+}
+
+// advance brings runs and the lease up to now. It is called with w.mu held.
+func (w *Worker) advance() {
+	now := time.Now()
+	if w.leaseUntil > 0 && w.clock() > w.leaseUntil {
+		for key, running := range w.runs {
+			w.finish(key, running, RunLapsed)
+		}
+		w.record(WorkerEvent{Kind: WorkerLeaseExpired, Incarnation: w.incarnation})
+		w.leaseUntil = 0
+	}
+	for key, running := range w.runs {
+		if !w.Stalled {
+			running.progress += now.Sub(running.updatedAt)
+		}
+		running.updatedAt = now
+		if running.progress >= running.duration {
+			outcome := RunDone
+			if w.failsNow(running.task, specField(running.spec, "fail")) {
+				outcome = RunFailed
+			}
+			w.finish(key, running, outcome)
+		}
+	}
+}
+
+// failsNow tells whether a run that is over has failed.
+func (w *Worker) failsNow(task string, times int) bool {
+	return times > 0 && w.options.FailsNow != nil && w.options.FailsNow(task, times)
+}
+
+// finish ends a run and lists its end.
+func (w *Worker) finish(key string, ended *runnerTask, outcome string) {
+	delete(w.runs, key)
+	w.highestRun[ended.task] = max(w.highestRun[ended.task], ended.run)
+	w.lastCompletion++
+	w.completions = append(w.completions, protocol.Completion{Sequence: w.lastCompletion, Task: ended.task, Run: ended.run, Result: outcome})
+	w.record(WorkerEvent{Kind: WorkerRunEnded, Incarnation: w.incarnation, Task: ended.task, Run: ended.run, Outcome: outcome, Completion: w.lastCompletion})
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// specField is the number that a jobSpec gives for a name, or 0.
+func specField(spec, name string) int {
+	for _, field := range strings.Fields(spec) {
+		if value, ok := strings.CutPrefix(field, name+"="); ok {
+			n, _ := strconv.Atoi(value)
+			return n
+		}
+	}
+	return 0
+}
+
+// Call makes a call to the runner, as an agent does over the runner's port. The path is
+// that of the protocol; incarnation is the one that the agent believes to be there.
+func (w *Worker) Call(ctx context.Context, incarnation, path string, body any) agent.RunnerResponse {
+	w.mu.Lock()
+	if start, ok := body.(protocol.StartRequest); ok {
+		w.record(WorkerEvent{Kind: WorkerStartRequested, Incarnation: incarnation, Task: start.TaskID, Run: start.RunID})
+	}
+	if w.Silent {
+		w.mu.Unlock()
+		<-ctx.Done()
+		return agent.RunnerResponse{}
+	}
+	if path != keepAlivePath && w.random.Float64() < w.LateFraction {
+		delay := time.Duration(2000+w.random.Intn(10000)) * time.Millisecond
+		w.mu.Unlock()
+		go func() {
+			time.Sleep(delay)
+			w.mu.Lock()
+			w.handle(incarnation, body)
+			w.mu.Unlock()
+		}()
+		<-ctx.Done()
+		return agent.RunnerResponse{}
+	}
+	if path != keepAlivePath && w.random.Float64() < w.LostAnswers {
+		w.handle(incarnation, body)
+		w.mu.Unlock()
+		<-ctx.Done()
+		return agent.RunnerResponse{}
+	}
+	defer w.mu.Unlock()
+	if poll, ok := body.(protocol.KeepAliveRequest); ok {
+		return w.keepAlive(ctx, incarnation, poll)
+	}
+	return w.handle(incarnation, body)
+}
+
+// accept is the response to a request that was carried out.
+func (w *Worker) accept() agent.RunnerResponse {
+	return agent.RunnerResponse{StatusCode: http.StatusOK, Run: protocol.RunResponse{ClockMs: w.clock()}}
+}
+
+// reject is the response to a request that is refused for a reason of the protocol.
+func (w *Worker) reject(reason string) agent.RunnerResponse {
+	return agent.RunnerResponse{StatusCode: http.StatusConflict, Run: protocol.RunResponse{ClockMs: w.clock(), Reason: reason}}
+}
+
+// handle carries out a start or a stop. It is called with w.mu held.
+func (w *Worker) handle(incarnation string, body any) agent.RunnerResponse {
+	w.advance()
+	if incarnation != w.incarnation {
+		return agent.RunnerResponse{StatusCode: http.StatusMisdirectedRequest}
+	}
+	switch request := body.(type) {
+	case protocol.StartRequest:
+		return w.start(request)
+	case protocol.StopRequest:
+		return w.stop(request)
+	}
+	return w.accept()
+}
+
+func (w *Worker) start(request protocol.StartRequest) agent.RunnerResponse {
+	if w.RejectsStarts {
+		return agent.RunnerResponse{StatusCode: http.StatusServiceUnavailable}
+	}
+	if request.Fence < w.fence {
+		return w.reject("fence")
+	}
+	w.fence = request.Fence
+	if request.LeaseUntilMs <= w.clock() {
+		return w.reject("late")
+	}
+	w.leaseUntil = max(w.leaseUntil, request.LeaseUntilMs)
+	key := taskRunKey(request.TaskID, request.RunID)
+	if w.runs[key] != nil {
+		return w.accept()
+	}
+	cpu := int64(specField(request.Spec, "cpu"))
+	for _, running := range w.runs {
+		cpu += int64(specField(running.spec, "cpu"))
+	}
+	if cpu > w.Capacity.CPUUnits && w.EnforcesCapacity {
+		// This comes before the check for an old run: the protocol names no order,
+		// and a refusal for room must not be taken for "it never ran here".
+		return w.reject("room")
+	}
+	if request.RunID <= w.highestRun[request.TaskID] {
+		return w.reject("old")
+	}
+	w.runs[key] = &runnerTask{task: request.TaskID, run: request.RunID, spec: request.Spec, duration: time.Duration(specField(request.Spec, "ms")) * time.Millisecond, updatedAt: time.Now()}
+	w.record(WorkerEvent{Kind: WorkerRunStarted, Incarnation: w.incarnation, Task: request.TaskID, Run: request.RunID, JobSpec: request.Spec, CPUInUse: cpu, CPUCapacity: w.Capacity.CPUUnits, EnforcesCapacity: w.EnforcesCapacity})
+	w.started++
+	go w.advanceAfter(w.runs[key].duration)
+	return w.accept()
+}
+
+func (w *Worker) stop(request protocol.StopRequest) agent.RunnerResponse {
+	if request.Fence < w.fence {
+		return w.reject("fence")
+	}
+	w.fence = request.Fence
+	key := taskRunKey(request.TaskID, request.RunID)
+	if running := w.runs[key]; running != nil {
+		w.finish(key, running, RunStopped)
+	}
+	w.highestRun[request.TaskID] = max(w.highestRun[request.TaskID], request.RunID)
+	return w.accept()
+}
+
+// advanceAfter advances the runner when a run should be over, so that its end is seen
+// in time.
+func (w *Worker) advanceAfter(d time.Duration) {
+	time.Sleep(d)
+	w.mu.Lock()
+	w.advance()
+	w.mu.Unlock()
+}
+
+// keepAlive renews the lease, takes acknowledgements, and gives the lists of runs once
+// there are completions or the poll's time is up. It is called and returns with w.mu
+// held, and lets go of it while it waits.
+func (w *Worker) keepAlive(ctx context.Context, incarnation string, poll protocol.KeepAliveRequest) agent.RunnerResponse {
+	w.advance()
+	if incarnation != w.incarnation {
+		return agent.RunnerResponse{StatusCode: http.StatusMisdirectedRequest}
+	}
+	if poll.Fence < w.fence {
+		return w.reject("fence")
+	}
+	w.fence = poll.Fence
+	if poll.LeaseUntilMs > w.leaseUntil {
+		w.leaseUntil = min(poll.LeaseUntilMs, w.clock()+maxLeaseAheadMs)
+	}
+	w.acknowledge(poll.AcknowledgedSequence)
+	if poll.WaitMs > 0 && len(w.completions) == 0 {
+		changed := w.changed
+		w.mu.Unlock()
+		timer := time.NewTimer(time.Duration(poll.WaitMs) * time.Millisecond)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		w.mu.Lock()
+		w.advance()
+		if ctx.Err() != nil || incarnation != w.incarnation || w.Silent {
+			return agent.RunnerResponse{}
+		}
+	}
+	return w.lists()
+}
+
+// acknowledge drops the completions up to a number from the list.
+func (w *Worker) acknowledge(number int64) {
+	if number <= w.acknowledged {
+		return
+	}
+	for n := w.acknowledged + 1; n <= number; n++ {
+		w.record(WorkerEvent{Kind: WorkerAcknowledged, Incarnation: w.incarnation, Completion: n})
+	}
+	w.acknowledged = number
+	kept := w.completions[:0:0]
+	for _, completion := range w.completions {
+		if completion.Sequence > number {
+			kept = append(kept, completion)
+		}
+	}
+	w.completions = kept
+}
+
+// lists is the response that lists what runs and what has ended.
+func (w *Worker) lists() agent.RunnerResponse {
+	response := w.accept()
+	response.KeepAlive.ClockMs = response.Run.ClockMs
+	for _, running := range w.runs {
+		percent := min(99, 100*running.progress/max(running.duration, 1))
+		response.KeepAlive.Running = append(response.KeepAlive.Running, []any{running.task, float64(running.run), "", float64(percent)})
+	}
+	for _, completion := range w.completions {
+		w.record(WorkerEvent{Kind: WorkerEndListed, Incarnation: w.incarnation, Task: completion.Task, Run: completion.Run, Completion: completion.Sequence})
+		response.KeepAlive.Ended = append(response.KeepAlive.Ended, []any{float64(completion.Sequence), completion.Task, float64(completion.Run), completion.Result, completion.Checkpoint})
+	}
+	return response
+}
+
+// Heartbeat is the runner's next heartbeat, and its incarnation.
+func (w *Worker) Heartbeat() (string, protocol.Heartbeat) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	w.heartbeatSeq++
+	heartbeat := protocol.Heartbeat{Service: w.Service, Address: "x:1", Zone: w.Zone, State: "ready", FreeResources: w.Capacity, Labels: w.Labels, ClockMs: w.clock(), Sequence: w.heartbeatSeq}
+	if w.Draining {
+		heartbeat.State = "draining"
+		leavesInMs := int64(5000)
+		heartbeat.LeavesInMs = &leavesInMs
+	}
+	return w.incarnation, heartbeat
+}
+
+// Incarnation is the runner's present one.
+func (w *Worker) Incarnation() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.incarnation
+}
+
+// Running is how many runs are under way.
+func (w *Worker) Running() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	return len(w.runs)
+}
+
+// Started is how many runs have started since the last call of ForgetStarted.
+func (w *Worker) Started() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.started
+}
+
+// ForgetStarted begins to count anew.
+func (w *Worker) ForgetStarted() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.started = 0
+}
+
+// SkipIncarnations begins the incarnation behind so many others.
+func (w *Worker) SkipIncarnations(count int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.incarnations = count
+	w.startIncarnation()
+}
+
+// SetClockSlowdown says how many times as slow as time the runner's clock runs.
+func (w *Worker) SetClockSlowdown(times float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.clockSlowdown = times
+}
