--- a/cmd/tealpond/main.go
+++ b/cmd/tealpond/main.go
@@ -54,6 +54,7 @@
 		return exitOK
 	}
 	p.addTools(app)
+	p.addTrial(app)
 	name, err := parse(app, args)
 	switch {
 	case err != nil:
--- a/internal/localcluster/cluster.go
+++ b/internal/localcluster/cluster.go
@@ -25,6 +25,7 @@
 const (
 	clientPort    = 18161
 	controlPort   = 18166
+	runnerPort    = 18165
 	readinessPort = 18167
 	daemonPort    = 17720 // the first of those for the daemons among themselves
 	daemonPorts   = 10
@@ -44,6 +45,9 @@
 	Role      string // the role of all daemons
 	Servers   int    // daemons with a disk
 	Proxies   int    // daemons without one
+	// Agents are daemons of AgentRole, each beside a runner at its RunnerAddress.
+	Agents    int
+	AgentRole string
 	Zones     int
 	// Environment is added to that of this process, as NAME=VALUE.
 	Environment []string
@@ -59,6 +63,16 @@
 // Host gives the address of a host, from 1 to 254.
 func (s Subnet) Host(host int) string { return fmt.Sprintf("127.%d.%d.%d", s.A, s.B, host) }
 
+// InUse tells whether somebody listens on the network already, as the first daemon would.
+func (s Subnet) InUse() bool {
+	listener, err := net.Listen("tcp", hostPort(s.Host(1), clientPort))
+	if err != nil {
+		return true
+	}
+	_ = listener.Close()
+	return false
+}
+
 // Cluster is a set of daemons that run as processes. It is safe for concurrent use.
 type Cluster struct {
 	options Options
@@ -81,8 +95,11 @@
 // Start starts a cluster. After an error nothing is left behind.
 func Start(options Options) (*Cluster, error) {
 	c := &Cluster{options: options, startAt: time.Now(), daemons: map[string]*Daemon{}}
-	for i := range options.Servers + options.Proxies {
-		daemon := &Daemon{cluster: c, Name: fmt.Sprintf("node-%d", i+1), IP: options.Subnet.Host(i + 1), Zone: fmt.Sprint("z", i%max(options.Zones, 1)), server: i < options.Servers}
+	for i := range options.Servers + options.Proxies + options.Agents {
+		daemon := &Daemon{cluster: c, Name: fmt.Sprintf("node-%d", i+1), IP: options.Subnet.Host(i + 1), Zone: fmt.Sprint("z", i%max(options.Zones, 1)), Role: options.Role, server: i < options.Servers}
+		if i >= options.Servers+options.Proxies {
+			daemon.Role = options.AgentRole
+		}
 		c.daemons[daemon.Name] = daemon
 		c.names = append(c.names, daemon.Name)
 	}
@@ -155,10 +172,15 @@
 // settingsOf fills in the settings of one daemon.
 func (c *Cluster) settingsOf(d *Daemon, firstStart bool) settings.File {
 	file := c.options.Settings
-	file.NodeName, file.Role, file.IPAddress, file.Zone = d.Name, c.options.Role, d.IP, d.Zone
-	file.Serves = []string{"edge", "control"}
+	file.NodeName, file.Role, file.IPAddress, file.Zone = d.Name, d.Role, d.IP, d.Zone
 	file.InnerPortRange = []int{daemonPort, daemonPort + daemonPorts}
 	file.SeedNodes, file.FirstStart = c.seeds(), firstStart
+	if d.isAgent() {
+		file.Serves, file.RunnerAddress = []string{"side"}, d.RunnerAddress()
+		file.ListenAddresses = settings.ListenAddresses{Control: d.ControlAddress()}
+		return file
+	}
+	file.Serves = []string{"edge", "control"}
 	file.ListenAddresses = settings.ListenAddresses{FrontHTTP: d.ClientAddress(), Readiness: hostPort(d.IP, readinessPort), Control: d.ControlAddress()}
 	if d.server {
 		file.DataDir, file.LossCounts = filepath.Join(d.directory(), "data"), true
--- a/internal/localcluster/daemon.go
+++ b/internal/localcluster/daemon.go
@@ -28,9 +28,9 @@
 
 // Daemon is one daemon of a cluster, over all of its processes.
 type Daemon struct {
-	Name, IP, Zone string
-	cluster        *Cluster
-	server         bool // it has a disk
+	Name, IP, Zone, Role string
+	cluster              *Cluster
+	server               bool // it has a disk
 
 	mu      sync.Mutex
 	process *process // the present or the last one
@@ -50,6 +50,15 @@
 // ControlAddress is where it serves operators.
 func (d *Daemon) ControlAddress() string { return hostPort(d.IP, controlPort) }
 
+// RunnerAddress is where the runner beside an agent serves.
+func (d *Daemon) RunnerAddress() string { return hostPort(d.IP, runnerPort) }
+
+// DaemonAddress is where it serves other daemons, and the operators' tools.
+func (d *Daemon) DaemonAddress() string { return hostPort(d.IP, daemonPort) }
+
+// isAgent tells whether the daemon is one beside a runner.
+func (d *Daemon) isAgent() bool { return d.Role != d.cluster.options.Role }
+
 // ReadinessAddress is where it tells whether it is ready.
 func (d *Daemon) ReadinessAddress() string { return hostPort(d.IP, readinessPort) }
 
@@ -73,7 +82,7 @@
 	if err := writeSettings(path, d.cluster.settingsOf(d, firstStart)); err != nil {
 		return fmt.Errorf("%s: %w", d.Name, err)
 	}
-	command := exec.Command(d.cluster.options.Program, d.cluster.options.Role, "--settings", path)
+	command := exec.Command(d.cluster.options.Program, d.Role, "--settings", path)
 	command.Env = append(os.Environ(), d.cluster.options.Environment...)
 	// A daemon must not outlive whoever started it.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- /dev/null
+++ b/internal/trial/calls.go
@@ -0,0 +1,172 @@
+package trial
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"tealpond/internal/protocol"
+)
+
+// Names in the trial's configuration.
+const (
+	host      = "trial.example"
+	jobPrefix = "/jobs/"
+	service   = "trial"
+)
+
+// configuration has one route, whose jobs run on the trial's runners.
+const configuration = `{"configVersion":1,"routeList":[{"name":"jobs","hostName":"` + host + `","pathPrefix":"` + jobPrefix +
+	`","kind":"writing","timeoutMs":3000,"targetMs":1000,"priority":0,"targetService":"` + service + `","maxTries":3,"stretch":2}],` +
+	`"serviceList":[{"name":"` + service + `","guards":true}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144}}`
+
+// callTimeout bounds one call: daemons answer within a second.
+const callTimeout = 1500 * time.Millisecond
+
+// call makes a call to a daemon's port. The error tells that there was no answer, or none
+// that could be decoded into the answer's type, which may be nil.
+func (t *trial) call(method, address, path string, body, answer any, headers map[string]string) (status int, err error) {
+	ctx, cancel := context.WithTimeout(t.ctx, callTimeout)
+	defer cancel()
+	raw, isText := body.(string)
+	if !isText && body != nil {
+		encoded, err := json.Marshal(body)
+		if err != nil {
+			return 0, fmt.Errorf("%s %s: %w", method, path, err)
+		}
+		raw = string(encoded)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader([]byte(raw)))
+	if err != nil {
+		return 0, fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	request.Host = host
+	request.Header.Set("Content-Type", "application/json")
+	for name, value := range headers {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err
+	}
+	if response.StatusCode == http.StatusOK && answer != nil {
+		if err := json.Unmarshal(text, answer); err != nil {
+			return 0, fmt.Errorf("%s %s: unreadable answer: %w", method, path, err)
+		}
+	}
+	return response.StatusCode, nil
+}
+
+// control makes a call to the control port of the daemon without a disk, which is never
+// killed.
+func (t *trial) control(method, path string, body, answer any, headers map[string]string) (status int, err error) {
+	daemon, err := t.cluster.Daemon(t.cluster.Names()[servers])
+	if err != nil {
+		return 0, err
+	}
+	return t.call(method, daemon.ControlAddress(), path, body, answer, headers)
+}
+
+// client makes a client's call to that daemon.
+func (t *trial) client(method, path string, body, answer any) (status int, err error) {
+	daemon, err := t.cluster.Daemon(t.cluster.Names()[servers])
+	if err != nil {
+		return 0, err
+	}
+	return t.call(method, daemon.ClientAddress(), path, body, answer, nil)
+}
+
+// isReady tells whether all daemons for clients say that they are ready.
+func (t *trial) isReady() bool {
+	for _, name := range t.cluster.Names()[:servers+1] {
+		daemon, err := t.cluster.Daemon(name)
+		if err != nil {
+			return false
+		}
+		if status, err := t.call(http.MethodGet, daemon.ReadinessAddress(), "/-/readiness", nil, nil, nil); err != nil || status != http.StatusOK {
+			return false
+		}
+	}
+	return true
+}
+
+// configure sends the configuration; it tells whether it is in force.
+func (t *trial) configure() bool {
+	status, err := t.control(http.MethodPost, "/-/Config.Replace", configuration, nil, map[string]string{protocol.HeaderBasedOn: "0"})
+	return err == nil && status == http.StatusOK
+}
+
+// submit submits a job; it tells whether it was accepted.
+func (t *trial) submit(id string, job protocol.Job) bool {
+	status, err := t.client(http.MethodPost, jobPrefix+id, job, nil)
+	return err == nil && status == http.StatusOK
+}
+
+// jobState is the state of a job; empty if there is no answer.
+func (t *trial) jobState(id string) string {
+	var answer struct {
+		State string `json:"state"`
+	}
+	if _, err := t.client(http.MethodGet, jobPrefix+id, nil, &answer); err != nil {
+		return ""
+	}
+	return answer.State
+}
+
+// acquire asks for the trial's lock: its fence, or 0 if another holds it. The error tells
+// that there was another answer.
+func (t *trial) acquire(holder string) (fence int64, err error) {
+	var grant protocol.LockGrant
+	status, err := t.control(http.MethodPost, "/-/Locks.Begin/"+lockName, protocol.LockRequest{Holder: holder, HoldMs: lockHold.Milliseconds()}, &grant, nil)
+	switch {
+	case err != nil:
+		return 0, err
+	case status == http.StatusConflict:
+		return 0, nil
+	case status != http.StatusOK:
+		return 0, fmt.Errorf("the lock: answer %d", status)
+	}
+	return grant.Fence, nil
+}
+
+// renew asks for more time; it tells whether the lock is still held.
+func (t *trial) renew(holder string, fence int64) bool {
+	status, err := t.control(http.MethodPost, "/-/Locks.Heartbeat/"+lockName, protocol.LockRequest{Holder: holder, Fence: fence, HoldMs: lockHold.Milliseconds()}, nil, nil)
+	return err == nil && status == http.StatusOK
+}
+
+// put sets a key; it tells its revision, 0 if that is unclear.
+func (t *trial) put(value string) int64 {
+	var answer protocol.RevisionResponse
+	var known protocol.KeyResponse
+	if _, err := t.control(http.MethodGet, "/-/Cells.Read/"+keyName, nil, &known, nil); err != nil {
+		return 0
+	}
+	if known.Value == value {
+		return known.Revision // a put without an answer was done
+	}
+	status, err := t.control(http.MethodPost, "/-/Cells.Replace/"+keyName, protocol.PutRequest{Value: value, Expected: known.Revision}, &answer, nil)
+	if err != nil || status != http.StatusOK {
+		return 0
+	}
+	return answer.Revision
+}
+
+// watch waits for puts after a revision; nil if there is no answer.
+func (t *trial) watch(after int64) *protocol.WatchResponse {
+	var answer protocol.WatchResponse
+	status, err := t.control(http.MethodGet, fmt.Sprintf("/-/watch/%s?dependsOn=%d&waitMs=500", keyGroup, after), nil, &answer, nil)
+	if err != nil || status != http.StatusOK {
+		return nil
+	}
+	return &answer
+}
