--- a/internal/gateway/pipeline.go
+++ b/internal/gateway/pipeline.go
@@ -38,7 +38,6 @@
 	started  int                   // requests that the server has begun to answer
 	finished int                   // requests that were answered
 	early    map[int]*earlyRequest // by their number on the connection
-	closing  bool                  // it ends with the answer that is being written
 }
 
 // earlyRequest is a request that was sent ahead of its turn.
@@ -136,21 +135,20 @@
 // takesAhead tells whether one more request may be sent ahead of its turn. It is called
 // with mu held.
 func (c *clientConn) takesAhead() bool {
-	return c.early != nil && !c.closing && len(c.early) < maxEarlyRequests && !c.proxy.leaves()
+	return c.early != nil && len(c.early) < maxEarlyRequests && !c.proxy.leaves()
 }
 
 // endsWithAnswer decides whether the connection of a daemon that leaves ends with the answer
 // that is about to be written. The library closes it right behind that answer: whatever has
-// been sent ahead would be lost, so it ends with the answer behind which nothing was. From
-// then on nothing is.
+// been sent ahead would be lost, so it ends with the answer behind which nothing was. A
+// daemon that leaves sends nothing ahead any more.
 func (c *clientConn) endsWithAnswer() bool {
 	if !c.proxy.leaves() {
 		return false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closing = c.closing || len(c.early) == 0
-	return c.closing
+	return len(c.early) == 0
 }
 
 // NetConn gives the connection beneath.
--- a/internal/gateway/pipeline_test.go
+++ b/internal/gateway/pipeline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -208,3 +209,65 @@
 		t.Errorf("it reads %q", text)
 	}
 }
+
+// scannedConn is a connection whose bytes a test hands over itself.
+func (h *harness) scannedConn() *clientConn {
+	c := &clientConn{proxy: h.proxy, early: map[int]*earlyRequest{}}
+	c.ctx, c.cancel = context.WithCancel(h.t.Context())
+	h.t.Cleanup(c.cancel)
+	return c
+}
+
+// readRequest is a request that may be sent ahead, as it comes in.
+func readRequest(path string) []byte {
+	return fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: h\r\nX-Tealpond-Attempt-Id: %s\r\nX-Tealpond-Time-Left: 3000\r\n\r\n", path, path)
+}
+
+// TestWhatIsSentAhead: not the request that the server takes next itself, no more than a
+// bound, and nothing once the daemon leaves or the connection is closed.
+func TestWhatIsSentAhead(t *testing.T) {
+	h := newHarness(t, sound)
+	c := h.scannedConn()
+	for i, want := range []int{0, 1, 2} {
+		if c.scan(readRequest("/read/a")); len(c.early) != want {
+			t.Errorf("after %d requests %d are ahead, want %d", i+1, len(c.early), want)
+		}
+	}
+	for range 2 * maxEarlyRequests {
+		c.scan(readRequest("/read/b"))
+	}
+	if len(c.early) != maxEarlyRequests {
+		t.Errorf("%d are ahead", len(c.early))
+	}
+	if c.endsWithAnswer() {
+		t.Error("the connection ends though the daemon stays")
+	}
+	h.proxy.BeginLeaving(time.Now().Add(time.Hour))
+	if c.endsWithAnswer() {
+		t.Error("the connection ends though requests were sent ahead")
+	}
+	leaving := h.scannedConn()
+	for range 3 {
+		leaving.scan(readRequest("/read/c"))
+	}
+	if len(leaving.early) != 0 || !leaving.endsWithAnswer() {
+		t.Errorf("%d are sent ahead by a daemon that leaves", len(leaving.early))
+	}
+}
+
+// TestScannerThatLostItsPlace: a request that is not the one that was sent ahead in its place
+// is served by itself, and nothing is sent ahead any more.
+func TestScannerThatLostItsPlace(t *testing.T) {
+	h := newHarness(t, sound)
+	c := h.scannedConn()
+	c.scan(readRequest("/read/a"))
+	c.scan(readRequest("/read/b"))
+	c.started = 1
+	other := httptest.NewRequest(http.MethodGet, "/read/other", nil)
+	if early := c.begin(other); early != nil {
+		t.Error("another request gets the answer")
+	}
+	if c.scan(readRequest("/read/c")); len(c.early) != 0 {
+		t.Error("more is sent ahead")
+	}
+}
