--- a/internal/simulation/evacuation_test.go
+++ b/internal/simulation/evacuation_test.go
@@ -7,10 +7,14 @@
 	"time"
 )
 
-// orderEvacuation has a zone evacuated, or taken back, by calls to a node until one is
+// evacuatedZone is the zone that tests evacuate.
+const evacuatedZone = "z1"
+
+// orderEvacuation has evacuatedZone evacuated, or taken back, by calls to a node until one is
 // acknowledged. It gives how long that took.
-func (c *Cluster) orderEvacuation(node, order, zone string) time.Duration {
+func (c *Cluster) orderEvacuation(node, order string) time.Duration {
 	c.T.Helper()
+	const zone = evacuatedZone
 	begin := time.Now()
 	if order == "Finish" {
 		c.History.record(Event{Kind: EventTakenBack, Node: zone})
@@ -44,7 +48,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			runWithFault(t, spec, func(c *Cluster) {
-				if took := c.orderEvacuation(disklessEdge, "Begin", "z1"); took > time.Second {
+				if took := c.orderEvacuation(disklessEdge, "Begin"); took > time.Second {
 					t.Errorf("acknowledged after %v", took)
 				}
 				trouble(c)
@@ -55,12 +59,12 @@
 					c.SubmitJob(jobID(900+i), newJob(200, 4000, 4))
 				}
 				time.Sleep(3 * time.Second)
-				before := len(c.startsIn("z1"))
-				c.orderEvacuation(disklessEdge, "Finish", "z1")
+				before := len(c.startsIn(evacuatedZone))
+				c.orderEvacuation(disklessEdge, "Finish")
 				for i := range 8 {
 					c.SubmitJob(jobID(950+i), newJob(500, 4000, 4))
 				}
-				c.WaitUntil("the zone is used again", 10*time.Second, func() bool { return len(c.startsIn("z1")) > before })
+				c.WaitUntil("the zone is used again", 10*time.Second, func() bool { return len(c.startsIn(evacuatedZone)) > before })
 			})
 		})
 	}
--- a/internal/simulation/narrow_link_test.go
+++ b/internal/simulation/narrow_link_test.go
@@ -73,7 +73,7 @@
 	worst := time.Duration(0)
 	for i := 0; time.Now().Before(until); i++ {
 		order := []string{"Begin", "Finish"}[i%2]
-		s.orderEvacuation(edges[i%len(edges)], order, "z1")
+		s.orderEvacuation(edges[i%len(edges)], order)
 		base := int(s.lastVersion.Load())
 		s.lastVersion.Store(int64(base + 1))
 		begin := time.Now()
@@ -85,7 +85,7 @@
 		worst = max(worst, time.Since(begin))
 		time.Sleep(3 * time.Second)
 	}
-	s.orderEvacuation(edges[0], "Finish", "z1")
+	s.orderEvacuation(edges[0], "Finish")
 	t.Logf("a configuration was accepted after %v at the latest", worst)
 }
 
--- a/internal/simulation/tallies_test.go
+++ b/internal/simulation/tallies_test.go
@@ -40,7 +40,7 @@
 		callers.byNode[node] = map[string]int{}
 		callers.running.Go(func() {
 			for n := 0; ctx.Err() == nil; n++ {
-				callers.addOnce(i, n, node)
+				callers.addOnce(i, n)
 				callers.read(node)
 				time.Sleep(150 * time.Millisecond)
 			}
@@ -50,7 +50,7 @@
 }
 
 // addOnce adds under a new ID; without a good answer the same goes to the next nodes.
-func (l *tallyCallers) addOnce(caller, n int, node string) {
+func (l *tallyCallers) addOnce(caller, n int) {
 	id := fmt.Sprintf("%04d%012d", caller, n)
 	l.mu.Lock()
 	l.sent[id] = int64(1 + n%7)
--- a/internal/tally/replica_test.go
+++ b/internal/tally/replica_test.go
@@ -170,6 +170,52 @@
 	}
 }
 
+// trouble has something happen now and then: a partition, whichever, or its end, a machine
+// that ends or starts, a disk that stalls or goes on.
+func (w *world) trouble() {
+	machine := w.random.Intn(len(w.machines))
+	switch w.random.Intn(100) {
+	case 0:
+		side := w.random.Intn(1 << len(w.machines))
+		for i := range w.machines {
+			for j := range w.machines {
+				if side>>i&1 != side>>j&1 {
+					w.cut[[2]int{i, j}] = true
+				}
+			}
+		}
+	case 1, 2:
+		clear(w.cut)
+	case 3:
+		w.machines[machine].down = true
+	case 4, 5:
+		if w.machines[machine].down {
+			w.start(machine)
+		}
+	case 6:
+		w.machines[machine].stalled = true
+	case 7, 8:
+		w.machines[machine].stalled = false
+	}
+}
+
+// loseDiskOfWhoAcknowledges has a machine lose its disk right after it has acknowledged an
+// add, in a calm time.
+func (w *world) loseDiskOfWhoAcknowledges() {
+	for i := 0; ; i++ {
+		id, victim := fmt.Sprint("last", i), w.random.Intn(len(w.machines))
+		w.add(victim, id)
+		for range 50 {
+			w.step()
+			if w.machines[victim].acknowledged[id] {
+				w.machines[victim].disk = nil
+				w.start(victim)
+				return
+			}
+		}
+	}
+}
+
 // TestTalliesUnderTroubles: partitions, machines that end, disks that stall, and one disk
 // that is lost at a time outside partitions: nothing acknowledged is lost, nothing counts
 // twice, and three seconds after the last trouble all show the same.
@@ -179,31 +225,8 @@
 		for range 100 {
 			w.step()
 		}
-		wiped := false
 		for step := range 3000 {
-			switch w.random.Intn(100) {
-			case 0: // a partition, whichever
-				side := w.random.Intn(1 << len(w.machines))
-				for i := range w.machines {
-					for j := range w.machines {
-						if side>>i&1 != side>>j&1 {
-							w.cut[[2]int{i, j}] = true
-						}
-					}
-				}
-			case 1, 2:
-				clear(w.cut)
-			case 3:
-				w.machines[w.random.Intn(len(w.machines))].down = true
-			case 4, 5:
-				if i := w.random.Intn(len(w.machines)); w.machines[i].down {
-					w.start(i)
-				}
-			case 6:
-				w.machines[w.random.Intn(len(w.machines))].stalled = true
-			case 7, 8:
-				w.machines[w.random.Intn(len(w.machines))].stalled = false
-			}
+			w.trouble()
 			if w.random.Intn(5) == 0 {
 				id := fmt.Sprint(w.random.Intn(1 + step/4))
 				w.add(w.random.Intn(len(w.machines)), id)
@@ -222,20 +245,7 @@
 			w.step()
 		}
 		w.checkKept(t)
-		// A disk is lost right after an acknowledgement in a calm time.
-		for i := 0; !wiped; i++ {
-			id, victim := fmt.Sprint("last", i), w.random.Intn(len(w.machines))
-			w.add(victim, id)
-			for range 50 {
-				w.step()
-				if w.machines[victim].acknowledged[id] {
-					w.machines[victim].disk = nil
-					w.start(victim)
-					wiped = true
-					break
-				}
-			}
-		}
+		w.loseDiskOfWhoAcknowledges()
 		for range 300 {
 			w.step()
 		}
--- a/internal/trial/steps.go
+++ b/internal/trial/steps.go
@@ -72,8 +72,12 @@
 	}
 	heldAt := time.Now()
 	t.say("anna holds the lock %q under fence %d", lockName, fence)
-	if other, err := t.acquire("bert"); err != nil || other != 0 {
-		return fmt.Errorf("bert got the lock too, under fence %d (%v)", other, err)
+	other, err := t.acquire("bert")
+	if err != nil {
+		return err
+	}
+	if other != 0 {
+		return fmt.Errorf("bert got the lock too, under fence %d", other)
 	}
 	t.say("bert is told that another holds it; anna dies without a word")
 	next := int64(0)
@@ -114,9 +118,12 @@
 	for until := time.Now().Add(2 * lockHold); (err != nil || fence == 0) && time.Now().Before(until); fence, err = t.acquire("carl") {
 		time.Sleep(pollPause) // bert's time is not over yet
 	}
+	if err != nil {
+		return err
+	}
 	leader := t.leader()
 	if present == nil || fence == 0 || leader == "" {
-		return fmt.Errorf("before the leader is lost: watch %v, fence %d, leader %q, %v", present, fence, leader, err)
+		return fmt.Errorf("before the leader is lost: watch %v, fence %d, leader %q", present, fence, leader)
 	}
 	t.killed = leader
 	if err := t.cluster.Signal(leader, syscall.SIGKILL); err != nil {
