--- a/internal/api/gateway.go
+++ b/internal/api/gateway.go
@@ -29,6 +29,7 @@
 		ProcessID:  env.ProcessID,
 		RateWindow: env.Settings.ShareWindow(tuning.DefaultShareWindow),
 		MaxListAge: maxListAge(&env.Settings),
+		InTouch:    time.Duration(env.Settings.Bounds.InTouchMs) * time.Millisecond,
 		Refresh:    s.refreshConfiguration,
 	})
 	return s, nil
--- a/internal/gateway/list_age.go
+++ b/internal/gateway/list_age.go
@@ -5,25 +5,27 @@
 // listAgeLimit bounds the age of what a daemon knows when it chooses a runner. News of
 // runners that leave may come late, where clients fill a daemon's link; then it chooses
 // among those that it has heard itself.
-type listAgeLimit struct{ most time.Duration } // 0: no limit
+type listAgeLimit struct {
+	most    time.Duration // 0: no limit
+	inTouch time.Duration // for how long after a question without an answer it doesn't hold
+}
 
 // listAge is what a daemon knows of the age of its list of runners.
 type listAge struct {
 	limit listAgeLimit
 	asOf  time.Time // the list misses no change before it; zero: that isn't known
-	// unanswered: the last question for changes had no answer in time. No leader is reached,
-	// and the operators' bound holds for daemons that are in touch with one.
-	unanswered bool
+	// failedAt is when a question for changes last had no answer. No leader was reached
+	// then, and the operators' bound holds for daemons that are in touch with one.
+	failedAt time.Time
 }
 
 // allows tells whether any runner of the list may be chosen.
 func (a *listAge) allows(now time.Time) bool {
-	return a.limit.most == 0 || a.asOf.IsZero() || now.Sub(a.asOf) <= a.limit.most || a.unanswered
+	return a.limit.most == 0 || a.asOf.IsZero() || now.Sub(a.asOf) <= a.limit.most || now.Sub(a.failedAt) <= a.limit.inTouch
 }
 
-// confirm takes note of an answer: the list misses no change before a time.
+// confirm takes note that the list misses no change before a time.
 func (a *listAge) confirm(asOf time.Time) {
-	a.unanswered = false
 	if asOf.After(a.asOf) {
 		a.asOf = asOf
 	}
--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -27,8 +27,8 @@
 	RateWindow time.Duration
 	// MaxListAge is how old the list of runners may be when a runner is chosen by it
 	// alone (0: any age): beyond that one is chosen that this daemon has heard lately, or
-	// none. It doesn't hold while questions for changes have no answer.
-	MaxListAge time.Duration
+	// none. It doesn't hold for InTouch after a question for changes that had no answer.
+	MaxListAge, InTouch time.Duration
 	// Refresh fetches the newest configuration and hands it to SetConfig if it is
 	// newer. An error means that the newest one isn't known.
 	Refresh func(context.Context) error
@@ -84,7 +84,7 @@
 			ReadBufferSize:      connectionBufferBytes,
 			WriteBufferSize:     connectionBufferBytes,
 		},
-		balancer: newBalancer(options.Zone, listAgeLimit{options.MaxListAge}),
+		balancer: newBalancer(options.Zone, listAgeLimit{options.MaxListAge, options.InTouch}),
 		budget:   newRetryBudget(options.Retries),
 		rates:    newTenantRates(options.ProcessID, options.RateWindow, time.Now()),
 		ready:    make(chan struct{}),
@@ -202,7 +202,7 @@
 func (p *Proxy) NoteLeaderUnreached() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.balancer.listAge.unanswered = true
+	p.balancer.listAge.failedAt = time.Now()
 }
 
 // ListedRunners is the list of runners as it is known here, and the time before which it
