Gateways: daemons without a replica ask for the runners of their zone alone

Change: a question names its scope, a zone or all; lists have an epoch and a digest for each scope. A daemon widens its scope where a service has fewer than three runners in its zone, or more that leave than stay.

--- a/internal/api/gateway.go
+++ b/internal/api/gateway.go
@@ -147,6 +147,20 @@
 type runnerFollower struct {
 	view     *registry.View
 	position gateway.Position
+	lackedAt time.Time // when a service last had no runner in this daemon's zone
+}
+
+// runnerScope is which runners this daemon asks for: those of its zone, which alone get its
+// requests, unless a service has none there. One with a replica may lead, and must be able to
+// tell the others of all.
+func (s *Server) runnerScope(follower *runnerFollower, now time.Time) string {
+	if s.gateway.LacksNearRunners() {
+		follower.lackedAt = now
+	}
+	if s.replica != nil || now.Sub(follower.lackedAt) < tuning.WideScopeTime {
+		return registry.AllZones
+	}
+	return s.settings.Zone
 }
 
 // followRunners asks the leader for changes of the list of runners, until ctx ends.
@@ -156,6 +170,7 @@
 		watch := rpc.RunnerWatch{Node: s.settings.NodeName, Zone: s.settings.Zone, ConfigVersion: s.gateway.ConfigVersion(), Observations: s.gateway.TakeObservations()}
 		known := follower.view.Position()
 		watch.Epoch, watch.Version, watch.Digest = known.Epoch, known.Version, known.Digest
+		watch.Scope = s.runnerScope(follower, time.Now())
 		askedAt := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, tuning.RunnerWatchTimeout)
 		response := s.Call(callCtx, rpc.KindWatchRunners, watch)
--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -216,6 +216,39 @@
 	return list, p.balancer.listAge.asOf
 }
 
+// fewRunners is how many runners of a service in a zone are hardly any.
+const fewRunners = 3
+
+// LacksNearRunners tells whether a service of the configuration has hardly a runner in this
+// daemon's zone, or more there that leave than stay: those of other zones may be needed soon.
+func (p *Proxy) LacksNearRunners() bool {
+	known := p.routing.Load()
+	if known == nil {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.listed {
+		return false
+	}
+	staying, leaving := map[string]int{}, map[string]int{}
+	for _, runner := range p.balancer.runners {
+		switch {
+		case runner.Zone != p.options.Zone:
+		case runner.Draining:
+			leaving[runner.Service]++
+		default:
+			staying[runner.Service]++
+		}
+	}
+	for _, service := range known.config.Services {
+		if stay := staying[service.Name]; stay < fewRunners || stay < leaving[service.Name] {
+			return true
+		}
+	}
+	return false
+}
+
 // noteServing takes note that a runner served on at a time.
 func (p *Proxy) noteServing(runner *runnerState, at time.Time) {
 	p.mu.Lock()
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -88,9 +88,20 @@
 	removed map[string]uint64 // the version of the removal, by ID
 	// forgotten is the version up to which removals are no longer known.
 	forgotten uint64
-	digest    uint64
-	// versions are the last ones that changed the digest, by digest.
-	versions map[uint64]uint64
+	// digests are those of the scopes: of each zone's runners, and of all.
+	digests map[string]uint64
+	// versions are the first ones that had a digest, by scope and digest.
+	versions map[scopedDigest]uint64
+}
+
+// AllZones is the scope of a list of all runners. Any other scope is the name of a zone:
+// daemons mostly need its runners alone.
+const AllZones = ""
+
+// scopedDigest is the digest of the list of a scope.
+type scopedDigest struct {
+	scope  string
+	digest uint64
 }
 
 // maxRemovals is how many removals are remembered. A daemon that lacks more is told the
@@ -99,15 +110,27 @@
 
 // NewTable makes an empty table. No two tables have the same epoch.
 func NewTable(epoch string) *Table {
-	return &Table{epoch: epoch, rows: map[string]row{}, removed: map[string]uint64{}, versions: map[uint64]uint64{}}
+	return &Table{epoch: epoch, rows: map[string]row{}, removed: map[string]uint64{}, digests: map[string]uint64{}, versions: map[scopedDigest]uint64{}}
 }
 
 // Version grows with each change.
 func (t *Table) Version() uint64 { return t.version }
 
-// IsAt tells whether a position is the table's present one.
-func (t *Table) IsAt(epoch string, version uint64) bool {
-	return epoch == t.epoch && version == t.version
+// IsAt tells whether a position is the present one of a scope.
+func (t *Table) IsAt(epoch string, version uint64, scope string) bool {
+	return epoch == t.epochOf(scope) && version == t.version
+}
+
+// epochOf is the epoch of the list of a scope: versions of two scopes can't be compared.
+func (t *Table) epochOf(scope string) string { return t.epoch + "/" + scope }
+
+// addDigest adds a runner to the digests of its scopes, or takes it off if sign is -1.
+func (t *Table) addDigest(runner Runner, sign int64) {
+	digest := uint64(sign) * runner.digest()
+	t.digests[runner.Zone] += digest
+	if runner.Zone != AllZones {
+		t.digests[AllZones] += digest
+	}
 }
 
 // Runners lists the runners by their IDs.
@@ -143,16 +166,16 @@
 			stateAt = known.stateAt
 		}
 		if ok {
-			t.digest -= known.runner.digest()
+			t.addDigest(known.runner, -1)
 		}
-		t.digest += runner.digest()
+		t.addDigest(runner, 1)
 		t.rows[runner.ID] = row{runner, next, stateAt}
 		delete(t.removed, runner.ID)
 		changed = true
 	}
 	for id, known := range t.rows {
 		if !listed[id] {
-			t.digest -= known.runner.digest()
+			t.addDigest(known.runner, -1)
 			delete(t.rows, id)
 			t.removed[id] = next
 			changed = true
@@ -164,22 +187,23 @@
 	if len(t.removed) > maxRemovals {
 		t.removed, t.forgotten = map[string]uint64{}, t.version
 	}
-	t.rememberDigest()
+	t.rememberDigests()
 	return changed
 }
 
 // maxDigests is how many digests of earlier versions are remembered.
-const maxDigests = 64
+const maxDigests = 256
 
-// rememberDigest takes note of the first version that has the present digest.
-func (t *Table) rememberDigest() {
-	if _, known := t.versions[t.digest]; known {
-		return
-	}
+// rememberDigests takes note of the first version that has the present digest of a scope.
+func (t *Table) rememberDigests() {
 	if len(t.versions) >= maxDigests {
 		clear(t.versions)
 	}
-	t.versions[t.digest] = t.version
+	for scope, digest := range t.digests {
+		if _, known := t.versions[scopedDigest{scope, digest}]; !known {
+			t.versions[scopedDigest{scope, digest}] = t.version
+		}
+	}
 }
 
 // Position is what a daemon has of a list: a version of an epoch, and its digest.
@@ -189,15 +213,15 @@
 	Digest  uint64
 }
 
-// Since gives what changed for daemons of a zone after a position. A copy that another
+// Since gives what changed in the list of a scope for daemons of a zone after a position. A copy that another
 // leader's table made is known by its digest, which says nothing of the runners' health:
 // that is told as it changes. A position that isn't known here gets the whole list.
-func (t *Table) Since(position Position, zone string) Delta {
+func (t *Table) Since(position Position, zone, scope string) Delta {
 	version := position.Version
-	delta := Delta{Epoch: t.epoch, From: version, Version: t.version}
-	if position.Epoch != t.epoch {
+	delta := Delta{Epoch: t.epochOf(scope), From: version, Version: t.version}
+	if position.Epoch != delta.Epoch {
 		var known bool
-		version, known = t.versions[position.Digest]
+		version, known = t.versions[scopedDigest{scope, position.Digest}]
 		delta.From, delta.FromDigest = version, position.Digest
 		delta.Whole = !known || position.Digest == 0
 	}
@@ -205,6 +229,9 @@
 		delta.FromDigest = 0
 	}
 	for _, r := range t.rows {
+		if scope != AllZones && r.runner.Zone != scope {
+			continue
+		}
 		switch {
 		case delta.Whole || r.stateAt > version:
 			delta.Runners = append(delta.Runners, r.runner)
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -46,7 +46,7 @@
 
 // since gives a copy what it lacks, for daemons of zone z.
 func since(table *Table, view *View) Delta {
-	return table.Since(view.Position(), "z")
+	return table.Since(view.Position(), "z", AllZones)
 }
 
 // TestHealthIsToldInItsZone alone; any other change everywhere.
@@ -145,6 +145,31 @@
 	requireSame(t, behind, []Runner{b, c})
 }
 
+// TestScopesAreToldApart: a daemon that asks for its zone's runners is told of these alone;
+// one that asks for another scope than before is told that whole.
+func TestScopesAreToldApart(t *testing.T) {
+	near, far := Runner{ID: "near", Zone: "z"}, Runner{ID: "far", Zone: "y"}
+	table, view := NewTable("e1"), NewView()
+	table.Update([]Runner{near, far})
+	view.Apply(table.Since(view.Position(), "z", "z"))
+	requireSame(t, view, []Runner{near})
+	far.Draining = true
+	table.Update([]Runner{near, far})
+	if delta := table.Since(view.Position(), "z", "z"); len(delta.Runners) != 0 || delta.Whole || !view.Apply(delta) {
+		t.Errorf("told %+v", delta)
+	}
+	next := NewTable("e2")
+	next.Update([]Runner{near, far})
+	if delta := next.Since(view.Position(), "z", "z"); delta.Whole || len(delta.Runners) != 0 || !view.Apply(delta) {
+		t.Errorf("the next leader tells %+v", delta)
+	}
+	wide := next.Since(view.Position(), "z", AllZones)
+	if !wide.Whole || !view.Apply(wide) {
+		t.Errorf("another scope: %+v", wide)
+	}
+	requireSame(t, view, []Runner{far, near})
+}
+
 // TestManyRemovalsAreToldWhole: removals that are no longer remembered are told by the
 // whole list.
 func TestManyRemovalsAreToldWhole(t *testing.T) {
@@ -182,7 +207,7 @@
 	draining[1].Draining = true
 	table.KeepHealth(draining)
 	table.Update(draining)
-	if delta := table.Since(Position{Epoch: "epoch", Version: version}, "z"); len(delta.Runners) != 1 || delta.Runners[0].ID != "b" {
+	if delta := table.Since(Position{Epoch: table.epochOf(AllZones), Version: version}, "z", AllZones); len(delta.Runners) != 1 || delta.Runners[0].ID != "b" {
 		t.Errorf("told %+v", delta.Runners)
 	}
 }
--- a/internal/rpc/golden_test.go
+++ b/internal/rpc/golden_test.go
@@ -43,7 +43,7 @@
 		{Name: "client-call", Value: &JobRequest{Host: "host", Path: "path", Job: filledJob(), Key: "key", BeyondShare: true}},
 		{Name: "runner-announcement", Value: &RunnerAnnouncement{Sequence: 87, SignsOff: true, Runner: registry.Runner{ID: "runner", Service: "service", Address: "address", Zone: "zone", Slots: 88, Draining: true, ColdMs: 89,
 			Health: registry.Health{LatencyMs: 90, FailedPct: 101}}}},
-		{Name: "runner-watch", Value: &RunnerWatch{Node: "node", Zone: "zone", Epoch: "epoch", Version: 82, ConfigVersion: 83, Observations: []registry.Observation{{ID: "runner", Answers: 84, LatencyMs: 85, Failures: 86}}, Digest: 105}},
+		{Name: "runner-watch", Value: &RunnerWatch{Node: "node", Zone: "zone", Epoch: "epoch", Version: 82, ConfigVersion: 83, Observations: []registry.Observation{{ID: "runner", Answers: 84, LatencyMs: 85, Failures: 86}}, Digest: 105, Scope: "scope"}},
 		{Name: "runner-news", Value: &RunnerNews{DaemonIndex: 91, DaemonCount: 92, Config: []byte("text"), ConfigBase: 99, DaemonTotal: 100, ListAgeMs: 106, HeldMs: 107, Delta: []byte("delta")}},
 		{Name: "runner-list", Value: &RunnerList{AgeMs: 108, Runners: []registry.Runner{{ID: "runner", Service: "service", Address: "address", Zone: "zone", Slots: 95, Draining: true, ColdMs: 96,
 			Health: registry.Health{LatencyMs: 97, FailedPct: 98}}}}},
--- a/internal/rpc/messages.go
+++ b/internal/rpc/messages.go
@@ -110,6 +110,8 @@
 	// Digest is that of the daemon's list: one that it had from another leader needn't be
 	// told whole.
 	Digest uint64
+	// Scope is registry.AllZones, or the zone whose runners alone the daemon asks for.
+	Scope string
 }
 
 // RunnerList is a list of all runners.
--- a/internal/server/runners.go
+++ b/internal/server/runners.go
@@ -86,7 +86,7 @@
 	if r.state.Configuration.Version > watch.ConfigVersion {
 		return true
 	}
-	return r.runnerTable != nil && !r.runnerTable.IsAt(watch.Epoch, watch.Version)
+	return r.runnerTable != nil && !r.runnerTable.IsAt(watch.Epoch, watch.Version, watch.Scope)
 }
 
 // replyWithRunners gives a daemon what it lacks of the list. Each response names the
@@ -115,8 +115,8 @@
 
 // deltaKey is what a change depends on beside the newest version.
 type deltaKey struct {
-	zone string
-	from registry.Position
+	zone, scope string
+	from        registry.Position
 }
 
 // since gives the encoded change for a daemon.
@@ -124,10 +124,10 @@
 	if d.table != table || d.version != table.Version() {
 		d.table, d.version, d.encoded = table, table.Version(), map[deltaKey][]byte{}
 	}
-	key := deltaKey{watch.Zone, registry.Position{Epoch: watch.Epoch, Version: watch.Version, Digest: watch.Digest}}
+	key := deltaKey{watch.Zone, watch.Scope, registry.Position{Epoch: watch.Epoch, Version: watch.Version, Digest: watch.Digest}}
 	encoded, ok := d.encoded[key]
 	if !ok {
-		encoded = transport.Encode(table.Since(key.from, key.zone))
+		encoded = transport.Encode(table.Since(key.from, key.zone, key.scope))
 		d.encoded[key] = encoded
 	}
 	return encoded
--- a/internal/tuning/gateway.go
+++ b/internal/tuning/gateway.go
@@ -20,6 +20,9 @@
 	// gateway or unread there. Twenty bodies at once then hold less than a second of a link
 	// of 3.6 Mbit/s; one alone fills it, at a round trip of 6 ms.
 	ClientReceiveBuffer = 8 << 10
+	// WideScopeTime is for how long a daemon goes on asking for the runners of all zones
+	// after a service had none in its own: each change of scope is told whole.
+	WideScopeTime = 10 * time.Second
 	// MinListAge is the least age at which a list of runners counts as old, whatever the
 	// settings say.
 	MinListAge = 500 * time.Millisecond
