--- a/internal/trial/calls.go
+++ b/internal/trial/calls.go
@@ -122,11 +122,11 @@
 	return answer.State
 }
 
-// acquire asks for the trial's lock: its fence, or 0 if another holds it. The error tells
-// that there was another answer.
-func (t *trial) acquire(holder string) (fence int64, err error) {
+// acquire asks for a lock: its fence, or 0 if another holds it. The error tells that there
+// was another answer.
+func (t *trial) acquire(lock, holder string) (fence int64, err error) {
 	var grant protocol.LockGrant
-	status, err := t.control(http.MethodPost, "/-/Locks.Begin/"+lockName, protocol.LockRequest{Holder: holder, HoldMs: lockHold.Milliseconds()}, &grant, nil)
+	status, err := t.control(http.MethodPost, "/-/Locks.Begin/"+lock, protocol.LockRequest{Holder: holder, HoldMs: lockHold.Milliseconds()}, &grant, nil)
 	switch {
 	case err != nil:
 		return 0, err
@@ -139,8 +139,8 @@
 }
 
 // renew asks for more time; it tells whether the lock is still held.
-func (t *trial) renew(holder string, fence int64) bool {
-	status, err := t.control(http.MethodPost, "/-/Locks.Heartbeat/"+lockName, protocol.LockRequest{Holder: holder, Fence: fence, HoldMs: lockHold.Milliseconds()}, nil, nil)
+func (t *trial) renew(lock, holder string, fence int64) bool {
+	status, err := t.control(http.MethodPost, "/-/Locks.Heartbeat/"+lock, protocol.LockRequest{Holder: holder, Fence: fence, HoldMs: lockHold.Milliseconds()}, nil, nil)
 	return err == nil && status == http.StatusOK
 }
 
