--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -197,7 +197,10 @@
 // await waits until something is so. The error says what was not in time.
 func (t *trial) await(what string, most time.Duration, condition func() bool) error {
 	for until := time.Now().Add(most); !condition(); {
-		if time.Now().After(until) || t.anyEnded() {
+		if t.anyEnded() {
+			return fmt.Errorf("a process has ended before this was so: %s", what)
+		}
+		if time.Now().After(until) {
 			return fmt.Errorf("not within %v: %s", most, what)
 		}
 		select {
