--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -1,16 +1,13 @@
 package standin
 
 import (
-	"context"
 	"fmt"
 	"math/rand"
-	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
-	"tealpond/internal/agent"
 	"tealpond/internal/protocol"
 )
 
@@ -20,46 +17,6 @@
 // maxLeaseAheadMs is how far ahead a lease may lie that a runner accepts.
 const maxLeaseAheadMs = 10000
 
-// WorkerEventKind tells what a worker's runner saw.
-type WorkerEventKind string
-
-// What runners see. An agent requests a start and the run starts, or not; it ends; its end
-// is listed to the agent, which acknowledges it.
-const (
-	WorkerStartRequested WorkerEventKind = "start requested"
-	WorkerRunStarted     WorkerEventKind = "run started"
-	WorkerRunEnded       WorkerEventKind = "run ended"
-	WorkerEndListed      WorkerEventKind = "end listed"
-	WorkerAcknowledged   WorkerEventKind = "end acknowledged"
-	WorkerLeaseExpired   WorkerEventKind = "lease expired"
-	WorkerCrashed        WorkerEventKind = "runner crashed"
-)
-
-// Results of a run, as runners list them, and one for runs lost in a crash.
-const (
-	RunDone    = "done"
-	RunFailed  = "failed"
-	RunStopped = "stopped"
-	RunLapsed  = "lapsed"
-	RunCrashed = "crashed"
-)
-
-// WorkerEvent is one thing that a worker's runner saw. Which fields are set depends on its
-// kind.
-type WorkerEvent struct {
-	Kind             WorkerEventKind
-	Node             string
-	Incarnation      string // of the runner
-	Task             string
-	Run              int
-	Outcome          string
-	Completion       int64 // the sequence number of a run's end
-	JobSpec          string
-	CPUInUse         int64 // thousandths of a core, the run that starts included
-	CPUCapacity      int64
-	EnforcesCapacity bool
-}
-
 // WorkerOptions are what a Worker is built from.
 type WorkerOptions struct {
 	Node, Service, Zone string
@@ -223,193 +180,6 @@
 	return 0
 }
 
-// Call makes a call to the runner, as an agent does over the runner's port. The path is
-// that of the protocol; incarnation is the one that the agent believes to be there.
-func (w *Worker) Call(ctx context.Context, incarnation, path string, body any) agent.RunnerResponse {
-	w.mu.Lock()
-	if start, ok := body.(protocol.StartRequest); ok {
-		w.record(WorkerEvent{Kind: WorkerStartRequested, Incarnation: incarnation, Task: start.TaskID, Run: start.RunID})
-	}
-	if w.Silent {
-		w.mu.Unlock()
-		<-ctx.Done()
-		return agent.RunnerResponse{}
-	}
-	if path != keepAlivePath && w.random.Float64() < w.LateFraction {
-		delay := time.Duration(2000+w.random.Intn(10000)) * time.Millisecond
-		w.mu.Unlock()
-		go func() {
-			time.Sleep(delay)
-			w.mu.Lock()
-			w.handle(incarnation, body)
-			w.mu.Unlock()
-		}()
-		<-ctx.Done()
-		return agent.RunnerResponse{}
-	}
-	if path != keepAlivePath && w.random.Float64() < w.LostAnswers {
-		w.handle(incarnation, body)
-		w.mu.Unlock()
-		<-ctx.Done()
-		return agent.RunnerResponse{}
-	}
-	defer w.mu.Unlock()
-	if poll, ok := body.(protocol.KeepAliveRequest); ok {
-		return w.keepAlive(ctx, incarnation, poll)
-	}
-	return w.handle(incarnation, body)
-}
-
-// accept is the response to a request that was carried out.
-func (w *Worker) accept() agent.RunnerResponse {
-	return agent.RunnerResponse{StatusCode: http.StatusOK, Run: protocol.RunResponse{ClockMs: w.clock()}}
-}
-
-// reject is the response to a request that is refused for a reason of the protocol.
-func (w *Worker) reject(reason string) agent.RunnerResponse {
-	return agent.RunnerResponse{StatusCode: http.StatusConflict, Run: protocol.RunResponse{ClockMs: w.clock(), Reason: reason}}
-}
-
-// handle carries out a start or a stop. It is called with w.mu held.
-func (w *Worker) handle(incarnation string, body any) agent.RunnerResponse {
-	w.advance()
-	if incarnation != w.incarnation {
-		return agent.RunnerResponse{StatusCode: http.StatusMisdirectedRequest}
-	}
-	switch request := body.(type) {
-	case protocol.StartRequest:
-		return w.start(request)
-	case protocol.StopRequest:
-		return w.stop(request)
-	}
-	return w.accept()
-}
-
-func (w *Worker) start(request protocol.StartRequest) agent.RunnerResponse {
-	if w.RejectsStarts {
-		return agent.RunnerResponse{StatusCode: http.StatusServiceUnavailable}
-	}
-	if request.Fence < w.fence {
-		return w.reject("fence")
-	}
-	w.fence = request.Fence
-	if request.LeaseUntilMs <= w.clock() {
-		return w.reject("late")
-	}
-	w.leaseUntil = max(w.leaseUntil, request.LeaseUntilMs)
-	key := taskRunKey(request.TaskID, request.RunID)
-	if w.runs[key] != nil {
-		return w.accept()
-	}
-	cpu := int64(specField(request.Spec, "cpu"))
-	for _, running := range w.runs {
-		cpu += int64(specField(running.spec, "cpu"))
-	}
-	if cpu > w.Capacity.CPUUnits && w.EnforcesCapacity {
-		// This comes before the check for an old run: the protocol names no order,
-		// and a refusal for room must not be taken for "it never ran here".
-		return w.reject("room")
-	}
-	if request.RunID <= w.highestRun[request.TaskID] {
-		return w.reject("old")
-	}
-	w.runs[key] = &runnerTask{task: request.TaskID, run: request.RunID, spec: request.Spec, duration: time.Duration(specField(request.Spec, "ms")) * time.Millisecond, updatedAt: time.Now()}
-	w.record(WorkerEvent{Kind: WorkerRunStarted, Incarnation: w.incarnation, Task: request.TaskID, Run: request.RunID, JobSpec: request.Spec, CPUInUse: cpu, CPUCapacity: w.Capacity.CPUUnits, EnforcesCapacity: w.EnforcesCapacity})
-	w.started++
-	go w.advanceAfter(w.runs[key].duration)
-	return w.accept()
-}
-
-func (w *Worker) stop(request protocol.StopRequest) agent.RunnerResponse {
-	if request.Fence < w.fence {
-		return w.reject("fence")
-	}
-	w.fence = request.Fence
-	key := taskRunKey(request.TaskID, request.RunID)
-	if running := w.runs[key]; running != nil {
-		w.finish(key, running, RunStopped)
-	}
-	w.highestRun[request.TaskID] = max(w.highestRun[request.TaskID], request.RunID)
-	return w.accept()
-}
-
-// advanceAfter advances the runner when a run should be over, so that its end is seen
-// in time.
-func (w *Worker) advanceAfter(d time.Duration) {
-	time.Sleep(d)
-	w.mu.Lock()
-	w.advance()
-	w.mu.Unlock()
-}
-
-// keepAlive renews the lease, takes acknowledgements, and gives the lists of runs once
-// there are completions or the poll's time is up. It is called and returns with w.mu
-// held, and lets go of it while it waits.
-func (w *Worker) keepAlive(ctx context.Context, incarnation string, poll protocol.KeepAliveRequest) agent.RunnerResponse {
-	w.advance()
-	if incarnation != w.incarnation {
-		return agent.RunnerResponse{StatusCode: http.StatusMisdirectedRequest}
-	}
-	if poll.Fence < w.fence {
-		return w.reject("fence")
-	}
-	w.fence = poll.Fence
-	if poll.LeaseUntilMs > w.leaseUntil {
-		w.leaseUntil = min(poll.LeaseUntilMs, w.clock()+maxLeaseAheadMs)
-	}
-	w.acknowledge(poll.AcknowledgedSequence)
-	if poll.WaitMs > 0 && len(w.completions) == 0 {
-		changed := w.changed
-		w.mu.Unlock()
-		timer := time.NewTimer(time.Duration(poll.WaitMs) * time.Millisecond)
-		select {
-		case <-changed:
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-		timer.Stop()
-		w.mu.Lock()
-		w.advance()
-		if ctx.Err() != nil || incarnation != w.incarnation || w.Silent {
-			return agent.RunnerResponse{}
-		}
-	}
-	return w.lists()
-}
-
-// acknowledge drops the completions up to a number from the list.
-func (w *Worker) acknowledge(number int64) {
-	if number <= w.acknowledged {
-		return
-	}
-	for n := w.acknowledged + 1; n <= number; n++ {
-		w.record(WorkerEvent{Kind: WorkerAcknowledged, Incarnation: w.incarnation, Completion: n})
-	}
-	w.acknowledged = number
-	kept := w.completions[:0:0]
-	for _, completion := range w.completions {
-		if completion.Sequence > number {
-			kept = append(kept, completion)
-		}
-	}
-	w.completions = kept
-}
-
-// lists is the response that lists what runs and what has ended.
-func (w *Worker) lists() agent.RunnerResponse {
-	response := w.accept()
-	response.KeepAlive.ClockMs = response.Run.ClockMs
-	for _, running := range w.runs {
-		percent := min(99, 100*running.progress/max(running.duration, 1))
-		response.KeepAlive.Running = append(response.KeepAlive.Running, []any{running.task, float64(running.run), "", float64(percent)})
-	}
-	for _, completion := range w.completions {
-		w.record(WorkerEvent{Kind: WorkerEndListed, Incarnation: w.incarnation, Task: completion.Task, Run: completion.Run, Completion: completion.Sequence})
-		response.KeepAlive.Ended = append(response.KeepAlive.Ended, []any{float64(completion.Sequence), completion.Task, float64(completion.Run), completion.Result, completion.Checkpoint})
-	}
-	return response
-}
-
 // Heartbeat is the runner's next heartbeat, and its incarnation.
 func (w *Worker) Heartbeat() (string, protocol.Heartbeat) {
 	w.mu.Lock()
