--- a/internal/raft/bulk.go
+++ b/internal/raft/bulk.go
@@ -5,8 +5,9 @@
 // Large appends share the leader's link with its heartbeats, to all members: where that link
 // is narrow, a configuration on its way to four of them holds the heartbeats up for longer
 // than an election timeout. So large appends go to one member after the other, a bounded
-// number of bytes at a time; a quorum has the entry no later for it, since the link carries
-// the same bytes, and heartbeats pass in between.
+// number of bytes at a time, and heartbeats pass in between. On a narrow link a quorum has the
+// entry no later for it, since the link carries the same bytes; on a wide one each member that
+// waits costs a round trip and a sync (docs/left.md).
 
 // minBulkBytes is the size of an append from which on it counts as large, in bytes. Smaller
 // ones delay a heartbeat by little on any link.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -213,9 +213,10 @@
 	Digest  uint64
 }
 
-// Since gives what changed in the list of a scope for daemons of a zone after a position. A copy that another
-// leader's table made is known by its digest, which says nothing of the runners' health:
-// that is told as it changes. A position that isn't known here gets the whole list.
+// Since gives what changed in the list of a scope for daemons of a zone after a position. A
+// copy that another leader's table made is known by its digest, which says nothing of the
+// runners' health: that is told as it changes. A position that isn't known here gets the
+// whole list.
 func (t *Table) Since(position Position, zone, scope string) Delta {
 	version := position.Version
 	delta := Delta{Epoch: t.epochOf(scope), From: version, Version: t.version}
