--- a/cmd/tealpond/coordination.go
+++ b/cmd/tealpond/coordination.go
@@ -39,6 +39,13 @@
 	tallies := app.Command("tallies", "Show tallies as one server has them, and what it knows of the others.")
 	p.addTableToolOf(admin.FetchState, tallies.Command("list", "Show each tally with its sum."), talliesQuery)
 	p.addTableToolOf(admin.FetchState, tallies.Command("peers", "Show the other servers: since when each is silent, and how many adds it may lack."), peersQuery)
+	watchTallies := tallies.Command("watch", "Print each tally whenever its sum has changed, one JSON object a line.")
+	interval := watchTallies.Flag("every", "How often to look.").Default("1s").Duration()
+	mostRows := watchTallies.Flag("count", "End after so many lines; 0: never.").Int()
+	serverAddresses := watchTallies.Flag("at", "A daemon's address for daemons; may be repeated.").Required().Strings()
+	p.commands[watchTallies.FullCommand()] = func() int {
+		return p.watchRows(admin.FetchState, *serverAddresses, talliesQuery, *interval, *mostRows)
+	}
 	zones := app.Command("zones", "Show which zones are evacuated, since when, and the number of the last order about each.")
 	p.addTableTool(zones, zonesQuery)
 
--- a/cmd/tealpond/coordination_test.go
+++ b/cmd/tealpond/coordination_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bytes"
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+
+	"tealpond/internal/rpc"
 )
 
 // TestKeysAreReadAndWatched at the first daemon that answers; a watch goes on from where
@@ -49,3 +52,24 @@
 		t.Errorf("the watch goes on with %s", last)
 	}
 }
+
+// TestTalliesAreWatched: a tally is printed when it is new and whenever its sum has changed.
+func TestTalliesAreWatched(t *testing.T) {
+	answers := [][][]any{{{"a", 1}, {"b", 5}}, {{"a", 1}, {"b", 5}}, {{"a", 2}, {"b", 5}}, {{"a", 2}, {"b", 4}}}
+	fetch := func(context.Context, []string) (rpc.ClusterState, error) {
+		rows := answers[0]
+		answers = answers[1:]
+		return rpc.ClusterState{Tables: []rpc.Table{{Name: "tallies", Columns: []string{"name", "total"}, Rows: rows}}}, nil
+	}
+	var out bytes.Buffer
+	p := &program{stdout: &out, stderr: &out}
+	code := p.watchRows(fetch, nil, talliesQuery, 0, 4)
+	want := `{"name":"a","total":"1"}
+{"name":"b","total":"5"}
+{"name":"a","total":"2"}
+{"name":"b","total":"4"}
+`
+	if code != exitOK || out.String() != want {
+		t.Errorf("%d, %s", code, out.String())
+	}
+}
--- a/cmd/tealpond/tools.go
+++ b/cmd/tealpond/tools.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"maps"
@@ -150,28 +149,65 @@
 	if !asJSON {
 		return p.runQuery(fetch, addresses, query, tuning.MaxQueryRows)
 	}
+	rows, err := queryRows(fetch, addresses, query)
+	if err != nil {
+		return p.fail(err)
+	}
+	for _, row := range rows {
+		if code := p.printJSON(row); code != exitOK {
+			return code
+		}
+	}
+	return exitOK
+}
+
+// queryRows gives the rows of a query's answer, each by its columns.
+func queryRows(fetch fetchState, addresses []string, query string) ([]map[string]string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), tuning.ToolTotalTimeout)
 	defer cancel()
 	cluster, err := fetch(ctx, addresses)
 	if err != nil {
-		return p.fail(err)
+		return nil, err
 	}
 	result, err := admin.Query(ctx, cluster, query, tuning.MaxQueryRows)
 	if err != nil {
-		return p.fail(err)
+		return nil, err
 	}
-	for _, row := range result.Rows {
-		object := map[string]string{}
-		for i, column := range result.Columns {
-			object[column] = row[i]
+	rows := make([]map[string]string, len(result.Rows))
+	for i, values := range result.Rows {
+		rows[i] = map[string]string{}
+		for j, column := range result.Columns {
+			rows[i][column] = values[j]
 		}
-		line, err := json.Marshal(object)
+	}
+	return rows, nil
+}
+
+// watchRows prints the rows of a query's answer that are new or have changed, one JSON object
+// a line, each interval until so many were printed; 0 is no bound.
+func (p *program) watchRows(fetch fetchState, addresses []string, query string, interval time.Duration, most int) int {
+	seen := map[string]bool{}
+	for printed := 0; ; time.Sleep(interval) {
+		rows, err := queryRows(fetch, addresses, query)
 		if err != nil {
 			return p.fail(err)
 		}
-		p.printf("%s\n", line)
+		now := map[string]bool{}
+		for _, row := range rows {
+			text := fmt.Sprint(row) // in the order of the columns' names
+			now[text] = true
+			if seen[text] {
+				continue
+			}
+			if code := p.printJSON(row); code != exitOK {
+				return code
+			}
+			if printed++; most > 0 && printed >= most {
+				return exitOK
+			}
+		}
+		seen = now
 	}
-	return exitOK
 }
 
 // fetchState takes a server's state for a query.
--- a/internal/api/tallies.go
+++ b/internal/api/tallies.go
@@ -32,7 +32,7 @@
 	if !validName(body.ID) {
 		return writeStatusError(c, badRequest("id: missing or too long"))
 	}
-	add := tally.Add{Tally: name, ID: body.ID, Amount: body.Amount}
+	add := tally.Add{Tally: name, ID: tally.NewID(name, body.ID), Amount: body.Amount}
 	answer, ok := s.askReplicas(c.Request().Context(), rpc.Request{Kind: rpc.KindChangeTally, Body: transport.Encode(add)})
 	if !ok {
 		return writeStatusError(c, unknownOutcomes[coordinationChange])
--- a/internal/rpc/golden_test.go
+++ b/internal/rpc/golden_test.go
@@ -52,8 +52,9 @@
 				Health: registry.Health{LatencyMs: 97, FailedPct: 98}}}, Removed: []string{"gone"}}},
 		{Name: "tally-read", Value: &TallyRead{Tally: "tally", After: map[string]uint64{"origin": 112}}},
 		{Name: "tally-answer", Value: &TallyAnswer{Total: 113, Position: tally.Position{Origin: "origin", Number: 114}, Servers: []string{"address"}}},
-		{Name: "tally-message", Value: &TallyMessage{From: "disk", Address: "address", To: "other-disk", Message: tally.Message{Vector: tally.Vector{"origin": 115}, Exchange: true,
-			Runs: []tally.Run{{Origin: "other", First: 116, Adds: []tally.Add{{Tally: "tally", ID: "id", Amount: 117}}}}}}},
+		{Name: "tally-message", Value: &TallyMessage{From: "disk", To: "other-disk", Message: tally.Message{
+			Vector: tally.Vector{"origin": 115}, Whole: true, Digest: tally.Digest{High: 118, Low: 119}, Exchange: true, AskWhole: true,
+			Runs: []tally.Run{{Origin: "other", First: 116, Adds: []tally.Add{{Tally: "tally", ID: tally.ID{1, 2}, Amount: 117}}}}}}},
 		{Name: "key-watch", Value: &KeyWatch{Group: "group.", After: 102, WaitMs: 103}},
 		{Name: "tenant-query", Value: &TenantQuery{KnownDigest: "digest"}},
 		{Name: "tenant-share", Value: &TenantShare{Name: "tenant", MilliShare: 81, KeyDigests: [][]byte{[]byte("digest")}}},
--- a/internal/rpc/messages.go
+++ b/internal/rpc/messages.go
@@ -221,7 +221,6 @@
 type TallyMessage struct {
 	_       struct{} `cbor:",toarray"`
 	From    string   // the sender's member ID
-	Address string   // the sender's, for other daemons
 	To      string   // the receiver's member ID
 	Message tally.Message
 }
--- a/internal/server/loop.go
+++ b/internal/server/loop.go
@@ -52,7 +52,7 @@
 	// talliesOpened is the file of the tallies, once it could be opened; talliesWritten
 	// tells that what was handed to it is on the disk.
 	talliesOpened  *openedTallies
-	talliesWritten bool
+	talliesWritten *writtenTallies
 }
 
 // localRequest is a request of this process.
@@ -121,9 +121,8 @@
 		r.handleBootstrapProposal(*event.bootstrapProposal)
 	case event.talliesOpened != nil:
 		r.handleTalliesOpened(ctx, event.talliesOpened)
-	case event.talliesWritten:
-		r.tallies.replica.Written(time.Now())
-		r.tallies.changed = true
+	case event.talliesWritten != nil:
+		r.handleTalliesWritten(event.talliesWritten)
 	case event.leave != nil:
 		r.beginLeave(ctx, event.leave)
 	case event.leaveGranted:
--- a/internal/server/monitoring.go
+++ b/internal/server/monitoring.go
@@ -85,6 +85,11 @@
 			monitoring.Gauge{Name: "tealpond_numbers", Value: float64(len(tables.Counters))},
 			monitoring.Gauge{Name: "tealpond_key_groups", Value: float64(len(tables.Groups))})
 	}
+	if replica := r.tallies.replica; replica != nil {
+		gauges = append(gauges,
+			monitoring.Gauge{Name: "tealpond_tally_adds", Value: float64(replica.Adds())},
+			monitoring.Gauge{Name: "tealpond_tally_file_share", Value: replica.FileShare()})
+	}
 	return gauges
 }
 
--- a/internal/server/tallies.go
+++ b/internal/server/tallies.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
 	"tealpond/internal/rpc"
+	"tealpond/internal/settings"
 	"tealpond/internal/storage"
 	"tealpond/internal/tally"
 	"tealpond/internal/transport"
@@ -16,12 +18,15 @@
 // Tallies go on at each side of a partition: they need no leader, and are in no log. This
 // file gives package tally its peers, its disk and its clock.
 
+// bytesPerMB is the size of the unit of the settings.
+const bytesPerMB = 1 << 20
+
 // frameTally carries an rpc.TallyMessage between replicas.
 const frameTally = byte(67)
 
-// codeBehind answers a read at a replica that lacks what the caller knows of, and one that
+// codeBehind answers a call at a replica that lacks what the caller knows of, and one that
 // has just started. Another replica may have it.
-const codeBehind = 425
+const codeBehind = 416
 
 // tallyService is a replica's tallies, their disk and their peers. It belongs to the loop.
 type tallyService struct {
@@ -31,20 +36,21 @@
 	changed bool                 // there may be something to write or send
 	tickAt  time.Time            // when the replica is to look at the time
 	silent  map[string]bool      // of each other replica, as it was logged last
+	filled  float64              // the share of the file's bound that was logged last
 }
 
 // openedTallies is the outcome of opening the file of the tallies.
 type openedTallies struct {
-	file *storage.Tallies
-	runs []tally.Run
+	file      *storage.Tallies
+	recovered storage.RecoveredTallies
 }
 
 // openTallies opens the file beside the loop, for as long as it takes.
 func (r *Replica) openTallies(ctx context.Context) {
 	for ctx.Err() == nil {
-		file, runs, err := storage.OpenTallies(r.settings.DataDir)
+		file, recovered, err := storage.OpenTallies(r.settings.DataDir)
 		if err == nil {
-			if !r.post(ctx, loopEvent{talliesOpened: &openedTallies{file, runs}}) {
+			if !r.post(ctx, loopEvent{talliesOpened: &openedTallies{file, recovered}}) {
 				_ = file.Close() // the process ends
 			}
 			return
@@ -59,21 +65,41 @@
 
 // handleTalliesOpened starts the tallies.
 func (r *Replica) handleTalliesOpened(ctx context.Context, opened *openedTallies) {
+	recovered := opened.recovered
+	if recovered.SetAsideReason != "" {
+		_ = r.log.Log("level", "error", "event", "tallies.file_set_aside", "reason", recovered.SetAsideReason)
+	}
+	if recovered.Created {
+		_ = r.log.Log("level", "info", "event", "tallies.file_created", "origin", recovered.Origin)
+	}
+	if recovered.LastWriteLost {
+		_ = r.log.Log("level", "warn", "event", "tallies.last_write_lost", "origin", recovered.Origin)
+	}
 	r.tallies.replica = tally.NewReplica(tally.Config{
-		Origin:           r.processID,
+		Origin:           recovered.Origin,
 		Copies:           r.settings.Tolerance.LostMachines + 1,
 		PeerTimeout:      tuning.TallyPeerTimeout,
 		AnswerTimeout:    tuning.TallyAnswerTimeout,
 		ExchangeInterval: tuning.TallyExchangeInterval,
 		RepeatInterval:   tuning.TallyRepeatInterval,
 		StartupTimeout:   tuning.TallyStartupTimeout,
-		MaxAdds:          tuning.MaxTallyAdds,
+		MaxBytes:         maxTallyBytes(r.settings.Limits),
 		MaxMessageAdds:   tuning.MaxTallyMessageAdds,
-	}, opened.runs, time.Now())
+	}, recovered.Runs, recovered.Bytes, time.Now())
 	r.tallies.writes = make(chan []tally.Run, 1)
 	go r.writeTallies(ctx, opened.file, r.tallies.writes)
 }
 
+// maxTallyBytes bounds the file of the tallies, in bytes: by the disk, and by the memory that
+// its adds take while the process runs.
+func maxTallyBytes(limits settings.Limits) int64 {
+	bound := float64(limits.MemoryMb) * tuning.TallyMemoryShare
+	if limits.DiskMb > 0 {
+		bound = min(bound, float64(limits.DiskMb)*tuning.TallyDiskShare)
+	}
+	return int64(bound * bytesPerMB)
+}
+
 // writeTallies writes what the loop hands it, until ctx ends. A write that fails is made
 // again: nobody is told of it before it is on the disk.
 func (r *Replica) writeTallies(ctx context.Context, file *storage.Tallies, writes <-chan []tally.Run) {
@@ -81,19 +107,42 @@
 	for {
 		select {
 		case runs := <-writes:
-			for file.Append(runs) != nil && ctx.Err() == nil {
+			size, err := file.Append(runs)
+			for err != nil && ctx.Err() == nil {
 				select {
 				case <-time.After(tuning.StorageRetryBackoff):
 				case <-ctx.Done():
 				}
+				size, err = file.Append(runs)
+			}
+			if err == nil {
+				r.post(ctx, loopEvent{talliesWritten: &writtenTallies{size}})
 			}
-			r.post(ctx, loopEvent{talliesWritten: true})
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// writtenTallies says that a write has ended, and what the file has in use since, in bytes.
+type writtenTallies struct{ fileBytes int64 }
+
+// handleTalliesWritten takes note of a write, and of how full the file is.
+func (r *Replica) handleTalliesWritten(written *writtenTallies) {
+	r.tallies.replica.Written(written.fileBytes, time.Now())
+	r.tallies.changed = true
+	share := r.tallies.replica.FileShare()
+	if share < tuning.TallyWarningShare || share < r.tallies.filled+tuning.TallyWarningStep && r.tallies.filled > 0 {
+		return
+	}
+	r.tallies.filled = share
+	level := "warn"
+	if share >= 1 {
+		level = "error" // new adds are refused
+	}
+	_ = r.log.Log("level", level, "event", "tallies.filling", "share", math.Round(share*100)/100, "bytes", written.fileBytes)
+}
+
 // handleTallyFrame takes a message of another replica.
 func (r *Replica) handleTallyFrame(body []byte, stream *transport.Stream) {
 	var message rpc.TallyMessage
@@ -143,7 +192,7 @@
 		r.tallies.writes <- runs // one write at a time is under way, so there is room
 	}
 	for _, envelope := range replica.TakeMessages() {
-		message := rpc.TallyMessage{From: r.self.ID, Address: r.self.Addr, To: envelope.To, Message: envelope.Message}
+		message := rpc.TallyMessage{From: r.self.ID, To: envelope.To, Message: envelope.Message}
 		r.sendFrame(ctx, envelope.To, transport.Frame{Kind: frameTally, Body: transport.Encode(message)})
 	}
 	return r.tallies.tickAt.Sub(now)
@@ -192,9 +241,14 @@
 	}
 	r.tallies.changed = true
 	r.tallies.replica.Change(add, time.Now(), func(result tally.Result, position tally.Position) {
-		if result != tally.ResultOK {
+		switch result {
+		case tally.ResultOK:
+		case tally.ResultFull:
 			reply(rpc.Response{Code: codeTalliesFull, Text: "there is no room for another add"})
 			return
+		default:
+			reply(rpc.Response{Code: codeBehind, Text: "the file of this replica is an older copy of itself, the others bring what it lacks"})
+			return
 		}
 		reply(rpc.Response{Code: rpc.CodeOK, Body: transport.Encode(rpc.TallyAnswer{Position: position, Servers: r.serverAddresses()})})
 	})
--- a/internal/simulation/tallies_test.go
+++ b/internal/simulation/tallies_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"sync"
 	"testing"
 	"time"
@@ -173,6 +175,20 @@
 	}
 }
 
+// damageTallies blanks a part of the file of the tallies of a server that isn't running.
+func (c *Cluster) damageTallies(name string) {
+	c.T.Helper()
+	path := filepath.Join(c.dir, name, "tallies.db")
+	content, err := os.ReadFile(path)
+	if err != nil {
+		c.T.Fatal(err)
+	}
+	clear(content[len(content)/8 : len(content)/2])
+	if err := os.WriteFile(path, content, 0o600); err != nil {
+		c.T.Fatal(err)
+	}
+}
+
 // TestTalliesAtBothSides: tallies go on at each side of a partition, also under losses while
 // the sides are apart, and meet soon after it.
 func TestTalliesAtBothSides(t *testing.T) {
@@ -213,6 +229,23 @@
 				time.Sleep(7 * time.Second)
 			}
 		},
+		"file damaged while apart": func(t *testing.T, c *Cluster, l *tallyCallers) {
+			join := c.cutZone("z1")
+			time.Sleep(3 * time.Second)
+			for _, node := range c.Servers()[:2] {
+				l.restarted(node)
+				c.Kill(node)
+				c.damageTallies(node)
+				time.Sleep(500 * time.Millisecond)
+				c.Start(node)
+				l.restarted(node)
+				time.Sleep(7 * time.Second)
+				if _, err := os.Stat(filepath.Join(c.dir, node, "tallies.db.foreign")); err != nil {
+					t.Errorf("the damaged file was not set aside: %v", err)
+				}
+			}
+			join()
+		},
 		"cut after cut": func(_ *testing.T, c *Cluster, _ *tallyCallers) {
 			for _, zone := range []string{"z0", "z1", "z2", "z0"} {
 				join := c.cutZone(zone)
--- /dev/null
+++ b/internal/storage/checked_file.go
@@ -0,0 +1,211 @@
+package storage
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	bolt "go.etcd.io/bbolt"
+	"golang.org/x/sys/unix"
+
+	"tealpond/internal/tuning"
+)
+
+// fileContent is what a file of this package holds. It is read anew with each attempt.
+type fileContent interface {
+	// read checks and reads a whole file without bbolt, and returns its newest meta page.
+	read(reader io.ReaderAt, size int64) (boltMeta, error)
+	// isUnused tells whether nobody relies on what was read.
+	isUnused() bool
+	// initialize writes what a new file begins with.
+	initialize(tx *bolt.Tx) error
+}
+
+// openedFile is the outcome of opening a file.
+type openedFile struct {
+	db             *bolt.DB
+	created        bool
+	setAsideReason string // why an earlier file was set aside; empty if none was
+}
+
+// openChecked opens a file of a directory, as Open describes it.
+func (fs fileSystem) openChecked(dir, name string, content fileContent) (opened openedFile, err error) {
+	path := filepath.Join(dir, name)
+	opened.db, err = fs.loadChecked(path, content)
+	var corruptErr *CorruptError
+	switch {
+	case err == nil:
+		if err := fs.syncDirectory(dir); err != nil && content.isUnused() {
+			_ = opened.db.Close()
+			return opened, unavailable("sync folder", err)
+		}
+		return opened, nil
+	case errors.Is(err, errUninitialized):
+	case errors.As(err, &corruptErr):
+		opened.setAsideReason = corruptErr.Error()
+		if err := fs.rename(path, path+corruptSuffix); err != nil {
+			return opened, unavailable("put aside", err)
+		}
+		if err := fs.syncDirectory(dir); err != nil {
+			return opened, unavailable("sync folder", err)
+		}
+	default:
+		return opened, err
+	}
+	if err := fs.create(dir, path, content.initialize); err != nil {
+		return opened, err
+	}
+	if opened.db, err = fs.loadChecked(path, content); err != nil {
+		if errors.As(err, &corruptErr) || errors.Is(err, errUninitialized) {
+			err = unavailable("read what was just written", err)
+		}
+		return opened, err
+	}
+	opened.created = true
+	return opened, nil
+}
+
+// errUninitialized means that there is no file, or one that never got an identity,
+// since the daemon ended between creating it and the first sync. Nobody relies on
+// such a file, so it is replaced without notice.
+var errUninitialized = errors.New("no identity yet")
+
+// create makes the file under a temporary name, renames it once its content is
+// synced, and syncs the directory before the identity is used: a name that was not
+// synced may be lost with the power, and with it the votes and entries that this
+// member acknowledged.
+func (fs fileSystem) create(dir, path string, initialize func(*bolt.Tx) error) error {
+	temp := path + tempSuffix
+	if err := os.Remove(temp); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return unavailable("remove", err)
+	}
+	db, err := fs.openBolt(temp)
+	if err != nil {
+		return err
+	}
+	err = db.Update(initialize)
+	if closeErr := db.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return unavailable("create", err)
+	}
+	if err := fs.rename(temp, path); err != nil {
+		return unavailable("rename", err)
+	}
+	if err := fs.syncDirectory(dir); err != nil {
+		return unavailable("sync folder", err)
+	}
+	return nil
+}
+
+// openBolt opens a file that was checked. NoFreelistSync keeps the list of free
+// pages out of the file: bbolt finds it from the tree when it opens the file, so
+// that no page of it can be torn, and opening writes nothing. The order of bbolt's
+// writes stays: new pages, sync, meta page, sync; pages of the older meta are not
+// written again before the newer one is synced.
+func (fs fileSystem) openBolt(path string) (db *bolt.DB, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			db, err = nil, corrupt("file", "%v", r)
+		}
+	}()
+	db, err = bolt.Open(path, fileMode, &bolt.Options{
+		Timeout:        tuning.StorageLockTimeout,
+		NoFreelistSync: true,
+		FreelistType:   bolt.FreelistMapType,
+		OpenFile:       fs.openFile,
+	})
+	if err != nil {
+		return nil, unavailable("open", err)
+	}
+	return db, nil
+}
+
+// loadChecked checks and reads an existing file and opens it for writing.
+func (fs fileSystem) loadChecked(path string, content fileContent) (*bolt.DB, error) {
+	f, err := fs.openFile(path, os.O_RDWR, fileMode)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, errUninitialized
+	}
+	if err != nil {
+		return nil, unavailable("open", err)
+	}
+	meta, err := checkFile(f, content)
+	// Closing releases the lock, which bbolt takes for itself. Nothing was written,
+	// so an error of it has no consequence.
+	_ = f.Close()
+	if err != nil {
+		return nil, err
+	}
+	db, err := fs.openBolt(path)
+	if err != nil {
+		return nil, err
+	}
+	unchanged := false
+	_ = db.View(func(tx *bolt.Tx) error {
+		unchanged = uint64(tx.ID()) == meta.txid
+		return nil
+	})
+	if !unchanged {
+		_ = db.Close()
+		return nil, unavailable("open", errors.New("another process wrote to it"))
+	}
+	return db, nil
+}
+
+// checkFile checks and reads a file that no other process has open. It returns the
+// meta page.
+func checkFile(f *os.File, content fileContent) (boltMeta, error) {
+	if err := unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
+		return boltMeta{}, unavailable("lock", err)
+	}
+	info, err := f.Stat()
+	if err != nil {
+		return boltMeta{}, unavailable("stat", err)
+	}
+	if !info.Mode().IsRegular() {
+		return boltMeta{}, unavailable("open", fmt.Errorf("%s is no file", info.Name()))
+	}
+	meta, err := content.read(f, info.Size())
+	var corruptErr *CorruptError
+	if errors.As(err, &corruptErr) {
+		uninitialized, readErr := isUninitialized(f, info.Size())
+		if readErr != nil {
+			return boltMeta{}, readErr
+		}
+		if uninitialized {
+			err = errUninitialized
+		}
+	}
+	return meta, err
+}
+
+// isUninitialized tells whether a corrupt file can never have held an identity: it
+// is blank, or it has no more pages than a new file of bbolt and starts like one. The
+// first transaction of this package grows the file before it writes.
+func isUninitialized(reader io.ReaderAt, size int64) (bool, error) {
+	buffer := make([]byte, initialPageSize)
+	fewPages, validMeta := size <= initialPages*initialPageSize, false
+	for offset := int64(0); offset < size; offset += initialPageSize {
+		n := min(int64(len(buffer)), size-offset)
+		if err := readAt(reader, buffer[:n], offset); err != nil {
+			return false, err
+		}
+		blank := true
+		for _, c := range buffer[:n] {
+			blank = blank && c == 0
+		}
+		if offset == 0 && n >= pageHeaderSize+metaSize {
+			meta, ok := parseMeta(buffer[pageHeaderSize:])
+			validMeta = ok && meta.highWaterMark <= initialPages
+		}
+		asCreated := fewPages && validMeta
+		if !blank && !asCreated {
+			return false, nil
+		}
+	}
+	return true, nil
+}
--- a/internal/storage/fuzz_test.go
+++ b/internal/storage/fuzz_test.go
@@ -81,9 +81,14 @@
 		if err := os.WriteFile(copied, content, 0o600); err != nil {
 			t.Fatal(err)
 		}
-		store, reopened, err := osFileSystem.loadFile(copied)
-		if err != nil || reopened.ID != recovered.ID || len(reopened.Entries) != len(recovered.Entries) {
-			t.Fatalf("%v: %s with %d entries, was %s with %d", err, reopened.ID, len(reopened.Entries), recovered.ID, len(recovered.Entries))
+		held := &storeContent{}
+		db, err := osFileSystem.loadChecked(copied, held)
+		if err != nil {
+			t.Fatal(err)
+		}
+		store, reopened := held.newStore(db), held.recovered
+		if reopened.ID != recovered.ID || len(reopened.Entries) != len(recovered.Entries) {
+			t.Fatalf("%s with %d entries, was %s with %d", reopened.ID, len(reopened.Entries), recovered.ID, len(recovered.Entries))
 		}
 		next := recovered.Snapshot.Index + uint64(len(recovered.Entries)) + 1
 		if err := store.writeAll([]WriteRequest{entriesRequest(entries(next, next, 9)...)}); err != nil {
--- a/internal/storage/page.go
+++ b/internal/storage/page.go
@@ -81,6 +81,24 @@
 	return newest, nil
 }
 
+// hasBothMetas tells whether both meta pages of a file are valid. One that isn't says that the
+// newest transaction may be missing.
+func hasBothMetas(reader io.ReaderAt, size, pageSize int64) (bool, error) {
+	for _, offset := range []int64{0, pageSize} {
+		buffer := make([]byte, pageHeaderSize+metaSize)
+		if offset+int64(len(buffer)) > size {
+			return false, nil
+		}
+		if err := readAt(reader, buffer, offset); err != nil {
+			return false, err
+		}
+		if meta, ok := parseMeta(buffer[pageHeaderSize:]); !ok || meta.pageSize != pageSize {
+			return false, nil
+		}
+	}
+	return true, nil
+}
+
 // parseMeta decodes the meta of a meta page, and tells whether it is valid.
 func parseMeta(b []byte) (boltMeta, bool) {
 	order := binary.LittleEndian
--- a/internal/storage/tallies_test.go
+++ b/internal/storage/tallies_test.go
@@ -1,9 +1,15 @@
 package storage
 
 import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math/rand"
 	"os"
 	"path/filepath"
 	"reflect"
+	"syscall"
 	"testing"
 
 	bolt "go.etcd.io/bbolt"
@@ -11,65 +17,316 @@
 	"tealpond/internal/tally"
 )
 
+// mustOpenTallies opens the file in a directory.
+func mustOpenTallies(t *testing.T, dir string) (*Tallies, RecoveredTallies) {
+	t.Helper()
+	file, recovered, err := OpenTallies(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return file, recovered
+}
+
+// mustAppend writes runs.
+func mustAppend(t *testing.T, file *Tallies, runs ...tally.Run) (size int64) {
+	t.Helper()
+	size, err := file.Append(runs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return size
+}
+
+// testAdd is an add with a caller's ID.
+func testAdd(name, id string, amount int64) tally.Add {
+	return tally.Add{Tally: name, ID: tally.NewID(name, id), Amount: amount}
+}
+
+// newTalliesFile makes a directory with a file of so many adds of three origins, written in
+// some transactions, and gives what it holds.
+func newTalliesFile(t *testing.T, adds int) (dir string, want []tally.Run) {
+	t.Helper()
+	dir = t.TempDir()
+	file, recovered := mustOpenTallies(t, dir)
+	want = []tally.Run{{Origin: recovered.Origin, First: 1}, {Origin: "b", First: 1}, {Origin: "c", First: 1}}
+	const batch = 50
+	for n := 0; n < adds; n += batch {
+		run := &want[n/batch%len(want)]
+		more := tally.Run{Origin: run.Origin, First: run.Last() + 1}
+		for i := range batch {
+			more.Adds = append(more.Adds, testAdd(fmt.Sprint("t", i%5), fmt.Sprint(n+i), int64(i)))
+		}
+		run.Adds = append(run.Adds, more.Adds...)
+		mustAppend(t, file, more)
+	}
+	if err := file.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return dir, want
+}
+
 // TestTalliesAreReadAgain: what was appended is there after the file is opened again, in
 // order, and twice the same is there once.
 func TestTalliesAreReadAgain(t *testing.T) {
 	dir := t.TempDir()
-	open := func() (*Tallies, []tally.Run) {
-		t.Helper()
-		file, runs, err := OpenTallies(dir)
-		if err != nil {
-			t.Fatal(err)
-		}
-		return file, runs
-	}
-	file, runs := open()
-	if len(runs) != 0 {
-		t.Errorf("a new file has %v", runs)
+	file, recovered := mustOpenTallies(t, dir)
+	if len(recovered.Runs) != 0 || recovered.Origin == "" || recovered.SetAsideReason != "" || recovered.LastWriteLost {
+		t.Errorf("a new file has %+v", recovered)
 	}
-	a := tally.Run{Origin: "a", First: 1, Adds: []tally.Add{{Tally: "t", ID: "1", Amount: 5}, {Tally: "u", ID: "2", Amount: -3}}}
-	b := tally.Run{Origin: "b", First: 1, Adds: []tally.Add{{Tally: "t", ID: "3", Amount: 1}}}
-	more := tally.Run{Origin: "a", First: 3, Adds: []tally.Add{{Tally: "t", ID: "4", Amount: 2}}}
+	a := tally.Run{Origin: "a", First: 1, Adds: []tally.Add{testAdd("t", "1", 5), testAdd("u", "2", -3)}}
+	b := tally.Run{Origin: "b", First: 1, Adds: []tally.Add{testAdd("t", "3", 1)}}
+	more := tally.Run{Origin: "a", First: 3, Adds: []tally.Add{testAdd("t", "4", 2)}}
 	for _, written := range [][]tally.Run{{b, a}, {a}, {more}} {
-		if err := file.Append(written); err != nil {
-			t.Fatal(err)
-		}
+		mustAppend(t, file, written...)
 	}
 	if err := file.Close(); err != nil {
 		t.Fatal(err)
 	}
-	file, runs = open()
+	file, again := mustOpenTallies(t, dir)
 	a.Adds = append(a.Adds, more.Adds...)
-	if want := []tally.Run{a, b}; !reflect.DeepEqual(runs, want) {
-		t.Errorf("read %v, want %v", runs, want)
+	if want := []tally.Run{a, b}; !reflect.DeepEqual(again.Runs, want) || again.Origin != recovered.Origin || again.Bytes == 0 {
+		t.Errorf("read %+v, want %v of %s", again, want, recovered.Origin)
+	}
+	_ = file.Close()
+}
+
+// TestOpeningTalliesWritesNothing: a full disk doesn't keep a good file away.
+func TestOpeningTalliesWritesNothing(t *testing.T) {
+	dir, _ := newTalliesFile(t, 500)
+	path := filepath.Join(dir, talliesFileName)
+	before := mustReadFile(t, path)
+	file, _ := mustOpenTallies(t, dir)
+	if !bytes.Equal(before, mustReadFile(t, path)) {
+		t.Error("opening wrote to the file")
 	}
 	_ = file.Close()
 }
 
-// TestDamagedTalliesAreNotUsed: a record that isn't what was written is an error, and the
-// file stays as it is.
-func TestDamagedTalliesAreNotUsed(t *testing.T) {
+// TestTalliesOfEarlierVersionAreRead: a file with callers' IDs, all in one bucket, is read and
+// goes on in the new form, under an origin of its own.
+func TestTalliesOfEarlierVersionAreRead(t *testing.T) {
 	dir := t.TempDir()
-	file, _, err := OpenTallies(dir)
+	writeEarlierTallies(t, filepath.Join(dir, talliesFileName), 300)
+	file, recovered := mustOpenTallies(t, dir)
+	if len(recovered.Runs) != 1 || len(recovered.Runs[0].Adds) != 300 || recovered.Runs[0].Adds[7] != testAdd("t", "7", 7) {
+		t.Fatalf("%d runs", len(recovered.Runs))
+	}
+	mustAppend(t, file, tally.Run{Origin: "process", First: 301, Adds: []tally.Add{testAdd("t", "x", 1)}},
+		tally.Run{Origin: recovered.Origin, First: 1, Adds: []tally.Add{testAdd("t", "y", 1)}})
+	_ = file.Close()
+	file, again := mustOpenTallies(t, dir)
+	if again.Origin != recovered.Origin || len(again.Runs) != 2 || len(again.Runs[0].Adds)+len(again.Runs[1].Adds) != 302 {
+		t.Errorf("%s with %d runs", again.Origin, len(again.Runs))
+	}
+	_ = file.Close()
+}
+
+// writeEarlierTallies writes a file as earlier versions did.
+func writeEarlierTallies(t *testing.T, path string, adds int) {
+	t.Helper()
+	db, err := bolt.Open(path, 0o600, &bolt.Options{NoFreelistSync: true})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := file.Append([]tally.Run{{Origin: "a", First: 1, Adds: []tally.Add{{Tally: "t", ID: "1", Amount: 5}}}}); err != nil {
+	defer func() { _ = db.Close() }()
+	err = db.Update(func(tx *bolt.Tx) error {
+		bucket, err := tx.CreateBucket(bucketAdds)
+		if err != nil {
+			return err
+		}
+		for i := range adds {
+			key := binary.BigEndian.AppendUint64([]byte("process\x00"), uint64(i+1))
+			record, err := encodeRecord(key, earlierAdd{Tally: "t", ID: fmt.Sprint(i), Amount: int64(i)})
+			if err != nil {
+				return err
+			}
+			if err := bucket.Put(key, record); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	if err != nil {
 		t.Fatal(err)
 	}
-	if err := file.db.Update(func(tx *bolt.Tx) error {
-		bucket := tx.Bucket(bucketAdds)
-		record := append([]byte(nil), bucket.Get(addKey("a", 1))...)
-		record[len(record)-1] ^= 1
-		return bucket.Put(addKey("a", 1), record)
-	}); err != nil {
+}
+
+// talliesDamages are the ways in which a file is damaged.
+var talliesDamages = map[string]func(random *rand.Rand, content []byte) []byte{
+	"cut":         func(random *rand.Rand, content []byte) []byte { return content[:random.Intn(len(content))] },
+	"cut to half": func(_ *rand.Rand, content []byte) []byte { return content[:len(content)/2] },
+	"page zeroed": func(random *rand.Rand, content []byte) []byte { clear(randomPage(random, content)); return content },
+	"meta zeroed": func(random *rand.Rand, content []byte) []byte {
+		offset := random.Intn(metaPages) * initialPageSize
+		clear(content[offset : offset+initialPageSize])
+		return content
+	},
+	"page repeated": func(random *rand.Rand, content []byte) []byte {
+		copy(randomPage(random, content), randomPage(random, content))
+		return content
+	},
+	"byte flipped":  func(random *rand.Rand, content []byte) []byte { return flipBytes(random, content, 1) },
+	"bytes flipped": func(random *rand.Rand, content []byte) []byte { return flipBytes(random, content, 20) },
+	"another program's": func(random *rand.Rand, content []byte) []byte {
+		_, _ = random.Read(content)
+		return content
+	},
+}
+
+// randomPage is one of the pages of a file.
+func randomPage(random *rand.Rand, content []byte) []byte {
+	offset := random.Intn(len(content)/initialPageSize) * initialPageSize
+	return content[offset : offset+initialPageSize]
+}
+
+// flipBytes changes some bytes.
+func flipBytes(random *rand.Rand, content []byte, count int) []byte {
+	for range count {
+		content[random.Intn(len(content))] ^= byte(1 + random.Intn(255))
+	}
+	return content
+}
+
+// TestDamagedTalliesEndNoProcess: 300 damaged files by seed. None ends the process, which a
+// panic in a goroutine of the library would, and none holds fewer adds without saying so.
+func TestDamagedTalliesEndNoProcess(t *testing.T) {
+	dir, want := newTalliesFile(t, 2000)
+	original := mustReadFile(t, filepath.Join(dir, talliesFileName))
+	const seeds = 40
+	outcomes := map[string]int{}
+	for name, damage := range talliesDamages {
+		for seed := range int64(seeds) {
+			what := fmt.Sprintf("%s, seed %d", name, seed)
+			damaged := damage(rand.New(rand.NewSource(seed)), bytes.Clone(original))
+			outcomes[name+": "+tryDamagedTallies(t, what, damaged, want)]++
+		}
+	}
+	t.Log(outcomes)
+	if outcomes["cut to half: set aside"] != seeds || outcomes["another program's: set aside"] != seeds || outcomes["meta zeroed: last write lost"] != seeds {
+		t.Errorf("%v", outcomes)
+	}
+}
+
+// tryDamagedTallies opens a damaged file, and again after more was written to it.
+func tryDamagedTallies(t *testing.T, what string, damaged []byte, want []tally.Run) (outcome string) {
+	t.Helper()
+	dir := t.TempDir()
+	path := filepath.Join(dir, talliesFileName)
+	if err := os.WriteFile(path, damaged, 0o600); err != nil {
 		t.Fatal(err)
 	}
+	file, recovered, err := OpenTallies(dir)
+	if err != nil {
+		t.Fatalf("%s: %v", what, err)
+	}
+	defer func() { _ = file.Close() }()
+	switch {
+	case recovered.SetAsideReason != "":
+		outcome = "set aside"
+		if len(recovered.Runs) != 0 || !bytes.Equal(mustReadFile(t, path+corruptSuffix), damaged) {
+			t.Fatalf("%s: %d runs beside %q", what, len(recovered.Runs), recovered.SetAsideReason)
+		}
+	case recovered.LastWriteLost:
+		outcome = "last write lost"
+		if recovered.Origin == want[0].Origin {
+			t.Fatalf("%s: numbers may be given twice", what)
+		}
+	case recovered.Created:
+		outcome = "made anew"
+		if len(damaged) > 0 {
+			t.Fatalf("%s: a file was replaced without a word", what)
+		}
+	default:
+		outcome = "good"
+		if !reflect.DeepEqual(recovered.Runs, sortedRuns(want)) {
+			t.Fatalf("%s: fewer adds in silence", what)
+		}
+	}
+	first := uint64(1)
+	for _, run := range recovered.Runs {
+		if run.Origin == recovered.Origin {
+			first = run.Last() + 1
+		}
+	}
+	mustAppend(t, file, tally.Run{Origin: recovered.Origin, First: first, Adds: []tally.Add{testAdd("t", "after", 1)}})
 	_ = file.Close()
-	if _, _, err := OpenTallies(dir); err == nil {
-		t.Error("a damaged record was read")
+	reopened, again := mustOpenTallies(t, dir)
+	if again.Origin != recovered.Origin || again.SetAsideReason != "" || again.LastWriteLost {
+		t.Fatalf("%s: opened again: %q", what, again.SetAsideReason)
+	}
+	_ = reopened.Close()
+	return outcome
+}
+
+// sortedRuns gives runs in the order of their origins.
+func sortedRuns(runs []tally.Run) []tally.Run {
+	sorted := []tally.Run{runs[1], runs[2]}
+	for i, run := range sorted {
+		if runs[0].Origin < run.Origin {
+			return append(append(append([]tally.Run{}, sorted[:i]...), runs[0]), sorted[i:]...)
+		}
+	}
+	return append(sorted, runs[0])
+}
+
+// TestFaultsOfTheDiskLeaveTallies: a fault that may pass leaves the file as it is.
+func TestFaultsOfTheDiskLeaveTallies(t *testing.T) {
+	dir, _ := newTalliesFile(t, 100)
+	path := filepath.Join(dir, talliesFileName)
+	before := mustReadFile(t, path)
+	for _, fault := range []error{syscall.ENOSPC, syscall.EIO, syscall.EACCES, syscall.EMFILE} {
+		fs := osFileSystem
+		fs.openFile = func(name string, _ int, _ os.FileMode) (*os.File, error) {
+			return nil, &os.PathError{Op: "open", Path: name, Err: fault}
+		}
+		var unavailableErr *UnavailableError
+		if _, _, err := fs.openTallies(dir); !errors.As(err, &unavailableErr) || !errors.Is(err, fault) {
+			t.Errorf("%v: %v", fault, err)
+		}
+		requireAbsent(t, path+corruptSuffix)
+		if !bytes.Equal(before, mustReadFile(t, path)) {
+			t.Errorf("%v: the file changed", fault)
+		}
+	}
+}
+
+// TestMissingAddsAreNoticed: records that are gone from a sound file, at the end of an origin
+// or in between, make it a corrupt one.
+func TestMissingAddsAreNoticed(t *testing.T) {
+	for name, number := range map[string]uint64{"last": 350, "middle": 100, "first": 1} {
+		dir, want := newTalliesFile(t, 1000)
+		file, _ := mustOpenTallies(t, dir)
+		err := file.db.Update(func(tx *bolt.Tx) error {
+			return tx.Bucket(bucketRuns).Bucket([]byte(want[0].Origin)).Delete(binary.BigEndian.AppendUint64(nil, number))
+		})
+		if err != nil || want[0].Last() != 350 {
+			t.Fatal(err, want[0].Last())
+		}
+		_ = file.Close()
+		file, recovered := mustOpenTallies(t, dir)
+		if recovered.SetAsideReason == "" {
+			t.Errorf("%s: not noticed", name)
+		}
+		_ = file.Close()
+	}
+}
+
+// TestSizeOfTallies: what an add takes on the disk, by which the bound on the file is told in
+// adds (docs/CAPACITY.md).
+func TestSizeOfTallies(t *testing.T) {
+	const adds, most = 20_000, 80
+	file, recovered := mustOpenTallies(t, t.TempDir())
+	defer func() { _ = file.Close() }()
+	size := int64(0)
+	for n := uint64(0); n < adds; n += 500 {
+		run := tally.Run{Origin: recovered.Origin, First: n + 1}
+		for i := range uint64(500) {
+			run.Adds = append(run.Adds, testAdd("tally-1", fmt.Sprint(n+i), int64(n)))
+		}
+		size = mustAppend(t, file, run)
 	}
-	if _, err := os.Stat(filepath.Join(dir, talliesFileName)); err != nil {
-		t.Error(err)
+	if size/adds > most {
+		t.Errorf("%d bytes an add", size/adds)
 	}
+	t.Logf("%d bytes an add", size/adds)
 }
--- a/internal/tally/replica.go
+++ b/internal/tally/replica.go
@@ -8,7 +8,7 @@
 
 // Config is what a Replica needs to know.
 type Config struct {
-	// Origin names this process among all that ever were; it is never used again.
+	// Origin names the file on this replica's disk among all that ever were.
 	Origin string
 	// Copies is on how many disks an add is before it is acknowledged.
 	Copies int
@@ -21,17 +21,24 @@
 	// StartupTimeout is for how long after its start a replica answers no reads unless it
 	// has what some peer has.
 	StartupTimeout time.Duration
-	// MaxAdds bounds the adds that are kept, MaxMessageAdds those of a message.
-	MaxAdds, MaxMessageAdds int
+	// MaxBytes bounds the file, in bytes: beyond it new adds are refused.
+	MaxBytes int64
+	// MaxMessageAdds bounds the adds of a message.
+	MaxMessageAdds int
 }
 
 // Message is what replicas tell one another.
 type Message struct {
-	_      struct{} `cbor:",toarray"`
-	Vector Vector   // what the sender has on its disk
-	Runs   []Run    // adds that the receiver may lack
-	// Exchange asks the receiver for what it has beyond the vector.
-	Exchange bool
+	_ struct{} `cbor:",toarray"`
+	// Vector is what the sender has on its disk: of all origins if Whole is set, else of those
+	// that have changed since the message to this receiver before; Digest is that of all.
+	Vector Vector
+	Whole  bool
+	Digest Digest
+	Runs   []Run // adds that the receiver may lack
+	// Exchange asks the receiver for what it has beyond the vector, AskWhole for the whole of
+	// its own vector.
+	Exchange, AskWhole bool
 }
 
 // Envelope is a message and the peer that it goes to.
@@ -47,16 +54,17 @@
 const (
 	ResultOK      Result = iota
 	ResultFull           // there is no room for another add
-	ResultBehind         // a read asks for adds that are not here
+	ResultBehind         // a read asks for adds that are not here, or the file lacks some of its own
 	ResultStarted        // the replica has just started, and may lack what it acknowledged
 )
 
 // peer is another replica, as this one knows it.
 type peer struct {
-	durable Vector    // what it has on its disk
-	sent    uint64    // the number of the newest add of this process that it was told of
-	heardAt time.Time // zero: never
-	toldAt  time.Time // when it was last told of adds of this process
+	vector  peerVector          // what it has on its disk
+	changed map[string]struct{} // origins of which it was not told since they changed
+	sent    uint64              // the number of the newest add of this origin that it was told of
+	heardAt time.Time           // zero: never
+	toldAt  time.Time           // when it was last told of adds of this origin
 }
 
 // change is an add that waits to be acknowledged.
@@ -70,8 +78,8 @@
 // written and sent is taken from it afterwards. It is used by one task.
 type Replica struct {
 	config    Config
-	set       *Set  // what is on the disk
-	staged    *Set  // that, and what is being written
+	set       *Set
+	fileBytes int64 // size of the file
 	toWrite   []Run // handed to the disk next
 	writing   []Run // being written
 	askedBy   []string
@@ -83,12 +91,12 @@
 	caughtUp  bool
 }
 
-// NewReplica makes a replica of what its disk holds.
-func NewReplica(config Config, stored []Run, now time.Time) *Replica {
-	r := &Replica{config: config, set: NewSet(), staged: NewSet(), peers: map[string]*peer{}, startedAt: now}
+// NewReplica makes a replica of what its file holds, whose size is in bytes.
+func NewReplica(config Config, stored []Run, fileBytes int64, now time.Time) *Replica {
+	r := &Replica{config: config, set: NewSet(), fileBytes: fileBytes, peers: map[string]*peer{}, startedAt: now}
 	for _, run := range stored {
-		r.set.Merge(run)
-		r.staged.Merge(run)
+		r.set.Stage(run)
+		r.set.MarkWritten(run)
 	}
 	return r
 }
@@ -97,7 +105,7 @@
 func (r *Replica) SetPeers(ids []string) {
 	for _, id := range ids {
 		if r.peers[id] == nil {
-			r.peers[id] = &peer{durable: Vector{}}
+			r.peers[id] = &peer{vector: peerVector{numbers: Vector{}}, changed: map[string]struct{}{}}
 		}
 	}
 	maps.DeleteFunc(r.peers, func(id string, _ *peer) bool { return !slices.Contains(ids, id) })
@@ -106,42 +114,59 @@
 // Change adds to a tally; done is called with the add's place once it is acknowledged. An
 // add whose ID has come before counts no second time, and is acknowledged on the same terms.
 func (r *Replica) Change(add Add, now time.Time, done func(Result, Position)) {
-	position, known := r.staged.Find(add.Tally, add.ID)
+	position, known := r.set.Find(add.ID)
 	if !known {
-		if r.staged.Len() >= r.config.MaxAdds {
+		switch {
+		case r.isRolledBack():
+			done(ResultBehind, Position{})
+			return
+		case r.FileShare() >= 1:
 			done(ResultFull, Position{})
 			return
 		}
 		position = r.append(add)
 	}
 	r.changes = append(r.changes, change{position, now, done})
-	r.tellChanges(now)
 	r.acknowledge(now)
 }
 
-// append gives an add the next number of this process. Peers are told of it at once: if it
-// is lost here before it is written, its number is not used again, since the next process
-// has another origin.
+// FileShare is the share of its bound that the file has reached; 1 and more is full.
+func (r *Replica) FileShare() float64 { return float64(r.fileBytes) / float64(r.config.MaxBytes) }
+
+// append gives an add the next number of this origin.
+//
+// Nobody is told of it before it is on the disk here. So all numbers that others know are in
+// the file, the process that opens it next goes on behind them, and a number stands for one
+// add for good. There are no more origins than there were files.
 func (r *Replica) append(add Add) Position {
-	number := r.staged.Newest(r.config.Origin) + 1
-	run := Run{Origin: r.config.Origin, First: number, Adds: []Add{add}}
-	r.staged.Merge(run)
-	r.toWrite = append(r.toWrite, run)
-	return Position{Origin: run.Origin, Number: number}
+	run := Run{Origin: r.config.Origin, First: r.set.Newest(r.config.Origin) + 1, Adds: []Add{add}}
+	r.toWrite = append(r.toWrite, r.set.Stage(run))
+	return Position{Origin: run.Origin, Number: run.First}
 }
 
-// tellChanges tells each peer of the adds of this process that it was not told of.
+// isRolledBack tells whether a peer has adds of this origin that are not here: the file is
+// an older copy of itself. They come back from that peer, and until then no number is given.
+func (r *Replica) isRolledBack() bool {
+	newest := r.set.Newest(r.config.Origin)
+	for _, peer := range r.peers {
+		if peer.vector.numbers[r.config.Origin] > newest {
+			return true
+		}
+	}
+	return false
+}
+
+// tellChanges tells each peer of the adds of this origin that it was not told of.
 func (r *Replica) tellChanges(now time.Time) {
 	for _, id := range r.peerIDs() {
 		peer := r.peers[id]
-		known := Vector{r.config.Origin: max(peer.sent, peer.durable[r.config.Origin])}
-		runs := r.staged.Missing(known, r.config.Origin, r.config.MaxMessageAdds)
-		if len(runs) == 0 {
+		known := max(peer.sent, peer.vector.numbers[r.config.Origin])
+		run := r.set.MissingOf(r.config.Origin, known, r.config.MaxMessageAdds)
+		if len(run.Adds) == 0 {
 			continue
 		}
-		peer.sent = runs[0].First + uint64(len(runs[0].Adds)) - 1
-		peer.toldAt = now
-		r.send(id, Message{Vector: r.set.Vector(), Runs: runs})
+		peer.sent, peer.toldAt = run.Last(), now
+		r.send(id, Message{Runs: []Run{run}})
 	}
 }
 
@@ -151,28 +176,37 @@
 	if sender == nil {
 		return
 	}
-	sender.durable, sender.heardAt = message.Vector, now
-	if sender.durable == nil {
-		sender.durable = Vector{}
-	}
+	sender.heardAt = now
+	sender.vector.learn(&message, r.set)
 	for _, run := range message.Runs {
-		if taken := r.staged.Merge(run); taken > 0 {
-			skipped := len(run.Adds) - taken
-			r.toWrite = append(r.toWrite, Run{Origin: run.Origin, First: run.First + uint64(skipped), Adds: run.Adds[skipped:]})
+		if taken := r.set.Stage(run); len(taken.Adds) > 0 {
+			r.toWrite = append(r.toWrite, taken)
 		}
 	}
 	switch {
 	case len(message.Runs) > 0 && !slices.Contains(r.askedBy, from):
 		r.askedBy = append(r.askedBy, from) // it is answered once that is on the disk
-	case message.Exchange:
-		r.send(from, Message{Vector: r.set.Vector(), Runs: r.set.Missing(sender.durable, "", r.config.MaxMessageAdds)})
+	case message.Exchange || message.AskWhole:
+		r.answerExchange(from, sender, message.AskWhole)
+	case !sender.vector.known:
+		r.send(from, Message{AskWhole: true})
 	}
-	if !r.caughtUp && r.set.Vector().Covers(sender.durable) {
+	if !r.caughtUp && sender.vector.known && r.set.Vector().Covers(sender.vector.numbers) {
 		r.caughtUp = true
 	}
 	r.acknowledge(now)
 }
 
+// answerExchange tells a peer what it lacks, as far as is known, and the whole of this
+// replica's vector if it is asked for.
+func (r *Replica) answerExchange(id string, peer *peer, whole bool) {
+	answer := Message{Whole: whole, AskWhole: !peer.vector.known}
+	if peer.vector.known && peer.vector.digest != r.set.Digest() {
+		answer.Runs = r.set.Missing(peer.vector.numbers, r.config.MaxMessageAdds)
+	}
+	r.send(id, answer)
+}
+
 // TakeWrites gives what is to be written next, if nothing is being written; nil if nothing
 // is. Written must be called once it is on the disk.
 func (r *Replica) TakeWrites() []Run {
@@ -187,12 +221,17 @@
 	return r.writing
 }
 
-// Written takes note that what TakeWrites gave is on the disk.
-func (r *Replica) Written(now time.Time) {
+// Written takes note that what TakeWrites gave is on the disk, and of the size that the file
+// has now, in bytes.
+func (r *Replica) Written(fileBytes int64, now time.Time) {
 	for _, run := range r.writing {
-		r.set.Merge(run)
+		r.set.MarkWritten(run)
+		for _, peer := range r.peers {
+			peer.changed[run.Origin] = struct{}{}
+		}
 	}
-	r.writing = nil
+	r.writing, r.fileBytes = nil, fileBytes
+	r.tellChanges(now)
 	if len(r.toWrite) == 0 {
 		r.answerPeers()
 	}
@@ -204,7 +243,7 @@
 func (r *Replica) answerPeers() {
 	for _, id := range r.askedBy {
 		if peer := r.peers[id]; peer != nil {
-			r.send(id, Message{Vector: r.set.Vector(), Exchange: !r.staged.Vector().Covers(peer.durable)})
+			r.send(id, Message{Exchange: peer.vector.known && !r.set.Vector().Covers(peer.vector.numbers), AskWhole: !peer.vector.known})
 		}
 	}
 	r.askedBy = nil
@@ -213,15 +252,15 @@
 // Tick does what is due: peers that lack adds are told again, and vectors are exchanged.
 func (r *Replica) Tick(now time.Time) {
 	for _, peer := range r.peers {
-		if peer.durable[r.config.Origin] < peer.sent && now.Sub(peer.toldAt) >= r.config.RepeatInterval {
-			peer.sent = peer.durable[r.config.Origin]
+		if durable := peer.vector.numbers[r.config.Origin]; durable < peer.sent && now.Sub(peer.toldAt) >= r.config.RepeatInterval {
+			peer.sent = durable
 		}
 	}
 	r.tellChanges(now)
 	if now.Sub(r.exchanged) >= r.config.ExchangeInterval {
 		r.exchanged = now
 		for _, id := range r.peerIDs() {
-			r.send(id, Message{Vector: r.set.Vector(), Exchange: true})
+			r.send(id, Message{Exchange: true, AskWhole: !r.peers[id].vector.known})
 		}
 	}
 	r.acknowledge(now)
@@ -256,7 +295,7 @@
 	}
 	copies, heard, lacking := 1, 1, 0
 	for _, peer := range r.peers {
-		has := peer.durable[change.position.Origin] >= change.position.Number
+		has := peer.vector.numbers[change.position.Origin] >= change.position.Number
 		if has {
 			copies++
 		}
@@ -317,17 +356,33 @@
 	for _, id := range r.peerIDs() {
 		state := PeerState{ID: id, HeardAt: r.peers[id].heardAt}
 		for origin, number := range r.set.Vector() {
-			state.Lacks += number - min(number, r.peers[id].durable[origin])
+			state.Lacks += number - min(number, r.peers[id].vector.numbers[origin])
 		}
 		states = append(states, state)
 	}
 	return states
 }
 
+// Adds is the number of adds that are known by their IDs.
+func (r *Replica) Adds() int { return r.set.Len() }
+
 // Totals gives all tallies with their sums. The caller must not change it.
 func (r *Replica) Totals() map[string]int64 { return r.set.Totals() }
 
+// send sends a message with what has changed of this replica's vector since the one to the
+// peer before.
 func (r *Replica) send(to string, message Message) {
+	peer := r.peers[to]
+	message.Digest = r.set.Digest()
+	if message.Whole {
+		message.Vector = maps.Clone(r.set.Vector())
+	} else {
+		message.Vector = make(Vector, len(peer.changed))
+		for origin := range peer.changed {
+			message.Vector[origin] = r.set.Vector()[origin]
+		}
+	}
+	clear(peer.changed)
 	r.outbox = append(r.outbox, Envelope{to, message})
 }
 
--- a/internal/tally/replica_test.go
+++ b/internal/tally/replica_test.go
@@ -7,6 +7,8 @@
 	"math/rand"
 	"testing"
 	"time"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 // troubleSeeds is how many days of troubles are played.
@@ -16,14 +18,16 @@
 
 func testConfig(origin string) Config {
 	return Config{Origin: origin, Copies: 2, PeerTimeout: 1200 * time.Millisecond, AnswerTimeout: 400 * time.Millisecond,
-		ExchangeInterval: 500 * time.Millisecond, RepeatInterval: 250 * time.Millisecond, StartupTimeout: 1500 * time.Millisecond, MaxAdds: 1000, MaxMessageAdds: 50}
+		ExchangeInterval: 500 * time.Millisecond, RepeatInterval: 250 * time.Millisecond, StartupTimeout: 1500 * time.Millisecond, MaxBytes: 1 << 20, MaxMessageAdds: 50}
 }
 
 // machine is a replica with its disk.
 type machine struct {
 	replica *Replica
 	disk    []Run
-	started int
+	writing []Run // on its way to the disk
+	origin  string
+	files   int
 	stalled bool // its disk
 	down    bool
 	// acknowledged are the IDs that it has acknowledged in this life.
@@ -39,6 +43,8 @@
 	cut      map[[2]int]bool
 	sent     map[string]int64 // the amount of each ID that was ever sent
 	kept     map[string]bool  // IDs that were acknowledged and must not be lost
+	// onMessage is told of each message that is sent, if it is set.
+	onMessage func(Message)
 }
 
 type flight struct {
@@ -63,9 +69,15 @@
 // start starts a machine with what is on its disk.
 func (w *world) start(i int) {
 	m := w.machines[i]
-	m.started++
+	if m.writing != nil && w.random.Intn(2) == 0 {
+		m.disk = append(m.disk, m.writing...) // it came to an end all the same
+	}
+	if m.writing = nil; len(m.disk) == 0 {
+		m.files++
+		m.origin = fmt.Sprintf("%s/%d", memberID(i), m.files)
+	}
 	m.down, m.acknowledged = false, map[string]bool{}
-	m.replica = NewReplica(testConfig(fmt.Sprintf("%s/%d", memberID(i), m.started)), m.disk, w.now)
+	m.replica = NewReplica(testConfig(m.origin), m.disk, int64(len(m.disk)), w.now)
 	var peers []string
 	for j := range w.machines {
 		if j != i {
@@ -95,12 +107,16 @@
 		m.replica.Tick(w.now)
 		m.replica.Abandon(w.now.Add(-900 * time.Millisecond))
 		if !m.stalled {
-			if runs := m.replica.TakeWrites(); runs != nil {
-				m.disk = append(m.disk, runs...)
-				m.replica.Written(w.now)
+			if m.writing != nil {
+				m.disk, m.writing = append(m.disk, m.writing...), nil
+				m.replica.Written(int64(len(m.disk)), w.now)
 			}
+			m.writing = m.replica.TakeWrites()
 		}
 		for _, envelope := range m.replica.TakeMessages() {
+			if w.onMessage != nil {
+				w.onMessage(envelope.Message)
+			}
 			if w.random.Intn(20) == 0 {
 				continue // lost
 			}
@@ -118,7 +134,7 @@
 		return
 	}
 	w.sent[id] = int64(1 + len(id))
-	m.replica.Change(Add{Tally: "t", ID: id, Amount: w.sent[id]}, w.now, func(result Result, _ Position) {
+	m.replica.Change(Add{Tally: "t", ID: NewID("t", id), Amount: w.sent[id]}, w.now, func(result Result, _ Position) {
 		if result == ResultOK {
 			w.kept[id], m.acknowledged[id] = true, true
 		}
@@ -167,6 +183,9 @@
 		if !maps.Equal(m.replica.set.Vector(), w.machines[0].replica.set.Vector()) {
 			t.Fatalf("machines 0 and %d differ", i)
 		}
+		if m.replica.set.Digest() != digestOf(m.replica.set.Vector()) {
+			t.Fatalf("machine %d: the digest is not that of its vector", i)
+		}
 	}
 }
 
@@ -208,7 +227,7 @@
 		for range 50 {
 			w.step()
 			if w.machines[victim].acknowledged[id] {
-				w.machines[victim].disk = nil
+				w.machines[victim].disk, w.machines[victim].writing = nil, nil
 				w.start(victim)
 				return
 			}
@@ -313,7 +332,7 @@
 	if !w.kept["x"] {
 		t.Fatal("not acknowledged")
 	}
-	w.machines[0].disk = nil
+	w.machines[0].disk, w.machines[0].writing = nil, nil
 	w.start(0)
 	for range 300 {
 		w.step()
@@ -322,9 +341,9 @@
 		t.Error("an add that was on one disk alone is still there")
 	}
 	double := NewSet()
-	double.Merge(Run{Origin: "a", First: 1, Adds: []Add{{Tally: "t", ID: "x", Amount: 3}}})
-	double.entries = map[addKey]entry{} // it forgets what has counted
-	double.Merge(Run{Origin: "b", First: 1, Adds: []Add{{Tally: "t", ID: "x", Amount: 3}}})
+	merge(double, Run{Origin: "a", First: 1, Adds: []Add{testAdd("t", "x", 3)}})
+	double.entries = map[ID]place{} // it forgets what has counted
+	merge(double, Run{Origin: "b", First: 1, Adds: []Add{testAdd("t", "x", 3)}})
 	if double.Total("t") != 6 {
 		t.Error("the planted break doesn't double")
 	}
@@ -332,7 +351,7 @@
 
 // TestReadsOfWhatACallerKnows: a replica that lacks it says so.
 func TestReadsOfWhatACallerKnows(t *testing.T) {
-	replica := NewReplica(testConfig("a"), []Run{{Origin: "b", First: 1, Adds: []Add{{Tally: "t", ID: "1", Amount: 4}}}}, testStart)
+	replica := NewReplica(testConfig("a"), []Run{{Origin: "b", First: 1, Adds: []Add{testAdd("t", "1", 4)}}}, 1, testStart)
 	for _, c := range []struct {
 		after Vector
 		want  Result
@@ -350,18 +369,112 @@
 	}
 }
 
-// TestNoRoom: beyond the bound adds are refused, those that have counted are not.
+// TestNoRoom: beyond the bound adds are refused, those that have counted are not, and what
+// other replicas bring is taken.
 func TestNoRoom(t *testing.T) {
 	config := testConfig("a")
-	config.MaxAdds = 1
-	replica := NewReplica(config, nil, testStart)
+	config.MaxBytes = 100
+	replica := NewReplica(config, nil, 0, testStart)
+	replica.SetPeers([]string{"other"})
 	var results []Result
 	for _, id := range []string{"1", "2", "1"} {
-		replica.Change(Add{Tally: "t", ID: id, Amount: 1}, testStart, func(result Result, _ Position) { results = append(results, result) })
+		replica.Change(testAdd("t", id, 1), testStart, func(result Result, _ Position) { results = append(results, result) })
 		replica.TakeWrites()
-		replica.Written(testStart)
+		replica.Written(100, testStart)
+		replica.Receive("other", Message{Vector: Vector{"a": 1}, Whole: true, Digest: digestOf(Vector{"a": 1})}, testStart)
 	}
 	if len(results) != 3 || results[0] != ResultOK || results[1] != ResultFull || results[2] != ResultOK {
 		t.Errorf("%v", results)
 	}
+	replica.Receive("other", Message{Runs: []Run{{Origin: "b", First: 1, Adds: []Add{testAdd("t", "3", 1)}}}}, testStart)
+	if writes := replica.TakeWrites(); len(writes) != 1 {
+		t.Errorf("%v is written of what another replica has", writes)
+	}
+}
+
+// TestOlderCopyOfAFile: a replica whose file is an older copy of itself gives no number until
+// the others have brought back what it lacks, and then goes on behind it.
+func TestOlderCopyOfAFile(t *testing.T) {
+	w := newWorld(5, 3)
+	for range 100 {
+		w.step()
+	}
+	older := 0
+	for n := range 6 {
+		w.add(0, fmt.Sprint("a", n))
+		for range 20 {
+			w.step()
+		}
+		if n == 2 {
+			older = len(w.machines[0].disk)
+		}
+	}
+	w.machines[0].disk = w.machines[0].disk[:older]
+	w.start(0)
+	w.machines[0].replica.Receive("m1", Message{Whole: true, Vector: w.machines[1].replica.set.Vector(), Digest: w.machines[1].replica.set.Digest()}, w.now)
+	refused := ResultOK
+	w.machines[0].replica.Change(testAdd("t", "b", 1), w.now, func(result Result, _ Position) { refused = result })
+	if refused != ResultBehind {
+		t.Errorf("an add is taken: %v", refused)
+	}
+	for range 200 {
+		w.step()
+	}
+	w.add(0, "c")
+	for range 100 {
+		w.step()
+	}
+	if !w.kept["c"] {
+		t.Error("no add is taken once all is back")
+	}
+	w.checkKept(t)
+}
+
+// TestMonthOfRestarts: what replicas keep and tell doesn't grow with restarts and lost disks,
+// but for the adds themselves and one number for each file there ever was.
+func TestMonthOfRestarts(t *testing.T) {
+	w := newWorld(3, 5)
+	size, calm := 0, false
+	w.onMessage = func(message Message) {
+		raw, err := cbor.Marshal(message)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if calm {
+			size = max(size, len(raw))
+		}
+	}
+	for life := range 300 { // ten restarts a day of five servers, of which one loses its disk
+		victim := life % 5
+		if life%10 == 0 {
+			w.machines[victim].disk, w.machines[victim].writing = nil, nil
+		}
+		w.start(victim)
+		for range 70 {
+			w.step()
+		}
+		w.add(victim, fmt.Sprint("id", life))
+		for range 40 {
+			w.step()
+		}
+	}
+	for range 400 {
+		w.step()
+	}
+	w.checkKept(t)
+	most := 0
+	for _, m := range w.machines {
+		most = max(most, len(m.replica.set.Vector()))
+	}
+	if files := 5 + 30; most > files {
+		t.Errorf("%d origins of %d files", most, files)
+	}
+	calm = true
+	for range 200 {
+		w.step()
+	}
+	if size > 60 {
+		t.Errorf("a message of a calm time has %d bytes", size)
+	}
+	t.Logf("%d origins after 300 lives and 30 lost disks, %d bytes for the largest message of a calm time", most, size)
 }
--- a/internal/tally/set_test.go
+++ b/internal/tally/set_test.go
@@ -7,13 +7,25 @@
 	"testing"
 )
 
+// testAdd is an add with a caller's ID.
+func testAdd(name, id string, amount int64) Add {
+	return Add{Tally: name, ID: NewID(name, id), Amount: amount}
+}
+
+// merge stages a run and takes it as written at once; it gives how many adds were new.
+func merge(s *Set, run Run) int {
+	taken := s.Stage(run)
+	s.MarkWritten(taken)
+	return len(taken.Adds)
+}
+
 // randomRuns draws adds of some origins, of which some IDs come twice, as runs of one add.
 func randomRuns(random *rand.Rand) []Run {
 	var runs []Run
 	for origin := range 3 {
 		for number := range 1 + random.Intn(8) {
 			id := fmt.Sprint(random.Intn(12))
-			add := Add{Tally: fmt.Sprint("t", random.Intn(2)), ID: id, Amount: int64(len(id))*7 + int64(id[0])}
+			add := testAdd(fmt.Sprint("t", random.Intn(2)), id, int64(len(id))*7+int64(id[0]))
 			runs = append(runs, Run{Origin: fmt.Sprint("o", origin), First: uint64(number + 1), Adds: []Add{add}})
 		}
 	}
@@ -27,12 +39,12 @@
 		random := rand.New(rand.NewSource(seed))
 		runs := randomRuns(random)
 		want := NewSet()
-		sums, counted := map[string]int64{}, map[addKey]bool{}
+		sums, counted := map[string]int64{}, map[ID]bool{}
 		for _, run := range runs {
-			want.Merge(run)
+			merge(want, run)
 			for _, add := range run.Adds {
-				if key := (addKey{add.Tally, add.ID}); !counted[key] {
-					counted[key] = true
+				if !counted[add.ID] {
+					counted[add.ID] = true
 					sums[add.Tally] += add.Amount
 				}
 			}
@@ -47,15 +59,15 @@
 			}
 			to, from := sets[random.Intn(3)], sets[random.Intn(3)]
 			if random.Intn(2) == 0 {
-				to.Merge(runs[random.Intn(len(runs))])
+				merge(to, runs[random.Intn(len(runs))])
 				continue
 			}
 			vector := to.Vector()
 			if random.Intn(3) == 0 {
 				vector = Vector{} // what it has comes again
 			}
-			for _, run := range from.Missing(vector, "", 1+random.Intn(5)) {
-				to.Merge(run)
+			for _, run := range from.Missing(vector, 1+random.Intn(5)) {
+				merge(to, run)
 			}
 		}
 		for i, set := range sets[:2] {
@@ -68,7 +80,7 @@
 
 // TestGapsAreNotTaken: what an acknowledgement by a number covers has no gap.
 func TestGapsAreNotTaken(t *testing.T) {
-	add := func(id string) Add { return Add{Tally: "t", ID: id, Amount: 1} }
+	add := func(id string) Add { return testAdd("t", id, 1) }
 	for _, c := range []struct {
 		run   Run
 		taken int
@@ -82,14 +94,52 @@
 	} {
 		set := NewSet()
 		if c.taken != 2 {
-			set.Merge(Run{Origin: "a", First: 1, Adds: []Add{add("1"), add("2")}})
+			merge(set, Run{Origin: "a", First: 1, Adds: []Add{add("1"), add("2")}})
 			if c.run.First == 2 && len(c.run.Adds) == 1 {
 				set = NewSet()
 			}
 		}
 		before := set.Vector()["a"]
-		if taken := set.Merge(c.run); taken != c.taken || set.Vector()["a"] != before+uint64(taken) {
+		if taken := merge(set, c.run); taken != c.taken || set.Vector()["a"] != before+uint64(taken) {
 			t.Errorf("%+v: %d taken, the vector is %v", c.run, taken, set.Vector())
 		}
 	}
 }
+
+// TestLargerAmountCounts: of two amounts for one ID the larger counts in any order, and only
+// what is written counts.
+func TestLargerAmountCounts(t *testing.T) {
+	for seed := range int64(200) {
+		random := rand.New(rand.NewSource(seed))
+		set := NewSet()
+		staged := map[string][]Run{}
+		largest := map[string]int64{}
+		for range 30 {
+			origin, id := fmt.Sprint("o", random.Intn(3)), fmt.Sprint(random.Intn(4))
+			if random.Intn(2) == 0 {
+				add := testAdd("t", id, int64(1+random.Intn(9)))
+				staged[origin] = append(staged[origin], set.Stage(Run{Origin: origin, First: set.Newest(origin) + 1, Adds: []Add{add}}))
+			} else if len(staged[origin]) > 0 {
+				set.MarkWritten(staged[origin][0])
+				staged[origin] = staged[origin][1:]
+			}
+		}
+		for _, runs := range staged {
+			for _, run := range runs {
+				set.MarkWritten(run)
+			}
+		}
+		for _, run := range set.Missing(nil, 1000) {
+			for _, add := range run.Adds {
+				largest[string(add.ID[:])] = max(largest[string(add.ID[:])], add.Amount)
+			}
+		}
+		want := int64(0)
+		for _, amount := range largest {
+			want += amount
+		}
+		if set.Total("t") != want || len(set.superseded) != 0 {
+			t.Fatalf("seed %d: %d, want %d, with %d left over", seed, set.Total("t"), want, len(set.superseded))
+		}
+	}
+}
--- a/internal/tuning/tallies.go
+++ b/internal/tuning/tallies.go
@@ -21,8 +21,16 @@
 	TallyStartupTimeout = 1500 * time.Millisecond
 	// TallyGuestTimeout is the silence after which a replica that is no voter is forgotten.
 	TallyGuestTimeout = 20 * time.Second
-	// MaxTallyAdds bounds the adds that are kept, at some 250 bytes of memory each.
-	MaxTallyAdds = 200_000
+	// TallyDiskShare is the share of a server's disk that the file of the tallies may take:
+	// the log and its snapshots, which are bounded too, have the rest.
+	TallyDiskShare = 0.25
+	// TallyMemoryShare bounds the file by the process's memory, where an add takes some 100
+	// bytes, and 63 in the file: a fifth of the memory at the bound.
+	TallyMemoryShare = 0.125
+	// TallyWarningShare is how full the file is when that is logged first, TallyWarningStep
+	// by how much more it is when that is logged again.
+	TallyWarningShare = 0.8
+	TallyWarningStep  = 0.05
 	// MaxTallyMessageAdds is the number of adds in one message: some 30 KB, which a link
 	// of 2 Mbit/s carries in an eighth of a second.
 	MaxTallyMessageAdds = 500
