Raft: the bound on large appends follows what the links are seen to carry

Cause: large appends to all members together were bounded by 128 KB whatever the links, so that plans of a burst went to one member after the other on wide links too. Change: the leader measures each large append by its response; the bound is what the fastest member is sent within 100 ms, for a second, and 128 KB while that isn't known. The entries of an append are measured once.

--- a/internal/raft/bulk.go
+++ b/internal/raft/bulk.go
@@ -1,55 +1,102 @@
 package raft
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Large appends share the leader's link with its heartbeats, to all members: where that link
 // is narrow, a configuration on its way to four of them holds the heartbeats up for longer
-// than an election timeout. So large appends go to one member after the other, a bounded
-// number of bytes at a time, and heartbeats pass in between. On a narrow link a quorum has the
-// entry no later for it, since the link carries the same bytes; on a wide one each member that
-// waits costs a round trip and a sync (docs/left.md).
+// than an election timeout. So the large appends that are on their way to all members together
+// are bounded, and heartbeats pass in between. The bound follows what the links are seen to
+// carry: as much as they deliver within Config.MaxBulkDelay, and Config.MaxBulkBytes while that
+// is not known. On a narrow link a quorum has an entry no later for it, since the link carries
+// the same bytes; on a wide one the bound is out of reach after the first large append.
 
 // minBulkBytes is the size of an append from which on it counts as large, in bytes. Smaller
 // ones delay a heartbeat by little on any link.
 const minBulkBytes = 16 << 10
 
-// bulkAppends are the large appends that are on their way to a member.
-type bulkAppends struct {
-	lastIndex uint64 // of the newest of their entries
-	bytes     int
-	sentAt    time.Time
-}
+// bulkRateMaxAge is for how long a measured rate is believed. A link that has narrowed since
+// then is found by the first large append, which goes alone.
+const bulkRateMaxAge = time.Second
 
 // silentHeartbeats is after how many heartbeat intervals without an answer a member counts as
 // cut off: it holds up nobody.
 const silentHeartbeats = 3
 
+// bulkAppend is a large append on its way to a member.
+type bulkAppend struct {
+	stamp     int64  // its send stamp
+	lastIndex uint64 // of its newest entry
+	bytes     int
+	queued    int // bytes of large appends on their way to the member when it was sent, its own too
+	sentAt    time.Time
+}
+
+// bulkProgress is what the leader knows of large appends to a member.
+type bulkProgress struct {
+	appends []bulkAppend // on their way, the oldest first
+	rate    float64      // bytes a second that were last delivered
+	rateAt  time.Time    // zero: never
+}
+
 // bulkInFlight is how many bytes of large appends are on their way to a member. Those to one
 // that answers nothing, and those that were not acknowledged in time, count no more.
-func (n *Node) bulkInFlight(peer *progress) int {
-	silent := n.now.Sub(peer.lastContact) >= silentHeartbeats*n.config.HeartbeatInterval
-	if silent || peer.match >= peer.bulk.lastIndex || n.now.Sub(peer.bulk.sentAt) >= n.config.BulkTimeout {
+func (n *Node) bulkInFlight(peer *progress) (bytes int) {
+	if n.now.Sub(peer.lastContact) >= silentHeartbeats*n.config.HeartbeatInterval {
 		return 0
 	}
-	return peer.bulk.bytes
+	for _, sent := range peer.bulk.appends {
+		if sent.lastIndex > peer.match && n.now.Sub(sent.sentAt) < n.config.BulkTimeout {
+			bytes += sent.bytes
+		}
+	}
+	return bytes
 }
 
-// noteBulk takes note of an append that is sent to a member.
-func (n *Node) noteBulk(peer *progress, lastIndex uint64, size int) {
+// noteBulkSent takes note of an append that is sent to a member.
+func (n *Node) noteBulkSent(peer *progress, stamp int64, lastIndex uint64, size int) {
 	if size < minBulkBytes {
 		return
 	}
-	peer.bulk = bulkAppends{lastIndex: lastIndex, bytes: n.bulkInFlight(peer) + size, sentAt: n.now}
+	sent := bulkAppend{stamp: stamp, lastIndex: lastIndex, bytes: size, queued: n.bulkInFlight(peer) + size, sentAt: n.now}
+	peer.bulk.appends = append(peer.bulk.appends, sent)
 }
 
-// isHeldBack tells whether a member's next append has to wait for large ones that are on
-// their way to others.
-func (n *Node) isHeldBack(peer *progress) bool {
-	if n.config.MaxBulkBytes == 0 || peer.next > n.LastIndex() || peer.next <= n.base.Index {
-		return false
+// noteBulkAcked measures the rate at which a member was sent a large append, by its response,
+// and forgets those that it has. A rate counts the member's sync too: it is rather too low.
+func (n *Node) noteBulkAcked(peer *progress, stamp int64) {
+	if len(peer.bulk.appends) == 0 {
+		return
 	}
-	size := n.nextAppendBytes(peer)
-	if size < minBulkBytes {
+	for _, sent := range peer.bulk.appends {
+		if elapsed := n.now.Sub(sent.sentAt); sent.stamp == stamp && elapsed > 0 {
+			peer.bulk.rate, peer.bulk.rateAt = float64(sent.queued)/elapsed.Seconds(), n.now
+		}
+	}
+	peer.bulk.appends = slices.DeleteFunc(peer.bulk.appends, func(sent bulkAppend) bool {
+		return sent.lastIndex <= peer.match || n.now.Sub(sent.sentAt) >= n.config.BulkTimeout
+	})
+}
+
+// maxBulkInFlight is how many bytes of large appends may be on their way to all members: what
+// the leader's link, which is as fast as the fastest member is sent to, carries within
+// MaxBulkDelay.
+func (n *Node) maxBulkInFlight() int {
+	rate := 0.0
+	for _, peer := range n.peers {
+		if !peer.bulk.rateAt.IsZero() && n.now.Sub(peer.bulk.rateAt) < bulkRateMaxAge {
+			rate = max(rate, peer.bulk.rate)
+		}
+	}
+	return max(n.config.MaxBulkBytes, int(rate*n.config.MaxBulkDelay.Seconds()))
+}
+
+// isHeldBack tells whether a member's next append, of a size in bytes, has to wait for large
+// ones that are on their way to others.
+func (n *Node) isHeldBack(peer *progress, size int) bool {
+	if n.config.MaxBulkBytes == 0 || size < minBulkBytes {
 		return false
 	}
 	others := 0
@@ -58,14 +105,5 @@
 			others += n.bulkInFlight(other)
 		}
 	}
-	return others > 0 && others+size > n.config.MaxBulkBytes
-}
-
-// nextAppendBytes is the size of a member's next append.
-func (n *Node) nextAppendBytes(peer *progress) int {
-	size := 0
-	for i := peer.next; i <= n.LastIndex() && size < n.config.MaxAppendBytes; i++ {
-		size += len(n.log[i-n.base.Index-1].Data) + entryOverheadBytes
-	}
-	return size
+	return others > 0 && others+size > n.maxBulkInFlight()
 }
--- a/internal/raft/bulk_test.go
+++ b/internal/raft/bulk_test.go
@@ -94,3 +94,47 @@
 		})
 	}
 }
+
+// TestBulkBoundFollowsTheLinks: once a large append was delivered quickly, all members are sent
+// the next ones at once; one that took long, or long ago, leaves the bound as it is.
+func TestBulkBoundFollowsTheLinks(t *testing.T) {
+	for name, link := range map[string]struct {
+		delivery, idle time.Duration // of the first append; from its acknowledgement to the next
+		told           int           // members that are sent the next append at once
+	}{
+		"wide":          {5 * time.Millisecond, 50 * time.Millisecond, 4},
+		"narrow":        {200 * time.Millisecond, 50 * time.Millisecond, 1},
+		"wide long ago": {5 * time.Millisecond, 2 * time.Second, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newTestCluster(t, 1, "a", "b", "c", "d", "e")
+			c.boundBulk()
+			c.commit("1")
+			leader := c.leader()
+			leader.config.MaxBulkDelay = 100 * time.Millisecond
+			for _, id := range c.others(leader) {
+				c.untilAcknowledged(leader, id)
+			}
+			leader.Propose(large('2'))
+			leader.replicate()
+			leader.pending.Messages = nil
+			for _, peer := range leader.peers {
+				if len(peer.bulk.appends) > 0 {
+					sent := peer.bulk.appends[0]
+					leader.now = sent.sentAt.Add(link.delivery)
+					peer.match, peer.lastContact = sent.lastIndex, leader.now
+					leader.noteBulkAcked(peer, sent.stamp)
+				}
+			}
+			leader.now = leader.now.Add(link.idle)
+			for _, peer := range leader.peers {
+				peer.match, peer.next, peer.lastContact = leader.LastIndex(), leader.LastIndex()+1, leader.now
+			}
+			leader.Propose(large('3'))
+			leader.replicate()
+			if told := leader.told(); told != link.told {
+				t.Errorf("%d members are sent it at once, want %d", told, link.told)
+			}
+		})
+	}
+}
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -152,7 +152,7 @@
 	}
 	for id, peer := range n.peers {
 		if n.now.Sub(peer.lastSend) >= n.config.HeartbeatInterval {
-			n.sendAppend(id, peer, true)
+			n.sendDueAppend(id, peer)
 		}
 	}
 	return n.config.HeartbeatInterval
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -31,7 +32,7 @@
 	wallClock                   int64 // ms since 1970, read at wallClockAt
 	wallClockAt                 time.Time
 	commitSent                  uint64 // the newest commit index sent to it
-	bulk                        bulkAppends
+	bulk                        bulkProgress
 }
 
 // Propose adds a command to the log. It returns the index at which the command
@@ -69,12 +70,16 @@
 	for id, peer := range n.peers {
 		if peer.probing {
 			if n.now.Sub(peer.lastSend) >= n.config.HeartbeatInterval {
-				n.sendAppend(id, peer, true)
+				n.sendDueAppend(id, peer)
 			}
 			continue
 		}
-		for !peer.probing && peer.next <= n.LastIndex() && peer.next-peer.match <= uint64(n.config.MaxInflightEntries) && !n.isHeldBack(peer) {
-			n.sendAppend(id, peer, false)
+		for !peer.probing && peer.next <= n.LastIndex() && peer.next-peer.match <= uint64(n.config.MaxInflightEntries) {
+			batch := n.nextBatch(peer)
+			if n.isHeldBack(peer, batch.size) {
+				break
+			}
+			n.sendAppend(id, peer, batch)
 		}
 		if n.eagerCommitPeers[id] && peer.commitSent < n.commitIndex && peer.next > peer.commitSent+1 {
 			n.sendCommit(id, peer)
@@ -100,60 +105,82 @@
 	n.send(Message{Kind: MsgAppend, To: id, Index: n.commitIndex, LogTerm: noEntryTerm, SendStamp: n.nextStamp()}, false)
 }
 
-// sendSnapshot sends the state to a member that lacks compacted entries, or a
-// heartbeat, if one is due, while an earlier snapshot may be on its way.
-func (n *Node) sendSnapshot(id string, peer *progress, heartbeat bool) {
+// sendSnapshot sends the state to a member that lacks compacted entries; false while an
+// earlier snapshot may be on its way.
+func (n *Node) sendSnapshot(id string, peer *progress) bool {
 	peer.probing = true
 	// A snapshot is large, and one on its way is enough. While a received one
 	// waits in pending, the owner has an older state still.
 	if n.now.Sub(peer.snapshotSentAt) < snapshotResendInterval || n.pending.Snapshot != nil {
-		if heartbeat {
-			n.sendHeartbeat(id, peer)
-		}
-		return
+		return false
 	}
 	peer.snapshotSentAt, peer.lastSend = n.now, n.now
 	n.send(Message{Kind: MsgSnapshot, To: id, Snapshot: n.snapshotSource(), SendStamp: n.nextStamp()}, false)
+	return true
+}
+
+// batch is a run of entries for one append, those from a member's next one on.
+type batch struct {
+	count int
+	size  int // bytes, with the overhead of each
+}
+
+// nextBatch measures the next entries that a member lacks, as many as go into one append: one
+// while match is unknown, since more would likely be rejected.
+func (n *Node) nextBatch(peer *progress) batch {
+	if peer.next <= n.base.Index || peer.next > n.LastIndex() {
+		return batch{}
+	}
+	lacking := n.log[peer.next-n.base.Index-1:]
+	if peer.probing {
+		lacking = lacking[:1]
+	}
+	next := batch{}
+	for next.count < len(lacking) && next.size < n.config.MaxAppendBytes {
+		next.size += len(lacking[next.count].Data) + entryOverheadBytes
+		next.count++
+	}
+	return next
 }
 
-// sendAppend sends the next entries that a member lacks; without any, the append
-// is a heartbeat.
-func (n *Node) sendAppend(id string, peer *progress, heartbeat bool) {
+// sendDueAppend sends a member what also is its heartbeat: the next entries, unless they have
+// to wait for large ones that are on their way to others.
+func (n *Node) sendDueAppend(id string, peer *progress) {
+	next := n.nextBatch(peer)
+	if !peer.probing && n.isHeldBack(peer, next.size) {
+		next = batch{}
+	}
+	if !n.sendAppend(id, peer, next) {
+		n.sendHeartbeat(id, peer)
+	}
+}
+
+// sendAppend sends entries that a member lacks; without any, the append is a heartbeat. A
+// member that lacks compacted entries is sent the state instead. False if nothing can be sent
+// to the member at the moment.
+func (n *Node) sendAppend(id string, peer *progress, next batch) bool {
 	if peer.faulty {
-		if heartbeat {
-			n.sendHeartbeat(id, peer)
-		}
-		return
+		return false
 	}
 	prevIndex := peer.next - 1
 	logTerm, ok := n.TermAt(prevIndex)
 	if !ok {
-		n.sendSnapshot(id, peer, heartbeat)
-		return
+		return n.sendSnapshot(id, peer)
 	}
 	m := Message{
 		Kind: MsgAppend, To: id, Index: prevIndex, LogTerm: logTerm, Commit: n.commitIndex, SendStamp: n.nextStamp(),
 	}
-	last := n.LastIndex()
-	if heartbeat && !peer.probing && n.isHeldBack(peer) {
-		last = prevIndex // its entries come later
-	}
-	size := 0
-	for i := peer.next; i <= last && size < n.config.MaxAppendBytes; i++ {
-		// One entry only: while match is unknown, more would likely be rejected.
-		if peer.probing && i > peer.next {
-			break
-		}
-		entry := n.log[i-n.base.Index-1]
-		m.Entries = append(m.Entries, entry)
-		size += len(entry.Data) + entryOverheadBytes
+	if next.count > 0 {
+		first := peer.next - n.base.Index - 1
+		m.Entries = slices.Clone(n.log[first : first+uint64(next.count)])
 	}
 	if !peer.probing {
-		peer.next += uint64(len(m.Entries))
+		peer.next += uint64(next.count)
 	}
-	n.noteBulk(peer, prevIndex+uint64(len(m.Entries)), size)
+	n.noteBulkSent(peer, m.SendStamp, prevIndex+uint64(next.count), next.size)
 	peer.lastSend, peer.commitSent = n.now, n.commitIndex
 	n.send(m, false)
+	return true
 }
 
 // handleAppendResponse takes note of how far a member's log agrees with this one.
@@ -179,6 +206,7 @@
 	if m.Index > peer.match {
 		peer.match, peer.matchSetStamp = m.Index, n.lastStamp
 	}
+	n.noteBulkAcked(peer, m.SendStamp)
 	if peer.probing || peer.next <= peer.match {
 		peer.nextSetStamp = n.lastStamp
 		peer.next = peer.match + 1
@@ -223,7 +251,7 @@
 	// Nothing is sent while a snapshot is on its way, since each rejection would
 	// lead to the next.
 	if _, ok := n.TermAt(peer.next - 1); ok || n.now.Sub(peer.snapshotSentAt) >= snapshotResendInterval {
-		n.sendAppend(m.From, peer, false)
+		n.sendAppend(m.From, peer, n.nextBatch(peer))
 	}
 }
 
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -130,9 +130,11 @@
 	MaxInflightEntries int           // entries sent to a member and not yet acknowledged
 	MaxAppendBytes     int           // an append is closed once it holds so many bytes
 	// MaxBulkBytes bounds the large appends that are on their way to all members together,
-	// but for one; 0: they are not bounded. One counts for BulkTimeout at most.
-	MaxBulkBytes int
-	BulkTimeout  time.Duration
+	// but for one, while it isn't known what the links carry; 0: they are not bounded. Else
+	// what they carry within MaxBulkDelay is the bound, if it is larger. An append counts for
+	// BulkTimeout at most.
+	MaxBulkBytes              int
+	MaxBulkDelay, BulkTimeout time.Duration
 	// MaxCommittedEntries is how many entries NextCommittedEntries returns at most;
 	// 0 for all.
 	MaxCommittedEntries int
--- a/internal/server/replica.go
+++ b/internal/server/replica.go
@@ -210,6 +210,7 @@
 		MaxInflightEntries:  tuning.MaxInflightEntries,
 		MaxAppendBytes:      tuning.MaxAppendBytes,
 		MaxBulkBytes:        tuning.MaxBulkBytes,
+		MaxBulkDelay:        tuning.MaxBulkDelay,
 		BulkTimeout:         tuning.BulkTimeout,
 		MaxCommittedEntries: tuning.MaxCommittedEntries,
 	}
--- a/internal/tuning/raft.go
+++ b/internal/tuning/raft.go
@@ -32,9 +32,12 @@
 	// would delay the heartbeat behind it.
 	MaxAppendBytes = 256 << 10
 	// MaxBulkBytes bounds the large appends that are on their way to all followers
-	// together, in bytes. On a link of 10 Mbit/s they hold a heartbeat up for a tenth of a
-	// second, a quarter of ElectionTimeout; alone an append may be larger.
+	// together, in bytes, while it isn't known what the links carry. On a link of 10 Mbit/s
+	// they take MaxBulkDelay; alone an append may be larger.
 	MaxBulkBytes = 128 << 10
+	// MaxBulkDelay is for how long the large appends on their way may hold a heartbeat up:
+	// a quarter of ElectionTimeout.
+	MaxBulkDelay = 100 * time.Millisecond
 	// BulkTimeout is how long a large append that is not acknowledged holds others up at
 	// most: the largest takes a quarter of a second on a link of 10 Mbit/s.
 	BulkTimeout = 400 * time.Millisecond
