--- a/internal/simulation/client.go
+++ b/internal/simulation/client.go
@@ -76,7 +76,12 @@
 
 // PutConfiguration sends a configuration to a node, once, and gives the status code.
 func (c *Cluster) PutConfiguration(node string, version, base int, moreRoutes string) int {
-	call := Call{Sent: time.Now(), Node: node, Kind: CallReplace, Version: int64(version), Base: int64(base), Text: configurationText(version, moreRoutes)}
+	return c.putConfiguration(node, version, base, moreRoutes, tenantList)
+}
+
+// putConfiguration is PutConfiguration with other tenants.
+func (c *Cluster) putConfiguration(node string, version, base int, moreRoutes, tenants string) int {
+	call := Call{Sent: time.Now(), Node: node, Kind: CallReplace, Version: int64(version), Base: int64(base), Text: fmt.Sprintf(configurationFormat, version, moreRoutes, tenants)}
 	code, _, headers := c.request(http.MethodPost, c.nodeURL(node, controlPort, "/-/Config.Replace"), "", call.Text, map[string]string{protocol.HeaderBasedOn: fmt.Sprint(base)})
 	c.recordResponse(&call, code, headers)
 	return code
--- a/internal/simulation/history.go
+++ b/internal/simulation/history.go
@@ -33,6 +33,9 @@
 	EventIsolated    EventKind = "isolated"    // a node lost its majority
 	EventReconnected EventKind = "reconnected" // and has it again
 	EventJobShown    EventKind = "job shown"   // a client was told a job's state
+	// EventLimitChanged: a configuration with another limit of boundTenant, CPUCapacity, was
+	// acknowledged if it is lower, or sent if it is higher.
+	EventLimitChanged EventKind = "limit changed"
 )
 
 // Outcomes of a run, as runners list them, and one for runs lost in a crash.
--- a/internal/simulation/tenants.go
+++ b/internal/simulation/tenants.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"tealpond/internal/protocol"
 )
@@ -18,8 +19,40 @@
 )
 
 // tenantList is the tenants of each configuration, as operators send them.
-var tenantList = fmt.Sprintf(`[{"name":%q,"apiKeys":[%q],"share":2,"upperLimit":{"cpuUnits":%d}},{"name":%q,"apiKeys":[%q,"spare"],"share":1000}]`,
-	boundTenant, keyOf(boundTenant), boundTenantMilliCPU, unboundTenant, keyOf(unboundTenant))
+var tenantList = tenantsWithLimit(boundTenantMilliCPU)
+
+// tenantsWithLimit is the tenants with another limit of boundTenant.
+func tenantsWithLimit(milliCPU int) string {
+	return fmt.Sprintf(`[{"name":%q,"apiKeys":[%q],"share":2,"upperLimit":{"cpuUnits":%d}},{"name":%q,"apiKeys":[%q,"spare"],"share":1000}]`,
+		boundTenant, keyOf(boundTenant), milliCPU, unboundTenant, keyOf(unboundTenant))
+}
+
+// limitGrace is how long after a lower limit was acknowledged starts may still go by the
+// limit before: quotaWindowS of the operators.
+const limitGrace = 5 * time.Second
+
+// boundLimit is the limit of boundTenant as it changes.
+type boundLimit struct {
+	inForce, next int64
+	nextAt        time.Time // when next is in force; zero: there is none
+}
+
+// change takes note of a new limit. A higher one is in force at once.
+func (l *boundLimit) change(at time.Time, milliCPU int64) {
+	if milliCPU >= l.inForce {
+		l.inForce, l.nextAt = milliCPU, time.Time{}
+		return
+	}
+	l.next, l.nextAt = milliCPU, at.Add(limitGrace)
+}
+
+// at gives the limit that a start at a time must keep to.
+func (l *boundLimit) at(when time.Time) int64 {
+	if !l.nextAt.IsZero() && when.After(l.nextAt) {
+		return l.next
+	}
+	return l.inForce
+}
 
 // keyOf is the key of a tenant.
 func keyOf(tenant string) string { return "key-of-" + tenant }
@@ -40,7 +73,12 @@
 // another one are bounded there by the loan alone.
 func checkQuotas(h *History) (violations []string) {
 	running, inUse := map[string]map[runKey]int64{}, map[string]int64{}
+	limit := boundLimit{inForce: boundTenantMilliCPU}
 	for _, event := range h.Events {
+		if event.Kind == EventLimitChanged {
+			limit.change(event.At, event.CPUCapacity)
+			continue
+		}
 		job, step, _ := splitTaskID(event.Task)
 		submitted := h.Jobs[job]
 		if submitted == nil || tenantOf(job) != boundTenant || step >= len(submitted.MilliCPU) {
@@ -57,8 +95,8 @@
 			}
 			running[cluster][key] = submitted.MilliCPU[step]
 			inUse[cluster] += submitted.MilliCPU[step]
-			if inUse[cluster] > boundTenantMilliCPU && len(running[cluster]) > 1 {
-				violations = append(violations, fmt.Sprintf("%s run %d lifts its tenant to %d of %d", event.Task, event.Run, inUse[cluster], boundTenantMilliCPU))
+			if most := limit.at(event.At); inUse[cluster] > most && len(running[cluster]) > 1 {
+				violations = append(violations, fmt.Sprintf("%s run %d lifts its tenant to %d of %d", event.Task, event.Run, inUse[cluster], most))
 			}
 		case EventRunEnded:
 			inUse[cluster] -= running[cluster][key]
