Raft: a leader that its followers hear too late gives way

Its heartbeats were answered after 0.35 to 0.6 s: too late for a lease, soon enough for its quorum. Change: a leader without the lease for a second steps down and lets the others campaign first.

--- a/internal/raft/election_test.go
+++ b/internal/raft/election_test.go
@@ -54,3 +54,39 @@
 		t.Fatalf("ready %+v", ready)
 	}
 }
+
+// TestLeaderHeardTooLateStepsDown: a leader whose messages take so long that it never has the
+// lease gives way to another one, though a majority answers it all the while; one that has the
+// lease now and then stays.
+func TestLeaderHeardTooLateStepsDown(t *testing.T) {
+	lease := time.Duration(float64(testConfig.ElectionTimeout) * testConfig.LeaseFraction)
+	for name, link := range map[string]struct {
+		late  func(tick int) time.Duration // the age of the newest message that was answered
+		stays bool
+	}{
+		"in time":      {func(int) time.Duration { return lease / 2 }, true},
+		"now and then": {func(tick int) time.Duration { return lease * time.Duration(tick%4) / 2 }, true},
+		"too late":     {func(int) time.Duration { return lease + 100*time.Millisecond }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newTestCluster(t, 1, "a", "b", "c")
+			c.commit("1")
+			leader := c.leader()
+			leader.config.LeaseLossTimeout = time.Second
+			end := leader.now.Add(5 * time.Second)
+			for tick := 0; leader.IsLeader() && leader.now.Before(end); tick++ {
+				now := leader.now.Add(leader.config.HeartbeatInterval)
+				for _, peer := range leader.peers {
+					peer.lastAckedSend, peer.lastContact = now.Add(-link.late(tick)), now
+				}
+				leader.Tick(now)
+			}
+			if leader.IsLeader() != link.stays {
+				t.Fatalf("it leads: %v", leader.IsLeader())
+			}
+			if others := testConfig.ElectionTimeout + testConfig.HeartbeatInterval + testConfig.ElectionJitter; !link.stays && leader.electionTimeout <= others {
+				t.Errorf("it campaigns after %v, before others do", leader.electionTimeout)
+			}
+		})
+	}
+}
--- a/internal/raft/model_profile_test.go
+++ b/internal/raft/model_profile_test.go
@@ -25,6 +25,7 @@
 		ElectionTimeout:    400 * time.Millisecond,
 		ElectionJitter:     200 * time.Millisecond,
 		CheckQuorumTimeout: 650 * time.Millisecond,
+		LeaseLossTimeout:   time.Second,
 		LeaseFraction:      0.85,
 		MaxInflightEntries: []int{2, 8, 64}[random.Intn(3)],
 		MaxAppendBytes:     []int{1, 100, 4096}[random.Intn(3)],
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -44,6 +44,7 @@
 
 	// State of a leader.
 	electedAt        time.Time
+	leasedAt         time.Time // when this leader last saw at a tick that it has the lease
 	peers            map[string]*progress
 	learners         map[string]Member
 	eagerCommitPeers map[string]bool
@@ -132,9 +133,30 @@
 	return n.electionTimeout
 }
 
-// tickLeader steps down without a quorum, ends a transfer that takes too long,
+// isLeaseLost tells whether this leader has been without the lease for LeaseLossTimeout. A
+// majority may answer it all the while, each time too late: the messages of a leader whose link
+// carries less than it has to send queue up, and it serves nothing for as long as that lasts.
+func (n *Node) isLeaseLost() bool {
+	if n.HasLease(n.now) {
+		n.leasedAt = n.now
+	}
+	since := n.electedAt
+	if n.leasedAt.After(since) {
+		since = n.leasedAt
+	}
+	return n.config.LeaseLossTimeout > 0 && n.now.Sub(since) > n.config.LeaseLossTimeout
+}
+
+// tickLeader steps down without a quorum or a lease, ends a transfer that takes too long,
 // or sends the heartbeats that are due.
 func (n *Node) tickLeader() time.Duration {
+	if n.isLeaseLost() {
+		// The others go first: they are heard well, and what this member has queued for them
+		// keeps them from electing for as long as it takes to arrive.
+		n.becomeFollower(n.term, "")
+		n.electionTimeout += n.config.LeaseLossTimeout
+		return n.electionTimeout
+	}
 	withoutQuorum := n.now.Sub(n.lastQuorumContact(n.now)) > n.config.CheckQuorumTimeout
 	if withoutQuorum && n.now.Sub(n.electedAt) > n.config.CheckQuorumTimeout {
 		// A member that can reach a majority must be free to campaign.
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -126,6 +126,7 @@
 	ElectionTimeout    time.Duration // the shortest time without a leader before an election
 	ElectionJitter     time.Duration // a random share of it is added to each election timeout
 	CheckQuorumTimeout time.Duration // a leader that no majority has followed for so long steps down
+	LeaseLossTimeout   time.Duration // one that has had no lease for so long does too; 0: never
 	LeaseFraction      float64       // share of ElectionTimeout for which a lease holds, below 1
 	MaxInflightEntries int           // entries sent to a member and not yet acknowledged
 	MaxAppendBytes     int           // an append is closed once it holds so many bytes
--- a/internal/server/replica.go
+++ b/internal/server/replica.go
@@ -206,6 +206,7 @@
 		ElectionTimeout:     tuning.ElectionTimeout,
 		ElectionJitter:      tuning.ElectionTimeoutJitter,
 		CheckQuorumTimeout:  tuning.QuorumLossTimeout,
+		LeaseLossTimeout:    tuning.LeaseLossTimeout,
 		LeaseFraction:       tuning.LeaderLeaseFraction,
 		MaxInflightEntries:  tuning.MaxInflightEntries,
 		MaxAppendBytes:      tuning.MaxAppendBytes,
--- a/internal/tuning/raft.go
+++ b/internal/tuning/raft.go
@@ -21,6 +21,10 @@
 	// QuorumLossTimeout is the silence of a majority after which a leader steps
 	// down.
 	QuorumLossTimeout = 650 * time.Millisecond
+	// LeaseLossTimeout is how long a leader that its followers hear too late to give it a
+	// lease stays leader. It serves nothing then; an election takes about as long. A slow
+	// disk of a majority for that long is rarer than a leader's narrow link.
+	LeaseLossTimeout = time.Second
 )
 
 // The log and its replication.
