Server: a leader that is heard late hands over

Change: after a second in which the round trip to a quorum took over 100 ms the leader hands over, at most once in eight seconds.

--- a/internal/raft/lease.go
+++ b/internal/raft/lease.go
@@ -1,6 +1,9 @@
 package raft
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // wallClockMaxAge is the age from which on a peer's reading of the time of day
 // is no longer used.
@@ -25,6 +28,21 @@
 	return now.Sub(n.lastQuorumContact(now)) < time.Duration(float64(n.config.ElectionTimeout)*n.config.LeaseFraction)
 }
 
+// QuorumRoundTrip is the time within which a quorum has last answered this leader: the way
+// there, a write where there are entries, and the way back.
+func (n *Node) QuorumRoundTrip() time.Duration {
+	shortest := n.latestConfiguration().quorumValue(func(id string) uint64 {
+		if id == n.id {
+			return math.MaxInt64
+		}
+		if peer := n.peers[id]; peer != nil && !peer.lastAckedSend.IsZero() {
+			return uint64(math.MaxInt64 - peer.roundTrip)
+		}
+		return 0
+	})
+	return math.MaxInt64 - time.Duration(shortest)
+}
+
 // lastQuorumContact is the newest time at which a quorum is known to have
 // followed this leader, or the zero time.
 func (n *Node) lastQuorumContact(now time.Time) time.Time {
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -26,7 +26,8 @@
 	nextSetStamp, matchSetStamp int64
 	faulty                      bool // it lost entries that it had acknowledged, and is not counted
 	snapshotSentAt              time.Time
-	lastAckedSend               time.Time // send time of the newest append that was answered
+	lastAckedSend               time.Time     // send time of the newest append that was answered
+	roundTrip                   time.Duration // from the sending of that one to its answer
 	lastContact                 time.Time
 	lastSend                    time.Time
 	wallClock                   int64 // ms since 1970, read at wallClockAt
@@ -191,7 +192,7 @@
 	}
 	peer.lastContact = n.now
 	if sentAt := n.stampTime(m.SendStamp); m.SendStamp != 0 && sentAt.After(peer.lastAckedSend) {
-		peer.lastAckedSend = sentAt
+		peer.lastAckedSend, peer.roundTrip = sentAt, n.now.Sub(sentAt)
 	}
 	if m.WallClock != 0 {
 		peer.wallClock, peer.wallClockAt = m.WallClock, n.now
--- a/internal/raft/replication_test.go
+++ b/internal/raft/replication_test.go
@@ -118,3 +118,23 @@
 		t.Fatal("no snapshot for a member that lacks compacted entries")
 	}
 }
+
+// TestQuorumRoundTrip: it is the time within which a majority answers, the leader's own answer
+// included; without one it is not known.
+func TestQuorumRoundTrip(t *testing.T) {
+	c := newTestCluster(t, 1, "a", "b", "c", "d", "e")
+	c.commit("1")
+	leader := c.leader()
+	for i, id := range c.others(leader) {
+		leader.peers[id].lastAckedSend, leader.peers[id].roundTrip = leader.now, time.Duration(i+1)*time.Second
+	}
+	if got := leader.QuorumRoundTrip(); got != 2*time.Second {
+		t.Errorf("%v", got)
+	}
+	for _, peer := range leader.peers {
+		peer.lastAckedSend = time.Time{}
+	}
+	if got := leader.QuorumRoundTrip(); got < time.Hour {
+		t.Errorf("%v without any answer", got)
+	}
+}
--- a/internal/server/replica.go
+++ b/internal/server/replica.go
@@ -49,6 +49,7 @@
 	stopWriter         context.CancelFunc
 	storageOpened      atomic.Bool
 	applyBacklog       bool      // committed entries wait for the next turn, see drainNode
+	heardLateSince     time.Time // since when a quorum answers this leader too late; zero: it doesn't
 	storageLagLoggedAt time.Time // when it was last logged that the storage is behind
 	identityResets     int
 	digests            digestTracker
--- a/internal/tuning/raft.go
+++ b/internal/tuning/raft.go
@@ -21,6 +21,15 @@
 	// QuorumLossTimeout is the silence of a majority after which a leader steps
 	// down.
 	QuorumLossTimeout = 650 * time.Millisecond
+	// MaxLeaderRoundTrip is the round trip to a quorum from which on a leader counts as
+	// heard late. On sound links a write on a disk of 5 ms a sync is most of it, 20 ms.
+	MaxLeaderRoundTrip = 100 * time.Millisecond
+	// LateRoundTripTimeout is how long a leader is heard late before it hands over: a
+	// large configuration on its way to all is over by then.
+	LateRoundTripTimeout = time.Second
+	// MinLeaderTenure is how long a leader leads at least before it hands over because it
+	// is heard late: where all links are narrow, the next one is heard no sooner.
+	MinLeaderTenure = 8 * time.Second
 	// LeaseLossTimeout is how long a leader that its followers hear too late to give it a
 	// lease stays leader. It serves nothing then; an election takes about as long. A slow
 	// disk of a majority for that long is rarer than a leader's narrow link.
