--- a/internal/server/replica.go
+++ b/internal/server/replica.go
@@ -48,8 +48,8 @@
 	writesInFlight     int
 	stopWriter         context.CancelFunc
 	storageOpened      atomic.Bool
-	applyBacklog       bool      // committed entries wait for the next turn, see drainNode
-	heardLateSince     time.Time // since when a quorum answers this leader too late; zero: it doesn't
+	applyBacklog       bool // committed entries wait for the next turn, see drainNode
+	roundTrips         roundTrips
 	storageLagLoggedAt time.Time // when it was last logged that the storage is behind
 	identityResets     int
 	digests            digestTracker
--- a/internal/server/round_trips_test.go
+++ b/internal/server/round_trips_test.go
@@ -5,37 +5,50 @@
 	"testing/synctest"
 	"time"
 
-	"tealpond/internal/raft"
 	"tealpond/internal/tuning"
 )
 
-// TestLeaderThatIsHeardLateHandsOver: after a second of late answers, but not in its first
-// seconds, and not for answers that are late now and then.
-func TestLeaderThatIsHeardLateHandsOver(t *testing.T) {
-	late := tuning.MaxLeaderRoundTrip + time.Millisecond
+// TestLeaderIsHeardLate: after a second of late answers, not for a large configuration that
+// holds them up for less.
+func TestLeaderIsHeardLate(t *testing.T) {
+	const samples = 100
 	for name, c := range map[string]struct {
-		tenure    time.Duration
 		roundTrip func(i int) time.Duration
 		want      bool
 	}{
-		"in time":      {time.Minute, func(int) time.Duration { return tuning.MaxLeaderRoundTrip }, false},
-		"late":         {time.Minute, func(int) time.Duration { return late }, true},
-		"now and then": {time.Minute, func(i int) time.Duration { return late * time.Duration(i%5) }, false},
-		"just elected": {0, func(int) time.Duration { return late }, false},
+		"in time":             {func(int) time.Duration { return tuning.MaxLeaderRoundTrip }, false},
+		"late":                {func(int) time.Duration { return 2 * tuning.MaxLeaderRoundTrip }, true},
+		"late by turns":       {func(i int) time.Duration { return tuning.MaxLeaderRoundTrip * time.Duration(i%5) }, true},
+		"large, now and then": {func(i int) time.Duration { return tuning.MaxLeaderRoundTrip * time.Duration(4*(i/12%5/4)) }, false},
+		"never answered":      {func(int) time.Duration { return 1 << 62 }, true},
 	} {
+		t.Run(name, func(t *testing.T) {
+			now, trips, late := time.Now(), roundTrips{}, false
+			for i := range samples {
+				now = now.Add(tuning.RoundTripSampleInterval)
+				trips.sample(now, c.roundTrip(i))
+				late = late || trips.isLate(now)
+			}
+			if late != c.want {
+				t.Errorf("late: %v", late)
+			}
+		})
+	}
+}
+
+// TestLeaderThatIsHeardLateHandsOver: but not in its first seconds, and once in so many.
+func TestLeaderThatIsHeardLateHandsOver(t *testing.T) {
+	for name, c := range map[string]struct {
+		tenure time.Duration
+		want   bool
+	}{"after a while": {time.Minute, true}, "just elected": {0, false}} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				replica := newLeader(t).replica
-				replica.leadingSince = time.Now().Add(-c.tenure)
-				for i := range 15 {
-					replica.handleRoundTrip(time.Now(), c.roundTrip(i))
-					time.Sleep(tuning.HeartbeatInterval)
-				}
-				handedOver := false
-				for _, message := range replica.node.Ready().Messages {
-					handedOver = handedOver || message.Kind == raft.MsgTimeoutNow
-				}
-				if handedOver != c.want {
+				h := newLeader(t)
+				h.replica.leadingSince = time.Now().Add(-c.tenure)
+				h.replica.roundTrips = roundTrips{smoothed: 10 * tuning.MaxLeaderRoundTrip, lateSince: time.Now().Add(-tuning.LateRoundTripTimeout)}
+				h.replica.watchRoundTrips(time.Now())
+				if handedOver := !h.replica.node.LeaderReady(); handedOver != c.want {
 					t.Errorf("handed over: %v", handedOver)
 				}
 			})
--- a/internal/tuning/raft.go
+++ b/internal/tuning/raft.go
@@ -21,9 +21,13 @@
 	// QuorumLossTimeout is the silence of a majority after which a leader steps
 	// down.
 	QuorumLossTimeout = 650 * time.Millisecond
-	// MaxLeaderRoundTrip is the round trip to a quorum from which on a leader counts as
-	// heard late. On sound links a write on a disk of 5 ms a sync is most of it, 20 ms.
-	MaxLeaderRoundTrip = 100 * time.Millisecond
+	// MaxLeaderRoundTrip is the smoothed round trip to a quorum from which on a leader counts
+	// as heard late. On sound links a write on a disk of 5 ms a sync is most of it, 20 ms.
+	MaxLeaderRoundTrip = 60 * time.Millisecond
+	// RoundTripSampleInterval is the time between two looks at it, RoundTripWeight the share
+	// that each has in the smoothed one: half of it is from the last eighth of a second.
+	RoundTripSampleInterval = 40 * time.Millisecond
+	RoundTripWeight         = 0.2
 	// LateRoundTripTimeout is how long a leader is heard late before it hands over: a
 	// large configuration on its way to all is over by then.
 	LateRoundTripTimeout = time.Second
