--- a/internal/simulation/part_pairs_test.go
+++ b/internal/simulation/part_pairs_test.go
@@ -30,8 +30,9 @@
 type pairScenario struct {
 	*scenario
 	// restarts keeps two parts from restarting the same daemon at a time, configurations
-	// from building on one version.
-	restarts, configurations sync.Mutex
+	// from building on one version. Each holds a token while nobody is at it: a task that
+	// waits for a mutex would hold up the virtual time.
+	restarts, configurations chan struct{}
 	tallies                  *tallyCallers
 	applications             *applicationLoad
 }
@@ -105,8 +106,8 @@
 
 // restart kills nodes and starts them again.
 func (s *pairScenario) restart(downtime time.Duration, names ...string) {
-	s.restarts.Lock()
-	defer s.restarts.Unlock()
+	<-s.restarts
+	defer func() { s.restarts <- struct{}{} }()
 	s.tallies.restarted(names...)
 	s.Restart(downtime, names...)
 	s.tallies.restarted(names...)
@@ -123,8 +124,8 @@
 
 // replaceConfiguration sends a configuration until it is acknowledged.
 func (s *pairScenario) replaceConfiguration(moreRoutes, tenants string) {
-	s.configurations.Lock()
-	defer s.configurations.Unlock()
+	<-s.configurations
+	defer func() { s.configurations <- struct{}{} }()
 	base := int(s.lastVersion.Load())
 	edges := s.nodeNames(edgeRole)
 	attempt := base
@@ -152,7 +153,10 @@
 func playPairOfParts(t *testing.T, seed int64, first, second part, later time.Duration) {
 	t.Helper()
 	runScenario(t, pairSpec, seed, func(s *scenario) {
-		pair := &pairScenario{scenario: s, tallies: s.startTallyCallers(), applications: startApplications(s)}
+		pair := &pairScenario{scenario: s, tallies: s.startTallyCallers(), applications: startApplications(s),
+			restarts: make(chan struct{}, 1), configurations: make(chan struct{}, 1)}
+		pair.restarts <- struct{}{}
+		pair.configurations <- struct{}{}
 		time.Sleep(time.Second)
 		var playing sync.WaitGroup
 		playing.Go(func() { first.play(pair) })
