--- a/internal/scheduler/planner.go
+++ b/internal/scheduler/planner.go
@@ -50,6 +50,7 @@
 // there is room and up to tuning.MaxTasksPerPlan. Each plan holds tasks of one
 // step.
 func (p *Planner) Plan(store *state.Store) []state.Plan {
+	p.forgetUnused(store)
 	snap := newSnapshot(store, p)
 	requests := append(pendingRequests(store), p.speculativeRequests(store)...)
 	// This is reset even if nothing waits: what lacked room a round ago would
