--- a/internal/simulation/part_pairs_test.go
+++ b/internal/simulation/part_pairs_test.go
@@ -143,7 +143,7 @@
 		random := rand.New(rand.NewSource(seed))
 		first := random.Intn(len(parts))
 		second := (first + 1 + random.Intn(len(parts)-1)) % len(parts)
-		t.Run(fmt.Sprintf("%d/%s with %s", seed, parts[first].name, parts[second].name), func(t *testing.T) {
+		t.Run(fmt.Sprintf("%d %s with %s", seed, parts[first].name, parts[second].name), func(t *testing.T) {
 			playPairOfParts(t, seed, parts[first], parts[second], time.Duration(random.Intn(3000))*time.Millisecond)
 		})
 	}
