--- a/scripts/compare_versions.py
+++ b/scripts/compare_versions.py
@@ -22,6 +22,8 @@
 # Two-sided 95% quantiles of Student's t, by degrees of freedom.
 STUDENT_T = {1: 12.71, 2: 4.30, 3: 3.18, 4: 2.78, 5: 2.57, 6: 2.45, 7: 2.36, 8: 2.31, 9: 2.26,
              10: 2.23, 11: 2.20, 12: 2.18, 13: 2.16, 14: 2.14, 15: 2.13, 19: 2.09, 23: 2.07}
+# The line of a day in the bench's report: its name, its machines, its score, its worth.
+DAY_LINE = re.compile(r"^\S+ .*?\d+/\d+\s+(-?\d+\.\d+)\s+\d+\.\d+", re.MULTILINE)
 # A fall of a figure that the operators do not accept.
 LARGEST_FALL = 0.03
 
@@ -40,7 +42,7 @@
     command = [arguments.bench, "run", arguments.site, arguments.day, "--seed", seed, "--why",
                f"pair of versions, seed {seed}"]
     result = subprocess.run(command, cwd=checkout, capture_output=True, text=True, check=False)
-    found = re.search(r"score[^0-9-]*(-?[0-9.]+)", result.stdout)
+    found = DAY_LINE.search(result.stdout)
     if not found:
         raise RuntimeError(f"{checkout}, seed {seed}: no score in:\n{result.stdout}{result.stderr}")
     return float(found.group(1))
