--- a/internal/simulation/part_pairs_test.go
+++ b/internal/simulation/part_pairs_test.go
@@ -89,6 +89,12 @@
 		s.replaceConfiguration("", tenantList)
 	}},
 	{"evacuation", func(s *pairScenario) {
+		// Runners of the zone are sick until after the order's bound: what waits for them
+		// must not be started then.
+		s.background.Go(func() {
+			s.changeRunners(evacuationGrace+time.Second, func(r *Runner, on bool) { r.RejectsStarts = on }, s.agentsIn(evacuatedZone)...)
+		})
+		time.Sleep(400 * time.Millisecond)
 		s.orderEvacuation(disklessEdge, "Begin")
 		time.Sleep(evacuationGrace + 2*time.Second)
 		s.orderEvacuation(disklessEdge, "Finish")
@@ -104,6 +110,16 @@
 	{"half restarts", func(s *pairScenario) { s.restart(time.Second, everySecond(s.nodeNames(""))...) }},
 }
 
+// agentsIn gives the agents of a zone.
+func (c *Cluster) agentsIn(zone string) (agents []string) {
+	for _, name := range c.nodeNames(agentRole) {
+		if c.node(name).zone == zone {
+			agents = append(agents, name)
+		}
+	}
+	return agents
+}
+
 // restart kills nodes and starts them again.
 func (s *pairScenario) restart(downtime time.Duration, names ...string) {
 	<-s.restarts
