Server: the state's clock is not ahead of a later term's

Cause: a follower kept the earliest clock that it had seen of any leader. A leader that had started behind, from the newest entry of its log, granted locks by its own clock; the follower that led next went on from the one before, ahead of it by the difference, and gave locks to a second holder while the first counted them (ONE), for up to 0.95 s.

--- a/internal/server/apply.go
+++ b/internal/server/apply.go
@@ -71,7 +71,7 @@
 		return
 	}
 	outcomes := r.state.ApplyEntry(entry.Index, entry.Data)
-	r.learnClocks(time.Now())
+	r.learnClocks(time.Now(), entry.Term)
 	r.planDue = true
 	if !r.leading {
 		// Only a leader plans, and a new one looks at all jobs.
--- a/internal/server/clock.go
+++ b/internal/server/clock.go
@@ -17,15 +17,24 @@
 	return r.clockBase + now.Sub(r.leadingSince).Milliseconds()
 }
 
-// learnClocks takes note of the clocks of the newest entry that was applied. Before any
-// entry the clock doesn't run yet: replicas start at different moments, and each would
+// learnClocks takes note of the clocks of the newest entry that was applied, and of its term.
+// Before any entry the clock doesn't run yet: replicas start at different moments, and each would
 // take its own for the zero of the cluster's clock.
-func (r *Replica) learnClocks(now time.Time) {
+//
+// Within a term the earliest reading for the time that has passed since counts: others were
+// applied late. A leader of a later term may have started behind, from the newest entry of its
+// log; then its clock is the cluster's, and what was seen of the one before would be ahead of it:
+// a lock that the later one granted would be over too soon.
+func (r *Replica) learnClocks(now time.Time, term uint64) {
 	if r.state.WallClock > 0 {
 		r.clusterTime.learn(now, time.Duration(r.state.WallClock)*time.Millisecond)
 	}
 	if r.state.Clock > 0 {
-		r.clockSeen = max(r.clockSeen, time.Duration(r.state.Clock)*time.Millisecond-now.Sub(r.clusterTime.origin))
+		seen := time.Duration(r.state.Clock)*time.Millisecond - now.Sub(r.clusterTime.origin)
+		if term == r.clockSeenTerm {
+			seen = max(seen, r.clockSeen)
+		}
+		r.clockSeen, r.clockSeenTerm = seen, term
 	}
 }
 
--- a/internal/server/clock_test.go
+++ b/internal/server/clock_test.go
@@ -31,9 +31,9 @@
 	r := newReplica()
 	r.clusterTime = newClusterTime(start)
 	r.state.Clock = 50_000
-	r.learnClocks(at(10)) // as the leader stamped it at 10 s
+	r.learnClocks(at(10), 1) // as the leader stamped it at 10 s
 	r.state.Clock = 50_100
-	r.learnClocks(at(13)) // applied 2.9 s late
+	r.learnClocks(at(13), 1) // applied 2.9 s late
 	r.leadingSince = at(15)
 	r.beginClocks(at(15))
 	if got := r.clock(at(16)); got != 56_000 {
@@ -42,9 +42,9 @@
 	// The start of a replica without any entry isn't the zero of the cluster's clock.
 	r = newReplica()
 	r.clusterTime = newClusterTime(start)
-	r.learnClocks(at(1))
+	r.learnClocks(at(1), 1)
 	r.state.Clock, r.leadingSince = 3_000, at(5)
-	r.learnClocks(at(5))
+	r.learnClocks(at(5), 1)
 	r.beginClocks(at(5))
 	if got := r.clock(at(5)); got != 3_000 {
 		t.Errorf("at an entry of 3 s the clock shows %d ms", got)
@@ -57,3 +57,24 @@
 		t.Errorf("1 s after a start at an entry of 20 s the clock shows %d ms", got)
 	}
 }
+
+// TestStateClockIsNotAheadOfALaterTerm: a leader that started behind, from the newest entry of its
+// log, stamps entries; a follower that had seen the clock of the one before it goes on from the
+// later one's. Its clock was ahead by the difference once, and locks were given to a second holder.
+func TestStateClockIsNotAheadOfALaterTerm(t *testing.T) {
+	start := time.Now()
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	r := newReplica()
+	r.clusterTime = newClusterTime(start)
+	r.state.Clock = 50_000
+	r.learnClocks(at(10), 1)
+	r.state.Clock = 50_300 // 1.7 s behind the clock of term 1
+	r.learnClocks(at(12), 2)
+	r.state.Clock = 50_400
+	r.learnClocks(at(12.5), 2) // applied 0.4 s late
+	r.leadingSince = at(13)
+	r.beginClocks(at(13))
+	if got := r.clock(at(14)); got != 52_300 {
+		t.Errorf("2 s after an entry of 50.3 s the clock shows %d ms", got)
+	}
+}
--- a/internal/server/replica.go
+++ b/internal/server/replica.go
@@ -76,6 +76,8 @@
 	timeOfDay   timeOfDay
 	clusterTime clusterTime
 	clockSeen   time.Duration // the state's clock at clusterTime's origin, as a follower saw it
+	// clockSeenTerm is the term of the entry by which clockSeen is known.
+	clockSeenTerm uint64
 
 	// Commands and those who wait for them.
 	pending       map[uint64]pendingEntry // by log index
@@ -233,7 +235,7 @@
 	}
 	r.node = raft.New(r.self.ID, r.persisted.HardState, snapshot, r.persisted.Entries, time.Now(), raftConfig(), int64(seed.Sum64())^time.Now().UnixNano())
 	r.node.RestoreCommit(r.persisted.Commit)
-	r.learnClocks(time.Now())
+	r.learnClocks(time.Now(), snapshot.Term)
 	r.node.SetWallClock(func() int64 {
 		now := time.Now()
 		return r.timeOfDay.read(now, machineTime(now)).Milliseconds()
--- a/internal/server/snapshot.go
+++ b/internal/server/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"tealpond/internal/raft"
 	"tealpond/internal/rpc"
@@ -90,6 +91,7 @@
 		panic("server: unreadable snapshot: " + err.Error())
 	}
 	r.state = store
+	r.learnClocks(time.Now(), snapshot.Term)
 	r.lastSnapshotIndex, r.latestSnapshot = snapshot.Index, snapshot
 	r.planDue = true
 	r.digests.discardOwn()
--- a/internal/simulation/part_pairs_test.go
+++ b/internal/simulation/part_pairs_test.go
@@ -23,6 +23,10 @@
 // pairSpec is a cluster in which all parts are at work.
 var pairSpec = ClusterSpec{Servers: 5, Edges: 1, Agents: 6, Zones: 3, Tallies: true}
 
+// pairTime is how long callers are at work at least, so that the checks say something after
+// an outage too.
+const pairTime = 14 * time.Second
+
 // loweredMilliCPU is the limit of boundTenant while it is lowered.
 const loweredMilliCPU = 2000
 
@@ -173,13 +177,14 @@
 			restarts: make(chan struct{}, 1), configurations: make(chan struct{}, 1)}
 		pair.restarts <- struct{}{}
 		pair.configurations <- struct{}{}
+		leastEnd := time.Now().Add(pairTime)
 		time.Sleep(time.Second)
 		var playing sync.WaitGroup
 		playing.Go(func() { first.play(pair) })
 		time.Sleep(later)
 		playing.Go(func() { second.play(pair) })
 		playing.Wait()
-		time.Sleep(catchUpBound)
+		time.Sleep(max(catchUpBound, time.Until(leastEnd)))
 		pair.applications.finish()
 		pair.tallies.requireMerged()
 	})
