--- a/internal/storage/tallies_test.go
+++ b/internal/storage/tallies_test.go
@@ -269,6 +269,33 @@
 	return append(sorted, runs[0])
 }
 
+// TestDamagedTalliesAreNotUsed: a record that isn't what was written makes the whole file one
+// that is set aside, as it is, and none of its adds is used.
+func TestDamagedTalliesAreNotUsed(t *testing.T) {
+	dir, want := newTalliesFile(t, 100)
+	path := filepath.Join(dir, talliesFileName)
+	file, _ := mustOpenTallies(t, dir)
+	if err := file.db.Update(func(tx *bolt.Tx) error {
+		bucket := tx.Bucket(bucketRuns).Bucket([]byte(want[0].Origin))
+		key := binary.BigEndian.AppendUint64(nil, 1)
+		record := bytes.Clone(bucket.Get(key))
+		record[len(record)-1] ^= 1
+		return bucket.Put(key, record)
+	}); err != nil {
+		t.Fatal(err)
+	}
+	_ = file.Close()
+	damaged := mustReadFile(t, path)
+	file, recovered := mustOpenTallies(t, dir)
+	defer func() { _ = file.Close() }()
+	if recovered.SetAsideReason == "" || len(recovered.Runs) != 0 || recovered.Origin == want[0].Origin {
+		t.Errorf("a damaged record was read: %q, %d runs", recovered.SetAsideReason, len(recovered.Runs))
+	}
+	if !bytes.Equal(mustReadFile(t, path+corruptSuffix), damaged) {
+		t.Error("the file that was set aside is not the damaged one")
+	}
+}
+
 // TestFaultsOfTheDiskLeaveTallies: a fault that may pass leaves the file as it is.
 func TestFaultsOfTheDiskLeaveTallies(t *testing.T) {
 	dir, _ := newTalliesFile(t, 100)
