--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -76,11 +76,11 @@
 			continue
 		}
 		for !peer.probing && peer.next <= n.LastIndex() && peer.next-peer.match <= uint64(n.config.MaxInflightEntries) {
-			batch := n.nextBatch(peer)
-			if n.isHeldBack(peer, batch.size) {
+			next := n.nextBatch(peer)
+			if n.isHeldBack(peer, next.size) {
 				break
 			}
-			n.sendAppend(id, peer, batch)
+			n.sendAppend(id, peer, next)
 		}
 		if n.eagerCommitPeers[id] && peer.commitSent < n.commitIndex && peer.next > peer.commitSent+1 {
 			n.sendCommit(id, peer)
--- a/internal/server/replica.go
+++ b/internal/server/replica.go
@@ -48,9 +48,9 @@
 	writesInFlight     int
 	stopWriter         context.CancelFunc
 	storageOpened      atomic.Bool
-	applyBacklog       bool // committed entries wait for the next turn, see drainNode
-	roundTrips         roundTrips
-	storageLagLoggedAt time.Time // when it was last logged that the storage is behind
+	applyBacklog       bool       // committed entries wait for the next turn, see drainNode
+	roundTrips         roundTrips // to a quorum, while this replica leads
+	storageLagLoggedAt time.Time  // when it was last logged that the storage is behind
 	identityResets     int
 	digests            digestTracker
 	lastSnapshotIndex  uint64         // of the newest snapshot that the storage was given
--- a/internal/tally/doc.go
+++ b/internal/tally/doc.go
@@ -3,9 +3,9 @@
 // all agree on.
 //
 // An add is known by its tally and its ID, and counts once wherever it comes in. Each
-// process numbers the adds that come in there from 1 on, under an origin of its own; what a
-// replica has is told by a vector, which gives for each origin the number up to which the
-// replica has all adds on its disk. Merging is a union: in any order, with any repeats, the
+// replica numbers the adds that come in there from 1 on, under the origin of its file, and
+// tells nobody of one before it is in that file; what a replica has is told by a vector,
+// which gives for each origin the number up to which the replica has all adds on its disk. Merging is a union: in any order, with any repeats, the
 // same adds give the same sums.
 //
 // An add is acknowledged once it is on as many disks as may be lost at once and one more, or,
