Tallies: contents have a digest; numbers given twice are noticed and repaired

Cause: a file put back from a copy, at a server that hears no peer before its first add, gives a number twice. Vectors and their digests are equal then, and the sums differ for good.

Change: messages carry a digest of the adds themselves (a sum of hashes, kept as adds come); two servers with equal vectors and different contents log tally.contents_differ and compare the adds of the origins that differ. The add with the smaller ID keeps the position, the other gets a new number at each server that has it, in the same write. Files with adds in the earlier form bring them into the new one when their origin is written to. The frame of tallies between servers has two fields more (its golden bytes are written anew: all servers of a group are of one version).

--- a/internal/rpc/golden_test.go
+++ b/internal/rpc/golden_test.go
@@ -54,6 +54,8 @@
 		{Name: "tally-answer", Value: &TallyAnswer{Total: 113, Position: tally.Position{Origin: "origin", Number: 114}, Servers: []string{"address"}}},
 		{Name: "tally-message", Value: &TallyMessage{From: "disk", To: "other-disk", Message: tally.Message{
 			Vector: tally.Vector{"origin": 115}, Whole: true, Digest: tally.Digest{High: 118, Low: 119}, Exchange: true, AskWhole: true,
+			Contents: 120, Comparison: &tally.Comparison{AskOrigins: true, Origins: map[string]uint64{"origin": 121}, AskFrom: tally.Position{Origin: "origin", Number: 122},
+				Answered: tally.Position{Origin: "origin", Number: 123}, Run: tally.Run{Origin: "origin", First: 124, Adds: []tally.Add{{Tally: "tally", ID: tally.ID{3}, Amount: 125}}}},
 			Runs: []tally.Run{{Origin: "other", First: 116, Adds: []tally.Add{{Tally: "tally", ID: tally.ID{1, 2}, Amount: 117}}}}}}},
 		{Name: "key-watch", Value: &KeyWatch{Group: "group.", After: 102, WaitMs: 103}},
 		{Name: "tenant-query", Value: &TenantQuery{KnownDigest: "digest"}},
--- a/internal/server/tallies.go
+++ b/internal/server/tallies.go
@@ -37,6 +37,8 @@
 	tickAt  time.Time            // when the replica is to look at the time
 	silent  map[string]bool      // of each other replica, as it was logged last
 	filled  float64              // the share of the file's bound that was logged last
+	// differences are those that were logged last.
+	differences tally.Differences
 }
 
 // openedTallies is the outcome of opening the file of the tallies.
@@ -208,6 +210,16 @@
 	r.tallies.replica.Abandon(now.Add(-tuning.TallyRequestTimeout))
 	r.tallies.replica.Tick(now)
 	r.logTallyPeers(now)
+	r.logTallyDifferences()
+}
+
+// logTallyDifferences logs that contents differed from another replica's under equal vectors,
+// and how many adds got a new position since.
+func (r *Replica) logTallyDifferences() {
+	if differences := r.tallies.replica.Differences(); differences != r.tallies.differences {
+		r.tallies.differences = differences
+		_ = r.log.Log("level", "error", "event", "tally.contents_differ", "noticed", differences.Noticed, "moved", differences.Moved)
+	}
 }
 
 // logTallyPeers logs which other replicas fall silent, and are heard again with how many
--- a/internal/storage/tallies.go
+++ b/internal/storage/tallies.go
@@ -219,8 +219,9 @@
 	return binary.BigEndian.AppendUint64(append([]byte(originName), 0), number)
 }
 
-// Append writes runs of adds, and returns once they are synced. It gives what the file has in
-// use then, in bytes.
+// Append writes runs of adds, and returns once they are synced. An add at a number that is in
+// the file already takes the place of the one there. It gives what the file has in use then, in
+// bytes.
 func (t *Tallies) Append(runs []tally.Run) (size int64, err error) {
 	count := t.count
 	err = t.db.Update(func(tx *bolt.Tx) error {
@@ -230,6 +231,9 @@
 			return err
 		}
 		for _, run := range runs {
+			if err := moveEarlierAdds(tx, runsBucket, run.Origin); err != nil {
+				return err
+			}
 			added, err := putRun(runsBucket, run)
 			if err != nil {
 				return err
@@ -268,6 +272,36 @@
 	return meta.Put(keyCount, record)
 }
 
+// moveEarlierAdds brings an origin's adds that stand in the form of earlier versions into the
+// new one, so that one of them can be replaced.
+func moveEarlierAdds(tx *bolt.Tx, runsBucket *bolt.Bucket, originName string) error {
+	earlier := tx.Bucket(bucketAdds)
+	if earlier == nil {
+		return nil
+	}
+	content := &tallyContent{byOrigin: map[string]int{}}
+	var keys [][]byte
+	prefix := append([]byte(originName), 0)
+	cursor := earlier.Cursor()
+	for key, value := cursor.Seek(prefix); bytes.HasPrefix(key, prefix); key, value = cursor.Next() {
+		if err := content.readEarlierAdd(key, value); err != nil {
+			return err
+		}
+		keys = append(keys, bytes.Clone(key))
+	}
+	for _, run := range content.runs {
+		if _, err := putRun(runsBucket, run); err != nil {
+			return err
+		}
+	}
+	for _, key := range keys {
+		if err := earlier.Delete(key); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // putRun writes a run, and gives how many of its adds were not there.
 func putRun(runsBucket *bolt.Bucket, run tally.Run) (added uint64, err error) {
 	bucket, err := runsBucket.CreateBucketIfNotExists([]byte(run.Origin))
--- a/internal/storage/tallies_test.go
+++ b/internal/storage/tallies_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"slices"
 	"syscall"
 	"testing"
 
@@ -121,6 +122,26 @@
 	_ = file.Close()
 }
 
+// TestAddsAreReplaced: an add at a number that is in the file takes the place of the one there,
+// also if that one is in the form of earlier versions.
+func TestAddsAreReplaced(t *testing.T) {
+	dir := t.TempDir()
+	writeEarlierTallies(t, filepath.Join(dir, talliesFileName), 300)
+	file, recovered := mustOpenTallies(t, dir)
+	want := tally.Run{Origin: recovered.Runs[0].Origin, First: 1, Adds: slices.Clone(recovered.Runs[0].Adds)}
+	for _, number := range []uint64{150, 300, 1, 150} {
+		add := testAdd("t", fmt.Sprint("replaced", number), 9)
+		mustAppend(t, file, tally.Run{Origin: want.Origin, First: number, Adds: []tally.Add{add}})
+		want.Adds[number-1] = add
+	}
+	_ = file.Close()
+	file, again := mustOpenTallies(t, dir)
+	if again.SetAsideReason != "" || !reflect.DeepEqual(again.Runs, []tally.Run{want}) {
+		t.Errorf("set aside: %q, runs %v", again.SetAsideReason, again.Runs)
+	}
+	_ = file.Close()
+}
+
 // writeEarlierTallies writes a file as earlier versions did.
 func writeEarlierTallies(t *testing.T, path string, adds int) {
 	t.Helper()
--- a/internal/tally/replica.go
+++ b/internal/tally/replica.go
@@ -27,26 +27,6 @@
 	MaxMessageAdds int
 }
 
-// Message is what replicas tell one another.
-type Message struct {
-	_ struct{} `cbor:",toarray"`
-	// Vector is what the sender has on its disk: of all origins if Whole is set, else of those
-	// that have changed since the message to this receiver before; Digest is that of all.
-	Vector Vector
-	Whole  bool
-	Digest Digest
-	Runs   []Run // adds that the receiver may lack
-	// Exchange asks the receiver for what it has beyond the vector, AskWhole for the whole of
-	// its own vector.
-	Exchange, AskWhole bool
-}
-
-// Envelope is a message and the peer that it goes to.
-type Envelope struct {
-	To      string
-	Message Message
-}
-
 // Result is the outcome of a change or a read.
 type Result int
 
@@ -89,11 +69,15 @@
 	exchanged time.Time
 	startedAt time.Time
 	caughtUp  bool
+
+	comparing   *comparing // nil: no contents are being compared
+	replacing   map[Position]bool
+	differences Differences
 }
 
 // NewReplica makes a replica of what its file holds, whose size is in bytes.
 func NewReplica(config Config, stored []Run, fileBytes int64, now time.Time) *Replica {
-	r := &Replica{config: config, set: NewSet(), fileBytes: fileBytes, peers: map[string]*peer{}, startedAt: now}
+	r := &Replica{config: config, set: NewSet(), fileBytes: fileBytes, peers: map[string]*peer{}, startedAt: now, replacing: map[Position]bool{}}
 	for _, run := range stored {
 		r.set.Stage(run)
 		r.set.MarkWritten(run)
@@ -191,6 +175,12 @@
 	case !sender.vector.known:
 		r.send(from, Message{AskWhole: true})
 	}
+	if message.Comparison != nil {
+		r.receiveComparison(from, message.Comparison, now)
+	}
+	if message.Digest == r.set.Digest() && message.Contents != r.set.Contents() {
+		r.compareWith(from, now)
+	}
 	if !r.caughtUp && sender.vector.known && r.set.Vector().Covers(sender.vector.numbers) {
 		r.caughtUp = true
 	}
@@ -225,7 +215,7 @@
 // has now, in bytes.
 func (r *Replica) Written(fileBytes int64, now time.Time) {
 	for _, run := range r.writing {
-		r.set.MarkWritten(run)
+		r.markWritten(run)
 		for _, peer := range r.peers {
 			peer.changed[run.Origin] = struct{}{}
 		}
@@ -257,6 +247,7 @@
 		}
 	}
 	r.tellChanges(now)
+	r.tickComparison(now)
 	if now.Sub(r.exchanged) >= r.config.ExchangeInterval {
 		r.exchanged = now
 		for _, id := range r.peerIDs() {
@@ -373,7 +364,7 @@
 // peer before.
 func (r *Replica) send(to string, message Message) {
 	peer := r.peers[to]
-	message.Digest = r.set.Digest()
+	message.Digest, message.Contents = r.set.Digest(), r.set.Contents()
 	if message.Whole {
 		message.Vector = maps.Clone(r.set.Vector())
 	} else {
--- a/internal/tally/replica_test.go
+++ b/internal/tally/replica_test.go
@@ -52,6 +52,8 @@
 	ended  int // how many IDs were handed to machines that had just ended
 	// sendsUnwritten is a planted break: a machine sends each add before it is written.
 	sendsUnwritten bool
+	// mayDiffer: files are put back from copies, so that a number can be given twice.
+	mayDiffer bool
 }
 
 // moment is a place in the work of a machine at which it may end.
@@ -240,10 +242,26 @@
 		if set.Digest() != digestOf(set.Vector()) {
 			return fmt.Errorf("machine %d: the digest is not that of its vector", i)
 		}
+		if contents := contentsOf(set); set.Contents() != contents {
+			return fmt.Errorf("machine %d: the digest of its contents is %x, counted again %x", i, set.Contents(), contents)
+		}
+		if !w.mayDiffer && m.replica.Differences() != (Differences{}) {
+			return fmt.Errorf("machine %d: contents differed, %+v", i, m.replica.Differences())
+		}
 	}
 	return nil
 }
 
+// contentsOf counts the digest of a set's contents again.
+func contentsOf(s *Set) (sum uint64) {
+	for _, origin := range s.origins {
+		for i := range origin.written {
+			sum += hashAdd(origin.name, i+1, origin.adds[i])
+		}
+	}
+	return sum
+}
+
 // differenceOf compares all adds of two sets with equal vectors, by their places.
 func differenceOf(a, b *Set) error {
 	for _, ours := range a.origins {
--- a/internal/tally/set.go
+++ b/internal/tally/set.go
@@ -57,6 +57,8 @@
 	name    string
 	adds    []Add
 	written uint64 // the number up to which they are on the disk
+	// contents is the sum of the hashes of those on the disk.
+	contents uint64
 }
 
 // Set is the union of all adds that a replica has: those on its disk, which count, and those
@@ -73,6 +75,7 @@
 	totals     map[string]int64
 	vector     Vector
 	digest     Digest
+	contents   uint64 // the sum of the hashes of all adds on the disk
 }
 
 // NewSet makes an empty set.
@@ -157,6 +160,9 @@
 	for number := origin.written + 1; number <= last; number++ {
 		at := place{index, uint32(number)}
 		add := s.add(at)
+		hash := hashAdd(origin.name, number, add)
+		origin.contents += hash
+		s.contents += hash
 		if s.entries[add.ID] == at {
 			s.totals[add.Tally] += add.Amount - s.superseded[at]
 			delete(s.superseded, at)
