Tests: retries without a promise, late and older counts

Three planted breaks were found by no test of their package: a request tried again after a runner's 502, a merged count that falls, a late entry whose slot ends early. Each has its test now.

--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -43,7 +43,7 @@
 	older := a.Since(0, "", testStart)
 	a.Add("k", 4, testStart)
 	newer := a.Since(0, "", testStart)
-	for _, entries := range [][]Entry{newer, older, newer} {
+	for _, entries := range [][]Entry{newer, older, newer, older} {
 		b.Merge(entries, "a", testStart)
 	}
 	c.Merge(b.Since(0, "c", testStart), "b", testStart)
@@ -59,6 +59,23 @@
 	}
 }
 
+// TestLateEntriesCountAsLong: what comes late counts until its whole slot is past, as if it had
+// come in time.
+func TestLateEntriesCountAsLong(t *testing.T) {
+	a := newTestSet("a")
+	a.Add("k", 1, testStart)
+	for _, c := range []struct {
+		late time.Duration
+		want uint64
+	}{{0, 1}, {testWindow, 1}, {testWindow + testWidth/2, 1}, {testWindow + testWidth + time.Millisecond, 0}} {
+		b, now := newTestSet("b"), testStart.Add(c.late)
+		b.Merge(a.Since(0, "b", now), "a", now)
+		if got := b.Sum("k", now); got != c.want {
+			t.Errorf("%v late: %d, want %d", c.late, got, c.want)
+		}
+	}
+}
+
 // TestNothingNewIsNotSent: an exchange sends what changed since the last one alone.
 func TestNothingNewIsNotSent(t *testing.T) {
 	peer, a := newTestSet("p"), newTestSet("a")
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -59,6 +59,14 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// failing answers every request with 502 or 503 and without a promise, after it may have run it.
+func failing(code int) runnerBehavior {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(protocol.HeaderAttemptID, r.Header.Get(protocol.HeaderAttemptID))
+		w.WriteHeader(code)
+	}
+}
+
 // broken closes the connection without an answer.
 func broken(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 
--- a/internal/gateway/proxy_test.go
+++ b/internal/gateway/proxy_test.go
@@ -55,6 +55,9 @@
 		{"a full runner, upload", "/upload/x", []runnerBehavior{full, full, full}, http.StatusServiceUnavailable, 2},
 		{"a broken runner, writing", "/write/x", []runnerBehavior{broken, broken}, http.StatusBadGateway, 1},
 		{"a broken runner, reading", "/read/x", []runnerBehavior{broken, broken}, http.StatusBadGateway, 2},
+		{"502 without a promise", "/write/x", []runnerBehavior{failing(502), failing(502)}, http.StatusBadGateway, 1},
+		{"503 without a promise", "/write/x", []runnerBehavior{failing(503), failing(503)}, http.StatusServiceUnavailable, 1},
+		{"504 without a promise", "/write/x", []runnerBehavior{failing(504), failing(504)}, http.StatusGatewayTimeout, 1},
 		{"one runner only", "/write/x", []runnerBehavior{full}, http.StatusServiceUnavailable, 1},
 		{"no runner", "/write/x", nil, http.StatusServiceUnavailable, 0},
 	} {
@@ -63,7 +66,7 @@
 		if code != c.code || len(h.seen()) != c.arrivals {
 			t.Errorf("%s: %d %q after %d attempts, want %d after %d", c.name, code, body, len(h.seen()), c.code, c.arrivals)
 		}
-		if code == http.StatusServiceUnavailable && header.Get(protocol.HeaderRetryAfter) == "" {
+		if code == http.StatusServiceUnavailable && !strings.Contains(c.name, "without a promise") && header.Get(protocol.HeaderRetryAfter) == "" {
 			t.Errorf("%s: not told when to come again", c.name)
 		}
 		for i, a := range h.seen() {
