--- a/internal/state/forget_unused_test.go
+++ b/internal/state/forget_unused_test.go
@@ -200,3 +200,23 @@
 		t.Errorf("%d workers for %d nodes; the state has %d bytes after a day and %d after %d", len(f.store.Workers), nodes, first, last, days)
 	}
 }
+
+// TestRollupsOfServicesWithoutWorkersGo: at the next time that the rollups are rebuilt.
+func TestRollupsOfServicesWithoutWorkersGo(t *testing.T) {
+	f := newFixture(t)
+	for n := range 30 {
+		id := fmt.Sprint("worker-", n)
+		f.apply(&RegisterWorker{ID: id, Node: id, Service: fmt.Sprint("service-", n), Capacity: protocol.Resources{CPUUnits: 100, MemoryMB: 100}, LeavesInMs: -1})
+		f.apply(&CollectGarbage{RebuildRollups: true})
+		f.apply(&SetEligibility{ID: id, Draining: true, LeavesInMs: 1})
+		f.now += 1000
+		f.apply(&ExpireLeases{Workers: []FencedWorker{{ID: id, Fence: f.store.Workers[id].Fence}}})
+		f.apply(&ForgetUnused{})
+		f.now += retentionMs
+		f.apply(&ForgetUnused{})
+		f.apply(&CollectGarbage{RebuildRollups: true})
+		if len(f.store.Rollups) > 0 {
+			t.Fatalf("after worker %d: %d rollups", n, len(f.store.Rollups))
+		}
+	}
+}
