Server: what is known of leaving servers goes with the time for which it counts

Cause: a row for each disk that ever left in a leader's life. Change: rows are removed once they say nothing.

--- a/internal/server/appointments.go
+++ b/internal/server/appointments.go
@@ -24,6 +24,12 @@
 	return appointments{heardSince: map[string]time.Time{}, leavingUntil: map[string]time.Time{}, releasedAt: map[string]time.Time{}, changePending: map[string]bool{}}
 }
 
+// forgetPast removes what no longer counts of servers that are leaving or were released.
+func (a *appointments) forgetPast(now time.Time) {
+	maps.DeleteFunc(a.leavingUntil, func(_ string, until time.Time) bool { return now.After(until) })
+	maps.DeleteFunc(a.releasedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= tuning.ShutdownReleasePeriod })
+}
+
 // canAggregate tells whether a server may aggregate for a zone now, and notes since
 // when it is heard.
 func (r *Replica) canAggregate(server raft.Member, now time.Time) bool {
@@ -42,6 +48,7 @@
 // the zone that does not lead; if there is none and the leader isn't in the zone
 // itself, the server with the fewest zones.
 func (r *Replica) appointAggregators(now time.Time) {
+	r.appointments.forgetPast(now)
 	var candidates []raft.Member
 	for _, server := range append(r.node.Voters(), r.caughtUpLearners()...) {
 		if r.canAggregate(server, now) {
