--- a/cmd/tealpond/coordination.go
+++ b/cmd/tealpond/coordination.go
@@ -14,7 +14,7 @@
 
 	"tealpond/internal/admin"
 	"tealpond/internal/protocol"
-	"tealpond/internal/tuning"
+	"tealpond/internal/timing"
 )
 
 // Queries of the tables that applications share. The leader is asked, since a follower may
@@ -83,7 +83,7 @@
 // readKey prints a key as JSON.
 func (p *program) readKey(addresses []string, key string) int {
 	var answer protocol.KeyResponse
-	err := getJSON(addresses, "/-/Cells.Read/"+url.PathEscape(key), tuning.ToolRequestTimeout, &answer)
+	err := getJSON(addresses, "/-/Cells.Read/"+url.PathEscape(key), admin.RequestTimeout, &answer)
 	switch {
 	case errors.Is(err, errNotFound):
 		p.reportf("%s: %v", key, err)
@@ -97,9 +97,9 @@
 // watchGroup prints the puts of a group until so many were seen, or for good.
 func (p *program) watchGroup(addresses []string, group string, after int64, most int) int {
 	for seen := 0; most <= 0 || seen < most; {
-		path := fmt.Sprintf("/-/watch/%s?dependsOn=%d&waitMs=%d", url.PathEscape(group), after, tuning.MaxWatchWait.Milliseconds())
+		path := fmt.Sprintf("/-/watch/%s?dependsOn=%d&waitMs=%d", url.PathEscape(group), after, timing.MaxWatchWait.Milliseconds())
 		var answer protocol.WatchResponse
-		if err := getJSON(addresses, path, tuning.MaxWatchWait+tuning.ToolRequestTimeout, &answer); err != nil {
+		if err := getJSON(addresses, path, timing.MaxWatchWait+admin.RequestTimeout, &answer); err != nil {
 			return p.fail(err)
 		}
 		for _, event := range answer.Events {
@@ -161,6 +161,6 @@
 		return 0, nil, err
 	}
 	defer func() { err = errors.Join(err, response.Body.Close()) }()
-	body, err = io.ReadAll(io.LimitReader(response.Body, tuning.MaxControlBodyBytes))
+	body, err = io.ReadAll(io.LimitReader(response.Body, protocol.MaxControlBodyBytes))
 	return response.StatusCode, body, err
 }
--- a/cmd/tealpond/daemon.go
+++ b/cmd/tealpond/daemon.go
@@ -14,7 +14,20 @@
 	"tealpond/internal/monitoring"
 	"tealpond/internal/settings"
 	"tealpond/internal/tracing"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// gcPercent is how much the heap grows between two garbage collections, in percent; heaps are
+	// small and memory has a price.
+	gcPercent = 25
+	// memoryLimitFraction is the part of the setting memoryMb that becomes the memory limit of the Go
+	// runtime.
+	memoryLimitFraction = 0.7
+	// settingsPollInterval is the time between two checks of the settings file for changes.
+	settingsPollInterval = 2 * time.Second
+	// traceRingLength is the number of trace marks that each daemon keeps: about a quarter of a
+	// megabyte, and some seconds of a busy day.
+	traceRingLength = 2048
 )
 
 const (
@@ -46,8 +59,8 @@
 		p.reportf("%v", err)
 		return exitFault
 	}
-	debug.SetMemoryLimit(int64(float64(file.Limits.MemoryMb) * tuning.MemoryLimitFraction * bytesPerMb))
-	debug.SetGCPercent(tuning.GCPercent)
+	debug.SetMemoryLimit(int64(float64(file.Limits.MemoryMb) * memoryLimitFraction * bytesPerMb))
+	debug.SetGCPercent(gcPercent)
 	filtered := levelFilter{log.NewLogfmtLogger(log.NewSyncWriter(p.stderr)), logLevels[flags.logLevel]}
 	logger := log.With(filtered, "node", file.NodeName, "role", role.Name)
 	environment := daemon.Environment{
@@ -55,7 +68,7 @@
 		Log:            logger,
 		ProcessID:      newProcessID(),
 		Reload:         make(chan settings.File, 1),
-		Trace:          tracing.NewRing(tuning.TraceRingLength),
+		Trace:          tracing.NewRing(traceRingLength),
 		FederationFile: flags.federationFile,
 		Debug:          flags.logLevel == "debug",
 	}
@@ -105,7 +118,7 @@
 // or when the file's time has changed, until ctx ends. A file with a fault is logged and
 // ignored.
 func watchSettings(ctx context.Context, path string, hangups <-chan struct{}, reload chan<- settings.File, logger log.Logger) {
-	ticker := time.NewTicker(tuning.SettingsPollInterval)
+	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	last := modTime(path)
 	for {
--- a/cmd/tealpond/tools.go
+++ b/cmd/tealpond/tools.go
@@ -17,9 +17,11 @@
 	"tealpond/internal/clusterconfig"
 	"tealpond/internal/rpc"
 	"tealpond/internal/settings"
-	"tealpond/internal/tuning"
 )
 
+// toolTotalTimeout is how long a tool may take in all.
+const toolTotalTimeout = 15 * time.Second
+
 // addTools adds the commands that are no daemons.
 func (p *program) addTools(app *kingpin.Application) {
 	checkCommand := app.Command("check", "Check a settings file (TOML) or a configuration (JSON); each fault is printed with its place.")
@@ -91,7 +93,7 @@
 
 // traceChange prints the events of a change, and what is missing of them.
 func (p *program) traceChange(addresses []string, id string) int {
-	ctx, cancel := context.WithTimeout(context.Background(), tuning.ToolTotalTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), toolTotalTimeout)
 	defer cancel()
 	change, err := admin.TraceChange(ctx, addresses, id)
 	if err != nil {
@@ -117,7 +119,7 @@
 // showRecords prints the record of the deferrable jobs of some clusters, which are
 // given by name with the address of a daemon each.
 func (p *program) showRecords(addresses map[string]string, queues []string) int {
-	ctx, cancel := context.WithTimeout(context.Background(), tuning.ToolTotalTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), toolTotalTimeout)
 	defer cancel()
 	clusters := map[string]rpc.ClusterState{}
 	for name, address := range addresses {
@@ -147,7 +149,7 @@
 // showTable prints the answer to a query as a table, or as one JSON object a line.
 func (p *program) showTable(fetch fetchState, addresses []string, query string, asJSON bool) int {
 	if !asJSON {
-		return p.runQuery(fetch, addresses, query, tuning.MaxQueryRows)
+		return p.runQuery(fetch, addresses, query, rpc.MaxQueryRows)
 	}
 	rows, err := queryRows(fetch, addresses, query)
 	if err != nil {
@@ -163,13 +165,13 @@
 
 // queryRows gives the rows of a query's answer, each by its columns.
 func queryRows(fetch fetchState, addresses []string, query string) ([]map[string]string, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), tuning.ToolTotalTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), toolTotalTimeout)
 	defer cancel()
 	cluster, err := fetch(ctx, addresses)
 	if err != nil {
 		return nil, err
 	}
-	result, err := admin.Query(ctx, cluster, query, tuning.MaxQueryRows)
+	result, err := admin.Query(ctx, cluster, query, rpc.MaxQueryRows)
 	if err != nil {
 		return nil, err
 	}
@@ -215,7 +217,7 @@
 
 // runQuery prints the answer to an SQL query.
 func (p *program) runQuery(fetch fetchState, addresses []string, query string, limit int) int {
-	ctx, cancel := context.WithTimeout(context.Background(), tuning.ToolTotalTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), toolTotalTimeout)
 	defer cancel()
 	cluster, err := fetch(ctx, addresses)
 	if err != nil {
--- a/internal/admin/members.go
+++ b/internal/admin/members.go
@@ -4,15 +4,18 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/zeebo/errs"
 
 	"tealpond/internal/discovery"
 	"tealpond/internal/rpc"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
+// RequestTimeout is how long a tool waits for one daemon.
+const RequestTimeout = 2 * time.Second
+
 // Error is the class of errors of this package.
 var Error = errs.Class("fleet")
 
@@ -31,7 +34,7 @@
 	defer stop()
 	client := discovery.NewClient(discovery.Options{Seeds: slices.Concat(addresses, servers)})
 	go client.Run(runCtx)
-	callCtx, done := context.WithTimeout(ctx, tuning.ToolRequestTimeout)
+	callCtx, done := context.WithTimeout(ctx, RequestTimeout)
 	defer done()
 	response := client.Call(callCtx, rpc.KindListMembers, struct{}{})
 	if response.Code != rpc.CodeOK || transport.Decode(response.Body, &members) != nil {
@@ -46,7 +49,7 @@
 // false if none answered.
 func listServers(ctx context.Context, addresses []string) (servers []string, answered bool) {
 	for _, address := range addresses {
-		response, err := rpc.Call(ctx, address, rpc.KindLeader, nil, tuning.ToolRequestTimeout)
+		response, err := rpc.Call(ctx, address, rpc.KindLeader, nil, RequestTimeout)
 		var info rpc.LeaderInfo
 		if err != nil || transport.Decode(response.Body, &info) != nil {
 			continue
@@ -71,7 +74,7 @@
 		calls.Add(1)
 		go func() {
 			defer calls.Done()
-			response, err := rpc.Call(ctx, address, kind, body, tuning.ToolRequestTimeout)
+			response, err := rpc.Call(ctx, address, kind, body, RequestTimeout)
 			if err != nil {
 				return
 			}
--- a/internal/admin/query.go
+++ b/internal/admin/query.go
@@ -11,7 +11,6 @@
 
 	"tealpond/internal/rpc"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
 // Result is the answer to a query.
@@ -51,7 +50,7 @@
 	}
 	var other *rpc.ClusterState
 	for _, address := range servers {
-		response, err := rpc.Call(ctx, address, rpc.KindClusterState, nil, tuning.ToolRequestTimeout)
+		response, err := rpc.Call(ctx, address, rpc.KindClusterState, nil, RequestTimeout)
 		var fetched rpc.ClusterState
 		if err != nil || transport.Decode(response.Body, &fetched) != nil {
 			continue
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -12,8 +12,8 @@
 	"tealpond/internal/protocol"
 	"tealpond/internal/rpc"
 	"tealpond/internal/settings"
+	"tealpond/internal/timing"
 	"tealpond/internal/tracing"
-	"tealpond/internal/tuning"
 )
 
 // eventQueueLength is how many inputs may wait for the agent's loop.
@@ -138,12 +138,12 @@
 		return 0
 	}
 	if session.fence == 0 || session.registering {
-		if !session.registering && now.Sub(session.lastRenewalAt) > tuning.LeaseRenewInterval {
+		if !session.registering && now.Sub(session.lastRenewalAt) > timing.LeaseRenewInterval {
 			a.registerRunner(session)
 		}
-		return tuning.LeaseRenewInterval
+		return timing.LeaseRenewInterval
 	}
-	wake := tuning.LeaseRenewInterval
+	wake := timing.LeaseRenewInterval
 	atLatest := func(delay time.Duration) {
 		if delay > 0 {
 			wake = min(wake, delay)
--- a/internal/agent/completions.go
+++ b/internal/agent/completions.go
@@ -8,7 +8,15 @@
 	"tealpond/internal/protocol"
 	"tealpond/internal/rpc"
 	"tealpond/internal/state"
-	"tealpond/internal/tuning"
+	"tealpond/internal/timing"
+)
+
+const (
+	// maxCompletedRunsKept is the number of completed runs that an agent remembers before it forgets
+	// those that are committed and older than completedRunRetention.
+	maxCompletedRunsKept = 512
+	// completedRunRetention is how long a completed run is remembered at least.
+	completedRunRetention = 30 * time.Second
 )
 
 // completedRun is a run that has ended: its completion as the runner listed it or,
@@ -159,9 +167,9 @@
 		}
 		return
 	}
-	if len(s.completed) >= tuning.MaxCompletedRunsKept {
+	if len(s.completed) >= maxCompletedRunsKept {
 		for otherKey, done := range s.completed {
-			if now.Sub(done.notedAt) > tuning.CompletedRunRetention && done.completion.Sequence <= s.committedSequence {
+			if now.Sub(done.notedAt) > completedRunRetention && done.completion.Sequence <= s.committedSequence {
 				delete(s.completed, otherKey)
 			}
 		}
@@ -193,7 +201,7 @@
 	command := &state.ReportCompletions{Worker: session.id, Fence: fence, Completions: []protocol.Completion{completion}}
 	a.requestLeader(rpc.KindReportCompletions, command, reportTimeout, func(response rpc.Response) {
 		run.reporting = false
-		run.notBefore = a.now.Add(tuning.LeaseRenewInterval)
+		run.notBefore = a.now.Add(timing.LeaseRenewInterval)
 		if a.session != session || session.runs[key] != run {
 			return
 		}
--- a/internal/agent/health.go
+++ b/internal/agent/health.go
@@ -6,15 +6,17 @@
 	"tealpond/internal/protocol"
 	"tealpond/internal/rpc"
 	"tealpond/internal/state"
-	"tealpond/internal/tuning"
 )
 
+// stalledRunnerExclusion is how long a runner with stalled runs is reported as unhealthy.
+const stalledRunnerExclusion = 2500 * time.Millisecond
+
 // superviseHealth reports to the leader when the runner becomes unhealthy or
 // healthy again, and closes what a silent runner can no longer be running. It
 // returns the time until it must be called again, or 0.
 func (a *Agent) superviseHealth(session *runnerSession) time.Duration {
 	silent := session.silent(a.now)
-	unhealthy := silent || a.now.Sub(session.lastStalledAt) < tuning.StalledRunnerExclusion
+	unhealthy := silent || a.now.Sub(session.lastStalledAt) < stalledRunnerExclusion
 	if unhealthy != session.reportedUnhealthy && !session.reportingHealth {
 		a.reportHealth(session, unhealthy, silent)
 	}
--- a/internal/agent/heartbeats.go
+++ b/internal/agent/heartbeats.go
@@ -8,9 +8,12 @@
 	"tealpond/internal/protocol"
 	"tealpond/internal/rpc"
 	"tealpond/internal/state"
-	"tealpond/internal/tuning"
 )
 
+// runnerRequestTimeout is how long a start or stop waits for the response of the runner, which is
+// on the same machine.
+const runnerRequestTimeout = 250 * time.Millisecond
+
 // handleHeartbeat handles a heartbeat; a new ID is a new incarnation of the
 // runner. The answer waits until the leader has committed what it confirms.
 func (a *Agent) handleHeartbeat(request *heartbeatRequest) {
@@ -57,7 +60,7 @@
 // knows nothing. If the runner gives no answer, the heartbeat is believed.
 func (a *Agent) verifyIncarnation(request *heartbeatRequest) {
 	go func() {
-		ctx, cancel := context.WithTimeout(a.ctx, tuning.RunnerRequestTimeout)
+		ctx, cancel := context.WithTimeout(a.ctx, runnerRequestTimeout)
 		response := a.runner.Call(ctx, request.id, pathKeepAlive, protocol.KeepAliveRequest{})
 		cancel()
 		a.post(func() {
--- a/internal/agent/incarnations.go
+++ b/internal/agent/incarnations.go
@@ -2,12 +2,14 @@
 
 import (
 	"time"
-
-	"tealpond/internal/tuning"
 )
 
+// incarnationRetention is how long an agent remembers an incarnation of its runner that ended or
+// signed off.
+const incarnationRetention = 2 * time.Minute
+
 // incarnationTimes are times noted for incarnations of the runner, by ID. Each is
-// forgotten tuning.IncarnationRetention after it, so that the table does not grow with
+// forgotten incarnationRetention after it, so that the table does not grow with
 // each restart of the runner. The zero value is ready for use.
 type incarnationTimes struct {
 	times map[string]time.Time
@@ -19,7 +21,7 @@
 		i.times = map[string]time.Time{}
 	}
 	for other, noted := range i.times {
-		if now.Sub(noted) > tuning.IncarnationRetention {
+		if now.Sub(noted) > incarnationRetention {
 			delete(i.times, other)
 		}
 	}
--- a/internal/agent/incarnations_test.go
+++ b/internal/agent/incarnations_test.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"testing"
 	"time"
-
-	"tealpond/internal/tuning"
 )
 
 // TestIncarnationsAreForgotten: the tables of an agent don't grow with each restart of
@@ -18,7 +16,7 @@
 		now = now.Add(pause)
 		noted.note(fmt.Sprint(i), now, now)
 	}
-	kept := int(tuning.IncarnationRetention/pause) + 1
+	kept := int(incarnationRetention/pause) + 1
 	if len(noted.times) != kept {
 		t.Errorf("%d incarnations are kept, want %d", len(noted.times), kept)
 	}
--- a/internal/agent/lease.go
+++ b/internal/agent/lease.go
@@ -4,22 +4,22 @@
 	"time"
 
 	"tealpond/internal/rpc"
-	"tealpond/internal/tuning"
+	"tealpond/internal/timing"
 )
 
 // renewLeaseIfDue renews the worker's lease with the leader every
-// tuning.LeaseRenewInterval. It returns the time until the next renewal, or 0
+// timing.LeaseRenewInterval. It returns the time until the next renewal, or 0
 // while one is in flight.
 func (a *Agent) renewLeaseIfDue(session *runnerSession) time.Duration {
 	if session.renewingLease {
 		return 0
 	}
 	sinceLast := a.now.Sub(session.lastRenewalAt)
-	if session.lastRenewalAt.IsZero() || sinceLast >= tuning.LeaseRenewInterval {
+	if session.lastRenewalAt.IsZero() || sinceLast >= timing.LeaseRenewInterval {
 		a.renewLease(session)
 		return 0
 	}
-	return max(tuning.LeaseRenewInterval-sinceLast, time.Millisecond)
+	return max(timing.LeaseRenewInterval-sinceLast, time.Millisecond)
 }
 
 // renewLease requests a longer lease from the leader. The response's Value is how
--- a/internal/agent/model_test.go
+++ b/internal/agent/model_test.go
@@ -13,7 +13,7 @@
 	"tealpond/internal/protocol"
 	"tealpond/internal/rpc"
 	"tealpond/internal/state"
-	"tealpond/internal/tuning"
+	"tealpond/internal/timing"
 )
 
 var modelSeeds = flag.Int("model-seeds", 6, "how many seeds the model test plays")
@@ -74,7 +74,7 @@
 			worker := m.state.Workers[c.Worker]
 			if outcome.Code = 409; worker != nil && worker.Fence == c.Fence && !worker.Dead && !worker.LeaseExpired {
 				m.granted[c.Worker] = time.Now()
-				outcome = state.Outcome{Code: 200, Value: tuning.MaxLeaseDuration.Milliseconds()}
+				outcome = state.Outcome{Code: 200, Value: timing.MaxLeaseDuration.Milliseconds()}
 			}
 		case *state.RegisterWorker:
 			if outcome = m.execute(kind, c); outcome.Code == 200 && m.granted[c.ID].IsZero() {
@@ -104,10 +104,10 @@
 			if late := m.between(time.Second, 12*time.Second); m.chance(0.5) && !away {
 				time.AfterFunc(late, func() { m.apply(kind, body) })
 			}
-			wait = tuning.RequestAttemptTimeout
+			wait = timing.RequestAttemptTimeout
 		case m.chance(0.04): // done, but the response is lost
 			m.apply(kind, body)
-			wait = tuning.RequestAttemptTimeout
+			wait = timing.RequestAttemptTimeout
 		default:
 			time.Sleep(wait)
 			if ctx.Err() == nil {
@@ -141,7 +141,7 @@
 		if m.leaderAway {
 			return
 		}
-		expiry := time.Duration(float64(tuning.MaxLeaseDuration)*tuning.LeaseClockDriftFactor) + tuning.LeaseExpiryMargin
+		expiry := time.Duration(float64(timing.MaxLeaseDuration)*timing.LeaseClockDriftFactor) + timing.LeaseExpiryMargin
 		for id, at := range m.granted {
 			if time.Since(at) > expiry {
 				delete(m.granted, id)
--- a/internal/agent/polling.go
+++ b/internal/agent/polling.go
@@ -6,7 +6,18 @@
 	"time"
 
 	"tealpond/internal/protocol"
-	"tealpond/internal/tuning"
+	"tealpond/internal/timing"
+)
+
+const (
+	// runnerPollWait is the waitMs of a poll, which may be at most 2,000 ms.
+	runnerPollWait = 900 * time.Millisecond
+	// runnerIdlePollWait is the waitMs of a poll while nothing runs there.
+	runnerIdlePollWait = 2000 * time.Millisecond
+	// overdueRunPollWait is the waitMs of a poll while some run takes longer than estimated.
+	overdueRunPollWait = 350 * time.Millisecond
+	// runnerPollSlack is added to waitMs for the way of a poll and its response.
+	runnerPollSlack = 300 * time.Millisecond
 )
 
 // poll sends keep-alive requests, called polls here: each extends the runner's
@@ -48,7 +59,7 @@
 // the next one is sent only when the runner's lease has to be extended.
 func (s *runnerSession) reportPause(now time.Time) time.Duration {
 	extensionMs := s.maxRunLeaseUntilMs(now) - s.confirmedRunLeaseUntilMs
-	if remainingMs := tuning.MaxRunLeaseAhead.Milliseconds()/2 - extensionMs; remainingMs > 0 {
+	if remainingMs := timing.MaxRunLeaseAhead.Milliseconds()/2 - extensionMs; remainingMs > 0 {
 		return max(time.Duration(remainingMs)*time.Millisecond, minReportPause)
 	}
 	return 0
@@ -57,12 +68,12 @@
 // pollWait is how long the runner may wait for a completion before it answers the
 // next poll. If a call had no answer (unanswered), the lists are needed at once.
 func (s *runnerSession) pollWait(now time.Time, unanswered bool) time.Duration {
-	wait := tuning.RunnerPollWait
+	wait := runnerPollWait
 	if s.reportsInFlight > 0 && !unanswered {
 		wait = 0
 	}
 	if len(s.runs) == 0 {
-		wait = tuning.RunnerIdlePollWait
+		wait = runnerIdlePollWait
 	}
 	if !s.listed || s.workerLeaseUntilMs > 0 && s.confirmedRunLeaseUntilMs == 0 || unanswered {
 		wait = 0
@@ -73,7 +84,7 @@
 		}
 		if run.overdue(now) {
 			// It may be stalled, and no completion would end the wait.
-			wait = min(wait, tuning.OverdueRunPollWait)
+			wait = min(wait, overdueRunPollWait)
 		}
 	}
 	if s.unansweredCalls > 0 {
@@ -111,7 +122,7 @@
 	session.lastPoll++
 	poll, fence := session.lastPoll, session.fence
 	go func() {
-		ctx, cancel := context.WithTimeout(a.ctx, wait+tuning.RunnerPollSlack)
+		ctx, cancel := context.WithTimeout(a.ctx, wait+runnerPollSlack)
 		response := a.runner.Call(ctx, session.id, pathKeepAlive, request)
 		cancel()
 		a.post(func() {
--- a/internal/agent/polling_test.go
+++ b/internal/agent/polling_test.go
@@ -6,7 +6,7 @@
 
 	"tealpond/internal/protocol"
 	"tealpond/internal/rpc"
-	"tealpond/internal/tuning"
+	"tealpond/internal/timing"
 )
 
 // TestPollWait: how long a runner may wait with its answer, by what is known.
@@ -20,9 +20,9 @@
 		unanswered bool
 		want       time.Duration
 	}{
-		"a run goes on":                   {func(*runnerSession) {}, false, tuning.RunnerPollWait},
-		"nothing runs":                    {func(s *runnerSession) { s.runs = nil }, false, tuning.RunnerIdlePollWait},
-		"nothing runs, reports in flight": {func(s *runnerSession) { s.runs, s.reportsInFlight = nil, 1 }, false, tuning.RunnerIdlePollWait},
+		"a run goes on":                   {func(*runnerSession) {}, false, runnerPollWait},
+		"nothing runs":                    {func(s *runnerSession) { s.runs = nil }, false, runnerIdlePollWait},
+		"nothing runs, reports in flight": {func(s *runnerSession) { s.runs, s.reportsInFlight = nil, 1 }, false, runnerIdlePollWait},
 		"reports in flight":               {func(s *runnerSession) { s.reportsInFlight = 1 }, false, 0},
 		"not listed yet":                  {func(s *runnerSession) { s.listed = false }, false, 0},
 		"nothing runs, not listed yet":    {func(s *runnerSession) { s.runs, s.listed = nil, false }, false, 0},
@@ -30,9 +30,9 @@
 		"a call was unanswered":           {func(*runnerSession) {}, true, 0},
 		"the runner may be silent":        {func(s *runnerSession) { s.unansweredCalls = 1 }, false, 0},
 		"a run was stopped":               {func(s *runnerSession) { s.runs["b"] = &taskRun{phase: runStopped} }, false, stoppedRunPollWait},
-		"a run is overdue":                {func(s *runnerSession) { s.runs["b"] = running(1601*time.Millisecond, false) }, false, tuning.OverdueRunPollWait},
-		"a run is nearly overdue":         {func(s *runnerSession) { s.runs["b"] = running(1600*time.Millisecond, false) }, false, tuning.RunnerPollWait},
-		"a long run goes on":              {func(s *runnerSession) { s.runs["b"] = running(time.Hour, true) }, false, tuning.RunnerPollWait},
+		"a run is overdue":                {func(s *runnerSession) { s.runs["b"] = running(1601*time.Millisecond, false) }, false, overdueRunPollWait},
+		"a run is nearly overdue":         {func(s *runnerSession) { s.runs["b"] = running(1600*time.Millisecond, false) }, false, runnerPollWait},
+		"a long run goes on":              {func(s *runnerSession) { s.runs["b"] = running(time.Hour, true) }, false, runnerPollWait},
 	} {
 		session := &runnerSession{
 			listed:                   true,
@@ -51,7 +51,7 @@
 // lease can be extended by half of what it may be ahead.
 func TestReportPause(t *testing.T) {
 	now := time.Unix(1000, 0)
-	aheadMs := tuning.MaxRunLeaseAhead.Milliseconds()
+	aheadMs := timing.MaxRunLeaseAhead.Milliseconds()
 	for _, test := range []struct {
 		name        string
 		confirmedMs int64
@@ -82,13 +82,13 @@
 // TestListingOfCompletions: a list as long as a runner's lists get may be cut off.
 func TestListingOfCompletions(t *testing.T) {
 	var response protocol.KeepAliveResponse
-	for i := range tuning.MaxCompletionsListed {
+	for i := range maxCompletionsListed {
 		if l := newListing(response); !l.complete || len(l.completions) != i || len(l.ended) != i {
 			t.Fatalf("%d completions: %d listed, %d ended, complete %v", i, len(l.completions), len(l.ended), l.complete)
 		}
 		response.Ended = append(response.Ended, []any{float64(i + 1), "j.0.0.0", float64(i + 1), "done", ""})
 	}
 	if newListing(response).complete {
-		t.Errorf("a list of %d completions is deemed complete", tuning.MaxCompletionsListed)
+		t.Errorf("a list of %d completions is deemed complete", maxCompletionsListed)
 	}
 }
--- a/internal/agent/progress.go
+++ b/internal/agent/progress.go
@@ -5,9 +5,12 @@
 	"time"
 
 	"tealpond/internal/protocol"
-	"tealpond/internal/tuning"
+	"tealpond/internal/timing"
 )
 
+// stalledRunTimeout is the least time without progress after which a run is stopped.
+const stalledRunTimeout = 450 * time.Millisecond
+
 // runtimeSample is how long a run took.
 type runtimeSample struct {
 	percentOfEstimate int64
@@ -77,7 +80,7 @@
 	if r.percent == r.firstPercent {
 		timePerPercent = time.Duration(r.assignment.EstimateMs) * time.Millisecond / 100
 	}
-	timeout := tuning.StalledRunTimeout
+	timeout := stalledRunTimeout
 	if r.assignment.Checkpoint != "" {
 		timeout += 2 * restoreTime
 	}
@@ -98,7 +101,7 @@
 // runner.
 func (s *runnerSession) medianRuntimePercent(now time.Time) int64 {
 	s.runtimeSamples = slices.DeleteFunc(s.runtimeSamples, func(sample runtimeSample) bool {
-		return now.Sub(sample.takenAt) >= tuning.SpeedSampleDecay
+		return now.Sub(sample.takenAt) >= timing.SpeedSampleDecay
 	})
 	var percents []int64
 	for _, sample := range s.runtimeSamples {
--- a/internal/agent/progress_test.go
+++ b/internal/agent/progress_test.go
@@ -9,7 +9,7 @@
 	"tealpond/internal/protocol"
 	"tealpond/internal/rpc"
 	"tealpond/internal/settings"
-	"tealpond/internal/tuning"
+	"tealpond/internal/timing"
 )
 
 // TestStuckRunIsDistinguishedFromRestoringOne: nbo-tealpond trouble-1 seed 12 stopped a
@@ -57,7 +57,7 @@
 	fresh := func(percents ...int64) []runtimeSample {
 		var samples []runtimeSample
 		for _, percent := range percents {
-			samples = append(samples, runtimeSample{percent, now.Add(time.Millisecond - tuning.SpeedSampleDecay)})
+			samples = append(samples, runtimeSample{percent, now.Add(time.Millisecond - timing.SpeedSampleDecay)})
 		}
 		return samples
 	}
@@ -69,7 +69,7 @@
 		"too few":                     {fresh(100, 200), nil, 0},
 		"samples":                     {fresh(300, 100, 200), nil, 200},
 		"never below 1":               {fresh(0, 0, 0), nil, 1},
-		"an old sample":               {append(fresh(100, 200), runtimeSample{300, now.Add(-tuning.SpeedSampleDecay)}), nil, 0},
+		"an old sample":               {append(fresh(100, 200), runtimeSample{300, now.Add(-timing.SpeedSampleDecay)}), nil, 0},
 		"a run by its progress":       {fresh(100, 300), []*taskRun{run(50, time.Second, time.Second, "")}, 200},
 		"a run that began":            {fresh(100, 300), []*taskRun{run(4, 2*time.Second, 0, "")}, 0},
 		"a run that takes long":       {fresh(100, 300), []*taskRun{run(4, 2500*time.Millisecond, 0, "")}, 250},
--- a/internal/agent/reconcile.go
+++ b/internal/agent/reconcile.go
@@ -3,9 +3,12 @@
 import (
 	"tealpond/internal/protocol"
 	"tealpond/internal/rpc"
-	"tealpond/internal/tuning"
 )
 
+// maxCompletionsListed is the number of completions that a runner lists at most in one response,
+// by the protocol; so long a list may be incomplete.
+const maxCompletionsListed = 500
+
 // listing is what a runner listed in its answer to a poll.
 type listing struct {
 	running     map[string]protocol.RunProgress // by runKey
@@ -23,7 +26,7 @@
 	for _, completion := range l.completions {
 		l.ended[runKey(completion.Task, completion.Run)] = true
 	}
-	l.complete = len(l.completions) < tuning.MaxCompletionsListed
+	l.complete = len(l.completions) < maxCompletionsListed
 	return l
 }
 
--- a/internal/agent/registration.go
+++ b/internal/agent/registration.go
@@ -8,7 +8,7 @@
 	"tealpond/internal/protocol"
 	"tealpond/internal/rpc"
 	"tealpond/internal/state"
-	"tealpond/internal/tuning"
+	"tealpond/internal/timing"
 )
 
 // registerRunner has the runner registered with this daemon under a new fence.
@@ -69,7 +69,7 @@
 	s.reportedUnhealthy, s.unansweredCalls, s.lastResponseAt = false, 0, now
 	// Another agent process that had registered this runner before may have
 	// extended its lease as far as this.
-	s.longestRunLeaseUntilMs = max(s.longestRunLeaseUntilMs, s.estimatedClockMs(now)+tuning.MaxRunLeaseAhead.Milliseconds())
+	s.longestRunLeaseUntilMs = max(s.longestRunLeaseUntilMs, s.estimatedClockMs(now)+timing.MaxRunLeaseAhead.Milliseconds())
 	s.lastRenewalAt = time.Time{}
 	s.workerLeaseUntilMs = 0
 	s.pollFailures = 0
@@ -84,7 +84,7 @@
 // the heartbeat that began the session may only have arrived late.
 func (a *Agent) confirmIncarnation(session *runnerSession, fence int64) {
 	go func() {
-		ctx, cancel := context.WithTimeout(a.ctx, tuning.RunnerRequestTimeout)
+		ctx, cancel := context.WithTimeout(a.ctx, runnerRequestTimeout)
 		response := a.runner.Call(ctx, session.id, pathKeepAlive, protocol.KeepAliveRequest{})
 		cancel()
 		a.post(func() {
--- a/internal/agent/role.go
+++ b/internal/agent/role.go
@@ -11,8 +11,8 @@
 	"tealpond/internal/httpserver"
 	"tealpond/internal/rpc"
 	"tealpond/internal/shutdown"
+	"tealpond/internal/timing"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
 // roleName is the agent's role in the deploy file and in membership leases.
@@ -43,7 +43,7 @@
 	if err != nil {
 		return err
 	}
-	httpServer := httpserver.New(loopCtx, listener, httpserver.Options{Handler: router, HeaderTimeout: tuning.DefaultHeaderTimeout, AnswerTime: tuning.MaxAnswerTime, IdleTimeout: time.Minute})
+	httpServer := httpserver.New(loopCtx, listener, httpserver.Options{Handler: router, HeaderTimeout: httpserver.DefaultHeaderTimeout, AnswerTime: httpserver.MaxAnswerTime, IdleTimeout: time.Minute})
 	go httpServer.Serve() // until it is closed
 	go a.discovery.Run(loopCtx)
 	if err := transport.Serve(loopCtx, a.settings.AgentAddress(), a.handleFrame); err != nil {
@@ -110,10 +110,10 @@
 		Addr:      a.settings.AgentAddress(),
 		ProcessID: a.processID,
 	}
-	ticker := time.NewTicker(tuning.AgentMembershipRenewInterval)
+	ticker := time.NewTicker(timing.AgentMembershipRenewInterval)
 	defer ticker.Stop()
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, tuning.AgentMembershipRenewInterval)
+		callCtx, cancel := context.WithTimeout(ctx, timing.AgentMembershipRenewInterval)
 		a.discovery.Call(callCtx, rpc.KindRenewMembership, lease)
 		cancel()
 		select {
--- a/internal/agent/runner_client.go
+++ b/internal/agent/runner_client.go
@@ -11,7 +11,6 @@
 
 	"tealpond/internal/protocol"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
 // RunnerResponse is what came of one call to the runner.
@@ -61,8 +60,8 @@
 // redirect: that would be another call than was decided on.
 func newHTTPRunnerClient(address string) *httpRunnerClient {
 	dialer := &net.Dialer{
-		Timeout:   tuning.RunnerRequestTimeout,
-		Control:   transport.UserTimeoutControl(tuning.TCPUserTimeout),
+		Timeout:   runnerRequestTimeout,
+		Control:   transport.UserTimeoutControl(transport.TCPUserTimeout),
 		KeepAlive: -1, // no TCP keep-alive
 	}
 	client := &http.Client{
@@ -101,7 +100,7 @@
 		return RunnerResponse{}
 	}
 	defer func() { _ = response.Body.Close() }() // it was read, or the call is given up
-	payload, err := io.ReadAll(io.LimitReader(response.Body, tuning.MaxControlBodyBytes))
+	payload, err := io.ReadAll(io.LimitReader(response.Body, protocol.MaxControlBodyBytes))
 	if err != nil {
 		return RunnerResponse{}
 	}
--- a/internal/agent/runs.go
+++ b/internal/agent/runs.go
@@ -7,9 +7,11 @@
 
 	"tealpond/internal/protocol"
 	"tealpond/internal/rpc"
-	"tealpond/internal/tuning"
 )
 
+// maxConcurrentRunnerRequests is the number of requests to a runner that may be under way at once.
+const maxConcurrentRunnerRequests = 4
+
 // runPhase is the state of a run, as far as this daemon knows.
 type runPhase byte
 
@@ -134,7 +136,7 @@
 	if session.workerLeaseUntilMs < session.estimatedClockMs(a.now)+minStartLeaseMs {
 		return leaseWaitPause
 	}
-	if a.callsInFlight >= tuning.MaxConcurrentRunnerRequests {
+	if a.callsInFlight >= maxConcurrentRunnerRequests {
 		return 0
 	}
 	untilMs := session.maxRunLeaseUntilMs(a.now)
@@ -163,7 +165,7 @@
 	a.callsInFlight++
 	fence := session.fence
 	go func() {
-		ctx, cancel := context.WithTimeout(a.ctx, tuning.RunnerRequestTimeout)
+		ctx, cancel := context.WithTimeout(a.ctx, runnerRequestTimeout)
 		response := a.runner.Call(ctx, session.id, path, body)
 		cancel()
 		a.post(func() {
@@ -258,7 +260,7 @@
 // stopRun sends a stop; the run has ended once a later poll doesn't list it as
 // running.
 func (a *Agent) stopRun(session *runnerSession, run *taskRun) time.Duration {
-	if a.callsInFlight >= tuning.MaxConcurrentRunnerRequests {
+	if a.callsInFlight >= maxConcurrentRunnerRequests {
 		return 0
 	}
 	body := protocol.StopRequest{TaskID: run.assignment.Task, RunID: run.assignment.Run, Fence: session.fence}
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -4,7 +4,15 @@
 	"time"
 
 	"tealpond/internal/protocol"
-	"tealpond/internal/tuning"
+	"tealpond/internal/timing"
+)
+
+const (
+	// runLeaseExpiryMargin is added before an agent regards the work of its silent runner as over.
+	runLeaseExpiryMargin = 100 * time.Millisecond
+	// runnerSilenceTimeout is the silence after which two unanswered requests mean that the runner is
+	// gone, and not that they are late.
+	runnerSilenceTimeout = 350 * time.Millisecond
 )
 
 // runnerSession is what is known of one incarnation of the runner. Fields whose
@@ -76,18 +84,18 @@
 }
 
 // maxRunLeaseUntilMs is the latest end that the runner's lease may be extended to
-// now: the end of the leader's lease, but at most tuning.MaxRunLeaseAhead from
+// now: the end of the leader's lease, but at most timing.MaxRunLeaseAhead from
 // now. The shorter the runner's lease, the sooner the runs of a silent runner have
 // surely ended and can be placed elsewhere.
 func (s *runnerSession) maxRunLeaseUntilMs(now time.Time) int64 {
-	return min(s.workerLeaseUntilMs, s.estimatedClockMs(now)+tuning.MaxRunLeaseAhead.Milliseconds())
+	return min(s.workerLeaseUntilMs, s.estimatedClockMs(now)+timing.MaxRunLeaseAhead.Milliseconds())
 }
 
 // leasesExpired tells whether every lease that was ever sent to the silent runner
 // has expired: its clock may run slow, and never shows less than this.
 func (s *runnerSession) leasesExpired(now time.Time) bool {
-	lowestClockMs := s.clockMs + int64(float64(now.Sub(s.clockReadAt).Milliseconds())/tuning.LeaseClockDriftFactor)
-	return s.clockMs > 0 && lowestClockMs > s.longestRunLeaseUntilMs+tuning.RunLeaseExpiryMargin.Milliseconds()
+	lowestClockMs := s.clockMs + int64(float64(now.Sub(s.clockReadAt).Milliseconds())/timing.LeaseClockDriftFactor)
+	return s.clockMs > 0 && lowestClockMs > s.longestRunLeaseUntilMs+runLeaseExpiryMargin.Milliseconds()
 }
 
 // noteResponse counts calls in a row that the runner left without an answer.
@@ -101,5 +109,5 @@
 
 // silent tells whether the runner has fallen silent.
 func (s *runnerSession) silent(now time.Time) bool {
-	return s.unansweredCalls >= minUnansweredCalls && now.Sub(s.lastResponseAt) > tuning.RunnerSilenceTimeout
+	return s.unansweredCalls >= minUnansweredCalls && now.Sub(s.lastResponseAt) > runnerSilenceTimeout
 }
--- a/internal/agent/session_test.go
+++ b/internal/agent/session_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"tealpond/internal/tuning"
+	"tealpond/internal/timing"
 )
 
 // TestLeasesExpireByTheSlowestClock: the runner's clock is read once, and may run
@@ -12,8 +12,8 @@
 func TestLeasesExpireByTheSlowestClock(t *testing.T) {
 	readAt := time.Unix(1000, 0)
 	untilMs := int64(6000)
-	leastMs := float64(untilMs-1000) + float64(tuning.RunLeaseExpiryMargin.Milliseconds())
-	slowest := time.Duration(leastMs*tuning.LeaseClockDriftFactor) * time.Millisecond
+	leastMs := float64(untilMs-1000) + float64(runLeaseExpiryMargin.Milliseconds())
+	slowest := time.Duration(leastMs*timing.LeaseClockDriftFactor) * time.Millisecond
 	for _, test := range []struct {
 		name    string
 		clockMs int64
@@ -37,13 +37,13 @@
 	start := time.Unix(1000, 0)
 	session := &runnerSession{lastResponseAt: start}
 	after := func(d time.Duration) time.Time { return start.Add(d) }
-	late := tuning.RunnerSilenceTimeout + time.Millisecond
+	late := runnerSilenceTimeout + time.Millisecond
 	session.noteResponse(RunnerResponse{}, after(0))
 	if session.silent(after(late)) {
 		t.Error("silent after one unanswered call")
 	}
 	session.noteResponse(RunnerResponse{}, after(0))
-	if session.silent(after(tuning.RunnerSilenceTimeout)) {
+	if session.silent(after(runnerSilenceTimeout)) {
 		t.Error("silent too soon")
 	}
 	if !session.silent(after(late)) {
--- a/internal/aggregator/batcher.go
+++ b/internal/aggregator/batcher.go
@@ -5,7 +5,15 @@
 
 	"tealpond/internal/rpc"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// renewalInterval is how long an aggregator collects lease renewals before it sends them.
+	renewalInterval = 150 * time.Millisecond
+	// batchInterval is the least time between two batches of requests other than renewals.
+	batchInterval = 5 * time.Millisecond
+	// queueLength is the number of requests that may wait in an aggregator.
+	queueLength = 4096
 )
 
 // Reply carries the response back to one agent; it is called once.
@@ -59,7 +67,7 @@
 // Enqueue takes any request but the renewal of a lease; false if too many wait
 // already.
 func (b *Batcher) Enqueue(request rpc.Request, reply Reply) bool {
-	if len(b.requests) >= tuning.AggregatorQueueLength {
+	if len(b.requests) >= queueLength {
 		// The new one is refused: older ones hold completions that jobs wait for,
 		// and its agent tries again.
 		return false
@@ -79,14 +87,14 @@
 		}
 	}
 	if len(b.renewals) > 0 {
-		if remaining := tuning.AggregatorRenewalInterval - now.Sub(b.renewalsSince); remaining > 0 {
+		if remaining := renewalInterval - now.Sub(b.renewalsSince); remaining > 0 {
 			wakeIn(remaining)
 		} else {
 			batches = append(batches, b.renewalBatch())
 		}
 	}
 	if len(b.requests) > 0 {
-		if remaining := tuning.AggregatorBatchInterval - now.Sub(b.requestsSentAt); remaining > 0 {
+		if remaining := batchInterval - now.Sub(b.requestsSentAt); remaining > 0 {
 			wakeIn(remaining)
 		} else {
 			b.requestsSentAt = now
--- a/internal/aggregator/batcher_test.go
+++ b/internal/aggregator/batcher_test.go
@@ -8,7 +8,6 @@
 
 	"tealpond/internal/rpc"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
 // leaderModel is a plain model of the leader: it renews the leases of those that ask
@@ -150,7 +149,7 @@
 			for i := range n {
 				batcher.Renew(rpc.LeaseRenewal{Worker: fmt.Sprintf("i-%010d", i)}, func(rpc.Response) {}, leader.now)
 			}
-			leader.now = leader.now.Add(tuning.AggregatorRenewalInterval + time.Millisecond)
+			leader.now = leader.now.Add(renewalInterval + time.Millisecond)
 			batches, _ := batcher.DueBatches(leader.now)
 			if len(batches) != 1 {
 				t.Fatalf("%d batches for %d renewals", len(batches), n)
@@ -185,10 +184,10 @@
 	first, _ := batcher.DueBatches(leader.now)
 	enqueue("2")
 	enqueue("3")
-	if batches, wake := batcher.DueBatches(leader.now); len(batches) != 0 || wake <= 0 || wake > tuning.AggregatorBatchInterval {
+	if batches, wake := batcher.DueBatches(leader.now); len(batches) != 0 || wake <= 0 || wake > batchInterval {
 		t.Fatalf("%d batches, back in %v", len(batches), wake)
 	}
-	leader.now = leader.now.Add(tuning.AggregatorBatchInterval)
+	leader.now = leader.now.Add(batchInterval)
 	second, _ := batcher.DueBatches(leader.now)
 	if len(first) != 1 || len(second) != 1 || len(second[0].Requests.Requests) != 2 {
 		t.Fatalf("%v, %v", first, second)
@@ -200,7 +199,7 @@
 			t.Errorf("%s: %+v", id, r)
 		}
 	}
-	for i := range tuning.AggregatorQueueLength {
+	for i := range queueLength {
 		if !batcher.Enqueue(rpc.Request{}, func(rpc.Response) {}) {
 			t.Fatalf("refused at %d", i)
 		}
--- a/internal/aggregator/renewals.go
+++ b/internal/aggregator/renewals.go
@@ -5,9 +5,12 @@
 	"time"
 
 	"tealpond/internal/rpc"
-	"tealpond/internal/tuning"
 )
 
+// maxMissedBatches is the number of consecutive batches that a member may miss before it is left
+// out of the next member list.
+const maxMissedBatches = 20
+
 // pendingRenewal is a renewal of a lease that waits for its batch.
 type pendingRenewal struct {
 	request rpc.LeaseRenewal
@@ -85,7 +88,7 @@
 		members = append(members, rpc.BatchMember{Worker: worker, Fence: waiting.request.Fence})
 	}
 	for _, member := range b.members {
-		if _, ok := b.renewals[member.Worker]; !ok && b.missedBatches[member.Worker] < tuning.AggregatorMaxMissedBatches {
+		if _, ok := b.renewals[member.Worker]; !ok && b.missedBatches[member.Worker] < maxMissedBatches {
 			members = append(members, member)
 			missed[member.Worker] = b.missedBatches[member.Worker]
 		}
@@ -139,7 +142,7 @@
 			continue
 		}
 		b.renewals[worker] = waiting
-		b.renewalsSince = now.Add(-tuning.AggregatorRenewalInterval)
+		b.renewalsSince = now.Add(-renewalInterval)
 	}
 }
 
--- a/internal/api/announced_runners.go
+++ b/internal/api/announced_runners.go
@@ -3,15 +3,19 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
 	"tealpond/internal/protocol"
 	"tealpond/internal/registry"
 	"tealpond/internal/rpc"
-	"tealpond/internal/tuning"
 )
 
+// announcementTimeout bounds the way of a heartbeat to the leader; runners turn to another daemon
+// after a second.
+const announcementTimeout = 800 * time.Millisecond
+
 // serveRunnerHeartbeat serves POST /-/Runners.Heartbeat/ID with a protocol.Heartbeat, of a
 // gateway's runner that no platform lists: 200 once the leader's list has what it says.
 func (s *Server) serveRunnerHeartbeat(c echo.Context) error {
@@ -40,7 +44,7 @@
 
 // announceRunner passes on to the leader what a runner says of itself.
 func (s *Server) announceRunner(c echo.Context, announcement rpc.RunnerAnnouncement) error {
-	ctx, cancel := context.WithTimeout(c.Request().Context(), tuning.AnnouncementTimeout)
+	ctx, cancel := context.WithTimeout(c.Request().Context(), announcementTimeout)
 	defer cancel()
 	if response := s.Call(ctx, rpc.KindAnnounceRunner, announcement); response.Code != rpc.CodeOK {
 		return c.NoContent(http.StatusServiceUnavailable)
--- a/internal/api/coordination.go
+++ b/internal/api/coordination.go
@@ -14,8 +14,19 @@
 	"tealpond/internal/discovery"
 	"tealpond/internal/protocol"
 	"tealpond/internal/rpc"
+	"tealpond/internal/timing"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// coordinationRequestTimeout is how long an application's call may take; applications turn to
+	// another daemon after a second.
+	coordinationRequestTimeout = 850 * time.Millisecond
+	// maxCoordinationBodyBytes is the size of the largest body of an application's call, in bytes.
+	maxCoordinationBodyBytes = 64 << 10
+	// maxCoordinationNameBytes is the length of the longest name of a lock, a counter or a key, and of
+	// a holder, in bytes.
+	maxCoordinationNameBytes = 256
 )
 
 // addCoordinationRoutes adds the calls of applications: locks, numbers, keys and watches.
@@ -111,9 +122,9 @@
 
 // answerCoordination carries an application's call to the leader and answers it.
 func (s *Server) answerCoordination(c echo.Context, call operation, kind string, body any, answer func(rpc.Response) any) error {
-	ctx, cancel := context.WithTimeout(c.Request().Context(), tuning.CoordinationRequestTimeout)
+	ctx, cancel := context.WithTimeout(c.Request().Context(), coordinationRequestTimeout)
 	defer cancel()
-	response := s.Call(discovery.WithLeaderTimeout(ctx, tuning.CoordinationRequestTimeout), kind, body)
+	response := s.Call(discovery.WithLeaderTimeout(ctx, coordinationRequestTimeout), kind, body)
 	return writeCoordinationAnswer(c, call, response, answer)
 }
 
@@ -145,13 +156,13 @@
 	if errAfter != nil || errWait != nil {
 		return writeStatusError(c, badRequest("dependsOn, waitMs: no number, or below 0"))
 	}
-	wait := time.Duration(min(waitMs, tuning.MaxWatchWait.Milliseconds())) * time.Millisecond
-	ctx, cancel := context.WithTimeout(c.Request().Context(), wait+tuning.CoordinationRequestTimeout)
+	wait := time.Duration(min(waitMs, timing.MaxWatchWait.Milliseconds())) * time.Millisecond
+	ctx, cancel := context.WithTimeout(c.Request().Context(), wait+coordinationRequestTimeout)
 	defer cancel()
 	// A daemon that leaves answers the watches that it holds, so that they are resumed
 	// elsewhere at once.
 	defer context.AfterFunc(s.leavingCtx, cancel)()
-	ctx = discovery.WithHold(discovery.WithLeaderTimeout(ctx, tuning.CoordinationRequestTimeout), wait)
+	ctx = discovery.WithHold(discovery.WithLeaderTimeout(ctx, coordinationRequestTimeout), wait)
 	response := s.Call(ctx, rpc.KindWatchKeys, rpc.KeyWatch{Group: group, After: after, WaitMs: wait.Milliseconds()})
 	return writeCoordinationAnswer(c, coordinationRead, response, watchAnswer)
 }
@@ -184,7 +195,7 @@
 // validName tells whether a name of a lock, a counter, a key or a holder is in order.
 func validName(name string) bool {
 	isControl := func(r rune) bool { return r < ' ' || r == 0x7f }
-	return name != "" && len(name) <= tuning.MaxCoordinationNameBytes && !strings.ContainsFunc(name, isControl)
+	return name != "" && len(name) <= maxCoordinationNameBytes && !strings.ContainsFunc(name, isControl)
 }
 
 // readCoordinationBody reads and decodes the body of a call about a name.
@@ -192,7 +203,7 @@
 	if !validName(name) {
 		return errBadName
 	}
-	raw, unread := readBody(c, tuning.MaxCoordinationBodyBytes)
+	raw, unread := readBody(c, maxCoordinationBodyBytes)
 	if unread != nil || len(raw) == 0 {
 		return unread
 	}
--- a/internal/api/coordination_fuzz_test.go
+++ b/internal/api/coordination_fuzz_test.go
@@ -8,8 +8,8 @@
 
 	"tealpond/internal/coordination"
 	"tealpond/internal/rpc"
+	"tealpond/internal/timing"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
 // FuzzApplicationsCalls: whatever a name, a query and a body hold, a call is refused as the
@@ -45,7 +45,7 @@
 	var acquire coordination.Acquire
 	switch {
 	case request.Kind == rpc.KindWatchKeys && transport.Decode(request.Body, &watch) == nil:
-		if watch.After < 0 || watch.WaitMs < 0 || watch.WaitMs > tuning.MaxWatchWait.Milliseconds() || !validName(watch.Group) {
+		if watch.After < 0 || watch.WaitMs < 0 || watch.WaitMs > timing.MaxWatchWait.Milliseconds() || !validName(watch.Group) {
 			t.Errorf("%+v", watch)
 		}
 	case request.Kind == rpc.KindAcquireLock && transport.Decode(request.Body, &acquire) == nil:
--- a/internal/api/coordination_test.go
+++ b/internal/api/coordination_test.go
@@ -14,8 +14,8 @@
 	"tealpond/internal/coordination"
 	"tealpond/internal/discovery"
 	"tealpond/internal/rpc"
+	"tealpond/internal/timing"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
 // callApplication makes an application's call of a server by its routes.
@@ -59,7 +59,7 @@
 		{"GET", "/-/Cells.Read/g.a", "", rpc.KindReadKey, "g.a", rpc.Response{Code: 404, Text: "no such key"}, 404, "no such key"},
 		{"GET", "/-/Cells.Read/g.a", "", rpc.KindReadKey, "g.a", rpc.Response{Code: rpc.CodeTimeout}, 503, textNoLeader},
 		{"GET", "/-/watch/g.?dependsOn=8&waitMs=2000", "", rpc.KindWatchKeys, rpc.KeyWatch{Group: "g.", After: 8, WaitMs: 2000}, news, 200, `{"events":[{"name":"g.a","value":"v","revision":9}],"revision":9}`},
-		{"GET", "/-/watch/g.?dependsOn=8&waitMs=99999999", "", rpc.KindWatchKeys, rpc.KeyWatch{Group: "g.", After: 8, WaitMs: tuning.MaxWatchWait.Milliseconds()}, rpc.Response{Code: 410, Text: "gone"}, 410, "gone"},
+		{"GET", "/-/watch/g.?dependsOn=8&waitMs=99999999", "", rpc.KindWatchKeys, rpc.KeyWatch{Group: "g.", After: 8, WaitMs: timing.MaxWatchWait.Milliseconds()}, rpc.Response{Code: 410, Text: "gone"}, 410, "gone"},
 		{"GET", "/-/watch/g.?dependsOn=x", "", "", nil, rpc.Response{}, 400, "dependsOn, waitMs: no number, or below 0"},
 		{"GET", "/-/watch/g.?waitMs=-1", "", "", nil, rpc.Response{}, 400, "dependsOn, waitMs: no number, or below 0"},
 	} {
--- a/internal/api/evacuations.go
+++ b/internal/api/evacuations.go
@@ -8,9 +8,12 @@
 
 	"tealpond/internal/rpc"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
+// evacuationAttempts is how often a daemon reads a zone's evacuation order and changes it, where
+// other orders come at the same time.
+const evacuationAttempts = 3
+
 // serveEvacuationBegin serves POST /-/Evacuation.Begin/ZONE: the zone's runners get nothing
 // more. 200 once that is committed; an order that is repeated is answered alike.
 func (s *Server) serveEvacuationBegin(c echo.Context) error { return s.serveEvacuation(c, true) }
@@ -39,7 +42,7 @@
 // nothing then.
 func (s *Server) orderEvacuation(ctx context.Context, zone string, evacuated bool) error {
 	sent := false
-	for range tuning.EvacuationAttempts {
+	for range evacuationAttempts {
 		response := s.Call(ctx, rpc.KindZoneEvacuation, zone)
 		if err := errorOf(configRead, response); err != nil {
 			if sent {
--- a/internal/api/gateway.go
+++ b/internal/api/gateway.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tealpond/internal/clusterconfig"
+	"tealpond/internal/counter"
 	"tealpond/internal/daemon"
 	"tealpond/internal/gateway"
 	"tealpond/internal/platform"
@@ -13,7 +14,40 @@
 	"tealpond/internal/rpc"
 	"tealpond/internal/settings"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// maxPlatformReadInterval is the longest time between two readings of the list, and the time where
+	// the settings don't say how long a runner that leaves serves on.
+	maxPlatformReadInterval = 1200 * time.Millisecond
+	// minPlatformReadInterval is the shortest time between two readings of the list, of which each
+	// page has a price.
+	minPlatformReadInterval = 350 * time.Millisecond
+	// platformNewsTime is what is left of a draining runner's time, after the list's lag and one
+	// interval, for a reading, its update and a request on its way.
+	platformNewsTime = time.Second
+	// requestTransitReserve is what is left of a draining runner's time for a request on its way to
+	// it.
+	requestTransitReserve = 300 * time.Millisecond
+	// wideScopeTime is for how long a daemon goes on asking for the runners of all zones after a
+	// service had none in its own.
+	wideScopeTime = 10 * time.Second
+	// minListAge is the least age at which a list of runners counts as old, whatever the settings say.
+	minListAge = 500 * time.Millisecond
+	// busyReadFraction is the part of the interval after which the list is read again while it
+	// changes.
+	busyReadFraction = 0.5
+	// busyReadTime is how long after a change the list counts as changing.
+	busyReadTime = 5 * time.Second
+	// platformBackoff is the pause after a reading of the list that failed.
+	platformBackoff = 700 * time.Millisecond
+	// runnerWatchTimeout bounds one watch of the list of runners.
+	runnerWatchTimeout = 3 * time.Second
+	// runnerWatchRetry is the pause after a watch that brought no answer.
+	runnerWatchRetry = 100 * time.Millisecond
+	// keyTrustShare is the part of the time within which all daemons must refuse a revoked key, for
+	// which a daemon serves a key without hearing the leader.
+	keyTrustShare = 0.8
 )
 
 // newGateway builds the gateway role.
@@ -27,7 +61,7 @@
 		Retries:    retryLimit(env.Settings.Bounds),
 		KeyTrust:   keyTrust(env.Settings.Bounds),
 		ProcessID:  env.ProcessID,
-		RateWindow: env.Settings.ShareWindow(tuning.DefaultShareWindow),
+		RateWindow: env.Settings.ShareWindow(counter.DefaultWindow),
 		MaxListAge: maxListAge(&env.Settings),
 		InTouch:    time.Duration(env.Settings.Bounds.InTouchMs) * time.Millisecond,
 		Refresh:    s.refreshConfiguration,
@@ -51,8 +85,8 @@
 	if file.Bounds.DrainMs <= 0 {
 		return 0
 	}
-	age := time.Duration((file.Bounds.DrainMs-file.Platform.MaxLagMs)*float64(time.Millisecond)) - tuning.RequestTransitReserve
-	return max(age, tuning.MinListAge)
+	age := time.Duration((file.Bounds.DrainMs-file.Platform.MaxLagMs)*float64(time.Millisecond)) - requestTransitReserve
+	return max(age, minListAge)
 }
 
 // keyTrust is for how long a key is served without word from the leader.
@@ -61,7 +95,7 @@
 		return 0
 	}
 	// At least a moment: 0 would be for ever.
-	trust := tuning.KeyTrustShare * float64(bounds.RevokeMs) * float64(time.Millisecond)
+	trust := keyTrustShare * float64(bounds.RevokeMs) * float64(time.Millisecond)
 	return max(time.Duration(trust), time.Millisecond)
 }
 
@@ -157,7 +191,7 @@
 	if s.gateway.LacksNearRunners() {
 		follower.lackedAt = now
 	}
-	if s.replica != nil || now.Sub(follower.lackedAt) < tuning.WideScopeTime {
+	if s.replica != nil || now.Sub(follower.lackedAt) < wideScopeTime {
 		return registry.AllZones
 	}
 	return s.settings.Zone
@@ -172,12 +206,12 @@
 		watch.Epoch, watch.Version, watch.Digest = known.Epoch, known.Version, known.Digest
 		watch.Scope = s.runnerScope(follower, time.Now())
 		askedAt := time.Now()
-		callCtx, cancel := context.WithTimeout(ctx, tuning.RunnerWatchTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, runnerWatchTimeout)
 		response := s.Call(callCtx, rpc.KindWatchRunners, watch)
 		cancel()
 		if response.Code != rpc.CodeOK {
 			s.gateway.NoteLeaderUnreached()
-			daemon.Pause(ctx, tuning.RunnerWatchRetry)
+			daemon.Pause(ctx, runnerWatchRetry)
 			continue
 		}
 		var news rpc.RunnerNews
@@ -223,7 +257,7 @@
 	for ctx.Err() == nil {
 		if !s.leads(ctx) {
 			led = false
-			daemon.Pause(ctx, tuning.RunnerWatchRetry)
+			daemon.Pause(ctx, runnerWatchRetry)
 			continue
 		}
 		if !led {
@@ -235,7 +269,7 @@
 		list, err := client.List(ctx)
 		if err != nil {
 			_ = s.log.Log("level", "warn", "event", "runners.read_failed", "error", err)
-			daemon.Pause(ctx, tuning.PlatformBackoff)
+			daemon.Pause(ctx, platformBackoff)
 			continue
 		}
 		s.publishRunners(ctx, list, begunAt)
@@ -243,7 +277,7 @@
 			last, changedAt = list, time.Now()
 		}
 		interval := calm
-		if time.Since(changedAt) < tuning.BusyReadTime {
+		if time.Since(changedAt) < busyReadTime {
 			interval = busy
 		}
 		daemon.Pause(ctx, interval)
@@ -268,13 +302,13 @@
 // readIntervals gives the time between two readings of the platform's list, and that while
 // the list changes: a runner that leaves must be known to leave before it ends.
 func readIntervals(file *settings.File) (calm, busy time.Duration) {
-	calm = tuning.MaxPlatformReadInterval
+	calm = maxPlatformReadInterval
 	if file.Bounds.DrainMs > 0 {
-		spare := time.Duration((file.Bounds.DrainMs-file.Platform.MaxLagMs)*float64(time.Millisecond)) - tuning.PlatformNewsTime
+		spare := time.Duration((file.Bounds.DrainMs-file.Platform.MaxLagMs)*float64(time.Millisecond)) - platformNewsTime
 		calm = min(calm, spare)
 	}
-	calm = max(calm, tuning.MinPlatformReadInterval)
-	busy = max(time.Duration(tuning.BusyReadFraction*float64(calm)), tuning.MinPlatformReadInterval)
+	calm = max(calm, minPlatformReadInterval)
+	busy = max(time.Duration(busyReadFraction*float64(calm)), minPlatformReadInterval)
 	return calm, busy
 }
 
--- a/internal/api/jobs.go
+++ b/internal/api/jobs.go
@@ -12,7 +12,13 @@
 
 	"tealpond/internal/protocol"
 	"tealpond/internal/rpc"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// defaultRequestBudget is the time that a client's request has if it names none.
+	defaultRequestBudget = 3 * time.Second
+	// responseReserve is subtracted from a client's deadline for the way of the response.
+	responseReserve = 40 * time.Millisecond
 )
 
 // phase is a step in the processing of a request by this process.
@@ -69,10 +75,10 @@
 }
 
 // remainingTime is the time that the client will still wait, less a reserve for
-// the answer to arrive: a tenth of it, tuning.ResponseReserve at most.
+// the answer to arrive: a tenth of it, responseReserve at most.
 func remainingTime(request *http.Request) time.Duration {
-	left := protocol.TimeLeft(request, tuning.DefaultRequestBudget)
-	return left - min(left/10, tuning.ResponseReserve)
+	left := protocol.TimeLeft(request, defaultRequestBudget)
+	return left - min(left/10, responseReserve)
 }
 
 // writeError answers with an error. If the request's body was not read, the
--- a/internal/api/leader.go
+++ b/internal/api/leader.go
@@ -7,8 +7,8 @@
 
 	"tealpond/internal/discovery"
 	"tealpond/internal/rpc"
+	"tealpond/internal/timing"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
 // leaderContact remembers when the leader was last known to be reachable, on the
@@ -83,7 +83,7 @@
 	local func(rpc.Request, func(rpc.Response)), leader func(context.Context, rpc.Request) rpc.Response,
 ) rpc.Response {
 	responses := callLocal(request, local)
-	timer := time.NewTimer(tuning.RequestAttemptTimeout + discovery.HoldOf(ctx))
+	timer := time.NewTimer(timing.RequestAttemptTimeout + discovery.HoldOf(ctx))
 	defer timer.Stop()
 	maybeLogged := true
 	select {
--- a/internal/api/limits.go
+++ b/internal/api/limits.go
@@ -4,11 +4,20 @@
 	"context"
 	"fmt"
 	"net/http"
+	"time"
 
 	"tealpond/internal/clusterconfig"
 	"tealpond/internal/rpc"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// defaultMaxBodyBytes is the size of the largest body, in bytes.
+	defaultMaxBodyBytes = 262144
+	// defaultMaxHeaderBytes is the size of all headers together, in bytes.
+	defaultMaxHeaderBytes = 16384
+	// limitsRequestTimeout is how long a request for the current limits waits for the leader.
+	limitsRequestTimeout = 2 * time.Second
 )
 
 // sizeLimits are the limits of the newest configuration that this daemon knows
@@ -21,7 +30,7 @@
 
 // newSizeLimits fills in the defaults where a configuration says nothing.
 func newSizeLimits(version int64, configured clusterconfig.Limits) *sizeLimits {
-	limits := &sizeLimits{version: version, headerBytes: tuning.DefaultMaxHeaderBytes, bodyBytes: tuning.DefaultMaxBodyBytes}
+	limits := &sizeLimits{version: version, headerBytes: defaultMaxHeaderBytes, bodyBytes: defaultMaxBodyBytes}
 	if configured.MaxHeaderBytes > 0 {
 		limits.headerBytes = configured.MaxHeaderBytes
 	}
@@ -92,7 +101,7 @@
 		if s.knownLimits().version >= wanted {
 			continue
 		}
-		callCtx, cancel := context.WithTimeout(ctx, tuning.LimitsRequestTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, limitsRequestTimeout)
 		err := s.fetchTenants(callCtx)
 		if err == nil {
 			// Last, since the version of the limits tells what is known here.
--- a/internal/api/listeners.go
+++ b/internal/api/listeners.go
@@ -11,7 +11,17 @@
 	"tealpond/internal/httpserver"
 	"tealpond/internal/settings"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// maxHeaderBytes is how many bytes of headers the HTTP server reads, whatever a configuration
+	// allows.
+	maxHeaderBytes = 64 << 10
+	// defaultIdleTimeout is how long an idle connection of a client stays open.
+	defaultIdleTimeout = 15 * time.Second
+	// clientReceiveBuffer is how many bytes of a client's body may be in flight to a gateway or unread
+	// there, so that many bodies at once don't fill a narrow link.
+	clientReceiveBuffer = 8 << 10
 )
 
 // listen opens the HTTP listeners that the settings name and serves on them.
@@ -45,9 +55,9 @@
 		handler     http.Handler
 		idleTimeout time.Duration
 	}{
-		{addresses.FrontHTTP, front, tuning.DefaultIdleTimeout},
+		{addresses.FrontHTTP, front, defaultIdleTimeout},
 		{addresses.Readiness, readiness, time.Minute},
-		{addresses.Control, operators, tuning.DefaultIdleTimeout},
+		{addresses.Control, operators, defaultIdleTimeout},
 	} {
 		if listener.address == "" {
 			continue
@@ -58,14 +68,14 @@
 		}
 		options := httpserver.Options{
 			Handler:        listener.handler,
-			HeaderTimeout:  tuning.DefaultHeaderTimeout,
-			AnswerTime:     tuning.MaxAnswerTime,
+			HeaderTimeout:  httpserver.DefaultHeaderTimeout,
+			AnswerTime:     httpserver.MaxAnswerTime,
 			IdleTimeout:    listener.idleTimeout,
-			MaxHeaderBytes: tuning.MaxHeaderBytes,
+			MaxHeaderBytes: maxHeaderBytes,
 		}
 		if listener.address == addresses.FrontHTTP && s.gateway != nil {
 			options.AnswerTime = 0 // it is that of each request
-			options.ReceiveBuffer = tuning.ClientReceiveBuffer
+			options.ReceiveBuffer = clientReceiveBuffer
 			options.Wrap, options.ConnContext, options.ClosesItself = s.gateway.Listener, gateway.ConnContext, true
 		}
 		httpServer := httpserver.New(ctx, socket, options)
--- a/internal/api/operators.go
+++ b/internal/api/operators.go
@@ -13,7 +13,24 @@
 	"tealpond/internal/discovery"
 	"tealpond/internal/protocol"
 	"tealpond/internal/rpc"
-	"tealpond/internal/tuning"
+	"tealpond/internal/timing"
+)
+
+const (
+	// controlRequestTimeout is how long an operator's request may take; operators turn to another
+	// daemon after a second.
+	controlRequestTimeout = 850 * time.Millisecond
+	// controlRequestTimeoutPerKB is added to controlRequestTimeout for each KB of a configuration,
+	// which takes time to check.
+	controlRequestTimeoutPerKB = 2 * time.Millisecond
+	// controlLeaderWait is how long an operator's request waits for a leader before it is refused.
+	controlLeaderWait = 500 * time.Millisecond
+	// isolatedControlLeaderWait is controlLeaderWait on a daemon that reached no leader for
+	// timing.LeaderContactTimeout.
+	isolatedControlLeaderWait = 150 * time.Millisecond
+	// minRedirectBodyBytes is the size of a configuration, in bytes, from which a daemon without a
+	// disk redirects the operator to the leader instead of forwarding the body over its narrow link.
+	minRedirectBodyBytes = 32 << 10
 )
 
 // serveConfigReplace serves POST /-/Config.Replace: a configuration that is to
@@ -39,11 +56,11 @@
 // serveConfigUpdate serves an operator's update, once it has been checked, by a request
 // of a kind to the leader.
 func (s *Server) serveConfigUpdate(c echo.Context, kind string, check func([]byte) error) error {
-	raw, unread := readBody(c, tuning.MaxControlBodyBytes)
+	raw, unread := readBody(c, protocol.MaxControlBodyBytes)
 	if unread != nil {
 		return writeStatusError(c, unread)
 	}
-	if len(raw) > tuning.MinRedirectBodyBytes && s.redirectToLeader(c) {
+	if len(raw) > minRedirectBodyBytes && s.redirectToLeader(c) {
 		return nil
 	}
 	base, err := strconv.ParseInt(c.Request().Header.Get(protocol.HeaderBasedOn), 10, 64)
@@ -83,15 +100,15 @@
 // operatorContext bounds the time of an operator's call by the size of its body.
 // Operators try another daemon after a second without an answer. A daemon that
 // cannot reach the leader answers well before that, and sooner still if it has not
-// reached one for tuning.LeaderContactTimeout.
+// reached one for timing.LeaderContactTimeout.
 func (s *Server) operatorContext(ctx context.Context, bodyBytes int) (context.Context, context.CancelFunc) {
-	wait := tuning.ControlLeaderWait
-	if !s.leaderContact.heardWithin(tuning.LeaderContactTimeout) {
-		wait = tuning.IsolatedControlLeaderWait
+	wait := controlLeaderWait
+	if !s.leaderContact.heardWithin(timing.LeaderContactTimeout) {
+		wait = isolatedControlLeaderWait
 	}
 	ctx = discovery.WithLeaderTimeout(ctx, wait)
 	const bytesPerKB = 1024
-	return context.WithTimeout(ctx, tuning.ControlRequestTimeout+time.Duration(bodyBytes/bytesPerKB)*tuning.ControlRequestTimeoutPerKB)
+	return context.WithTimeout(ctx, controlRequestTimeout+time.Duration(bodyBytes/bytesPerKB)*controlRequestTimeoutPerKB)
 }
 
 // readBody reads the body of a call whole, up to a size in bytes.
--- a/internal/api/operators_test.go
+++ b/internal/api/operators_test.go
@@ -15,8 +15,8 @@
 	"tealpond/internal/discovery"
 	"tealpond/internal/protocol"
 	"tealpond/internal/rpc"
+	"tealpond/internal/timing"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
 // serveWith runs a handler on one request.
@@ -126,7 +126,7 @@
 		replace := func() *httptest.ResponseRecorder { return replaceConfig(s, "5", validConfig) }
 		call("replace", 600*time.Millisecond, replace)
 		call("read", 600*time.Millisecond, func() *httptest.ResponseRecorder { return readConfig(s) })
-		time.Sleep(tuning.LeaderContactTimeout)
+		time.Sleep(timing.LeaderContactTimeout)
 		call("replace, cut off for long", 200*time.Millisecond, replace)
 		call("read, cut off for long", 200*time.Millisecond, func() *httptest.ResponseRecorder { return readConfig(s) })
 		if s.ready() {
--- a/internal/api/redirect_test.go
+++ b/internal/api/redirect_test.go
@@ -9,7 +9,6 @@
 
 	"tealpond/internal/rpc"
 	"tealpond/internal/settings"
-	"tealpond/internal/tuning"
 )
 
 // TestLargeConfigurationsAreRedirectedToTheLeader: nbo-tealpond-large broke CONFIG on
@@ -25,7 +24,7 @@
 		s.settings = settings.File{ListenAddresses: settings.ListenAddresses{Control: "10.0.0.9:8166"}}
 		leader := "10.0.0.4:7720"
 		s.leaderAddress = func() string { return leader }
-		large := validConfig + strings.Repeat(" ", tuning.MinRedirectBodyBytes)
+		large := validConfig + strings.Repeat(" ", minRedirectBodyBytes)
 
 		// The leader wasn't heard yet: the call is carried on.
 		if replaceConfig(s, "5", large).Code != 200 || calls != 1 {
@@ -48,7 +47,7 @@
 			t.Error("a call was sent on though no leader is known")
 		}
 		leader = "10.0.0.4:7720"
-		time.Sleep(2 * tuning.RedirectLeaderContactTimeout)
+		time.Sleep(2 * redirectLeaderContactTimeout)
 		if readConfig(s).Code != 200 {
 			t.Error("a call was sent to a leader that wasn't heard for long")
 		}
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log"
 
+	"tealpond/internal/counter"
 	"tealpond/internal/daemon"
 	"tealpond/internal/discovery"
 	"tealpond/internal/federation"
@@ -19,8 +20,19 @@
 	"tealpond/internal/server"
 	"tealpond/internal/settings"
 	"tealpond/internal/shutdown"
+	"tealpond/internal/timing"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// gatewayAttemptTimeout is how long a gateway's request waits for the leader; clients' bodies may
+	// delay it on a narrow link.
+	gatewayAttemptTimeout = 1200 * time.Millisecond
+	// gatewayProbeTimeout is how long a gateway waits for a daemon to say who leads.
+	gatewayProbeTimeout = time.Second
+	// shutdownNotice is for how long a draining daemon sends Connection: close with its responses
+	// before it closes the connections.
+	shutdownNotice = 500 * time.Millisecond
 )
 
 // Names of the roles in the deploy file and in membership leases.
@@ -75,8 +87,8 @@
 // attemptTimeouts are how long requests to the leader wait, and probeTimeouts those for
 // who leads, by role; the usual time for roles that aren't named.
 var (
-	attemptTimeouts = map[string]time.Duration{gatewayRole: tuning.GatewayAttemptTimeout}
-	probeTimeouts   = map[string]time.Duration{gatewayRole: tuning.GatewayProbeTimeout}
+	attemptTimeouts = map[string]time.Duration{gatewayRole: gatewayAttemptTimeout}
+	probeTimeouts   = map[string]time.Duration{gatewayRole: gatewayProbeTimeout}
 )
 
 // newEdge builds the edge role.
@@ -92,7 +104,7 @@
 		bootstraps:    make(chan bootstrapRequest),
 		leaderContact: newLeaderContact(),
 		limitsStale:   make(chan struct{}, 1),
-		shares:        newTenantShares(env.ProcessID, env.Settings.ShareWindow(tuning.DefaultShareWindow), time.Now()),
+		shares:        newTenantShares(env.ProcessID, env.Settings.ShareWindow(counter.DefaultWindow), time.Now()),
 	}
 	s.shares.overrun, s.shares.slack = env.Settings.Bounds.QuotaOverrun, env.Settings.Bounds.QuotaSlack
 	s.leavingCtx, s.startLeaving = context.WithCancel(context.Background())
@@ -154,7 +166,7 @@
 // leave ends this daemon in order.
 func (s *Server) leave(httpServers []*httpserver.Server) {
 	s.leaving.Store(true)
-	leaving := httpserver.BeginLeaving(httpServers, shutdown.TimesOf(s.settings.Grace(), tuning.ShutdownNotice))
+	leaving := httpserver.BeginLeaving(httpServers, shutdown.TimesOf(s.settings.Grace(), shutdownNotice))
 	_ = s.log.Log("level", "info", "event", "shutdown.begun", "open", leaving.Open())
 	s.startLeaving()
 	if s.gateway != nil {
@@ -240,10 +252,10 @@
 		Addr:      s.settings.InternalAddress(),
 		ProcessID: s.env.ProcessID,
 	}
-	ticker := time.NewTicker(tuning.MembershipRenewInterval)
+	ticker := time.NewTicker(timing.MembershipRenewInterval)
 	defer ticker.Stop()
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, tuning.MembershipRenewInterval)
+		callCtx, cancel := context.WithTimeout(ctx, timing.MembershipRenewInterval)
 		s.Call(callCtx, rpc.KindRenewMembership, lease)
 		cancel()
 		select {
@@ -258,7 +270,7 @@
 func (s *Server) WriteMetrics(ctx context.Context, w io.Writer) {
 	gauges := []monitoring.Gauge{
 		{Name: "tealpond_ready", Value: monitoring.Flag(s.ready())},
-		{Name: "tealpond_leader_heard", Value: monitoring.Flag(s.leaderContact.heardWithin(tuning.LeaderContactTimeout))},
+		{Name: "tealpond_leader_heard", Value: monitoring.Flag(s.leaderContact.heardWithin(timing.LeaderContactTimeout))},
 		{Name: "tealpond_config_version_heard", Value: float64(s.newestVersion.Load())},
 	}
 	if s.gateway != nil {
@@ -278,5 +290,5 @@
 	if s.gateway != nil && !s.gateway.Ready() {
 		return false
 	}
-	return !s.leaving.Load() && s.leaderContact.heardWithin(tuning.LeaderContactTimeout)
+	return !s.leaving.Load() && s.leaderContact.heardWithin(timing.LeaderContactTimeout)
 }
--- a/internal/api/server_test.go
+++ b/internal/api/server_test.go
@@ -8,10 +8,11 @@
 
 	"github.com/go-kit/log"
 
+	"tealpond/internal/counter"
 	"tealpond/internal/daemon"
 	"tealpond/internal/rpc"
+	"tealpond/internal/timing"
 	"tealpond/internal/tracing"
-	"tealpond/internal/tuning"
 )
 
 // leaderStub stands in for the way to the leader.
@@ -20,7 +21,7 @@
 func newTestServer(leader leaderStub) *Server {
 	return &Server{log: log.NewNopLogger(), env: daemon.Environment{Trace: tracing.NewRing(64)}, leaderContact: newLeaderContact(),
 		limitsStale: make(chan struct{}, 1), callLeader: leader, leaderAddress: func() string { return "" },
-		shares: newTenantShares("p", tuning.DefaultShareWindow, time.Now()), leavingCtx: context.Background()}
+		shares: newTenantShares("p", counter.DefaultWindow, time.Now()), leavingCtx: context.Background()}
 }
 
 // respondByKind gives one response to each kind of request.
@@ -44,7 +45,7 @@
 		if !s.ready() {
 			t.Error("not ready after an answer")
 		}
-		time.Sleep(tuning.LeaderContactTimeout - time.Millisecond)
+		time.Sleep(timing.LeaderContactTimeout - time.Millisecond)
 		if !s.ready() {
 			t.Error("not ready soon after an answer")
 		}
@@ -63,7 +64,7 @@
 			t.Error("not ready again")
 		}
 		s.callLeader = respondByKind(map[string]rpc.Response{rpc.KindRenewMembership: {Code: rpc.CodeNoLeader}})
-		time.Sleep(tuning.LeaderContactTimeout)
+		time.Sleep(timing.LeaderContactTimeout)
 		s.Call(t.Context(), rpc.KindRenewMembership, struct{}{})
 		if s.ready() {
 			t.Error("ready by an answer that no leader gave")
--- a/internal/api/shares.go
+++ b/internal/api/shares.go
@@ -11,7 +11,16 @@
 	"tealpond/internal/daemon"
 	"tealpond/internal/rpc"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// countRefreshInterval is the time between two exchanges of a daemon that has counted nothing.
+	countRefreshInterval = 2 * time.Second
+	// countExchangeTimeout bounds one exchange.
+	countExchangeTimeout = 800 * time.Millisecond
+	// countAllowanceTime is for how long of its share a tenant may run ahead at one daemon; it covers
+	// the loss of one exchange.
+	countAllowanceTime = time.Second
 )
 
 // tenantShares tells, of each job that comes in here, whether its tenant is within its
@@ -32,7 +41,7 @@
 }
 
 func newTenantShares(processID string, window time.Duration, now time.Time) *tenantShares {
-	counts := counter.NewSet(processID, window, tuning.CountSlotWidth, now)
+	counts := counter.NewSet(processID, window, counter.SlotWidth, now)
 	return &tenantShares{window: window, counts: counts, exchange: counter.NewExchange(counts)}
 }
 
@@ -53,10 +62,10 @@
 const milli = 1000
 
 // shareAllowance is how many jobs of a tenant may be admitted ahead of the exchange: what
-// its share gives in tuning.CountAllowanceTime, and at least two, so that a tenant whose
+// its share gives in countAllowanceTime, and at least two, so that a tenant whose
 // clients all come to one daemon is served there.
 func shareAllowance(milliShare int64) uint64 {
-	return uint64(max(float64(milliShare)*tuning.CountAllowanceTime.Seconds()/milli, 2))
+	return uint64(max(float64(milliShare)*countAllowanceTime.Seconds()/milli, 2))
 }
 
 // NextRequest makes the next request to the leader; false if there is no need of one:
@@ -65,7 +74,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counts.Expire(now)
-	if len(s.byKey) == 0 || !s.exchange.HasNews() && now.Sub(lastAt) < tuning.CountRefreshInterval {
+	if len(s.byKey) == 0 || !s.exchange.HasNews() && now.Sub(lastAt) < countRefreshInterval {
 		return counter.Request{}, false
 	}
 	return s.exchange.Request(now), true
@@ -133,14 +142,14 @@
 
 // exchangeCounts exchanges counts with the leader, by requests of a kind, until ctx ends.
 func (s *Server) exchangeCounts(ctx context.Context, kind string, counts countExchanger) {
-	ticker := time.NewTicker(tuning.CountExchangeInterval)
+	ticker := time.NewTicker(counter.ExchangeInterval)
 	defer ticker.Stop()
 	lastAt := time.Time{}
 	for {
 		select {
 		case <-ticker.C:
 		case <-counts.Urgent():
-			daemon.Pause(ctx, tuning.UrgentExchangeInterval-time.Since(lastAt))
+			daemon.Pause(ctx, counter.UrgentExchangeInterval-time.Since(lastAt))
 		case <-ctx.Done():
 			return
 		}
@@ -149,7 +158,7 @@
 			continue
 		}
 		lastAt = time.Now()
-		callCtx, cancel := context.WithTimeout(ctx, tuning.CountExchangeTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, countExchangeTimeout)
 		response := s.Call(callCtx, kind, request)
 		cancel()
 		var answer counter.Response
--- a/internal/api/shares_test.go
+++ b/internal/api/shares_test.go
@@ -10,7 +10,6 @@
 	"tealpond/internal/counter"
 	"tealpond/internal/protocol"
 	"tealpond/internal/rpc"
-	"tealpond/internal/tuning"
 )
 
 // shareOf is what is told of a tenant with one key.
@@ -24,7 +23,7 @@
 func TestJobsBeyondTheShareAreMarked(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const window = 5 * time.Second
-		hub := counter.NewSet("hub", window, tuning.CountSlotWidth, time.Now())
+		hub := counter.NewSet("hub", window, counter.SlotWidth, time.Now())
 		daemons := []*tenantShares{newTenantShares("d1", window, time.Now()), newTenantShares("d2", window, time.Now())}
 		exchange := func() {
 			for _, s := range daemons {
@@ -58,7 +57,7 @@
 		if within < 20 || within > 20+3*4 {
 			t.Errorf("%d of 160 jobs are within a share of 20", within)
 		}
-		time.Sleep(window + tuning.CountSlotWidth)
+		time.Sleep(window + counter.SlotWidth)
 		if daemons[0].admit("key", time.Now()) {
 			t.Error("still marked when the window has passed")
 		}
@@ -71,7 +70,7 @@
 		s := newTenantShares("d", 5*time.Second, time.Now())
 		s.overrun, s.slack = 0.5, 7
 		s.replace([]rpc.TenantShare{shareOf("a", "key", 2000)}, "digest")
-		hub := counter.NewSet("hub", 5*time.Second, tuning.CountSlotWidth, time.Now())
+		hub := counter.NewSet("hub", 5*time.Second, counter.SlotWidth, time.Now())
 		within := 0
 		for range 60 {
 			if !s.admit("key", time.Now()) {
--- a/internal/api/tallies.go
+++ b/internal/api/tallies.go
@@ -13,7 +13,17 @@
 	"tealpond/internal/rpc"
 	"tealpond/internal/tally"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// tallyNextServerAfter is the time after which a call is sent to the next server too: an add
+	// counts once, wherever it comes in.
+	tallyNextServerAfter = 90 * time.Millisecond
+	// tallyServersInterval is the time between two questions for the servers' addresses.
+	tallyServersInterval = 4 * time.Second
+	// tallyReadMemory is for how long a daemon makes sure that its reads show what it has acknowledged
+	// itself.
+	tallyReadMemory = 2 * time.Minute
 )
 
 // addTallyRoutes adds the calls on tallies, which any replica answers.
@@ -63,7 +73,7 @@
 // after the last and without waiting for it, and gives the first good answer: calls on
 // tallies may be carried out any number of times.
 func (s *Server) askReplicas(ctx context.Context, request rpc.Request) (rpc.TallyAnswer, bool) {
-	ctx, cancel := context.WithTimeout(ctx, tuning.TallyRequestTimeout)
+	ctx, cancel := context.WithTimeout(ctx, tally.RequestTimeout)
 	defer cancel()
 	asks := s.replicaAsks(request)
 	answers := make(chan *tallyAnswer, len(asks))
@@ -76,7 +86,7 @@
 				ask := asks[begun]
 				go func() { answers <- ask(ctx) }()
 				begun++
-				next.Reset(tuning.TallyNextServerAfter)
+				next.Reset(tallyNextServerAfter)
 			}
 		case answer := <-answers:
 			ended++
@@ -111,7 +121,7 @@
 			continue
 		}
 		asks = append(asks, func(ctx context.Context) *tallyAnswer {
-			response, err := rpc.Call(ctx, address, request.Kind, request.Body, tuning.TallyRequestTimeout)
+			response, err := rpc.Call(ctx, address, request.Kind, request.Body, tally.RequestTimeout)
 			if err != nil {
 				return nil
 			}
@@ -133,7 +143,7 @@
 // followServers keeps the addresses of the replicas up to date, until ctx ends: in a
 // partition the leader can't be asked for them.
 func (s *Server) followServers(ctx context.Context) {
-	ticker := time.NewTicker(tuning.TallyServersInterval)
+	ticker := time.NewTicker(tallyServersInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -177,7 +187,7 @@
 	defer m.mu.Unlock()
 	after := map[string]uint64{}
 	for origin, newest := range m.newest {
-		if now.Sub(newest.at) > tuning.TallyMemory {
+		if now.Sub(newest.at) > tallyReadMemory {
 			delete(m.newest, origin)
 			continue
 		}
--- a/internal/api/validation.go
+++ b/internal/api/validation.go
@@ -4,9 +4,11 @@
 	"fmt"
 
 	"tealpond/internal/protocol"
-	"tealpond/internal/tuning"
 )
 
+// maxJobSpecBytes is the length of the longest jobSpec, in bytes, by the protocol.
+const maxJobSpecBytes = 4000
+
 // ValidationError names an invalid field of a job and what is wrong with it.
 type ValidationError struct {
 	Field   string // its path in the body, as steps[0].taskCount
@@ -20,8 +22,8 @@
 // a *ValidationError.
 func ValidateJob(job *protocol.Job) error {
 	switch {
-	case len(job.Spec) > tuning.MaxJobSpecBytes:
-		return &ValidationError{"jobSpec", fmt.Sprintf("over %d bytes", tuning.MaxJobSpecBytes)}
+	case len(job.Spec) > maxJobSpecBytes:
+		return &ValidationError{"jobSpec", fmt.Sprintf("over %d bytes", maxJobSpecBytes)}
 	case len(job.Steps) == 0:
 		return &ValidationError{"steps", "missing"}
 	case job.PeriodicInstances < 0 || job.IntervalMs < 0 || job.FirstRunMs < 0:
--- a/internal/bootstrap/coordinator.go
+++ b/internal/bootstrap/coordinator.go
@@ -7,7 +7,22 @@
 
 	"tealpond/internal/raft"
 	"tealpond/internal/rpc"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// AnnounceInterval is the time between two announcements of a server that belongs to no cluster
+	// yet.
+	AnnounceInterval = 250 * time.Millisecond
+	// stablePeriod is how long the set of candidates must stay the same before they form a cluster.
+	stablePeriod = 1200 * time.Millisecond
+	// candidateTTL is how long ago a candidate may have been heard to belong to the first cluster.
+	candidateTTL = 2400 * time.Millisecond
+	// AnnounceRounds is the number of announcement rounds after the first start in which the members
+	// of the new cluster announce it to the seeds; together they outlast the turn through all seeds.
+	AnnounceRounds = 80
+	// restartDelay is how long a restarted seed only listens; voters announce their cluster to the
+	// seeds each 10 s.
+	restartDelay = 15 * time.Second
 )
 
 // Coordinator gathers the candidates for the first cluster on a seed. It is a pure
@@ -16,7 +31,7 @@
 	// MinVoters is the least number of candidates that are proposed.
 	MinVoters int
 	// Restarted tells that this seed may have forgotten a proposal. It makes one only
-	// tuning.BootstrapRestartDelay after the first announcement: members of a cluster that
+	// restartDelay after the first announcement: members of a cluster that
 	// exists announce it more often than that.
 	Restarted bool
 
@@ -44,8 +59,8 @@
 	if c.firstHeardAt.IsZero() {
 		c.firstHeardAt = now
 	}
-	remembers := !c.Restarted || now.Sub(c.firstHeardAt) >= tuning.BootstrapRestartDelay
-	if c.proposed == nil && remembers && now.Sub(c.unchangedSince) >= tuning.BootstrapStablePeriod {
+	remembers := !c.Restarted || now.Sub(c.firstHeardAt) >= restartDelay
+	if c.proposed == nil && remembers && now.Sub(c.unchangedSince) >= stablePeriod {
 		c.proposed = c.propose(now)
 	}
 	if c.proposed == nil {
@@ -95,8 +110,8 @@
 	firstStart := false
 	for _, entry := range c.announcements {
 		switch silence := now.Sub(entry.receivedAt); {
-		case silence >= tuning.BootstrapCandidateTTL:
-		case silence >= tuning.BootstrapStablePeriod:
+		case silence >= candidateTTL:
+		case silence >= stablePeriod:
 			// It may be lost, and a cluster that named it would wait for it; or only
 			// some of its announcements are. Wait until that is known.
 			return nil
--- a/internal/bootstrap/coordinator_test.go
+++ b/internal/bootstrap/coordinator_test.go
@@ -7,7 +7,6 @@
 
 	"tealpond/internal/raft"
 	"tealpond/internal/rpc"
-	"tealpond/internal/tuning"
 )
 
 // TestExactlyOneClusterIsBootstrapped: whatever the number of candidates, the order
@@ -43,7 +42,7 @@
 	announce := func(machines ...[2]string) rpc.BootstrapProposal {
 		var proposal rpc.BootstrapProposal
 		for range 20 {
-			now = now.Add(tuning.BootstrapAnnounceInterval)
+			now = now.Add(AnnounceInterval)
 			for _, machine := range machines {
 				proposal = coordinator.HandleAnnouncement(rpc.BootstrapAnnouncement{Voter: raft.Member{Node: machine[0], ID: machine[1]}}, now)
 			}
@@ -66,7 +65,7 @@
 	now := time.Unix(1000, 0)
 	coordinator := Coordinator{MinVoters: 3}
 	for range 100 {
-		now = now.Add(tuning.BootstrapAnnounceInterval)
+		now = now.Add(AnnounceInterval)
 		for i := range 6 {
 			if proposal := coordinator.HandleAnnouncement(rpc.BootstrapAnnouncement{Voter: raft.Member{ID: fmt.Sprint("d", i)}, NotFirstStart: true}, now); len(proposal.Voters) != 0 {
 				t.Fatalf("a cluster of %d", len(proposal.Voters))
@@ -83,7 +82,7 @@
 	coordinator.HandleAnnouncement(rpc.BootstrapAnnouncement{Voter: raft.Member{ID: "gone"}}, now)
 	var proposal rpc.BootstrapProposal
 	for range 20 {
-		now = now.Add(tuning.BootstrapAnnounceInterval)
+		now = now.Add(AnnounceInterval)
 		for i := range 2 {
 			proposal = coordinator.HandleAnnouncement(rpc.BootstrapAnnouncement{Voter: raft.Member{ID: fmt.Sprint("d", i)}}, now)
 		}
@@ -92,7 +91,7 @@
 		t.Fatalf("a cluster of %d, two of them there", len(proposal.Voters))
 	}
 	for range 20 {
-		now = now.Add(tuning.BootstrapAnnounceInterval)
+		now = now.Add(AnnounceInterval)
 		for i := range 3 {
 			proposal = coordinator.HandleAnnouncement(rpc.BootstrapAnnouncement{Voter: raft.Member{ID: fmt.Sprint("d", i)}}, now)
 		}
@@ -110,7 +109,7 @@
 		now := time.Unix(1000, 0)
 		var proposal rpc.BootstrapProposal
 		for range 20 {
-			now = now.Add(tuning.BootstrapAnnounceInterval)
+			now = now.Add(AnnounceInterval)
 			for i := range candidates {
 				proposal = coordinator.HandleAnnouncement(rpc.BootstrapAnnouncement{Voter: raft.Member{ID: fmt.Sprint("d", i)}}, now)
 			}
--- a/internal/bootstrap/model_test.go
+++ b/internal/bootstrap/model_test.go
@@ -8,7 +8,7 @@
 
 	"tealpond/internal/raft"
 	"tealpond/internal/rpc"
-	"tealpond/internal/tuning"
+	"tealpond/internal/transport"
 )
 
 // seedNode is a seed of the model: a coordinator that listens from a time on, and
@@ -125,7 +125,7 @@
 		candidate.turns, candidate.selector = 0, SeedSelector{}
 		return
 	}
-	candidate.nextAt = m.now.Add(tuning.BootstrapAnnounceInterval)
+	candidate.nextAt = m.now.Add(AnnounceInterval)
 	candidate.turns++
 	announcement := rpc.BootstrapAnnouncement{
 		Voter:         candidate.voter,
@@ -133,7 +133,7 @@
 		NotFirstStart: candidate.newcomer,
 	}
 	if candidate.member {
-		if candidate.turns < tuning.BootstrapAnnounceRounds && candidate.turns%4 == 1 || candidate.turns%40 == 0 {
+		if candidate.turns < AnnounceRounds && candidate.turns%4 == 1 || candidate.turns%40 == 0 {
 			for _, addr := range m.addresses {
 				m.announce(addr, announcement)
 			}
@@ -143,7 +143,7 @@
 	addr := candidate.selector.Select(m.addresses, m.now)
 	proposal, ok := m.announce(addr, announcement)
 	if !ok {
-		candidate.nextAt = m.now.Add(tuning.DialTimeout)
+		candidate.nextAt = m.now.Add(transport.DialTimeout)
 		return
 	}
 	candidate.selector.OnResponse(m.now)
--- a/internal/bootstrap/seed_selector.go
+++ b/internal/bootstrap/seed_selector.go
@@ -3,15 +3,17 @@
 import (
 	"slices"
 	"time"
-
-	"tealpond/internal/tuning"
 )
 
+// seedTimeout is the silence of the seed that collects the candidates after which a candidate
+// turns to the next seed.
+const seedTimeout = 5 * time.Second
+
 // SeedSelector chooses the seed to which a candidate for the first cluster
 // announces itself. All candidates choose the same one, the lowest of the seeds:
 // two seeds that gather at the same time could each propose a set, and form a
 // cluster of its own or block each other. Another seed is chosen only after the
-// present one was silent for tuning.BootstrapSeedTimeout. The zero value is ready
+// present one was silent for seedTimeout. The zero value is ready
 // for use; it isn't safe for concurrent use.
 type SeedSelector struct {
 	respondedAt time.Time // the last response, or when the present seed was chosen
@@ -27,7 +29,7 @@
 	if s.respondedAt.IsZero() {
 		s.respondedAt = now
 	}
-	if now.Sub(s.respondedAt) >= tuning.BootstrapSeedTimeout {
+	if now.Sub(s.respondedAt) >= seedTimeout {
 		s.respondedAt = now
 		s.rotations++
 	}
--- a/internal/bootstrap/seed_selector_test.go
+++ b/internal/bootstrap/seed_selector_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 	"time"
-
-	"tealpond/internal/tuning"
 )
 
 // TestSeedSelectorKeepsToOneSeed: the order in the settings doesn't matter, and
@@ -16,16 +14,16 @@
 		if x, y := first.Select([]string{"s2", "s1", "s3"}, now), second.Select([]string{"s1", "s3", "s2"}, now); x != "s1" || y != "s1" {
 			t.Fatalf("%s and %s", x, y)
 		}
-		now = now.Add(tuning.BootstrapSeedTimeout - 2*tuning.BootstrapAnnounceInterval)
+		now = now.Add(seedTimeout - 2*AnnounceInterval)
 		second.OnResponse(now)
 		if x := first.Select([]string{"s2", "s1"}, now); x != "s1" {
-			t.Fatalf("silent for less than %v: %s", tuning.BootstrapSeedTimeout, x)
+			t.Fatalf("silent for less than %v: %s", seedTimeout, x)
 		}
 		first.OnResponse(now)
 	}
-	now = now.Add(tuning.BootstrapSeedTimeout)
+	now = now.Add(seedTimeout)
 	if x := first.Select([]string{"s2", "s1"}, now); x != "s2" {
-		t.Errorf("after the first was silent for %v: %s", tuning.BootstrapSeedTimeout, x)
+		t.Errorf("after the first was silent for %v: %s", seedTimeout, x)
 	}
 	second.OnResponse(now)
 	if x := second.Select([]string{"s2", "s1"}, now); x != "s1" {
--- a/internal/coordination/key.go
+++ b/internal/coordination/key.go
@@ -4,8 +4,20 @@
 	"fmt"
 	"maps"
 	"strings"
+	"time"
 
-	"tealpond/internal/tuning"
+	"tealpond/internal/timing"
+)
+
+const (
+	// putMemory is for how long the outcome of a put is remembered by its value, so that a repeated or
+	// delayed copy gets the same answer.
+	putMemory = 2 * time.Minute
+	// keyHistoryMargin is added to the history for which a watch may resume, for the way of an answer.
+	keyHistoryMargin = 2 * time.Second
+	// MaxRows bounds the locks, the counters, the keys and the remembered puts, each, for the memory
+	// that they take.
+	MaxRows = 100_000
 )
 
 // Group is the keys with a common prefix, which share one rising count of revisions: each
@@ -121,11 +133,11 @@
 // lacksRoomFor tells whether one more put of a key does not fit into the group. What need
 // not be kept any more makes room first.
 func (g *Group) lacksRoomFor(key string, clock, historyMs int64) bool {
-	if len(g.History) >= tuning.MaxCoordinationRows {
+	if len(g.History) >= MaxRows {
 		g.compact(clock, historyMs)
 	}
 	newKey := g.Keys[key].Revision == 0
-	return newKey && lacksRoom(g.Keys) || lacksRoom(g.Outcomes) || len(g.History) >= tuning.MaxCoordinationRows
+	return newKey && lacksRoom(g.Keys) || lacksRoom(g.Outcomes) || len(g.History) >= MaxRows
 }
 
 // putID names a put by the key and the value, which callers choose to be unique. No key
@@ -179,13 +191,13 @@
 
 // expiryOfHistory is the age from which a put is no longer kept.
 func expiryOfHistory(historyMs int64) int64 {
-	return int64(float64(historyMs)*tuning.LeaseClockDriftFactor) + tuning.KeyHistoryMargin.Milliseconds()
+	return int64(float64(historyMs)*timing.LeaseClockDriftFactor) + keyHistoryMargin.Milliseconds()
 }
 
 // forgetOutcomes drops what is remembered of puts for long enough.
 func (g *Group) forgetOutcomes(clock int64) {
 	maps.DeleteFunc(g.Outcomes, func(_ string, outcome PutOutcome) bool {
-		return clock-outcome.At > tuning.PutMemory.Milliseconds()
+		return clock-outcome.At > putMemory.Milliseconds()
 	})
 }
 
--- a/internal/coordination/key_test.go
+++ b/internal/coordination/key_test.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"slices"
 	"testing"
-
-	"tealpond/internal/tuning"
 )
 
 const history = 20_000 // ms
@@ -60,7 +58,7 @@
 	tables.put("g.a", "first", 0, 0)
 	tables.put("g.a", "refused", 5, 1)
 	tables.put("g.a", "second", 1, 2)
-	last := tuning.PutMemory.Milliseconds()
+	last := putMemory.Milliseconds()
 	for _, clock := range []int64{3, last} {
 		tables = tables.Clone()
 		tables.Forget(clock)
@@ -131,18 +129,18 @@
 // TestAnswersOfWatchesAreBounded: the next one goes on where the last one ended.
 func TestAnswersOfWatchesAreBounded(t *testing.T) {
 	tables := New()
-	for i := range int64(2*tuning.MaxWatchEvents + 10) {
+	for i := range int64(2*maxWatchEvents + 10) {
 		tables.put("g.a", fmt.Sprint(i), i, i)
 	}
 	told, after := 0, int64(1)
 	for range 3 {
 		news, err := tables.Since("g.", after)
-		if err != nil || len(news.Events) > tuning.MaxWatchEvents || news.Events[0].Revision != after+1 {
+		if err != nil || len(news.Events) > maxWatchEvents || news.Events[0].Revision != after+1 {
 			t.Fatalf("after %d: %d events, %v", after, len(news.Events), err)
 		}
 		told, after = told+len(news.Events), news.Revision
 	}
-	if told != 2*tuning.MaxWatchEvents+9 {
+	if told != 2*maxWatchEvents+9 {
 		t.Errorf("%d events", told)
 	}
 }
--- a/internal/coordination/lock.go
+++ b/internal/coordination/lock.go
@@ -3,8 +3,17 @@
 import (
 	"errors"
 	"math"
+	"time"
 
-	"tealpond/internal/tuning"
+	"tealpond/internal/timing"
+)
+
+const (
+	// lockExpiryMargin is added to a lock's hold, beside timing.LeaseClockDriftFactor, before another
+	// caller may get the lock: stamps are rounded to ms.
+	lockExpiryMargin = 20 * time.Millisecond
+	// maxLockHold is the longest hold of a lock; a caller that asks for more gets this.
+	maxLockHold = time.Hour
 )
 
 // ErrHeld is the refusal of a lock that another holds, or may still believe to hold.
@@ -53,14 +62,14 @@
 // A caller counts its hold from before it sent the call. The state's clock at the entry
 // that granted it is later than that, and never runs ahead of the true time between two
 // entries (server, clock.go); the caller's own clock may run slow by
-// tuning.LeaseClockDriftFactor. So at ExpiresAt, by any later entry's clock, the caller's
+// timing.LeaseClockDriftFactor. So at ExpiresAt, by any later entry's clock, the caller's
 // hold is over.
 func (l Lock) expired(clock int64) bool { return clock >= l.ExpiresAt }
 
 // expiry is when a hold that is granted now has surely ended for its holder.
 func expiry(clock, holdMs int64) int64 {
-	holdMs = min(max(holdMs, 0), tuning.MaxLockHold.Milliseconds())
-	return clock + int64(math.Ceil(float64(holdMs)*tuning.LeaseClockDriftFactor)) + tuning.LockExpiryMargin.Milliseconds()
+	holdMs = min(max(holdMs, 0), maxLockHold.Milliseconds())
+	return clock + int64(math.Ceil(float64(holdMs)*timing.LeaseClockDriftFactor)) + lockExpiryMargin.Milliseconds()
 }
 
 // HeldByOther tells whether an acquisition would be refused. Tables that are nil hold
--- a/internal/coordination/lock_test.go
+++ b/internal/coordination/lock_test.go
@@ -4,7 +4,7 @@
 	"errors"
 	"testing"
 
-	"tealpond/internal/tuning"
+	"tealpond/internal/timing"
 )
 
 const hold = 3000 // ms
@@ -23,7 +23,7 @@
 func TestLockIsHeldForTheHoldByTheSlowestClock(t *testing.T) {
 	tables := New()
 	first := tables.mustAcquire(t, "a", 1000)
-	end := int64(1000 + hold*tuning.LeaseClockDriftFactor)
+	end := int64(1000 + hold*timing.LeaseClockDriftFactor)
 	for _, clock := range []int64{1000, 1000 + hold, end} {
 		if _, err := tables.Acquire(Acquire{Name: "l", Holder: "b", HoldMs: hold}, clock); !errors.Is(err, ErrHeld) {
 			t.Errorf("at %d: %v", clock, err)
@@ -32,7 +32,7 @@
 			t.Errorf("at %d it isn't known to be held", clock)
 		}
 	}
-	if second := tables.mustAcquire(t, "b", end+tuning.LockExpiryMargin.Milliseconds()); second <= first {
+	if second := tables.mustAcquire(t, "b", end+lockExpiryMargin.Milliseconds()); second <= first {
 		t.Errorf("fence %d after %d", second, first)
 	}
 	if err := tables.Renew(Renew{Name: "l", Holder: "a", Fence: first, HoldMs: hold}, end); !errors.Is(err, ErrLost) {
@@ -102,7 +102,7 @@
 // TestHoldIsBounded: whatever a caller asks for.
 func TestHoldIsBounded(t *testing.T) {
 	for _, ms := range []int64{-5, 1 << 62} {
-		if end := expiry(1000, ms); end < 1000 || end > 1000+2*tuning.MaxLockHold.Milliseconds() {
+		if end := expiry(1000, ms); end < 1000 || end > 1000+2*maxLockHold.Milliseconds() {
 			t.Errorf("a hold of %d ms ends at %d", ms, end)
 		}
 	}
--- a/internal/coordination/tables.go
+++ b/internal/coordination/tables.go
@@ -3,8 +3,6 @@
 import (
 	"errors"
 	"maps"
-
-	"tealpond/internal/tuning"
 )
 
 // ErrFull is the refusal of a name, or of a put, for which there is no room. Nothing was done,
@@ -85,5 +83,5 @@
 
 // lacksRoom tells whether a table has as many rows as it may.
 func lacksRoom[K comparable, V any](rows map[K]V) bool {
-	return len(rows) >= tuning.MaxCoordinationRows
+	return len(rows) >= MaxRows
 }
--- a/internal/coordination/watch.go
+++ b/internal/coordination/watch.go
@@ -2,10 +2,11 @@
 
 import (
 	"errors"
-
-	"tealpond/internal/tuning"
 )
 
+// maxWatchEvents is the number of events in one answer of a watch.
+const maxWatchEvents = 500
+
 // ErrCompacted is the refusal of a watch whose later puts are no longer kept.
 var ErrCompacted = errors.New("the history from that revision on is no longer kept")
 
@@ -26,7 +27,7 @@
 	return t.Groups[group].Revision
 }
 
-// Since gives the puts of a group after a revision, the oldest tuning.MaxWatchEvents of
+// Since gives the puts of a group after a revision, the oldest maxWatchEvents of
 // them; the error is ErrCompacted.
 func (t *Tables) Since(group string, after int64) (News, error) {
 	revision := t.Revision(group)
@@ -38,6 +39,6 @@
 		return News{}, ErrCompacted
 	}
 	events := g.History[after-g.Compacted:]
-	events = events[:min(len(events), tuning.MaxWatchEvents)]
+	events = events[:min(len(events), maxWatchEvents)]
 	return News{Events: events, Revision: events[len(events)-1].Revision}, nil
 }
--- a/internal/counter/set.go
+++ b/internal/counter/set.go
@@ -2,6 +2,19 @@
 
 import "time"
 
+const (
+	// DefaultWindow is the window in which a tenant's jobs are held against its share, where the
+	// settings name none.
+	DefaultWindow = 5 * time.Second
+	// SlotWidth is the width of the slots in which events are counted: a window is at most so much
+	// longer than it should be.
+	SlotWidth = 500 * time.Millisecond
+	// ExchangeInterval is the time between two exchanges of a daemon that has counted something.
+	ExchangeInterval = 500 * time.Millisecond
+	// UrgentExchangeInterval is the least time between two exchanges.
+	UrgentExchangeInterval = 50 * time.Millisecond
+)
+
 // Entry is one process's count of one key in one slot of time, as it is exchanged.
 type Entry struct {
 	_       struct{} `cbor:",toarray"`
--- a/internal/discovery/aggregator.go
+++ b/internal/discovery/aggregator.go
@@ -6,7 +6,14 @@
 
 	"tealpond/internal/rpc"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// retryAvoidance is how long an agent avoids a daemon that left a request unanswered; it doubles
+	// each time, up to maxRetryAvoidance.
+	retryAvoidance = 2 * time.Second
+	// maxRetryAvoidance is the upper bound of retryAvoidance.
+	maxRetryAvoidance = 16 * time.Second
 )
 
 // backoff is how long a daemon that failed to answer is not tried again.
@@ -29,11 +36,11 @@
 		return
 	}
 	for other, entry := range c.backoffs {
-		if c.now.Sub(entry.until) > tuning.MaxRetryAvoidance {
+		if c.now.Sub(entry.until) > maxRetryAvoidance {
 			delete(c.backoffs, other)
 		}
 	}
-	delay := min(max(2*c.backoffs[addr].delay, tuning.RetryAvoidance), tuning.MaxRetryAvoidance)
+	delay := min(max(2*c.backoffs[addr].delay, retryAvoidance), maxRetryAvoidance)
 	c.backoffs[addr] = backoff{c.now.Add(delay), delay}
 }
 
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -9,10 +9,13 @@
 
 	"tealpond/internal/daemon"
 	"tealpond/internal/rpc"
+	"tealpond/internal/timing"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
+// leaderProbeInterval is the silence of the leader's connection after which it is probed.
+const leaderProbeInterval = 250 * time.Millisecond
+
 // eventQueueLength is how many inputs may wait for the loop.
 const eventQueueLength = 1024
 
@@ -28,10 +31,10 @@
 	// it, and back to the leader when that one fails.
 	PreferAggregator bool
 	// AttemptTimeout is how long one attempt of a request waits for the leader;
-	// 0: tuning.RequestAttemptTimeout.
+	// 0: timing.RequestAttemptTimeout.
 	AttemptTimeout time.Duration
 	// ProbeTimeout is how long a daemon that is asked who leads may take to answer;
-	// 0: tuning.LeaderProbeInterval.
+	// 0: leaderProbeInterval.
 	ProbeTimeout time.Duration
 	// OnAssignment gets each assignment that the leader sends.
 	OnAssignment func(rpc.Assignment)
@@ -256,7 +259,7 @@
 			wake = delay
 		}
 	}
-	if remaining := tuning.ExpectedElectionTime - now.Sub(c.disconnectedAt); c.stream == nil && remaining > 0 {
+	if remaining := timing.ExpectedElectionTime - now.Sub(c.disconnectedAt); c.stream == nil && remaining > 0 {
 		wakeIn(remaining)
 	}
 	c.expireRequests(wakeIn)
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -12,8 +12,8 @@
 	"tealpond/internal/discovery"
 	"tealpond/internal/rpc"
 	"tealpond/internal/simulation"
+	"tealpond/internal/timing"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
 // fakeServer stands in for a server: it says who leads, and responds as the test
@@ -140,7 +140,7 @@
 		if code, _ := f.call(rpc.KindPutConfig, time.Second); code != rpc.CodeTimeout {
 			t.Errorf("sent into the cut: code %d", code)
 		}
-		if code, took := f.call(rpc.KindPutConfig, time.Second); code != rpc.CodeNoLeader || took > tuning.OperatorLeaderWait+10*time.Millisecond {
+		if code, took := f.call(rpc.KindPutConfig, time.Second); code != rpc.CodeNoLeader || took > discovery.OperatorLeaderWait+10*time.Millisecond {
 			t.Errorf("an operator, soon after the loss: code %d after %v", code, took)
 		}
 		time.Sleep(2 * time.Second)
@@ -148,10 +148,10 @@
 			if code, took := f.call(rpc.KindGetConfig, time.Second); code != rpc.CodeNoLeader || took > 20*time.Millisecond {
 				t.Errorf("an operator, long after the loss: code %d after %v", code, took)
 			}
-			if code, took := f.call(rpc.KindSubmitJob, 3*time.Second); code != rpc.CodeNoLeader || took > tuning.KnownNoLeaderWait+10*time.Millisecond {
+			if code, took := f.call(rpc.KindSubmitJob, 3*time.Second); code != rpc.CodeNoLeader || took > discovery.KnownNoLeaderWait+10*time.Millisecond {
 				t.Errorf("a client, long after the loss: code %d after %v", code, took)
 			}
-			if code, took := f.call(rpc.KindRenewMembership, 3*time.Second); code != rpc.CodeNoLeader || took < tuning.LeaderWaitTimeout {
+			if code, took := f.call(rpc.KindRenewMembership, 3*time.Second); code != rpc.CodeNoLeader || took < discovery.LeaderWaitTimeout {
 				t.Errorf("a daemon's own request: code %d after %v", code, took)
 			}
 		}
@@ -246,7 +246,7 @@
 			f.servers[1].become(rpc.LeaderInfo{Term: 2, IsLeader: true}, nil)
 		}()
 		code, took := f.call(rpc.KindSubmitJob, 3*time.Second)
-		if code != rpc.CodeOK || took > tuning.RequestAttemptTimeout+400*time.Millisecond {
+		if code != rpc.CodeOK || took > timing.RequestAttemptTimeout+400*time.Millisecond {
 			t.Errorf("code %d after %v", code, took)
 		}
 		f.cut(f.servers[0], false)
@@ -256,7 +256,7 @@
 // TestLateProbeResultIsUsed: what a search didn't wait for counts when it comes.
 func TestLateProbeResultIsUsed(t *testing.T) {
 	withServers(t, 3, func(f *fixture) {
-		f.net.SetDelay(f.servers[0].ip, tuning.DiscoveryStragglerWait*2/3)
+		f.net.SetDelay(f.servers[0].ip, discovery.HangingDaemonWait*2/3)
 		if code, took := f.call(rpc.KindSubmitJob, 3*time.Second); code != rpc.CodeOK || took > time.Second {
 			t.Errorf("code %d after %v", code, took)
 		}
@@ -333,7 +333,7 @@
 		}
 		f.servers[0].become(rpc.LeaderInfo{Term: 1}, nil)
 		f.servers[1].become(rpc.LeaderInfo{Term: 2, IsLeader: true}, nil)
-		if took := (<-answered).Sub(start); took < 3*time.Second || took > 3*time.Second+4*tuning.RequestAttemptTimeout {
+		if took := (<-answered).Sub(start); took < 3*time.Second || took > 3*time.Second+4*timing.RequestAttemptTimeout {
 			t.Errorf("answered by the next leader after %v", took)
 		}
 	})
--- /dev/null
+++ b/internal/discovery/export_test.go
@@ -0,0 +1,9 @@
+package discovery
+
+// Constants for tests outside the package.
+const (
+	OperatorLeaderWait = operatorLeaderWait
+	KnownNoLeaderWait  = knownNoLeaderWait
+	LeaderWaitTimeout  = leaderWaitTimeout
+	HangingDaemonWait  = hangingDaemonWait
+)
--- a/internal/discovery/pending.go
+++ b/internal/discovery/pending.go
@@ -5,8 +5,26 @@
 	"time"
 
 	"tealpond/internal/rpc"
+	"tealpond/internal/timing"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// maxRequestAttemptTimeout bounds an attempt of a request to a leader that keeps answering other
+	// requests.
+	maxRequestAttemptTimeout = 2 * time.Second
+	// minLinkBytesPerSecond is the slowest rate of a link, in bytes a second, at which a large request
+	// or response isn't taken for silence: half of a link of 2 Mbit/s, the rest being left to others.
+	minLinkBytesPerSecond = 125_000
+	// leaderWaitTimeout is how long a client's request waits for a leader before it is refused; an
+	// election takes about as long.
+	leaderWaitTimeout = 1300 * time.Millisecond
+	// knownNoLeaderWait is how long a client's request waits while it is known that no leader can be
+	// reached.
+	knownNoLeaderWait = 250 * time.Millisecond
+	// operatorLeaderWait is how long an operator's request waits for a leader; operators turn to the
+	// next daemon after a second.
+	operatorLeaderWait = 500 * time.Millisecond
 )
 
 const (
@@ -43,7 +61,7 @@
 	}
 	timeouts, ok := leaderTimeoutsByKind[request.Kind]
 	if !ok {
-		timeouts = leaderTimeouts{tuning.LeaderWaitTimeout, tuning.LeaderWaitTimeout}
+		timeouts = leaderTimeouts{leaderWaitTimeout, leaderWaitTimeout}
 	}
 	if timeout, ok := ctx.Value(leaderTimeoutKey{}).(time.Duration); ok {
 		timeouts.any = timeout
@@ -83,11 +101,11 @@
 // leaderTimeoutsByKind differ by the kind of request: clients lose more by being
 // turned away in an election than operators, who go on to the next daemon.
 var leaderTimeoutsByKind = map[string]leaderTimeouts{
-	rpc.KindSubmitJob: {tuning.LeaderWaitTimeout, tuning.KnownNoLeaderWait},
-	rpc.KindJobStatus: {tuning.LeaderWaitTimeout, tuning.KnownNoLeaderWait},
-	rpc.KindCancelJob: {tuning.LeaderWaitTimeout, tuning.KnownNoLeaderWait},
-	rpc.KindPutConfig: {tuning.OperatorLeaderWait, 0},
-	rpc.KindGetConfig: {tuning.OperatorLeaderWait, 0},
+	rpc.KindSubmitJob: {leaderWaitTimeout, knownNoLeaderWait},
+	rpc.KindJobStatus: {leaderWaitTimeout, knownNoLeaderWait},
+	rpc.KindCancelJob: {leaderWaitTimeout, knownNoLeaderWait},
+	rpc.KindPutConfig: {operatorLeaderWait, 0},
+	rpc.KindGetConfig: {operatorLeaderWait, 0},
 }
 
 // Call encodes the body and carries the request to the leader, again if need be,
@@ -203,7 +221,7 @@
 		if pending.hold > 0 {
 			patience, silentSince = timeout+pending.hold, pending.sentAt
 		}
-		if c.now.Sub(silentSince) > patience || c.now.Sub(pending.sentAt) > max(patience, tuning.MaxRequestAttemptTimeout) {
+		if c.now.Sub(silentSince) > patience || c.now.Sub(pending.sentAt) > max(patience, maxRequestAttemptTimeout) {
 			silent = true
 		} else {
 			wakeIn(patience - c.now.Sub(silentSince) + time.Millisecond)
@@ -217,7 +235,7 @@
 	if c.options.AttemptTimeout > 0 {
 		return c.options.AttemptTimeout
 	}
-	return tuning.RequestAttemptTimeout
+	return timing.RequestAttemptTimeout
 }
 
 // transferTime is how long the requests under way may take on a slow link, all
@@ -233,5 +251,5 @@
 			bytes += c.largestResponse
 		}
 	}
-	return time.Duration(bytes) * time.Second / tuning.MinLinkBytesPerSecond
+	return time.Duration(bytes) * time.Second / minLinkBytesPerSecond
 }
--- a/internal/discovery/search.go
+++ b/internal/discovery/search.go
@@ -7,8 +7,23 @@
 	"time"
 
 	"tealpond/internal/rpc"
+	"tealpond/internal/timing"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// fanout is the number of daemons that an agent asks in one search for the leader.
+	fanout = 4
+	// interval is the time between two searches.
+	interval = 80 * time.Millisecond
+	// hangingDaemonWait is how long a search waits for daemons that hang once others have answered.
+	hangingDaemonWait = 150 * time.Millisecond
+	// maxShortDiscoveryRounds is the number of consecutive searches that wait no longer than
+	// hangingDaemonWait; an election is over by then.
+	maxShortDiscoveryRounds = 6
+	// noLeaderFindingTTL is how long the result of a search that found no leader stays valid; it
+	// outlasts a search and the pause after it.
+	noLeaderFindingTTL = 1500 * time.Millisecond
 )
 
 const (
@@ -96,8 +111,8 @@
 // for longer than an election takes, and a search at all addresses has just
 // failed.
 func (c *Client) leaderless(now time.Time) bool {
-	disconnected := c.stream == nil && now.Sub(c.disconnectedAt) >= tuning.ExpectedElectionTime
-	searchFailed := !c.searchFailedAt.IsZero() && now.Sub(c.searchFailedAt) < tuning.NoLeaderFindingTTL
+	disconnected := c.stream == nil && now.Sub(c.disconnectedAt) >= timing.ExpectedElectionTime
+	searchFailed := !c.searchFailedAt.IsZero() && now.Sub(c.searchFailedAt) < noLeaderFindingTTL
 	return disconnected && searchFailed
 }
 
@@ -123,16 +138,16 @@
 }
 
 // sample gives some of the addresses, others each time: the likeliest always, and
-// of the rest as many as tuning.DiscoveryFanout allows. Hundreds of agents search at
+// of the rest as many as fanout allows. Hundreds of agents search at
 // once after a loss, and any daemon that they ask names the leader.
 func sample(addresses []string, round int) []string {
-	if len(addresses) <= tuning.DiscoveryFanout {
+	if len(addresses) <= fanout {
 		return addresses
 	}
 	sampled := append([]string(nil), addresses[:2]...)
 	rest := addresses[2:]
-	for i := range tuning.DiscoveryFanout - 2 {
-		sampled = append(sampled, rest[(round*(tuning.DiscoveryFanout-2)+i)%len(rest)])
+	for i := range fanout - 2 {
+		sampled = append(sampled, rest[(round*(fanout-2)+i)%len(rest)])
 	}
 	return sampled
 }
@@ -148,16 +163,16 @@
 
 // planSearch chooses what a search tries, by what became of the last ones.
 func (c *Client) planSearch(id int) searchPlan {
-	plan := searchPlan{id: id, addresses: c.candidateAddresses(), patience: tuning.DiscoveryStragglerWait}
+	plan := searchPlan{id: id, addresses: c.candidateAddresses(), patience: hangingDaemonWait}
 	hasStandby := c.standby != "" && c.standby != c.address && c.now.After(c.backoffs[c.standby].until)
 	if c.options.PreferAggregator && c.failedSearches == 0 && hasStandby {
 		plan.standby = c.standby
 	}
 	if c.failedSearches > 0 {
-		plan.pause = tuning.DiscoveryInterval * time.Duration(min(c.failedSearches, 2))
+		plan.pause = interval * time.Duration(min(c.failedSearches, 2))
 	}
-	if c.failedSearches >= tuning.MaxShortDiscoveryRounds {
-		plan.patience = tuning.NoLeaderFindingTTL
+	if c.failedSearches >= maxShortDiscoveryRounds {
+		plan.patience = noLeaderFindingTTL
 	}
 	return plan
 }
@@ -295,7 +310,7 @@
 	}
 	request := rpc.Request{Kind: rpc.KindLeader, Body: []byte(c.options.SelfAddress)}
 	stream.Send(transport.Frame{Kind: rpc.FrameRequest, ID: probeFrameID, Body: transport.Encode(request)})
-	timer := time.NewTimer(cmp.Or(c.options.ProbeTimeout, tuning.LeaderProbeInterval))
+	timer := time.NewTimer(cmp.Or(c.options.ProbeTimeout, leaderProbeInterval))
 	defer timer.Stop()
 	select {
 	case info := <-infos:
--- a/internal/discovery/search_test.go
+++ b/internal/discovery/search_test.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"testing"
 	"time"
-
-	"tealpond/internal/tuning"
 )
 
 // TestSampleIsBoundedAndCoversAllAddresses: each search asks a bounded number of
@@ -19,7 +17,7 @@
 		seen := map[string]bool{}
 		for round := range 6 {
 			got := sample(addresses, round)
-			if len(got) > tuning.DiscoveryFanout || n > 0 && got[0] != "p0" {
+			if len(got) > fanout || n > 0 && got[0] != "p0" {
 				t.Fatalf("%d addresses, round %d: %v", n, round, got)
 			}
 			for _, addr := range got {
@@ -46,12 +44,12 @@
 		pause    time.Duration
 		patience time.Duration
 	}{
-		{"first", true, "standby", 0, false, "standby", 0, tuning.DiscoveryStragglerWait},
-		{"no aggregator is preferred", false, "standby", 0, false, "", 0, tuning.DiscoveryStragglerWait},
-		{"the standby failed lately", true, "standby", 0, true, "", 0, tuning.DiscoveryStragglerWait},
-		{"the standby was lost itself", true, "lost", 0, false, "", 0, tuning.DiscoveryStragglerWait},
-		{"after one that failed", true, "standby", 1, false, "", tuning.DiscoveryInterval, tuning.DiscoveryStragglerWait},
-		{"after many", true, "standby", 9, false, "", 2 * tuning.DiscoveryInterval, tuning.NoLeaderFindingTTL},
+		{"first", true, "standby", 0, false, "standby", 0, hangingDaemonWait},
+		{"no aggregator is preferred", false, "standby", 0, false, "", 0, hangingDaemonWait},
+		{"the standby failed lately", true, "standby", 0, true, "", 0, hangingDaemonWait},
+		{"the standby was lost itself", true, "lost", 0, false, "", 0, hangingDaemonWait},
+		{"after one that failed", true, "standby", 1, false, "", interval, hangingDaemonWait},
+		{"after many", true, "standby", 9, false, "", 2 * interval, noLeaderFindingTTL},
 	} {
 		c := NewClient(Options{Seeds: []string{"seed"}, PreferAggregator: test.prefers})
 		c.now, c.address, c.standby, c.failedSearches = now, "lost", test.standby, test.failed
--- a/internal/discovery/timeout.go
+++ b/internal/discovery/timeout.go
@@ -24,7 +24,7 @@
 type leaderTimeoutKey struct{}
 
 // WithLeaderTimeout sets how long requests under a context wait for a leader before
-// they end with rpc.CodeNoLeader, instead of tuning.LeaderWaitTimeout. It has no
+// they end with rpc.CodeNoLeader, instead of leaderWaitTimeout. It has no
 // effect on a request that was sent to one.
 func WithLeaderTimeout(ctx context.Context, timeout time.Duration) context.Context {
 	return context.WithValue(ctx, leaderTimeoutKey{}, timeout)
--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -6,7 +6,23 @@
 	"time"
 
 	"tealpond/internal/registry"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// latencySmoothing is the weight of a new latency in a runner's average.
+	latencySmoothing = 0.2
+	// leavingSuspicion is for how long a runner is left out that closes its connection after an
+	// answer, until the list says whether it drains.
+	leavingSuspicion = 1500 * time.Millisecond
+	// ejectionFailures is the number of failures in a row that eject a runner.
+	ejectionFailures = 2
+	// ejectionTime is for how long a runner is ejected first; it doubles each time, up to
+	// maxEjectionTime.
+	ejectionTime = 500 * time.Millisecond
+	// maxEjectionTime is the longest ejectionTime.
+	maxEjectionTime = 8 * time.Second
+	// maxEjectedFraction is the part of a service's runners that may be ejected.
+	maxEjectedFraction = 0.5
 )
 
 // runnerState is what this daemon knows of one runner by its own requests.
@@ -79,7 +95,7 @@
 		}
 	}
 	// With too many ejected the fault is likely not theirs, and all are used.
-	useEjected := float64(len(runners)-sound) > tuning.MaxEjectedFraction*float64(len(runners))
+	useEjected := float64(len(runners)-sound) > maxEjectedFraction*float64(len(runners))
 	var best *runnerState
 	lowest, drawn := math.Inf(1), 0
 	offset := rand.IntN(len(runners))
@@ -221,8 +237,8 @@
 		runner.observe(max(runner.latency, took))
 	case resultFailed:
 		runner.failures++
-		if runner.failures >= tuning.EjectionFailures {
-			pause := min(tuning.EjectionTime<<min(runner.ejections, maxEjectionShift), tuning.MaxEjectionTime)
+		if runner.failures >= ejectionFailures {
+			pause := min(ejectionTime<<min(runner.ejections, maxEjectionShift), maxEjectionTime)
 			runner.ejectedTill = now.Add(pause)
 			runner.ejections++
 			runner.failures = 0
@@ -232,12 +248,12 @@
 
 // suspectLeaving leaves a runner out for a moment that closed its connection.
 func (b *balancer) suspectLeaving(runner *runnerState, now time.Time) {
-	if till := now.Add(tuning.LeavingSuspicion); till.After(runner.ejectedTill) {
+	if till := now.Add(leavingSuspicion); till.After(runner.ejectedTill) {
 		runner.ejectedTill = till
 	}
 }
 
-// maxEjectionShift bounds the doubling of tuning.EjectionTime.
+// maxEjectionShift bounds the doubling of ejectionTime.
 const maxEjectionShift = 6
 
 // observe smooths a latency into the runner's average.
@@ -246,5 +262,5 @@
 		r.latency = latency
 		return
 	}
-	r.latency += time.Duration(tuning.LatencySmoothing * float64(latency-r.latency))
+	r.latency += time.Duration(latencySmoothing * float64(latency-r.latency))
 }
--- a/internal/gateway/balancer_test.go
+++ b/internal/gateway/balancer_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"tealpond/internal/registry"
-	"tealpond/internal/tuning"
 )
 
 var testStart = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -68,7 +67,7 @@
 func TestFailingRunnerIsEjected(t *testing.T) {
 	b := testBalancer(4)
 	bad := b.runners["0"]
-	for range tuning.EjectionFailures {
+	for range ejectionFailures {
 		b.begin(bad)
 		b.end(bad, resultFailed, time.Millisecond, testStart)
 	}
@@ -77,7 +76,7 @@
 			t.Fatal("an ejected runner is used")
 		}
 	}
-	later := testStart.Add(tuning.EjectionTime)
+	later := testStart.Add(ejectionTime)
 	used := false
 	for range 400 {
 		used = b.use(resultSound, time.Millisecond, later) == "0" || used
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -6,12 +6,13 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-
-	"tealpond/internal/tuning"
 )
 
+// maxReplayBytes is how much of a request's body is kept for a retry, in bytes.
+const maxReplayBytes = 512 << 10
+
 // requestBody is a client's body that can be sent to another runner after the first one
-// refused it: what was read of it is kept, up to tuning.MaxReplayBytes.
+// refused it: what was read of it is kept, up to maxReplayBytes.
 //
 // The HTTP library may go on reading for an attempt whose answer is there already, while
 // the next one begins: mu guards the client's body, and whatever any attempt reads is
@@ -58,7 +59,7 @@
 	n, err := b.source.Read(into)
 	switch {
 	case b.lost:
-	case len(b.kept)+n > tuning.MaxReplayBytes:
+	case len(b.kept)+n > maxReplayBytes:
 		b.kept, b.lost = nil, true
 	default:
 		b.kept = append(b.kept, into[:n]...)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -16,7 +16,24 @@
 	"tealpond/internal/httpserver"
 	"tealpond/internal/protocol"
 	"tealpond/internal/registry"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// responseReserve is the part of a client's deadline that is left for the way of the response.
+	responseReserve = 30 * time.Millisecond
+	// unreadAnswerTime is how long after a client's deadline a response is still written that the
+	// client doesn't read.
+	unreadAnswerTime = time.Second
+	// maxGatewayTime is the deadline of a request whose client names none, and the longest one.
+	maxGatewayTime = 60 * time.Second
+	// startupWait is how long a request waits in a daemon that has no configuration or list of runners
+	// yet.
+	startupWait = 800 * time.Millisecond
+	// startupRetryAfter is the Retry-After of a request refused by a daemon that has no configuration
+	// or list of runners yet.
+	startupRetryAfter = 300 * time.Millisecond
+	// refusedRetryAfter is the Retry-After of a request that found no runner.
+	refusedRetryAfter = 150 * time.Millisecond
 )
 
 // phase is a state of a request in this daemon.
@@ -75,13 +92,13 @@
 // Refusals. A 503 promises that the request was not run and never will be; a 502 and a
 // 504 promise nothing.
 var (
-	refusalNotConfigured  = refusal{http.StatusServiceUnavailable, "not configured yet", tuning.StartupRetryAfter}
-	refusalLeaving        = refusal{http.StatusServiceUnavailable, "this daemon ends", tuning.RefusedRetryAfter}
+	refusalNotConfigured  = refusal{http.StatusServiceUnavailable, "not configured yet", startupRetryAfter}
+	refusalLeaving        = refusal{http.StatusServiceUnavailable, "this daemon ends", refusedRetryAfter}
 	refusalNoRoute        = refusal{status: http.StatusNotFound, text: "no such route"}
 	refusalNoKey          = refusal{status: http.StatusUnauthorized, text: "no tenant's key"}
 	refusalHeaderTooLarge = refusal{status: http.StatusRequestHeaderFieldsTooLarge, text: "the headers are too large"}
 	refusalBodyTooLarge   = refusal{status: http.StatusRequestEntityTooLarge, text: "the body is too large"}
-	refusalNoRunner       = refusal{http.StatusServiceUnavailable, "no runner took the request", tuning.RefusedRetryAfter}
+	refusalNoRunner       = refusal{http.StatusServiceUnavailable, "no runner took the request", refusedRetryAfter}
 	refusalRunnerFailed   = refusal{status: http.StatusBadGateway, text: "the runner failed"}
 	refusalTooLate        = refusal{status: http.StatusGatewayTimeout, text: "no answer in time"}
 )
@@ -102,8 +119,8 @@
 
 // newExchange begins a client's request; the time that the client gives it runs from now.
 func (p *Proxy) newExchange(writer http.ResponseWriter, request *http.Request, conn *clientConn) *exchange {
-	left := protocol.TimeLeft(request, tuning.MaxGatewayTime)
-	left -= min(left/10, tuning.GatewayResponseReserve)
+	left := protocol.TimeLeft(request, maxGatewayTime)
+	left -= min(left/10, responseReserve)
 	e := &exchange{proxy: p, conn: conn, writer: writer, request: request, until: time.Now().Add(left)}
 	e.ctx, e.cancel = context.WithDeadline(request.Context(), e.until)
 	return e
@@ -162,7 +179,7 @@
 	if e.proxy.refuses() {
 		return e.refuseWith(refusalLeaving)
 	}
-	if !e.proxy.awaitReady(e.ctx, min(tuning.StartupWait, time.Until(e.until)/2)) {
+	if !e.proxy.awaitReady(e.ctx, min(startupWait, time.Until(e.until)/2)) {
 		return e.refuseWith(refusalNotConfigured)
 	}
 	known := e.proxy.routing.Load()
@@ -373,7 +390,7 @@
 	}
 	e.endConnectionIfLast(header)
 	// A client may be slow to read, and one that has gone without a word reads nothing.
-	_ = http.NewResponseController(e.writer).SetWriteDeadline(e.until.Add(tuning.UnreadAnswerTime)) // a writer of a test has none
+	_ = http.NewResponseController(e.writer).SetWriteDeadline(e.until.Add(unreadAnswerTime)) // a writer of a test has none
 	e.writer.WriteHeader(e.response.StatusCode)
 	if err := e.copyBody(); err != nil {
 		how := resultFailed
--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -11,7 +11,14 @@
 	"tealpond/internal/clusterconfig"
 	"tealpond/internal/registry"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// runnerIdleTimeout is how long a connection to a runner is kept idle; runners close theirs after
+	// ten seconds or more.
+	runnerIdleTimeout = 7 * time.Second
+	// runnerDialTimeout bounds the opening of a connection to a runner.
+	runnerDialTimeout = time.Second
 )
 
 // Options are what a Proxy is built from.
@@ -71,14 +78,14 @@
 
 // New builds a proxy; it serves once it has a configuration and a list of runners.
 func New(options Options) *Proxy {
-	dialer := &net.Dialer{Timeout: tuning.RunnerDialTimeout, KeepAlive: tuning.RunnerIdleTimeout}
+	dialer := &net.Dialer{Timeout: runnerDialTimeout, KeepAlive: runnerIdleTimeout}
 	return &Proxy{
 		options: options,
 		transport: &http.Transport{
 			DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
 				return transport.DialWith(ctx, dialer, addr)
 			},
-			IdleConnTimeout:     tuning.RunnerIdleTimeout,
+			IdleConnTimeout:     runnerIdleTimeout,
 			MaxIdleConnsPerHost: maxIdlePerRunner,
 			DisableCompression:  true,
 			ReadBufferSize:      connectionBufferBytes,
--- a/internal/gateway/retry_budget.go
+++ b/internal/gateway/retry_budget.go
@@ -2,8 +2,17 @@
 
 import (
 	"time"
+)
 
-	"tealpond/internal/tuning"
+const (
+	// defaultRetryWindow is the window in which retries are counted, where the settings name none.
+	defaultRetryWindow = 10 * time.Second
+	// retryShare is the part of the operators' retry ratio that a request earns; retries earned in one
+	// window may be used in the next.
+	retryShare = 0.5
+	// retrySlackShare is the part of the operators' slack that the daemons share; the rest is for
+	// daemons restarted within a window.
+	retrySlackShare = 0.45
 )
 
 // RetryLimit is the operators' bound on attempts beyond the first of each request. It
@@ -12,13 +21,13 @@
 type RetryLimit struct {
 	Ratio  float64
 	Slack  float64
-	Window time.Duration // 0: tuning.DefaultRetryWindow
+	Window time.Duration // 0: defaultRetryWindow
 }
 
 // retryBudget is one daemon's part of a RetryLimit. It asks no other daemon, and yet all
 // daemons together keep to the limit, whatever fails:
 //
-//   - Each request earns tuning.RetryShare, one half, of Ratio. What isn't used lapses after
+//   - Each request earns retryShare, one half, of Ratio. What isn't used lapses after
 //     a window. So what all daemons use of it in a window was earned in this one or the one
 //     before, and is at most Ratio times the larger of the two.
 //   - Each daemon has a reserve for each window, its share of a part of Slack. The rest of
@@ -46,7 +55,7 @@
 
 func newRetryBudget(limit RetryLimit) *retryBudget {
 	if limit.Window <= 0 {
-		limit.Window = tuning.DefaultRetryWindow
+		limit.Window = defaultRetryWindow
 	}
 	return &retryBudget{limit: limit, accounts: map[string]*retryAccount{}}
 }
@@ -55,7 +64,7 @@
 func (b *retryBudget) setDaemons(count int) {
 	b.reserve = 0
 	if count > 0 {
-		b.reserve = int(b.limit.Slack * tuning.RetrySlackShare / float64(count))
+		b.reserve = int(b.limit.Slack * retrySlackShare / float64(count))
 	}
 }
 
@@ -67,7 +76,7 @@
 		account.earned = append(account.earned, earnedAttempts{since: now})
 		last++
 	}
-	account.earned[last].left += b.limit.Ratio * tuning.RetryShare
+	account.earned[last].left += b.limit.Ratio * retryShare
 }
 
 // take takes a further attempt; false if none is left.
--- a/internal/gateway/startup_test.go
+++ b/internal/gateway/startup_test.go
@@ -9,7 +9,6 @@
 
 	"tealpond/internal/protocol"
 	"tealpond/internal/registry"
-	"tealpond/internal/tuning"
 )
 
 // TestRequestsWaitForTheFirstConfiguration: whoever comes before a daemon knows its
@@ -26,8 +25,8 @@
 	}{
 		{"both known in time, no runner", "3000", 100 * time.Millisecond, 200 * time.Millisecond, 200 * time.Millisecond, http.StatusServiceUnavailable},
 		{"no such route", "3000", 200 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, http.StatusNotFound},
-		{"never configured", "3000", 0, 100 * time.Millisecond, tuning.StartupWait, http.StatusServiceUnavailable},
-		{"never listed", "3000", 100 * time.Millisecond, 0, tuning.StartupWait, http.StatusServiceUnavailable},
+		{"never configured", "3000", 0, 100 * time.Millisecond, startupWait, http.StatusServiceUnavailable},
+		{"never listed", "3000", 100 * time.Millisecond, 0, startupWait, http.StatusServiceUnavailable},
 		{"little time left", "1000", 0, 0, 485 * time.Millisecond, http.StatusServiceUnavailable},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/gateway/tenant_rates.go
+++ b/internal/gateway/tenant_rates.go
@@ -7,7 +7,26 @@
 
 	"tealpond/internal/clusterconfig"
 	"tealpond/internal/counter"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// rateAllowanceTime is for how long of its rate a tenant may run ahead at one gateway, of which
+	// there may be many.
+	rateAllowanceTime = 250 * time.Millisecond
+	// minRateAllowance and maxRateAllowance bound how far a tenant's rate may run ahead at one
+	// gateway, in requests.
+	minRateAllowance = 2.0
+	maxRateAllowance = 8.0
+	// rateNewsWait is how long a request waits for the leader's answer once the allowance is used up,
+	// and the least time after which a client may come again.
+	rateNewsWait = 150 * time.Millisecond
+	// rateAskFirst is the part of a tenant's limit from which on a request is admitted by sums that
+	// are at most rateNewsAge old.
+	rateAskFirst = 0.5
+	rateNewsAge  = 100 * time.Millisecond
+	// rateOldNewsAge is the age of the sums by which a request is admitted below rateAskFirst: two
+	// exchanges.
+	rateOldNewsAge = time.Second
 )
 
 // TenantRates tells, of each request, whether its tenant is within its rate over all
@@ -28,7 +47,7 @@
 }
 
 func newTenantRates(processID string, window time.Duration, now time.Time) *TenantRates {
-	counts := counter.NewSet(processID, window, tuning.CountSlotWidth, now)
+	counts := counter.NewSet(processID, window, counter.SlotWidth, now)
 	exchange := counter.NewExchange(counts)
 	exchange.ForgetsPeers = true
 	return &TenantRates{
@@ -48,7 +67,7 @@
 	limit := uint64(max(tenant.RatePerS*r.window.Seconds()+tenant.Burst, 1))
 	allowance := rateAllowance(tenant.RatePerS)
 	if answered := r.needsAnswer(tenant.Name, limit, allowance, time.Now()); answered != nil {
-		timer := time.NewTimer(tuning.RateNewsWait)
+		timer := time.NewTimer(rateNewsWait)
 		defer timer.Stop()
 		select {
 		case <-answered:
@@ -65,7 +84,7 @@
 		}
 		return 0, true
 	}
-	return max(r.counts.FreeAt(tenant.Name, limit, now).Sub(now), tuning.RateNewsWait), false
+	return max(r.counts.FreeAt(tenant.Name, limit, now).Sub(now), rateNewsWait), false
 }
 
 // needsAnswer tells whether a request must wait for the leader's next answer, which closes
@@ -80,9 +99,9 @@
 		r.askSoon()
 	}
 	sum := r.counts.Sum(tenant, now)
-	most := tuning.RateOldNewsAge
+	most := rateOldNewsAge
 	if nearLimit(sum, limit) {
-		most = tuning.RateNewsAge
+		most = rateNewsAge
 	}
 	if sum >= limit || now.Sub(r.answeredAt) <= most && r.exchange.Ahead(tenant) < allowance {
 		return nil
@@ -92,7 +111,7 @@
 }
 
 // nearLimit tells whether a tenant's sum of requests comes near its limit.
-func nearLimit(sum, limit uint64) bool { return float64(sum) >= tuning.RateAskFirst*float64(limit) }
+func nearLimit(sum, limit uint64) bool { return float64(sum) >= rateAskFirst*float64(limit) }
 
 // askSoon has counts exchanged with the leader as soon as may be.
 func (r *TenantRates) askSoon() {
@@ -106,7 +125,7 @@
 // knowledge. Half of it has the daemon ask at once, so that a tenant whose clients all come
 // to one daemon is held back by the way to the leader only.
 func rateAllowance(ratePerS float64) uint64 {
-	return uint64(min(max(ratePerS*tuning.RateAllowanceTime.Seconds(), tuning.MinRateAllowance), tuning.MaxRateAllowance))
+	return uint64(min(max(ratePerS*rateAllowanceTime.Seconds(), minRateAllowance), maxRateAllowance))
 }
 
 // Urgent gives a value when an exchange is wanted at once.
--- a/internal/gateway/tenant_rates_test.go
+++ b/internal/gateway/tenant_rates_test.go
@@ -13,7 +13,6 @@
 	"tealpond/internal/clusterconfig"
 	"tealpond/internal/counter"
 	"tealpond/internal/protocol"
-	"tealpond/internal/tuning"
 )
 
 const testRateWindow = 5 * time.Second
@@ -29,7 +28,7 @@
 }
 
 func newRateCluster(daemons int) *rateCluster {
-	c := &rateCluster{leader: counter.NewSet("leader", testRateWindow, tuning.CountSlotWidth, time.Now())}
+	c := &rateCluster{leader: counter.NewSet("leader", testRateWindow, counter.SlotWidth, time.Now())}
 	for i := range daemons {
 		c.daemons = append(c.daemons, newTenantRates(fmt.Sprint("d", i), testRateWindow, time.Now()))
 	}
@@ -39,13 +38,13 @@
 // serve exchanges a daemon's counts as the api's loop does, until ended is closed.
 func (c *rateCluster) serve(daemon *TenantRates, ended chan struct{}) {
 	const wayThere = 10 * time.Millisecond
-	ticker := time.NewTicker(tuning.CountExchangeInterval)
+	ticker := time.NewTicker(counter.ExchangeInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
 		case <-daemon.Urgent():
-			time.Sleep(tuning.UrgentExchangeInterval)
+			time.Sleep(counter.UrgentExchangeInterval)
 		case <-ended:
 			return
 		}
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -10,8 +10,14 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+)
 
-	"tealpond/internal/tuning"
+const (
+	// maxLingerTime is the longest time for which a connection is kept whose client has not received
+	// all of its response.
+	maxLingerTime = 5 * time.Second
+	// lingerPollInterval is the time between two looks at such a connection.
+	lingerPollInterval = 10 * time.Millisecond
 )
 
 // longAgo is a deadline that is over.
@@ -196,9 +202,9 @@
 // linger closes the connection once the client's side has received all.
 func (c *conn) linger() {
 	defer c.server.remove(c)
-	ticker := time.NewTicker(tuning.LingerPollInterval)
+	ticker := time.NewTicker(lingerPollInterval)
 	defer ticker.Stop()
-	for until := time.Now().Add(tuning.MaxLingerTime); time.Now().Before(until) && !c.server.closed.Load(); {
+	for until := time.Now().Add(maxLingerTime); time.Now().Before(until) && !c.server.closed.Load(); {
 		if unreceived(c.Conn) == 0 {
 			break
 		}
--- a/internal/httpserver/leave.go
+++ b/internal/httpserver/leave.go
@@ -4,7 +4,14 @@
 	"time"
 
 	"tealpond/internal/shutdown"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// shutdownCheckInterval is how often a daemon that leaves looks at what is open.
+	shutdownCheckInterval = 20 * time.Millisecond
+	// lastRequestWait is how long a connection of a draining daemon may wait for a request that is on
+	// its way.
+	lastRequestWait = 60 * time.Millisecond
 )
 
 // Leaving is an end in order of all servers of a daemon.
@@ -45,7 +52,7 @@
 // Finish ends the servers and returns once they are closed. handedOver is closed when the
 // daemon may close its listeners.
 func (l *Leaving) Finish(handedOver <-chan struct{}) Remains {
-	ticker := time.NewTicker(tuning.ShutdownCheckInterval)
+	ticker := time.NewTicker(shutdownCheckInterval)
 	defer ticker.Stop()
 	status, phase := shutdown.Status{}, shutdown.Announcing
 	for {
@@ -113,6 +120,6 @@
 // closeWaiting closes the connections that wait for a request.
 func (l *Leaving) closeWaiting(now time.Time) {
 	for _, server := range l.servers {
-		server.closeWaiting(now, tuning.LastRequestWait)
+		server.closeWaiting(now, lastRequestWait)
 	}
 }
--- a/internal/httpserver/listener.go
+++ b/internal/httpserver/listener.go
@@ -6,10 +6,11 @@
 	"os"
 	"sync/atomic"
 	"time"
-
-	"tealpond/internal/tuning"
 )
 
+// lastAcceptTime is how long pending connections are accepted as a daemon closes its listener.
+const lastAcceptTime = 10 * time.Millisecond
+
 // listener accepts the connections of a Server.
 type listener struct {
 	net.Listener
@@ -52,7 +53,7 @@
 func (l *listener) closeSoon() {
 	l.closing.Store(true)
 	socket, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
-	if !ok || socket.SetDeadline(time.Now().Add(tuning.LastAcceptTime)) != nil {
+	if !ok || socket.SetDeadline(time.Now().Add(lastAcceptTime)) != nil {
 		_ = l.Close()
 	}
 }
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -19,6 +19,14 @@
 	"time"
 )
 
+const (
+	// DefaultHeaderTimeout is how long the headers of a request may take.
+	DefaultHeaderTimeout = 3 * time.Second
+	// MaxAnswerTime is the longest time from the head of a request to the end of its response, except
+	// at gateways; it is above timing.MaxWatchWait.
+	MaxAnswerTime = time.Minute
+)
+
 // ErrEnding is the cause with which the contexts of requests end that are still open at the
 // latest moment of a daemon's end. Their clients are there and want an answer.
 var ErrEnding = errors.New("the daemon ends")
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -19,7 +19,24 @@
 
 	"tealpond/internal/registry"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// rateShare is the part of the platform's rate that its reader uses; after a change of leader
+	// there may be two readers.
+	rateShare = 0.45
+	// pageAttempts is how often a page is asked for that the platform refuses for its rate, and
+	// ratePause the pause between two.
+	pageAttempts = 6
+	ratePause    = 250 * time.Millisecond
+	// callTimeout bounds one call of the platform.
+	callTimeout = 2 * time.Second
+	// idleTimeout is how long a connection is kept between two readings.
+	idleTimeout = 30 * time.Second
+	// maxPlatformPages bounds the pages of one reading.
+	maxPlatformPages = 1000
+	// maxPlatformPageBytes bounds one page, in bytes.
+	maxPlatformPageBytes = 4 << 20
 )
 
 // Error is the class of errors of a reading.
@@ -38,13 +55,13 @@
 // NewClient makes a client of the platform at an address, which accepts so many calls a
 // second from all daemons together; 0: any number.
 func NewClient(address string, callsPerSecond float64) *Client {
-	dialer := &net.Dialer{Timeout: tuning.PlatformCallTimeout}
+	dialer := &net.Dialer{Timeout: callTimeout}
 	return &Client{address: address, limiter: newLimiter(callsPerSecond), http: &http.Client{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
 			return transport.DialWith(ctx, dialer, addr)
 		},
 		MaxIdleConnsPerHost: 1,
-		IdleConnTimeout:     tuning.PlatformIdleTimeout,
+		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}}}
 }
@@ -54,7 +71,7 @@
 	if callsPerSecond <= 0 {
 		return rate.NewLimiter(rate.Inf, 0)
 	}
-	used := callsPerSecond * tuning.PlatformRateShare
+	used := callsPerSecond * rateShare
 	return rate.NewLimiter(rate.Limit(used), max(int(used), 1))
 }
 
@@ -83,7 +100,7 @@
 func (c *Client) List(ctx context.Context) ([]registry.Runner, error) {
 	var runners []registry.Runner
 	token := ""
-	for range tuning.MaxPlatformPages {
+	for range maxPlatformPages {
 		page, err := c.pageWithinRate(ctx, token)
 		if err != nil {
 			return nil, err
@@ -99,13 +116,13 @@
 		}
 		token = *page.NextToken
 	}
-	return nil, Error.New("the list has more than %d pages", tuning.MaxPlatformPages)
+	return nil, Error.New("the list has more than %d pages", maxPlatformPages)
 }
 
 // pageWithinRate reads one page at the client's pace, and again if the platform refuses it
 // for its rate: a list that is begun anew each time might never be read to its end.
 func (c *Client) pageWithinRate(ctx context.Context, token string) (page listPage, err error) {
-	for range tuning.PlatformPageAttempts {
+	for range pageAttempts {
 		if err := c.limiter.Wait(ctx); err != nil {
 			return listPage{}, Error.Wrap(err)
 		}
@@ -113,7 +130,7 @@
 			break
 		}
 		select {
-		case <-time.After(tuning.PlatformRatePause):
+		case <-time.After(ratePause):
 		case <-ctx.Done():
 			return listPage{}, Error.Wrap(ctx.Err())
 		}
@@ -123,7 +140,7 @@
 
 // page reads one page.
 func (c *Client) page(ctx context.Context, token string) (page listPage, err error) {
-	ctx, cancel := context.WithTimeout(ctx, tuning.PlatformCallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	target := url.URL{Scheme: "http", Host: c.address, Path: "/runners"}
 	if token != "" {
@@ -144,7 +161,7 @@
 	if response.StatusCode != http.StatusOK {
 		return listPage{}, Error.New("the list of runners: status %d", response.StatusCode)
 	}
-	raw, err := io.ReadAll(io.LimitReader(response.Body, tuning.MaxPlatformPageBytes))
+	raw, err := io.ReadAll(io.LimitReader(response.Body, maxPlatformPageBytes))
 	if err != nil {
 		return listPage{}, Error.Wrap(err)
 	}
--- a/internal/rpc/messages.go
+++ b/internal/rpc/messages.go
@@ -8,6 +8,9 @@
 	"tealpond/internal/tracing"
 )
 
+// MaxQueryRows is the number of rows of one table that a query sees.
+const MaxQueryRows = 5000
+
 // LeaderInfo is the answer to KindLeader.
 type LeaderInfo struct {
 	_            struct{} `cbor:",toarray"`
--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -8,7 +8,6 @@
 
 	"tealpond/internal/protocol"
 	"tealpond/internal/state"
-	"tealpond/internal/tuning"
 )
 
 // testConfiguration has an urgent route /p/ and a deferrable one /q/.
@@ -100,7 +99,7 @@
 func (c *testCluster) fillWorkers(p *Planner, runsEach float64) {
 	want := int(runsEach * float64(len(c.store.Workers)))
 	for len(c.store.Allocations) < want {
-		n := min(want-len(c.store.Allocations), tuning.MaxTasksPerPlan)
+		n := min(want-len(c.store.Allocations), maxTasksPerPlan)
 		c.submit("/p/", protocol.Step{TaskCount: n, CPUUnits: 800, MemoryMB: 900, EstimateMs: 40000})
 		c.planAndBind(p)
 	}
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -4,7 +4,27 @@
 	"math"
 
 	"tealpond/internal/state"
-	"tealpond/internal/tuning"
+	"tealpond/internal/timing"
+)
+
+const (
+	// minPaceSiblings is the least number of other runs of its step that a run is compared with.
+	minPaceSiblings = 3
+	// minPaceSampleWeight is the number of other runs, decayed over timing.SpeedSampleDecay, from
+	// which they tell a worker's pace.
+	minPaceSampleWeight = 1.5
+	// healthyPaceLimit is the pace up to which a worker is known to be healthy.
+	healthyPaceLimit = 1.5
+	// slowPaceDeviations is how many standard deviations of its mean a worker's pace must be above the
+	// usual one to prove that it is slow.
+	slowPaceDeviations = 2.0
+	// initialPaceDeviation is the standard deviation of the logarithm of the durations of a step's
+	// runs before it is learnt of a route; minPaceDeviation and maxPaceDeviation bound what is learnt.
+	initialPaceDeviation = 0.5
+	minPaceDeviation     = 0.1
+	maxPaceDeviation     = 1.5
+	// stragglerLearningRate is by how much one run changes the learnt factor, as a part of it.
+	stragglerLearningRate = 0.02
 )
 
 // negligibleWeight is the weight below which a worker's pace is forgotten.
@@ -24,7 +44,7 @@
 
 // decayedWeight is the weight that is left of the runs seen so far.
 func (e paceEstimate) decayedWeight(now int64) float64 {
-	return e.weight * math.Exp(-float64(now-e.updatedAt)/float64(tuning.SpeedSampleDecay.Milliseconds()))
+	return e.weight * math.Exp(-float64(now-e.updatedAt)/float64(timing.SpeedSampleDecay.Milliseconds()))
 }
 
 // add takes in one run, and the variance of its route.
@@ -48,7 +68,7 @@
 // it, as a logarithm; false if these are too few. It isn't compared with its estimate, since
 // tasks of a step are alike, while estimates are off by factors of up to eight.
 func (p *Planner) recordPace(allocation *state.Allocation, stepState *state.StepState, route string, tookMs float64, now int64) (logRatio float64, ok bool) {
-	if stepState.DoneRuns < tuning.MinPaceSiblings+1 || tookMs <= 0 {
+	if stepState.DoneRuns < minPaceSiblings+1 || tookMs <= 0 {
 		return 0, false
 	}
 	// The run itself is among the step's done runs by now.
@@ -62,7 +82,7 @@
 	}
 	usual, known := p.routePaces[route]
 	if !known {
-		usual.deviation = tuning.InitialPaceDeviation
+		usual.deviation = initialPaceDeviation
 	}
 	usual.learn(logRatio)
 	p.routePaces[route] = usual
@@ -83,16 +103,16 @@
 
 // learn takes in the logarithm of one run's ratio.
 func (r *routePace) learn(logRatio float64) {
-	step := tuning.StragglerLearningRate * r.deviation
+	step := stragglerLearningRate * r.deviation
 	if logRatio < r.median {
 		step = -step
 	}
 	r.median += step
-	scale := 1 - tuning.StragglerLearningRate
+	scale := 1 - stragglerLearningRate
 	if math.Abs(logRatio-r.median)*medianToDeviation > r.deviation {
-		scale = 1 + tuning.StragglerLearningRate
+		scale = 1 + stragglerLearningRate
 	}
-	r.deviation = min(max(r.deviation*scale, tuning.MinPaceDeviation), tuning.MaxPaceDeviation)
+	r.deviation = min(max(r.deviation*scale, minPaceDeviation), maxPaceDeviation)
 }
 
 // Pace tells how many times as long runs take on a worker as elsewhere, or false if
@@ -118,7 +138,7 @@
 		return estimate, 0, false
 	}
 	weight = estimate.decayedWeight(now)
-	if weight < tuning.MinPaceSampleWeight {
+	if weight < minPaceSampleWeight {
 		if weight < negligibleWeight {
 			delete(p.paces, worker)
 		}
@@ -130,13 +150,13 @@
 // judgePace tells whether a worker is healthy or slow, as far as its runs prove it.
 func (p *Planner) judgePace(worker string, now int64) workerPace {
 	estimate, weight, ok := p.recentPace(worker, now)
-	limit := math.Log(tuning.HealthyPaceLimit)
+	limit := math.Log(healthyPaceLimit)
 	switch {
 	case !ok:
 		return paceUnknown
 	case estimate.meanLog < limit:
 		return paceHealthy
-	case estimate.meanLog > max(limit, tuning.SlowPaceDeviations*math.Sqrt(estimate.variance/weight)):
+	case estimate.meanLog > max(limit, slowPaceDeviations*math.Sqrt(estimate.variance/weight)):
 		return paceSlow
 	}
 	return paceUnknown
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -5,9 +5,11 @@
 
 	"tealpond/internal/protocol"
 	"tealpond/internal/state"
-	"tealpond/internal/tuning"
 )
 
+// maxCandidates is the number of feasible workers scored above fullScanMaxWorkers.
+const maxCandidates = 24
+
 // taskQuery asks for a worker for one task. The tasks of a step are alike, so one
 // query serves all of them.
 type taskQuery struct {
@@ -126,7 +128,7 @@
 
 // candidates gives workers to choose from: all of them where a service has few;
 // else those on the named rack; else those near the step's data that fit; else up to
-// tuning.MaxCandidates that fit, found by the rarest of the required labels or with
+// maxCandidates that fit, found by the rarest of the required labels or with
 // the fullest first.
 func (s *snapshot) candidates(query *taskQuery) []*workerCapacity {
 	service, spec := query.job.Service, query.spec
@@ -138,7 +140,7 @@
 		if capacity := s.capacityOf(worker); s.fits(capacity, query) {
 			fitting = append(fitting, capacity)
 		}
-		return len(fitting) < tuning.MaxCandidates
+		return len(fitting) < maxCandidates
 	}
 	if query.rack != "" {
 		for _, worker := range s.store.WorkersWithLabel(service, query.rack) {
--- a/internal/scheduler/planner.go
+++ b/internal/scheduler/planner.go
@@ -8,7 +8,13 @@
 
 import (
 	"tealpond/internal/state"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// maxTasksPerPlan is the number of tasks placed in one plan.
+	maxTasksPerPlan = 600
+	// unplacedStepCost is what a step that finds no room counts towards maxTasksPerPlan, in tasks.
+	unplacedStepCost = 4
 )
 
 // A plan that lost a placement is planned again while it is applied, on each
@@ -47,7 +53,7 @@
 }
 
 // Plan makes plans for the tasks that wait, the most urgent first, as far as
-// there is room and up to tuning.MaxTasksPerPlan. Each plan holds tasks of one
+// there is room and up to maxTasksPerPlan. Each plan holds tasks of one
 // step.
 func (p *Planner) Plan(store *state.Store) []state.Plan {
 	p.forgetUnused(store)
@@ -65,7 +71,7 @@
 	p.updateTenantPeaks(store, requests)
 	var plans []state.Plan
 	quotas := newQuotaTally(store, p)
-	left := tuning.MaxTasksPerPlan
+	left := maxTasksPerPlan
 	for _, request := range requests {
 		if left <= 0 {
 			break
@@ -84,7 +90,7 @@
 		placed := len(plan.Placements)
 		// What doesn't fit counts little, whatever its size: work that fits
 		// nowhere must not keep other work from being looked at.
-		left -= max(placed, tuning.UnplacedStepCost)
+		left -= max(placed, unplacedStepCost)
 		kind, spec := request.servicePriority(), request.spec()
 		if placed > 0 {
 			plans = append(plans, plan)
--- a/internal/scheduler/planner_test.go
+++ b/internal/scheduler/planner_test.go
@@ -6,13 +6,12 @@
 	"testing"
 
 	"tealpond/internal/protocol"
-	"tealpond/internal/tuning"
 )
 
 // TestAllThatFitsIsPlaced: above the number up to which each worker is looked
 // at, the index must miss no room; near data, on labels, apart, as gangs.
 func TestAllThatFitsIsPlaced(t *testing.T) {
-	for _, workers := range []int{30, tuning.FullScanMaxWorkers + 60} {
+	for _, workers := range []int{30, fullScanMaxWorkers + 60} {
 		c := newTestCluster(t, workers)
 		p := &Planner{}
 		random := rand.New(rand.NewSource(3))
@@ -70,7 +69,7 @@
 
 // TestNearDataFirst: with room at the data's rack, all tasks go there.
 func TestNearDataFirst(t *testing.T) {
-	for _, workers := range []int{30, tuning.FullScanMaxWorkers + 60} {
+	for _, workers := range []int{30, fullScanMaxWorkers + 60} {
 		c := newTestCluster(t, workers)
 		id := c.submit("/p/", protocol.Step{TaskCount: 20, CPUUnits: 1000, MemoryMB: 100, EstimateMs: 300, PreferredRack: "r2"})
 		c.planAndBind(&Planner{})
--- a/internal/scheduler/preemption.go
+++ b/internal/scheduler/preemption.go
@@ -2,9 +2,19 @@
 
 import (
 	"sort"
+	"time"
 
 	"tealpond/internal/state"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// longTaskThreshold is the estimate from which a task leaves room to more urgent ones.
+	longTaskThreshold = 2 * time.Second
+	// maxPreemptionLoss is the most unsaved work, as time, that a run may lose by being preempted.
+	maxPreemptionLoss = 1500 * time.Millisecond
+	// expectedReleaseFraction is the part of a priority's own room that becomes free by itself before
+	// a preempted run would free its room.
+	expectedReleaseFraction = 0.6
 )
 
 // victim is a run that may be preempted.
@@ -16,7 +26,7 @@
 
 // Preemptions gives the IDs of the allocations to stop so that more urgent work,
 // which found no room in the last plan, finds some: first those that lose least
-// unsaved work, and none that lose more than tuning.MaxPreemptionLoss.
+// unsaved work, and none that lose more than maxPreemptionLoss.
 func (p *Planner) Preemptions(store *state.Store) []uint64 {
 	if len(p.unmetDemand) == 0 {
 		return nil
@@ -32,8 +42,8 @@
 		need, held := p.unmetDemand[kind], p.heldResources[kind]
 		// The kind's own runs free a part of their room by themselves before a
 		// preempted run would.
-		need.cpu -= tuning.ExpectedReleaseFraction * held.cpu
-		need.memory -= tuning.ExpectedReleaseFraction * held.memory
+		need.cpu -= expectedReleaseFraction * held.cpu
+		need.memory -= expectedReleaseFraction * held.memory
 		freed := stopping[kind.Service]
 		for _, v := range victims {
 			if freed.cpu >= need.cpu && freed.memory >= need.memory {
@@ -68,7 +78,7 @@
 		if spec.Checkpoints {
 			lostMs = min(lostMs, p.CheckpointIntervalMs)
 		}
-		if spec.EstimateMs < tuning.LongTaskThreshold.Milliseconds() || spec.Gang || spec.LongRunning || lostMs > tuning.MaxPreemptionLoss.Milliseconds() {
+		if spec.EstimateMs < longTaskThreshold.Milliseconds() || spec.Gang || spec.LongRunning || lostMs > maxPreemptionLoss.Milliseconds() {
 			continue
 		}
 		victims = append(victims, victim{allocation, job, lostMs})
--- a/internal/scheduler/quota.go
+++ b/internal/scheduler/quota.go
@@ -2,9 +2,12 @@
 
 import (
 	"tealpond/internal/state"
-	"tealpond/internal/tuning"
 )
 
+// heavyTenantFraction is the part of its quota above which a tenant's work comes after that of
+// tenants that use less, at the same priority and deadline class.
+const heavyTenantFraction = 0.85
+
 // quotaTally is what tenants hold of their quotas while a plan is made: what is in use
 // and what the plan has placed so far.
 type quotaTally struct {
@@ -64,7 +67,7 @@
 // reducedLimit is a limit less what is reserved, but never so low that a job waits
 // while its tenant uses little; 0 stays no limit.
 func reducedLimit(limit int64, reserved float64) int64 {
-	return max(limit-int64(reserved), int64(float64(limit)*tuning.LongTaskFreeFraction))
+	return max(limit-int64(reserved), int64(float64(limit)*longTaskFreeFraction))
 }
 
 // add notes that n tasks of a request were placed.
@@ -134,7 +137,7 @@
 	return p.tenantPeaks[kind.Tenant][kind.Priority]
 }
 
-// usesMuchOfQuota tells whether a tenant uses over tuning.HeavyTenantFraction of one of
+// usesMuchOfQuota tells whether a tenant uses over heavyTenantFraction of one of
 // its quota's resources.
 func usesMuchOfQuota(store *state.Store, tenant string) bool {
 	quota, bounded := store.Quotas[tenant]
@@ -143,7 +146,7 @@
 	}
 	use := store.TenantUse(tenant)
 	heavy := func(limit, used int64) bool {
-		return limit > 0 && float64(used) > tuning.HeavyTenantFraction*float64(limit)
+		return limit > 0 && float64(used) > heavyTenantFraction*float64(limit)
 	}
 	return heavy(quota.MilliCPU, use.MilliCPU) || heavy(quota.MemoryMB, use.MemoryMB) || heavy(int64(quota.GPUs), int64(use.GPUs))
 }
--- a/internal/scheduler/quota_test.go
+++ b/internal/scheduler/quota_test.go
@@ -6,7 +6,6 @@
 
 	"tealpond/internal/protocol"
 	"tealpond/internal/state"
-	"tealpond/internal/tuning"
 )
 
 // configureTenants gives the cluster two tenants with the same limit.
@@ -79,7 +78,7 @@
 	if c.runsOf(within) != 16 || c.runsOf(beyond) != 0 {
 		t.Errorf("%d tasks within the share run and %d beyond it", c.runsOf(within), c.runsOf(beyond))
 	}
-	c.advance(tuning.PreemptionDelay.Milliseconds() + 1)
+	c.advance(preemptionDelay.Milliseconds() + 1)
 	c.planAndBind(p)
 	if preempted := p.Preemptions(c.store); len(preempted) != 0 {
 		t.Errorf("%d runs within their tenant's share make way for work beyond another's", len(preempted))
--- a/internal/scheduler/requests.go
+++ b/internal/scheduler/requests.go
@@ -2,12 +2,15 @@
 
 import (
 	"sort"
+	"time"
 
 	"tealpond/internal/protocol"
 	"tealpond/internal/state"
-	"tealpond/internal/tuning"
 )
 
+// preemptionDelay is how long urgent work waits before it preempts other runs.
+const preemptionDelay = 60 * time.Millisecond
+
 // placementRequest is one step that has tasks to place.
 type placementRequest struct {
 	job      *state.Job
@@ -33,7 +36,7 @@
 
 // isLong tells whether the tasks take so long that they leave room to more urgent ones.
 func (r *placementRequest) isLong() bool {
-	return r.spec().EstimateMs >= tuning.LongTaskThreshold.Milliseconds()
+	return r.spec().EstimateMs >= longTaskThreshold.Milliseconds()
 }
 
 func (r *placementRequest) servicePriority() state.ServicePriority {
@@ -48,7 +51,7 @@
 // mayPreempt tells whether tasks that find no room may preempt less urgent runs:
 // they still gain by it, and have waited long enough for room to come free.
 func (r *placementRequest) mayPreempt(now int64) bool {
-	return r.class < tooLate && !r.speculative && !r.job.BeyondShare() && now-r.instance.Steps[r.step].ReadyAt >= tuning.PreemptionDelay.Milliseconds()
+	return r.class < tooLate && !r.speculative && !r.job.BeyondShare() && now-r.instance.Steps[r.step].ReadyAt >= preemptionDelay.Milliseconds()
 }
 
 // deadlineClass is what a job can still achieve if the rest of it starts now.
--- a/internal/scheduler/reservation.go
+++ b/internal/scheduler/reservation.go
@@ -2,9 +2,26 @@
 
 import (
 	"math"
+	"time"
 
 	"tealpond/internal/state"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// demandPeakDecay is the time constant with which a peak of urgent demand is forgotten.
+	demandPeakDecay = 15 * time.Second
+	// maxIdleTime is how long a job of which nothing runs is held back for foreseen urgent work;
+	// operators count it as lost after 3 s beside room for it.
+	maxIdleTime = 1500 * time.Millisecond
+	// minLongTaskFraction is the part of the capacity that long tasks may use whatever urgent demand
+	// is foreseen, so that they never starve.
+	minLongTaskFraction = 0.1
+	// minLateLongTaskFraction is the part of the capacity that long tasks may use that would otherwise
+	// miss their target.
+	minLateLongTaskFraction = 0.25
+	// longTaskFreeFraction is the part of the capacity up to which long tasks may always fill it; from
+	// half on a waiting job counts as lost.
+	longTaskFreeFraction = 0.6
 )
 
 // resources is an amount of processor time, in thousandths of a core, and of
@@ -24,7 +41,7 @@
 
 // at is the peak as it has decayed by now.
 func (p *demandPeak) at(now int64) resources {
-	decay := math.Exp(-float64(now-p.updatedAt) / float64(tuning.DemandPeakDecay.Milliseconds()))
+	decay := math.Exp(-float64(now-p.updatedAt) / float64(demandPeakDecay.Milliseconds()))
 	return resources{p.cpu * decay, p.memory * decay}
 }
 
@@ -118,12 +135,12 @@
 }
 
 // idleTooLong tells whether nothing of a job runs although its step has been ready for
-// tuning.MaxIdleTime. However much urgent demand is foreseen, such a job gets one task
+// maxIdleTime. However much urgent demand is foreseen, such a job gets one task
 // under way where there is room: by the operators' rules it must not stand still beside
 // room for it, however full the service is.
 func idleTooLong(store *state.Store, request *placementRequest) bool {
 	stepState := &request.instance.Steps[request.step]
-	if store.Clock-max(stepState.ReadyAt, stepState.LastAllocatedAt) < tuning.MaxIdleTime.Milliseconds() {
+	if store.Clock-max(stepState.ReadyAt, stepState.LastAllocatedAt) < maxIdleTime.Milliseconds() {
 		return false
 	}
 	for _, instance := range request.job.Instances {
@@ -152,9 +169,9 @@
 	}
 	schedulable, _ := store.SchedulableCapacity(kind.Service)
 	total := resources{float64(schedulable.MilliCPU), float64(schedulable.MemoryMB)}
-	minFraction := tuning.MinLongTaskFraction
+	minFraction := minLongTaskFraction
 	if request.slackMs < request.job.CriticalPathMs() {
-		minFraction = tuning.MinLateLongTaskFraction
+		minFraction = minLateLongTaskFraction
 	}
 	limit := resources{max(total.cpu-reserved.cpu, total.cpu*minFraction), max(total.memory-reserved.memory, total.memory*minFraction)}
 	// Whatever is foreseen, a job must not wait beside workers that are mostly
@@ -166,7 +183,7 @@
 			others.memory += usage.memory
 		}
 	}
-	limit.cpu = max(limit.cpu, total.cpu*tuning.LongTaskFreeFraction-others.cpu)
-	limit.memory = max(limit.memory, total.memory*tuning.LongTaskFreeFraction-others.memory)
+	limit.cpu = max(limit.cpu, total.cpu*longTaskFreeFraction-others.cpu)
+	limit.memory = max(limit.memory, total.memory*longTaskFreeFraction-others.memory)
 	return limit, true
 }
--- a/internal/scheduler/reservation_test.go
+++ b/internal/scheduler/reservation_test.go
@@ -5,12 +5,11 @@
 
 	"tealpond/internal/protocol"
 	"tealpond/internal/state"
-	"tealpond/internal/tuning"
 )
 
 // TestIdleJobGetsATaskDespiteForeseenDemand: long tasks of a low priority are held back
 // while much urgent work is foreseen, but no job of theirs stands still for longer than
-// tuning.MaxIdleTime beside room for it; its other tasks, and those of jobs that run
+// maxIdleTime beside room for it; its other tasks, and those of jobs that run
 // already, wait on.
 func TestIdleJobGetsATaskDespiteForeseenDemand(t *testing.T) {
 	for _, gang := range []bool{false, true} {
@@ -35,7 +34,7 @@
 		if n := c.runsOf(idle); n != 0 {
 			t.Fatalf("gang %v: %d tasks are placed at once, although urgent demand is foreseen", gang, n)
 		}
-		c.advance(tuning.MaxIdleTime.Milliseconds())
+		c.advance(maxIdleTime.Milliseconds())
 		foresee()
 		c.planAndBind(p)
 		want := 1
@@ -43,7 +42,7 @@
 			want = 5
 		}
 		if n := c.runsOf(idle); n != want {
-			t.Errorf("gang %v: %d tasks run after %v, want %d", gang, n, tuning.MaxIdleTime, want)
+			t.Errorf("gang %v: %d tasks run after %v, want %d", gang, n, maxIdleTime, want)
 		}
 		if n := c.runsOf(running); n != 20 {
 			t.Errorf("gang %v: %d tasks of the other job run", gang, n)
--- a/internal/scheduler/scoring.go
+++ b/internal/scheduler/scoring.go
@@ -2,10 +2,12 @@
 
 import (
 	"math"
-
-	"tealpond/internal/tuning"
 )
 
+// slowWorkerFactor is the slowdown from which tasks that would miss their target on a worker pass
+// it over.
+const slowWorkerFactor = 2.0
+
 // minNoticeableSlowdown is the slowdown up to which a worker counts as usual:
 // estimates are rough, and small differences are noise.
 const minNoticeableSlowdown = 1.5
@@ -76,7 +78,7 @@
 // target elsewhere, a little later, but not there. Copies always pass it over.
 func (s *snapshot) tooSlow(capacity *workerCapacity, query *taskQuery) bool {
 	factor := s.slowdown(capacity)
-	if factor < tuning.SlowWorkerFactor || s.planner == nil {
+	if factor < slowWorkerFactor || s.planner == nil {
 		return false
 	}
 	if query.speculative {
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -4,9 +4,12 @@
 	"sort"
 
 	"tealpond/internal/state"
-	"tealpond/internal/tuning"
 )
 
+// fullScanMaxWorkers is the number of workers of a service up to which all of them are scored for
+// each step.
+const fullScanMaxWorkers = 96
+
 // snapshot is the room on the workers that a plan has left. Workers are added when
 // the plan first looks at them, since it looks at all only where a service has few.
 type snapshot struct {
@@ -59,9 +62,9 @@
 }
 
 // fullScan gives all workers of a service, by ID, or false if there are more than
-// tuning.FullScanMaxWorkers and the snapshot isn't exhaustive.
+// fullScanMaxWorkers and the snapshot isn't exhaustive.
 func (s *snapshot) fullScan(service string) ([]*workerCapacity, bool) {
-	if _, n := s.store.SchedulableCapacity(service); n > tuning.FullScanMaxWorkers && !s.exhaustive {
+	if _, n := s.store.SchedulableCapacity(service); n > fullScanMaxWorkers && !s.exhaustive {
 		return nil, false
 	}
 	if s.byService[service] == nil {
--- a/internal/scheduler/straggler_queue.go
+++ b/internal/scheduler/straggler_queue.go
@@ -3,11 +3,14 @@
 import (
 	"container/heap"
 	"slices"
+	"time"
 
 	"tealpond/internal/state"
-	"tealpond/internal/tuning"
 )
 
+// minStragglerAge is the least age of a run that gets a copy.
+const minStragglerAge = 250 * time.Millisecond
+
 // stragglerQueue holds the runs that may get a copy, ordered by the time of their
 // next check, so that a plan looks only at those that are due.
 type stragglerQueue struct {
@@ -67,7 +70,7 @@
 		if job == nil || !job.Steps[allocation.Step].Speculative || job.IsGang(allocation.Step) {
 			continue
 		}
-		q.schedule(id, allocation.AllocatedAt+tuning.MinStragglerAge.Milliseconds())
+		q.schedule(id, allocation.AllocatedAt+minStragglerAge.Milliseconds())
 	}
 }
 
--- a/internal/scheduler/stragglers.go
+++ b/internal/scheduler/stragglers.go
@@ -2,9 +2,31 @@
 
 import (
 	"math"
+	"time"
 
 	"tealpond/internal/state"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// healthyWorkerDelayFactor is how many times as late a run on a healthy worker must be before it
+	// gets a copy.
+	healthyWorkerDelayFactor = 3.0
+	// minStragglerFactor is how many times its usual duration a run may take before it gets a copy,
+	// where its step allows that.
+	minStragglerFactor = 2.0
+	// initialStragglerFactor is the straggler factor of a route of which nothing was learnt, while
+	// only a rough estimate of the duration is known.
+	initialStragglerFactor = 4.0
+	// maxStragglerFactor is the upper bound of a route's learnt factor.
+	maxStragglerFactor = 12.0
+	// stragglerFraction is the part of a route's runs that are above its learnt straggler factor.
+	stragglerFraction = 0.03
+	// StragglerCheckInterval is the least time between two checks of a run that isn't about to be
+	// late.
+	StragglerCheckInterval = 80 * time.Millisecond
+	// minStragglerCheckInterval is the least time between two checks of a run that is about to be
+	// late.
+	minStragglerCheckInterval = 10 * time.Millisecond
 )
 
 // minEstimateRatio bounds Planner.EstimateRatio from below where it corrects
@@ -63,16 +85,16 @@
 	case paceHealthy:
 		// Runs take their usual time there, so this is a long task and no slow
 		// worker; a copy would take as long.
-		factor *= tuning.HealthyWorkerDelayFactor
+		factor *= healthyWorkerDelayFactor
 	case paceSlow:
-		factor = min(factor, tuning.MinStragglerFactor)
+		factor = min(factor, minStragglerFactor)
 	case paceUnknown:
 	}
 	ageMs := float64(store.Clock - allocation.AllocatedAt)
 	worker := store.Workers[allocation.Worker]
 	lost := worker == nil || !worker.Schedulable() && !worker.Draining || p.SilentWorkers[allocation.Worker] || allocation.Stopping
-	slow := p.Slowdown[allocation.Worker] > tuning.SlowWorkerFactor
-	overdue := ageMs > float64(tuning.MinStragglerAge.Milliseconds()) && (ageMs > factor*expectedMs || slow && ageMs < expectedMs)
+	slow := p.Slowdown[allocation.Worker] > slowWorkerFactor
+	overdue := ageMs > float64(minStragglerAge.Milliseconds()) && (ageMs > factor*expectedMs || slow && ageMs < expectedMs)
 	return lost || overdue, store.Clock + checkPause(ageMs, factor*expectedMs)
 }
 
@@ -95,9 +117,9 @@
 // way for long needs no check each moment, and one that is about to be overdue
 // needs it just then.
 func checkPause(ageMs, overdueMs float64) int64 {
-	pause := max(tuning.StragglerCheckInterval.Milliseconds(), int64(ageMs)/8)
+	pause := max(StragglerCheckInterval.Milliseconds(), int64(ageMs)/8)
 	if left := int64(overdueMs-ageMs) + 1; left > 0 {
-		pause = min(pause, max(left, tuning.MinStragglerCheckInterval.Milliseconds()))
+		pause = min(pause, max(left, minStragglerCheckInterval.Milliseconds()))
 	}
 	return pause
 }
@@ -131,18 +153,18 @@
 	p.stragglerFactors = learnFactor(p.stragglerFactors, job.Route, p.stragglerFactor(job.Route), tookMs/expectedMs)
 }
 
-// learnFactor follows the factor that tuning.StragglerFraction of a route's runs
+// learnFactor follows the factor that stragglerFraction of a route's runs
 // exceed: up by a small part where a run exceeded it, and down where not.
 func learnFactor(factors map[string]float64, route string, factor, ratio float64) map[string]float64 {
 	if ratio > factor {
-		factor *= 1 + tuning.StragglerLearningRate
+		factor *= 1 + stragglerLearningRate
 	} else {
-		factor *= 1 - tuning.StragglerLearningRate*tuning.StragglerFraction
+		factor *= 1 - stragglerLearningRate*stragglerFraction
 	}
 	if factors == nil {
 		factors = map[string]float64{}
 	}
-	factors[route] = min(max(factor, tuning.MinStragglerFactor), tuning.MaxStragglerFactor)
+	factors[route] = min(max(factor, minStragglerFactor), maxStragglerFactor)
 	return factors
 }
 
@@ -151,7 +173,7 @@
 	if factor := p.stragglerFactors[route]; factor > 0 {
 		return factor
 	}
-	return tuning.InitialStragglerFactor
+	return initialStragglerFactor
 }
 
 // siblingFactor is how many times as long as the other runs of its step a run of a
@@ -160,5 +182,5 @@
 	if factor := p.siblingFactors[route]; factor > 0 {
 		return factor
 	}
-	return tuning.MinStragglerFactor
+	return minStragglerFactor
 }
--- a/internal/scheduler/stragglers_test.go
+++ b/internal/scheduler/stragglers_test.go
@@ -4,7 +4,6 @@
 	"testing"
 
 	"tealpond/internal/protocol"
-	"tealpond/internal/tuning"
 )
 
 // TestRunOnASilentWorkerGetsACopy: a run on a worker that falls silent gets a copy
@@ -97,7 +96,7 @@
 // TestCheckPause: a young run is checked often, an old one by an eighth of its age,
 // and each at the moment from which it is overdue.
 func TestCheckPause(t *testing.T) {
-	interval := tuning.StragglerCheckInterval.Milliseconds()
+	interval := StragglerCheckInterval.Milliseconds()
 	for name, c := range map[string]struct {
 		ageMs, overdueMs float64
 		want             int64
@@ -105,7 +104,7 @@
 		"young":                  {0, 10000, interval},
 		"old":                    {8000, 100000, 1000},
 		"overdue soon":           {8000, 8499, 500},
-		"overdue in a moment":    {8000, 8001, tuning.MinStragglerCheckInterval.Milliseconds()},
+		"overdue in a moment":    {8000, 8001, minStragglerCheckInterval.Milliseconds()},
 		"overdue for some time":  {8000, 4000, 1000},
 		"young, overdue already": {10, 1, interval},
 	} {
--- a/internal/server/aggregation.go
+++ b/internal/server/aggregation.go
@@ -7,7 +7,15 @@
 	"tealpond/internal/aggregator"
 	"tealpond/internal/rpc"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// aggregatorRequestTimeout is how long an aggregator waits for the leader's response; it outlasts
+	// an election.
+	aggregatorRequestTimeout = 1500 * time.Millisecond
+	// aggregatorLeaderLossTimeout is how long an aggregator without a leader goes on collecting; it
+	// outlasts an election.
+	aggregatorLeaderLossTimeout = 1200 * time.Millisecond
 )
 
 // leaderResponse is the leader's response to one batch.
@@ -23,7 +31,7 @@
 	// It goes on through an election: agents have nowhere better to turn to, and
 	// the batch is sent as soon as a leader is known.
 	mayAggregate := r.node != nil && (r.node.IsVoter(r.self.ID) || r.isAppointed(r.self.ID))
-	return mayAggregate && len(r.leaveWaiters) == 0 && r.leaderlessFor(now) < tuning.AggregatorLeaderLossTimeout
+	return mayAggregate && len(r.leaveWaiters) == 0 && r.leaderlessFor(now) < aggregatorLeaderLossTimeout
 }
 
 // isAppointed tells whether a member is the aggregator or the standby of a zone.
@@ -97,7 +105,7 @@
 		request = rpc.Request{Kind: rpc.KindLeaseBatch, Body: transport.Encode(batch.Renewals)}
 	}
 	r.metrics.count("batch_"+request.Kind, 1)
-	callCtx, cancel := context.WithTimeout(ctx, tuning.AggregatorRequestTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, aggregatorRequestTimeout)
 	// Enqueued from the loop, so that batches reach the leader in order.
 	await := r.leaderClient.Enqueue(callCtx, request)
 	sender := r.aggregator
--- a/internal/server/aggregator_choice.go
+++ b/internal/server/aggregator_choice.go
@@ -7,9 +7,12 @@
 
 	"tealpond/internal/raft"
 	"tealpond/internal/state"
-	"tealpond/internal/tuning"
 )
 
+// aggregatorReturnDelay is how long a daemon in the zone itself must have been heard before it
+// replaces an aggregator outside the zone.
+const aggregatorReturnDelay = 3 * time.Second
+
 // aggregatorChoice is the choice of one zone's aggregator and its standby. It is
 // pure: its fields are all that it rests on.
 type aggregatorChoice struct {
@@ -90,5 +93,5 @@
 
 // justReturned tells whether a voter was silent a moment ago.
 func (c *aggregatorChoice) justReturned(id string) bool {
-	return c.now.Sub(c.heardSince[id]) < tuning.AggregatorReturnDelay
+	return c.now.Sub(c.heardSince[id]) < aggregatorReturnDelay
 }
--- a/internal/server/aggregator_choice_test.go
+++ b/internal/server/aggregator_choice_test.go
@@ -6,14 +6,13 @@
 
 	"tealpond/internal/raft"
 	"tealpond/internal/state"
-	"tealpond/internal/tuning"
 )
 
 // TestAggregatorChoice: voters "b" and "c" are in zone z, "d" and "e" in zone y.
 func TestAggregatorChoice(t *testing.T) {
 	zones := map[string]string{"node-b": "z", "node-c": "z", "node-d": "y", "node-e": "y"}
 	now := time.Unix(1000, 0)
-	long, moment := now.Add(-time.Hour), now.Add(-tuning.AggregatorReturnDelay/2)
+	long, moment := now.Add(-time.Hour), now.Add(-aggregatorReturnDelay/2)
 	appointed := func(member, standby string) state.ZoneAggregator {
 		aggregator := state.ZoneAggregator{Zone: "z", Member: member, Address: member, Standby: standby, StandbyAddress: standby, Revision: 7}
 		return aggregator
--- a/internal/server/announced_runners.go
+++ b/internal/server/announced_runners.go
@@ -7,7 +7,17 @@
 	"tealpond/internal/rpc"
 	"tealpond/internal/settings"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// announcedSilenceIntervals is how many intervals of heartbeats a runner that no platform lists
+	// may be silent before it is taken off the list.
+	announcedSilenceIntervals = 3
+	// announcedRunnersSlack is how much longer than one interval a new leader waits for heartbeats
+	// before it publishes a list.
+	announcedRunnersSlack = 500 * time.Millisecond
+	// minRunnerHeartbeatInterval is the interval of runners' heartbeats where the settings name none.
+	minRunnerHeartbeatInterval = 500 * time.Millisecond
 )
 
 // announcedRunners are the runners of gateways that no platform lists, as the leader hears
@@ -26,8 +36,8 @@
 	if r.announcedRunners == nil {
 		interval := r.heartbeatInterval()
 		r.announcedRunners = &announcedRunners{
-			list:      registry.NewAnnouncements(tuning.AnnouncedSilenceIntervals * interval),
-			publishAt: now.Add(interval + tuning.AnnouncedRunnersSlack),
+			list:      registry.NewAnnouncements(announcedSilenceIntervals * interval),
+			publishAt: now.Add(interval + announcedRunnersSlack),
 		}
 	}
 	return r.announcedRunners
@@ -35,7 +45,7 @@
 
 // heartbeatInterval is the time between two heartbeats of a runner.
 func (r *Replica) heartbeatInterval() time.Duration {
-	return max(time.Duration(r.settings.HeartbeatIntervalMs)*time.Millisecond, tuning.MinRunnerHeartbeatInterval)
+	return max(time.Duration(r.settings.HeartbeatIntervalMs)*time.Millisecond, minRunnerHeartbeatInterval)
 }
 
 // handleAnnounceRunner takes a runner's heartbeat or sign-off. The answer is given once the
--- a/internal/server/announcer.go
+++ b/internal/server/announcer.go
@@ -8,10 +8,9 @@
 	"tealpond/internal/raft"
 	"tealpond/internal/rpc"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
-// The announcer's turns are tuning.BootstrapAnnounceInterval apart.
+// The announcer's turns are bootstrap.AnnounceInterval apart.
 const (
 	// A voter introduces itself to the seeds and announces the first cluster each
 	// fourth turn, as seeds may start later than this server; after introduceOften
@@ -54,7 +53,7 @@
 // runAnnouncer announces this candidate to the seeds until it is a member, and then
 // the cluster that was bootstrapped. It ends with ctx.
 func (r *Replica) runAnnouncer(ctx context.Context) {
-	ticker := time.NewTicker(tuning.BootstrapAnnounceInterval)
+	ticker := time.NewTicker(bootstrap.AnnounceInterval)
 	defer ticker.Stop()
 	var announcer announcer
 	leader := ""
@@ -113,7 +112,7 @@
 		if often || round%introduceRarely == 0 {
 			r.leaderClient.Introduce(ctx, *r.seeds.Load())
 		}
-		justFormed := r.settings.FirstStart && round < tuning.BootstrapAnnounceRounds && round%announceEvery == 1
+		justFormed := r.settings.FirstStart && round < bootstrap.AnnounceRounds && round%announceEvery == 1
 		if justFormed || round%introduceRarely == 0 {
 			r.announceBootstrapped(ctx, current.announcement)
 		}
@@ -122,7 +121,7 @@
 		if round%askToJoin == 0 && len(current.announcement.BoundVoters) == 0 {
 			// The cluster may have been bootstrapped while this server was slow,
 			// and the seed may have forgotten it.
-			if r.requestJoin(ctx, current.announcement.Voter, tuning.DialTimeout) {
+			if r.requestJoin(ctx, current.announcement.Voter, transport.DialTimeout) {
 				r.post(ctx, loopEvent{bootstrapProposal: &rpc.BootstrapProposal{Voters: []raft.Member{{}}}})
 			}
 		}
@@ -166,7 +165,7 @@
 	if seed == "" {
 		return
 	}
-	response, err := rpc.Call(ctx, seed, rpc.KindBootstrap, transport.Encode(announcement), tuning.DialTimeout)
+	response, err := rpc.Call(ctx, seed, rpc.KindBootstrap, transport.Encode(announcement), transport.DialTimeout)
 	var proposal rpc.BootstrapProposal
 	if err != nil || transport.Decode(response.Body, &proposal) != nil {
 		return
@@ -184,7 +183,7 @@
 	for _, seed := range *r.seeds.Load() {
 		go func() {
 			// The error is dropped: the announcement is repeated in later turns.
-			_, _ = rpc.Call(ctx, seed, rpc.KindBootstrap, transport.Encode(announcement), tuning.DialTimeout)
+			_, _ = rpc.Call(ctx, seed, rpc.KindBootstrap, transport.Encode(announcement), transport.DialTimeout)
 		}()
 	}
 }
--- a/internal/server/apply.go
+++ b/internal/server/apply.go
@@ -7,9 +7,12 @@
 	"tealpond/internal/raft"
 	"tealpond/internal/state"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
+// groupCommitIntervalPerVoter is, for each other voter, the least time between two entries;
+// commands that arrive within it share an entry.
+const groupCommitIntervalPerVoter = time.Millisecond
+
 // pendingEntry holds the callers whose commands are in one entry of the log.
 type pendingEntry struct {
 	term    uint64
@@ -142,7 +145,7 @@
 	if len(r.commands) == 0 {
 		return 0
 	}
-	if wait := tuning.GroupCommitIntervalPerVoter*time.Duration(len(r.node.Voters())-1) - now.Sub(r.proposedAt); wait > 0 {
+	if wait := groupCommitIntervalPerVoter*time.Duration(len(r.node.Voters())-1) - now.Sub(r.proposedAt); wait > 0 {
 		return wait
 	}
 	r.proposedAt = now
--- a/internal/server/appointments.go
+++ b/internal/server/appointments.go
@@ -7,7 +7,15 @@
 
 	"tealpond/internal/raft"
 	"tealpond/internal/state"
-	"tealpond/internal/tuning"
+	"tealpond/internal/timing"
+)
+
+const (
+	// learnerAnnounceTimeout is how long a new leader leaves a zone to a learner that it has not heard
+	// of yet.
+	learnerAnnounceTimeout = 1500 * time.Millisecond
+	// shutdownReleasePeriod is how long a voter that may end counts as gone, though it is still heard.
+	shutdownReleasePeriod = 2 * time.Second
 )
 
 // appointments is what the leader knows of the servers that may aggregate for a
@@ -27,13 +35,13 @@
 // forgetPast removes what no longer counts of servers that are leaving or were released.
 func (a *appointments) forgetPast(now time.Time) {
 	maps.DeleteFunc(a.leavingUntil, func(_ string, until time.Time) bool { return now.After(until) })
-	maps.DeleteFunc(a.releasedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= tuning.ShutdownReleasePeriod })
+	maps.DeleteFunc(a.releasedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= shutdownReleasePeriod })
 }
 
 // canAggregate tells whether a server may aggregate for a zone now, and notes since
 // when it is heard.
 func (r *Replica) canAggregate(server raft.Member, now time.Time) bool {
-	heard := r.node.SilentFor(server.ID) < tuning.AggregatorSilenceTimeout
+	heard := r.node.SilentFor(server.ID) < aggregatorSilenceTimeout
 	leaving := !now.After(r.appointments.leavingUntil[server.ID])
 	ok := server.ID != r.self.ID && heard && !leaving
 	if !ok {
@@ -88,7 +96,7 @@
 		return false
 	}
 	_, announced := r.membership.candidates[current.Member]
-	return !announced && now.Sub(r.leadingSince) < tuning.LearnerAnnounceTimeout
+	return !announced && now.Sub(r.leadingSince) < learnerAnnounceTimeout
 }
 
 // zonesToServe are the zones that have an aggregator and, once in a while, those of
@@ -98,7 +106,7 @@
 	for zone := range r.state.Aggregators {
 		zones[zone] = true
 	}
-	if now.Sub(r.appointments.zonesListedAt) >= tuning.WorkerSilenceTimeout {
+	if now.Sub(r.appointments.zonesListedAt) >= timing.WorkerSilenceTimeout {
 		// Not each time, since it walks all workers.
 		r.appointments.zonesListedAt = now
 		for _, worker := range r.state.Workers {
--- a/internal/server/appointments_test.go
+++ b/internal/server/appointments_test.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"testing"
 	"time"
-
-	"tealpond/internal/tuning"
 )
 
 // TestLeavingServersAreForgotten: what is known of servers that left doesn't grow with restarts,
@@ -15,12 +13,12 @@
 	known, now := newAppointments(), time.Now()
 	for n := range restarts {
 		id := fmt.Sprint("disk-", n)
-		known.leavingUntil[id], known.releasedAt[id] = now.Add(tuning.ShutdownReleasePeriod), now
+		known.leavingUntil[id], known.releasedAt[id] = now.Add(shutdownReleasePeriod), now
 		known.forgetPast(now)
 		if known.leavingUntil[id].IsZero() || known.releasedAt[id].IsZero() {
 			t.Fatal("forgotten at once")
 		}
-		now = now.Add(tuning.ShutdownReleasePeriod + time.Millisecond)
+		now = now.Add(shutdownReleasePeriod + time.Millisecond)
 	}
 	known.forgetPast(now)
 	if len(known.leavingUntil)+len(known.releasedAt) > 0 {
--- a/internal/server/backlog.go
+++ b/internal/server/backlog.go
@@ -6,7 +6,19 @@
 	"tealpond/internal/protocol"
 	"tealpond/internal/rpc"
 	"tealpond/internal/state"
-	"tealpond/internal/tuning"
+	"tealpond/internal/timing"
+)
+
+const (
+	// maxBacklogPerCore is the work that may wait for each core of capacity; beyond it submitted jobs
+	// are refused.
+	maxBacklogPerCore = 60 * time.Second
+	// floodMemory is for how long after a refusal beyond its share a tenant's jobs within the share
+	// are refused as well where they would miss their targets.
+	floodMemory = 3 * time.Second
+	// minBacklogBeyondShare is the work for each core, or for each core of its tenant's quota, behind
+	// which a job beyond its tenant's share is accepted in any case.
+	minBacklogBeyondShare = 500 * time.Millisecond
 )
 
 // backlogWait is how long a job must wait before it may be submitted; 0 if it is accepted
@@ -14,7 +26,7 @@
 //   - if far more work waits than the workers can finish in good time;
 //   - beyond its tenant's share, if it would miss its target behind the work of all, or
 //     behind its own tenant's work under that tenant's quota;
-//   - within the share, for tuning.FloodMemory after that, if it would miss its target under
+//   - within the share, for floodMemory after that, if it would miss its target under
 //     the quota: accepted, it would only have the jobs behind it miss theirs too.
 //
 // So a flood of one tenant has none of the others refused, and leaves no queue behind.
@@ -24,7 +36,7 @@
 		return 0
 	}
 	r.measureBacklog(time.Now())
-	if wait := r.backlogOf(call, allPriorities, anyTenant).over(capacity.MilliCPU) - tuning.MaxBacklogPerCore; wait > 0 {
+	if wait := r.backlogOf(call, allPriorities, anyTenant).over(capacity.MilliCPU) - maxBacklogPerCore; wait > 0 {
 		return wait
 	}
 	quota := r.state.Quotas[call.tenant]
@@ -37,7 +49,7 @@
 		return 0
 	}
 	now := time.Now()
-	if !request.BeyondShare && now.Sub(r.floodedAt[call.tenant]) > tuning.FloodMemory {
+	if !request.BeyondShare && now.Sub(r.floodedAt[call.tenant]) > floodMemory {
 		return 0
 	}
 	wait := time.Duration(0)
@@ -47,7 +59,7 @@
 	if quota.MilliCPU > 0 {
 		wait = max(wait, r.backlogOf(call, call.route.Priority, ownTenant).over(quota.MilliCPU))
 	}
-	wait = max(wait-max(target, tuning.MinBacklogBeyondShare), 0)
+	wait = max(wait-max(target, minBacklogBeyondShare), 0)
 	if wait > 0 && request.BeyondShare {
 		r.noteFlood(call.tenant, now)
 	}
@@ -60,7 +72,7 @@
 		r.floodedAt = map[string]time.Time{}
 	}
 	for other, at := range r.floodedAt {
-		if now.Sub(at) > tuning.FloodMemory {
+		if now.Sub(at) > floodMemory {
 			delete(r.floodedAt, other)
 		}
 	}
@@ -74,7 +86,7 @@
 // measureBacklog sums up what waits, unless that was done a moment ago: it walks all open
 // jobs.
 func (r *Replica) measureBacklog(now time.Time) {
-	if now.Sub(r.backlogAt) >= tuning.HeartbeatInterval {
+	if now.Sub(r.backlogAt) >= timing.HeartbeatInterval {
 		r.backlog, r.backlogAt = r.state.Backlog(), now
 	}
 }
--- a/internal/server/backlog_test.go
+++ b/internal/server/backlog_test.go
@@ -11,8 +11,8 @@
 	"tealpond/internal/protocol"
 	"tealpond/internal/rpc"
 	"tealpond/internal/state"
+	"tealpond/internal/timing"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
 // TestFloodOfOneTenantHasNobodyElseRefused: a job beyond its tenant's share is refused,
@@ -23,7 +23,7 @@
 // workers have far too much to do.
 func TestFloodOfOneTenantHasNobodyElseRefused(t *testing.T) {
 	const cores = 10
-	hardLimit := int(tuning.MaxBacklogPerCore.Seconds()) * cores
+	hardLimit := int(maxBacklogPerCore.Seconds()) * cores
 	for _, c := range []struct {
 		name        string
 		waiting     int // tasks of a core-second each, submitted by tenant a
@@ -58,7 +58,7 @@
 				if response := h.call(rpc.KindSubmitJob, flood); response.Code != rpc.CodeOK {
 					t.Fatalf("%+v", response)
 				}
-				time.Sleep(tuning.HeartbeatInterval)
+				time.Sleep(timing.HeartbeatInterval)
 				if c.flooded {
 					h.replica.noteFlood("a", time.Now())
 				}
--- a/internal/server/cluster_time.go
+++ b/internal/server/cluster_time.go
@@ -2,15 +2,24 @@
 
 import (
 	"time"
+)
 
-	"tealpond/internal/tuning"
+const (
+	// clockStepTolerance is by how much a time of day may be off the estimate and still count as
+	// drift; it is above the error of a reading over the network.
+	clockStepTolerance = 100 * time.Millisecond
+	// clockStepHold is how long the members' readings must be off the cluster's wall clock, without a
+	// break and to the same side, before they are taken over.
+	clockStepHold = 10 * time.Second
+	// clockWindow is for how long a follower uses a reading of the leader's clock.
+	clockWindow = 5 * time.Second
 )
 
 // clusterTime is the wall clock of the cluster, as a process knows it on its own monotonic
 // clock. Followers learn it from the entries that they apply, so that one that becomes
 // leader goes on where the leader before it was. A leader holds it against the members'
 // times of day: small differences are slewed away, larger ones are taken over only once
-// they have lasted for tuning.ClockStepHold, and without any entry before, at once.
+// they have lasted for clockStepHold, and without any entry before, at once.
 type clusterTime struct {
 	origin  time.Time     // of the offsets
 	offset  time.Duration // of a leader: time since 1970 at the origin
@@ -64,7 +73,7 @@
 // follow holds the offset against that of the members.
 func (c *clusterTime) follow(now time.Time, target time.Duration) clockStep {
 	off := target - c.offset
-	if off <= tuning.ClockStepTolerance && off >= -tuning.ClockStepTolerance {
+	if off <= clockStepTolerance && off >= -clockStepTolerance {
 		c.offSince = time.Time{}
 		c.offset = slew(c.offset, target, now.Sub(c.readAt))
 		return clockStep{offBy: off}
@@ -73,7 +82,7 @@
 	if c.offSince.IsZero() || c.ahead != (off > 0) {
 		c.offSince, c.ahead, step.began = now, off > 0, true
 	}
-	if now.Sub(c.offSince) >= tuning.ClockStepHold {
+	if now.Sub(c.offSince) >= clockStepHold {
 		c.offset, c.offSince, step.adopted = target, time.Time{}, true
 	}
 	return step
@@ -91,7 +100,7 @@
 	switch {
 	case l.windows == 0:
 		l.windowAt, l.present, l.windows = now, offset, 1
-	case now.Sub(l.windowAt) >= tuning.ClockWindow:
+	case now.Sub(l.windowAt) >= clockWindow:
 		l.windowAt, l.earlier, l.present, l.windows = now, l.present, offset, 2
 	default:
 		l.present = max(l.present, offset)
--- a/internal/server/cluster_time_test.go
+++ b/internal/server/cluster_time_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 	"time"
-
-	"tealpond/internal/tuning"
 )
 
 // clockWorld is a cluster whose machines' times of day jump. It reads the leader's wall
@@ -128,7 +126,7 @@
 		w.elect(1)
 		_, early, late := w.play(5 * time.Second)
 		w.stepClocks(0, 3)
-		_, e, l := w.play(tuning.ClockStepHold + 5*time.Second)
+		_, e, l := w.play(clockStepHold + 5*time.Second)
 		if early = max(early, e); early > mostEarly {
 			t.Errorf("step %v: %v early", step, early)
 		}
@@ -155,7 +153,7 @@
 		t.Errorf("three of five wrong: %v ahead, want their time", early)
 	}
 	w.stepClocks(0, 3)
-	w.play(tuning.ClockStepHold + time.Second)
+	w.play(clockStepHold + time.Second)
 	if _, early, late := w.play(20 * time.Second); early > mostEarly || late > mostEarly {
 		t.Errorf("put right: %v early, %v late", early, late)
 	}
@@ -175,7 +173,7 @@
 		w.elect((i + 1) % 3)
 		w.play(time.Second)
 	}
-	w.play(tuning.ClockStepHold + time.Second)
+	w.play(clockStepHold + time.Second)
 	if _, early, _ := w.play(time.Second); early < 59*time.Second {
 		t.Errorf("the members' new time is ahead by %v only", early)
 	}
--- a/internal/server/connections.go
+++ b/internal/server/connections.go
@@ -8,9 +8,12 @@
 	"tealpond/internal/raft"
 	"tealpond/internal/rpc"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
+// voterConnectInterval is the time between two attempts of a server to open the streams to other
+// voters that it lacks.
+const voterConnectInterval = 100 * time.Millisecond
+
 // handleTransport takes a frame from a stream, or the end of the stream.
 func (r *Replica) handleTransport(ctx context.Context, event *transport.Event) {
 	if event.Closed {
@@ -140,7 +143,7 @@
 // nothing until it wants to be elected; its first request for votes would be lost
 // while streams are being opened, and with it a round of the election.
 func (r *Replica) connectVoters(ctx context.Context, now time.Time) {
-	if now.Sub(r.votersConnectedAt) < tuning.VoterConnectInterval {
+	if now.Sub(r.votersConnectedAt) < voterConnectInterval {
 		return
 	}
 	r.votersConnectedAt = now
--- a/internal/server/coordination.go
+++ b/internal/server/coordination.go
@@ -7,9 +7,11 @@
 	"tealpond/internal/rpc"
 	"tealpond/internal/state"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
+// defaultKeyHistory is for how long a watch may resume where the settings name no historyS.
+const defaultKeyHistory = time.Minute
+
 // The calls of applications. Each change goes through the log, and is answered once it is
 // applied. What the applied state refuses already is refused without an entry, where that
 // can't change any more for the call: the leader's lease shows that no other leader has
@@ -54,7 +56,7 @@
 // handlePutKey sets a key. Also what will be refused goes through the log: a copy of the
 // same put may be on its way, and must be refused then too.
 func (r *Replica) handlePutKey(request *coordination.Put, _ *transport.Stream, reply replyFunc) {
-	request.HistoryMs = r.settings.KeyHistory(tuning.DefaultKeyHistory).Milliseconds()
+	request.HistoryMs = r.settings.KeyHistory(defaultKeyHistory).Milliseconds()
 	r.enqueueCommand(state.CommandPutKey, (*state.PutKey)(request), outcomeReply(reply))
 }
 
--- a/internal/server/coordination_test.go
+++ b/internal/server/coordination_test.go
@@ -11,7 +11,6 @@
 	"tealpond/internal/raft"
 	"tealpond/internal/rpc"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
 func acquire(holder string) coordination.Acquire {
@@ -168,7 +167,7 @@
 		h.replica.becomeLeader(time.Now())
 		tables := h.replica.state.Coordination
 		group := tables.Groups["g."]
-		for i := range tuning.MaxCoordinationRows {
+		for i := range coordination.MaxRows {
 			name := fmt.Sprint("n", i)
 			tables.Locks[name] = coordination.Lock{Holder: "x", ExpiresAt: math.MaxInt64}
 			group.Keys["g."+name], group.Outcomes[name] = coordination.KeyValue{Revision: 1}, coordination.PutOutcome{At: math.MaxInt64}
--- a/internal/server/counts.go
+++ b/internal/server/counts.go
@@ -10,14 +10,13 @@
 	"tealpond/internal/rpc"
 	"tealpond/internal/state"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
 // newCounts makes the set of counts through which the daemons hear of each other's. It
 // is not part of the state: a new leader is told all of it again. Its name differs from
 // that of the daemon in the same process, which exchanges its counts like any other.
 func newCounts(processID string, window time.Duration, now time.Time) *counter.Set {
-	return counter.NewSet(processID+leaderSuffix, window, tuning.CountSlotWidth, now)
+	return counter.NewSet(processID+leaderSuffix, window, counter.SlotWidth, now)
 }
 
 // leaderSuffix tells a leader's set of counts from that of its daemon.
--- a/internal/server/digest_exchange.go
+++ b/internal/server/digest_exchange.go
@@ -7,7 +7,14 @@
 
 	"tealpond/internal/state"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// SnapshotInterval is the number of entries between two snapshots.
+	SnapshotInterval = 3000
+	// digestInterval is the number of entries between two digests that the replicas compare;
+	// SnapshotInterval is a multiple of it.
+	digestInterval = 250
 )
 
 // Replicas prove that they agree. At fixed log indexes each takes a digest of its
@@ -36,7 +43,7 @@
 
 // takeDigestIfDue takes the digest after an entry, if one is due at its index.
 func (r *Replica) takeDigestIfDue(ctx context.Context, index uint64) {
-	if index%tuning.DigestInterval == 0 && index%tuning.SnapshotInterval != 0 && r.state.DigestChainFrom > 0 {
+	if index%digestInterval == 0 && index%SnapshotInterval != 0 && r.state.DigestChainFrom > 0 {
 		r.recordDigest(ctx, index, r.state.DigestChain)
 	}
 }
--- a/internal/server/digest_tracker_test.go
+++ b/internal/server/digest_tracker_test.go
@@ -4,7 +4,6 @@
 	"testing"
 
 	"tealpond/internal/raft"
-	"tealpond/internal/tuning"
 )
 
 // TestDigestCount: replica "a" has digest 1; what the others report decides.
@@ -82,7 +81,7 @@
 
 // TestOldDigestsAreDropped: those further back than can be compared.
 func TestOldDigestsAreDropped(t *testing.T) {
-	const last = tuning.DigestsKept*tuning.DigestInterval + 1
+	const last = digestsKept*digestInterval + 1
 	d := newDigestTracker()
 	for index := uint64(1); index <= 2; index++ {
 		d.addOwn(index, 1)
--- a/internal/server/digests.go
+++ b/internal/server/digests.go
@@ -2,9 +2,12 @@
 
 import (
 	"tealpond/internal/raft"
-	"tealpond/internal/tuning"
 )
 
+// digestsKept is the number of the latest digests that reports and entries of the log may refer
+// to.
+const digestsKept = 40
+
 // digestTracker holds the digests of this replica and of others, by log index, and
 // compares them. It is pure: it knows nothing of the network or the log.
 type digestTracker struct {
@@ -128,7 +131,7 @@
 // deleteOld drops what belongs to an index that is too old to be compared.
 func deleteOld[T any](byIndex map[uint64]T, newest uint64) {
 	for index := range byIndex {
-		if index+tuning.DigestsKept*tuning.DigestInterval < newest {
+		if index+digestsKept*digestInterval < newest {
 			delete(byIndex, index)
 		}
 	}
--- a/internal/server/digests_test.go
+++ b/internal/server/digests_test.go
@@ -13,7 +13,6 @@
 	"tealpond/internal/state"
 	"tealpond/internal/storage"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
 // handleEvents takes what runs beside the loop has sent to it.
@@ -58,7 +57,7 @@
 // TestLeaderLogsDigestOfMajority: the leader puts the digest of the majority into the
 // log, and discards its own state if it is the one that differs.
 func TestLeaderLogsDigestOfMajority(t *testing.T) {
-	const at = tuning.DigestInterval
+	const at = digestInterval
 	for name, test := range map[string]struct {
 		b, c      uint64 // what the others report, against this one's digest
 		reports   int
@@ -132,7 +131,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t)
 		h.useDataDir(dir)
-		const at = tuning.DigestInterval
+		const at = digestInterval
 		h.follow(2, commandEntry(state.CommandSetLimits, &state.SetLimits{}))
 		for i := uint64(3); i <= at; i++ {
 			h.follow(i, appointmentEntry("z"))
@@ -196,28 +195,28 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t)
 		var entries []raft.Entry
-		for i := uint64(2); i <= tuning.SnapshotInterval+200; i++ {
+		for i := uint64(2); i <= SnapshotInterval+200; i++ {
 			zone := "z"
-			if i > tuning.SnapshotInterval {
+			if i > SnapshotInterval {
 				zone = "late"
 			}
 			entries = append(entries, raft.Entry{Index: i, Term: 3, Data: appointmentEntry(zone)})
 		}
-		h.receive(raft.Message{Kind: raft.MsgAppend, From: "b", Term: 3, Index: 1, Commit: tuning.SnapshotInterval + 200, Entries: entries})
+		h.receive(raft.Message{Kind: raft.MsgAppend, From: "b", Term: 3, Index: 1, Commit: SnapshotInterval + 200, Entries: entries})
 		h.endTurn()
 		h.endTurn()
-		if h.replica.state.AppliedIndex != tuning.SnapshotInterval+200 || !h.replica.encodingSnapshot {
+		if h.replica.state.AppliedIndex != SnapshotInterval+200 || !h.replica.encodingSnapshot {
 			t.Fatalf("at %d, encoding: %v", h.replica.state.AppliedIndex, h.replica.encodingSnapshot)
 		}
 		h.handleEvents()
 		writes := h.endTurn()
 		snapshot := h.replica.latestSnapshot
-		if snapshot == nil || snapshot.Index != tuning.SnapshotInterval ||
-			h.replica.digests.own[tuning.SnapshotInterval] != state.SnapshotDigest(snapshot.Data) {
+		if snapshot == nil || snapshot.Index != SnapshotInterval ||
+			h.replica.digests.own[SnapshotInterval] != state.SnapshotDigest(snapshot.Data) {
 			t.Fatalf("the snapshot: %v", snapshot)
 		}
 		store, err := state.DecodeSnapshot(snapshot.Data, state.Limits{})
-		if err != nil || store.BindSnapshotIndex(tuning.SnapshotInterval) != nil ||
+		if err != nil || store.BindSnapshotIndex(SnapshotInterval) != nil ||
 			store.Aggregators["z"].Revision != 1 || store.Aggregators["late"].Revision != 0 ||
 			h.replica.state.Aggregators["late"].Revision != 1 {
 			t.Errorf("it holds what came after it: %v", err)
@@ -226,11 +225,11 @@
 			t.Errorf("the storage was given %v", writes)
 		}
 
-		stale := &encodedSnapshot{h.replica.node, &raft.Snapshot{Index: tuning.SnapshotInterval * 2, Data: []byte{1}}, 1}
-		h.receive(raft.Message{Kind: raft.MsgSnapshot, From: "b", Term: 3, Snapshot: snapshotOf(t, tuning.SnapshotInterval*3, "y")})
+		stale := &encodedSnapshot{h.replica.node, &raft.Snapshot{Index: SnapshotInterval * 2, Data: []byte{1}}, 1}
+		h.receive(raft.Message{Kind: raft.MsgSnapshot, From: "b", Term: 3, Snapshot: snapshotOf(t, SnapshotInterval*3, "y")})
 		h.endTurn()
 		h.replica.handleSnapshotEncoded(t.Context(), stale)
-		if h.replica.latestSnapshot.Index != tuning.SnapshotInterval*3 || len(h.replica.writeQueue) > 0 || len(h.replica.digests.own) > 0 {
+		if h.replica.latestSnapshot.Index != SnapshotInterval*3 || len(h.replica.writeQueue) > 0 || len(h.replica.digests.own) > 0 {
 			t.Error("a snapshot replaced a newer one")
 		}
 	})
--- a/internal/server/evacuations.go
+++ b/internal/server/evacuations.go
@@ -6,7 +6,15 @@
 	"tealpond/internal/rpc"
 	"tealpond/internal/state"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// defaultEvacuationTime is how soon after an order nothing is started in an evacuated zone, where
+	// the settings don't say.
+	defaultEvacuationTime = 5 * time.Second
+	// evacuationGraceShare is the part of the evacuation time in which runs that were placed before
+	// the order may still be started, so that gangs are not broken.
+	evacuationGraceShare = 0.4
 )
 
 // evacuationNotice is when this replica noticed the order in force about a zone.
@@ -62,7 +70,7 @@
 func (r *Replica) evacuationGrace() time.Duration {
 	bound := time.Duration(r.settings.Bounds.EvacuateMs) * time.Millisecond
 	if bound <= 0 {
-		bound = tuning.DefaultEvacuationTime
+		bound = defaultEvacuationTime
 	}
-	return time.Duration(tuning.EvacuationGraceShare * float64(bound))
+	return time.Duration(evacuationGraceShare * float64(bound))
 }
--- a/internal/server/harness_test.go
+++ b/internal/server/harness_test.go
@@ -7,15 +7,16 @@
 	"github.com/go-kit/log"
 
 	"tealpond/internal/aggregator"
+	"tealpond/internal/counter"
 	"tealpond/internal/daemon"
 	"tealpond/internal/raft"
 	"tealpond/internal/rpc"
 	"tealpond/internal/settings"
 	"tealpond/internal/state"
 	"tealpond/internal/storage"
+	"tealpond/internal/timing"
 	"tealpond/internal/tracing"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
 // harness is a replica without its loop, streams and storage: a test hands it
@@ -34,8 +35,8 @@
 	replica.log, replica.trace, replica.settings = log.NewNopLogger(), tracing.NewRing(16), settings.File{NodeName: "n-a"}
 	replica.self, replica.aggregator = testVoters[0], aggregator.New("a")
 	replica.events, replica.writeQueue = make(chan loopEvent, 64), make(chan storage.WriteRequest, 1024)
-	replica.leaseDuration = tuning.MaxLeaseDuration
-	replica.counts = newCounts("a", tuning.DefaultShareWindow, time.Now())
+	replica.leaseDuration = timing.MaxLeaseDuration
+	replica.counts = newCounts("a", counter.DefaultWindow, time.Now())
 	replica.storageOpened.Store(true)
 	replica.startNode(raft.Snapshot{Index: 1, Voters: testVoters})
 	return &harness{t: t, replica: replica}
@@ -73,7 +74,7 @@
 	h.t.Helper()
 	node := h.replica.node
 	for i := 0; i < 50 && !h.replica.leading; i++ {
-		time.Sleep(tuning.HeartbeatInterval)
+		time.Sleep(timing.HeartbeatInterval)
 		h.endTurn()
 		switch {
 		case node.IsLeader():
--- a/internal/server/identity.go
+++ b/internal/server/identity.go
@@ -10,9 +10,12 @@
 	"tealpond/internal/state"
 	"tealpond/internal/storage"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
+// identityRenewRetryInterval is the time between two attempts to open the storage under a new
+// identity.
+const identityRenewRetryInterval = time.Second
+
 // newIdentity is an empty storage with a new identity.
 type newIdentity struct {
 	storage   *storage.Store
@@ -70,7 +73,7 @@
 		}
 		_ = r.log.Log("level", "error", "event", "replica.reset_failed", "error", err)
 		select {
-		case <-time.After(tuning.IdentityRenewRetryInterval):
+		case <-time.After(identityRenewRetryInterval):
 		case <-ctx.Done():
 			return
 		}
@@ -81,7 +84,7 @@
 // candidate.
 func (r *Replica) adoptNewIdentity(ctx context.Context, identity *newIdentity) {
 	r.storage, r.persisted, r.self.ID = identity.storage, identity.persisted, identity.persisted.ID
-	r.writeQueue, r.writesInFlight = make(chan storage.WriteRequest, tuning.StorageQueueLength), 0
+	r.writeQueue, r.writesInFlight = make(chan storage.WriteRequest, storage.QueueLength), 0
 	r.aggregator = aggregator.New(r.self.ID)
 	r.lastSnapshotIndex, r.latestSnapshot, r.encodingSnapshot, r.planDue = 0, nil, false, false
 	_ = r.log.Log("level", "info", "event", "replica.rejoined", "disk", r.self.ID)
--- a/internal/server/job_status.go
+++ b/internal/server/job_status.go
@@ -5,9 +5,12 @@
 
 	"tealpond/internal/rpc"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
+// statusSettleWait is how long a status request for a job whose last runs are under way may wait
+// for completions that are listed but not committed.
+const statusSettleWait = 60 * time.Millisecond
+
 // statusWaiter is a status request that waits for a moment, so that a job's last
 // completions can be applied.
 type statusWaiter struct {
@@ -31,7 +34,7 @@
 		if r.state.Jobs[id].InFinalRuns() {
 			// Its last completions may be on their way through the log, and an
 			// older answer costs the client another poll.
-			r.statusWaiters[id] = append(r.statusWaiters[id], statusWaiter{reply, time.Now().Add(tuning.StatusSettleWait)})
+			r.statusWaiters[id] = append(r.statusWaiters[id], statusWaiter{reply, time.Now().Add(statusSettleWait)})
 			return
 		}
 		reply(rpc.Response{Code: rpc.CodeOK, Text: status})
--- a/internal/server/key_watches.go
+++ b/internal/server/key_watches.go
@@ -5,8 +5,8 @@
 
 	"tealpond/internal/coordination"
 	"tealpond/internal/rpc"
+	"tealpond/internal/timing"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
 // keyWatcher is a watch that is held until there is a put for it.
@@ -84,7 +84,7 @@
 		reply(newsResponse(news, err))
 		return
 	}
-	wait := min(time.Duration(watch.WaitMs)*time.Millisecond, tuning.MaxWatchWait)
+	wait := min(time.Duration(watch.WaitMs)*time.Millisecond, timing.MaxWatchWait)
 	r.keyWatchers.add(watch.Group, r.state.Coordination.Revision(watch.Group), keyWatcher{watch.After, reply, time.Now().Add(wait)})
 }
 
