--- a/internal/server/leader.go
+++ b/internal/server/leader.go
@@ -5,7 +5,14 @@
 
 	"tealpond/internal/scheduler"
 	"tealpond/internal/state"
-	"tealpond/internal/tuning"
+	"tealpond/internal/timing"
+)
+
+const (
+	// jobExpiryInterval is the time between two removals of expired jobs.
+	jobExpiryInterval = 10 * time.Second
+	// rollupInterval is the time between two rebuilds of the usage rollups from the bookings.
+	rollupInterval = 5 * time.Minute
 )
 
 // leaderWork does what a leader has to do at this time; it returns after how long
@@ -22,11 +29,11 @@
 	if !r.leading {
 		r.becomeLeader(now)
 	}
-	if now.Sub(r.periodicWorkAt) >= tuning.HeartbeatInterval {
+	if now.Sub(r.periodicWorkAt) >= timing.HeartbeatInterval {
 		r.periodicWorkAt = now
 		r.periodicWork(now)
 	}
-	wake := sooner(tuning.HeartbeatInterval, r.runDueTimers(now))
+	wake := sooner(timing.HeartbeatInterval, r.runDueTimers(now))
 	r.schedule(now)
 	return wake
 }
@@ -68,12 +75,12 @@
 // collectGarbage proposes the periodic clean-up of the state, with a rebuild of
 // the rollups when one is due.
 func (r *Replica) collectGarbage(now time.Time) {
-	if now.Sub(r.garbageCollectedAt) < tuning.JobExpiryInterval {
+	if now.Sub(r.garbageCollectedAt) < jobExpiryInterval {
 		return
 	}
 	r.garbageCollectedAt = now
 	r.expireMemberships(now)
-	rebuild := now.Sub(r.rollupsRebuiltAt) >= tuning.RollupInterval
+	rebuild := now.Sub(r.rollupsRebuiltAt) >= rollupInterval
 	if rebuild {
 		r.rollupsRebuiltAt = now
 	}
--- a/internal/server/leave.go
+++ b/internal/server/leave.go
@@ -5,8 +5,23 @@
 	"time"
 
 	"tealpond/internal/rpc"
+	"tealpond/internal/timing"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// shutdownWaitSlack is added to the wait for the other servers, where the event loop itself may be
+	// late.
+	shutdownWaitSlack = 200 * time.Millisecond
+	// shutdownPollInterval is the time between two requests for permission to end.
+	shutdownPollInterval = 50 * time.Millisecond
+	// shutdownRenewInterval is the time between two messages of a server that may end and still
+	// answers requests.
+	shutdownRenewInterval = 250 * time.Millisecond
+	// leadershipTransferTimeout is how long a leader that ends waits for another one to take over.
+	leadershipTransferTimeout = 300 * time.Millisecond
+	// shutdownExclusionPeriod is how long a daemon that announced its end is appointed to nothing.
+	shutdownExclusionPeriod = 5 * time.Second
 )
 
 const (
@@ -19,7 +34,7 @@
 
 // leaveTimeout is the longest that a server waits before it ends.
 func (r *Replica) leaveTimeout() time.Duration {
-	return max(tuning.LeadershipTransferTimeout, time.Duration(tuning.ShutdownWaitFraction*float64(r.settings.Grace())))
+	return max(leadershipTransferTimeout, time.Duration(timing.ShutdownWaitFraction*float64(r.settings.Grace())))
 }
 
 // Leave hands over leadership or aggregation before the process ends, and waits,
@@ -31,7 +46,7 @@
 	}
 	select {
 	case <-done:
-	case <-time.After(r.leaveTimeout() + tuning.ShutdownWaitSlack):
+	case <-time.After(r.leaveTimeout() + shutdownWaitSlack):
 	}
 }
 
@@ -75,7 +90,7 @@
 	if response.Code == rpc.CodeOK {
 		return 0
 	}
-	return max(tuning.ShutdownPollInterval, time.Duration(response.RetryAfterMs)*time.Millisecond)
+	return max(shutdownPollInterval, time.Duration(response.RetryAfterMs)*time.Millisecond)
 }
 
 // awaitRelease asks the leader until this server may end, or its time is over.
@@ -97,7 +112,7 @@
 // renewRelease tells the leader again and again that this server ends, until it has: its
 // requests may take much of the grace time, and another leader may know nothing of it.
 func (r *Replica) renewRelease(ctx context.Context) {
-	ticker := time.NewTicker(tuning.ShutdownRenewInterval)
+	ticker := time.NewTicker(shutdownRenewInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -105,7 +120,7 @@
 		case <-ctx.Done():
 			return
 		}
-		callCtx, cancel := context.WithTimeout(ctx, tuning.ShutdownReleasePeriod)
+		callCtx, cancel := context.WithTimeout(ctx, shutdownReleasePeriod)
 		r.release(callCtx)
 		cancel()
 	}
@@ -154,13 +169,13 @@
 		}
 		return
 	}
-	noTimeLeft := r.leaveDeadline.Sub(now) <= tuning.LeadershipTransferTimeout
+	noTimeLeft := r.leaveDeadline.Sub(now) <= leadershipTransferTimeout
 	if !noTimeLeft && r.node.LeaderReady() && r.reasonToStay(r.self.ID) != "" {
 		return
 	}
 	if r.node.TransferLeadership() {
 		r.transferringLeadership = true
-		r.transferDeadline = now.Add(tuning.LeadershipTransferTimeout)
+		r.transferDeadline = now.Add(leadershipTransferTimeout)
 	}
 }
 
@@ -169,7 +184,7 @@
 // codeStillNeeded until the others can do without the server.
 func (r *Replica) handleReleaseZones(request *rpc.ZoneRelease, _ *transport.Stream, reply replyFunc) {
 	now := time.Now()
-	r.appointments.leavingUntil[request.Disk] = now.Add(tuning.ShutdownExclusionPeriod)
+	r.appointments.leavingUntil[request.Disk] = now.Add(shutdownExclusionPeriod)
 	r.appointAggregators(now)
 	reason := r.reasonToStay(request.Disk)
 	for zone, aggregator := range r.state.Aggregators {
@@ -178,7 +193,7 @@
 		}
 	}
 	if reason != "" {
-		reply(rpc.Response{Code: codeStillNeeded, Text: reason, RetryAfterMs: tuning.ShutdownPollInterval.Milliseconds()})
+		reply(rpc.Response{Code: codeStillNeeded, Text: reason, RetryAfterMs: shutdownPollInterval.Milliseconds()})
 		return
 	}
 	r.appointments.releasedAt[request.Disk] = now
--- a/internal/server/leave_test.go
+++ b/internal/server/leave_test.go
@@ -7,7 +7,6 @@
 
 	"tealpond/internal/rpc"
 	"tealpond/internal/state"
-	"tealpond/internal/tuning"
 )
 
 // TestLeavingServerIsReleasedOnceTheOthersAreWell: while another voter lags the leader
@@ -16,7 +15,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := newLeader(t)
 		(&state.AppointAggregator{Aggregator: state.ZoneAggregator{Zone: "z", Member: "b"}}).Apply(h.replica.state)
-		if response := h.call(rpc.KindReleaseZones, rpc.ZoneRelease{Disk: "b"}); response.Code != codeStillNeeded || response.RetryAfterMs != tuning.ShutdownPollInterval.Milliseconds() || response.Text == "" {
+		if response := h.call(rpc.KindReleaseZones, rpc.ZoneRelease{Disk: "b"}); response.Code != codeStillNeeded || response.RetryAfterMs != shutdownPollInterval.Milliseconds() || response.Text == "" {
 			t.Errorf("while c is silent: %+v", response)
 		}
 		released := false
@@ -69,7 +68,7 @@
 		if !h.replica.transferringLeadership {
 			t.Fatal("it does not hand over")
 		}
-		time.Sleep(tuning.LeadershipTransferTimeout + time.Millisecond)
+		time.Sleep(leadershipTransferTimeout + time.Millisecond)
 		h.endTurn()
 		select {
 		case <-done:
--- a/internal/server/link_trial.go
+++ b/internal/server/link_trial.go
@@ -6,7 +6,20 @@
 
 	"tealpond/internal/raft"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// linkProbeShare is the time within which a leader sends as many bytes as the probes of a
+	// comparison have; minLinkPadding and maxLinkPadding bound the padding of each, in bytes.
+	linkProbeShare = 100 * time.Millisecond
+	minLinkPadding = 1 << 10
+	maxLinkPadding = 32 << 10
+	// minLatencyGain and minTransferRatio tell how much better the link of another voter must be for a
+	// handover.
+	minLatencyGain   = 20 * time.Millisecond
+	minTransferRatio = 4
+	// byteRateInterval is the time over which the rate of sent bytes is taken.
+	byteRateInterval = time.Second
 )
 
 // A leader whose link carries less than it has to send is heard late by all. Late answers alone
@@ -55,8 +68,8 @@
 
 // isClearlyBetter tells whether a link would serve a leader better than another one does.
 func (q linkQuality) isClearlyBetter(than linkQuality) bool {
-	return than.Latency >= 2*q.Latency+tuning.MinLatencyGain &&
-		than.Transfer >= tuning.MinTransferRatio*q.Transfer
+	return than.Latency >= 2*q.Latency+minLatencyGain &&
+		than.Transfer >= minTransferRatio*q.Transfer
 }
 
 // linkMeasurement is a replica's measurement of its own link.
@@ -93,16 +106,16 @@
 // linkPadding is the length of the padding with which a probe to each voter is as much as this
 // leader sends them in LinkProbeShare.
 func (r *Replica) linkPadding(now time.Time) int {
-	sent := r.sentBytes.perSecond(now) * tuning.LinkProbeShare.Seconds()
+	sent := r.sentBytes.perSecond(now) * linkProbeShare.Seconds()
 	perVoter := int(sent) / max(1, len(r.node.Voters())-1)
-	return min(max(perVoter, tuning.MinLinkPadding), tuning.MaxLinkPadding)
+	return min(max(perVoter, minLinkPadding), maxLinkPadding)
 }
 
 // measureLink begins to measure this replica's link, by order of the leader.
 func (r *Replica) measureLink(ctx context.Context, order linkProbe, now time.Time) {
 	r.linkMeasurement = linkMeasurement{
 		trial: order.Trial, leader: order.From,
-		paddingBytes: min(max(order.PaddingBytes, 0), tuning.MaxLinkPadding),
+		paddingBytes: min(max(order.PaddingBytes, 0), maxLinkPadding),
 	}
 	r.sendProbes(ctx, probeLatency, now)
 }
@@ -220,7 +233,7 @@
 
 // perSecond gives the rate, taken anew each ByteRateInterval.
 func (b *byteRate) perSecond(now time.Time) float64 {
-	if elapsed := now.Sub(b.started); elapsed >= tuning.ByteRateInterval {
+	if elapsed := now.Sub(b.started); elapsed >= byteRateInterval {
 		b.rate, b.bytes, b.started = float64(b.bytes)/elapsed.Seconds(), 0, now
 	}
 	return b.rate
--- a/internal/server/loop.go
+++ b/internal/server/loop.go
@@ -8,7 +8,15 @@
 	"tealpond/internal/rpc"
 	"tealpond/internal/storage"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// maxApplyDuration is how long a replica applies committed entries before it looks at its events
+	// again: a quarter of timing.HeartbeatInterval.
+	maxApplyDuration = 20 * time.Millisecond
+	// snapshotTrailingEntries is the number of entries before a snapshot that stay in the log, for
+	// voters that were away briefly.
+	snapshotTrailingEntries = 1000
 )
 
 const (
@@ -144,7 +152,7 @@
 		}
 		r.sendRaftMessages(ctx, write.Ready.MessagesAfterSync)
 		if write.LocalSnapshot != nil {
-			r.node.Compact(write.LocalSnapshot.Index - min(write.LocalSnapshot.Index, tuning.SnapshotTrailingEntries))
+			r.node.Compact(write.LocalSnapshot.Index - min(write.LocalSnapshot.Index, snapshotTrailingEntries))
 		}
 	}
 }
@@ -209,12 +217,12 @@
 }
 
 // drainNode carries out what the node has ready until nothing is left. A received
-// snapshot is installed before any entry is applied. After tuning.MaxApplyDuration the
+// snapshot is installed before any entry is applied. After maxApplyDuration the
 // rest of the committed entries is left for the next turn: a replica that has many to
 // apply after a restart would else send and hear no heartbeats for longer than an
 // election timeout, and lose the leadership that it has just won.
 func (r *Replica) drainNode(ctx context.Context) {
-	deadline := time.Now().Add(tuning.MaxApplyDuration)
+	deadline := time.Now().Add(maxApplyDuration)
 	r.applyBacklog = false
 	for {
 		ready := r.node.Ready()
--- a/internal/server/membership.go
+++ b/internal/server/membership.go
@@ -8,7 +8,21 @@
 
 	"tealpond/internal/raft"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// aggregatorSilenceTimeout is the silence of an aggregator's daemon after which its zone gets
+	// another one.
+	aggregatorSilenceTimeout = 600 * time.Millisecond
+	// voterReplacementTimeout is the silence of a voter after which a candidate that has caught up may
+	// take its place; it is above a restart and below catchUpS.
+	voterReplacementTimeout = 2500 * time.Millisecond
+	// candidateContactTimeout is the longest silence of a candidate that may still take a voter's
+	// place: a dozen heartbeats.
+	candidateContactTimeout = time.Second
+	// candidateExpiry is the silence after which a candidate is forgotten; it is above any pause
+	// between its announcements.
+	candidateExpiry = 10 * time.Second
 )
 
 // handleJoin registers a candidate: a server that wants to become a voter. Until it
@@ -49,7 +63,7 @@
 		switch {
 		case r.node.IsVoter(id):
 			delete(r.membership.candidates, id)
-		case r.node.SilentFor(id) > tuning.CandidateExpiry:
+		case r.node.SilentFor(id) > candidateExpiry:
 			delete(r.membership.candidates, id)
 			r.node.RemoveLearner(id)
 		default:
@@ -64,7 +78,7 @@
 // canTakePlace tells whether a candidate may become a voter now: it has caught up, so
 // that commits need not wait for it, and was heard lately.
 func (r *Replica) canTakePlace(candidate raft.Member) bool {
-	return r.node.CaughtUp(candidate.ID) && r.node.SilentFor(candidate.ID) <= tuning.CandidateContactTimeout
+	return r.node.CaughtUp(candidate.ID) && r.node.SilentFor(candidate.ID) <= candidateContactTimeout
 }
 
 // reconcileVoters puts a caught-up candidate in the place of a voter that is gone,
@@ -137,7 +151,7 @@
 			continue
 		}
 		last = i
-		if !r.node.CaughtUp(voter.ID) || r.node.SilentFor(voter.ID) > tuning.AggregatorSilenceTimeout || r.isLeaving(voter.ID, now) {
+		if !r.node.CaughtUp(voter.ID) || r.node.SilentFor(voter.ID) > aggregatorSilenceTimeout || r.isLeaving(voter.ID, now) {
 			if unwell >= 0 {
 				// With two that are unwell a smaller set may lack a majority.
 				return -1
@@ -146,7 +160,7 @@
 		}
 	}
 	if unwell >= 0 {
-		if r.node.SilentFor(voters[unwell].ID) <= tuning.VoterReplacementTimeout {
+		if r.node.SilentFor(voters[unwell].ID) <= voterReplacementTimeout {
 			return -1
 		}
 		return unwell
@@ -175,7 +189,7 @@
 	}
 	longest := -1
 	for i, voter := range voters {
-		if voter.ID == r.self.ID || r.node.SilentFor(voter.ID) <= tuning.VoterReplacementTimeout {
+		if voter.ID == r.self.ID || r.node.SilentFor(voter.ID) <= voterReplacementTimeout {
 			continue
 		}
 		if longest < 0 || r.node.SilentFor(voter.ID) > r.node.SilentFor(voters[longest].ID) {
@@ -204,11 +218,11 @@
 		return "a change of the voters is under way"
 	case !r.node.IsVoter(id):
 		return ""
-	case time.Since(r.leadingSince) < 2*tuning.ShutdownRenewInterval:
+	case time.Since(r.leadingSince) < 2*shutdownRenewInterval:
 		return "the leader is new and may not know yet who ends"
 	}
 	for _, candidate := range r.liveCandidates() {
-		if r.node.SilentFor(candidate.ID) <= tuning.CandidateContactTimeout {
+		if r.node.SilentFor(candidate.ID) <= candidateContactTimeout {
 			return "a candidate is about to take a place"
 		}
 	}
@@ -217,7 +231,7 @@
 		switch {
 		case voter.ID == id:
 			continue
-		case voter.ID != r.self.ID && (r.node.SilentFor(voter.ID) > tuning.AggregatorSilenceTimeout || !r.node.CaughtUp(voter.ID)):
+		case voter.ID != r.self.ID && (r.node.SilentFor(voter.ID) > aggregatorSilenceTimeout || !r.node.CaughtUp(voter.ID)):
 			return "another voter is silent or lags"
 		case r.isReleased(voter.ID, time.Now()):
 			ending++
@@ -236,7 +250,7 @@
 		return r.transferringLeadership
 	}
 	at, released := r.appointments.releasedAt[id]
-	return released && now.Sub(at) < tuning.ShutdownReleasePeriod
+	return released && now.Sub(at) < shutdownReleasePeriod
 }
 
 // logFaultyVoters logs voters that lost what they had acknowledged, once each.
--- a/internal/server/membership_leases.go
+++ b/internal/server/membership_leases.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"tealpond/internal/rpc"
+	"tealpond/internal/timing"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
 // memberLease is a daemon's membership lease, and when it was last renewed.
@@ -38,7 +38,7 @@
 // expireMemberships forgets the daemons that have not renewed their lease in time.
 func (r *Replica) expireMemberships(now time.Time) {
 	for key, lease := range r.memberLeases {
-		if now.Sub(lease.renewedAt) > tuning.MembershipLeaseDuration {
+		if now.Sub(lease.renewedAt) > timing.MembershipLeaseDuration {
 			delete(r.memberLeases, key)
 		}
 	}
--- a/internal/server/membership_test.go
+++ b/internal/server/membership_test.go
@@ -12,7 +12,7 @@
 	"tealpond/internal/raft"
 	"tealpond/internal/rpc"
 	"tealpond/internal/state"
-	"tealpond/internal/tuning"
+	"tealpond/internal/timing"
 )
 
 // cluster is a replica that leads as "a", with other members on a network and a
@@ -135,10 +135,10 @@
 	}{
 		{"nobody is gone", "node-d", func(c *cluster) {}, "[a b c]", "[a b c]"},
 		{"c is frozen for a moment", "node-d", func(c *cluster) { c.down["c"] = true }, "[a b c]", "[a b c]"},
-		{"c is silent", "node-d", func(c *cluster) { c.down["c"] = true; c.run(tuning.VoterReplacementTimeout) }, "[a b d a b c]", "[a b d]"},
+		{"c is silent", "node-d", func(c *cluster) { c.down["c"] = true; c.run(voterReplacementTimeout) }, "[a b d a b c]", "[a b d]"},
 		{"b came back with another identity", "node-b", func(c *cluster) { c.down["b"] = true }, "[a d c a b c]", "[a d c]"},
 		{"its own old identity first", "node-b", func(c *cluster) { c.down["b"] = true; c.replica.appointments.leavingUntil["c"] = c.now.Add(time.Hour) }, "[a d c a b c]", "[a d c]"},
-		{"c said that it leaves", "node-d", func(c *cluster) { c.replica.appointments.leavingUntil["c"] = c.now.Add(tuning.ShutdownExclusionPeriod) }, "[a b d a b c]", "[a b d]"},
+		{"c said that it leaves", "node-d", func(c *cluster) { c.replica.appointments.leavingUntil["c"] = c.now.Add(shutdownExclusionPeriod) }, "[a b d a b c]", "[a b d]"},
 		{"the leader leaves", "node-d", func(c *cluster) { c.replica.leaveWaiters = []chan struct{}{nil} }, "[d b c a b c]", "[d b c]"},
 	} {
 		c := newCluster(t)
@@ -158,7 +158,7 @@
 	}{
 		{"all are well", func(c *cluster) {}, ""},
 		{"a candidate catches up", func(c *cluster) { c.addCandidate("node-d"); c.replica.reconcileVoters(c.now) }, "a candidate is about to take a place"},
-		{"the other voter is silent", func(c *cluster) { c.down["c"] = true; c.run(tuning.ElectionTimeout + tuning.AggregatorSilenceTimeout) }, "another voter is silent or lags"},
+		{"the other voter is silent", func(c *cluster) { c.down["c"] = true; c.run(timing.ElectionTimeout + aggregatorSilenceTimeout) }, "another voter is silent or lags"},
 		{"a change is under way", func(c *cluster) {
 			c.addCandidate("node-c")
 			c.down["c"] = true
@@ -194,7 +194,7 @@
 		{"nobody else", []string{"a", "b", "c"}, nil, false, ""},
 		{"another of three", []string{"a", "b", "c"}, map[string]time.Duration{"c": 0}, false, "another voter is ending"},
 		{"it was asked before", []string{"a", "b", "c"}, map[string]time.Duration{"b": 0}, false, ""},
-		{"another that is back", []string{"a", "b", "c"}, map[string]time.Duration{"c": tuning.ShutdownReleasePeriod}, false, ""},
+		{"another that is back", []string{"a", "b", "c"}, map[string]time.Duration{"c": shutdownReleasePeriod}, false, ""},
 		{"the leader of three", []string{"a", "b", "c"}, nil, true, "another voter is ending"},
 		{"another of five", []string{"a", "b", "c", "d", "e"}, map[string]time.Duration{"c": 0}, false, ""},
 		{"two others of five", []string{"a", "b", "c", "d", "e"}, map[string]time.Duration{"c": 0, "d": 0}, false, "another voter is ending"},
@@ -220,7 +220,7 @@
 // voter that is silent, else the last one that does not lead; never one that may be
 // needed, and never one of the least number.
 func TestEvenNumberOfVotersDropsOne(t *testing.T) {
-	long := tuning.VoterReplacementTimeout + time.Second
+	long := voterReplacementTimeout + time.Second
 	for _, test := range []struct {
 		name  string
 		size  int
@@ -229,7 +229,7 @@
 	}{
 		{"all are well", 4, func(c *cluster) {}, "[a b c]"},
 		{"one is silent", 4, func(c *cluster) { c.down["b"] = true; c.run(long) }, "[a c d]"},
-		{"one is silent for a moment", 4, func(c *cluster) { c.down["b"] = true; c.run(tuning.AggregatorSilenceTimeout + tuning.ElectionTimeout) }, "[a b c d]"},
+		{"one is silent for a moment", 4, func(c *cluster) { c.down["b"] = true; c.run(aggregatorSilenceTimeout + timing.ElectionTimeout) }, "[a b c d]"},
 		{"an odd number", 3, func(c *cluster) { c.down["b"] = true; c.run(long) }, "[a b c]"},
 		{"two of six are silent", 6, func(c *cluster) { c.down["b"], c.down["c"] = true, true; c.run(long) }, "[a b c d e f]"},
 	} {
@@ -261,7 +261,7 @@
 		t.Fatalf("voters %s, learners %v", c.voterIDs(), c.replica.caughtUpLearners())
 	}
 	c.down["b"] = true
-	c.run(tuning.VoterReplacementTimeout + 100*time.Millisecond)
+	c.run(voterReplacementTimeout + 100*time.Millisecond)
 	c.replica.reconcileVoters(c.now)
 	c.run(time.Second)
 	if c.voterIDs() != "[a d c]" {
@@ -270,7 +270,7 @@
 	c.down["b"], c.down["c"] = false, true
 	c.replica.candidatesByID()["b"] = testVoter("node-b", "b")
 	c.replica.reconcileVoters(c.now)
-	c.run(tuning.VoterReplacementTimeout + 100*time.Millisecond)
+	c.run(voterReplacementTimeout + 100*time.Millisecond)
 	c.replica.reconcileVoters(c.now)
 	c.run(time.Second)
 	if c.voterIDs() != "[a d b]" {
@@ -291,7 +291,7 @@
 		want    bool
 	}{
 		{"a learner, not announced yet", served, 0, true},
-		{"a learner that does not announce itself", served, tuning.LearnerAnnounceTimeout, false},
+		{"a learner that does not announce itself", served, learnerAnnounceTimeout, false},
 		{"a voter", state.ZoneAggregator{Zone: "z", Member: "b"}, 0, false},
 		{"none", state.ZoneAggregator{Zone: "z"}, 0, false},
 	} {
@@ -325,7 +325,7 @@
 	c := newCluster(t)
 	for i := range 100 {
 		node := fmt.Sprint("node-", i)
-		renewedAt := c.now.Add(-tuning.MembershipLeaseDuration * 2)
+		renewedAt := c.now.Add(-timing.MembershipLeaseDuration * 2)
 		if i == 7 {
 			renewedAt = c.now
 		}
--- a/internal/server/replica.go
+++ b/internal/server/replica.go
@@ -21,9 +21,33 @@
 	"tealpond/internal/settings"
 	"tealpond/internal/state"
 	"tealpond/internal/storage"
+	"tealpond/internal/timing"
 	"tealpond/internal/tracing"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// leaseLossTimeout is how long a leader whose followers answer too late for a lease stays leader.
+	leaseLossTimeout = time.Second
+	// maxInflightEntries is the number of entries that may be in flight to one follower.
+	maxInflightEntries = 512
+	// maxAppendBytes is the largest size of one append, in bytes; a larger one would delay the
+	// heartbeat behind it.
+	maxAppendBytes = 256 << 10
+	// maxBulkBytes bounds the large appends in flight to all followers together, in bytes, while the
+	// rates of the links are not known.
+	maxBulkBytes = 128 << 10
+	// maxBulkDelay is for how long the large appends in flight may delay a heartbeat.
+	maxBulkDelay = 100 * time.Millisecond
+	// bulkTimeout is how long a large append that is not acknowledged delays others at most.
+	bulkTimeout = 400 * time.Millisecond
+	// maxCommittedEntries is the number of entries that a replica applies between two looks at the
+	// clock.
+	maxCommittedEntries = 16
+	// maxReplans is how often a plan that lost a placement is planned again within the same command.
+	maxReplans = 2
+	// jobRetentionMargin is added to the setting status_s before a completed job is forgotten.
+	jobRetentionMargin = 60 * time.Second
 )
 
 // Replica is one server's replica of the cluster's state. Its fields belong to its
@@ -152,8 +176,8 @@
 // stateLimits are the limits in this server's settings; a leader puts them into the log.
 func stateLimits(config settings.File) state.Limits {
 	return state.Limits{
-		JobRetentionMs: int64(config.Bounds.StatusS*msPerSecond) + tuning.JobRetentionMargin.Milliseconds(),
-		MaxReplans:     tuning.MaxReplans,
+		JobRetentionMs: int64(config.Bounds.StatusS*msPerSecond) + jobRetentionMargin.Milliseconds(),
+		MaxReplans:     maxReplans,
 		RemoteFactor:   config.Bounds.SpreadFactor,
 	}
 }
@@ -167,10 +191,10 @@
 	r.metrics = newLoopMetrics(env.Debug)
 	r.self = raft.Member{Node: env.Settings.NodeName, Addr: env.Settings.InternalAddress()}
 	r.events, r.ended = make(chan loopEvent, eventQueueLength), make(chan struct{})
-	r.writeQueue = make(chan storage.WriteRequest, tuning.StorageQueueLength)
+	r.writeQueue = make(chan storage.WriteRequest, storage.QueueLength)
 	r.leaderClient = leaderClient
-	r.counts = newCounts(env.ProcessID, env.Settings.ShareWindow(tuning.DefaultShareWindow), time.Now())
-	r.leaseDuration = env.Settings.LeaseDuration(tuning.MaxLeaseDuration)
+	r.counts = newCounts(env.ProcessID, env.Settings.ShareWindow(counter.DefaultWindow), time.Now())
+	r.leaseDuration = env.Settings.LeaseDuration(timing.MaxLeaseDuration)
 	r.SetSeeds(env.Settings.SeedAddresses())
 	r.bootstrap.MinVoters, r.bootstrap.Restarted = 2*env.Settings.Tolerance.LostMachines+1, !env.Settings.FirstStart
 	return r
@@ -210,18 +234,18 @@
 // raftConfig is the timing and the limits of a node.
 func raftConfig() raft.Config {
 	return raft.Config{
-		HeartbeatInterval:   tuning.HeartbeatInterval,
-		ElectionTimeout:     tuning.ElectionTimeout,
-		ElectionJitter:      tuning.ElectionTimeoutJitter,
-		CheckQuorumTimeout:  tuning.QuorumLossTimeout,
-		LeaseLossTimeout:    tuning.LeaseLossTimeout,
-		LeaseFraction:       tuning.LeaderLeaseFraction,
-		MaxInflightEntries:  tuning.MaxInflightEntries,
-		MaxAppendBytes:      tuning.MaxAppendBytes,
-		MaxBulkBytes:        tuning.MaxBulkBytes,
-		MaxBulkDelay:        tuning.MaxBulkDelay,
-		BulkTimeout:         tuning.BulkTimeout,
-		MaxCommittedEntries: tuning.MaxCommittedEntries,
+		HeartbeatInterval:   timing.HeartbeatInterval,
+		ElectionTimeout:     timing.ElectionTimeout,
+		ElectionJitter:      timing.ElectionTimeoutJitter,
+		CheckQuorumTimeout:  timing.QuorumLossTimeout,
+		LeaseLossTimeout:    leaseLossTimeout,
+		LeaseFraction:       timing.LeaderLeaseFraction,
+		MaxInflightEntries:  maxInflightEntries,
+		MaxAppendBytes:      maxAppendBytes,
+		MaxBulkBytes:        maxBulkBytes,
+		MaxBulkDelay:        maxBulkDelay,
+		BulkTimeout:         bulkTimeout,
+		MaxCommittedEntries: maxCommittedEntries,
 	}
 }
 
--- a/internal/server/requests_test.go
+++ b/internal/server/requests_test.go
@@ -11,8 +11,8 @@
 	"tealpond/internal/raft"
 	"tealpond/internal/rpc"
 	"tealpond/internal/state"
+	"tealpond/internal/timing"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
 // configure gives the cluster a configuration with one route, h.example/r/, of the
@@ -113,7 +113,7 @@
 			code   rpc.Code
 		}{{"its fence", "w", fence, rpc.CodeOK}, {"another fence", "w", fence + 1, rpc.CodeConflict}, {"another worker", "x", fence, rpc.CodeGone}} {
 			response := h.call(rpc.KindRenewLease, rpc.LeaseRenewal{Worker: step.worker, Fence: step.fence, RuntimePercent: 120})
-			if response.Code != step.code || (response.Value == tuning.MaxLeaseDuration.Milliseconds()) != (step.code == rpc.CodeOK) {
+			if response.Code != step.code || (response.Value == timing.MaxLeaseDuration.Milliseconds()) != (step.code == rpc.CodeOK) {
 				t.Errorf("%s: %+v", step.name, response)
 			}
 		}
@@ -214,7 +214,7 @@
 			t.Errorf("zone: %q", zone)
 		}
 		over := h.replica.memberLeases["n1/side"]
-		over.renewedAt = time.Now().Add(-tuning.MembershipLeaseDuration)
+		over.renewedAt = time.Now().Add(-timing.MembershipLeaseDuration)
 		h.replica.memberLeases["n1/side"] = over
 		if got := list(); got != "n1/edge n2/edge " {
 			t.Errorf("members after one is over: %s", got)
--- a/internal/server/round_trips.go
+++ b/internal/server/round_trips.go
@@ -3,8 +3,23 @@
 import (
 	"context"
 	"time"
+)
 
-	"tealpond/internal/tuning"
+const (
+	// maxLeaderRoundTrip is the smoothed round trip to a quorum above which a leader has the voters
+	// compare their links.
+	maxLeaderRoundTrip = 60 * time.Millisecond
+	// roundTripSampleInterval is the time between two samples of the round trip to a quorum,
+	// roundTripWeight the weight of each in the smoothed one.
+	roundTripSampleInterval = 40 * time.Millisecond
+	roundTripWeight         = 0.2
+	// lateRoundTripTimeout is how long a quorum answers a leader late before it hands over; a large
+	// configuration on its way is over by then.
+	lateRoundTripTimeout = time.Second
+	// linkTrialInterval is the time between two comparisons of the voters' links, and between an
+	// election and the first; a comparison takes linkTrialTimeout at most.
+	linkTrialInterval = 8 * time.Second
+	linkTrialTimeout  = 2 * time.Second
 )
 
 // watchRoundTrips has the voters compare their links while a quorum answers this leader late,
@@ -18,7 +33,7 @@
 		return
 	}
 	r.sentBytes.perSecond(now)
-	if now.Sub(trips.sampledAt) >= tuning.RoundTripSampleInterval {
+	if now.Sub(trips.sampledAt) >= roundTripSampleInterval {
 		trips.sample(now, r.node.QuorumRoundTrip())
 	}
 	if r.linkTrial.id != 0 {
@@ -29,7 +44,7 @@
 	if r.linkTrial.endedAt.After(lastTrial) {
 		lastTrial = r.linkTrial.endedAt
 	}
-	if trips.isLateFor(tuning.LateRoundTripTimeout/2, now) && now.Sub(lastTrial) >= tuning.LinkTrialInterval {
+	if trips.isLateFor(lateRoundTripTimeout/2, now) && now.Sub(lastTrial) >= linkTrialInterval {
 		r.startLinkTrial(ctx, now)
 	}
 }
@@ -40,10 +55,10 @@
 	trips := &r.roundTrips
 	begun := time.Unix(0, r.linkTrial.id)
 	better := ""
-	if trips.isLateFor(tuning.LateRoundTripTimeout, now) {
+	if trips.isLateFor(lateRoundTripTimeout, now) {
 		better = r.betterVoter(now)
 	}
-	if better == "" && !trips.lateSince.IsZero() && now.Sub(begun) < tuning.LinkTrialTimeout {
+	if better == "" && !trips.lateSince.IsZero() && now.Sub(begun) < linkTrialTimeout {
 		return
 	}
 	own := r.linkMeasurement.ownQuality(now)
@@ -67,11 +82,11 @@
 
 // sample takes a round trip into account.
 func (t *roundTrips) sample(now time.Time, roundTrip time.Duration) {
-	roundTrip = min(roundTrip, tuning.LateRoundTripTimeout) // there may be none yet
-	t.smoothed += time.Duration(tuning.RoundTripWeight * float64(roundTrip-t.smoothed))
+	roundTrip = min(roundTrip, lateRoundTripTimeout) // there may be none yet
+	t.smoothed += time.Duration(roundTripWeight * float64(roundTrip-t.smoothed))
 	t.sampledAt = now
 	switch {
-	case t.smoothed <= tuning.MaxLeaderRoundTrip:
+	case t.smoothed <= maxLeaderRoundTrip:
 		t.lateSince = time.Time{}
 	case t.lateSince.IsZero():
 		t.lateSince = now
--- a/internal/server/round_trips_test.go
+++ b/internal/server/round_trips_test.go
@@ -4,8 +4,6 @@
 	"testing"
 	"testing/synctest"
 	"time"
-
-	"tealpond/internal/tuning"
 )
 
 // TestLeaderIsHeardLate: after a second of late answers, not for a large configuration that
@@ -16,18 +14,18 @@
 		roundTrip func(i int) time.Duration
 		want      bool
 	}{
-		"in time":             {func(int) time.Duration { return tuning.MaxLeaderRoundTrip }, false},
-		"late":                {func(int) time.Duration { return 2 * tuning.MaxLeaderRoundTrip }, true},
-		"late by turns":       {func(i int) time.Duration { return tuning.MaxLeaderRoundTrip * time.Duration(i%5) }, true},
-		"large, now and then": {func(i int) time.Duration { return tuning.MaxLeaderRoundTrip * time.Duration(4*(i/12%5/4)) }, false},
+		"in time":             {func(int) time.Duration { return maxLeaderRoundTrip }, false},
+		"late":                {func(int) time.Duration { return 2 * maxLeaderRoundTrip }, true},
+		"late by turns":       {func(i int) time.Duration { return maxLeaderRoundTrip * time.Duration(i%5) }, true},
+		"large, now and then": {func(i int) time.Duration { return maxLeaderRoundTrip * time.Duration(4*(i/12%5/4)) }, false},
 		"never answered":      {func(int) time.Duration { return 1 << 62 }, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			now, trips, late := time.Now(), roundTrips{}, false
 			for i := range samples {
-				now = now.Add(tuning.RoundTripSampleInterval)
+				now = now.Add(roundTripSampleInterval)
 				trips.sample(now, c.roundTrip(i))
-				late = late || trips.isLateFor(tuning.LateRoundTripTimeout, now)
+				late = late || trips.isLateFor(lateRoundTripTimeout, now)
 			}
 			if late != c.want {
 				t.Errorf("late: %v", late)
@@ -61,7 +59,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				h := newLeader(t)
 				now := time.Now()
-				h.replica.roundTrips = roundTrips{smoothed: 10 * tuning.MaxLeaderRoundTrip, sampledAt: now, lateSince: now.Add(-c.late)}
+				h.replica.roundTrips = roundTrips{smoothed: 10 * maxLeaderRoundTrip, sampledAt: now, lateSince: now.Add(-c.late)}
 				h.replica.linkTrial = linkTrial{id: now.UnixNano(), reports: c.reports}
 				h.replica.linkMeasurement = linkMeasurement{kind: probeReport, quality: c.own}
 				if got := h.replica.betterVoter(now); c.late >= time.Second && got != c.want {
@@ -86,14 +84,14 @@
 		"in time":        {time.Minute, time.Minute, 0, false},
 		"just elected":   {time.Second, time.Minute, time.Second, false},
 		"just compared":  {time.Minute, time.Second, time.Second, false},
-		"compared early": {time.Minute, tuning.LinkTrialInterval, time.Second, true},
+		"compared early": {time.Minute, linkTrialInterval, time.Second, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				h := newLeader(t)
 				now := time.Now()
 				h.replica.leadingSince = now.Add(-c.leads)
-				h.replica.roundTrips = roundTrips{smoothed: 10 * tuning.MaxLeaderRoundTrip, sampledAt: now, lateSince: now.Add(-c.late)}
+				h.replica.roundTrips = roundTrips{smoothed: 10 * maxLeaderRoundTrip, sampledAt: now, lateSince: now.Add(-c.late)}
 				h.replica.linkTrial.endedAt = now.Add(-c.sinceTrial)
 				h.replica.watchRoundTrips(t.Context(), now)
 				if began := h.replica.linkTrial.id != 0; began != c.want {
--- a/internal/server/runners.go
+++ b/internal/server/runners.go
@@ -6,8 +6,17 @@
 
 	"tealpond/internal/registry"
 	"tealpond/internal/rpc"
+	"tealpond/internal/timing"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// runnerWatchWait is how long the leader holds a watch of the list of runners; it is below
+	// timing.RequestAttemptTimeout.
+	runnerWatchWait = 350 * time.Millisecond
+	// healthEntriesPerS bounds the entries of runners' health that the leader sends to all daemons
+	// together, a second.
+	healthEntriesPerS = 15_000
 )
 
 // runnerWatcher is a daemon's question for changes, held until there is one.
@@ -65,7 +74,7 @@
 		zones[list[i].Zone] = true
 	}
 	entries := len(r.positions) * len(list) / max(len(zones), 1)
-	return time.Duration(entries) * time.Second / tuning.HealthEntriesPerS
+	return time.Duration(entries) * time.Second / healthEntriesPerS
 }
 
 // handleWatchRunners tells a daemon what has changed in the list, or holds its question
@@ -73,7 +82,7 @@
 func (r *Replica) handleWatchRunners(watch *rpc.RunnerWatch, _ *transport.Stream, reply replyFunc) {
 	r.observations.Add(watch.Observations)
 	now := time.Now()
-	watcher := runnerWatcher{*watch, reply, now, now.Add(tuning.RunnerWatchWait)}
+	watcher := runnerWatcher{*watch, reply, now, now.Add(runnerWatchWait)}
 	if r.hasNewsFor(watch) {
 		r.replyWithRunners(&watcher, now)
 		return
@@ -137,10 +146,10 @@
 // membership lease. It isn't known to a leader that has not heard all of them yet.
 func (r *Replica) daemonPosition(node string) daemonPosition {
 	now := time.Now()
-	if !r.leading || now.Sub(r.leadingSince) < 2*tuning.MembershipRenewInterval {
+	if !r.leading || now.Sub(r.leadingSince) < 2*timing.MembershipRenewInterval {
 		return daemonPosition{}
 	}
-	if now.Sub(r.positionsAt) >= tuning.MembershipRenewInterval {
+	if now.Sub(r.positionsAt) >= timing.MembershipRenewInterval {
 		r.expireMemberships(now)
 		r.positions, r.positionsAt = positionsByZone(r.memberLeases), now
 	}
--- a/internal/server/runners_test.go
+++ b/internal/server/runners_test.go
@@ -10,7 +10,6 @@
 	"tealpond/internal/registry"
 	"tealpond/internal/rpc"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
 // publish gives the leader a list, as its own process does.
@@ -47,18 +46,18 @@
 		h := newLeader(t)
 		h.configure()
 		view := registry.NewView()
-		if _, took := h.watch(view, 7); took < tuning.RunnerWatchWait {
+		if _, took := h.watch(view, 7); took < runnerWatchWait {
 			t.Errorf("answered after %v, though no list is known", took)
 		}
 		h.publish(registry.Runner{ID: "a", Service: "s"}, registry.Runner{ID: "b", Service: "s"})
 		delta, took := h.watch(view, 7)
-		if view.Apply(delta); len(view.Runners()) != 2 || took >= tuning.RunnerWatchWait {
+		if view.Apply(delta); len(view.Runners()) != 2 || took >= runnerWatchWait {
 			t.Errorf("%+v after %v", delta, took)
 		}
-		if _, took = h.watch(view, 7); took < tuning.RunnerWatchWait {
+		if _, took = h.watch(view, 7); took < runnerWatchWait {
 			t.Errorf("answered after %v, though nothing is new", took)
 		}
-		if _, took = h.watch(view, 6); took >= tuning.RunnerWatchWait {
+		if _, took = h.watch(view, 6); took >= runnerWatchWait {
 			t.Errorf("answered after %v, though the configuration is new", took)
 		}
 		h.publish(registry.Runner{ID: "b", Service: "s", Draining: true})
--- a/internal/server/scheduling.go
+++ b/internal/server/scheduling.go
@@ -6,9 +6,12 @@
 
 	"tealpond/internal/scheduler"
 	"tealpond/internal/state"
-	"tealpond/internal/tuning"
+	"tealpond/internal/timing"
 )
 
+// preemptionInterval is the time between two preemptions, since stopping runs takes a moment.
+const preemptionInterval = 250 * time.Millisecond
+
 // minRuntimeReports is how many workers must have reported the length of their runs
 // before they are compared with each other.
 const minRuntimeReports = 3
@@ -35,7 +38,7 @@
 				r.notePlansApplied(known, known && outcome.Value == int64(len(plans)))
 			})
 	}
-	if now.Sub(r.preemptedAt) < tuning.PreemptionInterval {
+	if now.Sub(r.preemptedAt) < preemptionInterval {
 		return
 	}
 	if preempted := r.planner.Preemptions(r.state); len(preempted) > 0 {
@@ -59,7 +62,7 @@
 	}
 	r.refusedInARow++
 	if known && r.refusedInARow >= maxRefusedInARow {
-		r.planNotBefore = time.Now().Add(tuning.StragglerCheckInterval)
+		r.planNotBefore = time.Now().Add(scheduler.StragglerCheckInterval)
 	}
 }
 
@@ -80,7 +83,7 @@
 		if pace, ok := r.planner.Pace(id, r.state.Clock); ok {
 			slowdown[id] = pace
 		}
-		if now.Sub(lease.heardAt) > tuning.WorkerSilenceTimeout || lease.expiring {
+		if now.Sub(lease.heardAt) > timing.WorkerSilenceTimeout || lease.expiring {
 			silent[id] = true
 		}
 		if worker := r.state.Workers[id]; worker != nil && (worker.Unhealthy || worker.LeaseExpired) {
--- a/internal/server/scheduling_test.go
+++ b/internal/server/scheduling_test.go
@@ -5,7 +5,7 @@
 	"testing/synctest"
 	"time"
 
-	"tealpond/internal/tuning"
+	"tealpond/internal/scheduler"
 )
 
 // TestMedianRuntimePercent: workers that report nothing don't count, and two are too
@@ -47,7 +47,7 @@
 				h.replica.notePlansApplied(true, true)
 			}
 		}
-		if limit := int(time.Second/tuning.StragglerCheckInterval) + maxRefusedInARow; planned > limit || planned <= maxRefusedInARow {
+		if limit := int(time.Second/scheduler.StragglerCheckInterval) + maxRefusedInARow; planned > limit || planned <= maxRefusedInARow {
 			t.Errorf("planned %d times in a second, want at most %d", planned, limit)
 		}
 		h.replica.notePlansApplied(true, false)
--- a/internal/server/snapshot.go
+++ b/internal/server/snapshot.go
@@ -9,7 +9,6 @@
 	"tealpond/internal/state"
 	"tealpond/internal/storage"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
 // encodedSnapshot is a snapshot that was encoded outside the loop.
@@ -51,7 +50,7 @@
 // so that their digests can be compared. Only the copy is made on the loop: to encode
 // the state of a large cluster takes longer than followers wait for a heartbeat.
 func (r *Replica) takeSnapshotIfDue(ctx context.Context, index uint64) {
-	if index%tuning.SnapshotInterval != 0 || r.encodingSnapshot {
+	if index%SnapshotInterval != 0 || r.encodingSnapshot {
 		return
 	}
 	r.encodingSnapshot = true
--- a/internal/server/snapshot_exchange.go
+++ b/internal/server/snapshot_exchange.go
@@ -6,9 +6,11 @@
 
 	"tealpond/internal/raft"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
+// snapshotChunkRetryInterval is the time after which a chunk without an answer is sent again.
+const snapshotChunkRetryInterval = 700 * time.Millisecond
+
 // sendSnapshot begins to send a snapshot, or repeats a chunk that may be lost.
 func (r *Replica) sendSnapshot(ctx context.Context, message raft.Message) {
 	now := time.Now()
@@ -18,7 +20,7 @@
 		r.outgoingSnapshots[message.To] = sender
 	}
 	sender.message.SendStamp = message.SendStamp
-	if now.Sub(sender.sentAt) >= tuning.SnapshotChunkRetryInterval {
+	if now.Sub(sender.sentAt) >= snapshotChunkRetryInterval {
 		r.sendChunk(ctx, sender, now)
 	}
 }
@@ -57,7 +59,7 @@
 func (r *Replica) handleSnapshotChunk(ctx context.Context, body []byte, stream *transport.Stream) {
 	var chunk snapshotChunk
 	if transport.Decode(body, &chunk) != nil || chunk.Message.To != r.self.ID || chunk.Message.Snapshot == nil || r.node == nil ||
-		chunk.Total <= 0 || chunk.Total > tuning.MaxFrameBytes {
+		chunk.Total <= 0 || chunk.Total > transport.MaxFrameBytes {
 		return
 	}
 	from, snapshot := chunk.Message.From, chunk.Message.Snapshot
--- a/internal/server/snapshot_transfer.go
+++ b/internal/server/snapshot_transfer.go
@@ -4,7 +4,14 @@
 	"time"
 
 	"tealpond/internal/raft"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// snapshotChunkBytes is the size of a chunk of a snapshot, in bytes.
+	snapshotChunkBytes = 64 << 10
+	// snapshotTransferStallTimeout is the time without progress after which a transfer starts again
+	// from its first chunk.
+	snapshotTransferStallTimeout = 2 * time.Second
 )
 
 // A snapshot goes to a follower that lags in bounded chunks, one under way at a
@@ -68,14 +75,14 @@
 	if s.complete() {
 		return s.message.Snapshot.Index == message.Snapshot.Index
 	}
-	return now.Sub(s.progressedAt) < tuning.SnapshotTransferStallTimeout
+	return now.Sub(s.progressedAt) < snapshotTransferStallTimeout
 }
 
 // nextChunk is the chunk that the receiver lacks. Once all has arrived it is empty:
 // it makes the receiver acknowledge again, as the first acknowledgement may be lost.
 func (s *snapshotSender) nextChunk(now time.Time) snapshotChunk {
 	s.sentAt = now
-	end := min(s.acknowledged+tuning.SnapshotChunkBytes, len(s.data))
+	end := min(s.acknowledged+snapshotChunkBytes, len(s.data))
 	return snapshotChunk{Message: s.message, Total: len(s.data), Offset: s.acknowledged, Data: s.data[s.acknowledged:end]}
 }
 
--- a/internal/server/snapshot_transfer_test.go
+++ b/internal/server/snapshot_transfer_test.go
@@ -9,7 +9,6 @@
 
 	"tealpond/internal/raft"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
 // TestSnapshotTransferCompletesOverLossyLink: chunks and acknowledgements are lost
@@ -19,10 +18,10 @@
 		random := rand.New(rand.NewSource(seed))
 		sizes := []int{
 			1,
-			tuning.SnapshotChunkBytes - 1,
-			tuning.SnapshotChunkBytes,
-			tuning.SnapshotChunkBytes + 1,
-			5*tuning.SnapshotChunkBytes + 7,
+			snapshotChunkBytes - 1,
+			snapshotChunkBytes,
+			snapshotChunkBytes + 1,
+			5*snapshotChunkBytes + 7,
 		}
 		data := make([]byte, sizes[random.Intn(len(sizes))])
 		random.Read(data)
@@ -47,7 +46,7 @@
 			t.Fatal("it serves another leader's, or a newer snapshot")
 		}
 		// The receiver was restarted, without it.
-		if sender.acknowledge(snapshotAck{"b", "a", 9, 0}, now); !sender.serves(again, now) || sender.serves(again, now.Add(tuning.SnapshotTransferStallTimeout)) {
+		if sender.acknowledge(snapshotAck{"b", "a", 9, 0}, now); !sender.serves(again, now) || sender.serves(again, now.Add(snapshotTransferStallTimeout)) {
 			t.Fatal("a transfer that gets on is begun anew, or one that does not isn't")
 		}
 	}
@@ -65,9 +64,9 @@
 		if step > 10000 {
 			t.Fatalf("seed %d: it does not arrive", seed)
 		}
-		now = now.Add(tuning.SnapshotChunkRetryInterval)
+		now = now.Add(snapshotChunkRetryInterval)
 		chunk := sender.nextChunk(now)
-		if len(chunk.Data) > tuning.SnapshotChunkBytes {
+		if len(chunk.Data) > snapshotChunkBytes {
 			t.Fatalf("a chunk of %d bytes", len(chunk.Data))
 		}
 		if random.Intn(5) == 0 {
--- a/internal/server/state_tables.go
+++ b/internal/server/state_tables.go
@@ -7,12 +7,11 @@
 	"tealpond/internal/rpc"
 	"tealpond/internal/state"
 	"tealpond/internal/tally"
-	"tealpond/internal/tuning"
 )
 
 // The tables of the state as operators query them. The names of tables and columns
 // are part of that interface; some are older than the names in the code. Each table
-// is cut at tuning.MaxQueryRows.
+// is cut at rpc.MaxQueryRows.
 
 // newTable is an empty table.
 func newTable(name string, columns ...string) rpc.Table {
@@ -21,7 +20,7 @@
 
 // addRow adds a row, unless the table is full.
 func addRow(table *rpc.Table, row ...any) {
-	if len(table.Rows) >= tuning.MaxQueryRows {
+	if len(table.Rows) >= rpc.MaxQueryRows {
 		table.Truncated = true
 		return
 	}
--- a/internal/server/state_tables_test.go
+++ b/internal/server/state_tables_test.go
@@ -12,7 +12,6 @@
 	"tealpond/internal/rpc"
 	"tealpond/internal/state"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
 // TestClusterStateTables: the names of tables and columns are an interface, and each
@@ -101,13 +100,13 @@
 // TestTablesAreTruncated: a table holds only so many rows, and says so.
 func TestTablesAreTruncated(t *testing.T) {
 	table := newTable("t", "n")
-	for n := range tuning.MaxQueryRows {
+	for n := range rpc.MaxQueryRows {
 		addRow(&table, n)
 	}
-	if table.Truncated || len(table.Rows) != tuning.MaxQueryRows {
+	if table.Truncated || len(table.Rows) != rpc.MaxQueryRows {
 		t.Errorf("%d rows, truncated: %v", len(table.Rows), table.Truncated)
 	}
-	if addRow(&table, -1); !table.Truncated || len(table.Rows) != tuning.MaxQueryRows {
+	if addRow(&table, -1); !table.Truncated || len(table.Rows) != rpc.MaxQueryRows {
 		t.Errorf("%d rows, truncated: %v", len(table.Rows), table.Truncated)
 	}
 }
--- a/internal/server/storage_lag_test.go
+++ b/internal/server/storage_lag_test.go
@@ -7,7 +7,6 @@
 
 	"tealpond/internal/raft"
 	"tealpond/internal/state"
-	"tealpond/internal/tuning"
 )
 
 // TestLeaderWithStalledStorageTransfersLeadership: a leader whose storage syncs
@@ -19,7 +18,7 @@
 		for _, test := range []struct {
 			lag  time.Duration
 			want int
-		}{{0, 0}, {tuning.StorageStallTimeout - 1, 0}, {tuning.StorageStallTimeout, 1}, {tuning.StorageStallTimeout, 0}} {
+		}{{0, 0}, {storageStallTimeout - 1, 0}, {storageStallTimeout, 1}, {storageStallTimeout, 0}} {
 			replica.handleStorageLag(time.Now(), test.lag)
 			sent := 0
 			for _, message := range replica.node.Ready().Messages {
@@ -42,7 +41,7 @@
 		for _, test := range []struct {
 			writes int
 			taken  bool
-		}{{tuning.MaxPendingStorageWrites - 1, true}, {tuning.MaxPendingStorageWrites, false}} {
+		}{{maxPendingStorageWrites - 1, true}, {maxPendingStorageWrites, false}} {
 			replica.writesInFlight = test.writes
 			last, answered := replica.node.LastIndex(), false
 			replica.commands, replica.replies = []state.EncodedCommand{{}}, []commandReply{func(_ state.Outcome, known bool) { answered = !known }}
--- a/internal/server/storage_open.go
+++ b/internal/server/storage_open.go
@@ -7,7 +7,6 @@
 	"tealpond/internal/aggregator"
 	"tealpond/internal/state"
 	"tealpond/internal/storage"
-	"tealpond/internal/tuning"
 )
 
 // openedStorage is the opened storage, what it holds, and the state of its snapshot.
@@ -52,7 +51,7 @@
 		case <-ctx.Done():
 			r.closeStorage(opened)
 			return
-		case <-time.After(tuning.StorageWarningInterval):
+		case <-time.After(storage.WarningInterval):
 		}
 		store, err = state.DecodeSnapshot(persisted.Snapshot.Data, state.Limits{})
 	}
--- a/internal/server/tallies.go
+++ b/internal/server/tallies.go
@@ -12,7 +12,36 @@
 	"tealpond/internal/storage"
 	"tealpond/internal/tally"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// tallyPeerTimeout is the silence of a replica after which it counts as cut off; two exchanges
+	// were lost by then.
+	tallyPeerTimeout = 1200 * time.Millisecond
+	// tallyAnswerTimeout is how long a replica may take to answer that it was sent an add.
+	tallyAnswerTimeout = 400 * time.Millisecond
+	// tallyExchangeInterval is the time between two exchanges with each replica; two of them fit into
+	// mergeMs.
+	tallyExchangeInterval = 500 * time.Millisecond
+	// tallyRepeatInterval is the time after which a replica is sent adds again that are not on its
+	// disk.
+	tallyRepeatInterval = 250 * time.Millisecond
+	// tallyStartupTimeout is for how long a replica that has just started answers no reads while it
+	// doesn't know whether it lacks what it acknowledged.
+	tallyStartupTimeout = 1500 * time.Millisecond
+	// tallyGuestTimeout is the silence after which a replica that is no voter is forgotten.
+	tallyGuestTimeout = 20 * time.Second
+	// tallyDiskShare is the share of a server's disk that the file of the tallies may take.
+	tallyDiskShare = 0.25
+	// tallyMemoryShare is the size of the file of the tallies as a share of the process's memory at
+	// most; adds take more in memory than in the file.
+	tallyMemoryShare = 0.125
+	// tallyWarningShare is how full the file of the tallies is when that is logged first,
+	// tallyWarningStep by how much more it is when that is logged again.
+	tallyWarningShare = 0.8
+	tallyWarningStep  = 0.05
+	// maxTallyMessageAdds is the number of adds in one message, which then has about 30 KB.
+	maxTallyMessageAdds = 500
 )
 
 // Tallies go on at each side of a partition: they need no leader, and are in no log. This
@@ -59,7 +88,7 @@
 		}
 		_ = r.log.Log("level", "error", "event", "tallies.open_failed", "dir", r.settings.DataDir, "error", err)
 		select {
-		case <-time.After(tuning.StorageWarningInterval):
+		case <-time.After(storage.WarningInterval):
 		case <-ctx.Done():
 		}
 	}
@@ -80,13 +109,13 @@
 	r.tallies.replica = tally.NewReplica(tally.Config{
 		Origin:           recovered.Origin,
 		Copies:           r.settings.Tolerance.LostMachines + 1,
-		PeerTimeout:      tuning.TallyPeerTimeout,
-		AnswerTimeout:    tuning.TallyAnswerTimeout,
-		ExchangeInterval: tuning.TallyExchangeInterval,
-		RepeatInterval:   tuning.TallyRepeatInterval,
-		StartupTimeout:   tuning.TallyStartupTimeout,
+		PeerTimeout:      tallyPeerTimeout,
+		AnswerTimeout:    tallyAnswerTimeout,
+		ExchangeInterval: tallyExchangeInterval,
+		RepeatInterval:   tallyRepeatInterval,
+		StartupTimeout:   tallyStartupTimeout,
 		MaxBytes:         maxTallyBytes(r.settings.Limits),
-		MaxMessageAdds:   tuning.MaxTallyMessageAdds,
+		MaxMessageAdds:   maxTallyMessageAdds,
 	}, recovered.Runs, recovered.Bytes, time.Now())
 	r.tallies.writes = make(chan []tally.Run, 1)
 	go r.writeTallies(ctx, opened.file, r.tallies.writes)
@@ -95,9 +124,9 @@
 // maxTallyBytes bounds the file of the tallies, in bytes: by the disk, and by the memory that
 // its adds take while the process runs.
 func maxTallyBytes(limits settings.Limits) int64 {
-	bound := float64(limits.MemoryMb) * tuning.TallyMemoryShare
+	bound := float64(limits.MemoryMb) * tallyMemoryShare
 	if limits.DiskMb > 0 {
-		bound = min(bound, float64(limits.DiskMb)*tuning.TallyDiskShare)
+		bound = min(bound, float64(limits.DiskMb)*tallyDiskShare)
 	}
 	return int64(bound * bytesPerMB)
 }
@@ -112,7 +141,7 @@
 			size, err := file.Append(runs)
 			for err != nil && ctx.Err() == nil {
 				select {
-				case <-time.After(tuning.StorageRetryBackoff):
+				case <-time.After(storage.RetryBackoff):
 				case <-ctx.Done():
 				}
 				size, err = file.Append(runs)
@@ -134,7 +163,7 @@
 	r.tallies.replica.Written(written.fileBytes, time.Now())
 	r.tallies.changed = true
 	share := r.tallies.replica.FileShare()
-	if share < tuning.TallyWarningShare || share < r.tallies.filled+tuning.TallyWarningStep && r.tallies.filled > 0 {
+	if share < tallyWarningShare || share < r.tallies.filled+tallyWarningStep && r.tallies.filled > 0 {
 		return
 	}
 	r.tallies.filled = share
@@ -202,12 +231,12 @@
 
 // tickTallies has the replica look at the time and at who its peers are.
 func (r *Replica) tickTallies(now time.Time) {
-	r.tallies.tickAt = now.Add(tuning.TallyRepeatInterval / 2)
+	r.tallies.tickAt = now.Add(tallyRepeatInterval / 2)
 	maps.DeleteFunc(r.tallies.guests, func(id string, heardAt time.Time) bool {
-		return r.node.IsVoter(id) || now.Sub(heardAt) > tuning.TallyGuestTimeout
+		return r.node.IsVoter(id) || now.Sub(heardAt) > tallyGuestTimeout
 	})
 	r.tallies.replica.SetPeers(r.tallyPeers())
-	r.tallies.replica.Abandon(now.Add(-tuning.TallyRequestTimeout))
+	r.tallies.replica.Abandon(now.Add(-tally.RequestTimeout))
 	r.tallies.replica.Tick(now)
 	r.logTallyPeers(now)
 	r.logTallyDifferences()
@@ -226,7 +255,7 @@
 // adds that they may lack.
 func (r *Replica) logTallyPeers(now time.Time) {
 	for _, peer := range r.tallies.replica.Peers() {
-		silent := now.Sub(peer.HeardAt) > tuning.TallyPeerTimeout
+		silent := now.Sub(peer.HeardAt) > tallyPeerTimeout
 		switch {
 		case peer.HeardAt.IsZero() || silent == r.tallies.silent[peer.ID]:
 			continue
--- a/internal/server/tenants_test.go
+++ b/internal/server/tenants_test.go
@@ -12,7 +12,6 @@
 	"tealpond/internal/rpc"
 	"tealpond/internal/state"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
 const tenantJobID = "0123456789abcdef"
@@ -139,8 +138,8 @@
 			synctest.Test(t, func(t *testing.T) {
 				h := newLeader(t)
 				now := time.Now()
-				first := counter.NewSet(counting, tuning.DefaultShareWindow, tuning.CountSlotWidth, now)
-				second := counter.NewSet("d2", tuning.DefaultShareWindow, tuning.CountSlotWidth, now)
+				first := counter.NewSet(counting, counter.DefaultWindow, counter.SlotWidth, now)
+				second := counter.NewSet("d2", counter.DefaultWindow, counter.SlotWidth, now)
 				first.Add("a", 3, now)
 				for _, set := range []*counter.Set{first, second} {
 					response := h.call(kind, counter.NewExchange(set).Request(time.Now()))
--- a/internal/server/time_of_day.go
+++ b/internal/server/time_of_day.go
@@ -2,10 +2,12 @@
 
 import (
 	"time"
-
-	"tealpond/internal/tuning"
 )
 
+// clockSlewRate is how fast a clock follows a source that it isn't sure of, in seconds a second:
+// far above an oscillator's drift, and slow enough that a step that is taken back does no harm.
+const clockSlewRate = 0.005
+
 // timeOfDay reads the machine's time of day, freed of steps: it is read once and goes on
 // by the monotonic clock. A step ahead moves it only by slewing, and a step back is
 // followed for as long as it lasts, since a periodic run may be late but not early. A
@@ -29,9 +31,9 @@
 	return min(machine, t.offset+elapsed)
 }
 
-// slew moves an offset towards another by at most tuning.ClockSlewRate.
+// slew moves an offset towards another by at most clockSlewRate.
 func slew(from, to, elapsed time.Duration) time.Duration {
-	most := time.Duration(float64(max(elapsed, 0)) * tuning.ClockSlewRate)
+	most := time.Duration(float64(max(elapsed, 0)) * clockSlewRate)
 	return from + max(min(to-from, most), -most)
 }
 
--- a/internal/server/worker_leases.go
+++ b/internal/server/worker_leases.go
@@ -7,8 +7,8 @@
 
 	"tealpond/internal/rpc"
 	"tealpond/internal/state"
+	"tealpond/internal/timing"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
 // Reasons why a worker's lease is not renewed.
@@ -118,9 +118,9 @@
 // expireWorkerLeases ends the leases of workers that were not renewed for so long
 // that all their runs must be over: a runner ends its runs when the lease runs out by
 // its own clock. The timeout covers a clock that is slower by
-// tuning.LeaseClockDriftFactor, so that no task is started again while it may run.
+// timing.LeaseClockDriftFactor, so that no task is started again while it may run.
 func (r *Replica) expireWorkerLeases(now time.Time) {
-	timeout := time.Duration(float64(r.leaseDuration)*tuning.LeaseClockDriftFactor) + tuning.LeaseExpiryMargin
+	timeout := time.Duration(float64(r.leaseDuration)*timing.LeaseClockDriftFactor) + timing.LeaseExpiryMargin
 	var expired []state.FencedWorker
 	for id, lease := range r.leases {
 		worker := r.state.Workers[id]
--- a/internal/server/workers.go
+++ b/internal/server/workers.go
@@ -6,9 +6,12 @@
 
 	"tealpond/internal/state"
 	"tealpond/internal/transport"
-	"tealpond/internal/tuning"
 )
 
+// drainStopLead is added to the setting stopGraceMs: as long before a worker leaves, its runs are
+// stopped, so that their completions and checkpoints are listed in time.
+const drainStopLead = 350 * time.Millisecond
+
 // handleRegisterWorker registers a worker for an agent, under a new fencing token.
 func (r *Replica) handleRegisterWorker(request *state.RegisterWorker, _ *transport.Stream, reply replyFunc) {
 	r.enqueueCommand(state.CommandRegisterWorker, request, func(outcome state.Outcome, known bool) {
@@ -40,7 +43,7 @@
 // stopRunsOfLeavingWorkers stops what still runs on workers that are about to
 // leave: the runs would die there, and their checkpoints would be lost.
 func (r *Replica) stopRunsOfLeavingWorkers(now time.Time) {
-	leadTime := r.settings.Bounds.StopGraceMs + tuning.DrainStopLead.Milliseconds()
+	leadTime := r.settings.Bounds.StopGraceMs + drainStopLead.Milliseconds()
 	var ids []uint64
 	for _, worker := range r.state.Workers {
 		leaving := worker.Draining && worker.LeavesAt != 0 && r.clock(now) >= worker.LeavesAt-leadTime
--- a/internal/shutdown/machine.go
+++ b/internal/shutdown/machine.go
@@ -6,7 +6,17 @@
 import (
 	"time"
 
-	"tealpond/internal/tuning"
+	"tealpond/internal/timing"
+)
+
+const (
+	// refuseFraction is the part of graceS after which a draining daemon begins no request any more.
+	refuseFraction = 0.45
+	// answerFraction is the part of graceS within which requests are answered; the process must be
+	// gone before all of it is over.
+	answerFraction = 0.92
+	// cutFraction is the part of graceS that handlers have for a last answer after answerFraction.
+	cutFraction = 0.03
 )
 
 // Phase is a part of the end of a daemon.
@@ -38,10 +48,10 @@
 func TimesOf(grace, notice time.Duration) Times {
 	part := func(fraction float64) time.Duration { return time.Duration(fraction * float64(grace)) }
 	return Times{
-		Notice:  min(notice, part(tuning.ShutdownWaitFraction)),
-		Refuse:  part(tuning.ShutdownRefuseFraction),
-		Answers: part(tuning.ShutdownAnswerFraction),
-		Cut:     part(tuning.ShutdownCutFraction),
+		Notice:  min(notice, part(timing.ShutdownWaitFraction)),
+		Refuse:  part(refuseFraction),
+		Answers: part(answerFraction),
+		Cut:     part(cutFraction),
 	}
 }
 
--- a/internal/simulation/divergence_test.go
+++ b/internal/simulation/divergence_test.go
@@ -11,7 +11,7 @@
 	"tealpond/internal/raft"
 	"tealpond/internal/state"
 	"tealpond/internal/storage"
-	"tealpond/internal/tuning"
+	"tealpond/internal/timing"
 )
 
 // CorruptState changes a number in the stored state of a server that isn't running, as a
@@ -62,7 +62,7 @@
 		}
 		c.SetPartition(other, true, leader, name)
 		// The leader forgets that it heard the other, whose log stays behind besides.
-		time.Sleep(2 * tuning.ElectionTimeout)
+		time.Sleep(2 * timing.ElectionTimeout)
 		ended := make(chan struct{})
 		go func() {
 			defer close(ended)
--- a/internal/simulation/gateway_test.go
+++ b/internal/simulation/gateway_test.go
@@ -13,7 +13,7 @@
 
 	"tealpond/internal/admin"
 	"tealpond/internal/protocol"
-	"tealpond/internal/tuning"
+	"tealpond/internal/timing"
 )
 
 // gatewayConfiguration is a configuration for gateways, given its version.
@@ -300,7 +300,7 @@
 		for _, server := range c.Servers()[:2] {
 			c.Kill(server)
 		}
-		time.Sleep(2 * tuning.QuorumLossTimeout) // the third may have led
+		time.Sleep(2 * timing.QuorumLossTimeout) // the third may have led
 		if _, err := admin.FetchLeaderState(c.adminContext(), []string{c.nodeAddress(left, daemonPort)}); !errors.Is(err, admin.ErrUnreachable) {
 			t.Errorf("without a leader: %v", err)
 		}
--- a/internal/simulation/upgrade_write_test.go
+++ b/internal/simulation/upgrade_write_test.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"tealpond/internal/protocol"
-	"tealpond/internal/tuning"
+	"tealpond/internal/server"
 )
 
 // earlyJobs end, or are begun, before the snapshot of the data folders.
@@ -213,7 +213,7 @@
 	var calls sync.WaitGroup
 	for caller := range 16 {
 		calls.Go(func() {
-			for c.AppliedIndex(edges[caller%len(edges)]) < tuning.SnapshotInterval {
+			for c.AppliedIndex(edges[caller%len(edges)]) < server.SnapshotInterval {
 				c.request("DELETE", "http://"+c.NodeIP(edges[caller%len(edges)])+":8161/p/"+jobID(800000+caller), "h", "", map[string]string{protocol.HeaderTimeLeft: "2000", protocol.HeaderAuthorization: authorization(keyOf(unboundTenant))})
 			}
 		})
--- a/internal/state/crash_backoff.go
+++ b/internal/state/crash_backoff.go
@@ -2,14 +2,24 @@
 
 import (
 	"math"
+	"time"
+)
 
-	"tealpond/internal/tuning"
+const (
+	// crashBackoff is how long a runner that was lost a second time gets no work; it doubles at each
+	// further loss, up to maxCrashBackoff.
+	crashBackoff = 500 * time.Millisecond
+	// maxCrashBackoff is the longest crashBackoff; a job that waits for 3 s beside free room counts as
+	// lost.
+	maxCrashBackoff = 2500 * time.Millisecond
+	// crashCountHalfLife is the time in which half of a loss is forgotten.
+	crashCountHalfLife = 8 * time.Second
 )
 
 // CrashBackoff counts the recent crashes of a node's runner.
 type CrashBackoff struct {
 	_         struct{} `cbor:",toarray"`
-	Crashes   float64  // at UpdatedAt; halves with each tuning.CrashCountHalfLife
+	Crashes   float64  // at UpdatedAt; halves with each crashCountHalfLife
 	UpdatedAt int64
 }
 
@@ -23,10 +33,10 @@
 
 // recordCrash counts a crash of a node's runner. It returns for how many ms the
 // node's next worker gets no work: none after the first crash, then twice as
-// long with each, up to tuning.MaxCrashBackoff.
+// long with each, up to maxCrashBackoff.
 func (s *Store) recordCrash(node string) int64 {
 	backoff := s.CrashBackoffs[node]
-	decayed := backoff.Crashes * math.Exp2(-float64(s.Clock-backoff.UpdatedAt)/float64(tuning.CrashCountHalfLife.Milliseconds()))
+	decayed := backoff.Crashes * math.Exp2(-float64(s.Clock-backoff.UpdatedAt)/float64(crashCountHalfLife.Milliseconds()))
 	backoff = CrashBackoff{Crashes: decayed + 1, UpdatedAt: s.Clock}
 	if s.CrashBackoffs == nil {
 		s.CrashBackoffs = map[string]CrashBackoff{}
@@ -35,15 +45,15 @@
 	if backoff.Crashes < minBackoffCrashes {
 		return 0
 	}
-	backoffMs := float64(tuning.CrashBackoff.Milliseconds()) * math.Exp2(backoff.Crashes-2)
-	return int64(min(backoffMs, float64(tuning.MaxCrashBackoff.Milliseconds())))
+	backoffMs := float64(crashBackoff.Milliseconds()) * math.Exp2(backoff.Crashes-2)
+	return int64(min(backoffMs, float64(maxCrashBackoff.Milliseconds())))
 }
 
 // forgetOldCrashes removes the counts of nodes without a crash for
 // crashMemoryHalfLives.
 func (s *Store) forgetOldCrashes() {
 	for node, backoff := range s.CrashBackoffs {
-		if s.Clock-backoff.UpdatedAt > crashMemoryHalfLives*tuning.CrashCountHalfLife.Milliseconds() {
+		if s.Clock-backoff.UpdatedAt > crashMemoryHalfLives*crashCountHalfLife.Milliseconds() {
 			delete(s.CrashBackoffs, node)
 		}
 	}
--- a/internal/state/export_test.go
+++ b/internal/state/export_test.go
@@ -9,3 +9,6 @@
 	}
 	return names
 }
+
+// GoneWorkerRetention is goneWorkerRetention.
+const GoneWorkerRetention = goneWorkerRetention
--- a/internal/state/forget_unused.go
+++ b/internal/state/forget_unused.go
@@ -2,10 +2,13 @@
 
 import (
 	"maps"
-
-	"tealpond/internal/tuning"
+	"time"
 )
 
+// goneWorkerRetention is how long the row of a worker is kept that is dead, or announced its end
+// and left; late heartbeats are refused meanwhile.
+const goneWorkerRetention = 10 * time.Minute
+
 // ForgetUnused removes what nothing refers to any more: workers that are gone, rows of
 // earlier configurations, and records of demand that are too old. It is a command beside
 // CollectGarbage, which logs of earlier versions contain: what they do stays as it was.
@@ -22,7 +25,7 @@
 }
 
 // forgetGoneWorkers removes the rows of workers that have been gone for
-// tuning.GoneWorkerRetention: each restart of a runner leaves one. After that time a
+// goneWorkerRetention: each restart of a runner leaves one. After that time a
 // late heartbeat can't bring the worker back, since its agent asks the runner which
 // incarnation is the present one (RegisterWorker.ReplacesFence).
 func (s *Store) forgetGoneWorkers() {
@@ -42,7 +45,7 @@
 				s.GoneWorkers = map[string]int64{}
 			}
 			s.GoneWorkers[id] = s.Clock
-		case s.Clock-since >= tuning.GoneWorkerRetention.Milliseconds():
+		case s.Clock-since >= goneWorkerRetention.Milliseconds():
 			s.removeWorker(worker)
 		}
 	}
--- a/internal/state/forget_unused_test.go
+++ b/internal/state/forget_unused_test.go
@@ -6,11 +6,10 @@
 	"testing"
 
 	"tealpond/internal/protocol"
-	"tealpond/internal/tuning"
 )
 
 // retentionMs is how long the row of a worker that is gone is kept.
-var retentionMs = tuning.GoneWorkerRetention.Milliseconds()
+var retentionMs = goneWorkerRetention.Milliseconds()
 
 // TestGoneWorkersAreForgotten: the row of a worker that can't come back goes after the
 // retention, one that may come back stays, and so does one whose run isn't over.
--- a/internal/state/replica_test.go
+++ b/internal/state/replica_test.go
@@ -12,7 +12,6 @@
 
 	_ "tealpond/internal/scheduler" // replans within a command
 	"tealpond/internal/state"
-	"tealpond/internal/tuning"
 )
 
 var replicaSeeds = flag.Int("replica.seeds", 40, "sequences of commands that the replicas are compared over")
@@ -116,7 +115,7 @@
 	t.generator.store = t.replicas[0].store
 	t.clock += int64(t.generator.Intn(40))
 	if t.generator.Intn(100) == 0 {
-		t.clock += tuning.GoneWorkerRetention.Milliseconds() // a quiet time, after which rows are forgotten
+		t.clock += state.GoneWorkerRetention.Milliseconds() // a quiet time, after which rows are forgotten
 	}
 	t.wall += int64(t.generator.Intn(60) - 10)
 	entry := t.generator.entry(t.clock, t.wall, commands)
--- a/internal/state/report_completions.go
+++ b/internal/state/report_completions.go
@@ -3,11 +3,14 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 
 	"tealpond/internal/protocol"
-	"tealpond/internal/tuning"
 )
 
+// startRefusalExclusion is how long a worker that refused a start gets no new work.
+const startRefusalExclusion = 300 * time.Millisecond
+
 // ReportCompletions commits what a worker's agent read from the runner: runs
 // that ended, and checkpoints of runs that go on.
 //
@@ -90,7 +93,7 @@
 		fault = CompletionOfOpenRun + ": " + runName(completion)
 	}
 	if completion.Result == ResultRefused {
-		worker.BackoffUntil = s.Clock + tuning.StartRefusalExclusion.Milliseconds()
+		worker.BackoffUntil = s.Clock + startRefusalExclusion.Milliseconds()
 	}
 	s.endRun(allocation, completion.Result, completion.Checkpoint)
 	return fault
--- a/internal/state/snapshot_encoding.go
+++ b/internal/state/snapshot_encoding.go
@@ -4,8 +4,14 @@
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
+)
 
-	"tealpond/internal/tuning"
+const (
+	// maxSnapshotElements is the number of rows of one table in a snapshot, far above the planned
+	// cluster size.
+	maxSnapshotElements = 1 << 22
+	// maxSnapshotNesting is how deep a snapshot may be nested, in levels.
+	maxSnapshotNesting = 16
 )
 
 // snapshotEncoding is canonical: it sorts the keys of maps, so that equal
@@ -22,9 +28,9 @@
 // 131,072 rows, with which a state could be saved and never be loaded again.
 var snapshotDecoding = func() cbor.DecMode {
 	mode, err := cbor.DecOptions{
-		MaxArrayElements: tuning.MaxSnapshotElements,
-		MaxMapPairs:      tuning.MaxSnapshotElements,
-		MaxNestedLevels:  tuning.MaxSnapshotNesting,
+		MaxArrayElements: maxSnapshotElements,
+		MaxMapPairs:      maxSnapshotElements,
+		MaxNestedLevels:  maxSnapshotNesting,
 		IndefLength:      cbor.IndefLengthForbidden,
 	}.DecMode()
 	if err != nil {
--- a/internal/storage/checked_file.go
+++ b/internal/storage/checked_file.go
@@ -6,13 +6,15 @@
 	"io"
 	"os"
 	"path/filepath"
+	"time"
 
 	bolt "go.etcd.io/bbolt"
 	"golang.org/x/sys/unix"
-
-	"tealpond/internal/tuning"
 )
 
+// lockTimeout is how long one attempt to open the file waits for its lock.
+const lockTimeout = 100 * time.Millisecond
+
 // fileContent is what a file of this package holds. It is read anew with each attempt.
 type fileContent interface {
 	// read checks and reads a whole file without bbolt, and returns its newest meta page.
@@ -113,7 +115,7 @@
 		}
 	}()
 	db, err = bolt.Open(path, fileMode, &bolt.Options{
-		Timeout:        tuning.StorageLockTimeout,
+		Timeout:        lockTimeout,
 		NoFreelistSync: true,
 		FreelistType:   bolt.FreelistMapType,
 		OpenFile:       fs.openFile,
--- a/internal/storage/open_retry.go
+++ b/internal/storage/open_retry.go
@@ -4,8 +4,14 @@
 	"context"
 	"fmt"
 	"time"
+)
 
-	"tealpond/internal/tuning"
+const (
+	// maxStorageRetryBackoff is the longest pause before a failed operation of the storage is retried;
+	// it is well below catchUpS.
+	maxStorageRetryBackoff = 500 * time.Millisecond
+	// WarningInterval is the time between two log lines about a disk that keeps failing.
+	WarningInterval = time.Second
 )
 
 // OpenWithRetry is Open, repeated for as long as it fails, with a backoff that grows
@@ -26,7 +32,7 @@
 }
 
 func (fs fileSystem) openWithRetry(ctx context.Context, dir string, onWait func(error)) (*Store, Recovered, string, error) {
-	backoff := tuning.StorageRetryBackoff
+	backoff := RetryBackoff
 	setAsideReason := "" // of the last attempt that set a file aside
 	for {
 		results := make(chan openResult, 1)
@@ -49,13 +55,13 @@
 		if sleep(ctx, backoff); ctx.Err() != nil {
 			return nil, Recovered{}, setAsideReason, ctx.Err()
 		}
-		backoff = min(2*backoff, tuning.MaxStorageRetryBackoff)
+		backoff = min(2*backoff, maxStorageRetryBackoff)
 	}
 }
 
 // awaitOpen waits for one attempt. An attempt that outlives ctx closes what it opened.
 func awaitOpen(ctx context.Context, results chan openResult, onWait func(error)) (openResult, error) {
-	ticker := time.NewTicker(tuning.StorageWarningInterval)
+	ticker := time.NewTicker(WarningInterval)
 	defer ticker.Stop()
 	startedAt := time.Now()
 	for {
--- a/internal/storage/open_retry_test.go
+++ b/internal/storage/open_retry_test.go
@@ -8,8 +8,6 @@
 	"testing"
 	"testing/synctest"
 	"time"
-
-	"tealpond/internal/tuning"
 )
 
 func TestOpenWithRetryUntilDiskServes(t *testing.T) {
@@ -35,7 +33,7 @@
 		if err != nil || reason != "" || recovered.ID != id {
 			t.Fatalf("%v %q %+v", err, reason, recovered)
 		}
-		if reports < 19+2 || longestGap > tuning.StorageWarningInterval+tuning.MaxStorageRetryBackoff {
+		if reports < 19+2 || longestGap > WarningInterval+maxStorageRetryBackoff {
 			t.Errorf("reported %d times, once %v apart", reports, longestGap)
 		}
 		_ = store.Close()
--- a/internal/storage/snapshot.go
+++ b/internal/storage/snapshot.go
@@ -7,7 +7,15 @@
 	bolt "go.etcd.io/bbolt"
 
 	"tealpond/internal/raft"
-	"tealpond/internal/tuning"
+)
+
+const (
+	// snapshotFrameBytes is the size of a stored frame of a snapshot, in bytes; two of them, with the
+	// headers of bbolt, fill a whole number of pages.
+	snapshotFrameBytes = 64<<10 - 128
+	// snapshotFramesPerTransaction is the number of frames written in one transaction, for which log
+	// entries wait.
+	snapshotFramesPerTransaction = 16
 )
 
 // A snapshot is written in frames, in a bucket of its generation, which is a number
@@ -40,7 +48,7 @@
 	header := snapshotHeader{
 		Snapshot:   *snapshot,
 		Generation: generation,
-		FrameCount: (size + tuning.SnapshotFrameBytes - 1) / tuning.SnapshotFrameBytes,
+		FrameCount: (size + snapshotFrameBytes - 1) / snapshotFrameBytes,
 		Size:       size,
 		Checksum:   crc32.Checksum(snapshot.Data, castagnoli),
 	}
@@ -51,7 +59,7 @@
 // nextBatch returns the end of the frames that the next transaction writes, and
 // whether they are the last ones.
 func (w *snapshotWriter) nextBatch() (uint64, bool) {
-	end := min(w.nextFrame+tuning.SnapshotFramesPerTransaction, w.header.FrameCount)
+	end := min(w.nextFrame+snapshotFramesPerTransaction, w.header.FrameCount)
 	return end, end == w.header.FrameCount
 }
 
@@ -73,9 +81,9 @@
 	}
 	frames.FillPercent = 1 // frames are only ever appended, in the order of their keys
 	for i := w.nextFrame; i < end; i++ {
-		start := i * tuning.SnapshotFrameBytes
+		start := i * snapshotFrameBytes
 		frameKey := encodeKey(i)
-		data := w.snapshot.Data[start:min(start+tuning.SnapshotFrameBytes, w.header.Size)]
+		data := w.snapshot.Data[start:min(start+snapshotFrameBytes, w.header.Size)]
 		if err := frames.Put(frameKey, withChecksum(frameKey, data)); err != nil {
 			return err
 		}
--- a/internal/storage/snapshot_test.go
+++ b/internal/storage/snapshot_test.go
@@ -10,7 +10,6 @@
 	bolt "go.etcd.io/bbolt"
 
 	"tealpond/internal/raft"
-	"tealpond/internal/tuning"
 )
 
 // randomBytes returns bytes that depend on the seed only.
@@ -138,7 +137,7 @@
 			if !checker.switched {
 				t.Fatal("the new snapshot was never in force")
 			}
-			if most := len(test.want.Data)/(tuning.SnapshotFrameBytes*tuning.SnapshotFramesPerTransaction) + 7; checker.steps > most {
+			if most := len(test.want.Data)/(snapshotFrameBytes*snapshotFramesPerTransaction) + 7; checker.steps > most {
 				t.Errorf("%d transactions, want %d at most", checker.steps, most)
 			}
 			store, recovered := reopen(t, store, dir)
@@ -168,7 +167,7 @@
 			return frames.Put(encodeKey(5), withChecksum(encodeKey(5), []byte("more")))
 		},
 		"of another snapshot": func(frames *bolt.Bucket) error {
-			return frames.Put(encodeKey(2), withChecksum(encodeKey(2), randomBytes(9, tuning.SnapshotFrameBytes)))
+			return frames.Put(encodeKey(2), withChecksum(encodeKey(2), randomBytes(9, snapshotFrameBytes)))
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/storage/write_queue_test.go
+++ b/internal/storage/write_queue_test.go
@@ -7,7 +7,6 @@
 	bolt "go.etcd.io/bbolt"
 
 	"tealpond/internal/raft"
-	"tealpond/internal/tuning"
 )
 
 // logIndexes returns the indexes of the entries in the file.
@@ -115,7 +114,7 @@
 // TestBatchesOfQueue: a transaction takes the requests up to the next received
 // snapshot, and the frames of at most one snapshot.
 func TestBatchesOfQueue(t *testing.T) {
-	large := make([]byte, tuning.SnapshotFrameBytes*(tuning.SnapshotFramesPerTransaction+1))
+	large := make([]byte, snapshotFrameBytes*(snapshotFramesPerTransaction+1))
 	ready := entriesRequest(entries(1, 1, 1)...)
 	local := localSnapshot(1, large)
 	received := receivedSnapshot(9, 1, large)
--- a/internal/storage/writer.go
+++ b/internal/storage/writer.go
@@ -4,8 +4,14 @@
 	"context"
 	"sync"
 	"time"
+)
 
-	"tealpond/internal/tuning"
+const (
+	// QueueLength is the number of writes that may wait for the storage goroutine.
+	QueueLength = 8192
+	// RetryBackoff is the first pause before a failed operation of the storage is retried; each
+	// further pause is longer.
+	RetryBackoff = 50 * time.Millisecond
 )
 
 // inbox accepts requests at any time, so that a disk that stalls or fails never
@@ -69,7 +75,7 @@
 	var queue writeQueue
 	received := inbox{ready: make(chan struct{}, 1)}
 	go received.receive(ctx, requests)
-	backoff, lastReport := tuning.StorageRetryBackoff, time.Time{}
+	backoff, lastReport := RetryBackoff, time.Time{}
 	for ctx.Err() == nil {
 		if queue.empty() {
 			select {
@@ -87,15 +93,15 @@
 		}
 		done, err := s.commitNext(&queue)
 		if err != nil {
-			if now := time.Now(); now.Sub(lastReport) >= tuning.StorageWarningInterval {
+			if now := time.Now(); now.Sub(lastReport) >= WarningInterval {
 				lastReport = now
 				report(nil, unavailable("write", err))
 			}
 			sleep(ctx, backoff)
-			backoff = min(2*backoff, tuning.MaxStorageRetryBackoff)
+			backoff = min(2*backoff, maxStorageRetryBackoff)
 			continue
 		}
-		backoff, lastReport = tuning.StorageRetryBackoff, time.Time{}
+		backoff, lastReport = RetryBackoff, time.Time{}
 		s.markProgress()
 		if queue.empty() {
 			s.lastProgress.Store(nil)
--- a/internal/storage/writer_test.go
+++ b/internal/storage/writer_test.go
@@ -12,7 +12,6 @@
 	bolt "go.etcd.io/bbolt"
 
 	"tealpond/internal/raft"
-	"tealpond/internal/tuning"
 )
 
 // runningStore is a store on which Run was called. Its transactions fail with fault
@@ -33,7 +32,7 @@
 // startStore calls Run on a store in a goroutine that ends with the test.
 func startStore(t *testing.T, store *Store) *runningStore {
 	t.Helper()
-	r := &runningStore{requests: make(chan WriteRequest, tuning.StorageQueueLength), store: store}
+	r := &runningStore{requests: make(chan WriteRequest, QueueLength), store: store}
 	store.commit = func(transaction func(*bolt.Tx) error) error {
 		r.mu.Lock()
 		r.attempts++
@@ -122,7 +121,7 @@
 		r.sendEntries(t, 1, 10)
 		synctest.Wait()
 		r.failWith(syscall.ENOSPC)
-		const most = tuning.StorageQueueLength * 5 / 2
+		const most = QueueLength * 5 / 2
 		r.sendEntries(t, 11, most)
 		time.Sleep(9*time.Second + 900*time.Millisecond)
 		release := r.quiesce()
@@ -137,7 +136,7 @@
 		}
 		release()
 		r.failWith(nil)
-		time.Sleep(tuning.MaxStorageRetryBackoff)
+		time.Sleep(maxStorageRetryBackoff)
 		r.checkAndStop(t, most)
 	})
 }
@@ -148,7 +147,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := startStore(t, store)
 		r.stalled = make(chan struct{})
-		r.sendEntries(t, 1, 3*tuning.StorageQueueLength)
+		r.sendEntries(t, 1, 3*QueueLength)
 		time.Sleep(4 * time.Second)
 		release := r.quiesce()
 		if lag := store.WriteLag(time.Now()); lag < 4*time.Second || len(r.completed) != 0 {
@@ -156,7 +155,7 @@
 		}
 		release()
 		close(r.stalled)
-		r.checkAndStop(t, 3*tuning.StorageQueueLength)
+		r.checkAndStop(t, 3*QueueLength)
 	})
 }
 
--- a/internal/tally/replica.go
+++ b/internal/tally/replica.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// RequestTimeout is how long an application's call may take; applications turn to another daemon
+// after a second.
+const RequestTimeout = 900 * time.Millisecond
+
 // Config is what a Replica needs to know.
 type Config struct {
 	// Origin names the file on this replica's disk among all that ever were.
--- a/internal/transport/compression.go
+++ b/internal/transport/compression.go
@@ -5,10 +5,11 @@
 	"compress/flate"
 	"encoding/binary"
 	"io"
-
-	"tealpond/internal/tuning"
 )
 
+// streamCompressionLevel is the level of compress/flate for repetitive frames.
+const streamCompressionLevel = 3
+
 // compressedFlag marks the kind of a frame whose body is compressed.
 const compressedFlag = 0x80
 
@@ -27,7 +28,7 @@
 	c.out.Reset()
 	c.out.Write(binary.AppendUvarint(nil, uint64(len(body))))
 	if c.writer == nil {
-		writer, err := flate.NewWriter(&c.out, tuning.StreamCompressionLevel)
+		writer, err := flate.NewWriter(&c.out, streamCompressionLevel)
 		if err != nil {
 			return nil, Error.Wrap(err)
 		}
@@ -52,7 +53,7 @@
 // decompress returns the body of a frame. After an error the stream is of no more use.
 func (d *bodyDecompressor) decompress(raw []byte) ([]byte, error) {
 	size, n := binary.Uvarint(raw)
-	if n <= 0 || size > tuning.MaxFrameBytes {
+	if n <= 0 || size > MaxFrameBytes {
 		return nil, Error.New("a compressed body of %d bytes", size)
 	}
 	d.in.Write(raw[n:])
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -12,10 +12,12 @@
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcstream"
 	"storj.io/drpc/drpcwire"
-
-	"tealpond/internal/tuning"
 )
 
+// MaxFrameBytes is the size of the largest frame, and of the largest snapshot that is accepted, in
+// bytes.
+const MaxFrameBytes = 64 << 20
+
 // Error is the class of errors of streams.
 var Error = errs.Class("link")
 
@@ -32,8 +34,8 @@
 func managerOptions() drpcmanager.Options {
 	return drpcmanager.Options{
 		WriterBufferSize: writeBufferBytes,
-		Reader:           drpcwire.ReaderOptions{MaximumBufferSize: tuning.MaxFrameBytes},
-		Stream:           drpcstream.Options{SplitSize: packetBytes, MaximumBufferSize: tuning.MaxFrameBytes},
+		Reader:           drpcwire.ReaderOptions{MaximumBufferSize: MaxFrameBytes},
+		Stream:           drpcstream.Options{SplitSize: packetBytes, MaximumBufferSize: MaxFrameBytes},
 	}
 }
 
--- a/internal/transport/frame.go
+++ b/internal/transport/frame.go
@@ -5,8 +5,16 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"storj.io/drpc"
+)
 
-	"tealpond/internal/tuning"
+const (
+	// minCompressedBytes is the least size of a body that is compressed, in bytes; heartbeats and
+	// acknowledgements are smaller.
+	minCompressedBytes = 128
+	// maxFrameElements is the number of elements of one list or map in a frame.
+	maxFrameElements = 1 << 16
+	// maxFrameNesting is how deep lists in a frame may be nested, in levels.
+	maxFrameNesting = 12
 )
 
 // Frame is one message between daemons. What the kinds mean, and whether the ID
@@ -33,7 +41,7 @@
 func (e *frameEncoding) Marshal(message drpc.Message) ([]byte, error) {
 	frame := message.(*Frame)
 	kind, body := frame.Kind, frame.Body
-	if frame.Repetitive && len(body) >= tuning.MinCompressedBytes {
+	if frame.Repetitive && len(body) >= minCompressedBytes {
 		compressed, err := e.compressor.compress(body)
 		if err != nil {
 			return nil, err
@@ -78,9 +86,9 @@
 // limits keep a few bytes from becoming a large number of elements.
 var decoder = func() cbor.DecMode {
 	mode, err := cbor.DecOptions{
-		MaxArrayElements: tuning.MaxFrameElements,
-		MaxMapPairs:      tuning.MaxFrameElements,
-		MaxNestedLevels:  tuning.MaxFrameNesting,
+		MaxArrayElements: maxFrameElements,
+		MaxMapPairs:      maxFrameElements,
+		MaxNestedLevels:  maxFrameNesting,
 		IndefLength:      cbor.IndefLengthForbidden,
 	}.DecMode()
 	if err != nil {
--- a/internal/transport/listen_test.go
+++ b/internal/transport/listen_test.go
@@ -6,8 +6,6 @@
 	"testing"
 
 	"golang.org/x/sys/unix"
-
-	"tealpond/internal/tuning"
 )
 
 // The incident, one more cause: clients that left a large answer unread for two seconds had
@@ -34,7 +32,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if timeout := acceptedUserTimeout(t, daemons); timeout != int(tuning.TCPUserTimeout.Milliseconds()) {
+		if timeout := acceptedUserTimeout(t, daemons); timeout != int(TCPUserTimeout.Milliseconds()) {
 			t.Errorf("%s: daemons are timed out after %d ms", multipath, timeout)
 		}
 	}
--- a/internal/transport/network.go
+++ b/internal/transport/network.go
@@ -7,8 +7,14 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+)
 
-	"tealpond/internal/tuning"
+const (
+	// DialTimeout is how long opening a connection may take.
+	DialTimeout = 500 * time.Millisecond
+	// TCPUserTimeout is the socket option TCP_USER_TIMEOUT of each connection: how long sent bytes may
+	// stay unacknowledged.
+	TCPUserTimeout = 1500 * time.Millisecond
 )
 
 // Network opens connections and ports between daemons. They use TCP; tests put a network
@@ -62,13 +68,13 @@
 
 // Dial opens a TCP connection that notices a lost peer.
 func (tcpNetwork) Dial(ctx context.Context, addr string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: tuning.DialTimeout, Control: UserTimeoutControl(tuning.TCPUserTimeout), KeepAlive: -1}
+	dialer := net.Dialer{Timeout: DialTimeout, Control: UserTimeoutControl(TCPUserTimeout), KeepAlive: -1}
 	return dialer.DialContext(ctx, "tcp", addr)
 }
 
 // Listen opens a TCP port whose connections notice a lost peer.
 func (tcpNetwork) Listen(ctx context.Context, addr string) (net.Listener, error) {
-	config := net.ListenConfig{Control: UserTimeoutControl(tuning.TCPUserTimeout), KeepAlive: -1}
+	config := net.ListenConfig{Control: UserTimeoutControl(TCPUserTimeout), KeepAlive: -1}
 	config.SetMultipathTCP(false) // its ports refuse the option
 	return config.Listen(ctx, "tcp", addr)
 }
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -5,10 +5,11 @@
 	"sync"
 
 	"storj.io/drpc"
-
-	"tealpond/internal/tuning"
 )
 
+// streamQueueLength is the number of frames that may wait to be written to a peer.
+const streamQueueLength = 512
+
 // Stream is one end of a two-way stream between two daemons. Its methods are safe for
 // concurrent use.
 type Stream struct {
@@ -32,7 +33,7 @@
 func newStream(addr string, cancel context.CancelFunc) *Stream {
 	return &Stream{
 		Addr:   addr,
-		outbox: make(chan *Frame, tuning.StreamQueueLength),
+		outbox: make(chan *Frame, streamQueueLength),
 		done:   make(chan struct{}),
 		cancel: cancel,
 	}
--- a/internal/transport/stream_test.go
+++ b/internal/transport/stream_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"net"
 	"testing"
-
-	"tealpond/internal/tuning"
 )
 
 // pipeNetwork connects streams in memory. It has one port.
@@ -93,7 +91,7 @@
 func TestFullQueueClosesTheStream(t *testing.T) {
 	cancelled := 0
 	stream := newStream("", func() { cancelled++ })
-	for i := range tuning.StreamQueueLength {
+	for i := range streamQueueLength {
 		if !stream.Send(Frame{ID: uint64(i)}) {
 			t.Fatalf("frame %d was refused", i)
 		}
