--- a/internal/simulation/application_checkers.go
+++ b/internal/simulation/application_checkers.go
@@ -107,14 +107,14 @@
 		}
 	}
 	for _, watch := range h.Watches {
-		for _, event := range watch.News.Events {
+		for _, event := range watch.WatchResult.Events {
 			show("watch", event.Name, event.Value, event.Revision)
 		}
 	}
 	return revisions, violations
 }
 
-// refusedAndShown: a put was turned away and its value is shown, or a refusal names a
+// refusedAndShown: a put was rejected and its value is shown, or a refusal names a
 // revision that the key never had.
 func refusedAndShown(h *CoordinationHistory, revisions map[string]shownValue) (violations []string) {
 	had := map[shownValue]bool{}
@@ -135,7 +135,7 @@
 	return violations
 }
 
-// hasUnclearPut tells whether some put of a key may have got a revision that nobody saw.
+// hasUnclearPut reports whether some put of a key may have got a revision that nobody saw.
 func hasUnclearPut(h *CoordinationHistory, key string) bool {
 	for _, call := range h.Keys {
 		if call.Put && call.Key == key && call.Code == 0 {
@@ -161,20 +161,20 @@
 			}
 			continue
 		}
-		given[watch.Group][watch.News.Revision] = watch.Done
-		if watch.After == 0 && len(watch.News.Events) == 0 {
+		given[watch.Group][watch.WatchResult.Revision] = watch.Done
+		if watch.After == 0 && len(watch.WatchResult.Events) == 0 {
 			continue
 		}
 		shown, last := map[int64]bool{}, watch.After
-		for _, event := range watch.News.Events {
-			if event.Revision <= last || event.Revision > watch.News.Revision {
-				violations = append(violations, fmt.Sprintf("ORDER: a watch of %s shows %d after %d, up to %d", watch.Group, event.Revision, last, watch.News.Revision))
+		for _, event := range watch.WatchResult.Events {
+			if event.Revision <= last || event.Revision > watch.WatchResult.Revision {
+				violations = append(violations, fmt.Sprintf("ORDER: a watch of %s shows %d after %d, up to %d", watch.Group, event.Revision, last, watch.WatchResult.Revision))
 			}
 			last, shown[event.Revision] = event.Revision, true
 		}
 		for value, put := range revisions {
-			if strings.HasPrefix(put.key, watch.Group) && put.revision > watch.After && put.revision <= watch.News.Revision && !shown[put.revision] {
-				violations = append(violations, fmt.Sprintf("ORDER: a watch of %s from %d to %d skips %d, %q", watch.Group, watch.After, watch.News.Revision, put.revision, value))
+			if strings.HasPrefix(put.key, watch.Group) && put.revision > watch.After && put.revision <= watch.WatchResult.Revision && !shown[put.revision] {
+				violations = append(violations, fmt.Sprintf("ORDER: a watch of %s from %d to %d skips %d, %q", watch.Group, watch.After, watch.WatchResult.Revision, put.revision, value))
 			}
 		}
 	}
--- a/internal/simulation/application_checkers_test.go
+++ b/internal/simulation/application_checkers_test.go
@@ -10,7 +10,7 @@
 )
 
 // soundCoordination is a history in which no rule is broken: two callers hold a lock one
-// after the other, numbers and revisions rise, and a watch is told of both puts.
+// after the other, numbers and revisions rise, and a watch is notified of both puts.
 func soundCoordination(start time.Time) *CoordinationHistory {
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	put := func(value string, expected, revision int64, ms int) KeyCall {
@@ -29,8 +29,8 @@
 			{Key: "g.k", Value: "two", Revision: 2, Code: http.StatusOK, Sent: at(60), Done: at(70)},
 		},
 		Watches: []WatchAnswer{
-			{Group: "g.", Code: http.StatusOK, News: protocol.WatchResponse{Revision: 2, Events: events}, Sent: at(0), Done: at(100)},
-			{Group: "g.", After: 2, Code: http.StatusOK, News: protocol.WatchResponse{Revision: 2}, Sent: at(110), Done: at(200)},
+			{Group: "g.", Code: http.StatusOK, WatchResult: protocol.WatchResponse{Revision: 2, Events: events}, Sent: at(0), Done: at(100)},
+			{Group: "g.", After: 2, Code: http.StatusOK, WatchResult: protocol.WatchResponse{Revision: 2}, Sent: at(110), Done: at(200)},
 		},
 	}
 }
@@ -56,17 +56,19 @@
 		"a read of nothing after a put": {"linearizable", func(h *CoordinationHistory) {
 			h.Keys[3] = KeyCall{Key: "g.k", Code: 404, Sent: h.Keys[3].Sent, Done: h.Keys[3].Done}
 		}},
-		"a value that nobody put":             {"MIXED", func(h *CoordinationHistory) { h.Keys[3].Value = "other" }},
-		"a value under two revisions":         {"MIXED", func(h *CoordinationHistory) { h.Watches[0].News.Events[1].Revision, h.Watches[0].News.Revision = 3, 3 }},
+		"a value that nobody put": {"MIXED", func(h *CoordinationHistory) { h.Keys[3].Value = "other" }},
+		"a value under two revisions": {"MIXED", func(h *CoordinationHistory) {
+			h.Watches[0].WatchResult.Events[1].Revision, h.Watches[0].WatchResult.Revision = 3, 3
+		}},
 		"a refusal with an unknown revision":  {"MIXED", func(h *CoordinationHistory) { h.Keys[2].Revision = 9 }},
-		"a refused put is shown":              {"REFUSED", func(h *CoordinationHistory) { h.Watches[0].News.Events[1].Value = "refused" }},
+		"a refused put is shown":              {"REFUSED", func(h *CoordinationHistory) { h.Watches[0].WatchResult.Events[1].Value = "refused" }},
 		"a put that was turned away is shown": {"REFUSED", func(h *CoordinationHistory) { h.Keys[1].Code = http.StatusServiceUnavailable }},
 		"events of a watch that don't rise": {"ORDER", func(h *CoordinationHistory) {
-			h.Watches[0].News.Events[0], h.Watches[0].News.Events[1] = h.Watches[0].News.Events[1], h.Watches[0].News.Events[0]
+			h.Watches[0].WatchResult.Events[0], h.Watches[0].WatchResult.Events[1] = h.Watches[0].WatchResult.Events[1], h.Watches[0].WatchResult.Events[0]
 		}},
-		"a watch skips a put": {"ORDER", func(h *CoordinationHistory) { h.Watches[0].News.Events = h.Watches[0].News.Events[1:] }},
+		"a watch skips a put": {"ORDER", func(h *CoordinationHistory) { h.Watches[0].WatchResult.Events = h.Watches[0].WatchResult.Events[1:] }},
 		"a revision given lately can't be used": {"LOST", func(h *CoordinationHistory) {
-			h.Watches[1].Code, h.Watches[1].News = http.StatusGone, protocol.WatchResponse{}
+			h.Watches[1].Code, h.Watches[1].WatchResult = http.StatusGone, protocol.WatchResponse{}
 		}},
 	} {
 		h := soundCoordination(start)
--- a/internal/simulation/checkers.go
+++ b/internal/simulation/checkers.go
@@ -60,8 +60,8 @@
 	number      int64
 }
 
-// durableCompletions gives the successful ends that were acknowledged before the
-// lease expired under which they were reached. Such a task stays done for good.
+// durableCompletions returns the successful ends that were acknowledged before the
+// lease expired under which they were reached. Such a task stays done permanently.
 func durableCompletions(h *History) map[completionKey]bool {
 	durable, open := map[completionKey]bool{}, map[completionKey]bool{}
 	for _, event := range h.Events {
--- a/internal/simulation/client.go
+++ b/internal/simulation/client.go
@@ -109,7 +109,7 @@
 }
 
 // SubmitJob submits a job, again at other nodes, until the answer is clear. It
-// tells whether the job was accepted.
+// reports whether the job was accepted.
 func (c *Cluster) SubmitJob(id string, job protocol.Job) bool {
 	return c.SubmitJobUnder(defaultPathPrefix, id, job)
 }
--- a/internal/simulation/cluster.go
+++ b/internal/simulation/cluster.go
@@ -196,7 +196,7 @@
 	return c.nodes[name]
 }
 
-// nodeNames gives the nodes of a role, or all nodes, in the order in which they
+// nodeNames returns the nodes of a role, or all nodes, in the order in which they
 // were added.
 func (c *Cluster) nodeNames(role string) []string {
 	c.mu.RLock()
@@ -211,7 +211,7 @@
 	return names
 }
 
-// Servers gives the nodes that hold the state.
+// Servers returns the nodes that hold the state.
 func (c *Cluster) Servers() []string {
 	var servers []string
 	for _, name := range c.nodeNames("") {
@@ -231,7 +231,7 @@
 	return added.name
 }
 
-// RemoveNode removes a node that isn't running for good.
+// RemoveNode removes a node that isn't running, for good.
 func (c *Cluster) RemoveNode(name string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/simulation/conn.go
+++ b/internal/simulation/conn.go
@@ -178,7 +178,7 @@
 	}
 }
 
-// isFull tells whether as much is on its way to this end, or not read yet, as its window
+// isFull reports whether as much is on its way to this end, or not read yet, as its window
 // allows, and whether it is closed.
 func (c *conn) isFull() (full, closed bool) {
 	c.mu.Lock()
--- a/internal/simulation/control_checkers.go
+++ b/internal/simulation/control_checkers.go
@@ -97,7 +97,7 @@
 	how     string
 }
 
-// observe gives all observations in the order of time, and for each the one of the
+// observe returns all observations in the order of time, and for each the one of the
 // newest version up to then.
 func observe(h *History) (observations, newest []observation) {
 	for _, call := range h.Calls {
@@ -119,7 +119,7 @@
 	return observations, newest
 }
 
-// staleReads gives the reads that were answered with what was no longer, or never, in
+// staleReads returns the reads that were answered with what was no longer, or never, in
 // force.
 func staleReads(h *History, byText map[string]*sentConfiguration) (violations []string) {
 	observations, newest := observe(h)
--- a/internal/simulation/evacuation_test.go
+++ b/internal/simulation/evacuation_test.go
@@ -70,7 +70,7 @@
 	}
 }
 
-// startsIn gives the runs that were started in a zone.
+// startsIn returns the runs that were started in a zone.
 func (c *Cluster) startsIn(zone string) (starts []Event) {
 	c.History.mu.Lock()
 	defer c.History.mu.Unlock()
--- a/internal/simulation/federation_test.go
+++ b/internal/simulation/federation_test.go
@@ -163,7 +163,7 @@
 	return begin, begun
 }
 
-// crowd gives both clusters a record of some days, so that b knows that it stays free,
+// crowd returns both clusters a record of some days, so that b knows that it stays free,
 // and fills a, so that deferrable jobs wait there and can move.
 func crowd(a, b *Cluster) {
 	for i := range 12 {
@@ -197,7 +197,7 @@
 	}
 }
 
-// completedOn gives the node on which each task was done.
+// completedOn returns the node on which each task was done.
 func (c *Cluster) completedOn() map[string]string {
 	c.History.mu.Lock()
 	defer c.History.mu.Unlock()
--- a/internal/simulation/gateway_test.go
+++ b/internal/simulation/gateway_test.go
@@ -80,7 +80,7 @@
 	})
 }
 
-// allServe tells whether each daemon serves a path.
+// allServe reports whether each daemon serves a path.
 func (l *gatewayLoad) allServe(prefix string) bool {
 	for _, node := range l.c.nodeNames(gatewayRole) {
 		if l.send(node, prefix).code != http.StatusOK {
@@ -116,7 +116,7 @@
 	return attempt
 }
 
-// run sends requests to daemons by lot for a time, reads and writes by turns.
+// run sends requests to daemons by lot for a time, reads and writes alternately.
 func (l *gatewayLoad) run(duration time.Duration, nodes ...string) {
 	const pause = 20 * time.Millisecond
 	for i := range int(duration / pause) {
--- a/internal/simulation/handover_test.go
+++ b/internal/simulation/handover_test.go
@@ -8,12 +8,12 @@
 )
 
 const (
-	// slowRate is that of a link over which a leader is heard late as long as callers keep it
+	// slowRate is that of a link over which a leader is answered late as long as callers keep it
 	// busy, in bytes a second each way; busyRate is how many calls a second they make at most.
 	slowRate = 40_000
 	busyRate = 150
-	// slowSync is how long a write on a slow disk takes, two syncs of 30 ms; farDelay what a link adds to a way at
-	// each of its ends.
+	// slowSync is how long a write on a slow disk takes, two syncs of 30 ms; farDelay what a link
+	// adds to a way at each of its ends.
 	slowSync = 60 * time.Millisecond
 	farDelay = 20 * time.Millisecond
 	// handoverWatch is how long leaders are watched, swapInterval the time after which two
@@ -38,7 +38,7 @@
 	}
 }
 
-// since gives how long after a moment each later leader was elected.
+// since returns how long after a moment each later leader was elected.
 func (e *elections) since(start time.Time) (after []time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -72,7 +72,7 @@
 	return after
 }
 
-// TestNoHandoverWhereNoOtherIsBetter: leaders that are heard late since all disks are slow, all
+// TestNoHandoverWhereNoOtherIsBetter: leaders that are answered late since all disks are slow, all
 // links long or all links narrow stay.
 func TestNoHandoverWhereNoOtherIsBetter(t *testing.T) {
 	for name, change := range map[string]func(s *scenario, server string){
--- a/internal/simulation/harness_test.go
+++ b/internal/simulation/harness_test.go
@@ -52,12 +52,12 @@
 	c.WaitUntil("job "+id+" is done", timeout, func() bool { return c.JobState(disklessEdge, id) == jobDone })
 }
 
-// nodesExcept gives all nodes of a role but some.
+// nodesExcept returns all nodes of a role but some.
 func (c *Cluster) nodesExcept(role string, except ...string) []string {
 	return without(c.nodeNames(role), except...)
 }
 
-// without gives the names but some.
+// without returns the names but some.
 func without(names []string, except ...string) []string {
 	var rest []string
 	for _, name := range names {
--- a/internal/simulation/history.go
+++ b/internal/simulation/history.go
@@ -96,7 +96,7 @@
 	UnknownKey    bool   // it bore a key of no tenant
 }
 
-// isFinalRefusal tells whether the answer refuses a call for good. By the protocol its
+// isFinalRefusal reports whether the answer refuses a call permanently. By the protocol its
 // caller doesn't send it again.
 func (c Call) isFinalRefusal() bool {
 	return c.Code >= 400 && c.Code < 500 && c.Code != http.StatusRequestTimeout && c.Code != http.StatusTooManyRequests
@@ -148,7 +148,7 @@
 	h.Calls = append(h.Calls, call)
 }
 
-// failsNow tells whether a run fails: the first runs of a task do, up to failures.
+// failsNow reports whether a run fails: the first runs of a task do, up to failures.
 func (h *History) failsNow(task string, failures int) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/simulation/leader.go
+++ b/internal/simulation/leader.go
@@ -8,7 +8,7 @@
 	"tealpond/internal/transport"
 )
 
-// Leader gives a node that believes itself to be the leader, or that some server
+// Leader returns a node that believes itself to be the leader, or that some server
 // believes to be: the first answer counts. It is empty if there is none.
 func (c *Cluster) Leader() string {
 	for _, name := range c.Servers() {
@@ -32,7 +32,7 @@
 	return c.nodeAt(info.Leader)
 }
 
-// nodeAt gives the node whose daemon has an address, or nothing.
+// nodeAt returns the node whose daemon has an address, or nothing.
 func (c *Cluster) nodeAt(addr string) string {
 	for _, name := range c.nodeNames("") {
 		if c.nodeAddress(name, daemonPort) == addr {
--- a/internal/simulation/leaving_test.go
+++ b/internal/simulation/leaving_test.go
@@ -20,7 +20,7 @@
 	return incarnation
 }
 
-// seen gives the events of a kind of an incarnation, after a moment.
+// seen returns the events of a kind of an incarnation, after a moment.
 func (h *History) seen(kind EventKind, incarnation string, after time.Time) (seen []Event) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/simulation/link.go
+++ b/internal/simulation/link.go
@@ -18,7 +18,7 @@
 	inBusy  time.Time
 }
 
-// pass gives when bytes have passed a link that is busy for a time, and makes it busy
+// pass returns when bytes have passed a link that is busy for a time, and makes it busy
 // until then.
 func (l *link) pass(busy *time.Time, from time.Time, size int) time.Time {
 	if busy.After(from) {
@@ -28,7 +28,7 @@
 	return *busy
 }
 
-// SetRate gives a host's link a rate in bytes a second, each way; 0: it carries anything at
+// SetRate returns a host's link a rate in bytes a second, each way; 0: it carries anything at
 // once.
 func (n *Network) SetRate(ip string, bytesPerSecond float64) {
 	n.mu.Lock()
@@ -40,7 +40,7 @@
 	n.links[ip] = &link{rate: bytesPerSecond}
 }
 
-// hasRate tells whether the link of one of two hosts has a rate.
+// hasRate reports whether the link of one of two hosts has a rate.
 func (n *Network) hasRate(from, to string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/simulation/main_test.go
+++ b/internal/simulation/main_test.go
@@ -62,7 +62,7 @@
 	"TestMoreTroublesOfLargeFleets":   firstTroubles(),
 }
 
-// exactly gives the pattern of each name.
+// exactly returns the pattern of each name.
 func exactly(names ...string) []string {
 	patterns := make([]string, len(names))
 	for i, name := range names {
@@ -71,7 +71,7 @@
 	return patterns
 }
 
-// seeds gives the patterns of the subtests of runScenarios.
+// seeds returns the patterns of the subtests of runScenarios.
 func seeds(count int) []string {
 	names := make([]string, count)
 	for i := range names {
@@ -80,7 +80,7 @@
 	return exactly(names...)
 }
 
-// firstTroubles gives the patterns of the pairs of troubles, by the first of each.
+// firstTroubles returns the patterns of the pairs of troubles, by the first of each.
 func firstTroubles() []string {
 	patterns := make([]string, len(largeFleetTroubles))
 	for i, trouble := range largeFleetTroubles {
@@ -92,7 +92,7 @@
 // selection says which tests a process runs.
 type selection struct{ run, skip string }
 
-// selections gives what each process runs, the longest first, so that the whole ends
+// selections returns what each process runs, the longest first, so that the whole ends
 // soonest.
 func selections() ([]selection, error) {
 	raw, err := exec.Command(os.Args[0], "-test.list", ".").Output()
--- a/internal/simulation/membership_test.go
+++ b/internal/simulation/membership_test.go
@@ -30,7 +30,7 @@
 	return added
 }
 
-// follower gives a server that doesn't lead.
+// follower returns a server that doesn't lead.
 func (s *scenario) follower() string {
 	return s.nodesExcept(edgeRole, s.Leader(), disklessEdge, "edge-6")[0]
 }
--- a/internal/simulation/narrow_link_test.go
+++ b/internal/simulation/narrow_link_test.go
@@ -31,7 +31,7 @@
 
 // TestNarrowLinks: behind links that are narrow for 20 s, while large configurations come,
 // jobs run, clients upload and a zone is evacuated and taken back, no lease lapses and
-// leadership stays, but for one hand-over.
+// leadership stays, but for one leadership transfer.
 func TestNarrowLinks(t *testing.T) {
 	for name, narrow := range map[string]func(c *Cluster) []string{
 		"leader":         func(c *Cluster) []string { return []string{c.Leader()} },
@@ -89,7 +89,7 @@
 	t.Logf("a configuration was accepted after %v at the latest", worst)
 }
 
-// everySecond gives every second one of some names.
+// everySecond returns every second one of some names.
 func everySecond(names []string) []string {
 	var some []string
 	for i := 0; i < len(names); i += 2 {
--- a/internal/simulation/network.go
+++ b/internal/simulation/network.go
@@ -26,7 +26,7 @@
 	errReset     = errors.New("simulation: connection reset")
 )
 
-// Network is a network of hosts, known by their IP addresses. What is sent on a blocked
+// Network is a network of hosts, known by their IP addresses. What is forwarded a blocked
 // way is held back until it is unblocked; a host that is taken down resets its
 // connections.
 type Network struct {
@@ -49,7 +49,7 @@
 	ip      string
 }
 
-// Host gives the network as a host sees it.
+// Host returns the network as a host sees it.
 func (n *Network) Host(ip string) *Host { return &Host{n, ip} }
 
 // hostPart is the host of an address.
--- a/internal/simulation/operator.go
+++ b/internal/simulation/operator.go
@@ -167,7 +167,7 @@
 	}
 }
 
-// Acknowledged gives the changes that were acknowledged, the oldest first.
+// Acknowledged returns the changes that were acknowledged, the oldest first.
 func (h *History) Acknowledged() []ConfigurationChange {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/simulation/overload_test.go
+++ b/internal/simulation/overload_test.go
@@ -46,7 +46,7 @@
 	}, nil)
 }
 
-// TestFlappingRunnerIsUsedLess: a runner that goes down and up by turns gets less and
+// TestFlappingRunnerIsUsedLess: a runner that goes down and up alternately gets less and
 // less work meanwhile, and is used again later.
 func TestFlappingRunnerIsUsedLess(t *testing.T) {
 	runWithFault(t, threeServers, func(c *Cluster) {
--- a/internal/simulation/part_pairs_test.go
+++ b/internal/simulation/part_pairs_test.go
@@ -114,7 +114,7 @@
 	{"half restarts", func(s *pairScenario) { s.restart(time.Second, everySecond(s.nodeNames(""))...) }},
 }
 
-// agentsIn gives the agents of a zone.
+// agentsIn returns the agents of a zone.
 func (c *Cluster) agentsIn(zone string) (agents []string) {
 	for _, name := range c.nodeNames(agentRole) {
 		if c.node(name).zone == zone {
--- a/internal/simulation/replacement_test.go
+++ b/internal/simulation/replacement_test.go
@@ -33,10 +33,10 @@
 	}, func(c *Cluster) { c.Start(lost) })
 }
 
-// chooseLeader gives the leader of some servers.
+// chooseLeader returns the leader of some servers.
 func chooseLeader(c *Cluster, of []string) string { return c.leaderKnownTo(of[0]) }
 
-// chooseFollower gives a server that doesn't lead.
+// chooseFollower returns a server that doesn't lead.
 func chooseFollower(c *Cluster, of []string) string {
 	return without(of, c.leaderKnownTo(of[0]))[0]
 }
--- a/internal/simulation/tallies_test.go
+++ b/internal/simulation/tallies_test.go
@@ -119,7 +119,7 @@
 	return answer.Total, true
 }
 
-// restarted takes note that a node has another life from now on.
+// restarted records that a node has another life from now on.
 func (l *tallyCallers) restarted(nodes ...string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -150,7 +150,7 @@
 	l.c.T.Logf("%d calls, %d without a good answer", l.calls, l.failed)
 }
 
-// inZone gives the nodes of a zone among those that serve applications.
+// inZone returns the nodes of a zone among those that serve applications.
 func (c *Cluster) inZone(zone string) (inside, outside []string) {
 	for _, name := range c.nodeNames("") {
 		if c.node(name).zone == zone {
--- a/internal/simulation/tenants.go
+++ b/internal/simulation/tenants.go
@@ -37,7 +37,7 @@
 	nextAt        time.Time // when next is in force; zero: there is none
 }
 
-// change takes note of a new limit. A higher one is in force at once.
+// change records a new limit. A higher one is in force at once.
 func (l *boundLimit) change(at time.Time, milliCPU int64) {
 	if milliCPU >= l.inForce {
 		l.inForce, l.nextAt = milliCPU, time.Time{}
@@ -46,7 +46,7 @@
 	l.next, l.nextAt = milliCPU, at.Add(limitGrace)
 }
 
-// at gives the limit that a start at a time must keep to.
+// at returns the limit that a start at a time must keep to.
 func (l *boundLimit) at(when time.Time) int64 {
 	if !l.nextAt.IsZero() && when.After(l.nextAt) {
 		return l.next
--- a/internal/simulation/upgrade_tables_test.go
+++ b/internal/simulation/upgrade_tables_test.go
@@ -32,7 +32,7 @@
 	x.WriteByte('\n')
 }
 
-// sorted gives a table's rows in the order of their keys.
+// sorted returns a table's rows in the order of their keys.
 func sorted[K cmp.Ordered, V any](table map[K]V) func(yield func(K, V) bool) {
 	return func(yield func(K, V) bool) {
 		for _, key := range slices.Sorted(maps.Keys(table)) {
@@ -43,7 +43,7 @@
 	}
 }
 
-// describe gives the text of a data folder: what the disk holds, and the tables
+// describe returns the text of a data folder: what the disk holds, and the tables
 // once the whole log was applied to the snapshot.
 func describe(t *testing.T, folder string) string {
 	t.Helper()
@@ -163,7 +163,7 @@
 		x.row("allocation", "key", key, "id", a.ID, "worker", a.Worker, "job", a.Job, "instance", a.Instance, "step", a.Step, "index", a.TaskIndex, "copy", a.Copy, "run", a.Run,
 			"cpu", a.MilliCPU, "memory", a.MemoryMB, "gpus", a.GPUs, "from", a.AllocatedAt, "stopping", a.Stopping, "why", a.StopReason, "saved", a.Checkpoint)
 	}
-	for service, r := range sorted(s.Rollups) {
+	for service, r := range sorted(s.ServiceUsages) {
 		x.row("rollup", "service", service, "cpu-total", r.TotalMilliCPU, "cpu-free", r.AllocatableMilliCPU, "cpu-used", r.UsedMilliCPU, "memory-total", r.TotalMemoryMB, "memory-free", r.AllocatableMemoryMB,
 			"memory-used", r.UsedMemoryMB, "gpu-total", r.TotalGPUs, "gpu-used", r.UsedGPUs, "draining", r.Draining, "unreachable", r.Unreachable, "at", r.RebuiltAt)
 	}
@@ -215,7 +215,7 @@
 	for name, peer := range sorted(s.Peers) {
 		x.row("peer", "name", name, "epoch", peer.Epoch, "index", peer.Index)
 	}
-	for key, number := range sorted(s.VoidedOffers) {
+	for key, number := range sorted(s.WithdrawnOffers) {
 		x.row("void", "key", key, "number", number)
 	}
 	for key, loan := range sorted(s.Loans) {
--- a/internal/simulation/upgrade_test.go
+++ b/internal/simulation/upgrade_test.go
@@ -59,7 +59,7 @@
 var hosts = map[string]int{"edge-1": 1, "edge-2": 2, "edge-3": 3, "new-1": addedServerHost + 1}
 
 // addMachines adds servers by their names, and two runners with their agents; they
-// are started by startAll. firstStart tells whether the first Raft group is yet to
+// are started by startAll. firstStart reports whether the first Raft group is yet to
 // be formed.
 func (c *Cluster) addMachines(firstStart bool, servers ...string) {
 	c.T.Helper()
--- a/internal/simulation/upgrade_write_test.go
+++ b/internal/simulation/upgrade_write_test.go
@@ -34,7 +34,7 @@
 	return append(jobs, crowdJobs(10, 8, 6*time.Second, 3)...)
 }
 
-// crowdJobs gives jobs that fill the source, some of them waiting, and deferrable
+// crowdJobs returns jobs that fill the source, some of them waiting, and deferrable
 // ones that therefore move to the other cluster.
 func crowdJobs(first, count int, length time.Duration, deferrable int) []upgradeJob {
 	var jobs []upgradeJob
@@ -183,7 +183,7 @@
 	}
 }
 
-// onceLogged gives a channel that is closed at the first line of a log that holds
+// onceLogged returns a channel that is closed at the first line of a log that holds
 // a mark.
 func (c *Cluster) onceLogged(mark string) <-chan struct{} {
 	logged := make(chan struct{})
--- a/internal/simulation/work_kinds_test.go
+++ b/internal/simulation/work_kinds_test.go
@@ -76,7 +76,7 @@
 	}
 }
 
-// runEvents gives what runners saw of starts and ends of a job's runs.
+// runEvents returns what runners saw of starts and ends of a job's runs.
 func (s *scenario) runEvents(job string) (events []Event) {
 	s.History.mu.Lock()
 	defer s.History.mu.Unlock()
@@ -89,7 +89,7 @@
 	return events
 }
 
-// running gives the runs of a job that go on, by incarnation and task.
+// running returns the runs of a job that go on, by incarnation and task.
 func (s *scenario) running(job string) map[string]bool {
 	running := map[string]bool{}
 	for _, event := range s.runEvents(job) {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -84,7 +84,7 @@
 	return ""
 }
 
-// excused tells whether the rules excuse the loss of a request.
+// excused reports whether the rules excuse the loss of a request.
 func (c checker) excused(request Request) bool {
 	if !request.EndedAt.Before(request.Deadline.Add(-deadlineReserve)) || brokenByRunner(c.record.Runs[request.ID]) {
 		return true
@@ -107,7 +107,7 @@
 	return false
 }
 
-// workedToTheEnd tells whether a runner was still at work on a request in the last part of
+// workedToTheEnd reports whether a runner was still at work on a request in the last part of
 // the grace time after a signal, and the request was sent soon after the signal.
 func (c checker) workedToTheEnd(request Request, signalAt time.Time) bool {
 	lastPart := signalAt.Add(time.Duration(float64(c.bounds.Grace) * (1 - excusedGraceFraction)))
@@ -122,12 +122,12 @@
 	return false
 }
 
-// brokenByRunner tells whether the last runner of a request ended before it was done.
+// brokenByRunner reports whether the last runner of a request ended before it was done.
 func brokenByRunner(runs []standin.Run) bool {
 	return len(runs) > 0 && runs[len(runs)-1].RunnerEnded
 }
 
-// ranTwice tells whether a request that may run once only ran more often.
+// ranTwice reports whether a request that may run once only ran more often.
 func (c checker) ranTwice(request Request) string {
 	once := request.Kind == protocol.KindWriting || request.Kind == protocol.KindUpload
 	if runs := len(c.record.Runs[request.ID]); once && runs > 1 {
@@ -136,7 +136,7 @@
 	return ""
 }
 
-// brokenPromise tells whether a client was told that a request would never run, and it ran.
+// brokenPromise reports whether a client was told that a request would never run, and it ran.
 func (c checker) brokenPromise(request Request) string {
 	promised := request.Ending == EndAnswered && (request.Status == http.StatusServiceUnavailable || request.Status == http.StatusTooManyRequests)
 	if promised && len(c.record.Runs[request.ID]) > 0 {
@@ -145,7 +145,7 @@
 	return ""
 }
 
-// falseAnswer tells whether a success is not the runner's answer.
+// falseAnswer reports whether a success is not the runner's answer.
 func (c checker) falseAnswer(request Request) string {
 	if request.Ending == EndAnswered && request.Status < http.StatusMultipleChoices && !request.Sealed {
 		return fmt.Sprintf("answered with %d, and not by a runner", request.Status)
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -15,7 +15,7 @@
 // testBounds are the bounds of the tests of the checker.
 var testBounds = Bounds{Grace: 6 * time.Second, LostTime: 200 * time.Millisecond, InTouch: 5 * time.Second}
 
-// second gives a time so many seconds after the beginning of a record.
+// second returns a time so many seconds after the beginning of a record.
 func second(s float64) time.Time {
 	return time.Unix(1_000_000, 0).Add(time.Duration(s * float64(time.Second)))
 }
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -189,7 +189,7 @@
 // errUnusable is the error of a request whose connection ended with an answer before it.
 var errUnusable = errors.New("the connection ended with an answer before")
 
-// fail takes note of how a connection broke before an answer was whole.
+// fail records how a connection broke before an answer was whole.
 func (c *connection) fail(request *Request, err error) {
 	var timeout net.Error
 	switch {
@@ -202,7 +202,7 @@
 	}
 }
 
-// end takes note of how a request ended without an answer.
+// end records how a request ended without an answer.
 func (c *connection) end(request *Request, ending Ending, err error) {
 	request.Ending, request.EndedAt, request.Error = ending, time.Now(), err.Error()
 }
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -100,7 +100,7 @@
 	Exits    []localcluster.Exit
 }
 
-// Snapshot gives what was recorded so far.
+// Snapshot returns what was recorded so far.
 func (l *Ledger) Snapshot(exits []localcluster.Exit) Record {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -30,7 +30,7 @@
 	return nil
 }
 
-// allReady tells whether each daemon says that it is ready.
+// allReady reports whether each daemon says that it is ready.
 func (r *run) allReady(ctx context.Context) bool {
 	for _, name := range r.cluster.Names() {
 		node, err := r.cluster.Daemon(name)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -32,7 +32,7 @@
 // graceTime is that of the operators' gateways.
 const graceTime = 6 * time.Second
 
-// buildProgram gives the path of the built program.
+// buildProgram returns the path of the built program.
 func buildProgram(t *testing.T) string {
 	t.Helper()
 	if *program != "" {
@@ -66,7 +66,7 @@
 	}
 }
 
-// roleOf gives the role of a seed's daemons: of three seeds one is of edges.
+// roleOf returns the role of a seed's daemons: of three seeds one is of edges.
 func roleOf(seed uint64) string {
 	switch {
 	case *onlyRole != "":
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -30,12 +30,12 @@
 // Options are what a Platform is built from.
 type Options struct {
 	Address string // of the API that lists the runners, HOST:PORT
-	// RunnerAddress gives the address of the n-th runner that is started, from 1 on.
+	// RunnerAddress returns the address of the n-th runner that is started, from 1 on.
 	RunnerAddress func(n int) string
 	Listen        func(address string) (net.Listener, error)
 	// Disconnect cuts the connections of a runner that crashes; nil: they are closed.
 	Disconnect func(address string)
-	// Observe is told of each run, as it begins and once it has ended; nil: nobody is.
+	// Observe is notified of each run, as it begins and once it has ended; nil: nobody is.
 	Observe func(Run)
 }
 
@@ -127,7 +127,7 @@
 	return list
 }
 
-// Runner gives the entry of a runner; false if it isn't listed.
+// Runner returns the entry of a runner; false if it isn't listed.
 func (p *Platform) Runner(id string) (Runner, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -187,7 +187,7 @@
 	})
 }
 
-// hasEnded tells whether a runner has ended.
+// hasEnded reports whether a runner has ended.
 func (p *Platform) hasEnded(id string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -50,7 +50,7 @@
 	})
 }
 
-// noteArrival takes note that the head of a request has come to a runner.
+// noteArrival records that the head of a request has come to a runner.
 func (p *Platform) noteArrival(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -21,9 +21,9 @@
 type WorkerOptions struct {
 	Node, Service, Zone string
 	Seed                int64 // of its clock, and of what it does late
-	// Observe is told of each event; nil: nobody is. It must not call the worker.
+	// Observe is notified of each event; nil: nobody is. It must not call the worker.
 	Observe func(WorkerEvent)
-	// FailsNow tells whether a run of a task fails that may fail so many times.
+	// FailsNow reports whether a run of a task fails that may fail so many times.
 	FailsNow func(task string, times int) bool
 }
 
@@ -153,7 +153,7 @@
 	}
 }
 
-// failsNow tells whether a run that is over has failed.
+// failsNow reports whether a run that is over has failed.
 func (w *Worker) failsNow(task string, times int) bool {
 	return times > 0 && w.options.FailsNow != nil && w.options.FailsNow(task, times)
 }
--- a/internal/state/accept_job.go
+++ b/internal/state/accept_job.go
@@ -24,7 +24,7 @@
 		}
 		return c.refuse(s)
 	}
-	if c.OfferID <= s.VoidedOffers[offerKey(c.Peer, c.ID)] {
+	if c.OfferID <= s.WithdrawnOffers[offerKey(c.Peer, c.ID)] {
 		return Outcome{Code: CodeConflict, Text: AnswerRefused}
 	}
 	route, loan := s.Routes[c.Route], s.Loans[c.Loan]
@@ -39,7 +39,7 @@
 }
 
 func (c *AcceptJob) refuse(s *Store) Outcome {
-	s.voidOffer(c.Peer, c.ID, c.OfferID)
+	s.withdrawOffer(c.Peer, c.ID, c.OfferID)
 	return Outcome{Code: CodeConflict, Text: AnswerRefused}
 }
 
--- a/internal/state/allocation.go
+++ b/internal/state/allocation.go
@@ -38,13 +38,13 @@
 	instance.Steps[allocation.Step].LastAllocatedAt = s.Clock
 	s.Allocations[allocation.ID] = allocation
 	s.indexAllocation(allocation)
-	s.adjustRollup(allocation, 1)
+	s.adjustServiceUsage(allocation, 1)
 	s.addUsage(allocation)
 	s.changedRuns = append(s.changedRuns, allocation.ID)
 	s.recordUndo(func() {
 		task.LastRun, job.Started = lastRun, started
 		task.Allocations = task.Allocations[:len(task.Allocations)-1]
-		s.adjustRollup(allocation, -1)
+		s.adjustServiceUsage(allocation, -1)
 		s.removeUsage(allocation)
 		delete(s.Allocations, allocation.ID)
 		delete(s.allocationsByWorker[allocation.Worker], allocation.ID)
@@ -67,7 +67,7 @@
 	if lock := s.Devices[taskLockID(allocation.TaskName(), allocation.Copy)]; lock != nil {
 		lock.releaseReservations(allocation.ID)
 	}
-	s.adjustRollup(allocation, -1)
+	s.adjustServiceUsage(allocation, -1)
 	s.removeUsage(allocation)
 	delete(s.Allocations, allocation.ID)
 	delete(s.allocationsByWorker[allocation.Worker], allocation.ID)
--- a/internal/state/apply_plans.go
+++ b/internal/state/apply_plans.go
@@ -143,7 +143,7 @@
 	return true
 }
 
-// placementStillValid tells whether a placement fits its worker's present row. The
+// placementStillValid reports whether a placement fits its worker's present row. The
 // row's version changes when the worker drains or its lease expires.
 func (s *Store) placementStillValid(job *Job, instance *JobInstance, step int, worker *Worker, placement Placement) bool {
 	if worker.Version != placement.WorkerVersion || !s.Feasible(job, step, worker) {
@@ -153,7 +153,7 @@
 	return limit <= 0 || s.CountStepTasks(job.ID, instance.Number, step, worker.ID) < limit
 }
 
-// Feasible tells whether a worker may run tasks of a step at all, whatever it
+// Feasible reports whether a worker may run tasks of a step at all, whatever it
 // has free.
 func (s *Store) Feasible(job *Job, step int, worker *Worker) bool {
 	if !worker.Schedulable() || worker.Service != job.Service {
--- a/internal/state/collect_garbage.go
+++ b/internal/state/collect_garbage.go
@@ -1,11 +1,11 @@
 package state
 
-// CollectGarbage removes jobs that ended long ago, crash counts of nodes that have had
-// none for long, and locks and puts that no caller can ask for any more. Since each entry advances the clocks, it also makes periodic
-// jobs fall due while nothing else happens.
+// CollectGarbage removes jobs that ended long ago, crash counts of nodes that have had none for
+// long, and locks and puts that no caller can ask for any more. Since each entry advances the
+// clocks, it also makes periodic jobs fall due while nothing else happens.
 type CollectGarbage struct {
-	_              struct{} `cbor:",toarray"`
-	RebuildRollups bool     // rebuild the rollups too
+	_            struct{} `cbor:",toarray"`
+	RebuildUsage bool     // rebuild the rollups too
 }
 
 // Apply removes jobs that ended Limits.JobRetentionMs ago, if that isn't 0. A job
@@ -29,8 +29,8 @@
 	if s.Coordination != nil {
 		s.Coordination.Forget(s.Clock)
 	}
-	if c.RebuildRollups {
-		s.RebuildRollups()
+	if c.RebuildUsage {
+		s.RebuildUsage()
 	}
 	return Outcome{Code: CodeOK}
 }
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -42,11 +42,11 @@
 	CommandSetEligibility       = "eligible"
 	CommandSetEpoch             = "mint"
 	CommandSetLimits            = "limits"
-	CommandSettleTransfer       = "settle"
+	CommandResolveTransfer      = "settle"
 	CommandStopRuns             = "halt"
 	CommandSubmitJob            = "handin"
 	CommandSubmitTenantJob      = "submit"
-	CommandVoidOffer            = "void"
+	CommandWithdrawOffer        = "void"
 )
 
 // commandConstructors makes an empty command of each name, to decode into.
@@ -75,11 +75,11 @@
 	CommandSetEligibility:       func() Command { return &SetEligibility{} },
 	CommandSetEpoch:             func() Command { return &SetEpoch{} },
 	CommandSetLimits:            func() Command { return &SetLimits{} },
-	CommandSettleTransfer:       func() Command { return &SettleTransfer{} },
+	CommandResolveTransfer:      func() Command { return &ResolveTransfer{} },
 	CommandStopRuns:             func() Command { return &StopRuns{} },
 	CommandSubmitJob:            func() Command { return &SubmitJob{} },
 	CommandSubmitTenantJob:      func() Command { return &SubmitTenantJob{} },
-	CommandVoidOffer:            func() Command { return &VoidOffer{} },
+	CommandWithdrawOffer:        func() Command { return &WithdrawOffer{} },
 }
 
 // EncodedCommand is a command as it stands in the log.
--- a/internal/state/coordinate.go
+++ b/internal/state/coordinate.go
@@ -16,7 +16,7 @@
 // RenewLock asks for more time; CodeConflict if the lock was lost.
 type RenewLock coordination.Renew
 
-// ReleaseLock gives a lock back, if it is held so.
+// ReleaseLock returns a lock back, if it is held so.
 type ReleaseLock coordination.Release
 
 // NextNumber asks for a number above all that were given under its name; it is the
@@ -30,7 +30,7 @@
 // CodePreconditionFailed, that of the key.
 type PutKey coordination.Put
 
-// coordination gives the applications' tables, to change them.
+// coordination returns the applications' tables, to change them.
 func (s *Store) coordination() *coordination.Tables {
 	if s.Coordination == nil {
 		s.Coordination = coordination.New()
@@ -55,7 +55,7 @@
 	return Outcome{Code: CodeOK}
 }
 
-// Apply gives the number.
+// Apply returns the number.
 func (c *NextNumber) Apply(s *Store) Outcome {
 	return coordinationOutcome(s.coordination().NextNumber(c.Name))
 }
--- a/internal/state/device.go
+++ b/internal/state/device.go
@@ -38,7 +38,7 @@
 	To         int64
 }
 
-// FreeDuring tells whether no reservation overlaps the time [from, to).
+// FreeDuring reports whether no reservation overlaps the time [from, to).
 func (d *Device) FreeDuring(from, to int64) bool {
 	for _, reservation := range d.Reservations {
 		if from < reservation.To && reservation.From < to {
--- a/internal/state/evacuate_zone.go
+++ b/internal/state/evacuate_zone.go
@@ -58,7 +58,7 @@
 	}
 }
 
-// IsEvacuated tells whether a zone's workers get no new work, and since when, on the state's
+// IsEvacuated reports whether a zone's workers get no new work, and since when, on the state's
 // clock.
 func (s *Store) IsEvacuated(zone string) (since int64, evacuated bool) {
 	evacuation := s.Evacuations[zone]
--- a/internal/state/forget_unused.go
+++ b/internal/state/forget_unused.go
@@ -51,7 +51,7 @@
 	}
 }
 
-// gone tells whether the worker is never used again: its runner crashed or was
+// gone reports whether the worker is never used again: its runner crashed or was
 // replaced, or it announced when it leaves, that time is over, and nothing can run
 // there any more.
 func (w *Worker) gone(clock int64) bool {
--- a/internal/state/forget_unused_test.go
+++ b/internal/state/forget_unused_test.go
@@ -183,7 +183,7 @@
 			}
 			for range 2 {
 				f.now += dayMs / roundsADay / 2
-				f.apply(&CollectGarbage{RebuildRollups: true})
+				f.apply(&CollectGarbage{RebuildUsage: true})
 				f.apply(&ForgetUnused{})
 			}
 		}
@@ -206,16 +206,16 @@
 	for n := range 30 {
 		id := fmt.Sprint("worker-", n)
 		f.apply(&RegisterWorker{ID: id, Node: id, Service: fmt.Sprint("service-", n), Capacity: protocol.Resources{CPUUnits: 100, MemoryMB: 100}, LeavesInMs: -1})
-		f.apply(&CollectGarbage{RebuildRollups: true})
+		f.apply(&CollectGarbage{RebuildUsage: true})
 		f.apply(&SetEligibility{ID: id, Draining: true, LeavesInMs: 1})
 		f.now += 1000
 		f.apply(&ExpireLeases{Workers: []FencedWorker{{ID: id, Fence: f.store.Workers[id].Fence}}})
 		f.apply(&ForgetUnused{})
 		f.now += retentionMs
 		f.apply(&ForgetUnused{})
-		f.apply(&CollectGarbage{RebuildRollups: true})
-		if len(f.store.Rollups) > 0 {
-			t.Fatalf("after worker %d: %d rollups", n, len(f.store.Rollups))
+		f.apply(&CollectGarbage{RebuildUsage: true})
+		if len(f.store.ServiceUsages) > 0 {
+			t.Fatalf("after worker %d: %d rollups", n, len(f.store.ServiceUsages))
 		}
 	}
 }
--- a/internal/state/fuzz_test.go
+++ b/internal/state/fuzz_test.go
@@ -14,7 +14,7 @@
 	s := New(Limits{JobRetentionMs: 1000, MaxReplans: 2, RemoteFactor: 1})
 	f.Add(s.EncodeSnapshot())
 	s.Configuration.Version = 3
-	s.VoidedOffers = map[string]int64{"a": 1}
+	s.WithdrawnOffers = map[string]int64{"a": 1}
 	s.Workers["w"] = &Worker{}
 	s.Jobs["j"] = &Job{ID: "j", PeriodicInstances: 3}
 	s.Allocations[7] = &Allocation{ID: 7, Worker: "w"}
@@ -46,12 +46,12 @@
 func TestLargeTablesAreDecodedAgain(t *testing.T) {
 	const rows = 140_000
 	s := New(Limits{})
-	s.VoidedOffers = map[string]int64{}
+	s.WithdrawnOffers = map[string]int64{}
 	for i := range rows {
-		s.VoidedOffers[strconv.Itoa(i)] = int64(i)
+		s.WithdrawnOffers[strconv.Itoa(i)] = int64(i)
 	}
 	got, err := DecodeSnapshot(s.EncodeSnapshot(), Limits{})
-	if err != nil || len(got.VoidedOffers) != rows {
+	if err != nil || len(got.WithdrawnOffers) != rows {
 		t.Fatal(err)
 	}
 }
--- a/internal/state/generator_test.go
+++ b/internal/state/generator_test.go
@@ -292,7 +292,7 @@
 	state.CommandStopRuns: {2, func(g *generator) state.Command {
 		return &state.StopRuns{Allocations: []uint64{g.allocation().ID, g.allocation().ID}, Reason: g.oneOf("pushed", "stuck")}
 	}},
-	state.CommandCollectGarbage: {2, func(g *generator) state.Command { return &state.CollectGarbage{RebuildRollups: g.Intn(2) == 0} }},
+	state.CommandCollectGarbage: {2, func(g *generator) state.Command { return &state.CollectGarbage{RebuildUsage: g.Intn(2) == 0} }},
 	state.CommandForgetUnused:   {2, func(*generator) state.Command { return &state.ForgetUnused{} }},
 	state.CommandCancelJob:      {1, func(g *generator) state.Command { return &state.CancelJob{ID: g.jobID()} }},
 	state.CommandAcquireLock: {2, func(g *generator) state.Command {
@@ -327,10 +327,10 @@
 	}},
 	state.CommandSetEpoch: {1, func(g *generator) state.Command { return &state.SetEpoch{Epoch: g.oneOf("e1", "e2")} }},
 	state.CommandOfferJob: {2, func(g *generator) state.Command { return &state.OfferJob{Job: g.jobID(), Peer: g.oneOf("p1", "p2")} }},
-	state.CommandSettleTransfer: {3, func(g *generator) state.Command {
+	state.CommandResolveTransfer: {3, func(g *generator) state.Command {
 		id := g.jobID()
 		peer, offerID := g.offer(id)
-		return &state.SettleTransfer{
+		return &state.ResolveTransfer{
 			Job:     id,
 			OfferID: offerID,
 			Peer:    peer,
@@ -368,10 +368,10 @@
 		}
 		return c
 	}},
-	state.CommandVoidOffer: {1, func(g *generator) state.Command {
+	state.CommandWithdrawOffer: {1, func(g *generator) state.Command {
 		id := g.jobID()
 		peer, offerID := g.offer(id)
-		return &state.VoidOffer{Peer: peer, OfferID: offerID, ID: id, Cancel: g.Intn(2) == 0}
+		return &state.WithdrawOffer{Peer: peer, OfferID: offerID, ID: id, Cancel: g.Intn(2) == 0}
 	}},
 	state.CommandReleaseJob: {1, func(g *generator) state.Command {
 		id := g.jobID()
--- a/internal/state/golden_test.go
+++ b/internal/state/golden_test.go
@@ -20,14 +20,14 @@
 // rows encodes commands and the rows of tables.
 var rows = golden.Codec{Encode: cbor.Marshal, Decode: cbor.Unmarshal}
 
-// filledJob gives a job, as clients send it, whose fields differ.
+// filledJob returns a job, as clients send it, whose fields differ.
 func filledJob() protocol.Job {
 	return protocol.Job{Spec: "spec", PeriodicInstances: 101, FirstRunMs: 102, IntervalMs: 103, Steps: []protocol.Step{{
 		TaskCount: 1, CPUUnits: 112, MemoryMB: 113, GPUs: 114, EstimateMs: 115, DependsOn: []int{116}, Checkpoints: true, SameRack: true,
 		RequiredLabels: protocol.Labels{"label"}, PreferredRack: "rack", MaxPerWorker: 117, LongRunning: true}}}
 }
 
-// filledCommands gives commands whose fields differ, by their registered names;
+// filledCommands returns commands whose fields differ, by their registered names;
 // what follows a slash tells several of one name apart.
 func filledCommands() []golden.Case {
 	job, resources := filledJob(), protocol.Resources{CPUUnits: 121, MemoryMB: 122, GPUs: 123}
@@ -58,13 +58,13 @@
 		{Name: "release", Value: &ReleaseJob{Peer: "peer", OfferID: 1, ID: "id"}},
 		{Name: "relock", Value: &RenewLock{Name: "name", Holder: "holder", Fence: 1, HoldMs: 2}},
 		{Name: "replace", Value: &ReplaceConfiguration{BaseVersion: 1, Raw: []byte("text")}},
-		{Name: "settle", Value: &SettleTransfer{Job: "job", OfferID: 1, Peer: "peer", Epoch: "epoch", Index: 2, Answer: "what"}},
+		{Name: "settle", Value: &ResolveTransfer{Job: "job", OfferID: 1, Peer: "peer", Epoch: "epoch", Index: 2, Answer: "what"}},
 		{Name: "submit", Value: &SubmitTenantJob{Submit: SubmitJob{Host: "host", Path: "path", ID: "id", Job: job, DemandBucket: 1}, Tenant: "tenant", ConfigVersion: 2, BeyondShare: true}},
-		{Name: "sweep", Value: &CollectGarbage{RebuildRollups: true}},
+		{Name: "sweep", Value: &CollectGarbage{RebuildUsage: true}},
 		{Name: "takeup", Value: &RegisterWorker{ID: "id", Node: "node", AgentProcessID: "life", Service: "service", Zone: "zone", Labels: []string{"label"}, Capacity: resources,
 			Draining: true, LeavesInMs: 1, ReplacesFence: 2}},
 		{Name: "unlock", Value: &ReleaseLock{Name: "name", Holder: "holder", Fence: 1}},
-		{Name: "void", Value: &VoidOffer{Peer: "peer", OfferID: 1, ID: "id", Cancel: true}},
+		{Name: "void", Value: &WithdrawOffer{Peer: "peer", OfferID: 1, ID: "id", Cancel: true}},
 	}
 }
 
@@ -141,7 +141,7 @@
 		{Name: "move-guest", Value: &JobTransfer{Peer: "peer", OfferID: 51, State: TransferReleased, Incoming: true, Loan: "loan", OfferCount: 52}},
 		{Name: "peer", Value: &PeerProgress{Epoch: "epoch", Index: 61}},
 		{Name: "loan", Value: &Loan{ID: "id", Peer: "peer", Service: "service", Slices: []string{"slice"}, MilliCPU: 71, From: 72, To: 73}},
-		{Name: "rollup", Value: &Rollup{TotalMilliCPU: 81, AllocatableMilliCPU: 82, UsedMilliCPU: 83, TotalMemoryMB: 84, AllocatableMemoryMB: 85, UsedMemoryMB: 86, TotalGPUs: 87, UsedGPUs: 88, Draining: 89, Unreachable: 90, RebuiltAt: 91}},
+		{Name: "rollup", Value: &ServiceUsage{TotalMilliCPU: 81, AllocatableMilliCPU: 82, UsedMilliCPU: 83, TotalMemoryMB: 84, AllocatableMemoryMB: 85, UsedMemoryMB: 86, TotalGPUs: 87, UsedGPUs: 88, Draining: 89, Unreachable: 90, RebuiltAt: 91}},
 		{Name: "flaps", Value: &CrashBackoff{Crashes: 1.5, UpdatedAt: 92}},
 		{Name: "configurations", Value: &ConfigurationHistory{Accepted: []ConfigurationRecord{{BaseVersion: 93, Version: 94, Digest: ConfigurationDigest{95}}}, Refused: []ConfigurationRecord{{BaseVersion: 96, Version: 97, Digest: ConfigurationDigest{98}}}}},
 	})
@@ -162,8 +162,8 @@
 	s.Allocations[34] = &Allocation{ID: 34, Worker: "worker", Job: "job", MilliCPU: 37, MemoryMB: 38}
 	s.Jobs["job"] = &Job{ID: "job", Route: "route", Service: "service", Steps: filledJob().Steps,
 		Instances: []*JobInstance{{StepsLeft: 1, Steps: []StepState{{Ready: true, TasksLeft: 1, Tasks: []Task{{LastRun: 39, Allocations: []uint64{34}}}}}}}}
-	s.Rollups["service"] = &Rollup{TotalMilliCPU: 41}
-	s.Peers, s.VoidedOffers = map[string]*PeerProgress{"peer": {Epoch: "peer-epoch", Index: 42}}, map[string]int64{"peer/job": 43}
+	s.ServiceUsages["service"] = &ServiceUsage{TotalMilliCPU: 41}
+	s.Peers, s.WithdrawnOffers = map[string]*PeerProgress{"peer": {Epoch: "peer-epoch", Index: 42}}, map[string]int64{"peer/job": 43}
 	s.Loans = map[string]*Loan{"loan": {ID: "loan", Peer: "peer", MilliCPU: 44}}
 	s.Demand = map[string]map[int64]float64{"route": {45: 46.5}}
 	s.Quotas = map[string]Quota{"tenant": {MilliCPU: 49, MemoryMB: 50, GPUs: 51, MilliShare: 52}}
--- a/internal/state/invariants_test.go
+++ b/internal/state/invariants_test.go
@@ -17,7 +17,7 @@
 
 // invariantFault tells which invariant a state breaks, or nothing.
 func invariantFault(s *Store) string {
-	for _, check := range []func(*Store) string{taskRunsTwice, usedResourcesFault, reservationFault, schedulingIndexFault, rollupFault} {
+	for _, check := range []func(*Store) string{taskRunsTwice, usedResourcesFault, reservationFault, schedulingIndexFault, serviceUsageFault} {
 		if fault := check(s); fault != "" {
 			return fault
 		}
@@ -72,14 +72,14 @@
 	return ""
 }
 
-// rollupFault compares the rollups, as commands updated them, with rebuilt ones.
-func rollupFault(s *Store) string {
-	kept := map[string]Rollup{}
-	for service, rollup := range s.Rollups {
-		kept[service] = *rollup
+// serviceUsageFault compares the rollups, as commands updated them, with rebuilt ones.
+func serviceUsageFault(s *Store) string {
+	kept := map[string]ServiceUsage{}
+	for service, serviceUsage := range s.ServiceUsages {
+		kept[service] = *serviceUsage
 	}
-	s.RebuildRollups()
-	for service, rebuilt := range s.Rollups {
+	s.RebuildUsage()
+	for service, rebuilt := range s.ServiceUsages {
 		if k := kept[service]; k.UsedMilliCPU != rebuilt.UsedMilliCPU || k.UsedMemoryMB != rebuilt.UsedMemoryMB || k.UsedGPUs != rebuilt.UsedGPUs {
 			return fmt.Sprintf("rollup of %s is kept up as %+v, rebuilt as %+v", service, k, *rebuilt)
 		}
@@ -98,7 +98,7 @@
 			}
 		},
 		"orphan": func(f *fixture) { delete(f.store.Allocations, f.store.LastID) },
-		"rollup": func(f *fixture) { f.store.rollup("s").UsedMilliCPU++ },
+		"rollup": func(f *fixture) { f.store.serviceUsage("s").UsedMilliCPU++ },
 		"twice": func(f *fixture) {
 			a := *f.store.Allocations[f.store.LastID]
 			a.ID++
--- a/internal/state/job.go
+++ b/internal/state/job.go
@@ -116,7 +116,7 @@
 // dueAt is when an instance of a periodic job falls due, on the wall clock.
 func (j *Job) dueAt(instance int) int64 { return j.FirstRunMs + int64(instance)*j.IntervalMs }
 
-// hasMoreInstances tells whether a periodic job has instances that aren't
+// hasMoreInstances reports whether a periodic job has instances that aren't
 // created yet.
 func (j *Job) hasMoreInstances() bool {
 	return j.PeriodicInstances > 0 && j.NextInstance < j.PeriodicInstances
@@ -130,10 +130,10 @@
 	return nil
 }
 
-// IsGang tells whether a step's tasks run together: all at once or none.
+// IsGang reports whether a step's tasks run together: all at once or none.
 func (j *Job) IsGang(step int) bool { return j.Steps[step].Gang }
 
-// InFinalRuns tells whether every task that is left of a job has a run: the next
+// InFinalRuns reports whether every task that is left of a job has a run: the next
 // change is the job's end, or a run that must be repeated.
 func (j *Job) InFinalRuns() bool {
 	if j.ended() || j.hasMoreInstances() || j.AtPeer() {
@@ -152,7 +152,7 @@
 	return true
 }
 
-// inFinalRuns tells whether each task of a step is done or runs.
+// inFinalRuns reports whether each task of a step is done or runs.
 func (s *StepState) inFinalRuns() bool {
 	if s.TasksLeft == 0 {
 		return true
@@ -169,7 +169,7 @@
 	return last
 }
 
-// hasRuns tells whether runs of an instance are allocated.
+// hasRuns reports whether runs of an instance are allocated.
 func (i *JobInstance) hasRuns() bool {
 	for step := range i.Steps {
 		if slices.ContainsFunc(i.Steps[step].Tasks, func(task Task) bool { return len(task.Allocations) > 0 }) {
--- a/internal/state/lend_capacity.go
+++ b/internal/state/lend_capacity.go
@@ -88,7 +88,7 @@
 	return 0, true
 }
 
-// loanExhausted tells whether an incoming job's loan has no CPU left for a run. A
+// loanExhausted reports whether an incoming job's loan has no CPU left for a run. A
 // run that needs more than the whole loan may start alone.
 func (s *Store) loanExhausted(job *Job, milliCPU int64) bool {
 	left, ok := s.LoanRemaining(job)
--- a/internal/state/outcome_test.go
+++ b/internal/state/outcome_test.go
@@ -26,7 +26,7 @@
 		"ResultLeaseExpired": ResultLeaseExpired, "ResultCrashed": ResultCrashed,
 		"StatusPending": StatusPending, "StatusRunning": StatusRunning, "StatusDone": StatusDone,
 		"StatusFailed": StatusFailed, "StatusCanceled": StatusCanceled,
-		"AnswerAccepted": AnswerAccepted, "AnswerRefused": AnswerRefused, "AnswerVoided": AnswerVoided, "AnswerReleased": AnswerReleased,
+		"AnswerAccepted": AnswerAccepted, "AnswerRefused": AnswerRefused, "AnswerVoided": AnswerWithdrawn, "AnswerReleased": AnswerReleased,
 	}
 	want := map[string]string{
 		"ResultDone": "done", "ResultFailed": "failed", "ResultRefused": "refused", "ResultLeaseExpired": "lapsed", "ResultCrashed": "crashed",
--- a/internal/state/quota.go
+++ b/internal/state/quota.go
@@ -90,7 +90,7 @@
 // TenantPriorityUse is what the runs of a tenant's jobs of one priority hold.
 func (s *Store) TenantPriorityUse(of TenantPriority) TenantUse { return s.index.tenantPriorityUse[of] }
 
-// withinQuota tells whether one more task of a step may be started by the quota of its
+// withinQuota reports whether one more task of a step may be started by the quota of its
 // job's tenant.
 func (s *Store) withinQuota(job *Job, spec *protocol.Step) bool {
 	quota, bounded := s.Quotas[job.Tenant()]
--- a/internal/state/quota_commands_test.go
+++ b/internal/state/quota_commands_test.go
@@ -60,7 +60,7 @@
 	return ""
 }
 
-// stepOf gives a step whose tasks take what a run holds.
+// stepOf returns a step whose tasks take what a run holds.
 func stepOf(run *state.Allocation) *protocol.Step {
 	return &protocol.Step{CPUUnits: run.MilliCPU, MemoryMB: run.MemoryMB, GPUs: len(run.GPUs)}
 }
@@ -122,7 +122,7 @@
 	}
 }
 
-// singleCommands gives an entry for each command of an entry.
+// singleCommands returns an entry for each command of an entry.
 func singleCommands(t *testing.T, entry []byte) [][]byte {
 	t.Helper()
 	var batch state.Batch
--- a/internal/state/release_job.go
+++ b/internal/state/release_job.go
@@ -11,7 +11,7 @@
 // Apply voids the offer, so that no late copy of it is accepted once the job is
 // forgotten. The outcome's Text is AnswerReleased.
 func (c *ReleaseJob) Apply(s *Store) Outcome {
-	s.voidOffer(c.Peer, c.ID, c.OfferID)
+	s.withdrawOffer(c.Peer, c.ID, c.OfferID)
 	if job := s.Jobs[c.ID]; job != nil && job.cameFromOffer(c.Peer, c.OfferID) {
 		job.Transfer.State = TransferReleased
 	}
--- a/internal/state/replace_configuration.go
+++ b/internal/state/replace_configuration.go
@@ -37,7 +37,7 @@
 	return update.accept(s, c.Raw)
 }
 
-// AcceptedUpdate tells whether an update with a base and a text was accepted, and the version
+// AcceptedUpdate reports whether an update with a base and a text was accepted, and the version
 // that it put in force.
 func (s *Store) AcceptedUpdate(baseVersion int64, text []byte) (version int64, accepted bool) {
 	record, ok := s.ConfigurationHistory.acceptedOn(baseVersion)
@@ -85,7 +85,7 @@
 	}
 	switch {
 	case c.baseVersion > current:
-		// It is refused for good: if its base comes into force later, a delayed
+		// It is refused permanently: if its base comes into force later, a delayed
 		// copy of this update must not be accepted.
 		s.ConfigurationHistory.recordRefused(c.baseVersion, digest)
 		return notCurrent, true
--- a/internal/state/report_completions.go
+++ b/internal/state/report_completions.go
@@ -29,7 +29,7 @@
 	Completions []protocol.Completion // as listed, one right after the other
 	Checkpoints []protocol.RunProgress
 	// FromOldest tells that Completions begins with the oldest one that the
-	// runner still has: it has forgotten those with lower numbers for good.
+	// runner still has: it has forgotten those with lower numbers permanently.
 	FromOldest bool
 }
 
@@ -124,7 +124,7 @@
 	return oldest
 }
 
-// runWasAllocated tells whether a run of a task was ever allocated: run numbers
+// runWasAllocated reports whether a run of a task was ever allocated: run numbers
 // rise with each allocation. Nothing is known of a job that garbage collection removed.
 func (s *Store) runWasAllocated(task string, run int) bool {
 	parts := strings.Split(task, ".")
--- a/internal/state/report_completions_test.go
+++ b/internal/state/report_completions_test.go
@@ -31,7 +31,7 @@
 
 // TestCompletionsAreAcceptedAsAPrefix: of two reports under way the first was
 // lost. The second raised LastCompletion above both, the runner forgot both, and
-// the run of the first was allocated for good.
+// the run of the first was allocated permanently.
 func TestCompletionsAreAcceptedAsAPrefix(t *testing.T) {
 	f, a := newRunningFixture(t, 4, protocol.Step{})
 	for i, c := range []struct {
--- a/internal/state/settle_transfer.go
+++ b/internal/state/resolve_transfer.go
@@ -1,7 +1,7 @@
 package state
 
-// SettleTransfer records at the source the target's answer to an offer.
-type SettleTransfer struct {
+// ResolveTransfer records at the source the target's answer to an offer.
+type ResolveTransfer struct {
 	_       struct{} `cbor:",toarray"`
 	Job     string
 	OfferID int64
@@ -13,17 +13,17 @@
 
 // Answers of a target to its source, as calls between clusters name them.
 const (
-	AnswerAccepted = "taken"
-	AnswerRefused  = "refused"  // this offer is never accepted
-	AnswerVoided   = "voided"   // as AnswerRefused, requested by the source
-	AnswerReleased = "released" // the target has forgotten the job
+	AnswerAccepted  = "taken"
+	AnswerRefused   = "refused"  // this offer is never accepted
+	AnswerWithdrawn = "voided"   // as AnswerRefused, requested by the source
+	AnswerReleased  = "released" // the target has forgotten the job
 )
 
 // answerEffects is what each answer does to the job at the source.
 var answerEffects = map[string]func(*Store, *Job){
 	AnswerAccepted: func(_ *Store, job *Job) { job.Transfer.State = TransferAccepted },
 	AnswerRefused:  func(_ *Store, job *Job) { job.Transfer.State = TransferNone },
-	AnswerVoided: func(s *Store, job *Job) {
+	AnswerWithdrawn: func(s *Store, job *Job) {
 		job.Transfer.State = TransferNone
 		if job.Transfer.CancelRequested {
 			s.cancelJob(job)
@@ -37,7 +37,7 @@
 // Apply accepts the answer only of a peer whose log has not gone back: the outcome
 // is CodeConflict for any other, and for a peer that denies a job that it accepted.
 // An answer to an offer that is settled already changes nothing.
-func (c *SettleTransfer) Apply(s *Store) Outcome {
+func (c *ResolveTransfer) Apply(s *Store) Outcome {
 	progress := s.Peers[c.Peer]
 	if progress != nil && (progress.Epoch != c.Epoch || c.Index < progress.Index) {
 		return Outcome{Code: CodeConflict, Text: "the peer came back with an older state"}
@@ -57,7 +57,7 @@
 		job.Transfer.OfferID != c.OfferID || job.Transfer.Peer != c.Peer {
 		return Outcome{Code: CodeOK, Text: "no longer of interest"}
 	}
-	if (c.Answer == AnswerRefused || c.Answer == AnswerVoided) && job.Transfer.State == TransferAccepted {
+	if (c.Answer == AnswerRefused || c.Answer == AnswerWithdrawn) && job.Transfer.State == TransferAccepted {
 		return Outcome{Code: CodeConflict, Text: "the peer took it and now denies it"}
 	}
 	effect(s, job)
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -23,9 +23,9 @@
 	frozen.ConfigurationHistory.Refused = slices.Clone(s.ConfigurationHistory.Refused)
 	frozen.Routes = copyRows(s.Routes).build()
 	frozen.Services = maps.Clone(s.Services)
-	frozen.Rollups = copyRows(s.Rollups).build()
+	frozen.ServiceUsages = copyRows(s.ServiceUsages).build()
 	frozen.Peers = copyRows(s.Peers).build()
-	frozen.VoidedOffers = maps.Clone(s.VoidedOffers)
+	frozen.WithdrawnOffers = maps.Clone(s.WithdrawnOffers)
 	frozen.Loans = copyRows(s.Loans).build()
 	frozen.Demand = maps.Clone(s.Demand)
 	for route, buckets := range frozen.Demand {
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -18,7 +18,7 @@
 // may differ and what a command does must not.
 type Limits struct {
 	_              struct{} `cbor:",toarray"`
-	JobRetentionMs int64    // how long a job is kept after its end; 0: for good
+	JobRetentionMs int64    // how long a job is kept after its end; 0: for ever
 	MaxReplans     int      // of one plan, see ApplyPlans
 	RemoteFactor   float64  // how many times as long a task takes away from its data
 }
@@ -40,12 +40,12 @@
 	Devices              map[string]*Device               `cbor:"Devices"`
 	Allocations          map[uint64]*Allocation           `cbor:"Allocs"`
 	Jobs                 map[string]*Job                  `cbor:"Jobs"`
-	Rollups              map[string]*Rollup               `cbor:"Rollups"` // by service
+	ServiceUsages        map[string]*ServiceUsage         `cbor:"Rollups"` // by service
 	LastID               uint64                           `cbor:"Last"`    // of allocations, fences, offers and loans, in one sequence
 	LastJobSequence      int64                            `cbor:"LastSeq"`
 	Epoch                string                           `cbor:"Epoch"` // see SetEpoch
 	Peers                map[string]*PeerProgress         `cbor:"Peers"`
-	VoidedOffers         map[string]int64                 `cbor:"Voids"` // by peer and job, the newest
+	WithdrawnOffers      map[string]int64                 `cbor:"Voids"` // by peer and job, the newest
 	Loans                map[string]*Loan                 `cbor:"Loans"`
 	Demand               map[string]map[int64]float64     `cbor:"Demand"` // submitted work in cores times ms, by route and bucket
 	Aggregators          map[string]ZoneAggregator        `cbor:"Duties"` // by zone
@@ -85,14 +85,14 @@
 // New returns an empty state.
 func New(limits Limits) *Store {
 	s := &Store{
-		Routes:      map[string]*clusterconfig.Route{},
-		Services:    map[string]clusterconfig.Service{},
-		Workers:     map[string]*Worker{},
-		Devices:     map[string]*Device{},
-		Allocations: map[uint64]*Allocation{},
-		Jobs:        map[string]*Job{},
-		Rollups:     map[string]*Rollup{},
-		Limits:      limits,
+		Routes:        map[string]*clusterconfig.Route{},
+		Services:      map[string]clusterconfig.Service{},
+		Workers:       map[string]*Worker{},
+		Devices:       map[string]*Device{},
+		Allocations:   map[uint64]*Allocation{},
+		Jobs:          map[string]*Job{},
+		ServiceUsages: map[string]*ServiceUsage{},
+		Limits:        limits,
 	}
 	s.derive()
 	return s
--- a/internal/state/tenant.go
+++ b/internal/state/tenant.go
@@ -25,10 +25,10 @@
 // Tenant is the name of the tenant that submitted the job; empty for none.
 func (j *Job) Tenant() string { return j.tenant.Tenant }
 
-// BeyondShare tells whether the job was submitted beyond its tenant's share.
+// BeyondShare reports whether the job was submitted beyond its tenant's share.
 func (j *Job) BeyondShare() bool { return j.tenant.BeyondShare }
 
-// VisibleTo tells whether a tenant may ask for the job and cancel it. The job belongs
+// VisibleTo reports whether a tenant may ask for the job and cancel it. The job belongs
 // to its tenant and not to a key, since keys change while it runs. One that was
 // submitted without a tenant is everybody's.
 func (j *Job) VisibleTo(tenant string) bool { return j.Tenant() == "" || j.Tenant() == tenant }
--- a/internal/state/transfer.go
+++ b/internal/state/transfer.go
@@ -2,8 +2,8 @@
 
 // A job is moved to a peer cluster in steps, each of which may be repeated. The
 // source offers it (OfferJob) and from then on starts none of its runs. The target
-// accepts or refuses (AcceptJob). The source records the answer (SettleTransfer);
-// if none comes, it has the target settle the offer (VoidOffer). When the job has
+// accepts or refuses (AcceptJob). The source records the answer (ResolveTransfer);
+// if none comes, it has the target settle the offer (WithdrawOffer). When the job has
 // ended at the target and the source has recorded that, the target may forget it
 // (ReleaseJob). So a job never runs at both.
 
@@ -36,10 +36,10 @@
 	Index uint64
 }
 
-// AtPeer tells whether a peer has the job or may have it.
+// AtPeer reports whether a peer has the job or may have it.
 func (j *Job) AtPeer() bool { return !j.Transfer.Incoming && j.Transfer.State != TransferNone }
 
-// keptForPeer tells whether a job must be kept, ended or not, for a peer that
+// keptForPeer reports whether a job must be kept, ended or not, for a peer that
 // has not settled it.
 func (j *Job) keptForPeer() bool {
 	if j.Transfer.Incoming {
@@ -48,19 +48,19 @@
 	return j.Transfer.State == TransferOffered || j.Transfer.State == TransferAccepted
 }
 
-// cameFromOffer tells whether this is the job that a peer's offer brought.
+// cameFromOffer reports whether this is the job that a peer's offer brought.
 func (j *Job) cameFromOffer(peer string, offerID int64) bool {
 	return j.Transfer.Incoming && j.Transfer.Peer == peer && j.Transfer.OfferID == offerID
 }
 
-// voidOffer makes AcceptJob refuse an offer, and earlier ones of the job, from now
+// withdrawOffer makes AcceptJob refuse an offer, and earlier ones of the job, from now
 // on.
-func (s *Store) voidOffer(peer, job string, offerID int64) {
-	if s.VoidedOffers == nil {
-		s.VoidedOffers = map[string]int64{}
+func (s *Store) withdrawOffer(peer, job string, offerID int64) {
+	if s.WithdrawnOffers == nil {
+		s.WithdrawnOffers = map[string]int64{}
 	}
 	key := offerKey(peer, job)
-	s.VoidedOffers[key] = max(s.VoidedOffers[key], offerID)
+	s.WithdrawnOffers[key] = max(s.WithdrawnOffers[key], offerID)
 }
 
 func offerKey(peer, job string) string { return peer + "/" + job }
--- a/internal/state/transfer_test.go
+++ b/internal/state/transfer_test.go
@@ -59,7 +59,7 @@
 	if o := f.acceptJob(7, "l"); o.Text != AnswerAccepted || len(f.store.Jobs) != 1 {
 		t.Fatalf("repeated: %+v", o)
 	}
-	if o := f.apply(&VoidOffer{Peer: "p", OfferID: 7, ID: "j"}); o.Text != AnswerAccepted {
+	if o := f.apply(&WithdrawOffer{Peer: "p", OfferID: 7, ID: "j"}); o.Text != AnswerAccepted {
 		t.Fatalf("what was accepted is voided: %+v", o)
 	}
 	f.apply(&ReleaseJob{Peer: "p", OfferID: 7, ID: "j"})
@@ -71,7 +71,7 @@
 
 func TestVoidedOfferIsNeverAccepted(t *testing.T) {
 	f := newLoanFixture(t)
-	if o := f.apply(&VoidOffer{Peer: "p", OfferID: 7, ID: "j"}); o.Text != AnswerVoided {
+	if o := f.apply(&WithdrawOffer{Peer: "p", OfferID: 7, ID: "j"}); o.Text != AnswerWithdrawn {
 		t.Fatalf("%+v", o)
 	}
 	if o := f.acceptJob(7, "l"); o.Text != AnswerRefused || f.store.Jobs["j"] != nil {
@@ -116,19 +116,19 @@
 		t.Fatal("it runs here while the peer may have it")
 	}
 	settle := func(answer string, index uint64) Outcome {
-		return f.apply(&SettleTransfer{Job: "j", OfferID: offerID, Peer: "p", Epoch: "e", Index: index, Answer: answer})
+		return f.apply(&ResolveTransfer{Job: "j", OfferID: offerID, Peer: "p", Epoch: "e", Index: index, Answer: answer})
 	}
 	if o := f.apply(&CancelJob{ID: "j"}); o.Code != CodeAccepted {
 		t.Fatalf("canceled while the peer may run it: %+v", o)
 	}
 	settle(AnswerAccepted, 9)
-	if o := settle(AnswerVoided, 10); o.Code != CodeConflict {
+	if o := settle(AnswerWithdrawn, 10); o.Code != CodeConflict {
 		t.Fatalf("a peer that denies what it accepted is believed: %+v", o)
 	}
 	if o := settle(StatusDone, 5); o.Code != CodeConflict || f.store.Jobs["j"].Done {
 		t.Fatalf("a peer with an older state is believed: %+v", o)
 	}
-	ofOtherEpoch := &SettleTransfer{Job: "j", OfferID: offerID, Peer: "p", Epoch: "other", Index: 50, Answer: StatusDone}
+	ofOtherEpoch := &ResolveTransfer{Job: "j", OfferID: offerID, Peer: "p", Epoch: "other", Index: 50, Answer: StatusDone}
 	if o := f.apply(ofOtherEpoch); o.Code != CodeConflict {
 		t.Fatalf("another history is believed: %+v", o)
 	}
@@ -145,7 +145,7 @@
 	a := f.addWorker("a", protocol.Resources{CPUUnits: 1000, MemoryMB: 1000})
 	f.submit("j", protocol.Step{TaskCount: 1})
 	offerID := f.apply(&OfferJob{Job: "j", Peer: "p"}).Value
-	f.apply(&SettleTransfer{Job: "j", OfferID: offerID, Peer: "p", Epoch: "e", Index: 1, Answer: AnswerVoided})
+	f.apply(&ResolveTransfer{Job: "j", OfferID: offerID, Peer: "p", Epoch: "e", Index: 1, Answer: AnswerWithdrawn})
 	f.applyPlan("j", 0, false, placementOn(a, 0))
 	if len(f.store.Allocations) != 1 {
 		t.Fatal("it does not start at the source")
--- a/internal/state/void_offer.go
+++ b/internal/state/withdraw_offer.go
@@ -1,8 +1,8 @@
 package state
 
-// VoidOffer settles an offer at the target: if it was not accepted before, it never
+// WithdrawOffer settles an offer at the target: if it was not accepted before, it never
 // will be.
-type VoidOffer struct {
+type WithdrawOffer struct {
 	_       struct{} `cbor:",toarray"`
 	Peer    string
 	OfferID int64
@@ -10,13 +10,13 @@
 	Cancel  bool // cancel the job if it was accepted
 }
 
-// Apply settles the offer. The outcome's Text is AnswerVoided, or what
+// Apply settles the offer. The outcome's Text is AnswerWithdrawn, or what
 // IncomingJobStatus returns for a job that was accepted.
-func (c *VoidOffer) Apply(s *Store) Outcome {
+func (c *WithdrawOffer) Apply(s *Store) Outcome {
 	job := s.Jobs[c.ID]
 	if job == nil || !job.cameFromOffer(c.Peer, c.OfferID) {
-		s.voidOffer(c.Peer, c.ID, c.OfferID)
-		return Outcome{Code: CodeOK, Text: AnswerVoided}
+		s.withdrawOffer(c.Peer, c.ID, c.OfferID)
+		return Outcome{Code: CodeOK, Text: AnswerWithdrawn}
 	}
 	if c.Cancel && !job.ended() {
 		s.cancelJob(job)
--- a/internal/state/worker.go
+++ b/internal/state/worker.go
@@ -42,14 +42,14 @@
 	return w.Labels[len(w.Labels)-1]
 }
 
-// HasLabel tells whether the worker has a label.
+// HasLabel reports whether the worker has a label.
 func (w *Worker) HasLabel(label string) bool { return slices.Contains(w.Labels, label) }
 
-// RemoteFrom tells whether a worker is away from the rack near which a task's
+// RemoteFrom reports whether a worker is away from the rack near which a task's
 // data lies; an empty label is near all.
 func (w *Worker) RemoteFrom(label string) bool { return label != "" && !w.HasLabel(label) }
 
-// Schedulable tells whether the worker may be given new work.
+// Schedulable reports whether the worker may be given new work.
 func (w *Worker) Schedulable() bool {
 	return !w.Draining && !w.Unhealthy && !w.LeaseExpired && !w.Dead && !w.evacuated
 }
--- a/internal/storage/checked_file.go
+++ b/internal/storage/checked_file.go
@@ -19,7 +19,7 @@
 type fileContent interface {
 	// read checks and reads a whole file without bbolt, and returns its newest meta page.
 	read(reader io.ReaderAt, size int64) (boltMeta, error)
-	// isUnused tells whether nobody relies on what was read.
+	// isUnused reports whether nobody relies on what was read.
 	isUnused() bool
 	// initialize writes what a new file begins with.
 	initialize(tx *bolt.Tx) error
@@ -27,9 +27,9 @@
 
 // openedFile is the outcome of opening a file.
 type openedFile struct {
-	db             *bolt.DB
-	created        bool
-	setAsideReason string // why an earlier file was set aside; empty if none was
+	db               *bolt.DB
+	created          bool
+	quarantineReason string // why an earlier file was quarantined; empty if none was
 }
 
 // openChecked opens a file of a directory, as Open describes it.
@@ -46,7 +46,7 @@
 		return opened, nil
 	case errors.Is(err, errUninitialized):
 	case errors.As(err, &corruptErr):
-		opened.setAsideReason = corruptErr.Error()
+		opened.quarantineReason = corruptErr.Error()
 		if err := fs.rename(path, path+corruptSuffix); err != nil {
 			return opened, unavailable("put aside", err)
 		}
@@ -185,7 +185,7 @@
 	return meta, err
 }
 
-// isUninitialized tells whether a corrupt file can never have held an identity: it
+// isUninitialized reports whether a corrupt file can never have held an identity: it
 // is blank, or it has no more pages than a new file of bbolt and starts like one. The
 // first transaction of this package grows the file before it writes.
 func isUninitialized(reader io.ReaderAt, size int64) (bool, error) {
--- a/internal/storage/doc.go
+++ b/internal/storage/doc.go
@@ -7,8 +7,8 @@
 // "snapshots" a bucket of frames for each generation. Each record carries a
 // checksum.
 //
-// Either file is checked page by page before bbolt opens it. The package never changes
-// a file that it can't read: one that is provably corrupt is set aside, and the
-// daemon goes on under a new identity, or a new origin of tallies (see Open, OpenTallies); after any other fault the file is
+// Either file is checked page by page before bbolt opens it. The package never changes a file that
+// it can't read: one that is provably corrupt is quarantined, and the daemon goes on under a new
+// identity, or a new origin of tallies (see Open, OpenTallies); after any other fault the file is
 // left as it is and the call may be repeated (see UnavailableError, VersionError).
 package storage
--- a/internal/storage/open.go
+++ b/internal/storage/open.go
@@ -50,16 +50,16 @@
 // before it came to that; a failure of this sync counts only while the file holds
 // nothing but an identity.
 //
-// A file that is provably corrupt or of another program is set aside under another
+// A file that is provably corrupt or of another program is quarantined under another
 // name (only the newest of them is kept) and the daemon goes on under a new identity;
-// setAsideReason tells why, and is else empty. What can still be read of such a file is
+// quarantineReason tells why, and is else empty. What can still be read of such a file is
 // not used, since an entry or a vote that this identity acknowledged may be in the other
 // part, and the cluster relies on it. Under a new identity the daemon is another member,
 // which neither votes nor counts until the leader has brought it up to date.
 //
 // Any other fault is an *UnavailableError or a *VersionError, and leaves all files
 // as they are.
-func Open(dir string) (store *Store, recovered Recovered, setAsideReason string, err error) {
+func Open(dir string) (store *Store, recovered Recovered, quarantineReason string, err error) {
 	return osFileSystem.open(dir)
 }
 
@@ -67,10 +67,10 @@
 	content := &storeContent{}
 	opened, err := fs.openChecked(dir, fileName, content)
 	if err != nil {
-		return nil, Recovered{}, opened.setAsideReason, err
+		return nil, Recovered{}, opened.quarantineReason, err
 	}
 	content.recovered.NewIdentity = opened.created
-	return content.newStore(opened.db), content.recovered, opened.setAsideReason, nil
+	return content.newStore(opened.db), content.recovered, opened.quarantineReason, nil
 }
 
 // storeContent is the content of the file of a Store.
@@ -89,7 +89,7 @@
 	return meta, err
 }
 
-// isUnused tells whether nothing but an identity was ever written.
+// isUnused reports whether nothing but an identity was ever written.
 func (c *storeContent) isUnused() bool { return c.recovered.isUnused() }
 
 // initialize writes a new identity.
--- a/internal/storage/open_retry.go
+++ b/internal/storage/open_retry.go
@@ -19,41 +19,41 @@
 // call hangs. The only error that it returns is that of ctx.
 func OpenWithRetry(
 	ctx context.Context, dir string, onWait func(error),
-) (store *Store, recovered Recovered, setAsideReason string, err error) {
+) (store *Store, recovered Recovered, quarantineReason string, err error) {
 	return osFileSystem.openWithRetry(ctx, dir, onWait)
 }
 
 // openResult is the outcome of one call of Open.
 type openResult struct {
-	store          *Store
-	recovered      Recovered
-	setAsideReason string
-	err            error
+	store            *Store
+	recovered        Recovered
+	quarantineReason string
+	err              error
 }
 
 func (fs fileSystem) openWithRetry(ctx context.Context, dir string, onWait func(error)) (*Store, Recovered, string, error) {
 	backoff := RetryBackoff
-	setAsideReason := "" // of the last attempt that set a file aside
+	quarantineReason := "" // of the last attempt that set a file aside
 	for {
 		results := make(chan openResult, 1)
 		go func() {
 			var result openResult
-			result.store, result.recovered, result.setAsideReason, result.err = fs.open(dir)
+			result.store, result.recovered, result.quarantineReason, result.err = fs.open(dir)
 			results <- result
 		}()
 		result, err := awaitOpen(ctx, results, onWait)
 		if err != nil {
-			return nil, Recovered{}, setAsideReason, err
+			return nil, Recovered{}, quarantineReason, err
 		}
-		if result.setAsideReason != "" {
-			setAsideReason = result.setAsideReason
+		if result.quarantineReason != "" {
+			quarantineReason = result.quarantineReason
 		}
 		if result.err == nil {
-			return result.store, result.recovered, setAsideReason, nil
+			return result.store, result.recovered, quarantineReason, nil
 		}
 		onWait(result.err)
 		if sleep(ctx, backoff); ctx.Err() != nil {
-			return nil, Recovered{}, setAsideReason, ctx.Err()
+			return nil, Recovered{}, quarantineReason, ctx.Err()
 		}
 		backoff = min(2*backoff, maxStorageRetryBackoff)
 	}
--- a/internal/storage/page.go
+++ b/internal/storage/page.go
@@ -81,7 +81,7 @@
 	return newest, nil
 }
 
-// hasBothMetas tells whether both meta pages of a file are valid. One that isn't says that the
+// hasBothMetas reports whether both meta pages of a file are valid. One that isn't says that the
 // newest transaction may be missing.
 func hasBothMetas(reader io.ReaderAt, size, pageSize int64) (bool, error) {
 	for _, offset := range []int64{0, pageSize} {
@@ -99,7 +99,7 @@
 	return true, nil
 }
 
-// parseMeta decodes the meta of a meta page, and tells whether it is valid.
+// parseMeta decodes the meta of a meta page, and reports whether it is valid.
 func parseMeta(b []byte) (boltMeta, bool) {
 	order := binary.LittleEndian
 	checksum := fnv.New64a()
@@ -130,7 +130,7 @@
 // overflow returns the number of overflow pages.
 func (p page) overflow() uint64 { return uint64(binary.LittleEndian.Uint32(p[12:])) }
 
-// hasAllElements tells whether the page has room for its elements.
+// hasAllElements reports whether the page has room for its elements.
 func (p page) hasAllElements() bool { return pageHeaderSize+p.count()*elementSize <= len(p) }
 
 // branchElement returns an element of a branch page: a key, and the page with the keys
--- a/internal/storage/page_walker.go
+++ b/internal/storage/page_walker.go
@@ -38,12 +38,12 @@
 	return meta, w.checkFreelist()
 }
 
-// isVisited tells whether a page was reached before.
+// isVisited reports whether a page was reached before.
 func (w *pageWalker) isVisited(id uint64) bool {
 	return w.visited[id/bitsPerWord]&(1<<(id%bitsPerWord)) != 0
 }
 
-// markVisited takes note that a page was reached.
+// markVisited records that a page was reached.
 func (w *pageWalker) markVisited(id uint64) { w.visited[id/bitsPerWord] |= 1 << (id % bitsPerWord) }
 
 // checkFreelist checks the list of free pages. Only files that were written with
--- a/internal/storage/recovery.go
+++ b/internal/storage/recovery.go
@@ -19,7 +19,7 @@
 	FirstStart  bool          // see MarkFirstStart
 }
 
-// isUnused tells whether nothing but an identity was ever written.
+// isUnused reports whether nothing but an identity was ever written.
 func (r *Recovered) isUnused() bool {
 	return r.HardState == (raft.HardState{}) && r.Snapshot.Index == 0 && len(r.Entries) == 0 && len(r.Founders) == 0
 }
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -51,7 +51,7 @@
 // Close closes a store on which Run was not called.
 func (s *Store) Close() error { return Error.Wrap(s.db.Close()) }
 
-// MarkFirstStart notes, for good, that the file was created as the whole system started
+// MarkFirstStart records permanently that the file was created as the whole system started
 // for the first time.
 func (s *Store) MarkFirstStart() error {
 	encoded, err := encodeRecord(keyFirstStart, true)
--- a/internal/storage/tallies.go
+++ b/internal/storage/tallies.go
@@ -50,11 +50,11 @@
 	Runs   []tally.Run
 	// Bytes is what the file has in use.
 	Bytes int64
-	// SetAsideReason says why an earlier file was set aside; empty if none was. Its adds are
+	// QuarantineReason says why an earlier file was quarantined; empty if none was. Its adds are
 	// to come from the other replicas, as after the loss of a disk.
-	SetAsideReason string
+	QuarantineReason string
 	// LastWriteLost: one of the two meta pages is not valid. Either the power was lost during
-	// the last write, which then nobody was told of, or the page has decayed and adds of the
+	// the last write, which then nobody was notified of, or the page has decayed and adds of the
 	// last write are missing. They come back from other replicas, and the file goes on under
 	// a new origin, so that no number is given twice.
 	LastWriteLost bool
@@ -63,7 +63,7 @@
 }
 
 // OpenTallies opens the file in a directory, or creates it, and reads what it holds. As with
-// Open, a good file is opened without a write, one that is provably corrupt is set aside, and
+// Open, a good file is opened without a write, one that is provably corrupt is quarantined, and
 // any other fault leaves the files as they are and may pass.
 func OpenTallies(dir string) (*Tallies, RecoveredTallies, error) {
 	return osFileSystem.openTallies(dir)
@@ -78,8 +78,8 @@
 	opened.db.AllocSize = talliesGrowth
 	recovered := RecoveredTallies{
 		Origin: content.origin, Runs: content.runs, Bytes: content.bytes,
-		SetAsideReason: opened.setAsideReason, LastWriteLost: content.lastWriteLost,
-		Created: opened.created && opened.setAsideReason == "",
+		QuarantineReason: opened.quarantineReason, LastWriteLost: content.lastWriteLost,
+		Created: opened.created && opened.quarantineReason == "",
 	}
 	file := &Tallies{db: opened.db, count: content.adds}
 	if recovered.Origin == "" || recovered.LastWriteLost {
@@ -109,7 +109,7 @@
 	return err
 }
 
-// isUnused tells whether the file holds nothing yet.
+// isUnused reports whether the file holds nothing yet.
 func (c *tallyContent) isUnused() bool { return c.adds == 0 && c.origin == "" }
 
 // read checks and reads a whole file.
--- a/internal/storage/tallies_test.go
+++ b/internal/storage/tallies_test.go
@@ -71,7 +71,7 @@
 func TestTalliesAreReadAgain(t *testing.T) {
 	dir := t.TempDir()
 	file, recovered := mustOpenTallies(t, dir)
-	if len(recovered.Runs) != 0 || recovered.Origin == "" || recovered.SetAsideReason != "" || recovered.LastWriteLost {
+	if len(recovered.Runs) != 0 || recovered.Origin == "" || recovered.QuarantineReason != "" || recovered.LastWriteLost {
 		t.Errorf("a new file has %+v", recovered)
 	}
 	a := tally.Run{Origin: "a", First: 1, Adds: []tally.Add{testAdd("t", "1", 5), testAdd("u", "2", -3)}}
@@ -136,8 +136,8 @@
 	}
 	_ = file.Close()
 	file, again := mustOpenTallies(t, dir)
-	if again.SetAsideReason != "" || !reflect.DeepEqual(again.Runs, []tally.Run{want}) {
-		t.Errorf("set aside: %q, runs %v", again.SetAsideReason, again.Runs)
+	if again.QuarantineReason != "" || !reflect.DeepEqual(again.Runs, []tally.Run{want}) {
+		t.Errorf("set aside: %q, runs %v", again.QuarantineReason, again.Runs)
 	}
 	_ = file.Close()
 }
@@ -242,10 +242,10 @@
 	}
 	defer func() { _ = file.Close() }()
 	switch {
-	case recovered.SetAsideReason != "":
+	case recovered.QuarantineReason != "":
 		outcome = "set aside"
 		if len(recovered.Runs) != 0 || !bytes.Equal(mustReadFile(t, path+corruptSuffix), damaged) {
-			t.Fatalf("%s: %d runs beside %q", what, len(recovered.Runs), recovered.SetAsideReason)
+			t.Fatalf("%s: %d runs beside %q", what, len(recovered.Runs), recovered.QuarantineReason)
 		}
 	case recovered.LastWriteLost:
 		outcome = "last write lost"
@@ -272,14 +272,14 @@
 	mustAppend(t, file, tally.Run{Origin: recovered.Origin, First: first, Adds: []tally.Add{testAdd("t", "after", 1)}})
 	_ = file.Close()
 	reopened, again := mustOpenTallies(t, dir)
-	if again.Origin != recovered.Origin || again.SetAsideReason != "" || again.LastWriteLost {
-		t.Fatalf("%s: opened again: %q", what, again.SetAsideReason)
+	if again.Origin != recovered.Origin || again.QuarantineReason != "" || again.LastWriteLost {
+		t.Fatalf("%s: opened again: %q", what, again.QuarantineReason)
 	}
 	_ = reopened.Close()
 	return outcome
 }
 
-// sortedRuns gives runs in the order of their origins.
+// sortedRuns returns runs in the order of their origins.
 func sortedRuns(runs []tally.Run) []tally.Run {
 	sorted := []tally.Run{runs[1], runs[2]}
 	for i, run := range sorted {
@@ -291,7 +291,7 @@
 }
 
 // TestDamagedTalliesAreNotUsed: a record that isn't what was written makes the whole file one
-// that is set aside, as it is, and none of its adds is used.
+// that is quarantined, as it is, and none of its adds is used.
 func TestDamagedTalliesAreNotUsed(t *testing.T) {
 	dir, want := newTalliesFile(t, 100)
 	path := filepath.Join(dir, talliesFileName)
@@ -309,8 +309,8 @@
 	damaged := mustReadFile(t, path)
 	file, recovered := mustOpenTallies(t, dir)
 	defer func() { _ = file.Close() }()
-	if recovered.SetAsideReason == "" || len(recovered.Runs) != 0 || recovered.Origin == want[0].Origin {
-		t.Errorf("a damaged record was read: %q, %d runs", recovered.SetAsideReason, len(recovered.Runs))
+	if recovered.QuarantineReason == "" || len(recovered.Runs) != 0 || recovered.Origin == want[0].Origin {
+		t.Errorf("a damaged record was read: %q, %d runs", recovered.QuarantineReason, len(recovered.Runs))
 	}
 	if !bytes.Equal(mustReadFile(t, path+corruptSuffix), damaged) {
 		t.Error("the file that was set aside is not the damaged one")
@@ -352,7 +352,7 @@
 		}
 		_ = file.Close()
 		file, recovered := mustOpenTallies(t, dir)
-		if recovered.SetAsideReason == "" {
+		if recovered.QuarantineReason == "" {
 			t.Errorf("%s: not noticed", name)
 		}
 		_ = file.Close()
--- a/internal/storage/writer.go
+++ b/internal/storage/writer.go
@@ -112,7 +112,7 @@
 	}
 }
 
-// markProgress takes note that a transaction was synced, or that requests begin to
+// markProgress records that a transaction was synced, or that requests begin to
 // wait.
 func (s *Store) markProgress() {
 	now := time.Now()
--- a/internal/tally/comparison.go
+++ b/internal/tally/comparison.go
@@ -86,7 +86,7 @@
 	}
 }
 
-// differingOrigins gives the origins whose contents differ from a peer's, in order.
+// differingOrigins returns the origins whose contents differ from a peer's, in order.
 func (r *Replica) differingOrigins(theirs map[string]uint64) []string {
 	var differing []string
 	for name, contents := range r.set.ContentsByOrigin() {
@@ -148,7 +148,7 @@
 	r.toWrite = append(r.toWrite, run)
 }
 
-// markWritten takes note that a run is on the disk: adds that are new, or one that replaces
+// markWritten records that a run is on the disk: adds that are new, or one that replaces
 // another.
 func (r *Replica) markWritten(run Run) {
 	position := Position{Origin: run.Origin, Number: run.First}
--- a/internal/tally/contents.go
+++ b/internal/tally/contents.go
@@ -6,7 +6,7 @@
 	"encoding/binary"
 )
 
-// A number of an origin stands for one add for good, unless a file was put back from an older
+// A number of an origin stands for one add permanently, unless a file was put back from an older
 // copy and gave a number before it heard a peer that knew it. Then two replicas hold different
 // adds at one position while their vectors are equal. Messages carry a digest of the contents,
 // by which this is noticed; the replicas then compare their adds, the same add is kept at the
@@ -32,7 +32,7 @@
 // Contents is a digest of the adds on the disk with their positions: the sum of their hashes.
 func (s *Set) Contents() uint64 { return s.contents }
 
-// ContentsByOrigin gives the digest of each origin's adds on the disk.
+// ContentsByOrigin returns the digest of each origin's adds on the disk.
 func (s *Set) ContentsByOrigin() map[string]uint64 {
 	contents := make(map[string]uint64, len(s.origins))
 	for _, origin := range s.origins {
@@ -43,7 +43,7 @@
 	return contents
 }
 
-// Differing gives the adds of a run, as one run each, that are to stand at their positions
+// Differing returns the adds of a run, as one run each, that are to stand at their positions
 // instead of the adds that are on the disk here.
 func (s *Set) Differing(run Run) []Run {
 	var differing []Run
@@ -64,7 +64,7 @@
 	return s.add(place{s.byName[position.Origin], uint32(position.Number)})
 }
 
-// Replace takes note that another add is on the disk at a position since. The one that stood
+// Replace records that another add is on the disk at a position since. The one that stood
 // there must be on the disk at another position, if its ID is a different one.
 func (s *Set) Replace(position Position, add Add) {
 	at := place{s.byName[position.Origin], uint32(position.Number)}
--- a/internal/tally/replica.go
+++ b/internal/tally/replica.go
@@ -17,7 +17,7 @@
 	// Copies is on how many disks an add is before it is acknowledged.
 	Copies int
 	// PeerTimeout is the silence of a peer after which it counts as cut off, AnswerTimeout
-	// how long it may take to answer an add that it is told of.
+	// how long it may take to answer an add that it is notified of.
 	PeerTimeout, AnswerTimeout time.Duration
 	// ExchangeInterval is the time between two exchanges of vectors with each peer, and
 	// RepeatInterval that after which a peer that lacks something is told again.
@@ -44,11 +44,11 @@
 
 // peer is another replica, as this one knows it.
 type peer struct {
-	vector  peerVector          // what it has on its disk
-	changed map[string]struct{} // origins of which it was not told since they changed
-	sent    uint64              // the number of the newest add of this origin that it was told of
-	heardAt time.Time           // zero: never
-	toldAt  time.Time           // when it was last told of adds of this origin
+	vector      peerVector          // what it has on its disk
+	changed     map[string]struct{} // origins of which it was not told since they changed
+	sent        uint64              // the number of the newest add of this origin that it was notified of
+	lastContact time.Time           // zero: never
+	toldAt      time.Time           // when it was last told of adds of this origin
 }
 
 // change is an add that waits to be acknowledged.
@@ -121,18 +121,18 @@
 // FileShare is the share of its bound that the file has reached; 1 and more is full.
 func (r *Replica) FileShare() float64 { return float64(r.fileBytes) / float64(r.config.MaxBytes) }
 
-// append gives an add the next number of this origin.
+// append returns an add the next number of this origin.
 //
-// Nobody is told of it before it is on the disk here. So all numbers that others know are in
+// Nobody is notified of it before it is on the disk here. So all numbers that others know are in
 // the file, the process that opens it next goes on behind them, and a number stands for one
-// add for good. There are no more origins than there were files.
+// add permanently. There are no more origins than there were files.
 func (r *Replica) append(add Add) Position {
 	run := Run{Origin: r.config.Origin, First: r.set.Newest(r.config.Origin) + 1, Adds: []Add{add}}
 	r.toWrite = append(r.toWrite, r.set.Stage(run))
 	return Position{Origin: run.Origin, Number: run.First}
 }
 
-// isRolledBack tells whether a peer has adds of this origin that are not here: the file is
+// isRolledBack reports whether a peer has adds of this origin that are not here: the file is
 // an older copy of itself. They come back from that peer, and until then no number is given.
 func (r *Replica) isRolledBack() bool {
 	newest := r.set.Newest(r.config.Origin)
@@ -164,7 +164,7 @@
 	if sender == nil {
 		return
 	}
-	sender.heardAt = now
+	sender.lastContact = now
 	sender.vector.learn(&message, r.set)
 	for _, run := range message.Runs {
 		if taken := r.set.Stage(run); len(taken.Adds) > 0 {
@@ -201,7 +201,7 @@
 	r.send(id, answer)
 }
 
-// TakeWrites gives what is to be written next, if nothing is being written; nil if nothing
+// TakeWrites returns what is to be written next, if nothing is being written; nil if nothing
 // is. Written must be called once it is on the disk.
 func (r *Replica) TakeWrites() []Run {
 	if r.writing != nil || len(r.toWrite) == 0 && len(r.askedBy) == 0 {
@@ -215,7 +215,7 @@
 	return r.writing
 }
 
-// Written takes note that what TakeWrites gave is on the disk, and of the size that the file
+// Written records that what TakeWrites gave is on the disk, and of the size that the file
 // has now, in bytes.
 func (r *Replica) Written(fileBytes int64, now time.Time) {
 	for _, run := range r.writing {
@@ -281,7 +281,7 @@
 	}
 }
 
-// isSafe tells whether a change may be acknowledged. A peer that answers is waited for,
+// isSafe reports whether a change may be acknowledged. A peer that answers is waited for,
 // however slow its disk: only those that are silent are done without, and only where there
 // are too few others.
 func (r *Replica) isSafe(change change, now time.Time) bool {
@@ -294,7 +294,7 @@
 		if has {
 			copies++
 		}
-		if r.isSilent(peer, change.since, now) {
+		if r.isUnresponsive(peer, change.since, now) {
 			continue
 		}
 		heard++
@@ -306,15 +306,15 @@
 	return copies >= needed || heard < needed && lacking == 0
 }
 
-// isSilent tells whether a peer is cut off, or ended, as far as can be told.
-func (r *Replica) isSilent(peer *peer, since, now time.Time) bool {
-	if now.Sub(peer.heardAt) > r.config.PeerTimeout {
+// isUnresponsive reports whether a peer is cut off, or ended, as far as can be told.
+func (r *Replica) isUnresponsive(peer *peer, since, now time.Time) bool {
+	if now.Sub(peer.lastContact) > r.config.PeerTimeout {
 		return true
 	}
-	return peer.heardAt.Before(since) && now.Sub(since) > r.config.AnswerTimeout
+	return peer.lastContact.Before(since) && now.Sub(since) > r.config.AnswerTimeout
 }
 
-// Read gives the sum of a tally, if all adds of a vector are here.
+// Read returns the sum of a tally, if all adds of a vector are here.
 func (r *Replica) Read(tally string, after Vector, now time.Time) (int64, Result) {
 	switch {
 	case !r.set.Vector().Covers(after):
@@ -330,7 +330,7 @@
 	r.changes = slices.DeleteFunc(r.changes, func(c change) bool { return c.since.Before(before) })
 }
 
-// TakeMessages gives what is to be sent.
+// TakeMessages returns what is to be sent.
 func (r *Replica) TakeMessages() []Envelope {
 	taken := r.outbox
 	r.outbox = nil
@@ -339,8 +339,8 @@
 
 // PeerState is what a replica knows of a peer, for operators.
 type PeerState struct {
-	ID      string
-	HeardAt time.Time // zero: never
+	ID          string
+	LastContact time.Time // zero: never
 	// Lacks is how many adds that are here are not known to be on the peer's disk.
 	Lacks uint64
 }
@@ -349,7 +349,7 @@
 func (r *Replica) Peers() []PeerState {
 	states := make([]PeerState, 0, len(r.peers))
 	for _, id := range r.peerIDs() {
-		state := PeerState{ID: id, HeardAt: r.peers[id].heardAt}
+		state := PeerState{ID: id, LastContact: r.peers[id].lastContact}
 		for origin, number := range r.set.Vector() {
 			state.Lacks += number - min(number, r.peers[id].vector.numbers[origin])
 		}
@@ -361,7 +361,7 @@
 // Adds is the number of adds that are known by their IDs.
 func (r *Replica) Adds() int { return r.set.Len() }
 
-// Totals gives all tallies with their sums. The caller must not change it.
+// Totals returns all tallies with their sums. The caller must not change it.
 func (r *Replica) Totals() map[string]int64 { return r.set.Totals() }
 
 // send sends a message with what has changed of this replica's vector since the one to the
--- a/internal/tally/set.go
+++ b/internal/tally/set.go
@@ -84,7 +84,7 @@
 		superseded: map[place]int64{}, totals: map[string]int64{}, vector: Vector{}}
 }
 
-// originIndex gives the index of an origin, which is made if it is new.
+// originIndex returns the index of an origin, which is made if it is new.
 func (s *Set) originIndex(name string) uint32 {
 	index, known := s.byName[name]
 	if !known {
@@ -96,7 +96,7 @@
 }
 
 // Stage takes over those adds of a run that are new and follow what is there without a gap,
-// and gives them; its run is empty if there are none. They don't count before MarkWritten.
+// and returns them; its run is empty if there are none. They don't count before MarkWritten.
 func (s *Set) Stage(run Run) Run {
 	known := s.Newest(run.Origin)
 	if run.First == 0 || run.First > known+1 || run.Last() <= known {
@@ -112,7 +112,7 @@
 	return taken
 }
 
-// intern gives one copy of a tally's name.
+// intern returns one copy of a tally's name.
 func (s *Set) intern(name string) string {
 	if known, ok := s.names[name]; ok {
 		return known
@@ -146,7 +146,7 @@
 
 func (s *Set) isWritten(at place) bool { return s.origins[at.origin].written >= uint64(at.number) }
 
-// MarkWritten takes note that adds that were staged are on the disk: from now on they count.
+// MarkWritten records that adds that were staged are on the disk: from now on they count.
 func (s *Set) MarkWritten(run Run) {
 	index, known := s.byName[run.Origin]
 	if !known || len(run.Adds) == 0 {
@@ -176,13 +176,13 @@
 // Total is the sum of a tally; 0 if there is no such tally.
 func (s *Set) Total(tally string) int64 { return s.totals[tally] }
 
-// Totals gives all tallies with their sums. The caller must not change it.
+// Totals returns all tallies with their sums. The caller must not change it.
 func (s *Set) Totals() map[string]int64 { return s.totals }
 
 // Len is the number of adds that are known by their IDs.
 func (s *Set) Len() int { return len(s.entries) }
 
-// Find gives the place of an add that is there.
+// Find returns the place of an add that is there.
 func (s *Set) Find(id ID) (Position, bool) {
 	at, known := s.entries[id]
 	if !known {
@@ -207,12 +207,12 @@
 	return uint64(len(s.origins[index].adds))
 }
 
-// Has tells whether an add is on the disk, by its place.
+// Has reports whether an add is on the disk, by its place.
 func (s *Set) Has(position Position) bool {
 	return s.vector[position.Origin] >= position.Number
 }
 
-// Missing gives the adds on the disk that are beyond a vector, of at most so many, in the
+// Missing returns the adds on the disk that are beyond a vector, of at most so many, in the
 // order of their origins.
 func (s *Set) Missing(vector Vector, most int) []Run {
 	var lacking []string
@@ -234,7 +234,7 @@
 	return runs
 }
 
-// MissingOf gives the adds of an origin that are on the disk and beyond a number, of at most
+// MissingOf returns the adds of an origin that are on the disk and beyond a number, of at most
 // so many; an empty run if there are none.
 func (s *Set) MissingOf(name string, known uint64, most int) Run {
 	written := s.vector[name]
--- a/internal/tally/vector.go
+++ b/internal/tally/vector.go
@@ -9,7 +9,7 @@
 // Vector gives, for each origin, the number up to which all its adds are on a disk.
 type Vector map[string]uint64
 
-// Covers tells whether all adds of another vector are there too.
+// Covers reports whether all adds of another vector are there too.
 func (v Vector) Covers(other Vector) bool {
 	for origin, number := range other {
 		if v[origin] < number {
@@ -26,7 +26,7 @@
 	High, Low uint64
 }
 
-// replace gives the digest after the number of an origin has changed; 0 is none.
+// replace returns the digest after the number of an origin has changed; 0 is none.
 func (d Digest) replace(origin string, before, after uint64) Digest {
 	if before > 0 {
 		high, low := hashNumber(origin, before)
--- a/internal/tally/world_test.go
+++ b/internal/tally/world_test.go
@@ -29,7 +29,7 @@
 	cut      map[[2]int]bool
 	sent     map[string]int64 // the amount of each ID that was ever sent
 	kept     map[string]bool  // IDs that were acknowledged and must not be lost
-	// onMessage is told of each message that is sent, if it is set.
+	// onMessage is notified of each message that is sent, if it is set.
 	onMessage func(Message)
 	// endAt is the moment of a step at which ending, a machine, ends; it starts again at once
 	// and is handed another add before it hears anything.
--- a/internal/transport/listen_test.go
+++ b/internal/transport/listen_test.go
@@ -38,7 +38,7 @@
 	}
 }
 
-// acceptedUserTimeout gives the option of a connection that a listener accepts, in ms.
+// acceptedUserTimeout returns the option of a connection that a listener accepts, in ms.
 func acceptedUserTimeout(t *testing.T, listener net.Listener) int {
 	t.Helper()
 	defer func() { _ = listener.Close() }()
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -60,7 +60,7 @@
 	s.closeOnce.Do(func() { close(s.done); s.cancel() })
 }
 
-// Closed tells whether the stream has ended.
+// Closed reports whether the stream has ended.
 func (s *Stream) Closed() bool {
 	select {
 	case <-s.done:
--- a/internal/trial/calls.go
+++ b/internal/trial/calls.go
@@ -85,7 +85,7 @@
 	return t.call(method, daemon.ClientAddress(), path, body, answer, nil)
 }
 
-// isReady tells whether all daemons for clients say that they are ready.
+// isReady reports whether all daemons for clients say that they are ready.
 func (t *trial) isReady() bool {
 	for _, name := range t.cluster.Names()[:servers+1] {
 		daemon, err := t.cluster.Daemon(name)
@@ -99,13 +99,13 @@
 	return true
 }
 
-// configure sends the configuration; it tells whether it is in force.
+// configure sends the configuration; it reports whether it is in force.
 func (t *trial) configure() bool {
 	status, err := t.control(http.MethodPost, "/-/Config.Replace", configuration, nil, map[string]string{protocol.HeaderBasedOn: "0"})
 	return err == nil && status == http.StatusOK
 }
 
-// submit submits a job; it tells whether it was accepted.
+// submit submits a job; it reports whether it was accepted.
 func (t *trial) submit(id string, job protocol.Job) bool {
 	status, err := t.client(http.MethodPost, jobPrefix+id, job, nil)
 	return err == nil && status == http.StatusOK
@@ -138,7 +138,7 @@
 	return grant.Fence, nil
 }
 
-// renew asks for more time; it tells whether the lock is still held.
+// renew asks for more time; it reports whether the lock is still held.
 func (t *trial) renew(lock, holder string, fence int64) bool {
 	status, err := t.control(http.MethodPost, "/-/Locks.Heartbeat/"+lock, protocol.LockRequest{Holder: holder, Fence: fence, HoldMs: lockHold.Milliseconds()}, nil, nil)
 	return err == nil && status == http.StatusOK
--- a/internal/trial/steps.go
+++ b/internal/trial/steps.go
@@ -136,13 +136,13 @@
 	if err := t.await("the key is set again", readyTime, func() bool { return t.put("e5") != 0 }); err != nil {
 		return err
 	}
-	var news *protocol.WatchResponse
+	var update *protocol.WatchResponse
 	if err := t.await("the watch tells of the put", readyTime, func() bool {
-		news = t.watch(present.Revision)
-		return news != nil && len(news.Events) > 0
+		update = t.watch(present.Revision)
+		return update != nil && len(update.Events) > 0
 	}); err != nil {
 		return err
 	}
-	t.say("the watch goes on from revision %d: %s is %s", present.Revision, news.Events[0].Name, news.Events[0].Value)
+	t.say("the watch goes on from revision %d: %s is %s", present.Revision, update.Events[0].Name, update.Events[0].Value)
 	return t.follow(secondJob)
 }
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -183,7 +183,7 @@
 	return nil
 }
 
-// observe takes note of where runs start.
+// observe records where runs start.
 func (t *trial) observe(event standin.WorkerEvent) {
 	if event.Kind != standin.WorkerRunStarted {
 		return
@@ -212,7 +212,7 @@
 	return nil
 }
 
-// anyEnded tells whether a daemon has ended that the trial has not killed.
+// anyEnded reports whether a daemon has ended that the trial has not killed.
 func (t *trial) anyEnded() bool {
 	for _, name := range t.cluster.Names() {
 		daemon, err := t.cluster.Daemon(name)
