--- a/internal/raft/cluster_test.go
+++ b/internal/raft/cluster_test.go
@@ -231,9 +231,9 @@
 	c.t.Helper()
 	c.until("a leader", func() bool { return c.leader() != nil })
 	leader := c.leader()
-	index, ok := leader.Propose([]byte(command))
-	if !ok {
-		c.t.Fatal("refused")
+	index, err := leader.Propose([]byte(command))
+	if err != nil {
+		c.t.Fatal(err)
 	}
 	c.drain(leader.ID())
 	c.until("committed "+command, func() bool { return leader.CommitIndex() >= index })
@@ -242,3 +242,11 @@
 func (c *testCluster) hasApplied(id, command string) bool {
 	return slices.Contains(c.applied[id], command)
 }
+
+// mustPropose proposes a command to a leader.
+func mustPropose(t *testing.T, leader *Node, command []byte) {
+	t.Helper()
+	if _, err := leader.Propose(command); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/raft/exhaustive_state_test.go
+++ b/internal/raft/exhaustive_state_test.go
@@ -152,7 +152,7 @@
 		after.now = after.now.Add(searchConfig.HeartbeatInterval)
 		member.node.Tick(after.now)
 	case eventPropose:
-		member.node.Propose([]byte{byte(after.budget[eventPropose])})
+		_, _ = member.node.Propose([]byte{byte(after.budget[eventPropose])}) // refused by those that do not lead
 	case eventCrash:
 		if mutation.forgetHardState {
 			member.hardState = HardState{}
@@ -164,7 +164,7 @@
 		after.sync(member, mutation)
 	case eventConfChange:
 		isProposer := func(voter Member) bool { return voter.ID == member.node.ID() }
-		member.node.ProposeConfChange(slices.DeleteFunc(slices.Clone(member.node.Voters()), isProposer))
+		_ = member.node.ProposeConfChange(slices.DeleteFunc(slices.Clone(member.node.Voters()), isProposer)) // refused while another is under way
 	}
 	violation := after.drain(member, mutation)
 	member.hash = hashOf(reflect.ValueOf(member).Elem())
--- a/internal/raft/large_append_test.go
+++ b/internal/raft/large_append_test.go
@@ -36,7 +36,7 @@
 	for _, id := range c.others(leader) {
 		c.untilAcknowledged(leader, id)
 	}
-	leader.Propose(large('2'))
+	mustPropose(t, leader, large('2'))
 	leader.replicate()
 	if told := leader.told(); told != 1 {
 		t.Fatalf("%d members are sent it at once", told)
@@ -73,9 +73,9 @@
 		}
 		c.cut[leader.ID()+">"+others[0]], c.cut[others[0]+">"+leader.ID()] = true, true
 		startedAt, term := c.now, leader.Term()
-		leader.Propose(large('2'))
-		leader.Propose(large('3'))
-		leader.Propose([]byte("4"))
+		mustPropose(t, leader, large('2'))
+		mustPropose(t, leader, large('3'))
+		mustPropose(t, leader, []byte("4"))
 		c.until("the others have all", func() bool {
 			for _, id := range others[1:] {
 				if leader.peers[id].match < leader.LastIndex() {
@@ -115,7 +115,7 @@
 			for _, id := range c.others(leader) {
 				c.untilAcknowledged(leader, id)
 			}
-			leader.Propose(large('2'))
+			mustPropose(t, leader, large('2'))
 			leader.replicate()
 			leader.pending.Messages = nil
 			for _, peer := range leader.peers {
@@ -130,7 +130,7 @@
 			for _, peer := range leader.peers {
 				peer.match, peer.next, peer.lastContact = leader.LastIndex(), leader.LastIndex()+1, leader.now
 			}
-			leader.Propose(large('3'))
+			mustPropose(t, leader, large('3'))
 			leader.replicate()
 			if told := leader.told(); told != link.told {
 				t.Errorf("%d members are sent it at once, want %d", told, link.told)
--- a/internal/raft/leader_transfer.go
+++ b/internal/raft/leader_transfer.go
@@ -12,30 +12,32 @@
 
 // TransferLeadership hands the leadership to the voter whose log is longest
 // (thesis, section 3.10), and among equal ones to the one heard last: a voter that
-// has just restarted has all entries too, but may not be reached yet. It returns
-// false if this member does not lead, is transferring the leadership already, or has heard from no
-// voter lately. If the transfer has no outcome within an election timeout, this
-// member leads on.
-func (n *Node) TransferLeadership() bool {
+// has just restarted has all entries too, but may not be reached yet. The error is
+// ErrNotLeader, ErrTransferInProgress, or ErrNoTransferee if no voter was heard lately. If
+// the transfer has no outcome within an election timeout, this member leads on.
+func (n *Node) TransferLeadership() error {
 	best := ""
 	for _, voter := range n.latestConfiguration().voters {
 		if n.isTransferee(voter.ID) && (best == "" || n.peers[voter.ID].isBetterTransferee(n.peers[best])) {
 			best = voter.ID
 		}
 	}
-	return best != "" && n.TransferLeadershipTo(best)
+	return n.TransferLeadershipTo(best)
 }
 
 // TransferLeadershipTo hands the leadership to a voter, as TransferLeadership does.
-func (n *Node) TransferLeadershipTo(voter string) bool {
-	if n.role != leader || n.transferring || !n.isTransferee(voter) {
-		return false
+func (n *Node) TransferLeadershipTo(voter string) error {
+	if err := n.checkLeads(); err != nil {
+		return err
+	}
+	if !n.isTransferee(voter) {
+		return ErrNoTransferee
 	}
 	n.replicate()
 	n.transferring = true
 	n.transfer = leadTransfer{transferee: voter, startedAt: n.now}
 	n.sendTimeoutNow()
-	return true
+	return nil
 }
 
 // isTransferee reports whether a member is a voter that may be able to lead at once.
--- a/internal/raft/leader_transfer_test.go
+++ b/internal/raft/leader_transfer_test.go
@@ -9,7 +9,7 @@
 	c := newTestCluster(t, 4, "a", "b", "c")
 	c.commit("1")
 	old := c.leader()
-	if !old.TransferLeadership() {
+	if old.TransferLeadership() != nil {
 		t.Fatal("no voter to hand over to")
 	}
 	startedAt := c.now
@@ -33,7 +33,7 @@
 		})
 		lastContact := old.peers[others[silent]].lastContact
 		old.peers[others[1-silent]].lastContact = lastContact.Add(time.Millisecond)
-		if !old.TransferLeadership() {
+		if old.TransferLeadership() != nil {
 			t.Fatal("no voter to hand over to")
 		}
 		if old.transfer.transferee != others[1-silent] {
@@ -53,7 +53,7 @@
 		c.until("all have acknowledged all", allAcknowledged)
 		term := leader.Term()
 		c.dropped[MsgTimeoutNow] = true
-		if !leader.TransferLeadership() {
+		if leader.TransferLeadership() != nil {
 			t.Fatal("no transfer")
 		}
 		start := c.now
@@ -63,7 +63,7 @@
 				t.Fatal("trusts its lease while it hands over")
 			}
 		}
-		if _, ok := leader.Propose([]byte("x")); ok && leader.Term() == term {
+		if _, err := leader.Propose([]byte("x")); err == nil && leader.Term() == term {
 			t.Fatal("leads on in the term in which the message may still arrive")
 		}
 		c.until("leads on", func() bool { return leader.LeaderReady() && leader.HasLease(c.now) })
@@ -74,7 +74,7 @@
 		// The lost message arrives after all: it is of an older term.
 		c.nodes[c.others(leader)[0]].Step(Message{Kind: MsgTimeoutNow, From: leader.ID(), To: c.others(leader)[0], Term: term}, c.now)
 		c.commit("2")
-		if !leader.IsLeader() || !leader.TransferLeadership() {
+		if !leader.IsLeader() || leader.TransferLeadership() != nil {
 			t.Fatal("can't transfer again")
 		}
 		c.until("another leads", func() bool { current := c.leader(); return current != nil && current != leader })
@@ -86,8 +86,8 @@
 	c.commit("1")
 	leader := c.leader()
 	c.untilAcknowledged(leader, c.others(leader)[0])
-	leader.Propose([]byte("2"))
-	if !leader.TransferLeadership() {
+	mustPropose(t, leader, []byte("2"))
+	if leader.TransferLeadership() != nil {
 		t.Fatal("no voter to hand over to")
 	}
 	for _, message := range leader.Ready().Messages {
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -99,22 +99,24 @@
 
 // ProposeConfChange starts a change to a new set of voters, however many differ. The
 // log first gets an entry under which majorities of both sets are needed; once that
-// is committed, the leader adds one with the new set alone. It returns false if this
-// member does not lead, transfers the leadership, has not committed an entry of its term, if a
-// change is under way, or if the set is empty or the present one.
-func (n *Node) ProposeConfChange(voters []Member) bool {
-	if n.role != leader || n.transferring || n.ConfChangePending() || n.commitIndex < n.noopIndex {
-		return false
+// is committed, the leader adds one with the new set alone. The error is ErrNotLeader,
+// ErrTransferInProgress, ErrConfChangeInProgress or ErrInvalidVoters.
+func (n *Node) ProposeConfChange(voters []Member) error {
+	if err := n.checkLeads(); err != nil {
+		return err
+	}
+	if n.ConfChangePending() || n.commitIndex < n.noopIndex {
+		return ErrConfChangeInProgress
 	}
 	if len(voters) == 0 || slices.Equal(voters, n.Voters()) {
-		return false
+		return ErrInvalidVoters
 	}
 	n.appendEntry(EntryConfChange, encodeConfChange(voters, n.latestConfiguration().voters))
 	for _, member := range voters {
 		delete(n.learners, member.ID)
 	}
 	n.updatePeers()
-	return true
+	return nil
 }
 
 // advanceConfChange takes the next step of a configuration change, also of one that
@@ -131,7 +133,7 @@
 		n.appendEntry(EntryConfChange, encodeConfChange(latest.voters, nil))
 		n.updatePeers()
 	case !n.IsVoter(n.id):
-		if !n.TransferLeadership() {
+		if n.TransferLeadership() != nil {
 			n.becomeFollower(n.term, "")
 		}
 	case len(n.peers) > len(latest.voters)-1+len(n.learners):
--- a/internal/raft/membership_test.go
+++ b/internal/raft/membership_test.go
@@ -41,7 +41,7 @@
 	c.t.Helper()
 	c.startLearner(incoming)
 	leader := c.leader()
-	if !leader.ProposeConfChange(votersWithReplacement(leader, outgoing, incoming)) {
+	if leader.ProposeConfChange(votersWithReplacement(leader, outgoing, incoming)) != nil {
 		c.t.Fatal("change refused")
 	}
 	c.until(incoming+" votes for "+outgoing, func() bool { return c.isVoter(incoming) && !c.isVoter(outgoing) })
@@ -123,7 +123,7 @@
 		c.commit("1")
 		old := c.leader()
 		c.startLearner("d")
-		if !old.ProposeConfChange(votersWithReplacement(old, old.ID(), "d")) {
+		if old.ProposeConfChange(votersWithReplacement(old, old.ID(), "d")) != nil {
 			t.Fatal("change refused")
 		}
 		c.until("it leads no more", func() bool { return !old.IsLeader() })
@@ -153,7 +153,7 @@
 			for _, id := range c.ids() {
 				c.stalled[id] = true
 			}
-			if !leader.ProposeConfChange(votersWithReplacement(leader, outgoing, "d")) {
+			if leader.ProposeConfChange(votersWithReplacement(leader, outgoing, "d")) != nil {
 				t.Fatal("change refused")
 			}
 			c.drain(leader.ID())
@@ -193,7 +193,9 @@
 	c.commit("1")
 	leader := c.leader()
 	removed, remaining := leader.ID(), c.others(leader)[0]
-	leader.ProposeConfChange([]Member{testMember(remaining)})
+	if err := leader.ProposeConfChange([]Member{testMember(remaining)}); err != nil {
+		t.Fatal(err)
+	}
 	c.drain(removed)
 	for _, message := range c.queue {
 		c.nodes[remaining].Step(message, c.now)
@@ -233,7 +235,7 @@
 		}
 	}
 	before := leader.CommitIndex()
-	if !leader.ProposeConfChange([]Member{testMember(leader.ID()), testMember("d"), testMember("e")}) {
+	if leader.ProposeConfChange([]Member{testMember(leader.ID()), testMember("d"), testMember("e")}) != nil {
 		t.Fatal("change refused")
 	}
 	c.until("one of the others leads", func() bool { current := c.leader(); return current != nil && current != leader })
@@ -263,9 +265,9 @@
 	c.cut[leader.ID()+">d"] = false
 	// Under constant load the newest entries are always under way.
 	c.until("caught up under load", func() bool {
-		leader.Propose([]byte("x"))
+		mustPropose(t, leader, []byte("x"))
 		c.step()
-		leader.Propose([]byte("y"))
+		mustPropose(t, leader, []byte("y"))
 		c.drain(leader.ID())
 		return leader.CaughtUp("d")
 	})
--- a/internal/raft/model_configuration_test.go
+++ b/internal/raft/model_configuration_test.go
@@ -96,7 +96,7 @@
 	if change.incoming != "" && !node.IsVoter(change.incoming) {
 		voters = append(voters, testMember(change.incoming))
 	}
-	return node.ProposeConfChange(voters)
+	return node.ProposeConfChange(voters) == nil
 }
 
 // operateMembership does what a leader of the package server does: it brings a learner up
--- a/internal/raft/model_harness_test.go
+++ b/internal/raft/model_harness_test.go
@@ -254,7 +254,7 @@
 			w.checks.read(member, *in.read)
 		}
 	case in.transfer:
-		if member.node.IsLeader() && member.node.TransferLeadership() {
+		if member.node.IsLeader() && member.node.TransferLeadership() == nil {
 			w.counts["transfers"]++
 			w.note("transfer", member.id, member.node.Term(), 0)
 		}
@@ -358,7 +358,7 @@
 		if !member.node.LeaderReady() {
 			continue
 		}
-		if index, ok := member.node.Propose([]byte(command)); ok {
+		if index, err := member.node.Propose([]byte(command)); err == nil {
 			w.note("propose", member.id, index, member.node.Term())
 			member.proposals[index] = proposal{member.node.Term(), command}
 		}
--- a/internal/raft/node_test.go
+++ b/internal/raft/node_test.go
@@ -27,9 +27,11 @@
 				remaining = append(remaining, member)
 			}
 		}
-		leader.ProposeConfChange(remaining)
+		if err := leader.ProposeConfChange(remaining); err != nil {
+			t.Fatal(err)
+		}
 		c.until("removed", func() bool { return leader.ConfIndex() <= leader.CommitIndex() })
-		if !leader.ProposeConfChange(append(remaining, Member{Node: "node-" + wiped, ID: "d", Addr: "d"})) {
+		if leader.ProposeConfChange(append(remaining, Member{Node: "node-" + wiped, ID: "d", Addr: "d"})) != nil {
 			t.Fatal("second change refused")
 		}
 		c.until("added", func() bool { return leader.ConfIndex() <= leader.CommitIndex() && c.nodes["d"].IsVoter("d") })
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -37,13 +37,24 @@
 }
 
 // Propose adds a command to the log. It returns the index at which the command
-// will be applied, if the term stays the same; false if this member does not lead
-// or is transferring the leadership.
-func (n *Node) Propose(data []byte) (uint64, bool) {
-	if n.role != leader || n.transferring {
-		return 0, false
+// will be applied, if the term stays the same. The error is ErrNotLeader or
+// ErrTransferInProgress.
+func (n *Node) Propose(data []byte) (uint64, error) {
+	if err := n.checkLeads(); err != nil {
+		return 0, err
 	}
-	return n.appendEntry(EntryNormal, data), true
+	return n.appendEntry(EntryNormal, data), nil
+}
+
+// checkLeads returns why this member takes no proposals, or nil.
+func (n *Node) checkLeads() error {
+	switch {
+	case n.role != leader:
+		return ErrNotLeader
+	case n.transferring:
+		return ErrTransferInProgress
+	}
+	return nil
 }
 
 // SetEagerCommitPeers names the members that a leader tells of each commit at once,
--- a/internal/raft/replication_test.go
+++ b/internal/raft/replication_test.go
@@ -34,7 +34,7 @@
 		c.until("a lease from the third", func() bool { return leader.HasLease(c.now) })
 		c.cut[leader.ID()+">"+third] = true
 		before := leader.CommitIndex()
-		leader.Propose([]byte("4"))
+		mustPropose(t, leader, []byte("4"))
 		for range 30 {
 			c.step()
 		}
--- a/internal/server/apply.go
+++ b/internal/server/apply.go
@@ -153,12 +153,13 @@
 	r.metrics.count("proposals", 1)
 	r.metrics.count("commands", len(commands))
 	r.commands, r.replies = nil, nil
-	index, ok := uint64(0), false
-	if r.node.LeaderReady() && !r.writeQueueFull() {
-		index, ok = r.node.Propose(transport.Encode(state.Batch{Clock: r.clock(now), WallClock: r.wallClock(now), Commands: commands}))
-	}
 	pending := pendingEntry{term: r.node.Term(), replies: replies}
-	if !ok {
+	if !r.node.LeaderReady() || r.writeQueueFull() {
+		pending.replyUnknown()
+		return 0
+	}
+	index, err := r.node.Propose(transport.Encode(state.Batch{Clock: r.clock(now), WallClock: r.wallClock(now), Commands: commands}))
+	if err != nil {
 		pending.replyUnknown()
 		return 0
 	}
--- a/internal/server/leave.go
+++ b/internal/server/leave.go
@@ -173,7 +173,7 @@
 	if !noTimeLeft && r.node.LeaderReady() && r.reasonToStay(r.self.ID) != "" {
 		return
 	}
-	if r.node.TransferLeadership() {
+	if r.node.TransferLeadership() == nil {
 		r.transferringLeadership = true
 		r.transferDeadline = now.Add(leadershipTransferTimeout)
 	}
--- a/internal/server/membership.go
+++ b/internal/server/membership.go
@@ -99,7 +99,7 @@
 		}
 		if len(voters) < r.bootstrap.MinVoters {
 			_ = r.log.Log("level", "info", "event", "voter.addition_proposed", "node", candidate.Node, "disk", candidate.ID)
-			r.node.ProposeConfChange(append(slices.Clone(voters), candidate))
+			_ = r.node.ProposeConfChange(append(slices.Clone(voters), candidate)) // else it is proposed again
 			return
 		}
 		i, reason := r.voterToReplace(voters, candidate, now)
@@ -114,7 +114,7 @@
 		r.addresses[old.ID] = old.Addr
 		next := slices.Clone(voters)
 		next[i] = candidate
-		r.node.ProposeConfChange(next)
+		_ = r.node.ProposeConfChange(next) // else it is proposed again
 		return
 	}
 }
@@ -132,7 +132,7 @@
 		return false
 	}
 	dropped := voters[surplus]
-	if !r.node.ProposeConfChange(slices.Delete(slices.Clone(voters), surplus, surplus+1)) {
+	if r.node.ProposeConfChange(slices.Delete(slices.Clone(voters), surplus, surplus+1)) != nil {
 		return false
 	}
 	// It must learn of the change, and its address is known by the voters alone.
--- a/internal/server/round_trips.go
+++ b/internal/server/round_trips.go
@@ -67,7 +67,7 @@
 	if trips.lateSince.IsZero() {
 		return
 	}
-	transferred := better != "" && r.node.TransferLeadershipTo(better)
+	transferred := better != "" && r.node.TransferLeadershipTo(better) == nil
 	_ = r.log.Log("level", "warn", "event", "leader.heard_late", "round_trip", trips.smoothed.Round(time.Millisecond),
 		"latency", own.Latency.Round(time.Millisecond), "transfer", own.Transfer.Round(time.Millisecond),
 		"reports", len(reports), "better", better, "transferred", transferred)
--- a/internal/server/storage_lag.go
+++ b/internal/server/storage_lag.go
@@ -37,6 +37,6 @@
 		return
 	}
 	r.storageLagLoggedAt = now
-	transferred := r.node.IsLeader() && r.node.TransferLeadership()
+	transferred := r.node.TransferLeadership() == nil
 	_ = r.log.Log("level", "error", "event", "storage.fell_behind", "lag", lag, "writes", r.writesInFlight, "transferred", transferred)
 }
