--- a/internal/server/digests_test.go
+++ b/internal/server/digests_test.go
@@ -121,7 +121,7 @@
 // identity with an empty state.
 func TestDivergedReplicaRejoinsWithNewIdentity(t *testing.T) {
 	dir := t.TempDir()
-	opened, persisted, _, err := storage.Open(dir)
+	opened, persisted, err := storage.Open(dir)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/server/storage_open.go
+++ b/internal/server/storage_open.go
@@ -11,10 +11,9 @@
 
 // openedStorage is the opened storage, what it holds, and the state of its snapshot.
 type openedStorage struct {
-	storage          *storage.Store
-	persisted        storage.Recovered
-	store            *state.Store
-	quarantineReason string // why an earlier file was quarantined; empty if none was
+	storage   *storage.Store
+	persisted storage.Recovered
+	store     *state.Store
 }
 
 // StorageOpened reports whether the storage has been opened. Until then this server
@@ -29,7 +28,7 @@
 	logFailure := func(err error) {
 		_ = r.log.Log("level", "error", "event", "storage.open_failed", "dir", dir, "error", err)
 	}
-	opened, persisted, quarantineReason, err := storage.OpenWithRetry(ctx, dir, logFailure)
+	opened, persisted, err := storage.OpenWithRetry(ctx, dir, logFailure)
 	if err != nil {
 		return
 	}
@@ -55,7 +54,7 @@
 		}
 		store, err = state.DecodeSnapshot(persisted.Snapshot.Data, state.Limits{})
 	}
-	if !r.post(ctx, loopEvent{storageOpened: &openedStorage{opened, persisted, store, quarantineReason}}) {
+	if !r.post(ctx, loopEvent{storageOpened: &openedStorage{opened, persisted, store}}) {
 		r.closeStorage(opened)
 	}
 }
@@ -70,8 +69,8 @@
 // handleStorageOpened takes the identity and what the storage holds, and starts the
 // node.
 func (r *Replica) handleStorageOpened(ctx context.Context, opened *openedStorage) {
-	if opened.quarantineReason != "" {
-		_ = r.log.Log("level", "warn", "event", "storage.file_set_aside", "reason", opened.quarantineReason, "disk", opened.persisted.ID)
+	if opened.persisted.QuarantineReason != "" {
+		_ = r.log.Log("level", "warn", "event", "storage.file_set_aside", "reason", opened.persisted.QuarantineReason, "disk", opened.persisted.ID)
 	}
 	r.storage, r.persisted, r.state, r.self.ID = opened.storage, opened.persisted, opened.store, opened.persisted.ID
 	r.aggregator = aggregator.New(r.self.ID)
--- a/internal/server/storage_open_test.go
+++ b/internal/server/storage_open_test.go
@@ -46,7 +46,7 @@
 // the storage serves.
 func TestReplicaWaitsForItsStorage(t *testing.T) {
 	dir := t.TempDir()
-	opened, persisted, _, err := storage.Open(dir)
+	opened, persisted, err := storage.Open(dir)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/simulation/divergence_test.go
+++ b/internal/simulation/divergence_test.go
@@ -18,7 +18,7 @@
 // fault in its memory might.
 func (c *Cluster) CorruptState(name string) {
 	// The daemon that was killed may not have let go of the file yet.
-	disk, recovered, _, err := storage.OpenWithRetry(context.Background(), filepath.Join(c.dir, name), func(error) {})
+	disk, recovered, err := storage.OpenWithRetry(context.Background(), filepath.Join(c.dir, name), func(error) {})
 	if err != nil {
 		c.T.Fatal(err)
 	}
--- a/internal/simulation/upgrade_tables_test.go
+++ b/internal/simulation/upgrade_tables_test.go
@@ -47,7 +47,8 @@
 // once the whole log was applied to the snapshot.
 func describe(t *testing.T, folder string) string {
 	t.Helper()
-	opened, held, aside, err := storage.Open(folder)
+	opened, held, err := storage.Open(folder)
+	aside := held.QuarantineReason
 	if err != nil || aside != "" {
 		t.Fatalf("the data folder does not open: %v %s", err, aside)
 	}
--- a/internal/storage/fuzz_test.go
+++ b/internal/storage/fuzz_test.go
@@ -43,7 +43,7 @@
 func FuzzFile(f *testing.F) {
 	dir := f.TempDir()
 	path := filepath.Join(dir, fileName)
-	store, _, _, err := Open(dir)
+	store, _, err := Open(dir)
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/internal/storage/golden_test.go
+++ b/internal/storage/golden_test.go
@@ -55,7 +55,7 @@
 // golden list, as they stand in a file with a log and a snapshot.
 func TestLayout(t *testing.T) {
 	dir := t.TempDir()
-	store, _, _, err := Open(dir)
+	store, _, err := Open(dir)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/storage/open.go
+++ b/internal/storage/open.go
@@ -52,25 +52,25 @@
 //
 // A file that is provably corrupt or of another program is quarantined under another
 // name (only the newest of them is kept) and the daemon goes on under a new identity;
-// quarantineReason tells why, and is else empty. What can still be read of such a file is
+// Recovered.QuarantineReason tells why, also beside an error. What can still be read of such a file is
 // not used, since an entry or a vote that this identity acknowledged may be in the other
 // part, and the cluster relies on it. Under a new identity the daemon is another member,
 // which neither votes nor counts until the leader has brought it up to date.
 //
 // Any other fault is an *UnavailableError or a *VersionError, and leaves all files
 // as they are.
-func Open(dir string) (store *Store, recovered Recovered, quarantineReason string, err error) {
+func Open(dir string) (*Store, Recovered, error) {
 	return osFileSystem.open(dir)
 }
 
-func (fs fileSystem) open(dir string) (*Store, Recovered, string, error) {
+func (fs fileSystem) open(dir string) (*Store, Recovered, error) {
 	content := &storeContent{}
 	opened, err := fs.openChecked(dir, fileName, content)
 	if err != nil {
-		return nil, Recovered{}, opened.quarantineReason, err
+		return nil, Recovered{QuarantineReason: opened.quarantineReason}, err
 	}
-	content.recovered.NewIdentity = opened.created
-	return content.newStore(opened.db), content.recovered, opened.quarantineReason, nil
+	content.recovered.NewIdentity, content.recovered.QuarantineReason = opened.created, opened.quarantineReason
+	return content.newStore(opened.db), content.recovered, nil
 }
 
 // storeContent is the content of the file of a Store.
--- a/internal/storage/open_retry.go
+++ b/internal/storage/open_retry.go
@@ -17,43 +17,41 @@
 // OpenWithRetry is Open, repeated for as long as it fails, with a backoff that grows
 // to a bound. It calls onWait after each failure, and at regular intervals while a
 // call hangs. The only error that it returns is that of ctx.
-func OpenWithRetry(
-	ctx context.Context, dir string, onWait func(error),
-) (store *Store, recovered Recovered, quarantineReason string, err error) {
+func OpenWithRetry(ctx context.Context, dir string, onWait func(error)) (*Store, Recovered, error) {
 	return osFileSystem.openWithRetry(ctx, dir, onWait)
 }
 
 // openResult is the outcome of one call of Open.
 type openResult struct {
-	store            *Store
-	recovered        Recovered
-	quarantineReason string
-	err              error
+	store     *Store
+	recovered Recovered
+	err       error
 }
 
-func (fs fileSystem) openWithRetry(ctx context.Context, dir string, onWait func(error)) (*Store, Recovered, string, error) {
+func (fs fileSystem) openWithRetry(ctx context.Context, dir string, onWait func(error)) (*Store, Recovered, error) {
 	backoff := RetryBackoff
-	quarantineReason := "" // of the last attempt that set a file aside
+	quarantineReason := "" // of the last attempt that quarantined a file
 	for {
 		results := make(chan openResult, 1)
 		go func() {
 			var result openResult
-			result.store, result.recovered, result.quarantineReason, result.err = fs.open(dir)
+			result.store, result.recovered, result.err = fs.open(dir)
 			results <- result
 		}()
 		result, err := awaitOpen(ctx, results, onWait)
 		if err != nil {
-			return nil, Recovered{}, quarantineReason, err
+			return nil, Recovered{QuarantineReason: quarantineReason}, err
 		}
-		if result.quarantineReason != "" {
-			quarantineReason = result.quarantineReason
+		if result.recovered.QuarantineReason != "" {
+			quarantineReason = result.recovered.QuarantineReason
 		}
 		if result.err == nil {
-			return result.store, result.recovered, quarantineReason, nil
+			result.recovered.QuarantineReason = quarantineReason
+			return result.store, result.recovered, nil
 		}
 		onWait(result.err)
 		if sleep(ctx, backoff); ctx.Err() != nil {
-			return nil, Recovered{}, quarantineReason, ctx.Err()
+			return nil, Recovered{QuarantineReason: quarantineReason}, ctx.Err()
 		}
 		backoff = min(2*backoff, maxStorageRetryBackoff)
 	}
--- a/internal/storage/open_retry_test.go
+++ b/internal/storage/open_retry_test.go
@@ -25,11 +25,12 @@
 			return os.OpenFile(name, flag, mode)
 		}
 		reports, last, longestGap := 0, time.Now(), time.Duration(0)
-		store, recovered, reason, err := fs.openWithRetry(t.Context(), dir, func(err error) {
+		store, recovered, err := fs.openWithRetry(t.Context(), dir, func(err error) {
 			reports++
 			longestGap = max(longestGap, time.Since(last))
 			last = time.Now()
 		})
+		reason := recovered.QuarantineReason
 		if err != nil || reason != "" || recovered.ID != id {
 			t.Fatalf("%v %q %+v", err, reason, recovered)
 		}
@@ -47,7 +48,7 @@
 		fs.openFile = func(string, int, os.FileMode) (*os.File, error) { return nil, syscall.ENOSPC }
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
-		if store, _, _, err := fs.openWithRetry(ctx, dir, func(error) {}); store != nil || !errors.Is(err, context.DeadlineExceeded) {
+		if store, _, err := fs.openWithRetry(ctx, dir, func(error) {}); store != nil || !errors.Is(err, context.DeadlineExceeded) {
 			t.Fatal(err)
 		}
 	})
--- a/internal/storage/open_test.go
+++ b/internal/storage/open_test.go
@@ -52,8 +52,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if store, recovered, reason, err := Open(dir); err == nil || store != nil || reason != "" || recovered.ID != "" {
-		t.Fatalf("%v %q %v", recovered, reason, err)
+	if store, recovered, err := Open(dir); err == nil || store != nil || recovered.QuarantineReason != "" || recovered.ID != "" {
+		t.Fatalf("%v %q %v", recovered, recovered.QuarantineReason, err)
 	}
 	requireAbsent(t, path+".foreign")
 	_ = other.Close()
@@ -86,7 +86,8 @@
 				}
 				return os.OpenFile(name, flag, mode)
 			}
-			_, _, reason, err := fs.open(dir)
+			_, recovered, err := fs.open(dir)
+			reason := recovered.QuarantineReason
 			var unavailableErr *UnavailableError
 			if !errors.As(err, &unavailableErr) || !errors.Is(err, fault) || reason != "" {
 				t.Fatalf("%v, call %d: %v %q", fault, succeeding, err, reason)
@@ -130,7 +131,7 @@
 			}
 			return syncDirectory(synced)
 		}
-		if store, _, _, err := fs.open(dir); err == nil || store != nil {
+		if store, _, err := fs.open(dir); err == nil || store != nil {
 			t.Fatal("opened without a synced directory")
 		}
 		failing = false
@@ -139,7 +140,7 @@
 		if foreign != "" {
 			_ = os.WriteFile(path, []byte(foreign), 0o600)
 		}
-		store, recovered, _, err := fs.open(dir)
+		store, recovered, err := fs.open(dir)
 		if err != nil || !recovered.NewIdentity {
 			t.Fatal(err)
 		}
@@ -161,10 +162,10 @@
 	dir := t.TempDir()
 	fs, synced := osFileSystem, 0
 	fs.syncDirectory = func(string) error { synced++; return syscall.EIO }
-	if _, _, _, err := fs.open(dir); err == nil {
+	if _, _, err := fs.open(dir); err == nil {
 		t.Fatal("opened")
 	}
-	if store, _, _, err := fs.open(dir); err == nil || store != nil || synced != 2 {
+	if store, _, err := fs.open(dir); err == nil || store != nil || synced != 2 {
 		t.Fatalf("the second attempt used a name that is not durable: %v, %d syncs", err, synced)
 	}
 	if _, recovered := reopen(t, nil, dir); recovered.NewIdentity || recovered.ID == "" {
@@ -213,7 +214,7 @@
 func TestCorruptPagesGetNewIdentity(t *testing.T) {
 	_, path, id := newStoreFile(t)
 	original := mustReadFile(t, path)
-	_, want, _, err := Open(filepath.Dir(path))
+	_, want, err := Open(filepath.Dir(path))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -223,7 +224,8 @@
 		if err := os.WriteFile(copied, b, 0o600); err != nil {
 			t.Fatal(err)
 		}
-		store, recovered, reason, err := Open(dir)
+		store, recovered, err := Open(dir)
+		reason := recovered.QuarantineReason
 		if err != nil {
 			t.Fatalf("%s: %v", what, err)
 		}
@@ -271,7 +273,8 @@
 		if err := os.WriteFile(path, []byte(strings.Repeat(text, 50)), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		store, recovered, reason, err := Open(dir)
+		store, recovered, err := Open(dir)
+		reason := recovered.QuarantineReason
 		if err != nil || reason == "" || !recovered.NewIdentity {
 			t.Fatal(err, reason)
 		}
--- a/internal/storage/record_test.go
+++ b/internal/storage/record_test.go
@@ -77,7 +77,8 @@
 		t.Run(name, func(t *testing.T) {
 			dir, path, id := newStoreFile(t)
 			editRecords(t, path, edit)
-			store, recovered, reason, err := Open(dir)
+			store, recovered, err := Open(dir)
+			reason := recovered.QuarantineReason
 			if err != nil || reason == "" || recovered.ID == id || !recovered.NewIdentity || len(recovered.Entries) > 0 {
 				t.Fatalf("%v %q %s, %d entries", err, reason, recovered.ID, len(recovered.Entries))
 			}
@@ -118,7 +119,8 @@
 	editRecords(t, path, func(meta, _ *bolt.Bucket) error {
 		return meta.Put(keyHardState, withChecksum(keyHardState, mustMarshal("newer")))
 	})
-	_, _, reason, err := Open(dir)
+	_, recovered, err := Open(dir)
+	reason := recovered.QuarantineReason
 	var versionErr *VersionError
 	if !errors.As(err, &versionErr) || reason != "" || !strings.Contains(err.Error(), "hard") {
 		t.Fatalf("%v %q", err, reason)
--- a/internal/storage/recovery.go
+++ b/internal/storage/recovery.go
@@ -17,6 +17,8 @@
 	Commit      uint64        // entries up to here were known to be committed; 0 in files of earlier versions
 	NewIdentity bool          // the file was created by this call
 	FirstStart  bool          // see MarkFirstStart
+	// QuarantineReason says why an earlier file was quarantined; empty if none was.
+	QuarantineReason string
 }
 
 // isUnused reports whether nothing but an identity was ever written.
--- a/internal/storage/reset.go
+++ b/internal/storage/reset.go
@@ -17,6 +17,6 @@
 	if err := syncDirectory(dir); err != nil {
 		return nil, Recovered{}, Error.Wrap(err)
 	}
-	store, recovered, _, err := Open(dir)
+	store, recovered, err := Open(dir)
 	return store, recovered, err
 }
--- a/internal/storage/snapshot_test.go
+++ b/internal/storage/snapshot_test.go
@@ -26,7 +26,8 @@
 	if err := os.WriteFile(filepath.Join(dir, fileName), content, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	store, recovered, reason, err := Open(dir)
+	store, recovered, err := Open(dir)
+	reason := recovered.QuarantineReason
 	if err != nil || reason != "" {
 		t.Fatalf("%v %q", err, reason)
 	}
@@ -180,7 +181,8 @@
 				t.Fatal(err)
 			}
 			_ = store.Close()
-			store, recovered, reason, err := Open(dir)
+			store, recovered, err := Open(dir)
+			reason := recovered.QuarantineReason
 			if err != nil || reason == "" || recovered.ID == first.ID || recovered.Snapshot.Index != 0 {
 				t.Fatalf("%v %q %d", err, reason, recovered.Snapshot.Index)
 			}
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -50,7 +50,8 @@
 	if open != nil {
 		_ = open.db.Close()
 	}
-	store, recovered, reason, err := Open(dir)
+	store, recovered, err := Open(dir)
+	reason := recovered.QuarantineReason
 	if err != nil || reason != "" {
 		t.Fatal(err, reason)
 	}
@@ -114,7 +115,8 @@
 	if err := os.WriteFile(filepath.Join(dir, fileName), []byte("not ours at all, but long enough to be looked at"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	_, recovered, reason, err := Open(dir)
+	_, recovered, err := Open(dir)
+	reason := recovered.QuarantineReason
 	if err != nil || reason == "" || !recovered.NewIdentity {
 		t.Fatalf("%v %q %+v", err, reason, recovered)
 	}
