Clock: the clocks of the log are a pure package

server held them in three files and five fields of Replica; clock has the monotonic clock of the log, the wall clock and the time of day, with their tests. Nothing but names changes; the tests of the package, of server and of the pages pass.

--- a/internal/server/clock_test.go
+++ b/internal/clock/monotonic_test.go
@@ -1,4 +1,4 @@
-package server
+package clock
 
 import (
 	"slices"
@@ -28,32 +28,25 @@
 func TestStateClockGoesOnOverElections(t *testing.T) {
 	start := time.Now()
 	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
-	r := newReplica()
-	r.clusterTime = newClusterTime(start)
-	r.state.Clock = 50_000
-	r.learnClocks(at(10), 1) // as the leader stamped it at 10 s
-	r.state.Clock = 50_100
-	r.learnClocks(at(13), 1) // applied 2.9 s late
-	r.leadingSince = at(15)
-	r.beginClocks(at(15))
-	if got := r.clock(at(16)); got != 56_000 {
+	clock := NewMonotonic(start)
+	clock.Learn(at(10), 1, 50_000) // as the leader stamped it at 10 s
+	clock.Learn(at(13), 1, 50_100) // applied 2.9 s late
+	clock.BeginTerm(at(15), 50_100)
+	if got := clock.Read(at(16)); got != 56_000 {
 		t.Errorf("6 s after an entry of 50 s the clock shows %d ms", got)
 	}
 	// The start of a replica without any entry isn't the zero of the cluster's clock.
-	r = newReplica()
-	r.clusterTime = newClusterTime(start)
-	r.learnClocks(at(1), 1)
-	r.state.Clock, r.leadingSince = 3_000, at(5)
-	r.learnClocks(at(5), 1)
-	r.beginClocks(at(5))
-	if got := r.clock(at(5)); got != 3_000 {
+	clock = NewMonotonic(start)
+	clock.Learn(at(1), 1, 0)
+	clock.Learn(at(5), 1, 3_000)
+	clock.BeginTerm(at(5), 3_000)
+	if got := clock.Read(at(5)); got != 3_000 {
 		t.Errorf("at an entry of 3 s the clock shows %d ms", got)
 	}
 	// Without any entry seen while it was up it goes on from the newest in the log.
-	r = newReplica()
-	r.clusterTime, r.state.Clock, r.leadingSince = newClusterTime(start), 20_000, at(100)
-	r.beginClocks(at(100))
-	if got := r.clock(at(101)); got != 21_000 {
+	clock = NewMonotonic(start)
+	clock.BeginTerm(at(100), 20_000)
+	if got := clock.Read(at(101)); got != 21_000 {
 		t.Errorf("1 s after a start at an entry of 20 s the clock shows %d ms", got)
 	}
 }
@@ -64,17 +57,12 @@
 func TestStateClockIsNotAheadOfALaterTerm(t *testing.T) {
 	start := time.Now()
 	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
-	r := newReplica()
-	r.clusterTime = newClusterTime(start)
-	r.state.Clock = 50_000
-	r.learnClocks(at(10), 1)
-	r.state.Clock = 50_300 // 1.7 s behind the clock of term 1
-	r.learnClocks(at(12), 2)
-	r.state.Clock = 50_400
-	r.learnClocks(at(12.5), 2) // applied 0.4 s late
-	r.leadingSince = at(13)
-	r.beginClocks(at(13))
-	if got := r.clock(at(14)); got != 52_300 {
+	clock := NewMonotonic(start)
+	clock.Learn(at(10), 1, 50_000)
+	clock.Learn(at(12), 2, 50_300)   // 1.7 s behind the clock of term 1
+	clock.Learn(at(12.5), 2, 50_400) // applied 0.4 s late
+	clock.BeginTerm(at(13), 50_400)
+	if got := clock.Read(at(14)); got != 52_300 {
 		t.Errorf("2 s after an entry of 50.3 s the clock shows %d ms", got)
 	}
 }
--- a/internal/server/cluster_time_test.go
+++ b/internal/clock/wall_test.go
@@ -1,4 +1,4 @@
-package server
+package clock
 
 import (
 	"testing"
@@ -18,15 +18,15 @@
 // clockMember is one machine and its process.
 type clockMember struct {
 	step    time.Duration // of the time of day, ahead of the true time
-	reading timeOfDay
-	cluster clusterTime
+	reading TimeOfDay
+	cluster Wall
 }
 
 func newClockWorld(t *testing.T, members int) *clockWorld {
 	w := &clockWorld{t: t, start: time.Now()}
 	w.now = w.start
 	for range members {
-		w.members = append(w.members, &clockMember{cluster: newClusterTime(w.now)})
+		w.members = append(w.members, &clockMember{cluster: NewWall(w.now)})
 	}
 	return w
 }
@@ -41,20 +41,20 @@
 // restart starts the process of a member anew, knowing what its log holds.
 func (w *clockWorld) restart(member int, logged time.Duration) {
 	m := w.members[member]
-	m.reading, m.cluster = timeOfDay{}, newClusterTime(w.now)
+	m.reading, m.cluster = TimeOfDay{}, NewWall(w.now)
 	if logged > 0 {
-		m.cluster.learn(w.now, logged)
+		m.cluster.Learn(w.now, logged)
 	}
 }
 
 // elect makes another member the leader.
 func (w *clockWorld) elect(member int) {
 	w.leader = member
-	w.members[member].cluster.beginTerm()
+	w.members[member].cluster.BeginTerm()
 }
 
 // trueTime is the true time of day.
-func (w *clockWorld) trueTime() time.Duration { return machineTime(w.now) }
+func (w *clockWorld) trueTime() time.Duration { return MachineTime(w.now) }
 
 // play lets time pass; it gives the wall clock of the last entry, and by how much the
 // clock was ahead of the true time at most, and behind it.
@@ -63,11 +63,11 @@
 	for end := w.now.Add(length); w.now.Before(end); w.now = w.now.Add(interval) {
 		readings := make([]time.Duration, len(w.members))
 		for i, member := range w.members {
-			readings[i] = member.reading.read(w.now, w.trueTime()+member.step)
+			readings[i] = member.reading.Read(w.now, w.trueTime()+member.step)
 		}
-		last, _ = w.members[w.leader].cluster.read(w.now, readings)
+		last, _ = w.members[w.leader].cluster.Read(w.now, readings)
 		for _, member := range w.members {
-			member.cluster.learn(w.now, last)
+			member.cluster.Learn(w.now, last)
 		}
 		ahead, behind = max(ahead, last-w.trueTime()), max(behind, w.trueTime()-last)
 	}
@@ -126,7 +126,7 @@
 		w.elect(1)
 		_, early, late := w.play(5 * time.Second)
 		w.stepClocks(0, 3)
-		_, e, l := w.play(clockStepHold + 5*time.Second)
+		_, e, l := w.play(stepHold + 5*time.Second)
 		if early = max(early, e); early > mostEarly {
 			t.Errorf("step %v: %v early", step, early)
 		}
@@ -153,7 +153,7 @@
 		t.Errorf("three of five wrong: %v ahead, want their time", early)
 	}
 	w.stepClocks(0, 3)
-	w.play(clockStepHold + time.Second)
+	w.play(stepHold + time.Second)
 	if _, early, late := w.play(20 * time.Second); early > mostEarly || late > mostEarly {
 		t.Errorf("put right: %v early, %v late", early, late)
 	}
@@ -173,7 +173,7 @@
 		w.elect((i + 1) % 3)
 		w.play(time.Second)
 	}
-	w.play(clockStepHold + time.Second)
+	w.play(stepHold + time.Second)
 	if _, early, _ := w.play(time.Second); early < 59*time.Second {
 		t.Errorf("the members' new time is ahead by %v only", early)
 	}
--- a/internal/server/replica.go
+++ b/internal/server/replica.go
@@ -10,6 +10,7 @@
 
 	"tealpond/internal/aggregator"
 	"tealpond/internal/bootstrap"
+	"tealpond/internal/clock"
 	"tealpond/internal/counter"
 	"tealpond/internal/daemon"
 	"tealpond/internal/discovery"
@@ -101,11 +102,9 @@
 	inbound           map[string]*transport.Stream // by member ID, the stream it was last heard on
 
 	// Clocks of the log, see clock.go.
-	timeOfDay   timeOfDay
-	clusterTime clusterTime
-	clockSeen   time.Duration // the state's clock at clusterTime's origin, as a follower saw it
-	// clockSeenTerm is the term of the entry by which clockSeen is known.
-	clockSeenTerm uint64
+	timeOfDay  clock.TimeOfDay
+	wall       clock.Wall
+	stateClock clock.Monotonic
 
 	// Commands and those who wait for them.
 	pending       map[uint64]pendingEntry // by log index
@@ -135,7 +134,6 @@
 	leading                   bool
 	leadingSince              time.Time
 	leadingTerm               uint64
-	clockBase                 int64                   // the state's clock when the term began, in ms
 	leases                    map[string]*workerLease // by worker ID
 	memberSets                map[string]memberSet    // by the aggregator's member ID
 	memberLeases              map[string]memberLease  // by node and role
@@ -223,8 +221,8 @@
 		leases:             map[string]*workerLease{},
 		memberSets:         map[string]memberSet{},
 		memberLeases:       map[string]memberLease{},
-		clusterTime:        newClusterTime(time.Now()),
-		clockSeen:          clockNeverSeen,
+		wall:               clock.NewWall(time.Now()),
+		stateClock:         clock.NewMonotonic(time.Now()),
 		appointments:       newAppointments(),
 		pendingUpdates:     map[pendingUpdateKey][]replyFunc{},
 		tallies:            tallyService{learnerContacts: map[string]time.Time{}, silent: map[string]bool{}},
@@ -267,7 +265,7 @@
 	r.learnClocks(time.Now(), snapshot.Term)
 	r.node.SetWallClock(func() int64 {
 		now := time.Now()
-		return r.timeOfDay.read(now, machineTime(now)).Milliseconds()
+		return r.timeOfDay.Read(now, clock.MachineTime(now)).Milliseconds()
 	})
 	r.node.SetSnapshotSource(r.snapshotForFollower)
 	r.persisted.Entries = nil
