--- a/internal/agent/model_worker_test.go
+++ b/internal/agent/model_worker_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/go-kit/log"
@@ -107,7 +108,7 @@
 			<-ctx.Done()
 			return RunnerResponse{}
 		}
-		if len(response.KeepAlive.Ended) > 0 || response.StatusCode != 200 || !time.Now().Before(till) {
+		if len(response.KeepAlive.Ended) > 0 || response.StatusCode != http.StatusOK || !time.Now().Before(till) {
 			return response
 		}
 		select {
--- a/internal/agent/runner_client_test.go
+++ b/internal/agent/runner_client_test.go
@@ -47,7 +47,7 @@
 		if made++; served.Load() != made {
 			t.Errorf("%s: %d requests came for %d calls", m, served.Load(), made)
 		}
-		if ok := m == "answer" || m == "idle"; ok != (r.StatusCode == 200) {
+		if ok := m == "answer" || m == "idle"; ok != (r.StatusCode == http.StatusOK) {
 			t.Errorf("%s: status %d", m, r.StatusCode)
 		}
 	}
--- a/internal/agent/session_test.go
+++ b/internal/agent/session_test.go
@@ -36,7 +36,7 @@
 func TestSilence(t *testing.T) {
 	start := time.Unix(1000, 0)
 	session := &runnerSession{lastResponseAt: start}
-	after := func(d time.Duration) time.Time { return start.Add(d) }
+	after := start.Add
 	late := runnerSilenceTimeout + time.Millisecond
 	session.noteResponse(RunnerResponse{}, after(0))
 	if session.silent(after(late)) {
--- a/internal/clusterconfig/tenants_test.go
+++ b/internal/clusterconfig/tenants_test.go
@@ -78,7 +78,7 @@
 	restored.RestoreTenants()
 	for _, from := range []*Config{config, &restored} {
 		table := NewKeyTable(from)
-		for key, want := range map[string]string{"1": "a", "2": "a", "3": "b", "": "", "4": "", "1 ": ""} {
+		for key, want := range map[string]string{"1": "a", "2": "a", "3": "b", "": "", "4": "", "1 ": ""} { //nolint:gocritic // a key with a space behind it is another key
 			if tenant, ok := table.Tenant(key); tenant != want || ok != (want != "") {
 				t.Errorf("key %q: tenant %q, %v, want %q", key, tenant, ok, want)
 			}
--- a/internal/raft/cluster_test.go
+++ b/internal/raft/cluster_test.go
@@ -111,7 +111,8 @@
 				keep = append(keep, old)
 			}
 		}
-		disk.log = append(keep, entry)
+		keep = append(keep, entry)
+		disk.log = keep
 	}
 	if ready.MustSync() {
 		c.nodes[id].WriteSynced(ready.WriteToken)
--- a/internal/raft/snapshot_test.go
+++ b/internal/raft/snapshot_test.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -61,7 +62,7 @@
 	if committed := node.NextCommittedEntries(); len(committed) != 8 || committed[7].Index != 9 {
 		t.Fatalf("committed %d entries, not those up to the snapshot", len(committed))
 	}
-	if responses := append(ready.Messages, ready.MessagesAfterSync...); len(responses) != 1 || responses[0].Reject || responses[0].Index != 9 {
+	if responses := slices.Concat(ready.Messages, ready.MessagesAfterSync); len(responses) != 1 || responses[0].Reject || responses[0].Index != 9 {
 		t.Fatalf("responses %+v", responses)
 	}
 }
--- a/internal/server/announced_runners.go
+++ b/internal/server/announced_runners.go
@@ -57,7 +57,7 @@
 	}
 	now := time.Now()
 	announced := r.announced(now)
-	changed := false
+	var changed bool
 	if announcement.SignsOff {
 		goesOn := time.Duration(r.settings.Bounds.DrainMs * float64(time.Millisecond))
 		changed = announced.list.SignOff(announcement.Runner.ID, goesOn, now)
--- a/internal/server/snapshot_transfer_test.go
+++ b/internal/server/snapshot_transfer_test.go
@@ -76,7 +76,7 @@
 			receiver, restarts = fresh(), restarts-1
 		}
 		for range 1 + random.Intn(6)/5 {
-			have := 0
+			var have int
 			if have, complete = receiver.add(chunk); random.Intn(5) == 0 {
 				continue // the acknowledgement is lost
 			}
--- a/internal/state/report_completions_test.go
+++ b/internal/state/report_completions_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"strings"
+	"slices"
 	"testing"
 
 	"tealpond/internal/protocol"
@@ -91,7 +91,7 @@
 			t.Errorf("one done run counts for all: job %s, open %d", status, len(f.store.Allocations))
 		}
 		for _, r := range f.store.TakeClosedRuns() {
-			if !strings.Contains("lapsed done broken", r.Result) {
+			if !slices.Contains([]string{"lapsed", "done", "broken"}, r.Result) {
 				t.Errorf("closed as %s", r.Result)
 			}
 		}
--- a/internal/storage/write_queue.go
+++ b/internal/storage/write_queue.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"slices"
 
 	bolt "go.etcd.io/bbolt"
 
@@ -129,7 +130,7 @@
 		// The local snapshots that waited are older than the received one.
 		localCount = len(q.localSnapshots)
 	}
-	done := append(b.requests, q.localSnapshots[:localCount]...)
+	done := slices.Concat(b.requests, q.localSnapshots[:localCount])
 	q.localSnapshots = q.localSnapshots[localCount:]
 	return done
 }
