--- a/internal/server/announced_runners.go
+++ b/internal/server/announced_runners.go
@@ -49,7 +49,7 @@
 }
 
 // handleAnnounceRunner takes a runner's heartbeat or sign-off. The answer is given once the
-// list that daemons are told has it.
+// list that daemons are sent has it.
 func (r *Replica) handleAnnounceRunner(announcement *rpc.RunnerAnnouncement, _ *transport.Stream, reply replyFunc) {
 	if r.settings.Deployment != settings.DeploymentAPI || r.settings.Discovery == settings.DiscoveryPlatform {
 		reply(responseBadRequest)
@@ -69,7 +69,7 @@
 	reply(responseOK)
 }
 
-// publishAnnouncedRunners puts what has changed into the list that daemons are told.
+// publishAnnouncedRunners puts what has changed into the list that daemons are sent.
 func (r *Replica) publishAnnouncedRunners(now time.Time) {
 	announced := r.announcedRunners
 	if announced == nil || now.Before(announced.publishAt) {
--- a/internal/server/appointments.go
+++ b/internal/server/appointments.go
@@ -23,7 +23,7 @@
 type appointments struct {
 	contactSince  map[string]time.Time // by member ID: since when it has been heard without a gap
 	leavingUntil  map[string]time.Time // by member ID: it is leaving, and until when that is believed
-	releasedAt    map[string]time.Time // by member ID: when it was told that it may end
+	releasedAt    map[string]time.Time // by member ID: when it was allowed to end
 	changePending map[string]bool      // by zone: a change is proposed and not yet applied
 	zonesListedAt time.Time
 }
--- a/internal/server/config_updates.go
+++ b/internal/server/config_updates.go
@@ -8,7 +8,7 @@
 // once for all daemons that lack the same. It is not part of the state.
 type configUpdates struct {
 	texts   map[int64][]byte // of the last versions
-	changes map[int64][]byte // from a version to newest; nil: it must be told whole
+	changes map[int64][]byte // from a version to newest; nil: it must be sent whole
 	newest  int64
 }
 
--- a/internal/server/counts.go
+++ b/internal/server/counts.go
@@ -13,7 +13,7 @@
 )
 
 // newCounts makes the set of counts through which the daemons hear of each other's. It
-// is not part of the state: a new leader is told all of it again. Its name differs from
+// is not part of the state: a new leader is sent all of it again. Its name differs from
 // that of the daemon in the same process, which exchanges its counts like any other.
 func newCounts(processID string, window time.Duration, now time.Time) *counter.Set {
 	return counter.NewSet(processID+leaderSuffix, window, counter.SlotWidth, now)
@@ -52,7 +52,7 @@
 	reply(response)
 }
 
-// tenantShares lists what daemons are told of the tenants.
+// tenantShares lists what daemons are sent of the tenants.
 func tenantShares(config *clusterconfig.Config) []rpc.TenantShare {
 	shares := []rpc.TenantShare{}
 	for _, tenant := range config.Tenants() {
--- a/internal/server/key_watches.go
+++ b/internal/server/key_watches.go
@@ -19,7 +19,7 @@
 // keyWatchers are the watches that the leader holds, by group.
 type keyWatchers struct {
 	byGroup map[string][]keyWatcher
-	// told is the revision of a group up to which its watchers were answered.
+	// notifiedRevision is the revision of a group up to which its watchers were answered.
 	told map[string]int64
 	// nextUntil is when the first of them must be answered; zero if there are none.
 	nextUntil time.Time
--- a/internal/server/membership.go
+++ b/internal/server/membership.go
@@ -243,7 +243,7 @@
 	return ""
 }
 
-// isReleased reports whether a voter was told a moment ago that it may end, and may be
+// isReleased reports whether a voter was allowed to end a moment ago, and may be
 // about to: it is heard until it does. The leader itself ends once it transfers the leadership.
 func (r *Replica) isReleased(id string, now time.Time) bool {
 	if id == r.self.ID {
--- a/internal/server/replica.go
+++ b/internal/server/replica.go
@@ -141,10 +141,10 @@
 	membership                membershipTracker
 	planner                   scheduler.Planner
 	counts                    *counter.Set      // merged counts of all daemons, in memory
-	runnerTable               *registry.Table   // the list of runners that daemons are told, while this server leads
+	runnerTable               *registry.Table   // the list of runners that daemons are sent, while this server leads
 	runnerDeltas              runnerDeltas      // encoded
 	runnersReadAt             time.Time         // since when changes may be missing in the list
-	healthSentAt              time.Time         // when daemons were last told of the runners' health
+	healthSentAt              time.Time         // when daemons were last sent the runners' health
 	announcedRunners          *announcedRunners // what runners tell of themselves, where no platform lists them
 	runnerWatchers            []runnerWatcher
 	configUpdates             configUpdates
--- a/internal/server/runners.go
+++ b/internal/server/runners.go
@@ -52,7 +52,7 @@
 	return now.Sub(r.runnersReadAt).Milliseconds() + 1
 }
 
-// publishRunners puts a whole list in the place of the one that daemons are told.
+// publishRunners puts a whole list in the place of the one that daemons are sent.
 func (r *Replica) publishRunners(list []registry.Runner, now time.Time) {
 	if r.runnerTable == nil {
 		r.runnerTable = registry.NewTable(r.processID + "/" + now.Format(time.RFC3339Nano))
--- a/internal/state/evacuate_zone.go
+++ b/internal/state/evacuate_zone.go
@@ -41,7 +41,7 @@
 }
 
 // reindexZone takes over the evacuation of a zone, or its end, to the rows of its workers.
-// Agents are told again of the runs there: those that have not started must not start late.
+// Agents are notified again of the runs there: those that have not started must not start late.
 func (s *Store) reindexZone(zone string) {
 	for _, worker := range s.Workers {
 		if worker.Zone != zone || worker.Dead {
