--- a/internal/server/coordination_test.go
+++ b/internal/server/coordination_test.go
@@ -125,7 +125,7 @@
 		if update := updateFor(t, long()); update.Revision != 2 || len(update.Events) != 1 || update.Events[0].Name != "g.b" {
 			t.Errorf("%+v", update)
 		}
-		if len(h.replica.keyWatchers.byGroup) != 0 || len(h.replica.keyWatchers.told) != 0 {
+		if len(h.replica.keyWatchers.byGroup) != 0 || len(h.replica.keyWatchers.notifiedRevision) != 0 {
 			t.Errorf("kept: %+v", h.replica.keyWatchers)
 		}
 	})
--- a/internal/server/key_watches.go
+++ b/internal/server/key_watches.go
@@ -20,19 +20,19 @@
 type keyWatchers struct {
 	byGroup map[string][]keyWatcher
 	// notifiedRevision is the revision of a group up to which its watchers were answered.
-	told map[string]int64
+	notifiedRevision map[string]int64
 	// nextUntil is when the first of them must be answered; zero if there are none.
 	nextUntil time.Time
 }
 
 func newKeyWatchers() keyWatchers {
-	return keyWatchers{byGroup: map[string][]keyWatcher{}, told: map[string]int64{}}
+	return keyWatchers{byGroup: map[string][]keyWatcher{}, notifiedRevision: map[string]int64{}}
 }
 
 // add holds a watch of a group that is at a revision.
 func (w *keyWatchers) add(group string, revision int64, watcher keyWatcher) {
 	w.byGroup[group] = append(w.byGroup[group], watcher)
-	w.told[group] = revision
+	w.notifiedRevision[group] = revision
 	w.noteUntil(watcher.until)
 }
 
@@ -57,7 +57,7 @@
 	w.byGroup[group] = kept
 	if len(kept) == 0 {
 		delete(w.byGroup, group)
-		delete(w.told, group)
+		delete(w.notifiedRevision, group)
 	}
 }
 
@@ -112,10 +112,10 @@
 	}
 	for group := range w.byGroup {
 		revision := r.state.Coordination.Revision(group)
-		if leads && !timeIsOver && revision == w.told[group] {
+		if leads && !timeIsOver && revision == w.notifiedRevision[group] {
 			continue
 		}
-		w.told[group] = revision
+		w.notifiedRevision[group] = revision
 		w.answer(group,
 			func(watcher keyWatcher) bool { return !leads || revision > watcher.after || !now.Before(watcher.until) },
 			func(watcher keyWatcher) { r.replyToKeyWatcher(group, watcher, leads) })
