Server: fields of Replica that belong together are values of their own

Streams to peers, planning, the list of runners, periodic work and the end of the process were 30 of its 80 fields; each stands beside the code that uses it. Nothing else changes.

--- a/internal/server/admin.go
+++ b/internal/server/admin.go
@@ -23,7 +23,7 @@
 	if r.node != nil {
 		response.IsLeader, response.AppliedIndex = r.node.IsLeader(), r.state.AppliedIndex
 	}
-	response.Tables = append([]rpc.Table{daemonTable(r.memberLeases), runnerTable(r.runnerTable)}, stateTables(r.state)...)
+	response.Tables = append([]rpc.Table{daemonTable(r.memberLeases), runnerTable(r.runnerList.table)}, stateTables(r.state)...)
 	response.Tables = append(response.Tables, tallyTables(r.tallies.replica, time.Now())...)
 	reply(rpc.Response{Code: rpc.CodeOK, Body: transport.Encode(response)})
 }
--- a/internal/server/aggregation.go
+++ b/internal/server/aggregation.go
@@ -31,7 +31,7 @@
 	// It goes on through an election: agents have nowhere better to turn to, and
 	// the batch is sent as soon as a leader is known.
 	mayAggregate := r.node != nil && (r.node.IsVoter(r.self.ID) || r.isAppointed(r.self.ID))
-	return mayAggregate && len(r.leaveWaiters) == 0 && r.leaderlessFor(now) < aggregatorLeaderLossTimeout
+	return mayAggregate && len(r.departure.waiters) == 0 && r.leaderlessFor(now) < aggregatorLeaderLossTimeout
 }
 
 // isAppointed reports whether a member is the aggregator or the standby of a zone.
--- a/internal/server/announced_runners.go
+++ b/internal/server/announced_runners.go
@@ -33,14 +33,14 @@
 
 // announced returns the runners that announce themselves to this leader.
 func (r *Replica) announced(now time.Time) *announcedRunners {
-	if r.announcedRunners == nil {
+	if r.runnerList.announced == nil {
 		interval := r.heartbeatInterval()
-		r.announcedRunners = &announcedRunners{
+		r.runnerList.announced = &announcedRunners{
 			list:      registry.NewAnnouncements(announcedSilenceIntervals * interval),
 			publishAt: now.Add(interval + announcedRunnersSlack),
 		}
 	}
-	return r.announcedRunners
+	return r.runnerList.announced
 }
 
 // heartbeatInterval is the time between two heartbeats of a runner.
@@ -71,7 +71,7 @@
 
 // publishAnnouncedRunners puts what has changed into the list that daemons are sent.
 func (r *Replica) publishAnnouncedRunners(now time.Time) {
-	announced := r.announcedRunners
+	announced := r.runnerList.announced
 	if announced == nil || now.Before(announced.publishAt) {
 		return
 	}
--- a/internal/server/apply.go
+++ b/internal/server/apply.go
@@ -75,7 +75,7 @@
 	}
 	outcomes := r.state.ApplyEntry(entry.Index, entry.Data)
 	r.learnClocks(time.Now(), entry.Term)
-	r.planDue = true
+	r.planning.due = true
 	if !r.leading {
 		// Only a leader plans, and a new one looks at all jobs.
 		r.state.TakeNewAllocations()
@@ -111,7 +111,7 @@
 	for _, completed := range r.state.TakeClosedRuns() {
 		r.trace.Record(completed.Allocation.TaskName(), "end applied", int64(completed.Allocation.Run), completed.Result)
 		if r.leading && completed.Result == state.ResultDone {
-			r.planner.RecordCompletion(r.state, completed.Allocation, completed.ClosedAt)
+			r.planning.planner.RecordCompletion(r.state, completed.Allocation, completed.ClosedAt)
 		}
 		if r.leading && r.debug {
 			r.logRun(completed)
--- a/internal/server/connections.go
+++ b/internal/server/connections.go
@@ -14,6 +14,19 @@
 // voters that it lacks.
 const voterConnectInterval = 100 * time.Millisecond
 
+// peerStreams are the streams to and from other servers, and their addresses.
+type peerStreams struct {
+	dialed         map[string]*transport.Stream // by address
+	dialing        map[string]time.Time         // by address; zero while under way, else when to retry
+	addresses      map[string]string            // by member ID, of members that aren't voters
+	votersDialedAt time.Time                    // when missing streams to voters were last opened
+	inbound        map[string]*transport.Stream // by member ID, the stream it was last heard on
+}
+
+func newPeerStreams() peerStreams {
+	return peerStreams{dialed: map[string]*transport.Stream{}, dialing: map[string]time.Time{}, addresses: map[string]string{}, inbound: map[string]*transport.Stream{}}
+}
+
 // handleTransport takes a frame from a stream, or the end of the stream.
 func (r *Replica) handleTransport(ctx context.Context, event *transport.Event) {
 	if event.Closed {
@@ -42,8 +55,8 @@
 // handleStreamClosed forgets a stream that ended.
 func (r *Replica) handleStreamClosed(closed *transport.Stream) {
 	isClosed := func(_ string, stream *transport.Stream) bool { return stream == closed }
-	maps.DeleteFunc(r.connections, isClosed)
-	maps.DeleteFunc(r.inbound, isClosed)
+	maps.DeleteFunc(r.peers.dialed, isClosed)
+	maps.DeleteFunc(r.peers.inbound, isClosed)
 	r.dropSessions(closed)
 }
 
@@ -66,7 +79,7 @@
 		}
 		r.startNode(r.persisted.Snapshot)
 	}
-	r.inbound[message.From] = stream
+	r.peers.inbound[message.From] = stream
 	r.node.Step(message, time.Now())
 }
 
@@ -107,14 +120,14 @@
 	if address == "" {
 		return r.sendOnInbound(to, frame)
 	}
-	stream := r.connections[address]
+	stream := r.peers.dialed[address]
 	if stream == nil {
 		r.dial(ctx, address)
 		return r.sendOnInbound(to, frame)
 	}
 	if !stream.Send(frame) {
 		// The stream has ended, and its end is still in the event queue.
-		delete(r.connections, address)
+		delete(r.peers.dialed, address)
 		r.dial(ctx, address)
 		return r.sendOnInbound(to, frame)
 	}
@@ -125,7 +138,7 @@
 // candidate knows no addresses yet, and the first response after a snapshot, which
 // names them, must not be lost while a new connection is being made.
 func (r *Replica) sendOnInbound(to string, frame transport.Frame) bool {
-	stream := r.inbound[to]
+	stream := r.peers.inbound[to]
 	return stream != nil && stream.Send(frame)
 }
 
@@ -136,19 +149,19 @@
 			return voter.Addr
 		}
 	}
-	return r.addresses[memberID]
+	return r.peers.addresses[memberID]
 }
 
 // connectVoters opens the streams to other voters that are missing. A follower sends
 // nothing until it wants to be elected; its first request for votes would be lost
 // while streams are being opened, and with it a round of the election.
 func (r *Replica) connectVoters(ctx context.Context, now time.Time) {
-	if now.Sub(r.votersConnectedAt) < voterConnectInterval {
+	if now.Sub(r.peers.votersDialedAt) < voterConnectInterval {
 		return
 	}
-	r.votersConnectedAt = now
+	r.peers.votersDialedAt = now
 	for _, voter := range r.node.Voters() {
-		if voter.ID != r.self.ID && r.connections[voter.Addr] == nil {
+		if voter.ID != r.self.ID && r.peers.dialed[voter.Addr] == nil {
 			r.dial(ctx, voter.Addr)
 		}
 	}
@@ -157,10 +170,10 @@
 // dial connects to a peer in the background, unless that is under way or failed
 // a moment ago.
 func (r *Replica) dial(ctx context.Context, address string) {
-	if retryAt, ok := r.dialing[address]; ok && (retryAt.IsZero() || time.Now().Before(retryAt)) {
+	if retryAt, ok := r.peers.dialing[address]; ok && (retryAt.IsZero() || time.Now().Before(retryAt)) {
 		return
 	}
-	r.dialing[address] = time.Time{}
+	r.peers.dialing[address] = time.Time{}
 	go func() {
 		stream, err := transport.Dial(ctx, address, r.Deliver)
 		if err != nil {
--- a/internal/server/debug_log.go
+++ b/internal/server/debug_log.go
@@ -29,10 +29,10 @@
 
 // logCapacity logs, once a second, how full the workers are.
 func (r *Replica) logCapacity(now time.Time) {
-	if now.Sub(r.capacityLoggedAt) < time.Second {
+	if now.Sub(r.upkeep.capacityLoggedAt) < time.Second {
 		return
 	}
-	r.capacityLoggedAt = now
+	r.upkeep.capacityLoggedAt = now
 	var totalCPU, usedCPU, totalMemory, usedMemory int64
 	workers := 0
 	for _, worker := range r.state.Workers {
--- a/internal/server/identity.go
+++ b/internal/server/identity.go
@@ -86,7 +86,7 @@
 	r.storage, r.persisted, r.self.ID = identity.storage, identity.persisted, identity.persisted.ID
 	r.writeQueue, r.writesInFlight = make(chan storage.WriteRequest, storage.QueueLength), 0
 	r.aggregator = aggregator.New(r.self.ID)
-	r.lastSnapshotIndex, r.latestSnapshot, r.encodingSnapshot, r.planDue = 0, nil, false, false
+	r.lastSnapshotIndex, r.latestSnapshot, r.encodingSnapshot, r.planning.due = 0, nil, false, false
 	_ = r.log.Log("level", "info", "event", "replica.rejoined", "disk", r.self.ID)
 	r.storageOpened.Store(true)
 	r.startWriter(ctx)
--- a/internal/server/leader.go
+++ b/internal/server/leader.go
@@ -15,6 +15,15 @@
 	usageRebuildInterval = 5 * time.Minute
 )
 
+// upkeep is when a leader last did its periodic work on the state.
+type upkeep struct {
+	collectionProposed bool // a garbage collection is proposed and not yet applied
+	collectedAt        time.Time
+	usageRebuiltAt     time.Time
+	periodicWorkAt     time.Time
+	capacityLoggedAt   time.Time
+}
+
 // leaderWork does what a leader has to do at this time; it returns after how long
 // it must be called again, 0 for a replica that does not lead.
 func (r *Replica) leaderWork(now time.Time) time.Duration {
@@ -29,8 +38,8 @@
 	if !r.leading {
 		r.becomeLeader(now)
 	}
-	if now.Sub(r.periodicWorkAt) >= timing.HeartbeatInterval {
-		r.periodicWorkAt = now
+	if now.Sub(r.upkeep.periodicWorkAt) >= timing.HeartbeatInterval {
+		r.upkeep.periodicWorkAt = now
 		r.periodicWork(now)
 	}
 	wake := sooner(timing.HeartbeatInterval, r.runDueTimers(now))
@@ -46,7 +55,7 @@
 	r.collectGarbage(now)
 	r.updatePlanner(now)
 	r.stopRunsOfLeavingWorkers(now)
-	r.planDue = r.planDue || len(r.planner.UnresponsiveWorkers) > 0 || len(r.state.Allocations) > 0
+	r.planning.due = r.planning.due || len(r.planning.planner.UnresponsiveWorkers) > 0 || len(r.state.Allocations) > 0
 	if r.debug {
 		r.logCapacity(now)
 	}
@@ -65,9 +74,9 @@
 	}
 	// Applying the clean-up starts the jobs that are due. Only one is proposed at a
 	// time: until it is applied they stay due, and each turn would propose another.
-	if !r.garbageCollectionProposed {
-		r.garbageCollectionProposed = true
-		r.enqueueCommand(state.CommandCollectGarbage, &state.CollectGarbage{}, func(state.Outcome, bool) { r.garbageCollectionProposed = false })
+	if !r.upkeep.collectionProposed {
+		r.upkeep.collectionProposed = true
+		r.enqueueCommand(state.CommandCollectGarbage, &state.CollectGarbage{}, func(state.Outcome, bool) { r.upkeep.collectionProposed = false })
 	}
 	return 0
 }
@@ -75,14 +84,14 @@
 // collectGarbage proposes the periodic clean-up of the state, with a rebuild of
 // the rollups when one is due.
 func (r *Replica) collectGarbage(now time.Time) {
-	if now.Sub(r.garbageCollectedAt) < jobExpiryInterval {
+	if now.Sub(r.upkeep.collectedAt) < jobExpiryInterval {
 		return
 	}
-	r.garbageCollectedAt = now
+	r.upkeep.collectedAt = now
 	r.expireMemberships(now)
-	rebuild := now.Sub(r.usageRebuiltAt) >= usageRebuildInterval
+	rebuild := now.Sub(r.upkeep.usageRebuiltAt) >= usageRebuildInterval
 	if rebuild {
-		r.usageRebuiltAt = now
+		r.upkeep.usageRebuiltAt = now
 	}
 	r.enqueueCommand(state.CommandCollectGarbage, &state.CollectGarbage{RebuildUsage: rebuild}, nil)
 	if rebuild {
@@ -106,9 +115,9 @@
 			r.leases[id] = newWorkerLease(now)
 		}
 	}
-	r.planDue, r.plansProposed, r.garbageCollectionProposed = true, false, false
-	r.planNotBefore, r.refusedInARow = time.Time{}, 0
-	r.garbageCollectedAt, r.usageRebuiltAt = now, now
+	r.planning.due, r.planning.proposed, r.upkeep.collectionProposed = true, false, false
+	r.planning.notBefore, r.planning.refusedInARow = time.Time{}, 0
+	r.upkeep.collectedAt, r.upkeep.usageRebuiltAt = now, now
 	if limits := stateLimits(r.settings); r.state.Limits != limits {
 		r.enqueueCommand(state.CommandSetLimits, &state.SetLimits{Limits: limits}, nil)
 	}
@@ -116,7 +125,7 @@
 		r.enqueueCommand(state.CommandSetEpoch, &state.SetEpoch{Epoch: r.processID + "-" + r.self.ID}, nil)
 	}
 	r.membership = membershipTracker{}
-	r.planner = scheduler.Planner{CheckpointIntervalMs: int64(r.settings.Bounds.CheckpointEveryS * msPerSecond)}
+	r.planning.planner = scheduler.Planner{CheckpointIntervalMs: int64(r.settings.Bounds.CheckpointEveryS * msPerSecond)}
 	_ = r.log.Log("level", "info", "event", "leader.elected", "term", r.node.Term(), "index", r.node.AppliedIndex())
 }
 
--- a/internal/server/leave.go
+++ b/internal/server/leave.go
@@ -24,6 +24,15 @@
 	shutdownExclusionPeriod = 5 * time.Second
 )
 
+// departure is the end of this process, once it was asked for.
+type departure struct {
+	waiters          []chan struct{}
+	deadline         time.Time // zero: the process stays
+	transferDeadline time.Time // of the transfer of leadership under way
+	transferring     bool
+	requested        bool // the leader is being asked whether this server may end
+}
+
 const (
 	// codeStillNeeded answers rpc.KindReleaseZones where the others can't do without
 	// the server yet, which asks again after Response.RetryAfterMs.
@@ -53,11 +62,11 @@
 // beginLeave begins to leave; done is closed once the process may end. Until it does, this
 // server goes on as a replica, and the leader knows that it ends.
 func (r *Replica) beginLeave(ctx context.Context, done chan struct{}) {
-	r.leaveWaiters = append(r.leaveWaiters, done)
-	if len(r.leaveWaiters) > 1 {
+	r.departure.waiters = append(r.departure.waiters, done)
+	if len(r.departure.waiters) > 1 {
 		return
 	}
-	r.leaveDeadline = time.Now().Add(r.leaveTimeout())
+	r.departure.deadline = time.Now().Add(r.leaveTimeout())
 	switch {
 	case r.node == nil:
 		r.finishLeaving()
@@ -69,13 +78,13 @@
 // requestLeave has this server's zones given to their standbys, and asks the leader
 // until it may end.
 func (r *Replica) requestLeave(ctx context.Context) {
-	r.leaveRequested = true
+	r.departure.requested = true
 	r.aggregator.FailAll(responseNotLeader)
 	if !r.node.IsVoter(r.self.ID) && !r.isAppointed(r.self.ID) {
 		r.finishLeaving()
 		return
 	}
-	deadline := r.leaveDeadline
+	deadline := r.departure.deadline
 	go func() {
 		r.awaitRelease(ctx, deadline)
 		r.post(ctx, loopEvent{leaveGranted: true})
@@ -128,25 +137,25 @@
 
 // finishLeaving lets the process end.
 func (r *Replica) finishLeaving() {
-	for _, done := range r.leaveWaiters {
+	for _, done := range r.departure.waiters {
 		close(done)
 	}
-	r.leaveWaiters = nil
+	r.departure.waiters = nil
 }
 
 // continueLeave takes the next step of leaving; it returns after how long the next
 // one is due, 0 if this server isn't leaving.
 func (r *Replica) continueLeave(ctx context.Context, now time.Time) time.Duration {
-	if r.leaveDeadline.IsZero() || r.node == nil {
+	if r.departure.deadline.IsZero() || r.node == nil {
 		return 0
 	}
-	if now.After(r.leaveDeadline) {
+	if now.After(r.departure.deadline) {
 		r.finishLeaving()
 	}
 	switch {
 	case r.node.IsLeader():
 		r.transferLeadership(now)
-	case !r.leaveRequested:
+	case !r.departure.requested:
 		// Another leads, by a transfer or without one, and is to know that this server
 		// ends: two that do at the same moment wait for each other.
 		r.requestLeave(ctx)
@@ -162,20 +171,20 @@
 		r.finishLeaving()
 		return
 	}
-	if r.transferringLeadership {
-		if now.After(r.transferDeadline) {
-			r.transferringLeadership = false
+	if r.departure.transferring {
+		if now.After(r.departure.transferDeadline) {
+			r.departure.transferring = false
 			r.finishLeaving()
 		}
 		return
 	}
-	noTimeLeft := r.leaveDeadline.Sub(now) <= leadershipTransferTimeout
+	noTimeLeft := r.departure.deadline.Sub(now) <= leadershipTransferTimeout
 	if !noTimeLeft && r.node.LeaderReady() && r.reasonToStay(r.self.ID) != "" {
 		return
 	}
 	if r.node.TransferLeadership() == nil {
-		r.transferringLeadership = true
-		r.transferDeadline = now.Add(leadershipTransferTimeout)
+		r.departure.transferring = true
+		r.departure.transferDeadline = now.Add(leadershipTransferTimeout)
 	}
 }
 
--- a/internal/server/leave_test.go
+++ b/internal/server/leave_test.go
@@ -44,8 +44,8 @@
 	default:
 		t.Error("it waits")
 	}
-	if len(replica.leaveWaiters) != 0 {
-		t.Errorf("%d wait", len(replica.leaveWaiters))
+	if len(replica.departure.waiters) != 0 {
+		t.Errorf("%d wait", len(replica.departure.waiters))
 	}
 }
 
@@ -58,14 +58,14 @@
 		done := make(chan struct{})
 		h.replica.beginLeave(t.Context(), done)
 		h.turn()
-		if h.replica.transferringLeadership {
+		if h.replica.departure.transferring {
 			t.Fatal("it hands over while another voter is silent")
 		}
-		for i := 0; i < 100 && !h.replica.transferringLeadership; i++ {
+		for i := 0; i < 100 && !h.replica.departure.transferring; i++ {
 			h.acknowledge("c")
 			h.turn()
 		}
-		if !h.replica.transferringLeadership {
+		if !h.replica.departure.transferring {
 			t.Fatal("it does not hand over")
 		}
 		time.Sleep(leadershipTransferTimeout + time.Millisecond)
--- a/internal/server/link_trial.go
+++ b/internal/server/link_trial.go
@@ -148,7 +148,7 @@
 	if transport.Decode(body, &probe) != nil || probe.To != r.self.ID || r.node == nil || !r.node.IsVoter(probe.From) {
 		return
 	}
-	r.inbound[probe.From] = stream
+	r.peers.inbound[probe.From] = stream
 	now := time.Now()
 	switch probe.Kind {
 	case probeMeasure:
--- a/internal/server/loop.go
+++ b/internal/server/loop.go
@@ -160,11 +160,11 @@
 // handlePeerDialed takes a new connection to a peer, or puts off the next attempt.
 func (r *Replica) handlePeerDialed(ctx context.Context, dialed *dialedPeer) {
 	if dialed.stream == nil {
-		r.dialing[dialed.address] = time.Now().Add(redialDelay)
+		r.peers.dialing[dialed.address] = time.Now().Add(redialDelay)
 		return
 	}
-	delete(r.dialing, dialed.address)
-	r.connections[dialed.address] = dialed.stream
+	delete(r.peers.dialing, dialed.address)
+	r.peers.dialed[dialed.address] = dialed.stream
 	if r.node != nil {
 		r.resumeTransfers(ctx)
 	}
--- a/internal/server/membership.go
+++ b/internal/server/membership.go
@@ -32,10 +32,10 @@
 		reply(responseBadRequest)
 		return
 	}
-	if !r.node.IsVoter(candidate.ID) && r.addresses[candidate.ID] == "" {
+	if !r.node.IsVoter(candidate.ID) && r.peers.addresses[candidate.ID] == "" {
 		_ = r.log.Log("level", "info", "event", "candidate.announced", "node", candidate.Node, "disk", candidate.ID, "address", candidate.Addr)
 	}
-	r.addresses[candidate.ID] = candidate.Addr
+	r.peers.addresses[candidate.ID] = candidate.Addr
 	r.node.AddLearner(*candidate)
 	r.candidatesByID()[candidate.ID] = *candidate
 	reply(responseOK)
@@ -111,7 +111,7 @@
 			"new_node", candidate.Node, "new_disk", candidate.ID)
 		// The configuration no longer names the old voter, which must learn of the
 		// change if it is still up, so its address is kept.
-		r.addresses[old.ID] = old.Addr
+		r.peers.addresses[old.ID] = old.Addr
 		next := slices.Clone(voters)
 		next[i] = candidate
 		_ = r.node.ProposeConfChange(next) // else it is proposed again
@@ -136,7 +136,7 @@
 		return false
 	}
 	// It must learn of the change, and its address is known by the voters alone.
-	r.addresses[dropped.ID] = dropped.Addr
+	r.peers.addresses[dropped.ID] = dropped.Addr
 	_ = r.log.Log("level", "info", "event", "voter.removal_proposed", "node", dropped.Node, "disk", dropped.ID, "voters", len(voters))
 	return true
 }
@@ -205,7 +205,7 @@
 // isLeaving reports whether a voter said that it leaves.
 func (r *Replica) isLeaving(id string, now time.Time) bool {
 	if id == r.self.ID {
-		return len(r.leaveWaiters) > 0
+		return len(r.departure.waiters) > 0
 	}
 	return now.Before(r.appointments.leavingUntil[id])
 }
@@ -247,7 +247,7 @@
 // about to: it is heard until it does. The leader itself ends once it transfers the leadership.
 func (r *Replica) isReleased(id string, now time.Time) bool {
 	if id == r.self.ID {
-		return r.transferringLeadership
+		return r.departure.transferring
 	}
 	at, released := r.appointments.releasedAt[id]
 	return released && now.Sub(at) < shutdownReleasePeriod
--- a/internal/server/membership_test.go
+++ b/internal/server/membership_test.go
@@ -139,7 +139,7 @@
 		{"b came back with another identity", "node-b", func(c *cluster) { c.down["b"] = true }, "[a d c a b c]", "[a d c]"},
 		{"its own old identity first", "node-b", func(c *cluster) { c.down["b"] = true; c.replica.appointments.leavingUntil["c"] = c.now.Add(time.Hour) }, "[a d c a b c]", "[a d c]"},
 		{"c said that it leaves", "node-d", func(c *cluster) { c.replica.appointments.leavingUntil["c"] = c.now.Add(shutdownExclusionPeriod) }, "[a b d a b c]", "[a b d]"},
-		{"the leader leaves", "node-d", func(c *cluster) { c.replica.leaveWaiters = []chan struct{}{nil} }, "[d b c a b c]", "[d b c]"},
+		{"the leader leaves", "node-d", func(c *cluster) { c.replica.departure.waiters = []chan struct{}{nil} }, "[d b c a b c]", "[d b c]"},
 	} {
 		c := newCluster(t)
 		c.addCandidate(test.node)
@@ -207,7 +207,7 @@
 				c.replica.appointments.releasedAt[id] = time.Now().Add(-ago)
 			}
 			if test.leaderOn {
-				c.replica.transferringLeadership, c.replica.leaveWaiters = true, []chan struct{}{make(chan struct{})}
+				c.replica.departure.transferring, c.replica.departure.waiters = true, []chan struct{}{make(chan struct{})}
 			}
 			if reason := c.replica.reasonToStay("b"); reason != test.want {
 				t.Errorf("%s: %q, want %q", test.name, reason, test.want)
--- a/internal/server/monitoring.go
+++ b/internal/server/monitoring.go
@@ -98,7 +98,7 @@
 	return []monitoring.Gauge{
 		{Name: "tealpond_leader_for_seconds", Value: now.Sub(r.leadingSince).Seconds()},
 		{Name: "tealpond_worker_leases", Value: float64(len(r.leases))},
-		{Name: "tealpond_workers_silent", Value: float64(len(r.planner.UnresponsiveWorkers))},
+		{Name: "tealpond_workers_silent", Value: float64(len(r.planning.planner.UnresponsiveWorkers))},
 		{Name: "tealpond_members", Value: float64(len(r.memberLeases))},
 		{Name: "tealpond_learners", Value: float64(len(r.membership.candidates))},
 		{Name: "tealpond_commands_waiting", Value: float64(len(r.commands))},
--- a/internal/server/replica.go
+++ b/internal/server/replica.go
@@ -16,9 +16,7 @@
 	"tealpond/internal/discovery"
 	"tealpond/internal/federation"
 	"tealpond/internal/raft"
-	"tealpond/internal/registry"
 	"tealpond/internal/rpc"
-	"tealpond/internal/scheduler"
 	"tealpond/internal/settings"
 	"tealpond/internal/state"
 	"tealpond/internal/storage"
@@ -89,17 +87,13 @@
 	incomingSnapshots  map[string]*snapshotReceiver
 
 	// Other daemons.
-	events            chan loopEvent
-	ended             chan struct{} // closed when the loop has ended
-	leaderClient      *discovery.Client
-	seeds             atomic.Pointer[[]string]
-	bootstrap         bootstrap.Coordinator
-	joinRequestedAt   time.Time
-	connections       map[string]*transport.Stream // dialed, by address
-	dialing           map[string]time.Time         // by address; zero while under way, else when to retry
-	addresses         map[string]string            // by member ID, of members that aren't voters
-	votersConnectedAt time.Time                    // when missing streams to voters were last opened
-	inbound           map[string]*transport.Stream // by member ID, the stream it was last heard on
+	events          chan loopEvent
+	ended           chan struct{} // closed when the loop has ended
+	leaderClient    *discovery.Client
+	seeds           atomic.Pointer[[]string]
+	bootstrap       bootstrap.Coordinator
+	joinRequestedAt time.Time
+	peers           peerStreams
 
 	// Clocks of the log, see clock.go.
 	timeOfDay  clock.TimeOfDay
@@ -131,44 +125,22 @@
 	evacuationNotices  map[string]evacuationNotice      // by zone
 
 	// The term of leadership.
-	leading                   bool
-	leadingSince              time.Time
-	leadingTerm               uint64
-	leases                    map[string]*workerLease // by worker ID
-	memberSets                map[string]memberSet    // by the aggregator's member ID
-	memberLeases              map[string]memberLease  // by node and role
-	appointments              appointments
-	membership                membershipTracker
-	planner                   scheduler.Planner
-	counts                    *counter.Set      // merged counts of all daemons, in memory
-	runnerTable               *registry.Table   // the list of runners that daemons are sent, while this server leads
-	runnerDeltas              runnerDeltas      // encoded
-	runnersReadAt             time.Time         // since when changes may be missing in the list
-	healthSentAt              time.Time         // when daemons were last sent the runners' health
-	announcedRunners          *announcedRunners // what runners tell of themselves, where no platform lists them
-	runnerWatchers            []runnerWatcher
-	configUpdates             configUpdates
-	positions                 map[string]daemonPosition // of daemons, by node
-	positionsAt               time.Time
-	observations              *registry.Observations // of runners, by all daemons
-	planDue                   bool                   // the state changed since the planner ran
-	plansProposed             bool                   // and not yet applied
-	planNotBefore             time.Time              // see notePlansApplied
-	refusedInARow             int                    // times that all plans were refused
-	garbageCollectionProposed bool                   // and not yet applied
-	garbageCollectedAt        time.Time
-	usageRebuiltAt            time.Time
-	preemptedAt               time.Time
-	periodicWorkAt            time.Time
-	capacityLoggedAt          time.Time
-	leaseDuration             time.Duration
+	leading       bool
+	leadingSince  time.Time
+	leadingTerm   uint64
+	leases        map[string]*workerLease // by worker ID
+	memberSets    map[string]memberSet    // by the aggregator's member ID
+	memberLeases  map[string]memberLease  // by node and role
+	appointments  appointments
+	membership    membershipTracker
+	planning      planning
+	upkeep        upkeep
+	runnerList    runnerList
+	counts        *counter.Set // merged counts of all daemons, in memory
+	configUpdates configUpdates
+	leaseDuration time.Duration
 
-	// The end of the process.
-	leaveWaiters           []chan struct{}
-	leaveDeadline          time.Time // zero: it stays
-	transferDeadline       time.Time // of the transfer of leadership under way
-	transferringLeadership bool
-	leaveRequested         bool // the leader is being asked whether this server may end
+	departure departure
 }
 
 // stateLimits are the limits in this server's settings; a leader puts them into the log.
@@ -202,14 +174,11 @@
 func newReplica() *Replica {
 	return &Replica{
 		state:              state.New(state.Limits{}),
-		observations:       registry.NewObservations(),
 		digests:            newDigestTracker(),
 		outgoingSnapshots:  map[string]*snapshotSender{},
 		incomingSnapshots:  map[string]*snapshotReceiver{},
-		connections:        map[string]*transport.Stream{},
-		dialing:            map[string]time.Time{},
-		addresses:          map[string]string{},
-		inbound:            map[string]*transport.Stream{},
+		peers:              newPeerStreams(),
+		runnerList:         newRunnerList(),
 		pending:            map[uint64]pendingEntry{},
 		statusWaiters:      map[string][]statusWaiter{},
 		keyWatchers:        newKeyWatchers(),
--- a/internal/server/runners.go
+++ b/internal/server/runners.go
@@ -19,6 +19,21 @@
 	healthEntriesPerS = 15_000
 )
 
+// runnerList is the list of runners that a leader keeps for the daemons.
+type runnerList struct {
+	table        *registry.Table   // what daemons are sent; nil: nothing is published
+	deltas       runnerDeltas      // encoded
+	readAt       time.Time         // since when changes may be missing in the list
+	healthSentAt time.Time         // when daemons were last sent the runners' health
+	announced    *announcedRunners // what runners tell of themselves, where no platform lists them
+	watchers     []runnerWatcher
+	positions    map[string]daemonPosition // of daemons, by node
+	positionsAt  time.Time
+	observations *registry.Observations // of runners, by all daemons
+}
+
+func newRunnerList() runnerList { return runnerList{observations: registry.NewObservations()} }
+
 // runnerWatcher is a daemon's question for changes, held until there is one.
 type runnerWatcher struct {
 	watch   rpc.RunnerWatch
@@ -36,7 +51,7 @@
 	}
 	now := time.Now()
 	r.publishRunners(list.Runners, now)
-	r.runnersReadAt = now.Add(-time.Duration(list.AgeMs) * time.Millisecond)
+	r.runnerList.readAt = now.Add(-time.Duration(list.AgeMs) * time.Millisecond)
 	reply(responseOK)
 }
 
@@ -44,26 +59,26 @@
 // isn't known. What runners announce is in the list once it is acknowledged.
 func (r *Replica) runnerListAge(now time.Time) int64 {
 	switch {
-	case r.runnerTable == nil:
+	case r.runnerList.table == nil:
 		return -1
-	case r.announcedRunners != nil:
+	case r.runnerList.announced != nil:
 		return 0
 	}
-	return now.Sub(r.runnersReadAt).Milliseconds() + 1
+	return now.Sub(r.runnerList.readAt).Milliseconds() + 1
 }
 
 // publishRunners puts a whole list in the place of the one that daemons are sent.
 func (r *Replica) publishRunners(list []registry.Runner, now time.Time) {
-	if r.runnerTable == nil {
-		r.runnerTable = registry.NewTable(r.processID + "/" + now.Format(time.RFC3339Nano))
+	if r.runnerList.table == nil {
+		r.runnerList.table = registry.NewTable(r.processID + "/" + now.Format(time.RFC3339Nano))
 	}
-	if now.Sub(r.healthSentAt) >= r.healthInterval(list) {
-		r.healthSentAt = now
-		r.observations.Annotate(list, now)
+	if now.Sub(r.runnerList.healthSentAt) >= r.healthInterval(list) {
+		r.runnerList.healthSentAt = now
+		r.runnerList.observations.Annotate(list, now)
 	} else {
-		r.runnerTable.KeepHealth(list)
+		r.runnerList.table.KeepHealth(list)
 	}
-	r.runnerTable.Update(list)
+	r.runnerList.table.Update(list)
 }
 
 // healthInterval is the least time between two accounts of the health of runners: each
@@ -73,21 +88,21 @@
 	for i := range list {
 		zones[list[i].Zone] = true
 	}
-	entries := len(r.positions) * len(list) / max(len(zones), 1)
+	entries := len(r.runnerList.positions) * len(list) / max(len(zones), 1)
 	return time.Duration(entries) * time.Second / healthEntriesPerS
 }
 
 // handleWatchRunners tells a daemon what has changed in the list, or holds its question
 // for a moment.
 func (r *Replica) handleWatchRunners(watch *rpc.RunnerWatch, _ *transport.Stream, reply replyFunc) {
-	r.observations.Add(watch.Observations)
+	r.runnerList.observations.Add(watch.Observations)
 	now := time.Now()
 	watcher := runnerWatcher{*watch, reply, now, now.Add(runnerWatchWait)}
 	if r.hasUpdateFor(watch) {
 		r.replyWithRunners(&watcher, now)
 		return
 	}
-	r.runnerWatchers = append(r.runnerWatchers, watcher)
+	r.runnerList.watchers = append(r.runnerList.watchers, watcher)
 }
 
 // hasUpdateFor reports whether the list or the configuration is another than a daemon has.
@@ -95,7 +110,7 @@
 	if r.state.Configuration.Version > watch.ConfigVersion {
 		return true
 	}
-	return r.runnerTable != nil && !r.runnerTable.IsAt(watch.Epoch, watch.Version, watch.Scope)
+	return r.runnerList.table != nil && !r.runnerList.table.IsAt(watch.Epoch, watch.Version, watch.Scope)
 }
 
 // replyWithRunners returns a daemon what it lacks of the list. Each response names the
@@ -103,8 +118,8 @@
 func (r *Replica) replyWithRunners(watcher *runnerWatcher, now time.Time) {
 	watch := &watcher.watch
 	update := rpc.RunnerUpdate{ListAgeMs: r.runnerListAge(now), HeldMs: now.Sub(watcher.askedAt).Milliseconds()}
-	if r.runnerTable != nil {
-		update.Delta = r.runnerDeltas.since(r.runnerTable, watch)
+	if r.runnerList.table != nil {
+		update.Delta = r.runnerList.deltas.since(r.runnerList.table, watch)
 	}
 	if r.state.Configuration.Version > watch.ConfigVersion {
 		update.Config, update.ConfigBase = r.configUpdates.since(watch.ConfigVersion, &r.state.Configuration)
@@ -149,11 +164,11 @@
 	if !r.leading || now.Sub(r.leadingSince) < 2*timing.MembershipRenewInterval {
 		return daemonPosition{}
 	}
-	if now.Sub(r.positionsAt) >= timing.MembershipRenewInterval {
+	if now.Sub(r.runnerList.positionsAt) >= timing.MembershipRenewInterval {
 		r.expireMemberships(now)
-		r.positions, r.positionsAt = positionsByZone(r.memberLeases), now
+		r.runnerList.positions, r.runnerList.positionsAt = positionsByZone(r.memberLeases), now
 	}
-	return r.positions[node]
+	return r.runnerList.positions[node]
 }
 
 // daemonPosition is a daemon's place among the daemons of its zone, by their names, and
@@ -186,13 +201,13 @@
 // over; it returns after how long the next one must be answered, 0 for none.
 func (r *Replica) replyToRunnerWatchers(now time.Time) time.Duration {
 	if !r.leading {
-		r.runnerTable, r.observations, r.announcedRunners = nil, registry.NewObservations(), nil
-		r.healthSentAt = time.Time{}
+		r.runnerList.table, r.runnerList.observations, r.runnerList.announced = nil, registry.NewObservations(), nil
+		r.runnerList.healthSentAt = time.Time{}
 	}
 	r.publishAnnouncedRunners(now)
 	wake := time.Duration(0)
-	kept := r.runnerWatchers[:0]
-	for _, watcher := range r.runnerWatchers {
+	kept := r.runnerList.watchers[:0]
+	for _, watcher := range r.runnerList.watchers {
 		wait := watcher.until.Sub(now)
 		switch {
 		case !r.leadsWithLease(now):
@@ -206,7 +221,7 @@
 			}
 		}
 	}
-	clear(r.runnerWatchers[len(kept):])
-	r.runnerWatchers = kept
+	clear(r.runnerList.watchers[len(kept):])
+	r.runnerList.watchers = kept
 	return wake
 }
--- a/internal/server/runners_test.go
+++ b/internal/server/runners_test.go
@@ -98,9 +98,9 @@
 		{1, 0, 0, 0, 0},
 	} {
 		replica := newReplica()
-		replica.positions = map[string]daemonPosition{}
+		replica.runnerList.positions = map[string]daemonPosition{}
 		for i := range test.daemons {
-			replica.positions[fmt.Sprint("d", i)] = daemonPosition{}
+			replica.runnerList.positions[fmt.Sprint("d", i)] = daemonPosition{}
 		}
 		list := make([]registry.Runner, test.runners)
 		for i := range list {
--- a/internal/server/scheduling.go
+++ b/internal/server/scheduling.go
@@ -12,6 +12,16 @@
 // preemptionInterval is the time between two preemptions, since stopping runs takes a moment.
 const preemptionInterval = 250 * time.Millisecond
 
+// planning is the leader's work with the scheduler.
+type planning struct {
+	planner       scheduler.Planner
+	due           bool      // the state changed since the planner ran
+	proposed      bool      // plans are proposed and not yet applied
+	notBefore     time.Time // see notePlansApplied
+	refusedInARow int       // times that all plans were refused
+	preemptedAt   time.Time
+}
+
 // minRuntimeReports is how many workers must have reported the length of their runs
 // before they are compared with each other.
 const minRuntimeReports = 3
@@ -23,26 +33,26 @@
 // last ran. Only one set of plans is proposed at a time, since the planner sees the
 // applied state alone and would place the same tasks again.
 func (r *Replica) schedule(now time.Time) {
-	if !r.planDue || r.plansProposed || r.applyBacklog || now.Before(r.planNotBefore) {
+	if !r.planning.due || r.planning.proposed || r.applyBacklog || now.Before(r.planning.notBefore) {
 		return
 	}
-	r.planDue = false
+	r.planning.due = false
 	stopTimer := r.metrics.startTimer("plan")
-	plans := r.planner.Plan(r.state)
+	plans := r.planning.planner.Plan(r.state)
 	stopTimer()
 	if len(plans) > 0 {
-		r.plansProposed = true
+		r.planning.proposed = true
 		r.enqueueCommand(state.CommandApplyPlans, &state.ApplyPlans{Plans: plans},
 			func(outcome state.Outcome, known bool) {
-				r.plansProposed = false
+				r.planning.proposed = false
 				r.notePlansApplied(known, known && outcome.Value == int64(len(plans)))
 			})
 	}
-	if now.Sub(r.preemptedAt) < preemptionInterval {
+	if now.Sub(r.planning.preemptedAt) < preemptionInterval {
 		return
 	}
-	if preempted := r.planner.Preemptions(r.state); len(preempted) > 0 {
-		r.preemptedAt = now
+	if preempted := r.planning.planner.Preemptions(r.state); len(preempted) > 0 {
+		r.planning.preemptedAt = now
 		_ = r.log.Log("level", "debug", "event", "preemption.requested", "runs", len(preempted))
 		r.enqueueCommand(state.CommandStopRuns, &state.StopRuns{Allocations: preempted, Reason: "pushed out"}, nil)
 	}
@@ -57,12 +67,12 @@
 // refused at each turn of the loop.
 func (r *Replica) notePlansApplied(known, allRefused bool) {
 	if !allRefused {
-		r.refusedInARow = 0
+		r.planning.refusedInARow = 0
 		return
 	}
-	r.refusedInARow++
-	if known && r.refusedInARow >= maxRefusedInARow {
-		r.planNotBefore = time.Now().Add(scheduler.StragglerCheckInterval)
+	r.planning.refusedInARow++
+	if known && r.planning.refusedInARow >= maxRefusedInARow {
+		r.planning.notBefore = time.Now().Add(scheduler.StragglerCheckInterval)
 	}
 }
 
@@ -71,7 +81,7 @@
 func (r *Replica) updatePlanner(now time.Time) {
 	slowdown := map[string]float64{}
 	if median, ok := medianRuntimePercent(r.leases); ok {
-		r.planner.EstimateRatio = median / percent
+		r.planning.planner.EstimateRatio = median / percent
 		for id, lease := range r.leases {
 			if lease.runtimePercent > 0 {
 				slowdown[id] = scheduler.DampSlowdown(float64(lease.runtimePercent) / median)
@@ -80,7 +90,7 @@
 	}
 	silent, unhealthy := map[string]bool{}, map[string]bool{}
 	for id, lease := range r.leases {
-		if pace, ok := r.planner.Pace(id, r.state.Clock); ok {
+		if pace, ok := r.planning.planner.Pace(id, r.state.Clock); ok {
 			slowdown[id] = pace
 		}
 		if now.Sub(lease.lastContact) > timing.WorkerSilenceTimeout || lease.expiring {
@@ -90,7 +100,7 @@
 			unhealthy[id] = true
 		}
 	}
-	r.planner.UnresponsiveWorkers, r.planner.UnhealthyWorkers, r.planner.Slowdown = silent, unhealthy, slowdown
+	r.planning.planner.UnresponsiveWorkers, r.planning.planner.UnhealthyWorkers, r.planning.planner.Slowdown = silent, unhealthy, slowdown
 }
 
 // medianRuntimePercent is the median of what the workers report of the length of
--- a/internal/server/scheduling_test.go
+++ b/internal/server/scheduling_test.go
@@ -40,9 +40,9 @@
 		h := newLeader(t)
 		planned := 0
 		for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
-			h.replica.planDue = true
+			h.replica.planning.due = true
 			h.replica.schedule(time.Now())
-			if !h.replica.planDue {
+			if !h.replica.planning.due {
 				planned++
 				h.replica.notePlansApplied(true, true)
 			}
@@ -51,9 +51,9 @@
 			t.Errorf("planned %d times in a second, want at most %d", planned, limit)
 		}
 		h.replica.notePlansApplied(true, false)
-		h.replica.planNotBefore = time.Time{}
+		h.replica.planning.notBefore = time.Time{}
 		h.replica.notePlansApplied(true, true)
-		if h.replica.planDue = true; !h.replica.planNotBefore.IsZero() {
+		if h.replica.planning.due = true; !h.replica.planning.notBefore.IsZero() {
 			t.Error("plans that were refused once are put off")
 		}
 	})
--- a/internal/server/snapshot.go
+++ b/internal/server/snapshot.go
@@ -92,7 +92,7 @@
 	r.state = store
 	r.learnClocks(time.Now(), snapshot.Term)
 	r.lastSnapshotIndex, r.latestSnapshot = snapshot.Index, snapshot
-	r.planDue = true
+	r.planning.due = true
 	r.digests.discardOwn()
 	// The entries up to the snapshot's are never applied one by one here, so it
 	// is unknown whether they are those that the callers proposed.
--- a/internal/server/snapshot_exchange.go
+++ b/internal/server/snapshot_exchange.go
@@ -36,7 +36,7 @@
 func (r *Replica) resumeTransfers(ctx context.Context) {
 	now := time.Now()
 	for to, sender := range r.outgoingSnapshots {
-		if sender.sentAt.IsZero() && r.connections[r.addressOf(to)] != nil {
+		if sender.sentAt.IsZero() && r.peers.dialed[r.addressOf(to)] != nil {
 			r.sendChunk(ctx, sender, now)
 		}
 	}
@@ -63,7 +63,7 @@
 		return
 	}
 	from, snapshot := chunk.Message.From, chunk.Message.Snapshot
-	r.inbound[from] = stream
+	r.peers.inbound[from] = stream
 	receiver := r.incomingSnapshots[from]
 	if !receiver.expects(chunk) {
 		receiver = newSnapshotReceiver(chunk)
--- a/internal/server/tallies.go
+++ b/internal/server/tallies.go
@@ -184,7 +184,7 @@
 		r.tallies.learnerContacts[message.From] = time.Now()
 		r.tallies.replica.SetPeers(r.tallyPeers())
 	}
-	r.inbound[message.From] = stream
+	r.peers.inbound[message.From] = stream
 	r.tallies.changed = true
 	r.tallies.replica.Receive(message.From, message.Message, time.Now())
 }
