Comments: where a replaced word had changed the meaning

"gives" had become "returns" also where something is given up, back or to somebody, constants that are no longer exported were still named with a capital, and three sentences had lost their grammar. Only comments change; vet and golangci-lint are clean.

--- a/cmd/tealpond/signals.go
+++ b/cmd/tealpond/signals.go
@@ -26,7 +26,7 @@
 	return s
 }
 
-// release returns the signals their usual effect again, as tools want it. One that has come
+// release gives the signals their usual effect again, as tools want it. One that has come
 // meanwhile has it now.
 func (s *processSignals) release() {
 	signal.Reset(syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
--- a/internal/agent/model_worker_test.go
+++ b/internal/agent/model_worker_test.go
@@ -241,7 +241,7 @@
 	go daemon.Loop(agentCtx, agent.events, agent.handle, agent.advance)
 }
 
-// deliver returns an event to the present agent; it is lost if that is busy.
+// deliver gives an event to the present agent; it is lost if that is busy.
 func (w *modelWorker) deliver(e event) {
 	select {
 	case w.agent.events <- e:
--- a/internal/aggregator/batcher.go
+++ b/internal/aggregator/batcher.go
@@ -135,7 +135,7 @@
 	}
 }
 
-// FailAll returns a response to all that was not sent: this server can't aggregate
+// FailAll gives a response to all that was not sent: this server can't aggregate
 // for its zone any more.
 func (b *Batcher) FailAll(response rpc.Response) {
 	for _, unsent := range b.TakeUnsent() {
--- a/internal/api/tallies.go
+++ b/internal/api/tallies.go
@@ -196,7 +196,7 @@
 	return after
 }
 
-// noteServers records who answered, and of the replicas that it knows.
+// noteServers records who answered, and the replicas that it knows.
 func (m *tallyMemory) noteServers(answered string, servers []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/coordination/lock.go
+++ b/internal/coordination/lock.go
@@ -49,7 +49,7 @@
 	HoldMs int64
 }
 
-// Release returns a lock back.
+// Release gives a lock back.
 type Release struct {
 	_      struct{} `cbor:",toarray"`
 	Name   string
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -186,7 +186,7 @@
 	}
 }
 
-// disconnect returns up the connection; requests under way are sent again on the
+// disconnect gives up the connection; requests under way are sent again on the
 // next one.
 func (c *Client) disconnect() {
 	if c.stream != nil {
@@ -248,7 +248,7 @@
 	}
 }
 
-// tick returns up the requests that are due, leaves a silent leader and searches for
+// tick gives up the requests that are due, leaves a silent leader and searches for
 // another; it returns after which time it must be called again, 0 for never.
 func (c *Client) tick(ctx context.Context, now time.Time) time.Duration {
 	c.now = now
--- a/internal/gateway/pipeline.go
+++ b/internal/gateway/pipeline.go
@@ -235,7 +235,7 @@
 	r.exchange.run(r.next)
 }
 
-// abandon returns up a request of which the client's connection has ended.
+// abandon gives up a request of which the client's connection has ended.
 func (r *earlyRequest) abandon() {
 	r.exchange.proxy.abandoned.Add(1)
 	r.cancel()
--- a/internal/gateway/split.go
+++ b/internal/gateway/split.go
@@ -8,7 +8,7 @@
 	"tealpond/internal/clusterconfig"
 )
 
-// splitSequence returns the numbers by which requests of a split route go to its services:
+// splitSequence gives the numbers by which requests of a split route go to its services:
 // multiples of the golden ratio, from a start by lot, without their whole parts. Each
 // service gets its share of any few dozen requests in a row nearly to one, where numbers
 // drawn one by one would be off by several; and daemons don't go in step.
--- a/internal/raft/election_test.go
+++ b/internal/raft/election_test.go
@@ -56,7 +56,7 @@
 }
 
 // TestLeaderHeardTooLateStepsDown: a leader whose messages take so long that it never has the
-// lease returns way to another one, though a majority answers it all the while; one that has the
+// lease gives way to another one, though a majority answers it all the while; one that has the
 // lease now and then stays.
 func TestLeaderHeardTooLateStepsDown(t *testing.T) {
 	lease := time.Duration(float64(testConfig.ElectionTimeout) * testConfig.LeaseFraction)
--- a/internal/raft/large_append_test.go
+++ b/internal/raft/large_append_test.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// boundLargeAppends returns all members a bound on large appends.
+// boundLargeAppends gives all members a bound on large appends.
 func (c *testCluster) boundLargeAppends() {
 	for _, node := range c.nodes {
 		node.config.MaxLargeAppendBytes, node.config.LargeAppendTimeout = 128<<10, 400*time.Millisecond
--- a/internal/raft/model_configuration_test.go
+++ b/internal/raft/model_configuration_test.go
@@ -176,7 +176,7 @@
 	})
 }
 
-// abandonChange returns up a change that no leader has proposed yet.
+// abandonChange gives up a change that no leader has proposed yet.
 func (w *modelWorld) abandonChange(*modelMember) {
 	change := w.change
 	if change == nil || change.proposed || change.incoming == "" || change.outgoing != "" && w.byID[change.outgoing].lost {
--- a/internal/scheduler/quota_test.go
+++ b/internal/scheduler/quota_test.go
@@ -8,7 +8,7 @@
 	"tealpond/internal/state"
 )
 
-// configureTenants returns the cluster two tenants with the same limit.
+// configureTenants gives the cluster two tenants with the same limit.
 func (c *testCluster) configureTenants(milliCPU int64) {
 	c.tb.Helper()
 	raw := fmt.Sprintf(`{"configVersion":2,"tenantList":[{"name":"t","apiKeys":["kt"],"upperLimit":{"cpuUnits":%d}},{"name":"u","apiKeys":["ku"],"upperLimit":{"cpuUnits":%d}}],`,
--- a/internal/server/admin.go
+++ b/internal/server/admin.go
@@ -16,7 +16,7 @@
 	reply(rpc.HandleTrace(r.trace, r.settings.NodeName, serverRole, body))
 }
 
-// handleClusterState returns the tables of this replica's copy of the state. Any
+// handleClusterState gives the tables of this replica's copy of the state. Any
 // replica answers, so that queries need not trouble the leader.
 func (r *Replica) handleClusterState(_ []byte, reply replyFunc) {
 	response := rpc.ClusterState{Node: r.settings.NodeName, Clock: r.state.Clock}
--- a/internal/server/appointments.go
+++ b/internal/server/appointments.go
@@ -52,7 +52,7 @@
 	return ok
 }
 
-// appointAggregators returns each zone that has workers an aggregator: a server of
+// appointAggregators gives each zone that has workers an aggregator: a server of
 // the zone that does not lead; if there is none and the leader isn't in the zone
 // itself, the server with the fewest zones.
 func (r *Replica) appointAggregators(now time.Time) {
--- a/internal/server/clock.go
+++ b/internal/server/clock.go
@@ -9,7 +9,7 @@
 // clock is the state's clock in ms, see clock.Monotonic.
 func (r *Replica) clock(now time.Time) int64 { return r.stateClock.Read(now) }
 
-// learnClocks records the clocks of the newest entry that was applied, and of its term.
+// learnClocks records the clocks of the newest entry that was applied, and its term.
 func (r *Replica) learnClocks(now time.Time, term uint64) {
 	if r.state.WallClock > 0 {
 		r.wall.Learn(now, time.Duration(r.state.WallClock)*time.Millisecond)
--- a/internal/server/configuration.go
+++ b/internal/server/configuration.go
@@ -57,7 +57,7 @@
 	text    [sha256.Size]byte
 }
 
-// handleGetConfig returns the newest configuration, whole. A change that this leader has
+// handleGetConfig gives the newest configuration, whole. A change that this leader has
 // confirmed is applied here, since it is confirmed by being applied; one that an
 // earlier leader confirmed lies before the first entry of this term, which is
 // applied before a leader is ready; and no later leader has confirmed any while
@@ -73,7 +73,7 @@
 	reply(rpc.Response{Code: rpc.CodeOK, Value: r.state.Configuration.Version, Body: r.state.Configuration.Raw})
 }
 
-// handleGetLimits returns the limits of the newest configuration.
+// handleGetLimits gives the limits of the newest configuration.
 func (r *Replica) handleGetLimits(_ []byte, _ *transport.Stream, reply replyFunc) {
 	if r.state.Configuration.Version == 0 {
 		reply(responseNotConfigured)
--- a/internal/server/coordination.go
+++ b/internal/server/coordination.go
@@ -43,12 +43,12 @@
 	r.enqueueCommand(state.CommandRenewLock, (*state.RenewLock)(request), outcomeReply(reply))
 }
 
-// handleReleaseLock returns a lock back.
+// handleReleaseLock gives a lock back.
 func (r *Replica) handleReleaseLock(request *coordination.Release, _ *transport.Stream, reply replyFunc) {
 	r.enqueueCommand(state.CommandReleaseLock, (*state.ReleaseLock)(request), outcomeReply(reply))
 }
 
-// handleNextNumber returns a number.
+// handleNextNumber gives a number.
 func (r *Replica) handleNextNumber(name *string, _ *transport.Stream, reply replyFunc) {
 	r.enqueueCommand(state.CommandNextNumber, &state.NextNumber{Name: *name}, outcomeReply(reply))
 }
--- a/internal/server/counts.go
+++ b/internal/server/counts.go
@@ -36,7 +36,7 @@
 	reply(rpc.Response{Code: rpc.CodeOK, Body: transport.Encode(r.counts.AnswerSums(*request, now))})
 }
 
-// handleGetTenants returns the tenants of the newest configuration, unless the caller has
+// handleGetTenants gives the tenants of the newest configuration, unless the caller has
 // them already.
 func (r *Replica) handleGetTenants(query *rpc.TenantQuery, _ *transport.Stream, reply replyFunc) {
 	if r.state.Configuration.Version == 0 {
--- a/internal/server/digests_test.go
+++ b/internal/server/digests_test.go
@@ -48,7 +48,7 @@
 	}
 }
 
-// useDataDir returns the replica a real storage, which can be quarantined.
+// useDataDir gives the replica a real storage, which can be quarantined.
 func (h *harness) useDataDir(dir string) {
 	h.replica.settings.DataDir = dir
 	h.replica.stopWriter = func() {}
--- a/internal/server/link_trial.go
+++ b/internal/server/link_trial.go
@@ -104,7 +104,7 @@
 }
 
 // linkPadding is the length of the padding with which a probe to each voter is as much as this
-// leader sends them in LinkProbeShare.
+// leader sends them in linkProbeShare.
 func (r *Replica) linkPadding(now time.Time) int {
 	sent := r.sentBytes.perSecond(now) * linkProbeShare.Seconds()
 	perVoter := int(sent) / max(1, len(r.node.Voters())-1)
@@ -223,7 +223,7 @@
 
 // byteRate is a smoothed number of bytes a second.
 type byteRate struct {
-	bytes   int // since countedAt
+	bytes   int // since started
 	rate    float64
 	started time.Time
 }
@@ -231,7 +231,7 @@
 // add counts bytes.
 func (b *byteRate) add(bytes int) { b.bytes += bytes }
 
-// perSecond returns the rate, taken anew each ByteRateInterval.
+// perSecond returns the rate, taken anew each byteRateInterval.
 func (b *byteRate) perSecond(now time.Time) float64 {
 	if elapsed := now.Sub(b.started); elapsed >= byteRateInterval {
 		b.rate, b.bytes, b.started = float64(b.bytes)/elapsed.Seconds(), 0, now
--- a/internal/server/requests_test.go
+++ b/internal/server/requests_test.go
@@ -15,7 +15,7 @@
 	"tealpond/internal/transport"
 )
 
-// configure returns the cluster a configuration with one route, h.example/r/, of the
+// configure gives the cluster a configuration with one route, h.example/r/, of the
 // service "s".
 func (h *harness) configure() {
 	h.t.Helper()
--- a/internal/server/round_trips.go
+++ b/internal/server/round_trips.go
@@ -25,7 +25,7 @@
 // watchRoundTrips has the voters compare their links while a quorum answers this leader late, and
 // transfers the leadership to one whose link is clearly better: all that a leader on a bad link
 // answers takes as long, and soon after that it has no lease. It does so after
-// LateRoundTripTimeout, and compares links at most once in LinkTrialInterval.
+// lateRoundTripTimeout, and compares links at most once in linkTrialInterval.
 func (r *Replica) watchRoundTrips(ctx context.Context, now time.Time) {
 	trips := &r.roundTrips
 	if !r.leading || r.node == nil {
@@ -50,7 +50,7 @@
 }
 
 // continueLinkTrial transfers the leadership if another voter's link is better, and ends the trial
-// once it has taken LinkTrialTimeout or answers come in time again.
+// once it has taken linkTrialTimeout or answers come in time again.
 func (r *Replica) continueLinkTrial(now time.Time) {
 	trips := &r.roundTrips
 	begun := time.Unix(0, r.linkTrial.id)
--- a/internal/server/runners.go
+++ b/internal/server/runners.go
@@ -113,7 +113,7 @@
 	return r.runnerList.table != nil && !r.runnerList.table.IsAt(watch.Epoch, watch.Version, watch.Scope)
 }
 
-// replyWithRunners returns a daemon what it lacks of the list. Each response names the
+// replyWithRunners gives a daemon what it lacks of the list. Each response names the
 // version of the configuration.
 func (r *Replica) replyWithRunners(watcher *runnerWatcher, now time.Time) {
 	watch := &watcher.watch
--- a/internal/server/runners_test.go
+++ b/internal/server/runners_test.go
@@ -12,7 +12,7 @@
 	"tealpond/internal/transport"
 )
 
-// publish returns the leader a list, as its own process does.
+// publish gives the leader a list, as its own process does.
 func (h *harness) publish(list ...registry.Runner) {
 	h.t.Helper()
 	if response := h.call(rpc.KindPublishRunners, rpc.RunnerList{Runners: list}); response.Code != rpc.CodeOK {
--- a/internal/server/tallies.go
+++ b/internal/server/tallies.go
@@ -45,7 +45,7 @@
 )
 
 // Tallies go on at each side of a partition: they need no leader, and are in no log. This
-// file returns package tally its peers, its disk and its clock.
+// file gives package tally its peers, its disk and its clock.
 
 // bytesPerMB is the size of the unit of the settings.
 const bytesPerMB = 1 << 20
@@ -158,7 +158,7 @@
 // writtenTallies says that a write has ended, and what the file has in use since, in bytes.
 type writtenTallies struct{ fileBytes int64 }
 
-// handleTalliesWritten records a write, and of how full the file is.
+// handleTalliesWritten records a write, and how full the file is.
 func (r *Replica) handleTalliesWritten(written *writtenTallies) {
 	r.tallies.replica.Written(written.fileBytes, time.Now())
 	r.tallies.changed = true
--- a/internal/settings/checks.go
+++ b/internal/settings/checks.go
@@ -16,7 +16,7 @@
 // Error names the file, the field and the fault.
 func (e *FieldError) Error() string { return fmt.Sprintf("%s: field %s: %s", e.Path, e.Field, e.Fault) }
 
-// fieldCheck returns the fault of one field, empty if it is in order.
+// fieldCheck gives the fault of one field, empty if it is in order.
 type fieldCheck struct {
 	field string
 	fault func(*File) string
--- a/internal/simulation/application.go
+++ b/internal/simulation/application.go
@@ -132,7 +132,7 @@
 	return now.Before(held.Until) && code != http.StatusConflict
 }
 
-// Release returns a lock back.
+// Release gives a lock back.
 func (a *Application) Release(held *LockHold) {
 	a.history.note(func() {
 		if now := time.Now(); now.Before(held.Until) {
--- a/internal/simulation/daemons.go
+++ b/internal/simulation/daemons.go
@@ -104,7 +104,7 @@
 	return file
 }
 
-// ReloadSettings returns a daemon its settings anew, as the signal HUP does.
+// ReloadSettings gives a daemon its settings anew, as the signal HUP does.
 func (c *Cluster) ReloadSettings(name string) {
 	n := c.node(name)
 	select {
--- a/internal/simulation/federation_test.go
+++ b/internal/simulation/federation_test.go
@@ -163,7 +163,7 @@
 	return begin, begun
 }
 
-// crowd returns both clusters a record of some days, so that b knows that it stays free,
+// crowd gives both clusters a record of some days, so that b knows that it stays free,
 // and fills a, so that deferrable jobs wait there and can move.
 func crowd(a, b *Cluster) {
 	for i := range 12 {
--- a/internal/simulation/link.go
+++ b/internal/simulation/link.go
@@ -28,7 +28,7 @@
 	return *busy
 }
 
-// SetRate returns a host's link a rate in bytes a second, each way; 0: it carries anything at
+// SetRate gives a host's link a rate in bytes a second, each way; 0: it carries anything at
 // once.
 func (n *Network) SetRate(ip string, bytesPerSecond float64) {
 	n.mu.Lock()
--- a/internal/state/coordinate.go
+++ b/internal/state/coordinate.go
@@ -16,7 +16,7 @@
 // RenewLock asks for more time; CodeConflict if the lock was lost.
 type RenewLock coordination.Renew
 
-// ReleaseLock returns a lock back, if it is held so.
+// ReleaseLock gives a lock back, if it is held so.
 type ReleaseLock coordination.Release
 
 // NextNumber asks for a number above all that were given under its name; it is the
--- a/internal/state/service_usage.go
+++ b/internal/state/service_usage.go
@@ -18,7 +18,7 @@
 	RebuiltAt           int64
 }
 
-// rollup returns the rollup of a service and creates it if there is none.
+// serviceUsage returns the usage of a service and creates it if there is none.
 func (s *Store) serviceUsage(service string) *ServiceUsage {
 	serviceUsage := s.ServiceUsages[service]
 	if serviceUsage == nil {
--- a/internal/state/withdraw_offer.go
+++ b/internal/state/withdraw_offer.go
@@ -11,7 +11,7 @@
 }
 
 // Apply settles the offer. The outcome's Text is AnswerWithdrawn, or what
-// IncomingJobStatus returns for a job that was accepted.
+// IncomingJobStatus gives for a job that was accepted.
 func (c *WithdrawOffer) Apply(s *Store) Outcome {
 	job := s.Jobs[c.ID]
 	if job == nil || !job.cameFromOffer(c.Peer, c.OfferID) {
--- a/internal/tally/comparison_test.go
+++ b/internal/tally/comparison_test.go
@@ -6,7 +6,7 @@
 	"testing"
 )
 
-// putBack returns a machine an older copy of its file, starts it and hands it an add before it
+// putBack gives a machine an older copy of its file, starts it and hands it an add before it
 // hears a peer.
 func (w *world) putBack(machine int, id string) {
 	m := w.machines[machine]
--- a/internal/tally/doc.go
+++ b/internal/tally/doc.go
@@ -4,7 +4,7 @@
 //
 // An add is known by its tally and its ID, and counts once wherever it comes in. Each replica
 // numbers the adds that come in there from 1 on, under the origin of its file, and tells nobody of
-// one before it is in that file; what a replica has is told by a vector, which returns for each
+// one before it is in that file; what a replica has is told by a vector, which gives for each
 // origin the number up to which the replica has all adds on its disk. Merging is a union: in any
 // order, with any repeats, the same adds give the same sums.
 //
--- a/internal/tally/replica.go
+++ b/internal/tally/replica.go
@@ -121,7 +121,7 @@
 // FileShare is the share of its bound that the file has reached; 1 and more is full.
 func (r *Replica) FileShare() float64 { return float64(r.fileBytes) / float64(r.config.MaxBytes) }
 
-// append returns an add the next number of this origin.
+// append gives an add the next number of this origin.
 //
 // Nobody is notified of it before it is on the disk here. So all numbers that others know are in
 // the file, the process that opens it next goes on behind them, and a number stands for one
@@ -215,7 +215,7 @@
 	return r.writing
 }
 
-// Written records that what TakeWrites gave is on the disk, and of the size that the file
+// Written records that what TakeWrites gave is on the disk, and the size that the file
 // has now, in bytes.
 func (r *Replica) Written(fileBytes int64, now time.Time) {
 	for _, run := range r.writing {
