--- a/internal/coordination/lock.go
+++ b/internal/coordination/lock.go
@@ -120,7 +120,7 @@
 	return ok && lock.Holder == holder && lock.FirstFence <= fence && fence <= lock.Fence && !lock.expired(clock)
 }
 
-// Renew returns the holder more time; the error is ErrLost. A hold that is over isn't
+// Renew gives the holder more time; the error is ErrLost. A hold that is over isn't
 // revived: its caller has given it up, and a late renewal would block the lock for all.
 func (t *Tables) Renew(request Renew, clock int64) error {
 	if !t.Holds(request.Name, request.Holder, request.Fence, clock) {
--- a/internal/counter/ways_test.go
+++ b/internal/counter/ways_test.go
@@ -47,7 +47,7 @@
 		}}
 }
 
-// fixedParts returns each door its part of the limit.
+// fixedParts gives each door its part of the limit.
 func fixedParts() way {
 	var doors []*Set
 	for i := range wayDoors {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -44,7 +44,7 @@
 	}
 }
 
-// since returns a copy what it lacks, for daemons of zone z.
+// since gives a copy what it lacks, for daemons of zone z.
 func since(table *Table, view *View) Delta {
 	return table.Since(view.Position(), "z", AllZones)
 }
--- a/internal/server/link_trial.go
+++ b/internal/server/link_trial.go
@@ -94,7 +94,7 @@
 func (r *Replica) startLinkTrial(ctx context.Context, now time.Time) {
 	trial := &r.linkTrial
 	trial.id, trial.reports = now.UnixNano(), map[string]linkQuality{}
-	padding := r.linkPadding(now)
+	padding := r.linkPadding()
 	for _, voter := range r.node.Voters() {
 		if voter.ID != r.self.ID {
 			r.sendLinkProbe(ctx, linkProbe{To: voter.ID, Kind: probeMeasure, Trial: trial.id, PaddingBytes: padding})
@@ -105,8 +105,8 @@
 
 // linkPadding is the length of the padding with which a probe to each voter is as much as this
 // leader sends them in linkProbeShare.
-func (r *Replica) linkPadding(now time.Time) int {
-	sent := r.sentBytes.perSecond(now) * linkProbeShare.Seconds()
+func (r *Replica) linkPadding() int {
+	sent := r.sentBytes.perSecond * linkProbeShare.Seconds()
 	perVoter := int(sent) / max(1, len(r.node.Voters())-1)
 	return min(max(perVoter, minLinkPadding), maxLinkPadding)
 }
@@ -221,20 +221,19 @@
 	return best
 }
 
-// byteRate is a smoothed number of bytes a second.
+// byteRate is the number of bytes a second over the last byteRateInterval.
 type byteRate struct {
-	bytes   int // since started
-	rate    float64
-	started time.Time
+	perSecond float64
+	bytes     int // since started
+	started   time.Time
 }
 
 // add counts bytes.
 func (b *byteRate) add(bytes int) { b.bytes += bytes }
 
-// perSecond returns the rate, taken anew each byteRateInterval.
-func (b *byteRate) perSecond(now time.Time) float64 {
+// update takes the rate anew once byteRateInterval is over.
+func (b *byteRate) update(now time.Time) {
 	if elapsed := now.Sub(b.started); elapsed >= byteRateInterval {
-		b.rate, b.bytes, b.started = float64(b.bytes)/elapsed.Seconds(), 0, now
+		b.perSecond, b.bytes, b.started = float64(b.bytes)/elapsed.Seconds(), 0, now
 	}
-	return b.rate
 }
--- a/internal/server/round_trips.go
+++ b/internal/server/round_trips.go
@@ -32,7 +32,7 @@
 		*trips, r.linkTrial = roundTrips{}, linkTrial{}
 		return
 	}
-	r.sentBytes.perSecond(now)
+	r.sentBytes.update(now)
 	if now.Sub(trips.sampledAt) >= roundTripSampleInterval {
 		trips.sample(now, r.node.QuorumRoundTrip())
 	}
--- a/internal/tally/comparison.go
+++ b/internal/tally/comparison.go
@@ -24,7 +24,6 @@
 type comparing struct {
 	peer       string
 	origins    []string // whose adds are still to be compared; the first is under way
-	next       uint64   // the number in the first origin that was asked for; 0: the origins were
 	question   Comparison
 	askedAt    time.Time
 	answeredAt time.Time // or begun
@@ -78,9 +77,9 @@
 		asked := comparison.AskFrom
 		run := r.set.MissingOf(asked.Origin, asked.Number-1, r.config.MaxMessageAdds)
 		r.send(from, Message{Comparison: &Comparison{Answered: asked, Run: run}})
-	case underWay && comparison.Origins != nil && r.comparing.next == 0:
-		r.comparing.origins, r.comparing.next = r.differingOrigins(comparison.Origins), 1
-		r.askForAdds(now)
+	case underWay && comparison.Origins != nil && r.comparing.question.AskOrigins:
+		r.comparing.origins = r.differingOrigins(comparison.Origins)
+		r.askForAdds(1, now)
 	case underWay && comparison.Answered.Number > 0:
 		r.compareAdds(comparison, now)
 	}
@@ -98,14 +97,15 @@
 	return differing
 }
 
-// askForAdds asks for the adds that are to be compared next, or ends the comparison.
-func (r *Replica) askForAdds(now time.Time) {
+// askForAdds asks for the adds of the first origin from a number on, or ends the comparison if no
+// origin is left.
+func (r *Replica) askForAdds(next uint64, now time.Time) {
 	if len(r.comparing.origins) == 0 {
 		r.comparing = nil
 		return
 	}
 	r.comparing.answeredAt = now
-	r.askPeer(Comparison{AskFrom: Position{Origin: r.comparing.origins[0], Number: r.comparing.next}}, now)
+	r.askPeer(Comparison{AskFrom: Position{Origin: r.comparing.origins[0], Number: next}}, now)
 }
 
 // compareAdds takes over the adds of a peer that prevail over those here.
@@ -121,11 +121,11 @@
 		r.replace(run)
 	}
 	if len(comparison.Run.Adds) == 0 {
-		r.comparing.origins, r.comparing.next = r.comparing.origins[1:], 1
-	} else {
-		r.comparing.next = comparison.Run.Last() + 1
+		r.comparing.origins = r.comparing.origins[1:]
+		r.askForAdds(1, now)
+		return
 	}
-	r.askForAdds(now)
+	r.askForAdds(comparison.Run.Last()+1, now)
 }
 
 // replace has another add written at a position, and the one that stands there, which may have
