--- a/internal/simulation/tallies_test.go
+++ b/internal/simulation/tallies_test.go
@@ -285,8 +285,9 @@
 	}
 }
 
-// TestAcknowledgedAddsSurviveTheirServer: a server whose messages take long to the others
-// acknowledges an add, and loses its disk at that moment; the add is on another disk by then.
+// TestAcknowledgedAddsSurviveTheirServer: a server whose messages take long to the others, and
+// not to its caller, acknowledges an add, and loses its disk at that moment; the add is on another
+// disk by then.
 func TestAcknowledgedAddsSurviveTheirServer(t *testing.T) {
 	spec := ClusterSpec{Servers: 3, Edges: 1, Agents: 1, ToleratedLosses: 1, Tallies: true}
 	withCluster(t, spec, func(t *testing.T, c *Cluster) {
@@ -297,12 +298,17 @@
 		for round, victim := range c.Servers() {
 			id := fmt.Sprintf("last%012d", round)
 			callers.sent[id] = 1 << (10 + round)
-			c.Network.SetDelay(c.NodeIP(victim), 100*time.Millisecond)
+			others := without(c.Servers(), victim)
+			for _, other := range others {
+				c.Network.SetDelay(c.NodeIP(other), 100*time.Millisecond)
+			}
 			c.WaitUntil("the add is acknowledged", 5*time.Second, func() bool { return callers.add(victim, id) })
 			c.SetPartition(victim, true, without(c.nodeNames(""), victim)...)
 			c.restartWiped(500*time.Millisecond, victim)
 			c.SetPartition(victim, false, without(c.nodeNames(""), victim)...)
-			c.Network.SetDelay(c.NodeIP(victim), 0)
+			for _, other := range others {
+				c.Network.SetDelay(c.NodeIP(other), 0)
+			}
 			callers.restarted(victim)
 			time.Sleep(5 * time.Second)
 			for _, node := range c.Servers() {
