--- a/internal/simulation/tallies_test.go
+++ b/internal/simulation/tallies_test.go
@@ -34,12 +34,21 @@
 
 const tallyName = "t1"
 
+// newTallyCallers makes callers that don't call by themselves.
+func (c *Cluster) newTallyCallers() *tallyCallers {
+	callers := &tallyCallers{c: c, stop: func() {}, sent: map[string]int64{}, kept: map[string]time.Time{}, byNode: map[string]map[string]int{}, lives: map[string]int{}}
+	for _, node := range c.nodeNames(edgeRole) {
+		callers.byNode[node] = map[string]int{}
+	}
+	return callers
+}
+
 // startTallyCallers starts a caller at each node.
 func (c *Cluster) startTallyCallers() *tallyCallers {
-	ctx, stop := context.WithCancel(context.Background())
-	callers := &tallyCallers{c: c, stop: stop, sent: map[string]int64{}, kept: map[string]time.Time{}, byNode: map[string]map[string]int{}, lives: map[string]int{}}
+	callers := c.newTallyCallers()
+	var ctx context.Context
+	ctx, callers.stop = context.WithCancel(context.Background())
 	for i, node := range c.nodeNames(edgeRole) {
-		callers.byNode[node] = map[string]int{}
 		callers.running.Go(func() {
 			for n := 0; ctx.Err() == nil; n++ {
 				callers.addOnce(i, n)
@@ -291,9 +300,7 @@
 func TestAcknowledgedAddsSurviveTheirServer(t *testing.T) {
 	spec := ClusterSpec{Servers: 3, Edges: 1, Agents: 1, ToleratedLosses: 1, Tallies: true}
 	withCluster(t, spec, func(t *testing.T, c *Cluster) {
-		callers := c.startTallyCallers()
-		callers.stop()
-		callers.running.Wait()
+		callers := c.newTallyCallers()
 		time.Sleep(3 * time.Second)
 		for round, victim := range c.Servers() {
 			id := fmt.Sprintf("last%012d", round)
