--- a/scripts/knownred/main.go
+++ b/scripts/knownred/main.go
@@ -33,11 +33,13 @@
 	os.Exit(1)
 }
 
-// fields are those of an entry; each is required.
-var fields = []string{"test", "command", "seed", "seen", "issue"}
+// entry is a test that is known to fail; each field is required.
+type entry struct{ test, command, seed, seen, issue string }
 
-// entry is a test that is known to fail, by its fields.
-type entry map[string]string
+// field returns an entry's field by its name in the file; nil if there is none of the name.
+func (e *entry) field(name string) *string {
+	return map[string]*string{"test": &e.test, "command": &e.command, "seed": &e.seed, "seen": &e.seen, "issue": &e.issue}[name]
+}
 
 // parse reads entries, which are separated by blank lines; each line holds a field's name, a
 // colon and its value, or goes on with the value before it if it is indented.
@@ -57,37 +59,40 @@
 }
 
 func parseEntry(block string) (entry, error) {
-	parsed, last := entry{}, ""
+	var parsed entry
+	var last *string
 	for line := range strings.SplitSeq(strings.TrimSpace(block), "\n") {
-		name, value, hasColon := strings.Cut(line, ":")
-		switch {
-		case strings.HasPrefix(line, " ") && last != "":
-			parsed[last] += " " + strings.TrimSpace(line)
-		case hasColon:
-			last = strings.TrimSpace(name)
-			parsed[last] = strings.TrimSpace(value)
-		default:
-			return nil, fmt.Errorf("%q is no field", line)
+		if strings.HasPrefix(line, " ") && last != nil {
+			*last += " " + strings.TrimSpace(line)
+			continue
 		}
+		name, value, _ := strings.Cut(line, ":")
+		if last = parsed.field(strings.TrimSpace(name)); last == nil {
+			return entry{}, fmt.Errorf("%q is no field", line)
+		}
+		*last = strings.TrimSpace(value)
 	}
-	for _, field := range fields {
-		if parsed[field] == "" {
-			return nil, fmt.Errorf("the entry of test %q has no %s", parsed["test"], field)
+	for _, name := range []string{"test", "command", "seed", "seen", "issue"} {
+		if *parsed.field(name) == "" {
+			return entry{}, fmt.Errorf("the entry of test %q has no %s", parsed.test, name)
 		}
 	}
-	if !regexp.MustCompile(`^[0-9]+$`).MatchString(parsed["issue"]) {
-		return nil, fmt.Errorf("the entry of test %q: issue %q is no number", parsed["test"], parsed["issue"])
+	if !issueNumber.MatchString(parsed.issue) {
+		return entry{}, fmt.Errorf("the entry of test %q: issue %q is no number", parsed.test, parsed.issue)
 	}
 	return parsed, nil
 }
 
+// issueNumber is what an entry's issue looks like.
+var issueNumber = regexp.MustCompile(`^[0-9]+$`)
+
 // skipPattern is the pattern that matches the entries' tests, and subtests if those are named,
 // and no others.
 func skipPattern(entries []entry) string {
 	var patterns []string
 	for _, e := range entries {
 		var elements []string
-		for element := range strings.SplitSeq(e["test"], "/") {
+		for element := range strings.SplitSeq(e.test, "/") {
 			elements = append(elements, "^"+regexp.QuoteMeta(element)+"$")
 		}
 		patterns = append(patterns, strings.Join(elements, "/"))
--- a/scripts/knownred/main_test.go
+++ b/scripts/knownred/main_test.go
@@ -44,7 +44,7 @@
 	if got, want := skipPattern(entries), "^TestPairs$/^seed_12$|^TestOther$"; got != want {
 		t.Errorf("%s, want %s", got, want)
 	}
-	if seen := entries[0]["seen"]; seen != "ONE, two holders of one lock" {
+	if seen := entries[0].seen; seen != "ONE, two holders of one lock" {
 		t.Errorf("seen: %q", seen)
 	}
 }
