--- a/cmd/tealpond/coordination.go
+++ b/cmd/tealpond/coordination.go
@@ -94,7 +94,7 @@
 	return p.printJSON(answer)
 }
 
-// watchGroup prints the puts of a group until so many were seen, or for good.
+// watchGroup prints the puts of a group until so many were seen, or without an end.
 func (p *program) watchGroup(addresses []string, group string, after int64, most int) int {
 	for seen := 0; most <= 0 || seen < most; {
 		path := fmt.Sprintf("/-/watch/%s?dependsOn=%d&waitMs=%d", url.PathEscape(group), after, timing.MaxWatchWait.Milliseconds())
--- a/cmd/tealpond/main.go
+++ b/cmd/tealpond/main.go
@@ -73,7 +73,7 @@
 // printing the help.
 type parserExit struct{}
 
-// parse gives the name of the command that the arguments call; empty if nothing is
+// parse returns the name of the command that the arguments call; empty if nothing is
 // left to do.
 func parse(app *kingpin.Application, args []string) (name string, err error) {
 	defer func() {
--- a/cmd/tealpond/tools.go
+++ b/cmd/tealpond/tools.go
@@ -163,7 +163,7 @@
 	return exitOK
 }
 
-// queryRows gives the rows of a query's answer, each by its columns.
+// queryRows returns the rows of a query's answer, each by its columns.
 func queryRows(fetch fetchState, addresses []string, query string) ([]map[string]string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), toolTotalTimeout)
 	defer cancel()
--- a/cmd/tealpond/trial.go
+++ b/cmd/tealpond/trial.go
@@ -50,7 +50,7 @@
 // errNotEmpty: the directory for a trial has something in it.
 var errNotEmpty = errors.New("the directory is not empty")
 
-// trialDirectory gives the directory of a trial: the one that is named, which must be empty
+// trialDirectory returns the directory of a trial: the one that is named, which must be empty
 // or not exist, or a temporary one.
 func trialDirectory(named string) (string, error) {
 	if named == "" {
--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -99,7 +99,7 @@
 	return value
 }
 
-// pages gives the text of each page, by its name.
+// pages returns the text of each page, by its name.
 func pages(t *testing.T) map[string]string {
 	t.Helper()
 	texts := map[string]string{}
--- a/internal/admin/jobrecord.go
+++ b/internal/admin/jobrecord.go
@@ -37,7 +37,7 @@
 // row is a table's row by its columns.
 type row map[string]any
 
-// tableRows gives the rows of one table of a server; none if there is no such table.
+// tableRows returns the rows of one table of a server; none if there is no such table.
 func tableRows(cluster rpc.ClusterState, name string) []row {
 	var rows []row
 	for _, table := range cluster.Tables {
@@ -55,10 +55,10 @@
 	return rows
 }
 
-// text gives a column as text.
+// text returns a column as text.
 func (r row) text(column string) string { return fmt.Sprint(r[column]) }
 
-// integer gives a column that holds an integer, 0 otherwise.
+// integer returns a column that holds an integer, 0 otherwise.
 func (r row) integer(column string) int64 {
 	switch value := r[column].(type) {
 	case uint64:
@@ -74,7 +74,7 @@
 // moved between clusters.
 func JobRecords(clusters map[string]rpc.ClusterState, queues []string) []JobRecord {
 	names := slices.Sorted(maps.Keys(clusters))
-	guests := guestsByJob(clusters, names)
+	learnerContacts := guestsByJob(clusters, names)
 	var records []JobRecord
 	for _, name := range names {
 		moveOf := map[string]row{}
@@ -86,7 +86,7 @@
 			if move != nil && move["guest"] == true || move == nil && !slices.Contains(queues, job.text("inbox")) {
 				continue
 			}
-			records = append(records, newJobRecord(name, job, move, guests[job.text("id")]))
+			records = append(records, newJobRecord(name, job, move, learnerContacts[job.text("id")]))
 		}
 	}
 	sort.Slice(records, func(a, b int) bool { return records[a].Job < records[b].Job })
@@ -99,22 +99,22 @@
 	move    row
 }
 
-// guestsByJob gives the guests of all clusters by the ID of the job.
+// guestsByJob returns the guests of all clusters by the ID of the job.
 func guestsByJob(clusters map[string]rpc.ClusterState, names []string) map[string][]guest {
-	guests := map[string][]guest{}
+	learnerContacts := map[string][]guest{}
 	for _, name := range names {
 		for _, move := range tableRows(clusters[name], tableMoves) {
 			if move["guest"] == true {
-				guests[move.text("job")] = append(guests[move.text("job")], guest{name, move})
+				learnerContacts[move.text("job")] = append(learnerContacts[move.text("job")], guest{name, move})
 			}
 		}
 	}
-	return guests
+	return learnerContacts
 }
 
 // newJobRecord builds the record of a job from its row in the cluster that it was
 // submitted to, its move from there (nil if it never moved) and its guests.
-func newJobRecord(cluster string, job, move row, guests []guest) JobRecord {
+func newJobRecord(cluster string, job, move row, learnerContacts []guest) JobRecord {
 	record := JobRecord{
 		Job:         job.text("id"),
 		Cluster:     cluster,
@@ -128,7 +128,7 @@
 		record.RanOn = move.text("peer")
 	}
 	var doneAt []string
-	for _, guest := range guests {
+	for _, guest := range learnerContacts {
 		if guest.move.text("job_state") == jobDone {
 			doneAt = append(doneAt, guest.cluster)
 		}
--- a/internal/admin/jobrecord_test.go
+++ b/internal/admin/jobrecord_test.go
@@ -7,7 +7,7 @@
 	"tealpond/internal/rpc"
 )
 
-// testCluster gives the state of a cluster with these rows of jobs and moves.
+// testCluster returns the state of a cluster with these rows of jobs and moves.
 func testCluster(jobs, moves [][]any) rpc.ClusterState {
 	return rpc.ClusterState{Tables: []rpc.Table{
 		{Name: "jobs", Columns: []string{"id", "inbox", "state", "born_ms", "ended_ms"}, Rows: jobs},
--- a/internal/agent/fixture_test.go
+++ b/internal/agent/fixture_test.go
@@ -222,7 +222,7 @@
 	delete(r.responses, path)
 }
 
-// count gives how many calls of a path came.
+// count returns how many calls of a path came.
 func (r *scriptedRunner) count(path string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/agent/health.go
+++ b/internal/agent/health.go
@@ -22,7 +22,7 @@
 	}
 	switch {
 	case silent:
-		a.closeRunsOfSilentRunner(session)
+		a.closeRunsOfUnresponsiveRunner(session)
 		return silentPause
 	case session.reportedUnhealthy:
 		return unhealthyPause
@@ -49,9 +49,9 @@
 	})
 }
 
-// closeRunsOfSilentRunner declares the results of runs that surely never started
+// closeRunsOfUnresponsiveRunner declares the results of runs that surely never started
 // or whose lease has surely expired.
-func (a *Agent) closeRunsOfSilentRunner(session *runnerSession) {
+func (a *Agent) closeRunsOfUnresponsiveRunner(session *runnerSession) {
 	expired := session.leasesExpired(a.now)
 	for _, run := range session.runs {
 		if run.declaredResult != "" || run.callInFlight && !expired {
--- a/internal/agent/heartbeats.go
+++ b/internal/agent/heartbeats.go
@@ -96,7 +96,7 @@
 	a.registerRunner(session)
 }
 
-// isLeaving tells whether the runner announced that it leaves: by a heartbeat, or by
+// isLeaving reports whether the runner announced that it leaves: by a heartbeat, or by
 // its sign-off. Some runners report the state "ready" again after their sign-off;
 // that changes nothing.
 func (a *Agent) isLeaving(session *runnerSession) bool {
--- a/internal/agent/incarnations.go
+++ b/internal/agent/incarnations.go
@@ -28,7 +28,7 @@
 	i.times[id] = at
 }
 
-// of gives the time noted for an incarnation, and whether there is one.
+// of returns the time noted for an incarnation, and whether there is one.
 func (i *incarnationTimes) of(id string) (time.Time, bool) {
 	at, ok := i.times[id]
 	return at, ok
--- a/internal/agent/model_worker_test.go
+++ b/internal/agent/model_worker_test.go
@@ -146,7 +146,7 @@
 	return w.accept()
 }
 
-// overtaken tells whether a higher fence was seen, and takes note of this one.
+// overtaken reports whether a higher fence was seen, and records this one.
 func (w *modelWorker) overtaken(fence int64) bool {
 	if fence < w.fence {
 		return true
@@ -240,7 +240,7 @@
 	go daemon.Loop(agentCtx, agent.events, agent.handle, agent.advance)
 }
 
-// deliver gives an event to the present agent; it is lost if that is busy.
+// deliver returns an event to the present agent; it is lost if that is busy.
 func (w *modelWorker) deliver(e event) {
 	select {
 	case w.agent.events <- e:
--- a/internal/agent/polling.go
+++ b/internal/agent/polling.go
@@ -93,7 +93,7 @@
 	return wait
 }
 
-// hasUnansweredCall tells whether a call was left without an answer, and no poll
+// hasUnansweredCall reports whether a call was left without an answer, and no poll
 // that was sent since then has brought the lists.
 func (s *runnerSession) hasUnansweredCall() bool {
 	for _, run := range s.runs {
--- a/internal/agent/progress.go
+++ b/internal/agent/progress.go
@@ -27,7 +27,7 @@
 // minProgressPercent is the least progress from which a runtime is extrapolated.
 const minProgressPercent = 5
 
-// overdue tells whether a run takes more than one and a half times its estimate.
+// overdue reports whether a run takes more than one and a half times its estimate.
 func (r *taskRun) overdue(now time.Time) bool {
 	if r.phase != runRunning || r.assignment.LongRunning {
 		return false
@@ -68,7 +68,7 @@
 	return now.Sub(r.percentChangedAt)
 }
 
-// stalled tells whether a run whose progress has not changed for unchangedFor is
+// stalled reports whether a run whose progress has not changed for unchangedFor is
 // to be stopped. The limit depends on the run's own pace, since a long task on a
 // slow runner rarely gains a percent. A run that resumes from a checkpoint makes
 // no progress while it restores it, which takes about restoreTime.
--- a/internal/agent/runner_client.go
+++ b/internal/agent/runner_client.go
@@ -20,15 +20,15 @@
 	KeepAlive  protocol.KeepAliveResponse // of a keep-alive only
 }
 
-// answered tells whether the runner answered at all.
+// answered reports whether the runner answered at all.
 func (r RunnerResponse) answered() bool { return r.StatusCode != 0 }
 
-// refusedFor tells whether the runner refused the call for a reason.
+// refusedFor reports whether the runner refused the call for a reason.
 func (r RunnerResponse) refusedFor(reason string) bool {
 	return r.StatusCode == http.StatusConflict && r.Run.Reason == reason
 }
 
-// effectUnknown tells whether the call may be carried out later, or was without
+// effectUnknown reports whether the call may be carried out later, or was without
 // this answer saying so: only the statuses that PROTOCOL-tealpond.md names are
 // clear.
 func (r RunnerResponse) effectUnknown() bool {
--- a/internal/agent/runs.go
+++ b/internal/agent/runs.go
@@ -103,12 +103,12 @@
 	case runStopping:
 		return a.stopRun(session, run)
 	case runRefused:
-		return a.settleRefusal(session, run)
+		return a.resolveRefusal(session, run)
 	}
 	return 0
 }
 
-// startsTooLate tells whether the run's zone was evacuated for too long to start it.
+// startsTooLate reports whether the run's zone was evacuated for too long to start it.
 func (r *taskRun) startsTooLate(now time.Time) bool {
 	return !r.startUntil.IsZero() && !now.Before(r.startUntil)
 }
@@ -131,7 +131,7 @@
 			return 0
 		}
 		run.phase = runRefused
-		return a.settleRefusal(session, run)
+		return a.resolveRefusal(session, run)
 	}
 	if session.workerLeaseUntilMs < session.estimatedClockMs(a.now)+minStartLeaseMs {
 		return leaseWaitPause
@@ -246,9 +246,9 @@
 	return 0
 }
 
-// settleRefusal declares a run refused if no start is left that may still take
+// resolveRefusal declares a run refused if no start is left that may still take
 // effect; otherwise the run is stopped first.
-func (a *Agent) settleRefusal(session *runnerSession, run *taskRun) time.Duration {
+func (a *Agent) resolveRefusal(session *runnerSession, run *taskRun) time.Duration {
 	if run.unansweredStarts == 0 {
 		a.declareResult(session, run, protocol.ResultRefused)
 		return 0
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -71,7 +71,7 @@
 	status   chan int
 }
 
-// noteClock takes note of the runner's clock; late answers show less.
+// noteClock records the runner's clock; late answers show less.
 func (s *runnerSession) noteClock(clockMs int64, now time.Time) {
 	if clockMs > 0 && clockMs >= s.clockMs {
 		s.clockMs, s.clockReadAt = clockMs, now
@@ -91,7 +91,7 @@
 	return min(s.workerLeaseUntilMs, s.estimatedClockMs(now)+timing.MaxRunLeaseAhead.Milliseconds())
 }
 
-// leasesExpired tells whether every lease that was ever sent to the silent runner
+// leasesExpired reports whether every lease that was ever sent to the silent runner
 // has expired: its clock may run slow, and never shows less than this.
 func (s *runnerSession) leasesExpired(now time.Time) bool {
 	lowestClockMs := s.clockMs + int64(float64(now.Sub(s.clockReadAt).Milliseconds())/timing.LeaseClockDriftFactor)
@@ -107,7 +107,7 @@
 	s.unansweredCalls, s.lastResponseAt = 0, now
 }
 
-// silent tells whether the runner has fallen silent.
+// silent reports whether the runner has fallen silent.
 func (s *runnerSession) silent(now time.Time) bool {
 	return s.unansweredCalls >= minUnansweredCalls && now.Sub(s.lastResponseAt) > runnerSilenceTimeout
 }
--- a/internal/aggregator/batcher.go
+++ b/internal/aggregator/batcher.go
@@ -76,7 +76,7 @@
 	return true
 }
 
-// DueBatches gives the batches that are due, and after which time it must be
+// DueBatches returns the batches that are due, and after which time it must be
 // called again, 0 for never.
 func (b *Batcher) DueBatches(now time.Time) ([]Batch, time.Duration) {
 	var batches []Batch
@@ -135,7 +135,7 @@
 	}
 }
 
-// FailAll gives a response to all that was not sent: this server can't aggregate
+// FailAll returns a response to all that was not sent: this server can't aggregate
 // for its zone any more.
 func (b *Batcher) FailAll(response rpc.Response) {
 	for _, unsent := range b.TakeUnsent() {
--- a/internal/aggregator/batcher_test.go
+++ b/internal/aggregator/batcher_test.go
@@ -20,7 +20,7 @@
 	now       time.Time
 }
 
-// handle gives the response to a batch: to renewals with the refusals, to requests
+// handle returns the response to a batch: to renewals with the refusals, to requests
 // with one response each.
 func (l *leaderModel) handle(batch Batch) (rpc.Response, []rpc.MemberRefusal, []rpc.Response) {
 	if batch.Requests != nil {
--- a/internal/aggregator/renewals.go
+++ b/internal/aggregator/renewals.go
@@ -72,7 +72,7 @@
 	return Batch{ID: b.lastBatchID, Renewals: batch}
 }
 
-// differsByATenth tells whether a runtime is worth reporting, since the scheduler
+// differsByATenth reports whether a runtime is worth reporting, since the scheduler
 // uses rough values: whether it differs from the reported one by over a tenth.
 func differsByATenth(runtime, reported int64) bool {
 	change := runtime - reported
@@ -146,7 +146,7 @@
 	}
 }
 
-// sameSlice tells whether two sets are one slice, not merely equal ones.
+// sameSlice reports whether two sets are one slice, not merely equal ones.
 func sameSlice(x, y []rpc.BatchMember) bool {
 	return len(x) == len(y) && (len(x) == 0 || &x[0] == &y[0])
 }
--- a/internal/api/coordination.go
+++ b/internal/api/coordination.go
@@ -169,12 +169,12 @@
 
 // watchAnswer is the answer to a watch.
 func watchAnswer(response rpc.Response) any {
-	var news coordination.News
-	if transport.Decode(response.Body, &news) != nil {
+	var update coordination.WatchResult
+	if transport.Decode(response.Body, &update) != nil {
 		return nil
 	}
-	answer := protocol.WatchResponse{Events: make([]protocol.WatchEvent, len(news.Events)), Revision: news.Revision}
-	for i, event := range news.Events {
+	answer := protocol.WatchResponse{Events: make([]protocol.WatchEvent, len(update.Events)), Revision: update.Revision}
+	for i, event := range update.Events {
 		answer.Events[i] = protocol.WatchEvent{Name: event.Name, Value: event.Value, Revision: event.Revision}
 	}
 	return answer
@@ -192,7 +192,7 @@
 
 var errBadName = badRequest("the name is empty, too long, or has control characters")
 
-// validName tells whether a name of a lock, a counter, a key or a holder is in order.
+// validName reports whether a name of a lock, a counter, a key or a holder is in order.
 func validName(name string) bool {
 	isControl := func(r rune) bool { return r < ' ' || r == 0x7f }
 	return name != "" && len(name) <= maxCoordinationNameBytes && !strings.ContainsFunc(name, isControl)
--- a/internal/api/gateway.go
+++ b/internal/api/gateway.go
@@ -69,7 +69,7 @@
 	return s, nil
 }
 
-// retryLimit gives the operators' bound on further attempts.
+// retryLimit returns the operators' bound on retries.
 func retryLimit(bounds settings.Bounds) gateway.RetryLimit {
 	return gateway.RetryLimit{
 		Ratio:  bounds.RetryRatio,
@@ -89,7 +89,7 @@
 	return max(age, minListAge)
 }
 
-// keyTrust is for how long a key is served without word from the leader.
+// keyTrust is for how long a key is served without contact with the leader.
 func keyTrust(bounds settings.Bounds) time.Duration {
 	if !bounds.RevokedKeysFail {
 		return 0
@@ -128,20 +128,20 @@
 	return s.applyConfiguration(response.Body)
 }
 
-// applyConfigNews puts the configuration in force that the leader has told, whole or as a
+// applyConfigUpdate puts the configuration in force that the leader has told, whole or as a
 // change of the one that is known here.
-func (s *Server) applyConfigNews(news rpc.RunnerNews) error {
-	if len(news.Config) == 0 {
+func (s *Server) applyConfigUpdate(update rpc.RunnerUpdate) error {
+	if len(update.Config) == 0 {
 		return nil
 	}
-	if news.ConfigBase == 0 {
-		return s.applyConfiguration(news.Config)
+	if update.ConfigBase == 0 {
+		return s.applyConfiguration(update.Config)
 	}
 	known, version := s.gateway.ConfigText()
-	if version != news.ConfigBase {
+	if version != update.ConfigBase {
 		return nil // another one came meanwhile
 	}
-	whole, err := clusterconfig.ApplyChange(known, news.Config)
+	whole, err := clusterconfig.ApplyChange(known, update.Config)
 	if err != nil {
 		return err
 	}
@@ -214,34 +214,34 @@
 			daemon.Pause(ctx, runnerWatchRetry)
 			continue
 		}
-		var news rpc.RunnerNews
-		if len(response.Body) == 0 || transport.Decode(response.Body, &news) != nil {
+		var update rpc.RunnerUpdate
+		if len(response.Body) == 0 || transport.Decode(response.Body, &update) != nil {
 			continue
 		}
-		if len(news.Config) == 0 && watch.ConfigVersion > 0 {
+		if len(update.Config) == 0 && watch.ConfigVersion > 0 {
 			s.gateway.ConfirmConfig(askedAt)
 		}
-		s.applyRunnerNews(follower, &news)
-		if news.ListAgeMs >= 0 {
+		s.applyRunnerUpdate(follower, &update)
+		if update.ListAgeMs >= 0 {
 			// The answer was given no earlier than the question was held.
-			s.gateway.ConfirmRunners(askedAt.Add(time.Duration(news.HeldMs-news.ListAgeMs) * time.Millisecond))
+			s.gateway.ConfirmRunners(askedAt.Add(time.Duration(update.HeldMs-update.ListAgeMs) * time.Millisecond))
 		}
-		if err := s.applyConfigNews(news); err != nil {
+		if err := s.applyConfigUpdate(update); err != nil {
 			_ = s.log.Log("level", "error", "event", "configuration.rejected", "error", err)
 		}
 	}
 }
 
-// applyRunnerNews takes over what the leader tells of the runners, and of this daemon's
+// applyRunnerUpdate takes over what the leader tells of the runners, and of this daemon's
 // place among the daemons, which is told only by a leader that knows it.
-func (s *Server) applyRunnerNews(follower *runnerFollower, news *rpc.RunnerNews) {
-	next := gateway.Position{Index: news.DaemonIndex, Count: news.DaemonCount, Total: news.DaemonTotal}
+func (s *Server) applyRunnerUpdate(follower *runnerFollower, update *rpc.RunnerUpdate) {
+	next := gateway.Position{Index: update.DaemonIndex, Count: update.DaemonCount, Total: update.DaemonTotal}
 	moved := next.Count > 0 && next != follower.position
 	if moved {
 		follower.position = next
 	}
 	var delta registry.Delta
-	told := len(news.Delta) > 0 && transport.Decode(news.Delta, &delta) == nil
+	told := len(update.Delta) > 0 && transport.Decode(update.Delta, &delta) == nil
 	if told && follower.view.Apply(delta) || moved {
 		s.gateway.SetRunners(follower.view.Runners(), follower.position)
 	}
@@ -299,7 +299,7 @@
 	s.askReplica(ctx, rpc.Request{Kind: rpc.KindPublishRunners, Body: transport.Encode(body)})
 }
 
-// readIntervals gives the time between two readings of the platform's list, and that while
+// readIntervals returns the time between two readings of the platform's list, and that while
 // the list changes: a runner that leaves must be known to leave before it ends.
 func readIntervals(file *settings.File) (calm, busy time.Duration) {
 	calm = maxPlatformReadInterval
@@ -312,7 +312,7 @@
 	return calm, busy
 }
 
-// leads tells whether this daemon's replica leads now.
+// leads reports whether this daemon's replica leads now.
 func (s *Server) leads(ctx context.Context) bool {
 	response := s.askReplica(ctx, rpc.Request{Kind: rpc.KindLeader})
 	var info rpc.LeaderInfo
--- a/internal/api/history_test.go
+++ b/internal/api/history_test.go
@@ -56,7 +56,7 @@
 	return c
 }
 
-// randomBelow gives a number below n.
+// randomBelow returns a number below n.
 func (c *testCluster) randomBelow(n int) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/api/leader.go
+++ b/internal/api/leader.go
@@ -33,13 +33,13 @@
 	}
 }
 
-// heardWithin tells whether the leader was reachable less than limit ago.
+// heardWithin reports whether the leader was reachable less than limit ago.
 func (c *leaderContact) heardWithin(limit time.Duration) bool {
 	offset := c.latest.Load()
 	return offset > 0 && time.Since(c.start)-time.Duration(offset-1) < limit
 }
 
-// Call sends a request to the leader and takes note of what the response says of
+// Call sends a request to the leader and records what the response says of
 // the leader and of the configuration. The response always has a code.
 func (s *Server) Call(ctx context.Context, kind string, body any) rpc.Response {
 	startedAt := time.Now()
--- a/internal/api/limits.go
+++ b/internal/api/limits.go
@@ -40,7 +40,7 @@
 	return limits
 }
 
-// knownLimits gives the newest limits that are known here, or the defaults.
+// knownLimits returns the newest limits that are known here, or the defaults.
 func (s *Server) knownLimits() *sizeLimits {
 	if l := s.limits.Load(); l != nil {
 		return l
@@ -72,7 +72,7 @@
 	}
 }
 
-// noteVersion takes note of a version of the configuration that a response named.
+// noteVersion records a version of the configuration that a response named.
 // If it is newer than all before, followLimits fetches its limits.
 func (s *Server) noteVersion(version int64) {
 	for old := s.newestVersion.Load(); version > old; old = s.newestVersion.Load() {
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -282,7 +282,7 @@
 	monitoring.WriteGauges(w, gauges)
 }
 
-// ready tells whether load balancers should send clients to this daemon.
+// ready reports whether load balancers should send clients to this daemon.
 func (s *Server) ready() bool {
 	if s.replica != nil && !s.replica.StorageOpened() {
 		return false
--- a/internal/api/server_test.go
+++ b/internal/api/server_test.go
@@ -24,7 +24,7 @@
 		shares: newTenantShares("p", counter.DefaultWindow, time.Now()), leavingCtx: context.Background()}
 }
 
-// respondByKind gives one response to each kind of request.
+// respondByKind returns one response to each kind of request.
 func respondByKind(by map[string]rpc.Response) leaderStub {
 	return func(_ context.Context, a rpc.Request) rpc.Response { return by[a.Kind] }
 }
--- a/internal/api/shares.go
+++ b/internal/api/shares.go
@@ -45,7 +45,7 @@
 	return &tenantShares{window: window, counts: counts, exchange: counter.NewExchange(counts)}
 }
 
-// admit counts a job of the tenant whose key a call bears, and tells whether it is
+// admit counts a job of the tenant whose key a call bears, and reports whether it is
 // beyond the tenant's share. A key that isn't known here is left to the leader.
 func (s *tenantShares) admit(key string, now time.Time) (beyondShare bool) {
 	s.mu.Lock()
@@ -74,7 +74,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counts.Expire(now)
-	if len(s.byKey) == 0 || !s.exchange.HasNews() && now.Sub(lastAt) < countRefreshInterval {
+	if len(s.byKey) == 0 || !s.exchange.HasChanges() && now.Sub(lastAt) < countRefreshInterval {
 		return counter.Request{}, false
 	}
 	return s.exchange.Request(now), true
@@ -136,7 +136,7 @@
 type countExchanger interface {
 	NextRequest(now, lastAt time.Time) (request counter.Request, due bool)
 	HandleResponse(response counter.Response, now time.Time)
-	// Urgent gives a value when an exchange is wanted at once.
+	// Urgent returns a value when an exchange is wanted at once.
 	Urgent() <-chan struct{}
 }
 
--- a/internal/api/shares_test.go
+++ b/internal/api/shares_test.go
@@ -12,7 +12,7 @@
 	"tealpond/internal/rpc"
 )
 
-// shareOf is what is told of a tenant with one key.
+// shareOf is what daemons are told of a tenant with one key.
 func shareOf(tenant, key string, milliShare int64) rpc.TenantShare {
 	digest := clusterconfig.DigestOf(key)
 	return rpc.TenantShare{Name: tenant, MilliShare: milliShare, KeyDigests: [][]byte{digest[:]}}
--- a/internal/api/status.go
+++ b/internal/api/status.go
@@ -20,7 +20,7 @@
 	retryAfterSeconds int64 // 0: the answer has no Retry-After header
 }
 
-// Error gives the text that the caller reads.
+// Error returns the text that the caller reads.
 func (e *statusError) Error() string { return e.text }
 
 // setRetryAfter sets the Retry-After header where the outcome has one.
--- a/internal/api/tallies.go
+++ b/internal/api/tallies.go
@@ -109,7 +109,7 @@
 	server string
 }
 
-// replicaAsks gives a function for each replica that is known, in the order in which they
+// replicaAsks returns a function for each replica that is known, in the order in which they
 // are to be asked. It gives the replica's answer, or nil if it has no good one.
 func (s *Server) replicaAsks(request rpc.Request) []func(context.Context) *tallyAnswer {
 	var asks []func(context.Context) *tallyAnswer
@@ -170,7 +170,7 @@
 	at     time.Time
 }
 
-// noteAcknowledged takes note of an add that is about to be acknowledged here.
+// noteAcknowledged records an add that is about to be acknowledged here.
 func (m *tallyMemory) noteAcknowledged(position tally.Position, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -196,7 +196,7 @@
 	return after
 }
 
-// noteServers takes note of who answered, and of the replicas that it knows.
+// noteServers records who answered, and of the replicas that it knows.
 func (m *tallyMemory) noteServers(answered string, servers []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -211,7 +211,7 @@
 	return distinct(slices.Concat(m.servers, more))
 }
 
-// distinct gives each address once, in the order in which they come first.
+// distinct returns each address once, in the order in which they come first.
 func distinct(addresses []string) []string {
 	var once []string
 	for _, address := range addresses {
--- a/internal/api/validation.go
+++ b/internal/api/validation.go
@@ -15,7 +15,7 @@
 	Problem string
 }
 
-// Error gives the field and the problem.
+// Error returns the field and the problem.
 func (e *ValidationError) Error() string { return fmt.Sprintf("%s: %s", e.Field, e.Problem) }
 
 // ValidateJob checks what can be checked of a job without the state. An error is
--- a/internal/bootstrap/coordinator.go
+++ b/internal/bootstrap/coordinator.go
@@ -35,7 +35,7 @@
 	// exists announce it more often than that.
 	Restarted bool
 
-	firstHeardAt   time.Time
+	firstContactAt time.Time
 	announcements  map[string]receivedAnnouncement // the newest of each, by the identity of its disk
 	unchangedSince time.Time                       // when a candidate last came or changed
 	proposed       []raft.Member                   // a set that a candidate is bound to replaces it
@@ -56,10 +56,10 @@
 		return rpc.BootstrapProposal{}
 	}
 	c.record(announcement, now)
-	if c.firstHeardAt.IsZero() {
-		c.firstHeardAt = now
+	if c.firstContactAt.IsZero() {
+		c.firstContactAt = now
 	}
-	remembers := !c.Restarted || now.Sub(c.firstHeardAt) >= restartDelay
+	remembers := !c.Restarted || now.Sub(c.firstContactAt) >= restartDelay
 	if c.proposed == nil && remembers && now.Sub(c.unchangedSince) >= stablePeriod {
 		c.proposed = c.propose(now)
 	}
@@ -101,7 +101,7 @@
 	}
 }
 
-// propose gives the first cluster's voters: an odd number of the candidates that were
+// propose returns the first cluster's voters: an odd number of the candidates that were
 // heard lately, if they are enough. One of them must be running for the first time: that is so
 // only when the whole system starts for the first time; machines that were emptied
 // or came new must not form a second cluster beside one that they don't reach.
--- a/internal/bootstrap/seed_selector.go
+++ b/internal/bootstrap/seed_selector.go
@@ -20,7 +20,7 @@
 	rotations   int       // how often another seed was chosen
 }
 
-// Select gives the seed to announce to now, empty if there is none. The order of
+// Select returns the seed to announce to now, empty if there is none. The order of
 // the seeds does not matter.
 func (s *SeedSelector) Select(seeds []string, now time.Time) string {
 	if len(seeds) == 0 {
--- a/internal/clusterconfig/diff.go
+++ b/internal/clusterconfig/diff.go
@@ -46,7 +46,7 @@
 	return text, err == nil
 }
 
-// diffList gives the items of a list that are new or other than before, as a list, and the
+// diffList returns the items of a list that are new or other than before, as a list, and the
 // names of those that are gone; false for a list whose items have no names of their own.
 func diffList(from, to json.RawMessage) (changed json.RawMessage, removed []string, ok bool) {
 	before, err := namedItems(from)
--- a/internal/clusterconfig/golden_test.go
+++ b/internal/clusterconfig/golden_test.go
@@ -10,7 +10,7 @@
 	"tealpond/internal/golden"
 )
 
-// filledState gives a configuration whose fields differ.
+// filledState returns a configuration whose fields differ.
 func filledState() Config {
 	return Config{
 		Version: 11,
--- a/internal/clusterconfig/split.go
+++ b/internal/clusterconfig/split.go
@@ -25,7 +25,7 @@
 	}
 }
 
-// ServiceFor gives the service of one request, for a number drawn evenly from 0 to 1.
+// ServiceFor returns the service of one request, for a number drawn evenly from 0 to 1.
 func (r *Route) ServiceFor(draw float64) string {
 	if len(r.Split) == 0 {
 		return r.TargetService
--- a/internal/clusterconfig/tenants.go
+++ b/internal/clusterconfig/tenants.go
@@ -95,7 +95,7 @@
 // KeyDigest stands for a key where the key itself must not.
 type KeyDigest [sha256.Size]byte
 
-// DigestOf gives the digest of a key.
+// DigestOf returns the digest of a key.
 func DigestOf(key string) KeyDigest { return sha256.Sum256([]byte(key)) }
 
 // NewKeyTable indexes the keys of a configuration's tenants.
--- a/internal/coordination/key.go
+++ b/internal/coordination/key.go
@@ -117,7 +117,7 @@
 	return outcome.result()
 }
 
-// groupFor gives a group, a new one if there is none of the name; the error is ErrFull.
+// groupFor returns a group, a new one if there is none of the name; the error is ErrFull.
 func (t *Tables) groupFor(name string) (*Group, error) {
 	if group := t.Groups[name]; group != nil {
 		return group, nil
@@ -130,7 +130,7 @@
 	return group, nil
 }
 
-// lacksRoomFor tells whether one more put of a key does not fit into the group. What need
+// lacksRoomFor reports whether one more put of a key does not fit into the group. What need
 // not be kept any more makes room first.
 func (g *Group) lacksRoomFor(key string, clock, historyMs int64) bool {
 	if len(g.History) >= MaxRows {
@@ -152,7 +152,7 @@
 	return o.Revision, nil
 }
 
-// Read gives what a key holds; false if it doesn't exist. Tables that are nil hold nothing.
+// Read returns what a key holds; false if it doesn't exist. Tables that are nil hold nothing.
 func (t *Tables) Read(key string) (KeyValue, bool) {
 	if t == nil || t.Groups[GroupOf(key)] == nil {
 		return KeyValue{}, false
--- a/internal/coordination/lock.go
+++ b/internal/coordination/lock.go
@@ -49,7 +49,7 @@
 	HoldMs int64
 }
 
-// Release gives a lock back.
+// Release returns a lock back.
 type Release struct {
 	_      struct{} `cbor:",toarray"`
 	Name   string
@@ -57,7 +57,7 @@
 	Fence  int64
 }
 
-// expired tells whether no caller can count itself holder any more.
+// expired reports whether no caller can count itself holder any more.
 //
 // A caller counts its hold from before it sent the call. The state's clock at the entry
 // that granted it is later than that, and never runs ahead of the true time between two
@@ -72,7 +72,7 @@
 	return clock + int64(math.Ceil(float64(holdMs)*timing.LeaseClockDriftFactor)) + lockExpiryMargin.Milliseconds()
 }
 
-// HeldByOther tells whether an acquisition would be refused. Tables that are nil hold
+// HeldByOther reports whether an acquisition would be refused. Tables that are nil hold
 // nothing.
 func (t *Tables) HeldByOther(request Acquire, clock int64) bool {
 	if t == nil {
@@ -82,7 +82,7 @@
 	return ok && lock.Holder != request.Holder && !lock.expired(clock)
 }
 
-// Acquire gives a lock to a caller, under a new fence; the error is ErrHeld, or ErrFull if the
+// Acquire returns a lock to a caller, under a new fence; the error is ErrHeld, or ErrFull if the
 // lock is not held and there is no room for one more.
 //
 // The fence is new for a caller who holds the lock already, too. Let a caller release a
@@ -109,7 +109,7 @@
 	return lock.Fence, nil
 }
 
-// Holds tells whether a caller holds a lock under a fence: that of any acquisition of the
+// Holds reports whether a caller holds a lock under a fence: that of any acquisition of the
 // present hold, since of two copies of one either may be the one that the caller knows.
 // Tables that are nil hold nothing.
 func (t *Tables) Holds(name, holder string, fence, clock int64) bool {
@@ -120,7 +120,7 @@
 	return ok && lock.Holder == holder && lock.FirstFence <= fence && fence <= lock.Fence && !lock.expired(clock)
 }
 
-// Renew gives the holder more time; the error is ErrLost. A hold that is over isn't
+// Renew returns the holder more time; the error is ErrLost. A hold that is over isn't
 // revived: its caller has given it up, and a late renewal would block the lock for all.
 func (t *Tables) Renew(request Renew, clock int64) error {
 	if !t.Holds(request.Name, request.Holder, request.Fence, clock) {
--- a/internal/coordination/lock_model_test.go
+++ b/internal/coordination/lock_model_test.go
@@ -5,9 +5,9 @@
 	"testing"
 )
 
-// The model plays two callers of one lock, of whom the second asks for it once: all orders of what may happen up to a bound:
-// calls that are delivered late, twice or never, answers that are lost, time that passes,
-// and a state's clock that stands still meanwhile, as over an outage.
+// The model plays two callers of one lock, of whom the second asks for it once: all orders of what
+// may happen up to a bound: calls that are delivered late, twice or never, answers that are lost,
+// time that passes, and a state's clock that stands still meanwhile, as over an outage.
 
 // lockRules are the operations; a test plants a fault in one of them.
 type lockRules struct {
@@ -54,7 +54,7 @@
 
 func (s modelState) holds(caller int) bool { return s.now < s.until[caller] }
 
-// tables gives the tables that the state stands for.
+// tables returns the tables that the state stands for.
 func (s modelState) tables() *Tables {
 	t := New()
 	t.LastFence = s.lastFence
@@ -64,7 +64,7 @@
 	return t
 }
 
-// next gives the states that may follow.
+// next returns the states that may follow.
 func (s modelState) next(rules lockRules) []modelState {
 	var all []modelState
 	if s.now < modelTicks {
--- a/internal/coordination/tables.go
+++ b/internal/coordination/tables.go
@@ -71,7 +71,7 @@
 	}
 }
 
-// NextNumber gives a number above all that were given under the name before; the error is
+// NextNumber returns a number above all that were given under the name before; the error is
 // ErrFull.
 func (t *Tables) NextNumber(name string) (int64, error) {
 	if t.Counters[name] == 0 && lacksRoom(t.Counters) {
@@ -81,7 +81,7 @@
 	return t.Counters[name], nil
 }
 
-// lacksRoom tells whether a table has as many rows as it may.
+// lacksRoom reports whether a table has as many rows as it may.
 func lacksRoom[K comparable, V any](rows map[K]V) bool {
 	return len(rows) >= MaxRows
 }
--- a/internal/coordination/watch.go
+++ b/internal/coordination/watch.go
@@ -10,9 +10,9 @@
 // ErrCompacted is the refusal of a watch whose later puts are no longer kept.
 var ErrCompacted = errors.New("the history from that revision on is no longer kept")
 
-// News is what a watch is answered: all puts of a group above the revision that the caller
+// WatchResult is the answer to a watch: all puts of a group above the revision that the caller
 // has, up to Revision.
-type News struct {
+type WatchResult struct {
 	_        struct{} `cbor:",toarray"`
 	Events   []Event
 	Revision int64
@@ -27,18 +27,18 @@
 	return t.Groups[group].Revision
 }
 
-// Since gives the puts of a group after a revision, the oldest maxWatchEvents of
+// Since returns the puts of a group after a revision, the oldest maxWatchEvents of
 // them; the error is ErrCompacted.
-func (t *Tables) Since(group string, after int64) (News, error) {
+func (t *Tables) Since(group string, after int64) (WatchResult, error) {
 	revision := t.Revision(group)
 	if revision <= after {
-		return News{Revision: max(revision, after)}, nil
+		return WatchResult{Revision: max(revision, after)}, nil
 	}
 	g := t.Groups[group]
 	if after < g.Compacted {
-		return News{}, ErrCompacted
+		return WatchResult{}, ErrCompacted
 	}
 	events := g.History[after-g.Compacted:]
 	events = events[:min(len(events), maxWatchEvents)]
-	return News{Events: events, Revision: events[len(events)-1].Revision}, nil
+	return WatchResult{Events: events, Revision: events[len(events)-1].Revision}, nil
 }
--- a/internal/counter/exchange.go
+++ b/internal/counter/exchange.go
@@ -77,8 +77,8 @@
 // Ahead is how many events of a key were admitted that the peer hasn't acknowledged.
 func (e *Exchange) Ahead(key string) uint64 { return e.ahead[key] }
 
-// HasNews tells whether there is something that the peer hasn't acknowledged.
-func (e *Exchange) HasNews() bool { return e.set.Revision() > e.sent }
+// HasChanges reports whether there is something that the peer hasn't acknowledged.
+func (e *Exchange) HasChanges() bool { return e.set.Revision() > e.sent }
 
 // Admit counts an event of a key if it is within a limit that holds over the window for
 // all processes together: the sum of all that is known is below the limit, and this
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -36,7 +36,7 @@
 	// Reload carries the settings whenever their file has changed.
 	Reload chan settings.File
 	Trace  *tracing.Ring
-	// Debug tells whether lines of that level are kept at all.
+	// Debug reports whether lines of that level are kept at all.
 	Debug bool
 	// FederationFile is the path of the file that turns federation on; empty if
 	// there is none.
@@ -74,7 +74,7 @@
 	return specs
 }
 
-// FindRole gives the role of a name; false if there is none.
+// FindRole returns the role of a name; false if there is none.
 func FindRole(name string) (RoleSpec, bool) {
 	spec, ok := roleSpecs[name]
 	return spec, ok
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -111,7 +111,7 @@
 // SetSeeds replaces the addresses of the seeds. It is safe for concurrent use.
 func (c *Client) SetSeeds(seeds []string) { c.post(clientEvent{seeds: seeds}) }
 
-// AddServer takes note of a server's address. It is safe for concurrent use.
+// AddServer records a server's address. It is safe for concurrent use.
 func (c *Client) AddServer(addr string) { c.post(clientEvent{server: addr}) }
 
 // KnownServers are the addresses of servers heard of lately; none once the loop has
@@ -186,7 +186,7 @@
 	}
 }
 
-// disconnect gives up the connection; requests under way are sent again on the
+// disconnect returns up the connection; requests under way are sent again on the
 // next one.
 func (c *Client) disconnect() {
 	if c.stream != nil {
@@ -248,7 +248,7 @@
 	}
 }
 
-// tick gives up the requests that are due, leaves a silent leader and searches for
+// tick returns up the requests that are due, leaves a silent leader and searches for
 // another; it returns after which time it must be called again, 0 for never.
 func (c *Client) tick(ctx context.Context, now time.Time) time.Duration {
 	c.now = now
@@ -263,7 +263,7 @@
 		wakeIn(remaining)
 	}
 	c.expireRequests(wakeIn)
-	if c.leaderSilent(wakeIn) {
+	if c.leaderUnresponsive(wakeIn) {
 		// A frozen or cut-off leader answers nothing, and another may lead by
 		// now.
 		c.backOff(c.address)
--- a/internal/discovery/pending.go
+++ b/internal/discovery/pending.go
@@ -99,7 +99,7 @@
 type leaderTimeouts struct{ any, leaderless time.Duration }
 
 // leaderTimeoutsByKind differ by the kind of request: clients lose more by being
-// turned away in an election than operators, who go on to the next daemon.
+// rejected in an election than operators, who go on to the next daemon.
 var leaderTimeoutsByKind = map[string]leaderTimeouts{
 	rpc.KindSubmitJob: {leaderWaitTimeout, knownNoLeaderWait},
 	rpc.KindJobStatus: {leaderWaitTimeout, knownNoLeaderWait},
@@ -191,7 +191,7 @@
 	}
 }
 
-// expired tells whether a request is to be given up.
+// expired reports whether a request is to be given up.
 func (p *pendingRequest) expired(now time.Time, leaderless bool) bool {
 	select {
 	case <-p.done:
@@ -202,9 +202,9 @@
 	return !now.Before(p.deadline) || p.unanswered == 0 && (!now.Before(p.noLeaderBy) || leaderless && !now.Before(p.leaderlessBy))
 }
 
-// leaderSilent tells whether the leader left a request without a response for too
+// leaderUnresponsive reports whether the leader left a request without a response for too
 // long; wakeIn takes when to check again.
-func (c *Client) leaderSilent(wakeIn func(time.Duration)) bool {
+func (c *Client) leaderUnresponsive(wakeIn func(time.Duration)) bool {
 	silent := false
 	timeout := c.attemptTimeout() + c.transferTime()
 	for _, pending := range c.pending {
@@ -213,18 +213,18 @@
 		}
 		// Any frame shows that the leader is up: a busy one answers late, and
 		// to reconnect would only add to its load.
-		silentSince := pending.sentAt
-		if c.lastFrameAt.After(silentSince) {
-			silentSince = c.lastFrameAt
+		unresponsiveSince := pending.sentAt
+		if c.lastFrameAt.After(unresponsiveSince) {
+			unresponsiveSince = c.lastFrameAt
 		}
 		patience := timeout
 		if pending.hold > 0 {
-			patience, silentSince = timeout+pending.hold, pending.sentAt
+			patience, unresponsiveSince = timeout+pending.hold, pending.sentAt
 		}
-		if c.now.Sub(silentSince) > patience || c.now.Sub(pending.sentAt) > max(patience, maxRequestAttemptTimeout) {
+		if c.now.Sub(unresponsiveSince) > patience || c.now.Sub(pending.sentAt) > max(patience, maxRequestAttemptTimeout) {
 			silent = true
 		} else {
-			wakeIn(patience - c.now.Sub(silentSince) + time.Millisecond)
+			wakeIn(patience - c.now.Sub(unresponsiveSince) + time.Millisecond)
 		}
 	}
 	return silent
--- a/internal/discovery/search.go
+++ b/internal/discovery/search.go
@@ -107,7 +107,7 @@
 	}
 }
 
-// leaderless tells whether it is known that no leader is in reach: none was found
+// leaderless reports whether it is known that no leader is in reach: none was found
 // for longer than an election takes, and a search at all addresses has just
 // failed.
 func (c *Client) leaderless(now time.Time) bool {
@@ -137,7 +137,7 @@
 	return addresses
 }
 
-// sample gives some of the addresses, others each time: the likeliest always, and
+// sample returns some of the addresses, others each time: the likeliest always, and
 // of the rest as many as fanout allows. Hundreds of agents search at
 // once after a loss, and any daemon that they ask names the leader.
 func sample(addresses []string, round int) []string {
--- a/internal/discovery/timeout.go
+++ b/internal/discovery/timeout.go
@@ -14,7 +14,7 @@
 	return context.WithValue(ctx, holdKey{}, hold)
 }
 
-// HoldOf gives the hold of a context; 0 if it has none.
+// HoldOf returns the hold of a context; 0 if it has none.
 func HoldOf(ctx context.Context) time.Duration {
 	hold, _ := ctx.Value(holdKey{}).(time.Duration)
 	return hold
--- a/internal/federation/crowding.go
+++ b/internal/federation/crowding.go
@@ -27,7 +27,7 @@
 	return s.CrowdedShare * cores * s.BucketS * msPerSecond
 }
 
-// Crowded tells whether the forecast for the next HorizonBuckets is above
+// Crowded reports whether the forecast for the next HorizonBuckets is above
 // the limit.
 func (s *Settings) Crowded(work PendingWork) bool {
 	if work.CapacityMilliCPU == 0 {
--- a/internal/federation/messages.go
+++ b/internal/federation/messages.go
@@ -6,10 +6,10 @@
 
 // Kinds of calls between clusters. The texts stand in the calls and stay.
 const (
-	CallLoan      = "loan"    // lend room for a while
-	CallOffer     = "offer"   // accept a job
-	CallVoidOffer = "void"    // never accept this offer; if it was, say how the job is
-	CallRelease   = "release" // the job's end is known, and it may be forgotten
+	CallLoan          = "loan"    // lend room for a while
+	CallOffer         = "offer"   // accept a job
+	CallWithdrawOffer = "void"    // never accept this offer; if it was, say how the job is
+	CallRelease       = "release" // the job's end is known, and it may be forgotten
 )
 
 // Statuses of responses to CallLoan. Those to the other calls are the answers of
@@ -33,7 +33,7 @@
 	Loan       string // drawn by the caller
 	MilliCPU   int64  // with CallLoan: the least that is of use
 	DurationMs int64  // with CallLoan
-	Cancel     bool   // with CallVoidOffer: the job is to be cancelled
+	Cancel     bool   // with CallWithdrawOffer: the job is to be cancelled
 	Job        protocol.Job
 }
 
--- a/internal/federation/offloader.go
+++ b/internal/federation/offloader.go
@@ -116,12 +116,12 @@
 	case open.CancelRequested || open.State == state.TransferAccepted:
 		// To void an offer also asks for the job's state, since it leaves a job
 		// that was accepted as it is.
-		call.Kind, call.Cancel = CallVoidOffer, open.CancelRequested
+		call.Kind, call.Cancel = CallWithdrawOffer, open.CancelRequested
 	case now.Before(lent.expiresAt):
 		call.Kind, call.Route, call.Loan, call.Job = CallOffer, open.Route, lent.id, open.Job
 	default:
 		// The offer is taken back, since no room is lent any more.
-		call.Kind = CallVoidOffer
+		call.Kind = CallWithdrawOffer
 	}
 	return call
 }
@@ -135,7 +135,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	settle := &state.SettleTransfer{
+	settle := &state.ResolveTransfer{
 		Job:     open.JobID,
 		OfferID: open.OfferID,
 		Peer:    open.Peer,
@@ -143,7 +143,7 @@
 		Index:   response.Index,
 		Answer:  response.Status,
 	}
-	outcome, ok := o.local.Propose(callCtx, state.CommandSettleTransfer, settle)
+	outcome, ok := o.local.Propose(callCtx, state.CommandResolveTransfer, settle)
 	if ok && outcome.Code == state.CodeConflict {
 		_ = o.log.Log("level", "error", "event", "transfer.answer_rejected", "job", open.JobID, "peer", open.Peer, "reason", outcome.Text)
 		return
--- a/internal/federation/settings.go
+++ b/internal/federation/settings.go
@@ -94,7 +94,7 @@
 	return file, nil
 }
 
-// firstFault gives the first field that is not in order, and why; empty if all are.
+// firstFault returns the first field that is not in order, and why; empty if all are.
 func (s *Settings) firstFault() (field, fault string) {
 	for _, check := range []struct {
 		field string
@@ -130,7 +130,7 @@
 	return "", ""
 }
 
-// peerFault gives the first fault of the peers.
+// peerFault returns the first fault of the peers.
 func (s *Settings) peerFault() (field, fault string) {
 	known := map[string]bool{}
 	for _, peer := range s.Peers {
--- a/internal/federation/signature.go
+++ b/internal/federation/signature.go
@@ -25,7 +25,7 @@
 	MAC  []byte // HMAC-SHA256 of the body
 }
 
-// computeMAC gives the HMAC-SHA256 of a body.
+// computeMAC returns the HMAC-SHA256 of a body.
 func computeMAC(key string, body []byte) []byte {
 	mac := hmac.New(sha256.New, []byte(key))
 	mac.Write(body) // a hash returns no error
--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -86,7 +86,7 @@
 	return mean, math.Sqrt(spread / float64(len(dayMeans))), len(dayMeans)
 }
 
-// Predict gives the demand some buckets ahead of now. With too little history there
+// Predict returns the demand some buckets ahead of now. With too little history there
 // is no prediction, and the second value is false.
 func Predict(history History, now, ahead int64, shape DayShape) (Prediction, bool) {
 	mean, spread, days := typicalDemand(history, now+ahead, now, shape, withNeighbour)
@@ -132,7 +132,7 @@
 	return nearest, found
 }
 
-// FirstCrowded gives the first bucket within the horizon, counted from now, whose
+// FirstCrowded returns the first bucket within the horizon, counted from now, whose
 // demand is predicted above a limit with some certainty; false if there is none.
 func FirstCrowded(history History, now, horizon int64, limit float64, shape DayShape) (int64, Prediction, bool) {
 	for ahead := int64(1); ahead <= horizon; ahead++ {
--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -122,7 +122,7 @@
 // it until its latency is told.
 const choices = 3
 
-// strideOf gives a random step that visits each of n places once.
+// strideOf returns a random step that visits each of n places once.
 func strideOf(n int) int {
 	for {
 		step := 1 + rand.IntN(n)
@@ -139,7 +139,7 @@
 	return a
 }
 
-// anyUntried gives a runner that was not tried, ejected or not.
+// anyUntried returns a runner that was not tried, ejected or not.
 func (b *balancer) anyUntried(runners, tried []*runnerState) *runnerState {
 	offset := rand.IntN(len(runners))
 	for i := range runners {
@@ -159,7 +159,7 @@
 	return false
 }
 
-// takeObservations gives what is to be reported of runners.
+// takeObservations returns what is to be reported of runners.
 func (b *balancer) takeObservations() []registry.Observation {
 	var reports []registry.Observation
 	for _, runner := range b.observed {
@@ -222,7 +222,7 @@
 	resultUnknown               // the client left, or the time ended, before it answered
 )
 
-// end takes note of how an attempt ended.
+// end records how an attempt ended.
 func (b *balancer) end(runner *runnerState, how result, took time.Duration, now time.Time) {
 	runner.outstanding--
 	b.report(runner, how, took)
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -25,7 +25,7 @@
 	ended  error
 }
 
-// canReplay tells whether the body can be sent again from its beginning.
+// canReplay reports whether the body can be sent again from its beginning.
 func (b *requestBody) canReplay() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -69,7 +69,7 @@
 	return n, err
 }
 
-// Close implements io.Closer. The client's body stays open for another attempt.
+// Close implements io.Closer. The client's body stays open for a retry.
 func (a *attemptBody) Close() error {
 	a.closed.Store(true)
 	return nil
@@ -93,7 +93,7 @@
 // Close implements io.Closer.
 func (emptyBody) Close() error { return nil }
 
-// bodyFor gives the body of an attempt.
+// bodyFor returns the body of an attempt.
 func bodyFor(request *http.Request, body *requestBody) io.ReadCloser {
 	switch {
 	case body != nil:
@@ -104,7 +104,7 @@
 	return http.NoBody
 }
 
-// repeatableByLibrary tells whether the HTTP library would send a request without a body
+// repeatableByLibrary reports whether the HTTP library would send a request without a body
 // again if its connection fails.
 func repeatableByLibrary(request *http.Request) bool {
 	switch request.Method {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -104,7 +104,7 @@
 	}
 }
 
-// clientHasGone tells whether the client has ended its connection. At the latest moment of
+// clientHasGone reports whether the client has ended its connection. At the latest moment of
 // a daemon's end the request's context ends too, and the client is there.
 func (e *exchange) clientHasGone() bool {
 	ctx := e.request.Context()
@@ -129,7 +129,7 @@
 	}
 	known := e.proxy.routing.Load()
 	if _, ok := e.judge(known); !ok || e.tenant != "" && !e.route.Public && !e.proxy.trustsKeys() {
-		// Before a request is refused for good the newest configuration is asked
+		// Before a request is refused permanently the newest configuration is asked
 		// for: the one known here may be older. So it is before a key is served that
 		// may have been taken away.
 		if err := e.proxy.options.Refresh(e.ctx); err != nil {
@@ -155,7 +155,7 @@
 	return phaseAttempt
 }
 
-// judge tells whether a configuration allows the request, and how it is refused else.
+// judge reports whether a configuration allows the request, and how it is refused else.
 func (e *exchange) judge(by *routing) (refusal, bool) {
 	limits := by.config.Limits
 	switch {
@@ -177,7 +177,7 @@
 	return refusalNoKey, ok || e.route.Public
 }
 
-// repeatable tells whether the request may run more than once.
+// repeatable reports whether the request may run more than once.
 func (e *exchange) repeatable() bool {
 	return e.route.Kind == protocol.KindReadOnly || e.route.Kind == protocol.KindDownload
 }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -23,7 +23,7 @@
 	`{"name":"u","hostName":"h","pathPrefix":"/upload/","kind":"upload","timeoutMs":2000,"targetService":"s","maxTries":2}],` +
 	`"serviceList":[{"name":"s"}],"limits":{"maxHeaderBytes":2000,"maxBodyBytes":1000000}%s}`
 
-// testConfigText gives testConfig in a version, without tenants.
+// testConfigText returns testConfig in a version, without tenants.
 func testConfigText(version int) string { return fmt.Sprintf(testConfig, version, "") }
 
 // arrival is a request as a runner got it.
@@ -137,7 +137,7 @@
 	return response.StatusCode, string(text), response.Header
 }
 
-// seen gives the requests that runners got.
+// seen returns the requests that runners got.
 func (h *harness) seen() []arrival {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/gateway/list_age.go
+++ b/internal/gateway/list_age.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// listAgeLimit bounds the age of what a daemon knows when it chooses a runner. News of
+// listAgeLimit bounds the age of what a daemon knows when it chooses a runner. Updates of
 // runners that leave may come late, where clients fill a daemon's link; then it chooses
 // among those that it has heard itself.
 type listAgeLimit struct {
@@ -19,19 +19,19 @@
 	failedAt time.Time
 }
 
-// allows tells whether any runner of the list may be chosen.
+// allows reports whether any runner of the list may be chosen.
 func (a *listAge) allows(now time.Time) bool {
 	return a.limit.most == 0 || a.asOf.IsZero() || now.Sub(a.asOf) <= a.limit.most || now.Sub(a.failedAt) <= a.limit.inTouch
 }
 
-// confirm takes note that the list misses no change before a time.
+// confirm records that the list misses no change before a time.
 func (a *listAge) confirm(asOf time.Time) {
 	if asOf.After(a.asOf) {
 		a.asOf = asOf
 	}
 }
 
-// known gives those of the runners that are known not to leave for too long: all, if the
+// known returns those of the runners that are known not to leave for too long: all, if the
 // list is young enough, or else those that have answered lately.
 func (b *balancer) known(runners []*runnerState, now time.Time) []*runnerState {
 	if b.listAge.allows(now) {
@@ -46,7 +46,7 @@
 	return heard
 }
 
-// noteServing takes note that the runner didn't leave yet at a time.
+// noteServing records that the runner didn't leave yet at a time.
 func (r *runnerState) noteServing(at time.Time) {
 	if at.After(r.servedAt) {
 		r.servedAt = at
--- a/internal/gateway/pipeline.go
+++ b/internal/gateway/pipeline.go
@@ -132,7 +132,7 @@
 	}
 }
 
-// takesAhead tells whether one more request may be sent ahead of its turn. It is called
+// takesAhead reports whether one more request may be sent ahead of its turn. It is called
 // with mu held.
 func (c *clientConn) takesAhead() bool {
 	return c.early != nil && len(c.early) < maxEarlyRequests && !c.proxy.leaves()
@@ -151,7 +151,7 @@
 	return len(c.early) == 0
 }
 
-// NetConn gives the connection beneath.
+// NetConn returns the connection beneath.
 func (c *clientConn) NetConn() net.Conn { return c.Conn }
 
 // begin counts a request that the server begins to answer. If it was sent ahead already,
@@ -179,7 +179,7 @@
 	c.finished++
 }
 
-// mayBeEarly tells whether a request may be sent ahead of its turn: it may run more than
+// mayBeEarly reports whether a request may be sent ahead of its turn: it may run more than
 // once, so no harm is done if the connection ends before it is its turn.
 func (p *Proxy) mayBeEarly(request *http.Request) bool {
 	known := p.routing.Load()
@@ -190,7 +190,7 @@
 	return route != nil && runsAgainWithoutHarm(route)
 }
 
-// runsAgainWithoutHarm tells whether a route's requests are short ones that only read.
+// runsAgainWithoutHarm reports whether a route's requests are short ones that only read.
 func runsAgainWithoutHarm(route *clusterconfig.Route) bool {
 	return route.Kind == protocol.KindReadOnly
 }
@@ -218,7 +218,7 @@
 	return next
 }
 
-// is tells whether a request of the server is the one that was sent ahead.
+// is reports whether a request of the server is the one that was sent ahead.
 func (r *earlyRequest) is(request *http.Request) bool {
 	sent := r.exchange.request
 	return sent.Method == request.Method && sent.RequestURI == request.RequestURI && sent.Host == request.Host &&
@@ -235,7 +235,7 @@
 	r.exchange.run(r.next)
 }
 
-// abandon gives up a request of which the client's connection has ended.
+// abandon returns up a request of which the client's connection has ended.
 func (r *earlyRequest) abandon() {
 	r.exchange.proxy.abandoned.Add(1)
 	r.cancel()
--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -118,14 +118,14 @@
 	return limited
 }
 
-// BeginLeaving takes note that the daemon leaves: connections end with the answer behind
+// BeginLeaving records that the daemon leaves: connections end with the answer behind
 // which nothing was passed on, and from a time on no request is begun.
 func (p *Proxy) BeginLeaving(refusesFrom time.Time) { p.refusesFrom.Store(&refusesFrom) }
 
-// leaves tells whether the daemon leaves.
+// leaves reports whether the daemon leaves.
 func (p *Proxy) leaves() bool { return p.refusesFrom.Load() != nil }
 
-// refuses tells whether it begins no request any more.
+// refuses reports whether it begins no request any more.
 func (p *Proxy) refuses() bool {
 	from := p.refusesFrom.Load()
 	return from != nil && time.Now().After(*from)
@@ -135,11 +135,11 @@
 // turn and then given up, since the connection ended first.
 func (p *Proxy) AbandonedRequests() int64 { return p.abandoned.Load() }
 
-// Rates is what tells whether tenants are within their rates; it wants to exchange counts
+// Rates is what reports whether tenants are within their rates; it wants to exchange counts
 // with the leader.
 func (p *Proxy) Rates() *TenantRates { return p.rates }
 
-// SetConfig puts a configuration in force, unless one as new is. It tells whether it did.
+// SetConfig puts a configuration in force, unless one as new is. It reports whether it did.
 func (p *Proxy) SetConfig(config *clusterconfig.Config) bool {
 	next := &routing{config: config, routes: clusterconfig.NewRouteTable(config), keys: clusterconfig.NewKeyTable(config), splits: splitSequences(config), limited: tenantsWithRate(config)}
 	for {
@@ -154,15 +154,15 @@
 	}
 }
 
-// ConfirmConfig takes note that the configuration in force was the newest at a time.
+// ConfirmConfig records that the configuration in force was the newest at a time.
 func (p *Proxy) ConfirmConfig(at time.Time) {
 	if known := p.confirmedAt.Load(); known == nil || at.After(*known) {
 		p.confirmedAt.Store(&at)
 	}
 }
 
-// trustsKeys tells whether a key that the configuration names may still be served: without
-// word from the leader it may have been taken away meanwhile.
+// trustsKeys reports whether a key that the configuration names may still be served: without
+// contact with the leader it may have been taken away meanwhile.
 func (p *Proxy) trustsKeys() bool {
 	if p.options.KeyTrust <= 0 {
 		return true
@@ -198,14 +198,14 @@
 	p.announceReady()
 }
 
-// ConfirmRunners takes note that the list of runners misses no change before a time.
+// ConfirmRunners records that the list of runners misses no change before a time.
 func (p *Proxy) ConfirmRunners(asOf time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.balancer.listAge.confirm(asOf)
 }
 
-// NoteLeaderUnreached takes note that a question for changes of the list had no answer.
+// NoteLeaderUnreached records that a question for changes of the list had no answer.
 func (p *Proxy) NoteLeaderUnreached() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -226,7 +226,7 @@
 // fewRunners is how many runners of a service in a zone are hardly any.
 const fewRunners = 3
 
-// LacksNearRunners tells whether a service of the configuration has hardly a runner in this
+// LacksNearRunners reports whether a service of the configuration has hardly a runner in this
 // daemon's zone, or more there that leave than stay: those of other zones may be needed soon.
 func (p *Proxy) LacksNearRunners() bool {
 	known := p.routing.Load()
@@ -256,21 +256,21 @@
 	return false
 }
 
-// noteServing takes note that a runner served on at a time.
+// noteServing records that a runner served on at a time.
 func (p *Proxy) noteServing(runner *runnerState, at time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	runner.noteServing(at)
 }
 
-// TakeObservations gives what the requests since the last call told of runners.
+// TakeObservations returns what the requests since the last call told of runners.
 func (p *Proxy) TakeObservations() []registry.Observation {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.balancer.takeObservations()
 }
 
-// Ready tells whether requests can be served: a configuration and the runners are known.
+// Ready reports whether requests can be served: a configuration and the runners are known.
 func (p *Proxy) Ready() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -317,28 +317,28 @@
 	return runner, runner.Runner
 }
 
-// end takes note of how an attempt ended.
+// end records how an attempt ended.
 func (p *Proxy) end(runner *runnerState, how result, took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.balancer.end(runner, how, took, time.Now())
 }
 
-// suspectLeaving takes note that a runner closed its connection after an answer.
+// suspectLeaving records that a runner closed its connection after an answer.
 func (p *Proxy) suspectLeaving(runner *runnerState) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.balancer.suspectLeaving(runner, time.Now())
 }
 
-// countRequest counts a client's request in the budget of further attempts.
+// countRequest counts a client's request in the budget of retries.
 func (p *Proxy) countRequest(service string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.budget.request(service, time.Now())
 }
 
-// takeRetry takes a further attempt from the budget.
+// takeRetry takes a retry from the budget.
 func (p *Proxy) takeRetry(service string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/gateway/proxy_test.go
+++ b/internal/gateway/proxy_test.go
@@ -41,7 +41,7 @@
 	}
 }
 
-// TestFurtherAttempts: which failures are followed by another attempt, by the kind of
+// TestFurtherAttempts: which failures are followed by a retry, by the kind of
 // the route, and what the client is told.
 func TestFurtherAttempts(t *testing.T) {
 	for _, c := range []struct {
@@ -77,7 +77,7 @@
 	}
 }
 
-// TestAnotherRunnerServes what a full one turned away.
+// TestAnotherRunnerServes what a full one rejected.
 func TestAnotherRunnerServes(t *testing.T) {
 	for i := range 20 {
 		h := newHarness(t, full, sound)
@@ -118,7 +118,7 @@
 	}
 }
 
-// TestRefusalsAskForTheNewestConfiguration: a request is refused for good only by the
+// TestRefusalsAskForTheNewestConfiguration: a request is refused permanently only by the
 // newest configuration, and not at all while that isn't known.
 func TestRefusalsAskForTheNewestConfiguration(t *testing.T) {
 	h := newHarness(t, sound)
--- a/internal/gateway/request_scanner.go
+++ b/internal/gateway/request_scanner.go
@@ -6,7 +6,7 @@
 	"net/http"
 )
 
-// requestScanner finds the requests in the bytes that a client sends on one connection,
+// requestScanner finds the requests in the bytes that a client forwards one connection,
 // as they come in. It reads along with the HTTP server, which looks at a request only
 // after it has answered the one before.
 type requestScanner struct {
--- a/internal/gateway/retry_budget.go
+++ b/internal/gateway/retry_budget.go
@@ -68,7 +68,7 @@
 	}
 }
 
-// request counts a client's request for a service: it earns a part of a further attempt.
+// request counts a client's request for a service: it earns a part of a retry.
 func (b *retryBudget) request(service string, now time.Time) {
 	account := b.account(service, now)
 	last := len(account.earned) - 1
@@ -79,7 +79,7 @@
 	account.earned[last].left += b.limit.Ratio * retryShare
 }
 
-// take takes a further attempt; false if none is left.
+// take takes a retry; false if none is left.
 func (b *retryBudget) take(service string, now time.Time) bool {
 	account := b.account(service, now)
 	if account.takeEarned() {
@@ -92,7 +92,7 @@
 	return true
 }
 
-// account gives a service's account, without what has lapsed.
+// account returns a service's account, without what has lapsed.
 func (b *retryBudget) account(service string, now time.Time) *retryAccount {
 	account := b.accounts[service]
 	if account == nil {
--- a/internal/gateway/retry_budget_test.go
+++ b/internal/gateway/retry_budget_test.go
@@ -76,7 +76,7 @@
 	}
 }
 
-// worstWindow gives the window in which the limit is kept least: its further attempts and
+// worstWindow returns the window in which the limit is kept least: its retries and
 // how many are allowed. The requests are those of that window, the one before it or the
 // one half a window before, whichever are most.
 func (r *retryRun) worstWindow() (most, allowed float64) {
--- a/internal/gateway/split.go
+++ b/internal/gateway/split.go
@@ -8,7 +8,7 @@
 	"tealpond/internal/clusterconfig"
 )
 
-// splitSequence gives the numbers by which requests of a split route go to its services:
+// splitSequence returns the numbers by which requests of a split route go to its services:
 // multiples of the golden ratio, from a start by lot, without their whole parts. Each
 // service gets its share of any few dozen requests in a row nearly to one, where numbers
 // drawn one by one would be off by several; and daemons don't go in step.
@@ -19,7 +19,7 @@
 
 func newSplitSequence() *splitSequence { return &splitSequence{start: rand.Float64()} }
 
-// next gives a number from 0 up to 1.
+// next returns a number from 0 up to 1.
 func (s *splitSequence) next() float64 {
 	_, fraction := math.Modf(s.start + float64(s.count.Add(1))*(math.Phi-1))
 	return fraction
@@ -37,7 +37,7 @@
 	return sequences
 }
 
-// serviceFor gives the service of a route's next request.
+// serviceFor returns the service of a route's next request.
 func (p *Proxy) serviceFor(route *clusterconfig.Route) string {
 	sequence := p.routing.Load().splits[route.Name]
 	if sequence == nil {
--- a/internal/gateway/subset.go
+++ b/internal/gateway/subset.go
@@ -22,7 +22,7 @@
 	minSubset = 4
 )
 
-// subset gives the runners of a service that a daemon uses. The runners stand on a circle,
+// subset returns the runners of a service that a daemon uses. The runners stand on a circle,
 // in an order that all daemons know; each daemon uses those of an arc that begins at its
 // place. So each runner serves as many daemons as any other, and a change of either moves
 // few arcs. The arc of a daemon is what it has connections to, and what it has under way
--- a/internal/gateway/tenant_rates.go
+++ b/internal/gateway/tenant_rates.go
@@ -17,16 +17,16 @@
 	// gateway, in requests.
 	minRateAllowance = 2.0
 	maxRateAllowance = 8.0
-	// rateNewsWait is how long a request waits for the leader's answer once the allowance is used up,
+	// rateSumsWait is how long a request waits for the leader's answer once the allowance is used up,
 	// and the least time after which a client may come again.
-	rateNewsWait = 150 * time.Millisecond
-	// rateAskFirst is the part of a tenant's limit from which on a request is admitted by sums that
-	// are at most rateNewsAge old.
-	rateAskFirst = 0.5
-	rateNewsAge  = 100 * time.Millisecond
-	// rateOldNewsAge is the age of the sums by which a request is admitted below rateAskFirst: two
-	// exchanges.
-	rateOldNewsAge = time.Second
+	rateSumsWait = 150 * time.Millisecond
+	// exactRateFraction is the part of a tenant's limit from which on a request is admitted by sums that
+	// are at most maxRateSumsAge old.
+	exactRateFraction = 0.5
+	maxRateSumsAge    = 100 * time.Millisecond
+	// maxIdleRateSumsAge is the age of the sums by which a request is admitted below
+	// exactRateFraction: two exchanges.
+	maxIdleRateSumsAge = time.Second
 )
 
 // TenantRates tells, of each request, whether its tenant is within its rate over all
@@ -67,7 +67,7 @@
 	limit := uint64(max(tenant.RatePerS*r.window.Seconds()+tenant.Burst, 1))
 	allowance := rateAllowance(tenant.RatePerS)
 	if answered := r.needsAnswer(tenant.Name, limit, allowance, time.Now()); answered != nil {
-		timer := time.NewTimer(rateNewsWait)
+		timer := time.NewTimer(rateSumsWait)
 		defer timer.Stop()
 		select {
 		case <-answered:
@@ -84,10 +84,10 @@
 		}
 		return 0, true
 	}
-	return max(r.counts.FreeAt(tenant.Name, limit, now).Sub(now), rateNewsWait), false
+	return max(r.counts.FreeAt(tenant.Name, limit, now).Sub(now), rateSumsWait), false
 }
 
-// needsAnswer tells whether a request must wait for the leader's next answer, which closes
+// needsAnswer reports whether a request must wait for the leader's next answer, which closes
 // the channel that is given; nil if not. So it is where what is known here is old, or comes
 // near the limit and isn't fresh, or the allowance is used up. Nothing is waited for once the sum is
 // known to have reached the limit: that only falls with time.
@@ -99,9 +99,9 @@
 		r.askSoon()
 	}
 	sum := r.counts.Sum(tenant, now)
-	most := rateOldNewsAge
+	most := maxIdleRateSumsAge
 	if nearLimit(sum, limit) {
-		most = rateNewsAge
+		most = maxRateSumsAge
 	}
 	if sum >= limit || now.Sub(r.answeredAt) <= most && r.exchange.Ahead(tenant) < allowance {
 		return nil
@@ -110,8 +110,8 @@
 	return r.answered
 }
 
-// nearLimit tells whether a tenant's sum of requests comes near its limit.
-func nearLimit(sum, limit uint64) bool { return float64(sum) >= rateAskFirst*float64(limit) }
+// nearLimit reports whether a tenant's sum of requests comes near its limit.
+func nearLimit(sum, limit uint64) bool { return float64(sum) >= exactRateFraction*float64(limit) }
 
 // askSoon has counts exchanged with the leader as soon as may be.
 func (r *TenantRates) askSoon() {
@@ -128,7 +128,7 @@
 	return uint64(min(max(ratePerS*rateAllowanceTime.Seconds(), minRateAllowance), maxRateAllowance))
 }
 
-// Urgent gives a value when an exchange is wanted at once.
+// Urgent returns a value when an exchange is wanted at once.
 func (r *TenantRates) Urgent() <-chan struct{} { return r.urgent }
 
 // NextRequest makes the next request to the leader; false if there is no need of one:
--- a/internal/golden/golden.go
+++ b/internal/golden/golden.go
@@ -16,7 +16,7 @@
 
 var update = flag.Bool("update", false, "write the golden files anew from the present code")
 
-// Updating tells whether golden files are to be written instead of compared.
+// Updating reports whether golden files are to be written instead of compared.
 func Updating() bool { return *update }
 
 // Codec encodes and decodes values as the program does.
@@ -96,7 +96,7 @@
 	return "(no line)"
 }
 
-// read gives the bytes of a golden file, in hex, by name.
+// read returns the bytes of a golden file, in hex, by name.
 func read(t *testing.T, file string) map[string]string {
 	t.Helper()
 	raw, err := os.ReadFile(filepath.Join("testdata", file))
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -54,7 +54,7 @@
 	return c
 }
 
-// NetConn gives the connection beneath.
+// NetConn returns the connection beneath.
 func (c *conn) NetConn() net.Conn { return c.Conn }
 
 // noteState follows what the library does on a connection.
@@ -86,21 +86,21 @@
 	return nil
 }
 
-// wait takes note that the library waits for a request from now on.
+// wait records that the library waits for a request from now on.
 func (c *conn) wait() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiting, c.waitingSince, c.deadlines = true, time.Now(), 0
 }
 
-// work takes note that a request is being read or answered.
+// work records that a request is being read or answered.
 func (c *conn) work() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.begun()
 }
 
-// begun takes note that a request has begun: a wait is not to be ended any more. It is
+// begun records that a request has begun: a wait is not to be ended any more. It is
 // called with mu held.
 func (c *conn) begun() {
 	c.waiting = false
@@ -110,7 +110,7 @@
 	}
 }
 
-// isWaiting tells whether the library waits for a request.
+// isWaiting reports whether the library waits for a request.
 func (c *conn) isWaiting() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -178,7 +178,7 @@
 	return c.Conn.Close()
 }
 
-// mayBeReset tells whether the client might lose a part of its answer if the connection were
+// mayBeReset reports whether the client might lose a part of its answer if the connection were
 // closed now. It is called with mu held.
 func (c *conn) mayBeReset() bool {
 	return c.server.leaving.Load() && !c.server.closed.Load() && !c.peerEnded && unreceived(c.Conn) > 0
--- a/internal/httpserver/conn_test.go
+++ b/internal/httpserver/conn_test.go
@@ -30,7 +30,7 @@
 	return 1, nil
 }
 
-// newRecorded gives a connection of a server that waits for a request.
+// newRecorded returns a connection of a server that waits for a request.
 func newRecorded() (*conn, *recordedConn) {
 	raw := &recordedConn{}
 	return newConn(raw, &Server{conns: map[*conn]bool{}}), raw
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -98,7 +98,7 @@
 	}
 }
 
-// wantAnswer reads an answer of a status and tells whether it is the last.
+// wantAnswer reads an answer of a status and reports whether it is the last.
 func (c *testConn) wantAnswer(status int) bool {
 	c.t.Helper()
 	response, err := http.ReadResponse(c.reader, nil)
@@ -264,7 +264,7 @@
 	return err
 }
 
-// isClosed tells whether the library has closed the connection.
+// isClosed reports whether the library has closed the connection.
 func (c *conn) isClosed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/localcluster/cluster.go
+++ b/internal/localcluster/cluster.go
@@ -60,10 +60,10 @@
 // Subnet is a loopback network of 254 hosts, 127.A.B.0/24.
 type Subnet struct{ A, B byte }
 
-// Host gives the address of a host, from 1 to 254.
+// Host returns the address of a host, from 1 to 254.
 func (s Subnet) Host(host int) string { return fmt.Sprintf("127.%d.%d.%d", s.A, s.B, host) }
 
-// InUse tells whether somebody listens on the network already, as the first daemon would.
+// InUse reports whether somebody listens on the network already, as the first daemon would.
 func (s Subnet) InUse() bool {
 	listener, err := net.Listen("tcp", hostPort(s.Host(1), clientPort))
 	if err != nil {
@@ -115,7 +115,7 @@
 // Names lists the daemons, those with a disk first.
 func (c *Cluster) Names() []string { return append([]string(nil), c.names...) }
 
-// Daemon gives a daemon. The error is ErrUnknownDaemon.
+// Daemon returns a daemon. The error is ErrUnknownDaemon.
 func (c *Cluster) Daemon(name string) (*Daemon, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -125,7 +125,7 @@
 	return nil, fmt.Errorf("%w: %s", ErrUnknownDaemon, name)
 }
 
-// Log gives all lines that the daemons have logged so far, in the order in which they
+// Log returns all lines that the daemons have logged so far, in the order in which they
 // were read.
 func (c *Cluster) Log() []Line {
 	c.mu.Lock()
@@ -153,7 +153,7 @@
 	}
 }
 
-// isClosed tells whether Close was called: nothing is started any more.
+// isClosed reports whether Close was called: nothing is started any more.
 func (c *Cluster) isClosed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/localcluster/daemon.go
+++ b/internal/localcluster/daemon.go
@@ -56,10 +56,10 @@
 // DaemonAddress is where it serves other daemons, and the operators' tools.
 func (d *Daemon) DaemonAddress() string { return hostPort(d.IP, daemonPort) }
 
-// isAgent tells whether the daemon is one beside a runner.
+// isAgent reports whether the daemon is one beside a runner.
 func (d *Daemon) isAgent() bool { return d.Role != d.cluster.options.Role }
 
-// ReadinessAddress is where it tells whether it is ready.
+// ReadinessAddress is where it reports whether it is ready.
 func (d *Daemon) ReadinessAddress() string { return hostPort(d.IP, readinessPort) }
 
 // directory holds the files of the daemon.
@@ -117,7 +117,7 @@
 	close(p.ended)
 }
 
-// hasEnded tells whether the process has ended.
+// hasEnded reports whether the process has ended.
 func (p *process) hasEnded() bool {
 	select {
 	case <-p.ended:
--- a/internal/raft/configuration.go
+++ b/internal/raft/configuration.go
@@ -34,7 +34,7 @@
 	return all
 }
 
-// hasQuorum tells whether granted is true for a majority of each set of voters.
+// hasQuorum reports whether granted is true for a majority of each set of voters.
 func (c *configuration) hasQuorum(granted func(id string) bool) bool {
 	majority := func(voters []Member) bool {
 		count := 0
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -115,7 +115,7 @@
 	n.appendEntry(EntryNoop, nil)
 }
 
-// isUpToDate tells whether the log of a member that asks for a vote ends no
+// isUpToDate reports whether the log of a member that asks for a vote ends no
 // earlier than this one.
 func (n *Node) isUpToDate(m Message) bool {
 	logTerm, _ := n.TermAt(n.LastIndex())
--- a/internal/raft/exhaustive_copy_test.go
+++ b/internal/raft/exhaustive_copy_test.go
@@ -64,7 +64,7 @@
 	}
 }
 
-// isPlainData tells whether copies of a type share nothing that is ever changed in place.
+// isPlainData reports whether copies of a type share nothing that is ever changed in place.
 func isPlainData(t reflect.Type) bool {
 	switch t {
 	case reflect.TypeFor[Entry](), reflect.TypeFor[Member](), reflect.TypeFor[Message]():
--- a/internal/raft/follower.go
+++ b/internal/raft/follower.go
@@ -1,6 +1,6 @@
 package raft
 
-// followLeader takes note of the leader that sent a message. It returns false, and
+// followLeader records the leader that sent a message. It returns false, and
 // answers, if the message is of an older term.
 func (n *Node) followLeader(m Message) bool {
 	if m.Term < n.term {
@@ -77,7 +77,7 @@
 }
 
 // mergeEntries adds the leader's entries that the log lacks, in place of those that
-// differ. It tells whether there were any.
+// differ. It reports whether there were any.
 func (n *Node) mergeEntries(entries []Entry) bool {
 	for i, entry := range entries {
 		if term, ok := n.TermAt(entry.Index); ok {
--- a/internal/raft/golden_test.go
+++ b/internal/raft/golden_test.go
@@ -13,7 +13,7 @@
 // configurationData is the data of a configuration entry.
 type configurationData struct{ Voters, Old []Member }
 
-// filledVoter gives a voter whose fields differ.
+// filledVoter returns a voter whose fields differ.
 func filledVoter(name string) Member {
 	return Member{Node: name + "-node", ID: name + "-disk", Addr: name + "-address"}
 }
--- a/internal/raft/leader_transfer.go
+++ b/internal/raft/leader_transfer.go
@@ -13,7 +13,7 @@
 // TransferLeadership hands the leadership to the voter whose log is longest
 // (thesis, section 3.10), and among equal ones to the one heard last: a voter that
 // has just restarted has all entries too, but may not be reached yet. It returns
-// false if this member does not lead, is handing over already, or has heard from no
+// false if this member does not lead, is transferring the leadership already, or has heard from no
 // voter lately. If the transfer has no outcome within an election timeout, this
 // member leads on.
 func (n *Node) TransferLeadership() bool {
@@ -38,13 +38,13 @@
 	return true
 }
 
-// isTransferee tells whether a member is a voter that may be able to lead at once.
+// isTransferee reports whether a member is a voter that may be able to lead at once.
 func (n *Node) isTransferee(id string) bool {
 	peer := n.peers[id]
 	return peer != nil && containsMember(n.latestConfiguration().voters, id) && !peer.probing && !peer.faulty && n.now.Sub(peer.lastContact) <= n.config.ElectionTimeout
 }
 
-// isBetterTransferee tells whether a voter is to lead rather than another one.
+// isBetterTransferee reports whether a voter is to lead rather than another one.
 func (p *progress) isBetterTransferee(other *progress) bool {
 	if p.match != other.match {
 		return p.match > other.match
--- a/internal/raft/lease.go
+++ b/internal/raft/lease.go
@@ -13,13 +13,13 @@
 // into responses to a leader.
 func (n *Node) SetWallClock(clock func() int64) { n.wallClock = clock }
 
-// LeaderReady tells whether this member is the leader and has applied the first
+// LeaderReady reports whether this member is the leader and has applied the first
 // entry of its term, so that its state holds all that was committed before.
 func (n *Node) LeaderReady() bool {
 	return n.role == leader && n.noopIndex > 0 && n.appliedIndex >= n.noopIndex && !n.transferring
 }
 
-// HasLease tells whether this member is the leader and a majority has confirmed
+// HasLease reports whether this member is the leader and a majority has confirmed
 // it so lately that no other leader can have been elected (thesis, section 6.4.1).
 func (n *Node) HasLease(now time.Time) bool {
 	if n.role != leader || n.transferring {
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -37,12 +37,12 @@
 // ConfIndex returns the index of the entry of the newest configuration.
 func (n *Node) ConfIndex() uint64 { return n.latestConfiguration().index }
 
-// ConfChangePending tells whether a configuration change is under way.
+// ConfChangePending reports whether a configuration change is under way.
 func (n *Node) ConfChangePending() bool {
 	return n.latestConfiguration().isJoint() || n.ConfIndex() > n.commitIndex
 }
 
-// IsVoter tells whether a member votes by the newest configuration in the log.
+// IsVoter reports whether a member votes by the newest configuration in the log.
 func (n *Node) IsVoter(id string) bool {
 	latest := n.latestConfiguration()
 	return containsMember(latest.voters, id) || containsMember(latest.outgoing, id)
@@ -58,7 +58,7 @@
 	return n.configurations[previous].allVoters()
 }
 
-// promotable tells whether this member may campaign: a voter, or one that was
+// promotable reports whether this member may campaign: a voter, or one that was
 // voted out by an entry which is not known to be committed. Its log may be the
 // longest, so that no other can win its vote; it must then lead once more, without
 // counting itself, to end the change.
@@ -100,7 +100,7 @@
 // ProposeConfChange starts a change to a new set of voters, however many differ. The
 // log first gets an entry under which majorities of both sets are needed; once that
 // is committed, the leader adds one with the new set alone. It returns false if this
-// member does not lead, hands over, has not committed an entry of its term, if a
+// member does not lead, transfers the leadership, has not committed an entry of its term, if a
 // change is under way, or if the set is empty or the present one.
 func (n *Node) ProposeConfChange(voters []Member) bool {
 	if n.role != leader || n.transferring || n.ConfChangePending() || n.commitIndex < n.noopIndex {
@@ -119,7 +119,7 @@
 
 // advanceConfChange takes the next step of a configuration change, also of one that
 // an earlier leader began. Once the joint entry is committed, the final one follows;
-// once that is committed, a leader that is no longer a voter hands over.
+// once that is committed, a leader that is no longer a voter transfers the leadership.
 func (n *Node) advanceConfChange() {
 	latest := n.latestConfiguration()
 	if latest.index > n.commitIndex || n.commitIndex < n.noopIndex {
@@ -168,7 +168,7 @@
 	return true
 }
 
-// CaughtUp tells whether a member holds all that was committed when the last
+// CaughtUp reports whether a member holds all that was committed when the last
 // complete round of heartbeats began. Under load the newest entries are always
 // under way, so that a member can't be required to have them; one that lags by more
 // than a round is not caught up, however few entries that are.
@@ -177,9 +177,9 @@
 	return peer != nil && !peer.probing && !peer.faulty && peer.match >= n.previousRoundCommitIndex
 }
 
-// SilentFor returns the time since a member was last heard by this leader, or 0 if
+// TimeSinceContact returns the time since a member was last heard by this leader, or 0 if
 // the leader does not track it.
-func (n *Node) SilentFor(id string) time.Duration {
+func (n *Node) TimeSinceContact(id string) time.Duration {
 	if peer := n.peers[id]; peer != nil {
 		return n.now.Sub(peer.lastContact)
 	}
--- a/internal/raft/membership_test.go
+++ b/internal/raft/membership_test.go
@@ -47,7 +47,7 @@
 	c.until(incoming+" votes for "+outgoing, func() bool { return c.isVoter(incoming) && !c.isVoter(outgoing) })
 }
 
-// isVoter tells whether a member votes by the leader's committed configuration.
+// isVoter reports whether a member votes by the leader's committed configuration.
 func (c *testCluster) isVoter(id string) bool {
 	leader := c.leader()
 	return leader != nil && !leader.ConfChangePending() && leader.IsVoter(id)
--- a/internal/raft/model_configuration_test.go
+++ b/internal/raft/model_configuration_test.go
@@ -47,7 +47,7 @@
 	return ids
 }
 
-// hasQuorum tells whether granted is true for a majority of each set.
+// hasQuorum reports whether granted is true for a majority of each set.
 func hasQuorum(sets [][]string, granted func(id string) bool) bool {
 	for _, set := range sets {
 		count := 0
@@ -63,7 +63,7 @@
 	return true
 }
 
-// quorumsIntersect tells whether any two quorums of two configurations have a member in
+// quorumsIntersect reports whether any two quorums of two configurations have a member in
 // common.
 func quorumsIntersect(first, second [][]string) bool {
 	var ids []string
@@ -83,7 +83,7 @@
 	return true
 }
 
-// changeCompleted tells whether a change is committed and completed.
+// changeCompleted reports whether a change is committed and completed.
 func (w *modelWorld) changeCompleted(member *modelMember, change *voterChange) bool {
 	hasJoined := change.incoming == "" || member.node.IsVoter(change.incoming)
 	hasLeft := change.outgoing == "" || !member.node.IsVoter(change.outgoing)
@@ -176,7 +176,7 @@
 	})
 }
 
-// abandonChange gives up a change that no leader has proposed yet.
+// abandonChange returns up a change that no leader has proposed yet.
 func (w *modelWorld) abandonChange(*modelMember) {
 	change := w.change
 	if change == nil || change.proposed || change.incoming == "" || change.outgoing != "" && w.byID[change.outgoing].lost {
--- a/internal/raft/model_walk_test.go
+++ b/internal/raft/model_walk_test.go
@@ -87,7 +87,7 @@
 	return w.checks.failure
 }
 
-// recoveredSince tells whether a command after lastCommand is applied by all voters.
+// recoveredSince reports whether a command after lastCommand is applied by all voters.
 func (w *modelWorld) recoveredSince(lastCommand int) bool {
 	var command int
 	if _, err := fmt.Sscanf(w.lastAckedCommand, "c%d", &command); err != nil || command <= lastCommand || w.change != nil {
--- a/internal/raft/model_world_test.go
+++ b/internal/raft/model_world_test.go
@@ -115,7 +115,7 @@
 	return after
 }
 
-// holds tells whether an entry is durable, in the log or in the snapshot.
+// holds reports whether an entry is durable, in the log or in the snapshot.
 func (d *modelDisk) holds(index, term uint64) bool {
 	if index <= d.snapshot.Index {
 		return true
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -106,7 +106,7 @@
 // Leader returns the ID of the known leader of the term, or the empty string.
 func (n *Node) Leader() string { return n.leader }
 
-// IsLeader tells whether this member is the leader of its term.
+// IsLeader reports whether this member is the leader of its term.
 func (n *Node) IsLeader() bool { return n.role == leader }
 
 // CommitIndex returns the index up to which the log is known to be committed.
@@ -133,7 +133,7 @@
 	return n.electionTimeout
 }
 
-// isLeaseLost tells whether this leader has been without the lease for LeaseLossTimeout. A
+// isLeaseLost reports whether this leader has been without the lease for LeaseLossTimeout. A
 // majority may answer it all the while, each time too late: the messages of a leader whose link
 // carries less than it has to send queue up, and it serves nothing for as long as that lasts.
 func (n *Node) isLeaseLost() bool {
@@ -263,7 +263,7 @@
 	return ready
 }
 
-// WriteSynced takes note that a write is on disk. Writes are reported in the
+// WriteSynced records that a write is on disk. Writes are reported in the
 // order in which Ready handed them out.
 func (n *Node) WriteSynced(token WriteToken) {
 	if token.HasHardState {
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -33,12 +33,12 @@
 	wallClock                   int64 // ms since 1970, read at wallClockAt
 	wallClockAt                 time.Time
 	commitSent                  uint64 // the newest commit index sent to it
-	bulk                        bulkProgress
+	largeAppends                largeAppendProgress
 }
 
 // Propose adds a command to the log. It returns the index at which the command
 // will be applied, if the term stays the same; false if this member does not lead
-// or is handing the leadership over.
+// or is transferring the leadership.
 func (n *Node) Propose(data []byte) (uint64, bool) {
 	if n.role != leader || n.transferring {
 		return 0, false
@@ -77,7 +77,7 @@
 		}
 		for !peer.probing && peer.next <= n.LastIndex() && peer.next-peer.match <= uint64(n.config.MaxInflightEntries) {
 			next := n.nextBatch(peer)
-			if n.isHeldBack(peer, next.size) {
+			if n.mustWaitForLargeAppends(peer, next.size) {
 				break
 			}
 			n.sendAppend(id, peer, next)
@@ -148,7 +148,7 @@
 // to wait for large ones that are on their way to others.
 func (n *Node) sendDueAppend(id string, peer *progress) {
 	next := n.nextBatch(peer)
-	if !peer.probing && n.isHeldBack(peer, next.size) {
+	if !peer.probing && n.mustWaitForLargeAppends(peer, next.size) {
 		next = batch{}
 	}
 	if !n.sendAppend(id, peer, next) {
@@ -178,13 +178,13 @@
 	if !peer.probing {
 		peer.next += uint64(next.count)
 	}
-	n.noteBulkSent(peer, m.SendStamp, prevIndex+uint64(next.count), next.size)
+	n.noteLargeAppendSent(peer, m.SendStamp, prevIndex+uint64(next.count), next.size)
 	peer.lastSend, peer.commitSent = n.now, n.commitIndex
 	n.send(m, false)
 	return true
 }
 
-// handleAppendResponse takes note of how far a member's log agrees with this one.
+// handleAppendResponse records how far a member's log agrees with this one.
 func (n *Node) handleAppendResponse(m Message) {
 	peer := n.peers[m.From]
 	if n.role != leader || m.Term != n.term || peer == nil {
@@ -207,7 +207,7 @@
 	if m.Index > peer.match {
 		peer.match, peer.matchSetStamp = m.Index, n.lastStamp
 	}
-	n.noteBulkAcked(peer, m.SendStamp)
+	n.noteLargeAppendAcked(peer, m.SendStamp)
 	if peer.probing || peer.next <= peer.match {
 		peer.nextSetStamp = n.lastStamp
 		peer.next = peer.match + 1
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -112,12 +112,12 @@
 	Sequence            uint64 // rises with each write, from 1 on
 }
 
-// IsEmpty tells whether there is nothing to do.
+// IsEmpty reports whether there is nothing to do.
 func (r *Ready) IsEmpty() bool {
 	return !r.MustSync() && len(r.MessagesAfterSync) == 0 && len(r.Messages) == 0
 }
 
-// MustSync tells whether there is anything to write.
+// MustSync reports whether there is anything to write.
 func (r *Ready) MustSync() bool { return r.HardState != nil || len(r.Entries) > 0 || r.Snapshot != nil }
 
 // Config holds the timeouts and limits of a Node.
@@ -130,12 +130,12 @@
 	LeaseFraction      float64       // share of ElectionTimeout for which a lease holds, below 1
 	MaxInflightEntries int           // entries sent to a member and not yet acknowledged
 	MaxAppendBytes     int           // an append is closed once it holds so many bytes
-	// MaxBulkBytes bounds the large appends that are on their way to all members together,
+	// MaxLargeAppendBytes bounds the large appends that are on their way to all members together,
 	// but for one, while it isn't known what the links carry; 0: they are not bounded. Else
-	// what they carry within MaxBulkDelay is the bound, if it is larger. An append counts for
-	// BulkTimeout at most.
-	MaxBulkBytes              int
-	MaxBulkDelay, BulkTimeout time.Duration
+	// what they carry within MaxLargeAppendDelay is the bound, if it is larger. An append counts for
+	// LargeAppendTimeout at most.
+	MaxLargeAppendBytes                     int
+	MaxLargeAppendDelay, LargeAppendTimeout time.Duration
 	// MaxCommittedEntries is how many entries NextCommittedEntries returns at most;
 	// 0 for all.
 	MaxCommittedEntries int
--- a/internal/registry/announcements.go
+++ b/internal/registry/announcements.go
@@ -14,9 +14,9 @@
 
 // announcedRunner is what a runner last told.
 type announcedRunner struct {
-	runner   Runner
-	sequence int64
-	heardAt  time.Time
+	runner      Runner
+	sequence    int64
+	lastContact time.Time
 	// leavesAt is when a runner that has signed off is gone at the latest; zero: it hasn't.
 	leavesAt time.Time
 }
@@ -29,7 +29,7 @@
 	return &Announcements{silence: silence, runners: map[string]*announcedRunner{}, left: map[string]time.Time{}}
 }
 
-// Heartbeat takes note of a heartbeat, numbered by the runner, and tells whether the list
+// Heartbeat records a heartbeat, numbered by the runner, and reports whether the list
 // has changed. One that comes after a newer one changes nothing, and none ends a drain.
 func (a *Announcements) Heartbeat(runner Runner, sequence int64, now time.Time) (changed bool) {
 	if _, gone := a.left[runner.ID]; gone {
@@ -37,10 +37,10 @@
 	}
 	known := a.runners[runner.ID]
 	if known == nil {
-		a.runners[runner.ID] = &announcedRunner{runner: runner, sequence: sequence, heardAt: now}
+		a.runners[runner.ID] = &announcedRunner{runner: runner, sequence: sequence, lastContact: now}
 		return true
 	}
-	known.heardAt = now
+	known.lastContact = now
 	if sequence < known.sequence {
 		return false
 	}
@@ -52,7 +52,7 @@
 	return changed
 }
 
-// SignOff takes note that a runner leaves, and goes on for a while at most; it tells
+// SignOff records that a runner leaves, and goes on for a while at most; it tells
 // whether the list has changed.
 func (a *Announcements) SignOff(id string, goesOn time.Duration, now time.Time) (changed bool) {
 	known := a.runners[id]
@@ -69,12 +69,12 @@
 	return changed
 }
 
-// Expire drops runners that were silent for too long or have left, and tells whether the
+// Expire drops runners that were silent for too long or have left, and reports whether the
 // list has changed.
 func (a *Announcements) Expire(now time.Time) (changed bool) {
 	for id, known := range a.runners {
 		hasLeft := !known.leavesAt.IsZero() && !now.Before(known.leavesAt)
-		if silent := now.Sub(known.heardAt) > a.silence; silent || hasLeft {
+		if silent := now.Sub(known.lastContact) > a.silence; silent || hasLeft {
 			delete(a.runners, id)
 			changed = true
 			if hasLeft {
--- a/internal/registry/announcements_test.go
+++ b/internal/registry/announcements_test.go
@@ -47,7 +47,7 @@
 	}
 }
 
-// TestRunnersThatLeftAreForgotten: what is remembered of them doesn't grow for good.
+// TestRunnersThatLeftAreForgotten: what is remembered of them doesn't grow without bound.
 func TestRunnersThatLeftAreForgotten(t *testing.T) {
 	a, now := NewAnnouncements(time.Second), time.Unix(1000, 0)
 	for i := range 500 {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -25,14 +25,14 @@
 	Health   Health
 }
 
-// sameState tells whether nothing that matters has changed. How long a runner is still
+// sameState reports whether nothing that matters has changed. How long a runner is still
 // slow is told once.
 func (r Runner) sameState(other Runner) bool {
 	r.ColdMs = other.ColdMs
 	return r == other
 }
 
-// SameState tells whether nothing that matters differs between two lists in one order.
+// SameState reports whether nothing that matters differs between two lists in one order.
 func SameState(a, b []Runner) bool { return slices.EqualFunc(a, b, Runner.sameState) }
 
 // Delta is what changed in a table after a version.
@@ -51,14 +51,14 @@
 	FromDigest uint64
 }
 
-// RunnerHealth is what is told of a runner whose health alone has changed.
+// RunnerHealth is what daemons are told of a runner whose health alone has changed.
 type RunnerHealth struct {
 	_      struct{} `cbor:",toarray"`
 	ID     string
 	Health Health
 }
 
-// sameButHealth tells whether nothing has changed but what requests tell.
+// sameButHealth reports whether nothing has changed but what requests tell.
 func (r Runner) sameButHealth(other Runner) bool {
 	r.Health = other.Health
 	return r.sameState(other)
@@ -116,7 +116,7 @@
 // Version grows with each change.
 func (t *Table) Version() uint64 { return t.version }
 
-// IsAt tells whether a position is the present one of a scope.
+// IsAt reports whether a position is the present one of a scope.
 func (t *Table) IsAt(epoch string, version uint64, scope string) bool {
 	return epoch == t.epochOf(scope) && version == t.version
 }
@@ -143,14 +143,14 @@
 	return runners
 }
 
-// KeepHealth writes into a list the health that daemons were told of last.
+// KeepHealth writes into a list the health that daemons were told last.
 func (t *Table) KeepHealth(list []Runner) {
 	for i := range list {
 		list[i].Health = t.rows[list[i].ID].runner.Health
 	}
 }
 
-// Update takes over a list that was read to its end. It tells whether anything changed.
+// Update takes over a list that was read to its end. It reports whether anything changed.
 func (t *Table) Update(list []Runner) bool {
 	next := t.version + 1
 	listed := map[string]bool{}
@@ -194,7 +194,7 @@
 // maxDigests is how many digests of earlier versions are remembered.
 const maxDigests = 256
 
-// rememberDigests takes note of the first version that has the present digest of a scope.
+// rememberDigests records the first version that has the present digest of a scope.
 func (t *Table) rememberDigests() {
 	if len(t.versions) >= maxDigests {
 		clear(t.versions)
@@ -213,7 +213,7 @@
 	Digest  uint64
 }
 
-// Since gives what changed in the list of a scope for daemons of a zone after a position. A
+// Since returns what changed in the list of a scope for daemons of a zone after a position. A
 // copy that another leader's table made is known by its digest, which says nothing of the
 // runners' health: that is told as it changes. A position that isn't known here gets the
 // whole list.
@@ -274,7 +274,7 @@
 // Position is what the copy is of.
 func (v *View) Position() Position { return Position{v.epoch, v.version, v.digest} }
 
-// Apply takes over a delta; one of an older version changes nothing. It tells whether
+// Apply takes over a delta; one of an older version changes nothing. It reports whether
 // the copy is another one now.
 func (v *View) Apply(delta Delta) bool {
 	if delta.Epoch == v.epoch && delta.Version <= v.version {
@@ -304,7 +304,7 @@
 	return true
 }
 
-// follows tells whether a delta that isn't whole can be applied to a copy.
+// follows reports whether a delta that isn't whole can be applied to a copy.
 func (d Delta) follows(v *View) bool {
 	if d.FromDigest != 0 {
 		return d.FromDigest == v.digest && d.Epoch != v.epoch
--- a/internal/rpc/leases.go
+++ b/internal/rpc/leases.go
@@ -37,7 +37,7 @@
 	Runtimes            []MemberRuntime // those that changed
 }
 
-// IsRequested tells whether a member, given by its place in the set, asks for a
+// IsRequested reports whether a member, given by its place in the set, asks for a
 // renewal.
 func (b *LeaseBatch) IsRequested(member int) bool {
 	return member>>3 < len(b.Requested) && b.Requested[member>>3]&(1<<(member&7)) != 0
--- a/internal/rpc/messages.go
+++ b/internal/rpc/messages.go
@@ -124,9 +124,9 @@
 	AgeMs   int64 // since when changes may be missing in it
 }
 
-// RunnerNews is what a daemon lacks of the list of runners, and its place among the
+// RunnerUpdate is what a daemon lacks of the list of runners, and its place among the
 // daemons of its zone that use them.
-type RunnerNews struct {
+type RunnerUpdate struct {
 	_           struct{} `cbor:",toarray"`
 	Delta       []byte   // an encoded registry.Delta, made once for all daemons that lack the same
 	DaemonIndex int
--- a/internal/rpc/request.go
+++ b/internal/rpc/request.go
@@ -111,11 +111,11 @@
 	KindGetTenants = "tenants"
 	// KindChangeConfig changes items of the cluster's configuration: ConfigUpdate.
 	KindChangeConfig = "change"
-	// KindPublishRunners gives the leader the platform's list of runners, read by its
+	// KindPublishRunners returns the leader the platform's list of runners, read by its
 	// own process: RunnerList.
 	KindPublishRunners = "listed"
 	// KindWatchRunners asks what has changed in the list of runners, and waits a moment
-	// if nothing has: RunnerWatch, RunnerNews.
+	// if nothing has: RunnerWatch, RunnerUpdate.
 	KindWatchRunners = "runners"
 	// KindExchangeCounts exchanges merged counts: counter.Request, counter.Response.
 	KindExchangeCounts = "counts"
--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -130,7 +130,7 @@
 	return math.Exp(max(estimate.meanLog-math.Sqrt(estimate.variance/weight), 0)), true
 }
 
-// recentPace gives the estimate of a worker and its weight now, or false if too few
+// recentPace returns the estimate of a worker and its weight now, or false if too few
 // runs ended there lately.
 func (p *Planner) recentPace(worker string, now int64) (estimate paceEstimate, weight float64, ok bool) {
 	estimate, ok = p.paces[worker]
@@ -147,7 +147,7 @@
 	return estimate, weight, true
 }
 
-// judgePace tells whether a worker is healthy or slow, as far as its runs prove it.
+// judgePace reports whether a worker is healthy or slow, as far as its runs prove it.
 func (p *Planner) judgePace(worker string, now int64) workerPace {
 	estimate, weight, ok := p.recentPace(worker, now)
 	limit := math.Log(healthyPaceLimit)
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -56,7 +56,7 @@
 	return nil
 }
 
-// racks gives the racks to try for a step, that of its data first since tasks run
+// racks returns the racks to try for a step, that of its data first since tasks run
 // faster there, and the processor time free on each, in thousandths of a core.
 func (s *snapshot) racks(request *placementRequest) (racks []string, freeCPU map[string]int64) {
 	spec := request.spec()
@@ -126,7 +126,7 @@
 	}
 }
 
-// candidates gives workers to choose from: all of them where a service has few;
+// candidates returns workers to choose from: all of them where a service has few;
 // else those on the named rack; else those near the step's data that fit; else up to
 // maxCandidates that fit, found by the rarest of the required labels or with
 // the fullest first.
@@ -169,7 +169,7 @@
 	return fitting
 }
 
-// workersWithRarestLabel gives the workers that have that one of the labels which
+// workersWithRarestLabel returns the workers that have that one of the labels which
 // the fewest workers have.
 func (s *snapshot) workersWithRarestLabel(service string, labels []string) []*state.Worker {
 	rarest := s.store.WorkersWithLabel(service, labels[0])
--- a/internal/scheduler/planner.go
+++ b/internal/scheduler/planner.go
@@ -25,9 +25,9 @@
 // seconds, the pace of workers, and how far estimates are off. The zero value is
 // ready for use; a Planner is used by one goroutine at a time.
 type Planner struct {
-	// SilentWorkers are the workers that the leader hasn't heard of lately. They
+	// UnresponsiveWorkers are the workers that the leader hasn't heard of lately. They
 	// get no tasks, and their runs get copies where that is allowed.
-	SilentWorkers map[string]bool
+	UnresponsiveWorkers map[string]bool
 	// UnhealthyWorkers are the workers whose agents report trouble, or whose
 	// lease has expired. Their runs are checked for copies at once.
 	UnhealthyWorkers map[string]bool
--- a/internal/scheduler/preemption.go
+++ b/internal/scheduler/preemption.go
@@ -24,7 +24,7 @@
 	lostMs     int64 // the work that it would lose
 }
 
-// Preemptions gives the IDs of the allocations to stop so that more urgent work,
+// Preemptions returns the IDs of the allocations to stop so that more urgent work,
 // which found no room in the last plan, finds some: first those that lose least
 // unsaved work, and none that lose more than maxPreemptionLoss.
 func (p *Planner) Preemptions(store *state.Store) []uint64 {
@@ -59,7 +59,7 @@
 	return preempted
 }
 
-// victims gives the runs that may be preempted, those that lose least first, and
+// victims returns the runs that may be preempted, those that lose least first, and
 // what runs that are being stopped already will free, by service.
 func (p *Planner) victims(store *state.Store) ([]victim, map[string]resources) {
 	var victims []victim
--- a/internal/scheduler/quota.go
+++ b/internal/scheduler/quota.go
@@ -123,7 +123,7 @@
 	}
 }
 
-// tenantPeak gives the peak of a tenant's priority, a new one if there is none.
+// tenantPeak returns the peak of a tenant's priority, a new one if there is none.
 func (p *Planner) tenantPeak(kind state.TenantPriority, now int64) *demandPeak {
 	if p.tenantPeaks == nil {
 		p.tenantPeaks = map[string]map[int]*demandPeak{}
@@ -137,7 +137,7 @@
 	return p.tenantPeaks[kind.Tenant][kind.Priority]
 }
 
-// usesMuchOfQuota tells whether a tenant uses over heavyTenantFraction of one of
+// usesMuchOfQuota reports whether a tenant uses over heavyTenantFraction of one of
 // its quota's resources.
 func usesMuchOfQuota(store *state.Store, tenant string) bool {
 	quota, bounded := store.Quotas[tenant]
--- a/internal/scheduler/quota_test.go
+++ b/internal/scheduler/quota_test.go
@@ -8,7 +8,7 @@
 	"tealpond/internal/state"
 )
 
-// configureTenants gives the cluster two tenants with the same limit.
+// configureTenants returns the cluster two tenants with the same limit.
 func (c *testCluster) configureTenants(milliCPU int64) {
 	c.tb.Helper()
 	raw := fmt.Sprintf(`{"configVersion":2,"tenantList":[{"name":"t","apiKeys":["kt"],"upperLimit":{"cpuUnits":%d}},{"name":"u","apiKeys":["ku"],"upperLimit":{"cpuUnits":%d}}],`,
@@ -55,7 +55,7 @@
 	}
 }
 
-// anyAllocationOf gives a run of a tenant.
+// anyAllocationOf returns a run of a tenant.
 func (c *testCluster) anyAllocationOf(tenant string) *state.Allocation {
 	for _, allocation := range c.store.Allocations {
 		if c.store.Jobs[allocation.Job].Tenant() == tenant {
--- a/internal/scheduler/requests.go
+++ b/internal/scheduler/requests.go
@@ -34,7 +34,7 @@
 
 func (r *placementRequest) isGang() bool { return r.job.IsGang(r.step) }
 
-// isLong tells whether the tasks take so long that they leave room to more urgent ones.
+// isLong reports whether the tasks take so long that they leave room to more urgent ones.
 func (r *placementRequest) isLong() bool {
 	return r.spec().EstimateMs >= longTaskThreshold.Milliseconds()
 }
@@ -48,7 +48,7 @@
 	return state.TaskName(r.job.ID, r.instance.Number, r.step, 0)
 }
 
-// mayPreempt tells whether tasks that find no room may preempt less urgent runs:
+// mayPreempt reports whether tasks that find no room may preempt less urgent runs:
 // they still gain by it, and have waited long enough for room to come free.
 func (r *placementRequest) mayPreempt(now int64) bool {
 	return r.class < tooLate && !r.speculative && !r.job.BeyondShare() && now-r.instance.Steps[r.step].ReadyAt >= preemptionDelay.Milliseconds()
@@ -67,7 +67,7 @@
 // by the operators' rules.
 const lateFactor = 3
 
-// classifyDeadline gives a job's class and the latest start that keeps it in that
+// classifyDeadline returns a job's class and the latest start that keeps it in that
 // class. All arguments are in milliseconds; remaining is the critical path of what
 // is left.
 func classifyDeadline(now, submittedAt, target, remaining int64) (deadlineClass, int64) {
--- a/internal/scheduler/reservation.go
+++ b/internal/scheduler/reservation.go
@@ -52,7 +52,7 @@
 	p.cpu, p.memory = max(decayed.cpu, demand.cpu), max(decayed.memory, demand.memory)
 }
 
-// currentDemand gives what each priority of a service holds, and that together
+// currentDemand returns what each priority of a service holds, and that together
 // with what waits, as far as the quotas of tenants allow it to run.
 func currentDemand(store *state.Store, requests []placementRequest) (held, demand map[state.ServicePriority]resources) {
 	held, demand = map[state.ServicePriority]resources{}, map[state.ServicePriority]resources{}
@@ -134,7 +134,7 @@
 	return true
 }
 
-// idleTooLong tells whether nothing of a job runs although its step has been ready for
+// idleTooLong reports whether nothing of a job runs although its step has been ready for
 // maxIdleTime. However much urgent demand is foreseen, such a job gets one task
 // under way where there is room: by the operators' rules it must not stand still beside
 // room for it, however full the service is.
--- a/internal/scheduler/scoring.go
+++ b/internal/scheduler/scoring.go
@@ -16,7 +16,7 @@
 // gets, which is at most 1.
 const slowdownCost = 10
 
-// fits tells whether one task fits on a worker now.
+// fits reports whether one task fits on a worker now.
 func (s *snapshot) fits(capacity *workerCapacity, query *taskQuery) bool {
 	worker, spec := capacity.worker, query.spec
 	switch {
@@ -34,7 +34,7 @@
 	return !s.tooSlow(capacity, query)
 }
 
-// cheapest gives the candidate of the lowest cost on which a task fits, or nil.
+// cheapest returns the candidate of the lowest cost on which a task fits, or nil.
 func (s *snapshot) cheapest(candidates []*workerCapacity, query *taskQuery) *workerCapacity {
 	var best *workerCapacity
 	lowest := math.Inf(1)
@@ -74,7 +74,7 @@
 	return 1
 }
 
-// tooSlow tells whether a task should pass over a slow worker: it can meet its
+// tooSlow reports whether a task should pass over a slow worker: it can meet its
 // target elsewhere, a little later, but not there. Copies always pass it over.
 func (s *snapshot) tooSlow(capacity *workerCapacity, query *taskQuery) bool {
 	factor := s.slowdown(capacity)
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -43,13 +43,13 @@
 	return snap
 }
 
-// capacityOf gives a worker's room, reading it from the state the first time.
+// capacityOf returns a worker's room, reading it from the state the first time.
 func (s *snapshot) capacityOf(worker *state.Worker) *workerCapacity {
 	if capacity := s.capacities[worker.ID]; capacity != nil {
 		return capacity
 	}
 	capacity := &workerCapacity{worker: worker, freeCPU: worker.FreeMilliCPU(), freeMemory: worker.FreeMemoryMB()}
-	capacity.excluded = !worker.Schedulable() || worker.BackoffUntil > s.store.Clock || s.planner != nil && s.planner.SilentWorkers[worker.ID]
+	capacity.excluded = !worker.Schedulable() || worker.BackoffUntil > s.store.Clock || s.planner != nil && s.planner.UnresponsiveWorkers[worker.ID]
 	if worker.Capacity.GPUs > 0 {
 		used := 0
 		for _, allocation := range s.store.AllocationsOn(worker.ID) {
@@ -61,7 +61,7 @@
 	return capacity
 }
 
-// fullScan gives all workers of a service, by ID, or false if there are more than
+// fullScan returns all workers of a service, by ID, or false if there are more than
 // fullScanMaxWorkers and the snapshot isn't exhaustive.
 func (s *snapshot) fullScan(service string) ([]*workerCapacity, bool) {
 	if _, n := s.store.SchedulableCapacity(service); n > fullScanMaxWorkers && !s.exhaustive {
@@ -80,7 +80,7 @@
 	return s.byService[service], true
 }
 
-// knownUnplaceable tells whether a step surely fits nowhere: one that is no larger
+// knownUnplaceable reports whether a step surely fits nowhere: one that is no larger
 // did not, and planning only takes room.
 func (s *snapshot) knownUnplaceable(request *placementRequest) bool {
 	spec := request.spec()
--- a/internal/scheduler/stragglers.go
+++ b/internal/scheduler/stragglers.go
@@ -39,7 +39,7 @@
 func (p *Planner) speculativeRequests(store *state.Store) []placementRequest {
 	p.stragglers.enqueueNew(store)
 	troubled := map[string]bool{}
-	for worker := range p.SilentWorkers {
+	for worker := range p.UnresponsiveWorkers {
 		troubled[worker] = true
 	}
 	for worker := range p.UnhealthyWorkers {
@@ -77,7 +77,7 @@
 	return requests
 }
 
-// isStraggler tells whether a run is in trouble on its worker or much longer under
+// isStraggler reports whether a run is in trouble on its worker or much longer under
 // way than usual, and when to check it again.
 func (p *Planner) isStraggler(store *state.Store, allocation *state.Allocation, job *state.Job) (bool, int64) {
 	expectedMs, factor := p.expectedDuration(store, allocation, job)
@@ -92,7 +92,7 @@
 	}
 	ageMs := float64(store.Clock - allocation.AllocatedAt)
 	worker := store.Workers[allocation.Worker]
-	lost := worker == nil || !worker.Schedulable() && !worker.Draining || p.SilentWorkers[allocation.Worker] || allocation.Stopping
+	lost := worker == nil || !worker.Schedulable() && !worker.Draining || p.UnresponsiveWorkers[allocation.Worker] || allocation.Stopping
 	slow := p.Slowdown[allocation.Worker] > slowWorkerFactor
 	overdue := ageMs > float64(minStragglerAge.Milliseconds()) && (ageMs > factor*expectedMs || slow && ageMs < expectedMs)
 	return lost || overdue, store.Clock + checkPause(ageMs, factor*expectedMs)
--- a/internal/server/aggregation.go
+++ b/internal/server/aggregation.go
@@ -25,7 +25,7 @@
 	response   rpc.Response
 }
 
-// isAggregating tells whether this server may take requests of agents for the
+// isAggregating reports whether this server may take requests of agents for the
 // leader.
 func (r *Replica) isAggregating(now time.Time) bool {
 	// It goes on through an election: agents have nowhere better to turn to, and
@@ -34,7 +34,7 @@
 	return mayAggregate && len(r.leaveWaiters) == 0 && r.leaderlessFor(now) < aggregatorLeaderLossTimeout
 }
 
-// isAppointed tells whether a member is the aggregator or the standby of a zone.
+// isAppointed reports whether a member is the aggregator or the standby of a zone.
 func (r *Replica) isAppointed(memberID string) bool {
 	for _, aggregator := range r.state.Aggregators {
 		if memberID != "" && (aggregator.Member == memberID || aggregator.Standby == memberID) {
--- a/internal/server/aggregator_choice.go
+++ b/internal/server/aggregator_choice.go
@@ -22,11 +22,11 @@
 	zoneOf       func(node string) string // empty if unknown
 	zoneCount    map[string]int           // by member ID: the zones it aggregates for now
 	leaderInZone bool
-	heardSince   map[string]time.Time // by member ID: since when it has been heard without a gap
+	contactSince map[string]time.Time // by member ID: since when it has been heard without a gap
 	now          time.Time
 }
 
-// appoint chooses an aggregator and a standby; changed tells whether that is worth
+// appoint chooses an aggregator and a standby; changed reports whether that is worth
 // a change. Both are empty if no candidate serves the zone better than the leader.
 func (c *aggregatorChoice) appoint() (appointed state.ZoneAggregator, changed bool) {
 	ranked := c.ranked()
@@ -40,7 +40,7 @@
 	return appointed, c.worthChanging(appointed)
 }
 
-// inZone tells whether a server is in the zone. A leader that was elected a moment ago
+// inZone reports whether a server is in the zone. A leader that was elected a moment ago
 // has not heard of all servers' zones yet; of the present aggregator it takes over what
 // an earlier leader knew.
 func (c *aggregatorChoice) inZone(server raft.Member) bool {
@@ -48,7 +48,7 @@
 	return zone == c.zone || zone == "" && server.ID == c.current.Member
 }
 
-// serves tells whether a voter serves the zone better than the leader does itself.
+// serves reports whether a voter serves the zone better than the leader does itself.
 func (c *aggregatorChoice) serves(voter raft.Member) bool { return c.inZone(voter) || !c.leaderInZone }
 
 // ranked are the candidates, the best first.
@@ -58,7 +58,7 @@
 	return ranked
 }
 
-// better tells whether voter a is to be preferred to voter b.
+// better reports whether voter a is to be preferred to voter b.
 func (c *aggregatorChoice) better(a, b raft.Member) bool {
 	if c.inZone(a) != c.inZone(b) {
 		return c.inZone(a)
@@ -71,7 +71,7 @@
 	return aIsCurrent || !bIsCurrent && a.ID < b.ID
 }
 
-// worthChanging tells whether an appointment is worth a change of the current one.
+// worthChanging reports whether an appointment is worth a change of the current one.
 // While the current aggregator is available, a voter that was silent a moment ago
 // is not appointed, since it may fall silent again.
 func (c *aggregatorChoice) worthChanging(appointed state.ZoneAggregator) bool {
@@ -91,7 +91,7 @@
 	return appointed.Member == c.current.Member || !c.justReturned(appointed.Member)
 }
 
-// justReturned tells whether a voter was silent a moment ago.
+// justReturned reports whether a voter was silent a moment ago.
 func (c *aggregatorChoice) justReturned(id string) bool {
-	return c.now.Sub(c.heardSince[id]) < aggregatorReturnDelay
+	return c.now.Sub(c.contactSince[id]) < aggregatorReturnDelay
 }
--- a/internal/server/announced_runners.go
+++ b/internal/server/announced_runners.go
@@ -31,7 +31,7 @@
 	expireAt  time.Time
 }
 
-// announced gives the runners that announce themselves to this leader.
+// announced returns the runners that announce themselves to this leader.
 func (r *Replica) announced(now time.Time) *announcedRunners {
 	if r.announcedRunners == nil {
 		interval := r.heartbeatInterval()
--- a/internal/server/appointments.go
+++ b/internal/server/appointments.go
@@ -21,7 +21,7 @@
 // appointments is what the leader knows of the servers that may aggregate for a
 // zone.
 type appointments struct {
-	heardSince    map[string]time.Time // by member ID: since when it has been heard without a gap
+	contactSince  map[string]time.Time // by member ID: since when it has been heard without a gap
 	leavingUntil  map[string]time.Time // by member ID: it is leaving, and until when that is believed
 	releasedAt    map[string]time.Time // by member ID: when it was told that it may end
 	changePending map[string]bool      // by zone: a change is proposed and not yet applied
@@ -29,7 +29,7 @@
 }
 
 func newAppointments() appointments {
-	return appointments{heardSince: map[string]time.Time{}, leavingUntil: map[string]time.Time{}, releasedAt: map[string]time.Time{}, changePending: map[string]bool{}}
+	return appointments{contactSince: map[string]time.Time{}, leavingUntil: map[string]time.Time{}, releasedAt: map[string]time.Time{}, changePending: map[string]bool{}}
 }
 
 // forgetPast removes what no longer counts of servers that are leaving or were released.
@@ -38,21 +38,21 @@
 	maps.DeleteFunc(a.releasedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= shutdownReleasePeriod })
 }
 
-// canAggregate tells whether a server may aggregate for a zone now, and notes since
+// canAggregate reports whether a server may aggregate for a zone now, and notes since
 // when it is heard.
 func (r *Replica) canAggregate(server raft.Member, now time.Time) bool {
-	heard := r.node.SilentFor(server.ID) < aggregatorSilenceTimeout
+	heard := r.node.TimeSinceContact(server.ID) < aggregatorSilenceTimeout
 	leaving := !now.After(r.appointments.leavingUntil[server.ID])
 	ok := server.ID != r.self.ID && heard && !leaving
 	if !ok {
-		delete(r.appointments.heardSince, server.ID)
-	} else if r.appointments.heardSince[server.ID].IsZero() {
-		r.appointments.heardSince[server.ID] = now
+		delete(r.appointments.contactSince, server.ID)
+	} else if r.appointments.contactSince[server.ID].IsZero() {
+		r.appointments.contactSince[server.ID] = now
 	}
 	return ok
 }
 
-// appointAggregators gives each zone that has workers an aggregator: a server of
+// appointAggregators returns each zone that has workers an aggregator: a server of
 // the zone that does not lead; if there is none and the leader isn't in the zone
 // itself, the server with the fewest zones.
 func (r *Replica) appointAggregators(now time.Time) {
@@ -88,7 +88,7 @@
 	return learners
 }
 
-// awaitsLearner tells whether a zone's aggregator may be a learner that this leader,
+// awaitsLearner reports whether a zone's aggregator may be a learner that this leader,
 // elected a moment ago, has not heard of yet: learners announce themselves to each
 // new leader.
 func (r *Replica) awaitsLearner(current state.ZoneAggregator, now time.Time) bool {
@@ -127,7 +127,7 @@
 		zoneOf:       r.zoneOf,
 		zoneCount:    zoneCount,
 		leaderInZone: r.zoneOf(r.self.Node) == zone || r.settings.Zone == zone,
-		heardSince:   r.appointments.heardSince,
+		contactSince: r.appointments.contactSince,
 		now:          now,
 	}
 	appointed, changed := choice.appoint()
--- a/internal/server/bootstrap.go
+++ b/internal/server/bootstrap.go
@@ -20,7 +20,7 @@
 	reply(rpc.Response{Code: rpc.CodeOK, Body: transport.Encode(r.bootstrap.HandleAnnouncement(announcement, time.Now()))})
 }
 
-// isBlank tells whether this server waits to be taken in and knows of nothing yet:
+// isBlank reports whether this server waits to be taken in and knows of nothing yet:
 // it was started again, bound to no set, and heard of no term.
 func (r *Replica) isBlank() bool {
 	return r.node != nil && len(r.persisted.Founders) == 0 && r.node.Term() == 0 && r.node.LastIndex() == 0
@@ -36,7 +36,7 @@
 	named := slices.Contains(proposal.Voters, r.self)
 	if r.isBlank() && named {
 		// It announced itself before it was restarted, and the others wait for
-		// it: to stand by until it is taken in would block them for good.
+		// it: to stand by until it is taken in would block them for ever.
 		r.node = nil
 	}
 	switch {
@@ -53,7 +53,7 @@
 	}
 }
 
-// bindToFounders binds this server to the voters of the first cluster, for good.
+// bindToFounders binds this server to the voters of the first cluster, permanently.
 func (r *Replica) bindToFounders(voters []raft.Member) {
 	snapshot := raft.Snapshot{Index: 1, Voters: voters}
 	if err := r.storage.Bootstrap(voters, snapshot); err != nil {
--- a/internal/server/clock.go
+++ b/internal/server/clock.go
@@ -17,7 +17,7 @@
 	return r.clockBase + now.Sub(r.leadingSince).Milliseconds()
 }
 
-// learnClocks takes note of the clocks of the newest entry that was applied, and of its term.
+// learnClocks records the clocks of the newest entry that was applied, and of its term.
 // Before any entry the clock doesn't run yet: replicas start at different moments, and each would
 // take its own for the zero of the cluster's clock.
 //
--- a/internal/server/cluster_time.go
+++ b/internal/server/cluster_time.go
@@ -43,7 +43,7 @@
 // newClusterTime begins to learn at a moment.
 func newClusterTime(now time.Time) clusterTime { return clusterTime{origin: now} }
 
-// learn takes note of the wall clock of an entry that is applied now. An entry is applied
+// learn records the wall clock of an entry that is applied now. An entry is applied
 // after it was stamped, so the largest offset of late is the truest.
 func (c *clusterTime) learn(now time.Time, wall time.Duration) {
 	c.learned.add(now, wall-now.Sub(c.origin))
@@ -95,7 +95,7 @@
 	windows          int // that have an offset: 0, 1, or 2 for both
 }
 
-// add takes note of an offset.
+// add records an offset.
 func (l *learnedOffset) add(now time.Time, offset time.Duration) {
 	switch {
 	case l.windows == 0:
@@ -107,7 +107,7 @@
 	}
 }
 
-// latest gives the largest offset; false if there was none.
+// latest returns the largest offset; false if there was none.
 func (l *learnedOffset) latest() (time.Duration, bool) {
 	if l.windows == 2 {
 		return max(l.present, l.earlier), true
--- a/internal/server/config_news.go
+++ b/internal/server/config_updates.go
@@ -4,9 +4,9 @@
 	"tealpond/internal/clusterconfig"
 )
 
-// configNews makes the changes that lead from earlier configurations to the newest one,
+// configUpdates makes the changes that lead from earlier configurations to the newest one,
 // once for all daemons that lack the same. It is not part of the state.
-type configNews struct {
+type configUpdates struct {
 	texts   map[int64][]byte // of the last versions
 	changes map[int64][]byte // from a version to newest; nil: it must be told whole
 	newest  int64
@@ -16,9 +16,9 @@
 // whole.
 const keptConfigTexts = 8
 
-// since gives a configuration to a daemon that has a version: the change from that one, or
+// since returns a configuration to a daemon that has a version: the change from that one, or
 // the whole text and 0.
-func (n *configNews) since(version int64, newest *clusterconfig.Config) (text []byte, base int64) {
+func (n *configUpdates) since(version int64, newest *clusterconfig.Config) (text []byte, base int64) {
 	n.remember(newest)
 	change, made := n.changes[version]
 	if from := n.texts[version]; !made && from != nil {
@@ -34,7 +34,7 @@
 }
 
 // remember keeps the text of a configuration, and forgets that of the oldest.
-func (n *configNews) remember(newest *clusterconfig.Config) {
+func (n *configUpdates) remember(newest *clusterconfig.Config) {
 	if n.newest == newest.Version {
 		return
 	}
--- a/internal/server/configuration.go
+++ b/internal/server/configuration.go
@@ -57,7 +57,7 @@
 	text    [sha256.Size]byte
 }
 
-// handleGetConfig gives the newest configuration, whole. A change that this leader has
+// handleGetConfig returns the newest configuration, whole. A change that this leader has
 // confirmed is applied here, since it is confirmed by being applied; one that an
 // earlier leader confirmed lies before the first entry of this term, which is
 // applied before a leader is ready; and no later leader has confirmed any while
@@ -65,7 +65,7 @@
 // and the response gives what was newest within the call, since that began before.
 func (r *Replica) handleGetConfig(_ []byte, _ *transport.Stream, reply replyFunc) {
 	if r.state.Configuration.Version == 0 {
-		// Not rpc.CodeNotFound, which would end an operator's call for good: the
+		// Not rpc.CodeNotFound, which would end an operator's call permanently: the
 		// first configuration may be on its way.
 		reply(responseNotConfigured)
 		return
@@ -73,7 +73,7 @@
 	reply(rpc.Response{Code: rpc.CodeOK, Value: r.state.Configuration.Version, Body: r.state.Configuration.Raw})
 }
 
-// handleGetLimits gives the limits of the newest configuration.
+// handleGetLimits returns the limits of the newest configuration.
 func (r *Replica) handleGetLimits(_ []byte, _ *transport.Stream, reply replyFunc) {
 	if r.state.Configuration.Version == 0 {
 		reply(responseNotConfigured)
--- a/internal/server/configuration_test.go
+++ b/internal/server/configuration_test.go
@@ -11,7 +11,7 @@
 	"tealpond/internal/transport"
 )
 
-// responseTo gives the response to a request that is answered at once.
+// responseTo returns the response to a request that is answered at once.
 func responseTo(handler leaderHandler, replica *Replica) rpc.Response {
 	var received rpc.Response
 	handler(replica, nil, nil, replica.withAppliedVersions(func(response rpc.Response) { received = response }))
--- a/internal/server/evacuations.go
+++ b/internal/server/evacuations.go
@@ -42,7 +42,7 @@
 	})
 }
 
-// noticeEvacuations takes note of orders that were applied in this turn.
+// noticeEvacuations records orders that were applied in this turn.
 func (r *Replica) noticeEvacuations(now time.Time) {
 	for zone, evacuation := range r.state.Evacuations {
 		if known, ok := r.evacuationNotices[zone]; !ok || known.changedAt != evacuation.ChangedAt {
--- a/internal/server/federation.go
+++ b/internal/server/federation.go
@@ -120,9 +120,9 @@
 	case federation.CallRelease:
 		release := &state.ReleaseJob{Peer: request.From, OfferID: request.OfferID, ID: request.JobID}
 		r.enqueueCommand(state.CommandReleaseJob, release, respondOutcome)
-	case federation.CallVoidOffer:
-		void := &state.VoidOffer{Peer: request.From, OfferID: request.OfferID, ID: request.JobID, Cancel: request.Cancel}
-		r.enqueueCommand(state.CommandVoidOffer, void, respondOutcome)
+	case federation.CallWithdrawOffer:
+		void := &state.WithdrawOffer{Peer: request.From, OfferID: request.OfferID, ID: request.JobID, Cancel: request.Cancel}
+		r.enqueueCommand(state.CommandWithdrawOffer, void, respondOutcome)
 	default:
 		reply(rpc.Response{Code: rpc.CodeBadRequest, Text: "unknown call"})
 	}
--- a/internal/server/federation_work.go
+++ b/internal/server/federation_work.go
@@ -50,13 +50,13 @@
 	return federation.OpenTransfer{JobID: job.ID, Peer: job.Transfer.Peer, OfferID: job.Transfer.OfferID, State: job.Transfer.State}
 }
 
-// mayBeOffered tells whether a job may be offered to another cluster: nothing of it
+// mayBeOffered reports whether a job may be offered to another cluster: nothing of it
 // has begun, it is to end, and it is not another cluster's.
 func mayBeOffered(job *state.Job) bool {
 	return !job.Started && job.PeriodicInstances == 0 && !job.Transfer.Incoming && !hasLongRunningStep(job)
 }
 
-// hasLongRunningStep tells whether a job has a long-running step.
+// hasLongRunningStep reports whether a job has a long-running step.
 func hasLongRunningStep(job *state.Job) bool {
 	for _, step := range job.Steps {
 		if step.LongRunning {
--- a/internal/server/harness_test.go
+++ b/internal/server/harness_test.go
@@ -28,7 +28,7 @@
 
 var testVoters = []raft.Member{{Node: "n-a", ID: "a"}, {Node: "n-b", ID: "b"}, {Node: "n-c", ID: "c"}}
 
-// newHarness gives the replica of the first voter, bootstrapped and empty.
+// newHarness returns the replica of the first voter, bootstrapped and empty.
 func newHarness(t *testing.T) *harness {
 	t.Helper()
 	replica := newReplica()
@@ -106,7 +106,7 @@
 	})
 }
 
-// newLeader gives a replica that leads and has a lease.
+// newLeader returns a replica that leads and has a lease.
 func newLeader(t *testing.T) *harness {
 	t.Helper()
 	h := newHarness(t)
--- a/internal/server/jobs.go
+++ b/internal/server/jobs.go
@@ -14,7 +14,7 @@
 // jobIDDigits is the length of a job ID, in hex digits.
 const jobIDDigits = 16
 
-// validJobID tells whether a job ID consists of its 16 hex digits.
+// validJobID reports whether a job ID consists of its 16 hex digits.
 func validJobID(id string) bool {
 	if len(id) != jobIDDigits {
 		return false
--- a/internal/server/key_watches.go
+++ b/internal/server/key_watches.go
@@ -36,7 +36,7 @@
 	w.noteUntil(watcher.until)
 }
 
-// noteUntil takes note of when a watcher must be answered.
+// noteUntil records when a watcher must be answered.
 func (w *keyWatchers) noteUntil(until time.Time) {
 	if w.nextUntil.IsZero() || until.Before(w.nextUntil) {
 		w.nextUntil = until
@@ -76,24 +76,24 @@
 // watch is held for the first put, which would else be missed.
 func (r *Replica) handleWatchKeys(watch *rpc.KeyWatch, _ *transport.Stream, reply replyFunc) {
 	if revision := r.state.Coordination.Revision(watch.Group); watch.After <= 0 && revision > 0 {
-		reply(newsResponse(coordination.News{Revision: revision}, nil))
+		reply(updateResponse(coordination.WatchResult{Revision: revision}, nil))
 		return
 	}
-	news, err := r.state.Coordination.Since(watch.Group, watch.After)
-	if err != nil || len(news.Events) > 0 || watch.WaitMs <= 0 {
-		reply(newsResponse(news, err))
+	update, err := r.state.Coordination.Since(watch.Group, watch.After)
+	if err != nil || len(update.Events) > 0 || watch.WaitMs <= 0 {
+		reply(updateResponse(update, err))
 		return
 	}
 	wait := min(time.Duration(watch.WaitMs)*time.Millisecond, timing.MaxWatchWait)
 	r.keyWatchers.add(watch.Group, r.state.Coordination.Revision(watch.Group), keyWatcher{watch.After, reply, time.Now().Add(wait)})
 }
 
-// newsResponse is the answer to a watch.
-func newsResponse(news coordination.News, err error) rpc.Response {
+// updateResponse is the answer to a watch.
+func updateResponse(update coordination.WatchResult, err error) rpc.Response {
 	if err != nil {
 		return rpc.Response{Code: rpc.CodeGone, Text: err.Error()}
 	}
-	return rpc.Response{Code: rpc.CodeOK, Value: news.Revision, Body: transport.Encode(news)}
+	return rpc.Response{Code: rpc.CodeOK, Value: update.Revision, Body: transport.Encode(update)}
 }
 
 // replyToKeyWatchers answers the watches for which there are puts, or whose time is over;
@@ -136,5 +136,5 @@
 		watcher.reply(rpc.Response{Code: rpc.CodeNotLeader, Leader: r.leaderAddress()})
 		return
 	}
-	watcher.reply(newsResponse(r.state.Coordination.Since(group, watcher.after)))
+	watcher.reply(updateResponse(r.state.Coordination.Since(group, watcher.after)))
 }
--- a/internal/server/leader.go
+++ b/internal/server/leader.go
@@ -11,8 +11,8 @@
 const (
 	// jobExpiryInterval is the time between two removals of expired jobs.
 	jobExpiryInterval = 10 * time.Second
-	// rollupInterval is the time between two rebuilds of the usage rollups from the bookings.
-	rollupInterval = 5 * time.Minute
+	// usageRebuildInterval is the time between two rebuilds of the usage rollups from the bookings.
+	usageRebuildInterval = 5 * time.Minute
 )
 
 // leaderWork does what a leader has to do at this time; it returns after how long
@@ -46,7 +46,7 @@
 	r.collectGarbage(now)
 	r.updatePlanner(now)
 	r.stopRunsOfLeavingWorkers(now)
-	r.planDue = r.planDue || len(r.planner.SilentWorkers) > 0 || len(r.state.Allocations) > 0
+	r.planDue = r.planDue || len(r.planner.UnresponsiveWorkers) > 0 || len(r.state.Allocations) > 0
 	if r.debug {
 		r.logCapacity(now)
 	}
@@ -80,11 +80,11 @@
 	}
 	r.garbageCollectedAt = now
 	r.expireMemberships(now)
-	rebuild := now.Sub(r.rollupsRebuiltAt) >= rollupInterval
+	rebuild := now.Sub(r.usageRebuiltAt) >= usageRebuildInterval
 	if rebuild {
-		r.rollupsRebuiltAt = now
+		r.usageRebuiltAt = now
 	}
-	r.enqueueCommand(state.CommandCollectGarbage, &state.CollectGarbage{RebuildRollups: rebuild}, nil)
+	r.enqueueCommand(state.CommandCollectGarbage, &state.CollectGarbage{RebuildUsage: rebuild}, nil)
 	if rebuild {
 		r.enqueueCommand(state.CommandForgetUnused, &state.ForgetUnused{}, nil)
 	}
@@ -108,7 +108,7 @@
 	}
 	r.planDue, r.plansProposed, r.garbageCollectionProposed = true, false, false
 	r.planNotBefore, r.refusedInARow = time.Time{}, 0
-	r.garbageCollectedAt, r.rollupsRebuiltAt = now, now
+	r.garbageCollectedAt, r.usageRebuiltAt = now, now
 	if limits := stateLimits(r.settings); r.state.Limits != limits {
 		r.enqueueCommand(state.CommandSetLimits, &state.SetLimits{Limits: limits}, nil)
 	}
--- a/internal/server/link_trial.go
+++ b/internal/server/link_trial.go
@@ -22,10 +22,10 @@
 	byteRateInterval = time.Second
 )
 
-// A leader whose link carries less than it has to send is heard late by all. Late answers alone
+// A leader whose link carries less than it has to send is answered late by all. Late answers alone
 // don't tell that from slow disks, long ways or links that are narrow everywhere, where another
-// leader is heard no sooner. So a leader that is heard late has each voter measure its own link
-// to a quorum by the same probes, and hands over only to one whose link is clearly better.
+// leader is heard no sooner. So a leader that is answered late has each voter measure its own link
+// to a quorum by the same probes, and transfers the leadership only to one whose link is clearly better.
 
 // frameLinkProbe carries a linkProbe between replicas.
 const frameLinkProbe = byte(68)
@@ -66,7 +66,7 @@
 	Latency, Transfer time.Duration
 }
 
-// isClearlyBetter tells whether a link would serve a leader better than another one does.
+// isClearlyBetter reports whether a link would serve a leader better than another one does.
 func (q linkQuality) isClearlyBetter(than linkQuality) bool {
 	return than.Latency >= 2*q.Latency+minLatencyGain &&
 		than.Transfer >= minTransferRatio*q.Transfer
@@ -231,7 +231,7 @@
 // add counts bytes.
 func (b *byteRate) add(bytes int) { b.bytes += bytes }
 
-// perSecond gives the rate, taken anew each ByteRateInterval.
+// perSecond returns the rate, taken anew each ByteRateInterval.
 func (b *byteRate) perSecond(now time.Time) float64 {
 	if elapsed := now.Sub(b.started); elapsed >= byteRateInterval {
 		b.rate, b.bytes, b.started = float64(b.bytes)/elapsed.Seconds(), 0, now
--- a/internal/server/membership.go
+++ b/internal/server/membership.go
@@ -63,7 +63,7 @@
 		switch {
 		case r.node.IsVoter(id):
 			delete(r.membership.candidates, id)
-		case r.node.SilentFor(id) > candidateExpiry:
+		case r.node.TimeSinceContact(id) > candidateExpiry:
 			delete(r.membership.candidates, id)
 			r.node.RemoveLearner(id)
 		default:
@@ -75,10 +75,10 @@
 	return live
 }
 
-// canTakePlace tells whether a candidate may become a voter now: it has caught up, so
+// canTakePlace reports whether a candidate may become a voter now: it has caught up, so
 // that commits need not wait for it, and was heard lately.
 func (r *Replica) canTakePlace(candidate raft.Member) bool {
-	return r.node.CaughtUp(candidate.ID) && r.node.SilentFor(candidate.ID) <= candidateContactTimeout
+	return r.node.CaughtUp(candidate.ID) && r.node.TimeSinceContact(candidate.ID) <= candidateContactTimeout
 }
 
 // reconcileVoters puts a caught-up candidate in the place of a voter that is gone,
@@ -151,7 +151,7 @@
 			continue
 		}
 		last = i
-		if !r.node.CaughtUp(voter.ID) || r.node.SilentFor(voter.ID) > aggregatorSilenceTimeout || r.isLeaving(voter.ID, now) {
+		if !r.node.CaughtUp(voter.ID) || r.node.TimeSinceContact(voter.ID) > aggregatorSilenceTimeout || r.isLeaving(voter.ID, now) {
 			if unwell >= 0 {
 				// With two that are unwell a smaller set may lack a majority.
 				return -1
@@ -160,7 +160,7 @@
 		}
 	}
 	if unwell >= 0 {
-		if r.node.SilentFor(voters[unwell].ID) <= voterReplacementTimeout {
+		if r.node.TimeSinceContact(voters[unwell].ID) <= voterReplacementTimeout {
 			return -1
 		}
 		return unwell
@@ -189,10 +189,10 @@
 	}
 	longest := -1
 	for i, voter := range voters {
-		if voter.ID == r.self.ID || r.node.SilentFor(voter.ID) <= voterReplacementTimeout {
+		if voter.ID == r.self.ID || r.node.TimeSinceContact(voter.ID) <= voterReplacementTimeout {
 			continue
 		}
-		if longest < 0 || r.node.SilentFor(voter.ID) > r.node.SilentFor(voters[longest].ID) {
+		if longest < 0 || r.node.TimeSinceContact(voter.ID) > r.node.TimeSinceContact(voters[longest].ID) {
 			longest = i
 		}
 	}
@@ -202,7 +202,7 @@
 	return longest, "it is silent"
 }
 
-// isLeaving tells whether a voter said that it leaves.
+// isLeaving reports whether a voter said that it leaves.
 func (r *Replica) isLeaving(id string, now time.Time) bool {
 	if id == r.self.ID {
 		return len(r.leaveWaiters) > 0
@@ -222,7 +222,7 @@
 		return "the leader is new and may not know yet who ends"
 	}
 	for _, candidate := range r.liveCandidates() {
-		if r.node.SilentFor(candidate.ID) <= candidateContactTimeout {
+		if r.node.TimeSinceContact(candidate.ID) <= candidateContactTimeout {
 			return "a candidate is about to take a place"
 		}
 	}
@@ -231,7 +231,7 @@
 		switch {
 		case voter.ID == id:
 			continue
-		case voter.ID != r.self.ID && (r.node.SilentFor(voter.ID) > aggregatorSilenceTimeout || !r.node.CaughtUp(voter.ID)):
+		case voter.ID != r.self.ID && (r.node.TimeSinceContact(voter.ID) > aggregatorSilenceTimeout || !r.node.CaughtUp(voter.ID)):
 			return "another voter is silent or lags"
 		case r.isReleased(voter.ID, time.Now()):
 			ending++
@@ -243,8 +243,8 @@
 	return ""
 }
 
-// isReleased tells whether a voter was told a moment ago that it may end, and may be
-// about to: it is heard until it does. The leader itself ends once it hands over.
+// isReleased reports whether a voter was told a moment ago that it may end, and may be
+// about to: it is heard until it does. The leader itself ends once it transfers the leadership.
 func (r *Replica) isReleased(id string, now time.Time) bool {
 	if id == r.self.ID {
 		return r.transferringLeadership
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -37,7 +37,7 @@
 	return func() { m.durations[name] += time.Since(start) }
 }
 
-// logLine gives the counts of the second that has gone by, in the order of their
+// logLine returns the counts of the second that has gone by, in the order of their
 // names, and begins the next; nothing before a second is over.
 func (m *loopMetrics) logLine(now time.Time) []any {
 	if m == nil || now.Sub(m.since) < time.Second {
--- a/internal/server/monitoring.go
+++ b/internal/server/monitoring.go
@@ -12,7 +12,7 @@
 // requestGauges is the request of this process for its figures.
 const requestGauges = "gauges"
 
-// Gauges gives the figures of this replica, as its loop reads them; none if the
+// Gauges returns the figures of this replica, as its loop reads them; none if the
 // context ends first. It is safe for concurrent use.
 func (r *Replica) Gauges(ctx context.Context) []monitoring.Gauge {
 	received := make(chan rpc.Response, 1)
@@ -98,7 +98,7 @@
 	return []monitoring.Gauge{
 		{Name: "tealpond_leader_for_seconds", Value: now.Sub(r.leadingSince).Seconds()},
 		{Name: "tealpond_worker_leases", Value: float64(len(r.leases))},
-		{Name: "tealpond_workers_silent", Value: float64(len(r.planner.SilentWorkers))},
+		{Name: "tealpond_workers_silent", Value: float64(len(r.planner.UnresponsiveWorkers))},
 		{Name: "tealpond_members", Value: float64(len(r.memberLeases))},
 		{Name: "tealpond_learners", Value: float64(len(r.membership.candidates))},
 		{Name: "tealpond_commands_waiting", Value: float64(len(r.commands))},
--- a/internal/server/replica.go
+++ b/internal/server/replica.go
@@ -34,13 +34,13 @@
 	// maxAppendBytes is the largest size of one append, in bytes; a larger one would delay the
 	// heartbeat behind it.
 	maxAppendBytes = 256 << 10
-	// maxBulkBytes bounds the large appends in flight to all followers together, in bytes, while the
-	// rates of the links are not known.
-	maxBulkBytes = 128 << 10
-	// maxBulkDelay is for how long the large appends in flight may delay a heartbeat.
-	maxBulkDelay = 100 * time.Millisecond
-	// bulkTimeout is how long a large append that is not acknowledged delays others at most.
-	bulkTimeout = 400 * time.Millisecond
+	// maxLargeAppendBytes bounds the large appends in flight to all followers together, in bytes,
+	// while the rates of the links are not known.
+	maxLargeAppendBytes = 128 << 10
+	// maxLargeAppendDelay is for how long the large appends in flight may delay a heartbeat.
+	maxLargeAppendDelay = 100 * time.Millisecond
+	// largeAppendTimeout is how long a large append that is not acknowledged delays others at most.
+	largeAppendTimeout = 400 * time.Millisecond
 	// maxCommittedEntries is the number of entries that a replica applies between two looks at the
 	// clock.
 	maxCommittedEntries = 16
@@ -146,10 +146,10 @@
 	runnerTable               *registry.Table   // the list of runners that daemons are told, while this server leads
 	runnerDeltas              runnerDeltas      // encoded
 	runnersReadAt             time.Time         // since when changes may be missing in the list
-	healthToldAt              time.Time         // when daemons were last told of the runners' health
+	healthSentAt              time.Time         // when daemons were last told of the runners' health
 	announcedRunners          *announcedRunners // what runners tell of themselves, where no platform lists them
 	runnerWatchers            []runnerWatcher
-	configNews                configNews
+	configUpdates             configUpdates
 	positions                 map[string]daemonPosition // of daemons, by node
 	positionsAt               time.Time
 	observations              *registry.Observations // of runners, by all daemons
@@ -159,7 +159,7 @@
 	refusedInARow             int                    // times that all plans were refused
 	garbageCollectionProposed bool                   // and not yet applied
 	garbageCollectedAt        time.Time
-	rollupsRebuiltAt          time.Time
+	usageRebuiltAt            time.Time
 	preemptedAt               time.Time
 	periodicWorkAt            time.Time
 	capacityLoggedAt          time.Time
@@ -227,7 +227,7 @@
 		clockSeen:          clockNeverSeen,
 		appointments:       newAppointments(),
 		pendingUpdates:     map[pendingUpdateKey][]replyFunc{},
-		tallies:            tallyService{guests: map[string]time.Time{}, silent: map[string]bool{}},
+		tallies:            tallyService{learnerContacts: map[string]time.Time{}, silent: map[string]bool{}},
 	}
 }
 
@@ -242,9 +242,9 @@
 		LeaseFraction:       timing.LeaderLeaseFraction,
 		MaxInflightEntries:  maxInflightEntries,
 		MaxAppendBytes:      maxAppendBytes,
-		MaxBulkBytes:        maxBulkBytes,
-		MaxBulkDelay:        maxBulkDelay,
-		BulkTimeout:         bulkTimeout,
+		MaxLargeAppendBytes: maxLargeAppendBytes,
+		MaxLargeAppendDelay: maxLargeAppendDelay,
+		LargeAppendTimeout:  largeAppendTimeout,
 		MaxCommittedEntries: maxCommittedEntries,
 	}
 }
--- a/internal/server/requests.go
+++ b/internal/server/requests.go
@@ -107,7 +107,7 @@
 	handler(r, request.Body, stream, reply)
 }
 
-// leadsWithLease tells whether this replica leads, is ready to, and no other can
+// leadsWithLease reports whether this replica leads, is ready to, and no other can
 // have been elected yet.
 func (r *Replica) leadsWithLease(now time.Time) bool {
 	return r.node != nil && r.node.LeaderReady() && r.leading && r.node.HasLease(now)
--- a/internal/server/round_trips.go
+++ b/internal/server/round_trips.go
@@ -13,8 +13,8 @@
 	// roundTripWeight the weight of each in the smoothed one.
 	roundTripSampleInterval = 40 * time.Millisecond
 	roundTripWeight         = 0.2
-	// lateRoundTripTimeout is how long a quorum answers a leader late before it hands over; a large
-	// configuration on its way is over by then.
+	// lateRoundTripTimeout is how long a quorum answers a leader late before it transfers the
+	// leadership; a large configuration on its way is over by then.
 	lateRoundTripTimeout = time.Second
 	// linkTrialInterval is the time between two comparisons of the voters' links, and between an
 	// election and the first; a comparison takes linkTrialTimeout at most.
@@ -22,10 +22,10 @@
 	linkTrialTimeout  = 2 * time.Second
 )
 
-// watchRoundTrips has the voters compare their links while a quorum answers this leader late,
-// and hands over to one whose link is clearly better: all that a leader on a bad link answers
-// takes as long, and soon after that it has no lease. It does so after LateRoundTripTimeout, and
-// compares links at most once in LinkTrialInterval.
+// watchRoundTrips has the voters compare their links while a quorum answers this leader late, and
+// transfers the leadership to one whose link is clearly better: all that a leader on a bad link
+// answers takes as long, and soon after that it has no lease. It does so after
+// LateRoundTripTimeout, and compares links at most once in LinkTrialInterval.
 func (r *Replica) watchRoundTrips(ctx context.Context, now time.Time) {
 	trips := &r.roundTrips
 	if !r.leading || r.node == nil {
@@ -49,8 +49,8 @@
 	}
 }
 
-// continueLinkTrial hands over if another voter's link is better, and ends the trial once it
-// has taken LinkTrialTimeout or answers come in time again.
+// continueLinkTrial transfers the leadership if another voter's link is better, and ends the trial
+// once it has taken LinkTrialTimeout or answers come in time again.
 func (r *Replica) continueLinkTrial(now time.Time) {
 	trips := &r.roundTrips
 	begun := time.Unix(0, r.linkTrial.id)
@@ -93,7 +93,7 @@
 	}
 }
 
-// isLateFor tells whether answers have come late for a time.
+// isLateFor reports whether answers have come late for a time.
 func (t *roundTrips) isLateFor(duration time.Duration, now time.Time) bool {
 	return !t.lateSince.IsZero() && now.Sub(t.lateSince) >= duration
 }
--- a/internal/server/runners.go
+++ b/internal/server/runners.go
@@ -57,8 +57,8 @@
 	if r.runnerTable == nil {
 		r.runnerTable = registry.NewTable(r.processID + "/" + now.Format(time.RFC3339Nano))
 	}
-	if now.Sub(r.healthToldAt) >= r.healthInterval(list) {
-		r.healthToldAt = now
+	if now.Sub(r.healthSentAt) >= r.healthInterval(list) {
+		r.healthSentAt = now
 		r.observations.Annotate(list, now)
 	} else {
 		r.runnerTable.KeepHealth(list)
@@ -83,35 +83,35 @@
 	r.observations.Add(watch.Observations)
 	now := time.Now()
 	watcher := runnerWatcher{*watch, reply, now, now.Add(runnerWatchWait)}
-	if r.hasNewsFor(watch) {
+	if r.hasUpdateFor(watch) {
 		r.replyWithRunners(&watcher, now)
 		return
 	}
 	r.runnerWatchers = append(r.runnerWatchers, watcher)
 }
 
-// hasNewsFor tells whether the list or the configuration is another than a daemon has.
-func (r *Replica) hasNewsFor(watch *rpc.RunnerWatch) bool {
+// hasUpdateFor reports whether the list or the configuration is another than a daemon has.
+func (r *Replica) hasUpdateFor(watch *rpc.RunnerWatch) bool {
 	if r.state.Configuration.Version > watch.ConfigVersion {
 		return true
 	}
 	return r.runnerTable != nil && !r.runnerTable.IsAt(watch.Epoch, watch.Version, watch.Scope)
 }
 
-// replyWithRunners gives a daemon what it lacks of the list. Each response names the
+// replyWithRunners returns a daemon what it lacks of the list. Each response names the
 // version of the configuration.
 func (r *Replica) replyWithRunners(watcher *runnerWatcher, now time.Time) {
 	watch := &watcher.watch
-	news := rpc.RunnerNews{ListAgeMs: r.runnerListAge(now), HeldMs: now.Sub(watcher.askedAt).Milliseconds()}
+	update := rpc.RunnerUpdate{ListAgeMs: r.runnerListAge(now), HeldMs: now.Sub(watcher.askedAt).Milliseconds()}
 	if r.runnerTable != nil {
-		news.Delta = r.runnerDeltas.since(r.runnerTable, watch)
+		update.Delta = r.runnerDeltas.since(r.runnerTable, watch)
 	}
 	if r.state.Configuration.Version > watch.ConfigVersion {
-		news.Config, news.ConfigBase = r.configNews.since(watch.ConfigVersion, &r.state.Configuration)
+		update.Config, update.ConfigBase = r.configUpdates.since(watch.ConfigVersion, &r.state.Configuration)
 	}
 	position := r.daemonPosition(watch.Node)
-	news.DaemonIndex, news.DaemonCount, news.DaemonTotal = position.index, position.count, position.total
-	watcher.reply(rpc.Response{Code: rpc.CodeOK, Body: transport.Encode(news)})
+	update.DaemonIndex, update.DaemonCount, update.DaemonTotal = position.index, position.count, position.total
+	watcher.reply(rpc.Response{Code: rpc.CodeOK, Body: transport.Encode(update)})
 }
 
 // runnerDeltas keeps the encoded changes of the newest version of the list: daemons of a
@@ -128,7 +128,7 @@
 	from        registry.Position
 }
 
-// since gives the encoded change for a daemon.
+// since returns the encoded change for a daemon.
 func (d *runnerDeltas) since(table *registry.Table, watch *rpc.RunnerWatch) []byte {
 	if d.table != table || d.version != table.Version() {
 		d.table, d.version, d.encoded = table, table.Version(), map[deltaKey][]byte{}
@@ -160,7 +160,7 @@
 // the numbers of these and of the daemons of all zones.
 type daemonPosition struct{ index, count, total int }
 
-// positionsByZone gives each gateway's place among those of its zone.
+// positionsByZone returns each gateway's place among those of its zone.
 func positionsByZone(leases map[string]memberLease) map[string]daemonPosition {
 	byZone, total := map[string][]string{}, 0
 	for _, lease := range leases {
@@ -187,7 +187,7 @@
 func (r *Replica) replyToRunnerWatchers(now time.Time) time.Duration {
 	if !r.leading {
 		r.runnerTable, r.observations, r.announcedRunners = nil, registry.NewObservations(), nil
-		r.healthToldAt = time.Time{}
+		r.healthSentAt = time.Time{}
 	}
 	r.publishAnnouncedRunners(now)
 	wake := time.Duration(0)
@@ -197,7 +197,7 @@
 		switch {
 		case !r.leadsWithLease(now):
 			watcher.reply(rpc.Response{Code: rpc.CodeNotLeader, Leader: r.leaderAddress()})
-		case wait <= 0 || r.hasNewsFor(&watcher.watch):
+		case wait <= 0 || r.hasUpdateFor(&watcher.watch):
 			r.replyWithRunners(&watcher, now)
 		default:
 			kept = append(kept, watcher)
--- a/internal/server/scheduling.go
+++ b/internal/server/scheduling.go
@@ -83,14 +83,14 @@
 		if pace, ok := r.planner.Pace(id, r.state.Clock); ok {
 			slowdown[id] = pace
 		}
-		if now.Sub(lease.heardAt) > timing.WorkerSilenceTimeout || lease.expiring {
+		if now.Sub(lease.lastContact) > timing.WorkerSilenceTimeout || lease.expiring {
 			silent[id] = true
 		}
 		if worker := r.state.Workers[id]; worker != nil && (worker.Unhealthy || worker.LeaseExpired) {
 			unhealthy[id] = true
 		}
 	}
-	r.planner.SilentWorkers, r.planner.UnhealthyWorkers, r.planner.Slowdown = silent, unhealthy, slowdown
+	r.planner.UnresponsiveWorkers, r.planner.UnhealthyWorkers, r.planner.Slowdown = silent, unhealthy, slowdown
 }
 
 // medianRuntimePercent is the median of what the workers report of the length of
--- a/internal/server/sessions.go
+++ b/internal/server/sessions.go
@@ -17,7 +17,7 @@
 	// Assignments are held back until this replica has applied it: an older state
 	// may name a run that is over, and which runs elsewhere by now.
 	knownIndex uint64
-	synced     bool // all of the worker's allocations were sent on this stream
+	synced     bool // all of the worker's allocations were forwarded this stream
 }
 
 // openSession notes the stream by which an agent renews its lease.
--- a/internal/server/snapshot_transfer.go
+++ b/internal/server/snapshot_transfer.go
@@ -62,10 +62,10 @@
 	return sender
 }
 
-// complete tells whether the receiver holds all of it.
+// complete reports whether the receiver holds all of it.
 func (s *snapshotSender) complete() bool { return s.acknowledged == len(s.data) }
 
-// serves tells whether no new transfer is needed for a message of the node: this
+// serves reports whether no new transfer is needed for a message of the node: this
 // one makes progress, if perhaps with an earlier snapshot, or has delivered the
 // message's snapshot. A nil sender serves nothing.
 func (s *snapshotSender) serves(message raft.Message, now time.Time) bool {
@@ -114,7 +114,7 @@
 	return &snapshotReceiver{index: chunk.Message.Snapshot.Index, term: chunk.Message.Snapshot.Term, total: chunk.Total}
 }
 
-// expects tells whether a chunk belongs to this transfer.
+// expects reports whether a chunk belongs to this transfer.
 func (s *snapshotReceiver) expects(chunk snapshotChunk) bool {
 	return s != nil && s.index == chunk.Message.Snapshot.Index && s.term == chunk.Message.Snapshot.Term && s.total == chunk.Total
 }
--- a/internal/server/state_tables.go
+++ b/internal/server/state_tables.go
@@ -54,7 +54,7 @@
 	devices, bookings := deviceTables(store)
 	return []rpc.Table{
 		workerTable(store), devices, bookings, allocationTable(store), routeTable(store), jobTable(store),
-		transferTable(store), rollupTable(store), aggregatorTable(store), tenantTable(store),
+		transferTable(store), serviceUsageTable(store), aggregatorTable(store), tenantTable(store),
 		lockTable(store), numberTable(store), keyTable(store), zoneTable(store),
 	}
 }
@@ -135,13 +135,13 @@
 	return table
 }
 
-func rollupTable(store *state.Store) rpc.Table {
+func serviceUsageTable(store *state.Store) rpc.Table {
 	table := newTable("rollups", "service", "cpu_total", "cpu_allocatable", "cpu_allocated", "mem_total", "mem_allocatable", "mem_allocated",
 		"gpu_total", "gpu_allocated", "draining", "unreachable", "at_ms")
-	for service, rollup := range store.Rollups {
-		addRow(&table, service, rollup.TotalMilliCPU, rollup.AllocatableMilliCPU, rollup.UsedMilliCPU,
-			rollup.TotalMemoryMB, rollup.AllocatableMemoryMB, rollup.UsedMemoryMB, rollup.TotalGPUs, rollup.UsedGPUs,
-			rollup.Draining, rollup.Unreachable, rollup.RebuiltAt)
+	for service, serviceUsage := range store.ServiceUsages {
+		addRow(&table, service, serviceUsage.TotalMilliCPU, serviceUsage.AllocatableMilliCPU, serviceUsage.UsedMilliCPU,
+			serviceUsage.TotalMemoryMB, serviceUsage.AllocatableMemoryMB, serviceUsage.UsedMemoryMB, serviceUsage.TotalGPUs, serviceUsage.UsedGPUs,
+			serviceUsage.Draining, serviceUsage.Unreachable, serviceUsage.RebuiltAt)
 	}
 	return table
 }
@@ -220,8 +220,8 @@
 	}
 	for _, peer := range replica.Peers() {
 		silent := int64(-1)
-		if !peer.HeardAt.IsZero() {
-			silent = now.Sub(peer.HeardAt).Milliseconds()
+		if !peer.LastContact.IsZero() {
+			silent = now.Sub(peer.LastContact).Milliseconds()
 		}
 		addRow(&peers, peer.ID, silent, peer.Lacks)
 	}
--- a/internal/server/storage_lag.go
+++ b/internal/server/storage_lag.go
@@ -15,7 +15,7 @@
 	storageStallTimeout = 300 * time.Millisecond
 )
 
-// writeQueueFull tells whether so many writes wait for the storage that nothing more
+// writeQueueFull reports whether so many writes wait for the storage that nothing more
 // may be taken on. Messages of the consensus protocol are dropped then, as if the
 // network had lost them: the member can't acknowledge them, and the leader sends
 // them again.
--- a/internal/server/storage_open.go
+++ b/internal/server/storage_open.go
@@ -11,13 +11,13 @@
 
 // openedStorage is the opened storage, what it holds, and the state of its snapshot.
 type openedStorage struct {
-	storage        *storage.Store
-	persisted      storage.Recovered
-	store          *state.Store
-	setAsideReason string // why an earlier file was set aside; empty if none was
+	storage          *storage.Store
+	persisted        storage.Recovered
+	store            *state.Store
+	quarantineReason string // why an earlier file was quarantined; empty if none was
 }
 
-// StorageOpened tells whether the storage has been opened. Until then this server
+// StorageOpened reports whether the storage has been opened. Until then this server
 // has no identity: it neither votes nor acknowledges, forwards what it can and is
 // not ready.
 func (r *Replica) StorageOpened() bool { return r.storageOpened.Load() }
@@ -29,7 +29,7 @@
 	logFailure := func(err error) {
 		_ = r.log.Log("level", "error", "event", "storage.open_failed", "dir", dir, "error", err)
 	}
-	opened, persisted, setAsideReason, err := storage.OpenWithRetry(ctx, dir, logFailure)
+	opened, persisted, quarantineReason, err := storage.OpenWithRetry(ctx, dir, logFailure)
 	if err != nil {
 		return
 	}
@@ -55,7 +55,7 @@
 		}
 		store, err = state.DecodeSnapshot(persisted.Snapshot.Data, state.Limits{})
 	}
-	if !r.post(ctx, loopEvent{storageOpened: &openedStorage{opened, persisted, store, setAsideReason}}) {
+	if !r.post(ctx, loopEvent{storageOpened: &openedStorage{opened, persisted, store, quarantineReason}}) {
 		r.closeStorage(opened)
 	}
 }
@@ -70,8 +70,8 @@
 // handleStorageOpened takes the identity and what the storage holds, and starts the
 // node.
 func (r *Replica) handleStorageOpened(ctx context.Context, opened *openedStorage) {
-	if opened.setAsideReason != "" {
-		_ = r.log.Log("level", "warn", "event", "storage.file_set_aside", "reason", opened.setAsideReason, "disk", opened.persisted.ID)
+	if opened.quarantineReason != "" {
+		_ = r.log.Log("level", "warn", "event", "storage.file_set_aside", "reason", opened.quarantineReason, "disk", opened.persisted.ID)
 	}
 	r.storage, r.persisted, r.state, r.self.ID = opened.storage, opened.persisted, opened.store, opened.persisted.ID
 	r.aggregator = aggregator.New(r.self.ID)
--- a/internal/server/storage_open_test.go
+++ b/internal/server/storage_open_test.go
@@ -34,7 +34,7 @@
 	}
 }
 
-// call gives the response to a request of this process.
+// call returns the response to a request of this process.
 func call(replica *Replica, kind string) rpc.Response {
 	received := make(chan rpc.Response, 1)
 	replica.HandleLocal(rpc.Request{Kind: kind}, func(response rpc.Response) { received <- response })
--- a/internal/server/tallies.go
+++ b/internal/server/tallies.go
@@ -29,8 +29,8 @@
 	// tallyStartupTimeout is for how long a replica that has just started answers no reads while it
 	// doesn't know whether it lacks what it acknowledged.
 	tallyStartupTimeout = 1500 * time.Millisecond
-	// tallyGuestTimeout is the silence after which a replica that is no voter is forgotten.
-	tallyGuestTimeout = 20 * time.Second
+	// tallyLearnerTimeout is the silence after which a replica that is no voter is forgotten.
+	tallyLearnerTimeout = 20 * time.Second
 	// tallyDiskShare is the share of a server's disk that the file of the tallies may take.
 	tallyDiskShare = 0.25
 	// tallyMemoryShare is the size of the file of the tallies as a share of the process's memory at
@@ -45,7 +45,7 @@
 )
 
 // Tallies go on at each side of a partition: they need no leader, and are in no log. This
-// file gives package tally its peers, its disk and its clock.
+// file returns package tally its peers, its disk and its clock.
 
 // bytesPerMB is the size of the unit of the settings.
 const bytesPerMB = 1 << 20
@@ -59,13 +59,13 @@
 
 // tallyService is a replica's tallies, their disk and their peers. It belongs to the loop.
 type tallyService struct {
-	replica *tally.Replica // nil until the file is open
-	writes  chan []tally.Run
-	guests  map[string]time.Time // replicas that are no voters, and when they were last heard
-	changed bool                 // there may be something to write or send
-	tickAt  time.Time            // when the replica is to look at the time
-	silent  map[string]bool      // of each other replica, as it was logged last
-	filled  float64              // the share of the file's bound that was logged last
+	replica         *tally.Replica // nil until the file is open
+	writes          chan []tally.Run
+	learnerContacts map[string]time.Time // replicas that are no voters, and when they were last heard
+	changed         bool                 // there may be something to write or send
+	tickAt          time.Time            // when the replica is to look at the time
+	silent          map[string]bool      // of each other replica, as it was logged last
+	filled          float64              // the share of the file's bound that was logged last
 	// differences are those that were logged last.
 	differences tally.Differences
 }
@@ -97,8 +97,8 @@
 // handleTalliesOpened starts the tallies.
 func (r *Replica) handleTalliesOpened(ctx context.Context, opened *openedTallies) {
 	recovered := opened.recovered
-	if recovered.SetAsideReason != "" {
-		_ = r.log.Log("level", "error", "event", "tallies.file_set_aside", "reason", recovered.SetAsideReason)
+	if recovered.QuarantineReason != "" {
+		_ = r.log.Log("level", "error", "event", "tallies.file_set_aside", "reason", recovered.QuarantineReason)
 	}
 	if recovered.Created {
 		_ = r.log.Log("level", "info", "event", "tallies.file_created", "origin", recovered.Origin)
@@ -132,7 +132,7 @@
 }
 
 // writeTallies writes what the loop hands it, until ctx ends. A write that fails is made
-// again: nobody is told of it before it is on the disk.
+// again: nobody is notified of it before it is on the disk.
 func (r *Replica) writeTallies(ctx context.Context, file *storage.Tallies, writes <-chan []tally.Run) {
 	defer func() { _ = file.Close() }()
 	for {
@@ -158,7 +158,7 @@
 // writtenTallies says that a write has ended, and what the file has in use since, in bytes.
 type writtenTallies struct{ fileBytes int64 }
 
-// handleTalliesWritten takes note of a write, and of how full the file is.
+// handleTalliesWritten records a write, and of how full the file is.
 func (r *Replica) handleTalliesWritten(written *writtenTallies) {
 	r.tallies.replica.Written(written.fileBytes, time.Now())
 	r.tallies.changed = true
@@ -181,7 +181,7 @@
 		return
 	}
 	if !r.node.IsVoter(message.From) {
-		r.tallies.guests[message.From] = time.Now()
+		r.tallies.learnerContacts[message.From] = time.Now()
 		r.tallies.replica.SetPeers(r.tallyPeers())
 	}
 	r.inbound[message.From] = stream
@@ -198,7 +198,7 @@
 			peers = append(peers, voter.ID)
 		}
 	}
-	for id := range r.tallies.guests {
+	for id := range r.tallies.learnerContacts {
 		if !slices.Contains(peers, id) {
 			peers = append(peers, id)
 		}
@@ -232,8 +232,8 @@
 // tickTallies has the replica look at the time and at who its peers are.
 func (r *Replica) tickTallies(now time.Time) {
 	r.tallies.tickAt = now.Add(tallyRepeatInterval / 2)
-	maps.DeleteFunc(r.tallies.guests, func(id string, heardAt time.Time) bool {
-		return r.node.IsVoter(id) || now.Sub(heardAt) > tallyGuestTimeout
+	maps.DeleteFunc(r.tallies.learnerContacts, func(id string, lastContact time.Time) bool {
+		return r.node.IsVoter(id) || now.Sub(lastContact) > tallyLearnerTimeout
 	})
 	r.tallies.replica.SetPeers(r.tallyPeers())
 	r.tallies.replica.Abandon(now.Add(-tally.RequestTimeout))
@@ -255,9 +255,9 @@
 // adds that they may lack.
 func (r *Replica) logTallyPeers(now time.Time) {
 	for _, peer := range r.tallies.replica.Peers() {
-		silent := now.Sub(peer.HeardAt) > tallyPeerTimeout
+		silent := now.Sub(peer.LastContact) > tallyPeerTimeout
 		switch {
-		case peer.HeardAt.IsZero() || silent == r.tallies.silent[peer.ID]:
+		case peer.LastContact.IsZero() || silent == r.tallies.silent[peer.ID]:
 			continue
 		case silent:
 			_ = r.log.Log("level", "warn", "event", "tally.peer_silent", "disk", peer.ID)
--- a/internal/server/worker_leases.go
+++ b/internal/server/worker_leases.go
@@ -21,13 +21,13 @@
 type workerLease struct {
 	grantedAt      time.Time
 	expiring       bool      // its expiry is being put into the log
-	heardAt        time.Time // when the agent was last heard, also without a renewal
+	lastContact    time.Time // when the agent was last heard, also without a renewal
 	runtimePercent int64     // see rpc.LeaseRenewal
 }
 
 // newWorkerLease is a lease that begins now.
 func newWorkerLease(now time.Time) *workerLease {
-	return &workerLease{grantedAt: now, heardAt: now}
+	return &workerLease{grantedAt: now, lastContact: now}
 }
 
 // handleRenewLease renews a worker's lease.
@@ -52,7 +52,7 @@
 	members   []rpc.BatchMember
 }
 
-// matches tells whether the set is the one that a batch numbers.
+// matches reports whether the set is the one that a batch numbers.
 func (s memberSet) matches(batch *rpc.LeaseBatch) bool {
 	return s.processID == batch.AggregatorProcessID && s.number == batch.SetNumber && len(batch.Requested) == (len(s.members)+7)/8
 }
@@ -103,7 +103,7 @@
 	if worker.LeaseExpired || worker.Fence != fence || lease == nil || lease.expiring {
 		return errLeaseNotHeld
 	}
-	lease.grantedAt, lease.heardAt = now, now
+	lease.grantedAt, lease.lastContact = now, now
 	return nil
 }
 
--- a/internal/server/workers.go
+++ b/internal/server/workers.go
@@ -35,7 +35,7 @@
 // handleReportCompletions takes the completions of runs that an agent reports.
 func (r *Replica) handleReportCompletions(request *state.ReportCompletions, _ *transport.Stream, reply replyFunc) {
 	if lease := r.leases[request.Worker]; lease != nil {
-		lease.heardAt = time.Now()
+		lease.lastContact = time.Now()
 	}
 	r.enqueueCommand(state.CommandReportCompletions, request, outcomeReply(reply))
 }
@@ -62,7 +62,7 @@
 	}
 }
 
-// aggregatorAddresses gives the addresses of the aggregator of a worker's zone and
+// aggregatorAddresses returns the addresses of the aggregator of a worker's zone and
 // of its standby; the first is empty if it is this server.
 func (r *Replica) aggregatorAddresses(workerID string) (aggregator, standby string) {
 	worker := r.state.Workers[workerID]
--- a/internal/settings/checks.go
+++ b/internal/settings/checks.go
@@ -16,13 +16,13 @@
 // Error names the file, the field and the fault.
 func (e *FieldError) Error() string { return fmt.Sprintf("%s: field %s: %s", e.Path, e.Field, e.Fault) }
 
-// fieldCheck gives the fault of one field, empty if it is in order.
+// fieldCheck returns the fault of one field, empty if it is in order.
 type fieldCheck struct {
 	field string
 	fault func(*File) string
 }
 
-// faultUnless gives the reason as the fault of a field that is not in order.
+// faultUnless returns the reason as the fault of a field that is not in order.
 func faultUnless(ok bool, reason string) string {
 	if ok {
 		return ""
@@ -30,13 +30,13 @@
 	return reason
 }
 
-// isAddress tells whether a text has the form HOST:PORT.
+// isAddress reports whether a text has the form HOST:PORT.
 func isAddress(address string) bool {
 	_, port, err := net.SplitHostPort(address)
 	return err == nil && port != ""
 }
 
-// serves tells whether the role serves one kind of callers.
+// serves reports whether the role serves one kind of callers.
 func (f *File) serves(callers string) bool { return slices.Contains(f.Serves, callers) }
 
 // fieldChecks hold the rules of the file; the first that is broken is reported.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -54,11 +54,11 @@
 	MaxLeaseMs int64 `toml:"maxHoldMs"`
 	// StopGraceMs is how long a run may go on after it was to be stopped.
 	StopGraceMs int64 `toml:"stopGraceMs"`
-	// RetryRatio is how many further attempts may be made, against the requests.
+	// RetryRatio is how many retries may be made, against the requests.
 	RetryRatio float64 `toml:"retryRatio"`
 	// RetryWindowS is the window in which they are counted.
 	RetryWindowS float64 `toml:"retryWindowS"`
-	// RetrySlack is how many further attempts of all daemons are free in a window.
+	// RetrySlack is how many retries of all daemons are free in a window.
 	RetrySlack float64 `toml:"retrySlack"`
 	// QuotaWindowS is the window in which rates of tenants are counted.
 	QuotaWindowS float64 `toml:"quotaWindowS"`
@@ -199,11 +199,11 @@
 	return addresses
 }
 
-// HoldsState tells whether this daemon is a server that keeps a replica of the
+// HoldsState reports whether this daemon is a server that keeps a replica of the
 // state.
 func (f *File) HoldsState() bool { return f.DataDir != "" && f.LossCounts }
 
-// RunsJobs tells whether the rules on jobs are in force; a file that names no rules is one
+// RunsJobs reports whether the rules on jobs are in force; a file that names no rules is one
 // of a deployment with jobs.
 func (f *File) RunsJobs() bool {
 	return len(f.Contracts) == 0 || slices.Contains(f.Contracts, ContractJobs)
@@ -214,7 +214,7 @@
 	return time.Duration(f.Bounds.GraceS * float64(time.Second))
 }
 
-// HasTallies tells whether the rules on tallies are in force.
+// HasTallies reports whether the rules on tallies are in force.
 func (f *File) HasTallies() bool { return slices.Contains(f.Contracts, ContractTallies) }
 
 // KeyHistory is how long puts are kept for watches; the given one if the file names none.
--- a/internal/shutdown/machine.go
+++ b/internal/shutdown/machine.go
@@ -79,7 +79,7 @@
 // RefusesFrom is from when on no request is begun: it might not be answered in time.
 func (m *Machine) RefusesFrom() time.Time { return m.begunAt.Add(m.times.Refuse) }
 
-// Advance gives the phase at a time, given what is open. Phases never go back.
+// Advance returns the phase at a time, given what is open. Phases never go back.
 func (m *Machine) Advance(now time.Time, status Status) Phase {
 	since := now.Sub(m.begunAt)
 	if m.phase == Announcing && since >= m.times.Notice && status.HandedOver {
--- a/internal/simulation/aggregator_test.go
+++ b/internal/simulation/aggregator_test.go
@@ -8,7 +8,7 @@
 	"tealpond/internal/transport"
 )
 
-// aggregator gives the node appointed as the zone's aggregator, or nothing.
+// aggregator returns the node appointed as the zone's aggregator, or nothing.
 func (c *Cluster) aggregator() string {
 	for _, name := range c.nodeNames(edgeRole) {
 		response, err := rpc.Call(c.adminContext(), c.nodeAddress(name, daemonPort), rpc.KindClusterState, nil, time.Second)
@@ -97,7 +97,7 @@
 }
 
 // TestSlowAggregator: all that goes through it comes late, also what was sent before its
-// agents turned away from it.
+// agents rejected from it.
 func TestSlowAggregator(t *testing.T) {
 	runWithAggregatorFault(t, func(c *Cluster, aggregator string) {
 		c.Network.SetDelay(c.NodeIP(aggregator), 700*time.Millisecond)
--- a/internal/simulation/application.go
+++ b/internal/simulation/application.go
@@ -45,11 +45,11 @@
 
 // WatchAnswer is what a watch was told.
 type WatchAnswer struct {
-	Group      string
-	After      int64
-	Code       int
-	News       protocol.WatchResponse
-	Sent, Done time.Time
+	Group       string
+	After       int64
+	Code        int
+	WatchResult protocol.WatchResponse
+	Sent, Done  time.Time
 }
 
 // CoordinationHistory is what all applications were told. Its methods may be called by
@@ -121,7 +121,7 @@
 }
 
 // Renew asks for more time once. An answer that comes when the time is over counts for
-// nothing. It tells whether the lock is still held.
+// nothing. It reports whether the lock is still held.
 func (a *Application) Renew(held *LockHold, hold time.Duration) bool {
 	sent := time.Now()
 	code := a.call(applicationTimeout, http.MethodPost, "/-/Locks.Heartbeat/"+held.Lock, protocol.LockRequest{Holder: a.Name, Fence: held.Fence, HoldMs: hold.Milliseconds()}, &struct{}{})
@@ -132,7 +132,7 @@
 	return now.Before(held.Until) && code != http.StatusConflict
 }
 
-// Release gives a lock back.
+// Release returns a lock back.
 func (a *Application) Release(held *LockHold) {
 	a.history.note(func() {
 		if now := time.Now(); now.Before(held.Until) {
@@ -204,7 +204,7 @@
 func (a *Application) Watch(group string, after int64, wait time.Duration) (int64, bool) {
 	answer := WatchAnswer{Group: group, After: after, Sent: time.Now()}
 	path := fmt.Sprintf("/-/watch/%s?dependsOn=%d&waitMs=%d", group, after, wait.Milliseconds())
-	answer.Code = a.call(wait+applicationTimeout, http.MethodGet, path, "", &answer.News)
+	answer.Code = a.call(wait+applicationTimeout, http.MethodGet, path, "", &answer.WatchResult)
 	answer.Done = time.Now()
 	if answer.Code != http.StatusOK && answer.Code != http.StatusGone {
 		return after, false
@@ -213,5 +213,5 @@
 	if answer.Code == http.StatusGone {
 		return 0, true
 	}
-	return answer.News.Revision, true
+	return answer.WatchResult.Revision, true
 }
