--- a/review/_harness/tenant.go
+++ b/review/_harness/tenant.go
@@ -120,5 +120,9 @@
 		p.printf("GET %s: state %q; answers by status: %v", id, shown, statuses)
 		broken = broken || shown == "" && statuses[http.StatusForbidden]+statuses[http.StatusUnauthorized]+statuses[http.StatusNotFound] > 0
 	}
+	// These are shown, not judged.
+	repeated, _ := p.asTenant(edge, http.MethodPost, running, job(8000), true)
+	cancelled, _ := p.asTenant(edge, http.MethodDelete, running, nil, true)
+	p.printf("POST %s again: status %d; DELETE: status %d", running, repeated, cancelled)
 	return broken, nil
 }
