Jobs of a route with a traffic split are divided among its services

Cause: Job.Service was a copy of route.TargetService, which is empty with a split; only the gateway read the split. No worker has the service "". The same field gave admission a capacity of 0 (no job was refused), federated routes none, and left runs charged to their tenant.

Change: a job gets one service of the split by a hash of its ID and the shares; one that has started keeps it while the route has it; a step that no worker of the service can ever run goes to another service of the split. Admission, backlog, planning, replanning, transfer and queries read that service. The command also gives jobs that were stored without a service one.

--- a/internal/clusterconfig/split.go
+++ b/internal/clusterconfig/split.go
@@ -1,8 +1,11 @@
 package clusterconfig
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
 	"fmt"
 	"iter"
+	"slices"
 )
 
 // splitProblems yields each problem of a traffic split with the field it concerns.
@@ -35,7 +38,9 @@
 	for _, part := range r.Split {
 		sum += part.Share
 	}
-	remaining, last := draw*sum, r.Split[0].TargetService
+	// The conversion keeps the compiler from fusing the product with a later subtraction, so that
+	// all replicas round alike.
+	remaining, last := float64(draw*sum), r.Split[0].TargetService
 	for _, part := range r.Split {
 		if part.Share <= 0 {
 			continue
@@ -48,3 +53,32 @@
 	}
 	return last
 }
+
+// drawBits is the number of bits of a draw, which a float64 represents exactly.
+const drawBits = 53
+
+// ServiceForJob returns the service that gets a job. It depends on nothing but the route and the
+// job's ID, so that all replicas, and each repetition of a submission, get the same service.
+func (r *Route) ServiceForJob(id string) string {
+	if len(r.Split) == 0 {
+		return r.TargetService
+	}
+	digest := sha256.Sum256([]byte(id))
+	draw := binary.BigEndian.Uint64(digest[:]) >> (64 - drawBits)
+	return r.ServiceFor(float64(draw) / (1 << drawBits))
+}
+
+// Services returns the services that get requests or jobs of the route, each once, in the order of
+// the configuration.
+func (r *Route) Services() []string {
+	if len(r.Split) == 0 {
+		return []string{r.TargetService}
+	}
+	var services []string
+	for _, part := range r.Split {
+		if part.Share > 0 && !slices.Contains(services, part.TargetService) {
+			services = append(services, part.TargetService)
+		}
+	}
+	return services
+}
--- a/internal/scheduler/placement.go
+++ b/internal/scheduler/placement.go
@@ -69,12 +69,12 @@
 		freeCPU[rack] += s.capacityOf(worker).freeCPU
 		return true
 	}
-	if all, ok := s.fullScan(request.job.Service); ok {
+	if all, ok := s.fullScan(request.service); ok {
 		for _, capacity := range all {
 			add(capacity.worker)
 		}
 	} else {
-		s.store.EachWorkerByFreeCPU(request.job.Service, spec.CPUUnits, add)
+		s.store.EachWorkerByFreeCPU(request.service, spec.CPUUnits, add)
 	}
 	sort.SliceStable(racks, func(a, b int) bool {
 		return racks[a] == spec.PreferredRack && racks[b] != spec.PreferredRack
@@ -131,7 +131,7 @@
 // step's data if there are any, else up to maxCandidates. These are searched among the workers with
 // the rarest of the required labels or, without required labels, from the fullest worker on.
 func (s *snapshot) candidates(query *taskQuery) []*workerCapacity {
-	service, spec := query.job.Service, query.spec
+	service, spec := query.service, query.spec
 	if all, ok := s.fullScan(service); ok {
 		return all
 	}
--- a/internal/scheduler/planner.go
+++ b/internal/scheduler/planner.go
@@ -134,7 +134,7 @@
 	if job == nil || plan.Instance >= len(job.Instances) {
 		return plan, false
 	}
-	request := placementRequest{job: job, instance: job.Instances[plan.Instance], step: plan.Step}
+	request := newPlacementRequest(store, job, job.Instances[plan.Instance], plan.Step)
 	for _, placement := range plan.Placements {
 		task := &request.instance.Steps[plan.Step].Tasks[placement.TaskIndex]
 		if !task.Done && (len(task.Allocations) == 0 || placement.Copy > 0) {
--- a/internal/scheduler/requests.go
+++ b/internal/scheduler/requests.go
@@ -16,6 +16,7 @@
 	job      *state.Job
 	instance *state.JobInstance
 	step     int
+	service  string // whose workers run the tasks, see state.Store.ServiceForStep
 	tasks    []state.Placement
 	slackMs  int64 // from now to the target
 	class    deadlineClass
@@ -30,6 +31,11 @@
 	excludedWorkers map[string]bool
 }
 
+// newPlacementRequest returns a request without tasks.
+func newPlacementRequest(store *state.Store, job *state.Job, instance *state.JobInstance, step int) placementRequest {
+	return placementRequest{job: job, instance: instance, step: step, service: store.ServiceForStep(job, step)}
+}
+
 func (r *placementRequest) spec() *protocol.Step { return &r.job.Steps[r.step] }
 
 func (r *placementRequest) isGang() bool { return r.job.IsGang(r.step) }
@@ -40,7 +46,7 @@
 }
 
 func (r *placementRequest) servicePriority() state.ServicePriority {
-	return state.ServicePriority{Service: r.job.Service, Priority: r.job.Priority}
+	return state.ServicePriority{Service: r.service, Priority: r.job.Priority}
 }
 
 // stepName identifies the step: it is the name of the step's first task.
@@ -89,7 +95,7 @@
 		if instance.Failed || instance.StepsLeft == 0 || !stepState.Ready || stepState.TasksLeft == 0 {
 			return false
 		}
-		request := placementRequest{job: job, instance: instance, step: step}
+		request := newPlacementRequest(store, job, instance, step)
 		if request.isGang() {
 			request.tasks = waitingGang(stepState)
 		} else {
--- a/internal/scheduler/scoring.go
+++ b/internal/scheduler/scoring.go
@@ -24,7 +24,7 @@
 		return false
 	case query.rack != "" && worker.Rack() != query.rack:
 		return false
-	case query.excludedWorkers[worker.ID], !s.store.Feasible(query.job, query.step, worker):
+	case query.excludedWorkers[worker.ID], !worker.Eligible(query.service, spec):
 		return false
 	case worker.LeavesAt > 0 && worker.LeavesAt < s.store.Clock+spec.EstimateMs:
 		return false
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -86,7 +86,7 @@
 // capacity.
 func (s *snapshot) knownUnplaceable(request *placementRequest) bool {
 	spec := request.spec()
-	for _, size := range s.unplaceable[request.job.Service] {
+	for _, size := range s.unplaceable[request.service] {
 		if spec.CPUUnits >= size.MilliCPU && spec.MemoryMB >= size.MemoryMB {
 			return true
 		}
@@ -100,7 +100,7 @@
 func (s *snapshot) recordUnplaceable(request *placementRequest) {
 	spec := request.spec()
 	if len(spec.RequiredLabels) == 0 && spec.MaxPerWorker == 0 && spec.GPUs == 0 && !request.speculative && request.class > onTime {
-		s.unplaceable[request.job.Service] = append(s.unplaceable[request.job.Service], state.Resources{MilliCPU: spec.CPUUnits, MemoryMB: spec.MemoryMB})
+		s.unplaceable[request.service] = append(s.unplaceable[request.service], state.Resources{MilliCPU: spec.CPUUnits, MemoryMB: spec.MemoryMB})
 	}
 }
 
--- a/internal/scheduler/stragglers.go
+++ b/internal/scheduler/stragglers.go
@@ -67,7 +67,9 @@
 		if !found {
 			index = len(requests)
 			indexByStep[stepName] = index
-			requests = append(requests, placementRequest{job: job, instance: instance, step: allocation.Step, speculative: true, excludedWorkers: map[string]bool{}})
+			request := newPlacementRequest(store, job, instance, allocation.Step)
+			request.speculative, request.excludedWorkers = true, map[string]bool{}
+			requests = append(requests, request)
 		}
 		requests[index].excludedWorkers[allocation.Worker] = true
 		requests[index].tasks = append(requests[index].tasks, state.Placement{TaskIndex: allocation.TaskIndex, Copy: 1 - allocation.Copy})
--- a/internal/server/backlog.go
+++ b/internal/server/backlog.go
@@ -35,7 +35,7 @@
 // So a flood of jobs of one tenant causes no refusals for other tenants, and leaves no queue
 // behind.
 func (r *Replica) backlogWait(call jobCall, request *rpc.JobRequest) time.Duration {
-	capacity, _ := r.state.SchedulableCapacity(call.route.TargetService)
+	capacity, _ := r.state.SchedulableCapacity(call.service)
 	if capacity.MilliCPU == 0 {
 		return 0
 	}
@@ -99,7 +99,7 @@
 // addToBacklog adds a job that is proposed to the backlog, until that is measured again.
 func (r *Replica) addToBacklog(call jobCall, job *protocol.Job) {
 	if r.backlog != nil {
-		r.backlog[state.BacklogKey{Service: call.route.TargetService, Tenant: call.tenant, Priority: call.route.Priority}] += state.EstimatedWork(job)
+		r.backlog[state.BacklogKey{Service: call.service, Tenant: call.tenant, Priority: call.route.Priority}] += state.EstimatedWork(job)
 	}
 }
 
@@ -127,7 +127,7 @@
 func (r *Replica) backlogOf(call jobCall, priority int, scope tenantScope) queuedWork {
 	sum := int64(0)
 	for key, work := range r.backlog {
-		if key.Service == call.route.TargetService && key.Priority <= priority && (scope == anyTenant || key.Tenant == call.tenant) {
+		if key.Service == call.service && key.Priority <= priority && (scope == anyTenant || key.Tenant == call.tenant) {
 			sum += work
 		}
 	}
--- a/internal/server/backlog_test.go
+++ b/internal/server/backlog_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"tealpond/internal/clusterconfig"
 	"tealpond/internal/protocol"
 	"tealpond/internal/rpc"
 	"tealpond/internal/state"
@@ -117,3 +118,51 @@
 		}
 	})
 }
+
+// TestSplitRouteIsRefusedByTheJobsService guards against a queue without a bound: jobs of a route with
+// a traffic split were accepted whatever was queued, since no worker has the service "".
+func TestSplitRouteIsRefusedByTheJobsService(t *testing.T) {
+	const split = `"trafficSplit":[{"targetService":"s","share":1},{"targetService":"t","share":1}]`
+	for _, c := range []struct {
+		name     string
+		services []string // that have a worker
+		refused  bool     // the jobs of both services are refused
+	}{{"both services have workers", []string{"s", "t"}, false}, {"jobs of the other service run here too", []string{"s"}, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newLeader(t)
+				h.raiseFormat()
+				raw := `{"configVersion":1,"routeList":[{"name":"r","hostName":"h.example","pathPrefix":"/r/","timeoutMs":3000,` + split +
+					`,"stretch":1.5,"targetMs":500}],"serviceList":[{"name":"s"},{"name":"t"}]}`
+				h.call(rpc.KindPutConfig, rpc.ConfigUpdate{Raw: []byte(raw)})
+				for _, service := range c.services {
+					h.call(rpc.KindRegisterWorker, state.RegisterWorker{ID: "w-" + service, Node: "n-" + service, Service: service, LeavesInMs: -1,
+						Capacity: protocol.Resources{CPUUnits: 1000, MemoryMB: 1000}})
+				}
+				route := &h.replica.state.Configuration.Routes[0]
+				flood := h.submitTo(route, "s", 2*int(maxBacklogPerCore.Seconds()))
+				if flood.Code != rpc.CodeOK {
+					t.Fatalf("the flood was not accepted: %+v", flood)
+				}
+				for service, want := range map[string]bool{"s": true, "t": c.refused} {
+					if got := h.submitTo(route, service, 1); got.Code == rpc.CodeTooManyRequests != want {
+						t.Errorf("a job of service %s was answered %+v, want refused: %v", service, got, want)
+					}
+				}
+			})
+		})
+	}
+}
+
+// submitTo submits a new job of one step that the route's split gives to a service. The step has the
+// given number of tasks of one core-second each.
+func (h *harness) submitTo(route *clusterconfig.Route, service string, tasks int) rpc.Response {
+	h.t.Helper()
+	for number := len(h.replica.state.Jobs); ; number++ {
+		if id := fmt.Sprintf("%016x", number); route.ServiceForJob(id) == service && h.replica.state.Jobs[id] == nil {
+			time.Sleep(timing.HeartbeatInterval)
+			steps := []protocol.Step{{TaskCount: tasks, CPUUnits: 1000, EstimateMs: 1000}}
+			return h.call(rpc.KindSubmitJob, rpc.JobRequest{Host: "h.example", Path: "/r/" + id, Job: protocol.Job{Spec: "x", Steps: steps}})
+		}
+	}
+}
--- a/internal/server/connections.go
+++ b/internal/server/connections.go
@@ -45,6 +45,8 @@
 		r.handleTallyFrame(event.Frame.Body, event.Stream)
 	case frameLinkProbe:
 		r.handleLinkProbe(ctx, event.Frame.Body, event.Stream)
+	case frameFormat:
+		r.handleFormatMessage(ctx, event.Frame.Body, event.Stream)
 	case frameDigest:
 		r.handleDigestReport(event.Frame.Body)
 	case rpc.FrameRequest:
--- a/internal/server/digest_exchange.go
+++ b/internal/server/digest_exchange.go
@@ -38,7 +38,9 @@
 
 // programVersion identifies what a digest depends on besides the log: the format of the state and
 // its commands, the compiler version and the processor architecture.
-var programVersion = fmt.Sprintf("%d %s %s", state.FormatVersion, runtime.Version(), runtime.GOARCH)
+func (r *Replica) programVersion() string {
+	return fmt.Sprintf("%d %s %s", r.state.Format, runtime.Version(), runtime.GOARCH)
+}
 
 // takeDigestIfDue records the digest after an entry if one is due at its index.
 func (r *Replica) takeDigestIfDue(ctx context.Context, index uint64) {
@@ -57,7 +59,7 @@
 		return
 	}
 	if leader := r.node.Leader(); leader != "" {
-		report := digestReport{From: r.self.ID, To: leader, Index: index, Digest: digest, Program: programVersion}
+		report := digestReport{From: r.self.ID, To: leader, Index: index, Digest: digest, Program: r.programVersion()}
 		r.sendFrame(ctx, leader, transport.Frame{Kind: frameDigest, Body: transport.Encode(report)})
 	}
 }
@@ -65,7 +67,7 @@
 // handleDigestReport handles the digest of another replica.
 func (r *Replica) handleDigestReport(body []byte) {
 	var report digestReport
-	if transport.Decode(body, &report) != nil || report.To != r.self.ID || report.Program != programVersion {
+	if transport.Decode(body, &report) != nil || report.To != r.self.ID || report.Program != r.programVersion() {
 		return
 	}
 	if r.node == nil || !r.node.IsLeader() {
@@ -83,7 +85,7 @@
 func (r *Replica) countDigests(index uint64) {
 	switch count := r.digests.count(index, r.self.ID, r.node.Voters()); count.verdict {
 	case digestsConfirmed:
-		confirm := &state.ConfirmDigest{Index: index, Digest: count.majority, ProgramVersion: programVersion}
+		confirm := &state.ConfirmDigest{Index: index, Digest: count.majority, ProgramVersion: r.programVersion()}
 		r.enqueueCommand(state.CommandConfirmDigest, confirm, nil)
 	case digestsDiverged:
 		r.compareDigest(index, count.majority)
@@ -94,7 +96,7 @@
 
 // compareConfirmed compares a digest from the log with that of this replica.
 func (r *Replica) compareConfirmed(confirmed state.ConfirmDigest) {
-	if confirmed.ProgramVersion == programVersion {
+	if confirmed.ProgramVersion == r.programVersion() {
 		r.compareDigest(confirmed.Index, confirmed.Digest)
 	}
 }
--- a/internal/server/digests_test.go
+++ b/internal/server/digests_test.go
@@ -25,7 +25,7 @@
 
 // reportDigest has another replica report a digest.
 func (h *harness) reportDigest(from string, index, digest uint64) {
-	report := digestReport{From: from, To: h.replica.self.ID, Index: index, Digest: digest, Program: programVersion}
+	report := digestReport{From: from, To: h.replica.self.ID, Index: index, Digest: digest, Program: h.replica.programVersion()}
 	frame := transport.Frame{Kind: frameDigest, Body: transport.Encode(report)}
 	h.replica.handleEvent(h.t.Context(), loopEvent{transport: &transport.Event{Frame: frame}})
 }
@@ -140,15 +140,15 @@
 		if !ok {
 			t.Fatal("no local digest")
 		}
-		h.commitAsFollower(index+1, confirmDigestEntry(index, local, programVersion))
+		h.commitAsFollower(index+1, confirmDigestEntry(index, local, h.replica.programVersion()))
 		h.commitAsFollower(index+2, confirmDigestEntry(index, local+1, "another"))
-		h.commitAsFollower(index+3, confirmDigestEntry(7, local+1, programVersion))
+		h.commitAsFollower(index+3, confirmDigestEntry(7, local+1, h.replica.programVersion()))
 		if h.replica.node == nil {
 			t.Fatal("state discarded without a different digest of this program version")
 		}
 		unknown := 0
 		h.replica.pending[index+9] = pendingEntry{term: 3, replies: []commandReply{func(state.Outcome, bool) { unknown++ }}}
-		h.commitAsFollower(index+4, confirmDigestEntry(index, local+1, programVersion))
+		h.commitAsFollower(index+4, confirmDigestEntry(index, local+1, h.replica.programVersion()))
 		if h.replica.node != nil || unknown != 1 || h.replica.self.ID != "" {
 			t.Fatalf("member ID is still %q, callers got %d replies, want 1", h.replica.self.ID, unknown)
 		}
--- a/internal/server/federation_work.go
+++ b/internal/server/federation_work.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"slices"
+
 	"tealpond/internal/federation"
 	"tealpond/internal/protocol"
 	"tealpond/internal/state"
@@ -80,7 +82,9 @@
 	services := map[string]bool{}
 	for _, federated := range config.Routes {
 		if route := store.Routes[federated.LocalRoute]; route != nil {
-			services[route.TargetService] = true
+			for _, service := range route.Services() {
+				services[service] = true
+			}
 		}
 	}
 	if len(services) == 0 {
@@ -94,7 +98,7 @@
 // addDemand adds the recorded demand on some services, and their capacity.
 func addDemand(work *federation.PendingWork, store *state.Store, services map[string]bool) {
 	for name, route := range store.Routes {
-		if services[route.TargetService] {
+		if slices.ContainsFunc(route.Services(), func(service string) bool { return services[service] }) {
 			for bucket, demand := range store.Demand[name] {
 				work.Demand[bucket] += demand
 			}
--- a/internal/server/federation_work_test.go
+++ b/internal/server/federation_work_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"testing"
 
+	"tealpond/internal/clusterconfig"
 	"tealpond/internal/federation"
 	"tealpond/internal/protocol"
 	"tealpond/internal/state"
@@ -99,3 +100,14 @@
 		t.Errorf("capacity of service %q is lent, want s1", service)
 	}
 }
+
+// TestFederationWorkCountsAllServicesOfASplit guards against capacity of 0 for a federated route with
+// a traffic split, as if its cluster were always crowded.
+func TestFederationWorkCountsAllServicesOfASplit(t *testing.T) {
+	store := storeWithJobs(t, map[string]protocol.Job{"a": plainJob})
+	split := []clusterconfig.SplitPart{{TargetService: "s1", Share: 1}, {TargetService: "s2", Share: 2}}
+	store.Routes["fed"].TargetService, store.Routes["fed"].Split = "", split
+	if work := federationWork(store, federatedRoutes); work.CapacityMilliCPU != 8000 || work.Demand[3] <= 0 {
+		t.Errorf("capacity %d millicores and demand %v, want 8000 and some", work.CapacityMilliCPU, work.Demand)
+	}
+}
--- a/internal/server/golden_test.go
+++ b/internal/server/golden_test.go
@@ -22,7 +22,8 @@
 		{Name: "snapshot-part-received", Value: &snapshotAck{From: "from", To: "to", Index: 31, Received: 32}},
 		{Name: "link-probe", Value: &linkProbe{From: "from", To: "to", Kind: probeReport, Answered: probeTransfer, Trial: 41, PaddingBytes: 42, Padding: []byte("padding"),
 			Quality: linkQuality{Latency: 43, Transfer: 44}}},
+		{Name: "format", Value: &formatMessage{From: "from", To: "to", Newest: 51, IsQuery: true}},
 	})
-	golden.Text(t, "kinds.txt", fmt.Sprintf("frame digest %d\nframe snapshot-part %d\nframe snapshot-part-received %d\nframe link-probe %d\ncode stay %d\n",
-		frameDigest, frameSnapshotChunk, frameSnapshotAck, frameLinkProbe, codeReleaseDeferred))
+	golden.Text(t, "kinds.txt", fmt.Sprintf("frame digest %d\nframe snapshot-part %d\nframe snapshot-part-received %d\nframe link-probe %d\nframe format %d\ncode stay %d\n",
+		frameDigest, frameSnapshotChunk, frameSnapshotAck, frameLinkProbe, frameFormat, codeReleaseDeferred))
 }
--- a/internal/server/jobs.go
+++ b/internal/server/jobs.go
@@ -34,6 +34,8 @@
 	route  *clusterconfig.Route
 	id     string // of the job; empty if the path names none
 	tenant string // of the caller's key; empty where no key is needed
+	// service is the one whose workers would run a submitted job; empty for any other call.
+	service string
 }
 
 // admit finds the route of a request and authenticates its caller. If there is no such route,
@@ -57,7 +59,7 @@
 		reply(responseOtherTenantsJob)
 		return jobCall{}, false
 	}
-	return jobCall{route, id, tenant}, true
+	return jobCall{route: route, id: id, tenant: tenant}, true
 }
 
 // admitForJob does the same as admit for a request that must name a job.
@@ -76,6 +78,7 @@
 	if !ok {
 		return
 	}
+	call.service = r.state.ServiceForSubmission(call.route, call.id, &request.Job)
 	// A refusal promises that the job is not accepted, so it must not be in the log either.
 	if r.state.Jobs[call.id] == nil && r.submitting[call.id] == 0 {
 		if wait := r.backlogWait(call, request); wait > 0 {
--- a/internal/server/loop.go
+++ b/internal/server/loop.go
@@ -185,6 +185,7 @@
 	r.connectVoters(ctx, now)
 	r.watchStorageLag(now)
 	r.watchRoundTrips(ctx, now)
+	r.raiseFormat(ctx, now)
 	// The node is drained before the leader acts on the state: a received snapshot replaces the
 	// state, and the committed entries after it must be applied to the new state.
 	r.drainNode(ctx)
--- a/internal/server/replica.go
+++ b/internal/server/replica.go
@@ -75,9 +75,10 @@
 	writesInFlight      int
 	stopWriter          context.CancelFunc
 	storageOpened       atomic.Bool
-	hasUnappliedEntries bool       // committed entries are left for the next loop iteration, see drainNode
-	roundTrips          roundTrips // to a quorum, while this replica is leader
-	linkTrial           linkTrial  // while this replica is leader
+	hasUnappliedEntries bool           // committed entries are left for the next loop iteration, see drainNode
+	roundTrips          roundTrips     // to a quorum, while this replica is leader
+	linkTrial           linkTrial      // while this replica is leader
+	formats             formatExchange // while this replica is leader
 	linkMeasurement     linkMeasurement
 	sentBytes           byteRate  // to other members
 	storageLagLoggedAt  time.Time // when storage lag was last logged
--- a/internal/server/state_tables.go
+++ b/internal/server/state_tables.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"strings"
 	"time"
 
 	"tealpond/internal/registry"
@@ -98,7 +99,7 @@
 func routeTable(store *state.Store) rpc.Table {
 	table := newTable("inboxes", "name", "host", "prefix", "service", "priority", "target_ms", "stretch", "max_rounds", "waiting")
 	for _, route := range store.Configuration.Routes {
-		addRow(&table, route.Name, route.HostName, route.PathPrefix, route.TargetService, route.Priority,
+		addRow(&table, route.Name, route.HostName, route.PathPrefix, strings.Join(route.Services(), " "), route.Priority,
 			route.TargetMs, route.Stretch, route.MaxAttempts, store.PendingJobCount(route.Name))
 	}
 	return table
--- a/internal/state/allocation.go
+++ b/internal/state/allocation.go
@@ -20,6 +20,7 @@
 	Stopping        bool
 	StopReason      string
 	Checkpoint      string // the checkpoint that the run resumes from; empty if it starts afresh
+	counted         bool   // whether the scheduling index includes its resources
 	servicePriority ServicePriority
 	tenant          string // the job's tenant
 }
--- a/internal/state/apply_plans.go
+++ b/internal/state/apply_plans.go
@@ -156,15 +156,7 @@
 // Feasible reports whether a worker is eligible to run tasks of a step, regardless of
 // its free resources.
 func (s *Store) Feasible(job *Job, step int, worker *Worker) bool {
-	if !worker.Schedulable() || worker.Service != job.Service {
-		return false
-	}
-	for _, label := range job.Steps[step].RequiredLabels {
-		if !worker.HasLabel(label) {
-			return false
-		}
-	}
-	return true
+	return worker.Eligible(s.ServiceForStep(job, step), &job.Steps[step])
 }
 
 // CountStepTasks returns the number of allocations of a step's tasks on a worker.
--- a/internal/state/backlog.go
+++ b/internal/state/backlog.go
@@ -19,22 +19,22 @@
 func (s *Store) Backlog() map[BacklogKey]int64 {
 	backlog := map[BacklogKey]int64{}
 	for _, job := range s.openJobs {
-		key := BacklogKey{job.Service, job.Tenant(), job.Priority}
-		for _, instance := range job.Instances {
-			if !instance.Failed {
-				backlog[key] += job.remainingWork(instance)
-			}
+		for i := range job.Steps {
+			key := BacklogKey{s.ServiceForStep(job, i), job.Tenant(), job.Priority}
+			backlog[key] += job.remainingWork(i)
 		}
 	}
 	return backlog
 }
 
-// remainingWork returns the estimated work of an instance's unfinished tasks, in millicores
-// times ms.
-func (j *Job) remainingWork(instance *JobInstance) int64 {
+// remainingWork returns the estimated work of a step's unfinished tasks in all instances, in
+// millicores times ms.
+func (j *Job) remainingWork(step int) int64 {
 	remaining := int64(0)
-	for i := range instance.Steps {
-		remaining += taskWork(&j.Steps[i], instance.Steps[i].TasksLeft)
+	for _, instance := range j.Instances {
+		if !instance.Failed {
+			remaining += taskWork(&j.Steps[step], instance.Steps[step].TasksLeft)
+		}
 	}
 	return remaining
 }
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -33,6 +33,7 @@
 	CommandNextNumber           = "number"
 	CommandOfferJob             = "offer"
 	CommandPutKey               = "put"
+	CommandRaiseFormat          = "format"
 	CommandRegisterWorker       = "takeup"
 	CommandReleaseJob           = "release"
 	CommandReleaseLock          = "unlock"
@@ -66,6 +67,7 @@
 	CommandNextNumber:           func() Command { return &NextNumber{} },
 	CommandPutKey:               func() Command { return &PutKey{} },
 	CommandOfferJob:             func() Command { return &OfferJob{} },
+	CommandRaiseFormat:          func() Command { return &RaiseFormat{} },
 	CommandRegisterWorker:       func() Command { return &RegisterWorker{} },
 	CommandReleaseJob:           func() Command { return &ReleaseJob{} },
 	CommandReleaseLock:          func() Command { return &ReleaseLock{} },
--- a/internal/state/generator_test.go
+++ b/internal/state/generator_test.go
@@ -28,6 +28,11 @@
 
 func (g *generator) oneOf(choices ...string) string { return choices[g.Intn(len(choices))] }
 
+// format returns a format of the state that this program supports.
+func (g *generator) format() int {
+	return state.FormatUnmarked + g.Intn(state.FormatVersion-state.FormatUnmarked+1)
+}
+
 func (g *generator) jobID() string { return fmt.Sprintf("%016x", 1+g.Intn(g.jobs+2)) }
 
 func (g *generator) node() string { return fmt.Sprint("n", g.Intn(nodeCount)) }
@@ -113,7 +118,7 @@
 		if g.Intn(6) == 0 {
 			continue
 		}
-		configuration.Routes = append(configuration.Routes, clusterconfig.Route{
+		route := clusterconfig.Route{
 			Name:          fmt.Sprint("l", i),
 			HostName:      g.oneOf("h", "H2"),
 			PathPrefix:    fmt.Sprintf("/%s%d/", g.oneOf("p", "q"), i),
@@ -124,7 +129,12 @@
 			TargetService: g.oneOf("s", "t"),
 			MaxAttempts:   g.Intn(3),
 			Stretch:       1 + g.Float64(),
-		})
+		}
+		if g.Intn(3) == 0 {
+			route.Split = []clusterconfig.SplitPart{{TargetService: "s", Share: float64(1 + g.Intn(3))}, {TargetService: "t", Share: float64(g.Intn(3))}}
+			route.TargetService = g.oneOf("", "s")
+		}
+		configuration.Routes = append(configuration.Routes, route)
 	}
 	configuration.Services = []clusterconfig.Service{{Name: "s", EnforcesResources: true}, {Name: "t"}}
 	text := struct {
@@ -315,6 +325,9 @@
 			BaseRevision: g.store.Aggregators[z].Revision,
 		}
 	}},
+	state.CommandRaiseFormat: {1, func(g *generator) state.Command {
+		return &state.RaiseFormat{Version: g.format()}
+	}},
 	state.CommandSetLimits: {1, func(g *generator) state.Command {
 		return &state.SetLimits{Limits: state.Limits{
 			JobRetentionMs: int64(g.Intn(4) * 300),
@@ -380,10 +393,21 @@
 	}},
 }
 
+// entryWithout returns a log entry with random commands other than the one that is excluded.
+func (g *generator) entryWithout(excluded string, clock int64) []byte {
+	names := slices.DeleteFunc(state.CommandNames(), func(name string) bool { return name == excluded })
+	return g.entryOf(names, clock, clock, map[string]int{})
+}
+
 // entry returns a log entry with one to four random commands, and counts them by name.
 func (g *generator) entry(clock, wall int64, counts map[string]int) []byte {
+	return g.entryOf(state.CommandNames(), clock, wall, counts)
+}
+
+// entryOf is entry with only the named commands.
+func (g *generator) entryOf(names []string, clock, wall int64, counts map[string]int) []byte {
 	var weighted []string
-	for _, name := range state.CommandNames() {
+	for _, name := range names {
 		for range commandGenerators[name].weight {
 			weighted = append(weighted, name)
 		}
--- a/internal/state/golden_test.go
+++ b/internal/state/golden_test.go
@@ -45,6 +45,7 @@
 			Checkpoints: []protocol.RunProgress{{Task: "task", Run: 4, Checkpoint: "saved", Percent: 5}}, FromOldest: true}},
 		{Name: "evacuate", Value: &EvacuateZone{Zone: "zone", Evacuated: true, BaseRevision: 1}},
 		{Name: "forget", Value: &RemoveUnused{}},
+		{Name: "format", Value: &RaiseFormat{Version: 1}},
 		{Name: "halt", Value: &StopRuns{Allocations: []uint64{1, 2}, Reason: "why"}},
 		{Name: "handin", Value: &SubmitJob{Host: "host", Path: "path", ID: "id", Job: job, DemandBucket: 1}},
 		{Name: "lapse", Value: &ExpireLeases{Workers: []FencedWorker{{ID: "id", Fence: 1}}}},
@@ -151,6 +152,9 @@
 // file, and checks that the state is unchanged by encoding and decoding.
 func TestStateBytes(t *testing.T) {
 	s := New(Limits{JobRetentionMs: 1, MaxReplans: 2, RemoteFactor: 3.5})
+	if s.Format != FormatUnmarked {
+		t.Errorf("a new state has format %d, want %d", s.Format, FormatUnmarked)
+	}
 	s.AppliedIndex, s.Clock, s.WallClock, s.Origin, s.LastID, s.LastJobSequence, s.Epoch, s.DigestChain, s.DigestChainFrom = 11, 12, 13, 14, 15, 16, "epoch", 17, 18
 	route, service := clusterconfig.Route{Name: "route", HostName: "host", PathPrefix: "/path/", TargetService: "service"}, clusterconfig.Service{Name: "service", EnforcesResources: true}
 	s.Configuration = clusterconfig.Config{Version: 21, Routes: []clusterconfig.Route{route}, Services: []clusterconfig.Service{service}, Raw: []byte("text")}
@@ -183,15 +187,24 @@
 			t.Errorf("field %s is empty; set it so that its encoding is compared", field.Name)
 		}
 	}
-	saved := s.EncodeSnapshot()
-	golden.Text(t, "state.txt", fmt.Sprintf("state %s\n", hex.EncodeToString(saved)))
-	loaded, err := DecodeSnapshot(saved, Limits{})
-	if err != nil {
-		t.Fatal(err)
-	}
-	if !bytes.Equal(loaded.EncodeSnapshot(), saved) {
-		t.Error("encoding the decoded snapshot gives different bytes")
+	text := ""
+	for format := FormatUnmarked; format <= FormatVersion; format++ {
+		s.Format = format
+		saved := s.EncodeSnapshot()
+		if format == FormatUnmarked {
+			text += fmt.Sprintf("state %s\n", hex.EncodeToString(saved))
+		} else {
+			text += fmt.Sprintf("state of format %d %s\n", format, hex.EncodeToString(saved))
+		}
+		loaded, err := DecodeSnapshot(saved, Limits{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if loaded.Format != format || !bytes.Equal(loaded.EncodeSnapshot(), saved) {
+			t.Errorf("format %d: the decoded snapshot has format %d or other bytes", format, loaded.Format)
+		}
 	}
+	golden.Text(t, "state.txt", text)
 }
 
 // TestStoredConstants compares the names and numbers that rows contain with the golden
--- a/internal/state/job.go
+++ b/internal/state/job.go
@@ -15,7 +15,7 @@
 	ID                string
 	Sequence          int64 // position in the order of acceptance
 	Route             string
-	Service           string
+	Service           string  // see Store.ServiceForStep
 	Priority          int     // 0 is the highest
 	MaxAttempts       int     // number of failed runs of a task, or of a gang, at which the job fails
 	Stretch           float64 // see TargetTurnaroundMs
@@ -87,12 +87,13 @@
 	s.LastJobSequence++
 	j := &Job{ID: id, Sequence: s.LastJobSequence, Route: route.Name, Spec: job.Spec, Steps: job.Steps, CreatedAt: s.Clock}
 	j.applyRouteSettings(route)
+	j.Service = s.serviceOnRoute(j, route)
 	return j
 }
 
-// applyRouteSettings copies the route's scheduling settings to the job.
+// applyRouteSettings copies the route's scheduling settings to the job, but for the service.
 func (j *Job) applyRouteSettings(route *clusterconfig.Route) {
-	j.Service, j.Priority, j.MaxAttempts = route.TargetService, route.Priority, max(route.MaxAttempts, 1)
+	j.Priority, j.MaxAttempts = route.Priority, max(route.MaxAttempts, 1)
 	j.Stretch, j.TargetMs = route.Stretch, route.TargetMs
 }
 
--- a/internal/state/replace_configuration.go
+++ b/internal/state/replace_configuration.go
@@ -121,10 +121,16 @@
 	for _, service := range s.Configuration.Services {
 		s.Services[service.Name] = service
 	}
+	s.applyRoutesToOpenJobs()
+	s.rebuildIndex()
+}
+
+// applyRoutesToOpenJobs copies the settings of the routes to their open jobs.
+func (s *Store) applyRoutesToOpenJobs() {
 	for _, job := range s.openJobs {
 		if route := s.Routes[job.Route]; route != nil {
 			job.applyRouteSettings(route)
+			job.Service = s.serviceOnRoute(job, route)
 		}
 	}
-	s.rebuildIndex()
 }
--- a/internal/state/scheduling_index.go
+++ b/internal/state/scheduling_index.go
@@ -109,7 +109,7 @@
 		s.reindexWorker(worker)
 	}
 	for _, allocation := range s.Allocations {
-		allocation.servicePriority = ServicePriority{}
+		allocation.counted = false
 		s.addUsage(allocation)
 	}
 	for _, job := range s.openJobs {
@@ -206,6 +206,8 @@
 func (s *Store) addUsage(allocation *Allocation) {
 	if job := s.Jobs[allocation.Job]; job != nil {
 		allocation.servicePriority = ServicePriority{job.Service, job.Priority}
+		// In the first format, the use of a job without a service is not subtracted again.
+		allocation.counted = s.Format >= FormatSplitJobs || allocation.servicePriority != (ServicePriority{})
 		used := s.index.used[allocation.servicePriority]
 		s.index.used[allocation.servicePriority] = used.plus(Resources{allocation.MilliCPU, allocation.MemoryMB})
 		allocation.tenant = job.Tenant()
@@ -216,7 +218,7 @@
 
 // removeUsage subtracts what addUsage added.
 func (s *Store) removeUsage(allocation *Allocation) {
-	if allocation.servicePriority == (ServicePriority{}) {
+	if !allocation.counted {
 		return
 	}
 	used := s.index.used[allocation.servicePriority].minus(Resources{allocation.MilliCPU, allocation.MemoryMB})
@@ -226,7 +228,7 @@
 		s.index.used[allocation.servicePriority] = used
 	}
 	s.adjustTenantUse(allocation, -1)
-	allocation.servicePriority = ServicePriority{}
+	allocation.counted = false
 }
 
 // markPlaceable records that a step may have tasks to place, if its job is open and the step is
--- a/internal/state/snapshot_encoding.go
+++ b/internal/state/snapshot_encoding.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"bytes"
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
@@ -12,6 +13,10 @@
 	maxSnapshotElements = 1 << 22
 	// maxSnapshotNesting is the maximum nesting depth of a snapshot, in levels.
 	maxSnapshotNesting = 16
+	// cborUnsignedInteger is the major type of an unsigned integer, which the first byte of its
+	// encoding contains above cborMajorTypeShift.
+	cborUnsignedInteger = 0
+	cborMajorTypeShift  = 5
 )
 
 // snapshotEncoding is canonical: it sorts the keys of maps, so that equal states have
@@ -39,13 +44,23 @@
 	return mode
 }()
 
-// EncodeSnapshot encodes the complete state. Equal states have the same encoding.
+// EncodeSnapshot encodes the complete state. Equal states have the same encoding: the tables as a
+// map, after the number of the format in force unless that is FormatUnmarked. Programs that support
+// no other format therefore fail to decode the snapshot.
 func (s *Store) EncodeSnapshot() []byte {
-	raw, err := snapshotEncoding.Marshal(s)
-	if err != nil {
+	var snapshot bytes.Buffer
+	encoder := snapshotEncoding.NewEncoder(&snapshot)
+	if s.Format != FormatUnmarked {
+		mustEncode(encoder, s.Format)
+	}
+	mustEncode(encoder, s)
+	return snapshot.Bytes()
+}
+
+func mustEncode(encoder *cbor.Encoder, value any) {
+	if err := encoder.Encode(value); err != nil {
 		panic("state: " + err.Error())
 	}
-	return raw
 }
 
 // DecodeSnapshot decodes a state that EncodeSnapshot encoded; an empty slice is an empty
@@ -57,7 +72,11 @@
 	if len(raw) == 0 {
 		return s, nil
 	}
-	if err := snapshotDecoding.Unmarshal(raw, s); err != nil {
+	tables, err := s.decodeFormat(raw)
+	if err != nil {
+		return nil, err
+	}
+	if err := snapshotDecoding.Unmarshal(tables, s); err != nil {
 		return nil, fmt.Errorf("state: cannot decode snapshot: %w", err)
 	}
 	if err := s.deriveFromUntrusted(); err != nil {
@@ -66,6 +85,21 @@
 	return s, nil
 }
 
+// decodeFormat sets the format to that of a snapshot and returns the encoded tables. It returns an
+// error if this program does not support the format.
+func (s *Store) decodeFormat(raw []byte) (tables []byte, err error) {
+	if raw[0]>>cborMajorTypeShift != cborUnsignedInteger {
+		return raw, nil
+	}
+	if tables, err = snapshotDecoding.UnmarshalFirst(raw, &s.Format); err != nil {
+		return nil, fmt.Errorf("state: cannot decode the format of a snapshot: %w", err)
+	}
+	if s.Format <= FormatUnmarked || s.Format > FormatVersion {
+		return nil, fmt.Errorf("state: snapshot has format %d, expected %d to %d", s.Format, FormatUnmarked, FormatVersion)
+	}
+	return tables, nil
+}
+
 // deriveFromUntrusted is derive for tables that may be corrupt: a row that refers to a
 // missing row is an error, not a panic.
 func (s *Store) deriveFromUntrusted() (err error) {
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -8,10 +8,18 @@
 	"tealpond/internal/coordination"
 )
 
-// FormatVersion is the version of the state: of its tables, its commands and
-// their effects. Raise it with any change of these, so that digests of replicas
-// that run different versions are not compared.
-const FormatVersion = 8
+// Formats of the state: of its tables, its commands and their effects. Raise FormatVersion with any
+// change of these. An effect that differs from that of an earlier format must depend on Store.Format,
+// so that replicas of different programs stay equal until RaiseFormat is applied.
+const (
+	// FormatUnmarked is the format of a state to which RaiseFormat was never applied.
+	FormatUnmarked = 8
+	// FormatSplitJobs is the first format in which the jobs of a route with a traffic split are
+	// divided among its services.
+	FormatSplitJobs = 9
+	// FormatVersion is the newest format that this program supports.
+	FormatVersion = FormatSplitJobs
+)
 
 // Limits are the operator settings that commands depend on. They are part of the
 // state and are set by a command, since settings may differ between machines while
@@ -28,6 +36,8 @@
 // renamed, since snapshots of earlier versions use it. Snapshot must copy each field.
 // Other packages may read the tables; only commands change them.
 type Store struct {
+	// Format is the format in force. It stands before the tables in a snapshot, see EncodeSnapshot.
+	Format               int                              `cbor:"-"`
 	AppliedIndex         uint64                           `cbor:"Applied"` // index of the last applied log entry
 	Clock                int64                            `cbor:"Clock"`   // ms, see the package comment
 	WallClock            int64                            `cbor:"Wall"`    // ms since 1970
@@ -87,6 +97,7 @@
 // New returns an empty state.
 func New(limits Limits) *Store {
 	s := &Store{
+		Format:        FormatUnmarked,
 		Routes:        map[string]*clusterconfig.Route{},
 		Services:      map[string]clusterconfig.Service{},
 		Workers:       map[string]*Worker{},
--- a/internal/state/worker.go
+++ b/internal/state/worker.go
@@ -45,6 +45,16 @@
 // HasLabel reports whether the worker has a label.
 func (w *Worker) HasLabel(label string) bool { return slices.Contains(w.Labels, label) }
 
+// hasLabels reports whether the worker has all of the labels.
+func (w *Worker) hasLabels(labels []string) bool {
+	for _, label := range labels {
+		if !w.HasLabel(label) {
+			return false
+		}
+	}
+	return true
+}
+
 // RemoteFrom reports whether the worker lacks the label of the rack near which a task's data
 // is stored. No worker is remote from an empty label.
 func (w *Worker) RemoteFrom(label string) bool { return label != "" && !w.HasLabel(label) }
@@ -54,6 +64,12 @@
 	return !w.Draining && !w.Unhealthy && !w.LeaseExpired && !w.Dead && !w.evacuated
 }
 
+// Eligible reports whether the worker may run tasks of a step of the given service, regardless of its
+// free resources.
+func (w *Worker) Eligible(service string, spec *protocol.Step) bool {
+	return w.Schedulable() && w.Service == service && w.hasLabels(spec.RequiredLabels)
+}
+
 // FreeMilliCPU returns the unused CPU, which is never negative.
 func (w *Worker) FreeMilliCPU() int64 { return max(0, w.Capacity.CPUUnits-w.UsedMilliCPU) }
 
