Scheduler: preemption frees the service of the run's worker, not that of its job

Seen (in a test): after a valid change of a route's service, urgent work waits behind the runs that fill its service's workers, and urgent work of the other service preempts them for nothing.

Cause: Preemptions and the totals of use by service took a run's service from its job, whose service changes with its route, while the run goes on using its worker.

Change: both take the service of the run's worker. Neither is part of the replicated state.

Evidence: TestPreemptionFreesTheServiceOfTheRun fails before (0 runs preempted where some are needed, 4 preempted for nothing) and passes with the change.

--- a/internal/scheduler/preemption.go
+++ b/internal/scheduler/preemption.go
@@ -50,7 +50,7 @@
 			if freed.cpu >= need.cpu && freed.memory >= need.memory {
 				break
 			}
-			if v.job.Service != kind.Service || v.job.Priority <= kind.Priority {
+			if v.allocation.ServiceOfRun() != kind.Service || v.job.Priority <= kind.Priority {
 				continue
 			}
 			preempted = append(preempted, v.allocation.ID)
@@ -72,7 +72,7 @@
 			continue
 		}
 		if allocation.Stopping {
-			stopping[job.Service] = stopping[job.Service].add(allocation.MilliCPU, allocation.MemoryMB, 1)
+			stopping[allocation.ServiceOfRun()] = stopping[allocation.ServiceOfRun()].add(allocation.MilliCPU, allocation.MemoryMB, 1)
 			continue
 		}
 		spec := &job.Steps[allocation.Step]
--- a/internal/state/scheduling_index.go
+++ b/internal/state/scheduling_index.go
@@ -202,12 +202,13 @@
 	}
 }
 
-// addUsage adds a run's resources to the totals of its job's service, priority and tenant.
+// addUsage adds a run's resources to the totals of its worker's service, and of its job's priority
+// and tenant.
 func (s *Store) addUsage(allocation *Allocation) {
 	if job := s.Jobs[allocation.Job]; job != nil {
-		allocation.servicePriority = ServicePriority{job.Service, job.Priority}
+		allocation.servicePriority = ServicePriority{s.serviceOfRun(allocation, job), job.Priority}
 		// In the first format, the use of a job without a service is not subtracted again.
-		allocation.counted = s.Format >= FormatSplitJobs || allocation.servicePriority != (ServicePriority{})
+		allocation.counted = s.Format >= FormatSplitJobs || job.Service != "" || job.Priority != 0
 		used := s.index.used[allocation.servicePriority]
 		s.index.used[allocation.servicePriority] = used.plus(Resources{allocation.MilliCPU, allocation.MemoryMB})
 		allocation.tenant = job.Tenant()
@@ -216,6 +217,18 @@
 	s.index.newAllocations = append(s.index.newAllocations, allocation.ID)
 }
 
+// serviceOfRun returns the service whose capacity a run uses. The job's service may have changed
+// since the run was allocated.
+func (s *Store) serviceOfRun(allocation *Allocation, job *Job) string {
+	if worker := s.Workers[allocation.Worker]; worker != nil {
+		return worker.Service
+	}
+	return job.Service
+}
+
+// ServiceOfRun returns the service whose capacity the run uses.
+func (a *Allocation) ServiceOfRun() string { return a.servicePriority.Service }
+
 // removeUsage subtracts what addUsage added.
 func (s *Store) removeUsage(allocation *Allocation) {
 	if !allocation.counted {
