Jobs: without tenants, accepted jobs are answered to all

Cause: without tenants each caller has the empty tenant, which admission compared with the job's.

Change: admission asks state.MayAccess, by which each caller may access all jobs while no tenants are configured. Commands in the log are as they were.

--- a/internal/server/jobs.go
+++ b/internal/server/jobs.go
@@ -55,7 +55,7 @@
 		reply(responseUnknownKey)
 		return jobCall{}, false
 	}
-	if job := r.state.Jobs[id]; job != nil && !job.VisibleTo(tenant) {
+	if job := r.state.Jobs[id]; job != nil && !r.state.MayAccess(job, tenant) {
 		reply(responseOtherTenantsJob)
 		return jobCall{}, false
 	}
--- a/internal/server/tenants_test.go
+++ b/internal/server/tenants_test.go
@@ -71,6 +71,37 @@
 	})
 }
 
+// TestJobsOfTenantsAreAnsweredWithoutTenants guards against accepted jobs that nobody can reach: once
+// no tenants are configured, no key is needed, and a job that was accepted under a key is answered to
+// all, also to a repeated submission. It belongs to its tenant again once tenants are back.
+func TestJobsOfTenantsAreAnsweredWithoutTenants(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newLeader(t)
+		tenants := `{"name":"a","apiKeys":["a1"]},{"name":"b","apiKeys":["b1"]}`
+		h.configureTenants(1, tenants)
+		if response := h.call(rpc.KindSubmitJob, tenantRequest("/r/"+tenantJobID, "a1")); response.Code != rpc.CodeOK {
+			t.Fatalf("submission: %+v", response)
+		}
+		expect := func(kind, key string, code rpc.Code) {
+			t.Helper()
+			if response := h.call(kind, tenantRequest("/r/"+tenantJobID, key)); response.Code != code {
+				t.Errorf("%s with key %q: %+v, want code %d", kind, key, response, code)
+			}
+		}
+		h.configureTenants(2, "")
+		for _, key := range []string{"", "a1", "b1", "unknown"} {
+			expect(rpc.KindJobStatus, key, rpc.CodeOK)
+			expect(rpc.KindSubmitJob, key, rpc.CodeOK)
+		}
+		h.configureTenants(3, tenants)
+		expect(rpc.KindJobStatus, "b1", rpc.CodeForbidden)
+		expect(rpc.KindJobStatus, "", rpc.CodeUnauthorized)
+		expect(rpc.KindJobStatus, "a1", rpc.CodeOK)
+		h.configureTenants(4, "")
+		expect(rpc.KindCancelJob, "", rpc.CodeOK)
+	})
+}
+
 // TestRevokedKeyIsRefusedAtOnce checks that a revoked key is refused even if the change is applied
 // while a submission is in the log, and that a key that moved counts for its new tenant.
 func TestRevokedKeyIsRefusedAtOnce(t *testing.T) {
--- a/internal/state/tenant.go
+++ b/internal/state/tenant.go
@@ -29,6 +29,12 @@
 // BeyondShare reports whether the job was submitted beyond its tenant's share.
 func (j *Job) BeyondShare() bool { return j.tenant.BeyondShare }
 
+// MayAccess reports whether a caller that Authenticate allowed may query and cancel a job. If no
+// tenants are configured, no caller has a key, and each may access all jobs.
+func (s *Store) MayAccess(job *Job, tenant string) bool {
+	return len(s.Configuration.Tenants()) == 0 || job.VisibleTo(tenant)
+}
+
 // VisibleTo reports whether a tenant may query and cancel the job. A job belongs to a
 // tenant rather than to an API key, since keys may change while it runs. A job that was
 // submitted without a tenant is visible to all.
