Watches: an answer omits only puts that are kept for the whole history from then on

Cause: the puts after such a revision were up to historyS old already, and were dropped by their own age, historyS and two seconds after they were made.

Change: an answer omits only puts that are at most a second old. It is the leader's alone: tables, retention and commands are as they were.

Evidence: TestCutOffWatchCanBeResumed gets ErrCompacted at three of four rates of puts before, and passes with the change.

--- a/internal/coordination/key.go
+++ b/internal/coordination/key.go
@@ -177,8 +177,8 @@
 }
 
 // compact drops the oldest puts of the history. A watch may resume from a revision for historyMs
-// after it got it: the puts above that revision are no older, and the state clock may only lag
-// behind the true time.
+// after it got it: the puts above that revision are older by maxOmittedAge at most, and the state
+// clock may only lag behind the true time.
 func (g *Group) compact(clock, historyMs int64) {
 	retentionMs := historyRetentionMs(historyMs)
 	expired := 0
--- a/internal/coordination/key_test.go
+++ b/internal/coordination/key_test.go
@@ -85,7 +85,7 @@
 // revision whose later puts are all kept, and ErrCompacted if it starts from an older one.
 func TestWatchSkipsNoEvents(t *testing.T) {
 	tables := New()
-	if update, err := tables.Since("g.", 0); err != nil || update.Revision != 0 || len(update.Events) != 0 {
+	if update, err := tables.Since("g.", 0, 0); err != nil || update.Revision != 0 || len(update.Events) != 0 {
 		t.Errorf("watch of an empty group: %+v, %v", update, err)
 	}
 	for i := range int64(100) {
@@ -97,7 +97,7 @@
 		t.Errorf("the oldest put kept is %d ms old, of revision %d after %d", age, oldest.Revision, group.Compacted)
 	}
 	for after := int64(0); after <= 100; after++ {
-		update, err := tables.Since("g.", after)
+		update, err := tables.Since("g.", after, 99*500)
 		if after < group.Compacted {
 			if !errors.Is(err, ErrCompacted) {
 				t.Errorf("after %d: %v", after, err)
@@ -117,7 +117,7 @@
 		}
 	}
 	tables.Expire(1_000_000)
-	if update, err := tables.Since("g.", 100); err != nil || update.Revision != 100 {
+	if update, err := tables.Since("g.", 100, 1_000_000); err != nil || update.Revision != 100 {
 		t.Errorf("can't resume from the newest revision: %+v, %v", update, err)
 	}
 }
@@ -137,7 +137,7 @@
 	}
 	eventCount, after := 0, int64(1)
 	for range 3 {
-		update, err := tables.Since("g.", after)
+		update, err := tables.Since("g.", after, 0)
 		if err != nil || len(update.Events) > maxWatchEvents || update.Events[0].Revision != after+1 {
 			t.Fatalf("after %d: %d events, %v", after, len(update.Events), err)
 		}
@@ -148,6 +148,33 @@
 	}
 }
 
+// TestCutOffWatchCanBeResumed guards against a watch that loses puts: an answer was cut off at a
+// revision whose next put was dropped before the caller, within the history, resumed from it. The
+// caller sleeps for almost the whole history between its calls, under several rates of puts.
+func TestCutOffWatchCanBeResumed(t *testing.T) {
+	const sleepMs, end = testHistoryMs - 100, 8 * testHistoryMs
+	for _, intervalMs := range []int64{5, 20, 37, 1000} {
+		t.Run(fmt.Sprint("a put each ", intervalMs, " ms"), func(t *testing.T) {
+			tables, after, resumed, got := New(), int64(1), int64(0), int64(0)
+			for clock := int64(0); clock < end; clock += intervalMs {
+				tables.put("g.a", fmt.Sprint(clock), tables.revisionOf("g.a"), clock)
+				if clock-resumed < sleepMs {
+					continue
+				}
+				update, err := tables.Since("g.", after, clock)
+				if err != nil {
+					t.Fatalf("at %d ms, after revision %d: %v", clock, after, err)
+				}
+				got += int64(len(update.Events))
+				after, resumed = update.Revision, clock
+			}
+			if got != after-1 || got == 0 {
+				t.Errorf("%d events up to revision %d", got, after)
+			}
+		})
+	}
+}
+
 // TestCloneIsIndependent checks that changes to tables don't change their clone, and the reverse.
 func TestCloneIsIndependent(t *testing.T) {
 	tables := New()
@@ -163,7 +190,7 @@
 		t.Fatal(err)
 	}
 	tables.Release(Release{Name: "l", Holder: "a", Fence: 1})
-	if update, _ := copied.Since("g.", 0); len(update.Events) != 1 || copied.revisionOf("g.a") != 1 ||
+	if update, _ := copied.Since("g.", 0, 1); len(update.Events) != 1 || copied.revisionOf("g.a") != 1 ||
 		copied.revisionOf("h.a") != 0 || copied.Counters["n"] != 1 || len(copied.Locks) != 1 {
 		t.Errorf("the clone was changed to %+v", copied)
 	}
--- a/internal/coordination/watch.go
+++ b/internal/coordination/watch.go
@@ -2,10 +2,16 @@
 
 import (
 	"errors"
+	"sort"
 )
 
-// maxWatchEvents is the maximum number of events in one answer to a watch.
-const maxWatchEvents = 500
+const (
+	// maxWatchEvents is the number of events above which an answer to a watch may be cut off.
+	maxWatchEvents = 500
+	// maxOmittedAge is the maximum age of a put that an answer omits. A caller may resume from the
+	// answer's revision for the whole history: a put that is older now would be dropped before that.
+	maxOmittedAge = keyHistoryMargin / 2
+)
 
 // ErrCompacted is returned to a watch if some puts after its revision are no longer kept.
 var ErrCompacted = errors.New("the history from that revision on is no longer kept")
@@ -26,9 +32,10 @@
 	return t.Groups[group].Revision
 }
 
-// Since returns the puts of a group after a revision, at most the oldest maxWatchEvents of them;
-// the error is ErrCompacted.
-func (t *Tables) Since(group string, after int64) (WatchResult, error) {
+// Since returns the puts of a group after a revision, the oldest first: maxWatchEvents of them, and
+// beyond that those older than maxOmittedAge. The clock is the state clock, in ms. The error is
+// ErrCompacted.
+func (t *Tables) Since(group string, after, clock int64) (WatchResult, error) {
 	revision := t.Revision(group)
 	if revision <= after {
 		return WatchResult{Revision: max(revision, after)}, nil
@@ -38,6 +45,7 @@
 		return WatchResult{}, ErrCompacted
 	}
 	events := g.History[after-g.Compacted:]
-	events = events[:min(len(events), maxWatchEvents)]
+	old := sort.Search(len(events), func(i int) bool { return clock-events[i].At <= maxOmittedAge.Milliseconds() })
+	events = events[:min(len(events), max(old, maxWatchEvents))]
 	return WatchResult{Events: events, Revision: events[len(events)-1].Revision}, nil
 }
--- a/internal/server/key_watches.go
+++ b/internal/server/key_watches.go
@@ -80,7 +80,7 @@
 		reply(watchResponse(coordination.WatchResult{Revision: revision}, nil))
 		return
 	}
-	update, err := r.state.Coordination.Since(watch.Group, watch.After)
+	update, err := r.state.Coordination.Since(watch.Group, watch.After, r.clock(time.Now()))
 	if err != nil || len(update.Events) > 0 || watch.WaitMs <= 0 {
 		reply(watchResponse(update, err))
 		return
@@ -119,7 +119,7 @@
 		w.notifiedRevision[group] = revision
 		w.answer(group,
 			func(held keyWatcher) bool { return !leads || revision > held.after || !now.Before(held.deadline) },
-			func(held keyWatcher) { r.replyToKeyWatcher(group, held, leads) })
+			func(held keyWatcher) { r.replyToKeyWatcher(group, held, leads, now) })
 		for _, held := range w.byGroup[group] {
 			w.recordDeadline(held.deadline)
 		}
@@ -132,10 +132,10 @@
 }
 
 // replyToKeyWatcher answers one watch with the puts since its revision.
-func (r *Replica) replyToKeyWatcher(group string, watcher keyWatcher, leads bool) {
+func (r *Replica) replyToKeyWatcher(group string, watcher keyWatcher, leads bool, now time.Time) {
 	if !leads {
 		watcher.reply(rpc.Response{Code: rpc.CodeNotLeader, Leader: r.leaderAddress()})
 		return
 	}
-	watcher.reply(watchResponse(r.state.Coordination.Since(group, watcher.after)))
+	watcher.reply(watchResponse(r.state.Coordination.Since(group, watcher.after, r.clock(now))))
 }
