Signals: SIGHUP is ignored from the start of the process until it is captured

Cause: the default effect holds until main captures the signal, and the runtime and the packages of other modules are initialized before that.

Change: a C constructor ignores SIGHUP before the Go runtime starts, which leaves it ignored until it is captured. Tools get the inherited effect back.

--- a/cmd/tealpond/signals.go
+++ b/cmd/tealpond/signals.go
@@ -7,6 +7,8 @@
 	"syscall"
 
 	"github.com/go-kit/log"
+
+	"tealpond/internal/hangup"
 )
 
 // signalQueueLength is the number of signals that can be queued for handling.
@@ -14,7 +16,8 @@
 
 // processSignals captures the signals of the process. A single value does so from the first
 // line of the program until the process exits, because a signal that is not captured kills
-// the process at once, even while it is still answering requests.
+// the process at once, even while it is still answering requests. Until then SIGHUP is ignored
+// (package hangup): the settings are read later in any case.
 type processSignals struct {
 	incoming chan os.Signal
 }
@@ -30,6 +33,7 @@
 // captured in the meantime is sent to the process again.
 func (s *processSignals) release() {
 	signal.Reset(syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	hangup.Restore()
 	select {
 	case captured := <-s.incoming:
 		if number, ok := captured.(syscall.Signal); ok {
