--- a/internal/scheduler/split_test.go
+++ b/internal/scheduler/split_test.go
@@ -115,9 +115,13 @@
 	return job
 }
 
+// fromPeer is the kind of the jobs that a peer cluster offers.
+const fromPeer = "from a peer"
+
 // kindsOfJobs has a job of each kind, by a name for the kind.
 var kindsOfJobs = map[string]protocol.Job{
 	"plain":       twoSteps(func(*protocol.Step) {}),
+	fromPeer:      twoSteps(func(*protocol.Step) {}),
 	"gang":        twoSteps(func(step *protocol.Step) { step.Gang = true }),
 	"same rack":   twoSteps(func(step *protocol.Step) { step.Gang, step.SameRack = true, true }),
 	"apart":       twoSteps(func(step *protocol.Step) { step.MaxPerWorker = 1 }),
@@ -134,6 +138,13 @@
 	c.tb.Helper()
 	c.submitted++
 	id := fmt.Sprintf("%016x", c.submitted)
+	if kind == fromPeer {
+		c.apply(state.CommandLendCapacity, &state.LendCapacity{ID: "loan", Peer: "peer", Service: "s", MilliCPU: 16000, MinMilliCPU: 1, DurationMs: 1 << 40, Slices: 4, SliceMilliCPU: 4000})
+		if outcome := c.apply(state.CommandAcceptJob, &state.AcceptJob{Peer: "peer", OfferID: 1, ID: id, Route: "a", Loan: "loan", Job: kindsOfJobs[kind]}); outcome.Code != state.CodeOK {
+			c.tb.Fatal(outcome)
+		}
+		return id
+	}
 	if outcome := c.apply(state.CommandSubmitJob, &state.SubmitJob{Host: "h", Path: "/p/" + id, ID: id, Job: kindsOfJobs[kind]}); outcome.Code != state.CodeOK {
 		c.tb.Fatal(outcome)
 	}
