--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -44,16 +44,19 @@
 	return true
 }
 
-// configuration is the template of a configuration. Its parameters are the version and a time-out of
-// the routes, which differs between versions.
-const configuration = `{"configVersion":%d,"routeList":[` +
-	`{"name":"r","hostName":"h","pathPrefix":"/read/","kind":"read_only","timeoutMs":%[2]d,"targetMs":500,"targetService":"svc","maxTries":2},` +
-	`{"name":"w","hostName":"h","pathPrefix":"/write/","kind":"writing","timeoutMs":%[2]d,"targetMs":500,"targetService":"svc","maxTries":2},` +
-	`{"name":"u","hostName":"h","pathPrefix":"/upload/","kind":"upload","timeoutMs":%[2]d,"targetMs":500,"targetService":"svc","maxTries":2},` +
-	`{"name":"d","hostName":"h","pathPrefix":"/download/","kind":"download","timeoutMs":%[2]d,"targetMs":500,"targetService":"svc","maxTries":2},` +
-	`{"name":"j","hostName":"h","pathPrefix":"/p/","kind":"writing","timeoutMs":%[2]d,"targetMs":500,"targetService":"svc","maxTries":2}],` +
+// configuration is the template of a configuration. Its parameters are the version, a time-out of the
+// routes, which differs between versions, and the service of the routes.
+const configuration = `{"configVersion":%[1]d,"routeList":[` +
+	`{"name":"r","hostName":"h","pathPrefix":"/read/","kind":"read_only","timeoutMs":%[2]d,"targetMs":500,%[3]s,"maxTries":2},` +
+	`{"name":"w","hostName":"h","pathPrefix":"/write/","kind":"writing","timeoutMs":%[2]d,"targetMs":500,%[3]s,"maxTries":2},` +
+	`{"name":"u","hostName":"h","pathPrefix":"/upload/","kind":"upload","timeoutMs":%[2]d,"targetMs":500,%[3]s,"maxTries":2},` +
+	`{"name":"d","hostName":"h","pathPrefix":"/download/","kind":"download","timeoutMs":%[2]d,"targetMs":500,%[3]s,"maxTries":2},` +
+	`{"name":"j","hostName":"h","pathPrefix":"/p/","kind":"writing","timeoutMs":%[2]d,"targetMs":500,%[3]s,"maxTries":2}],` +
 	`"serviceList":[{"name":"svc"}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000000}}`
 
+// routeServices are the fields by which the routes of successive versions name their service.
+var routeServices = []string{`"targetService":"` + service + `"`, `"trafficSplit":[{"targetService":"` + service + `","share":3},{"targetService":"` + service + `","share":1}]`}
+
 // routeTimeoutMs is the time-out of the routes in the first version, in ms. It is longer than that of
 // any client.
 const routeTimeoutMs = 20_000
@@ -62,7 +65,7 @@
 // and reports whether one did.
 func (r *run) changeConfiguration(ctx context.Context) bool {
 	base := r.version.Load()
-	text := fmt.Sprintf(configuration, base+1, routeTimeoutMs+base)
+	text := fmt.Sprintf(configuration, base+1, routeTimeoutMs+base, routeServices[base%int64(len(routeServices))])
 	for _, name := range r.cluster.Names() {
 		node, err := r.cluster.Daemon(name)
 		if err != nil {
