State: a job keeps its split route, and the backlog sums up a job before it looks up its key

Change: the route of a job is looked up when it comes into force, and kept only if it has a split; work is summed up for each job first.

Behaviour is as before.

--- a/internal/state/backlog.go
+++ b/internal/state/backlog.go
@@ -19,24 +19,28 @@
 func (s *Store) Backlog() map[BacklogKey]int64 {
 	backlog := map[BacklogKey]int64{}
 	for _, job := range s.openJobs {
-		for i := range job.Steps {
-			key := BacklogKey{s.ServiceForStep(job, i), job.Tenant(), job.Priority}
-			backlog[key] += job.remainingWork(i)
-		}
+		s.addRemainingWork(backlog, job)
 	}
 	return backlog
 }
 
-// remainingWork returns the estimated work of a step's unfinished tasks in all instances, in
-// millicores times ms.
-func (j *Job) remainingWork(step int) int64 {
-	remaining := int64(0)
-	for _, instance := range j.Instances {
-		if !instance.Failed {
-			remaining += taskWork(&j.Steps[step], instance.Steps[step].TasksLeft)
+// addRemainingWork adds the estimated work of a job's unfinished tasks to a backlog.
+func (s *Store) addRemainingWork(backlog map[BacklogKey]int64, job *Job) {
+	key, remaining := BacklogKey{job.Service, job.Tenant(), job.Priority}, int64(0)
+	for _, instance := range job.Instances {
+		if instance.Failed {
+			continue
+		}
+		for i := range instance.Steps {
+			work := taskWork(&job.Steps[i], instance.Steps[i].TasksLeft)
+			if service := s.ServiceForStep(job, i); service != job.Service {
+				backlog[BacklogKey{service, job.Tenant(), job.Priority}] += work
+				continue
+			}
+			remaining += work
 		}
 	}
-	return remaining
+	backlog[key] += remaining
 }
 
 // taskWork returns the estimated work of a number of tasks of a step, in millicores times ms.
--- a/internal/state/job.go
+++ b/internal/state/job.go
@@ -34,7 +34,8 @@
 	Done              bool
 	EndedAt           int64 // 0 while it is open
 	Transfer          JobTransfer
-	tenant            JobTenant // see Store.JobTenants
+	tenant            JobTenant            // see Store.JobTenants
+	splitRoute        *clusterconfig.Route // its route if that divides jobs among services, else nil; see Store.splitRouteOf
 }
 
 // JobInstance is one execution of all steps of a job. A periodic job has one for each
@@ -86,8 +87,7 @@
 func (s *Store) newJob(id string, route *clusterconfig.Route, job protocol.Job) *Job {
 	s.LastJobSequence++
 	j := &Job{ID: id, Sequence: s.LastJobSequence, Route: route.Name, Spec: job.Spec, Steps: job.Steps, CreatedAt: s.Clock}
-	j.applyRouteSettings(route)
-	j.Service = s.serviceOnRoute(j, route)
+	s.applyRoute(j, route)
 	return j
 }
 
--- a/internal/state/replace_configuration.go
+++ b/internal/state/replace_configuration.go
@@ -129,8 +129,7 @@
 func (s *Store) applyRoutesToOpenJobs() {
 	for _, job := range s.openJobs {
 		if route := s.Routes[job.Route]; route != nil {
-			job.applyRouteSettings(route)
-			job.Service = s.serviceOnRoute(job, route)
+			s.applyRoute(job, route)
 		}
 	}
 }
--- a/internal/state/split_service.go
+++ b/internal/state/split_service.go
@@ -11,6 +11,21 @@
 // has started stays with its service as long as the route has that service, since its checkpoints and
 // its data are there.
 
+// applyRoute puts a route into force for an open job.
+func (s *Store) applyRoute(job *Job, route *clusterconfig.Route) {
+	job.applyRouteSettings(route)
+	job.Service = s.serviceOnRoute(job, route)
+	job.splitRoute = s.splitRouteOf(route)
+}
+
+// splitRouteOf returns the route if it divides jobs among services, else nil.
+func (s *Store) splitRouteOf(route *clusterconfig.Route) *clusterconfig.Route {
+	if s.Format < FormatSplitJobs || route == nil || len(route.Split) == 0 {
+		return nil
+	}
+	return route
+}
+
 // serviceOnRoute returns the service that gets an open job when a route comes into force for it.
 func (s *Store) serviceOnRoute(job *Job, route *clusterconfig.Route) string {
 	switch {
@@ -25,26 +40,25 @@
 // ServiceForStep returns the service whose workers run the tasks of a step: the job's service or, if
 // none of its workers can ever run them, the first service of the job's route whose workers can.
 func (s *Store) ServiceForStep(job *Job, step int) string {
-	route := s.Routes[job.Route]
-	if s.Format < FormatSplitJobs || route == nil {
+	if job.splitRoute == nil {
 		return job.Service
 	}
-	return s.serviceForStep(job.Service, route, &job.Steps[step])
+	return s.serviceForStep(job.Service, job.splitRoute, &job.Steps[step])
 }
 
 // ServiceForSubmission returns the service whose workers would run the first step of a job that is
 // not submitted yet.
 func (s *Store) ServiceForSubmission(route *clusterconfig.Route, id string, submitted *protocol.Job) string {
-	if s.Format < FormatSplitJobs || len(submitted.Steps) == 0 {
+	if s.splitRouteOf(route) == nil || len(submitted.Steps) == 0 {
 		return route.TargetService
 	}
 	return s.serviceForStep(route.ServiceForJob(id), route, &submitted.Steps[0])
 }
 
-// serviceForStep returns the preferred service of a route if its workers can run a step, else the
+// serviceForStep returns the preferred service of a split route if its workers can run a step, else the
 // first other one whose workers can, else the preferred one.
 func (s *Store) serviceForStep(preferred string, route *clusterconfig.Route, spec *protocol.Step) string {
-	if len(route.Split) == 0 || s.canRun(preferred, spec) {
+	if s.canRun(preferred, spec) {
 		return preferred
 	}
 	for _, service := range route.Services() {
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -123,6 +123,7 @@
 		job.tenant = s.JobTenants[id]
 		if !job.ended() {
 			s.openJobs[id] = job
+			job.splitRoute = s.splitRouteOf(s.Routes[job.Route])
 			if job.hasMoreInstances() {
 				s.periodicJobs[id] = job
 			}
