--- a/internal/simulation/client.go
+++ b/internal/simulation/client.go
@@ -82,7 +82,12 @@
 
 // putConfiguration is PutConfiguration with other tenants.
 func (c *Cluster) putConfiguration(node string, version, base int, moreRoutes, tenants string) int {
-	call := Call{Sent: time.Now(), Node: node, Kind: CallReplace, Version: int64(version), Base: int64(base), Text: fmt.Sprintf(configurationFormat, version, moreRoutes, tenants)}
+	return c.putConfigurationText(node, version, base, fmt.Sprintf(configurationFormat, version, moreRoutes, tenants))
+}
+
+// putConfigurationText is PutConfiguration with the whole text of the configuration.
+func (c *Cluster) putConfigurationText(node string, version, base int, text string) int {
+	call := Call{Sent: time.Now(), Node: node, Kind: CallReplace, Version: int64(version), Base: int64(base), Text: text}
 	code, _, headers := c.request(http.MethodPost, c.nodeURL(node, controlPort, "/-/Config.Replace"), "", call.Text, map[string]string{protocol.HeaderBasedOn: fmt.Sprint(base)})
 	c.recordResponse(&call, code, headers)
 	return code
--- a/internal/simulation/split_test.go
+++ b/internal/simulation/split_test.go
@@ -6,8 +6,6 @@
 	"strings"
 	"testing"
 	"time"
-
-	"tealpond/internal/protocol"
 )
 
 // secondService is the service of every other runner in TestTrafficSplitUnderFaults.
@@ -20,10 +18,7 @@
 	text := strings.NewReplacer(`"targetService":"svc"`, services, `"serviceList":[`, `"serviceList":[{"name":"`+secondService+`","guards":true},`).
 		Replace(configurationText(version, ""))
 	c.WaitUntil(fmt.Sprintf("configuration %d is accepted", version), 10*time.Second, func() bool {
-		call := Call{Sent: time.Now(), Node: disklessEdge, Kind: CallReplace, Version: int64(version), Base: int64(version - 1), Text: text}
-		code, _, headers := c.request(http.MethodPost, c.nodeURL(call.Node, controlPort, "/-/Config.Replace"), "", text, map[string]string{protocol.HeaderBasedOn: fmt.Sprint(version - 1)})
-		c.recordResponse(&call, code, headers)
-		return code == http.StatusOK
+		return c.putConfigurationText(disklessEdge, version, version-1, text) == http.StatusOK
 	})
 }
 
