--- a/internal/localcluster/daemon.go
+++ b/internal/localcluster/daemon.go
@@ -142,6 +142,13 @@
 	return d.process.startedAt
 }
 
+// ProcessID returns the ID that the operating system gave the current process.
+func (d *Daemon) ProcessID() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.process.command.Process.Pid
+}
+
 // Exits returns the exits of the daemon's processes so far.
 func (d *Daemon) Exits() []Exit {
 	d.mu.Lock()
