Scheduler: a plan computes the critical path of a job once, not for each of its steps

What callers saw: after one accepted job of 15,000 steps (245 kB, of legal size) the leader answered nothing any more; clients got 504, and the cluster stood still until the job was gone.

Cause: pendingRequests computed the target and the remaining critical path for each placeable step. Each takes a pass over all steps of the job, so a round of the scheduler, one each 80 ms, took time by the square of the steps. A stack of the hung leader showed it in longestPathMs.

Change: both are kept for the instance while the requests of one plan are collected.

--- a/internal/scheduler/requests.go
+++ b/internal/scheduler/requests.go
@@ -90,6 +90,7 @@
 // examines only steps that the state lists as placeable.
 func pendingRequests(store *state.Store) []placementRequest {
 	var requests []placementRequest
+	paths := criticalPaths{}
 	store.EachPlaceableStep(func(job *state.Job, instance *state.JobInstance, step int) bool {
 		stepState := &instance.Steps[step]
 		if instance.Failed || instance.StepsLeft == 0 || !stepState.Ready || stepState.TasksLeft == 0 {
@@ -107,9 +108,9 @@
 		if job.MayBeAtPeer() {
 			return true
 		}
-		target := job.TargetTurnaroundMs()
-		request.slackMs = instance.CreatedAt + target - store.Clock
-		request.class, request.latestStart = classifyDeadline(store.Clock, instance.CreatedAt, target, job.RemainingCriticalPathMs(instance))
+		path := paths.of(job, instance)
+		request.slackMs = instance.CreatedAt + path.targetMs - store.Clock
+		request.class, request.latestStart = classifyDeadline(store.Clock, instance.CreatedAt, path.targetMs, path.remainingMs)
 		request.heavyTenant = isHeavyTenant(store, job.Tenant())
 		requests = append(requests, request)
 		return true
@@ -118,6 +119,26 @@
 	return requests
 }
 
+// criticalPath is what the deadline of each step of an instance depends on.
+type criticalPath struct {
+	targetMs    int64 // see state.Job.TargetTurnaroundMs
+	remainingMs int64 // see state.Job.RemainingCriticalPathMs
+}
+
+// criticalPaths holds the critical paths of instances. Each takes a pass over all steps of the job, so
+// it must not be computed for each step again.
+type criticalPaths map[*state.JobInstance]criticalPath
+
+// of returns the critical path of an instance of a job.
+func (c criticalPaths) of(job *state.Job, instance *state.JobInstance) criticalPath {
+	path, ok := c[instance]
+	if !ok {
+		path = criticalPath{job.TargetTurnaroundMs(), job.RemainingCriticalPathMs(instance)}
+		c[instance] = path
+	}
+	return path
+}
+
 // moreUrgent reports whether a request comes before another. Requests of tenants within
 // their shares come first, whatever their priority. Within a priority, jobs that can
 // still meet their target come first, since a job that is already late gains nothing
