Jobs: the leader refuses a job whose tasks would not fit into memory

What callers saw: a job of one step with 2^40 tasks, some 60 bytes, ended every server that applied it, again after each restart, since it was in the log; a periodic job with 2^30 overdue runs took 4.3 GB; sixty jobs of 20,000 tasks took 343 MB where 96 are allowed.

Cause: a job is small on the wire and large in the state, and nothing bounded the state.

Change: the state sums up the estimated memory of its jobs (a derived value, recounted by the test of the index). The leader, before it proposes a job, estimates what the job will take, for a periodic job with the runs that are due, and with what is proposed and not yet applied. Jobs may take a quarter of memoryMb. A job that takes more than half of that is refused with 413; one that takes more than half of what is left with 429 and Retry-After, so that some large jobs leave room for small ones. Nothing of a refused job is in the log. On a server of 284 MB one job may have some 70,000 tasks.

Why before the log: a bound in Apply would have to be the same on all replicas.

Not bounded: runs of an accepted periodic job with a short interval that are never served.

--- a/internal/rpc/codes.go
+++ b/internal/rpc/codes.go
@@ -45,6 +45,8 @@
 	// CodePreconditionFailed: the version or fence that the request is based on is
 	// not the current one, which is in Response.Value.
 	CodePreconditionFailed Code = 412
+	// CodeTooLarge means that the request can never be accepted, whatever else is kept.
+	CodeTooLarge Code = 413
 	// CodeUnknownSet: the leader does not know the set of members with the number given
 	// by a LeaseBatch. The batch must be sent again with its members.
 	CodeUnknownSet Code = 428
--- a/internal/server/jobs.go
+++ b/internal/server/jobs.go
@@ -81,6 +81,10 @@
 	call.service = r.state.ServiceForSubmission(call.route, call.id, &request.Job)
 	// A refusal promises that the job is not accepted, so it must not be in the log either.
 	if r.state.Jobs[call.id] == nil && r.submitting[call.id] == 0 {
+		if refusal, refused := r.refusalForMemory(&request.Job); refused {
+			reply(refusal)
+			return
+		}
 		if wait := r.backlogWait(call, request); wait > 0 {
 			reply(responseOverloaded(wait))
 			return
@@ -89,7 +93,7 @@
 	}
 	r.trace.Record(call.id, "ordered", int64(r.node.LastIndex()+1), call.route.Name)
 	submit := state.SubmitJob{Host: request.Host, Path: request.Path, ID: call.id, Job: request.Job, DemandBucket: r.demandBucket()}
-	onOutcome := r.trackSubmission(call.id, r.withTrace(call.id, "settled", r.submissionReply(request, reply)))
+	onOutcome := r.trackSubmission(call.id, r.estimatedJobBytes(&request.Job), r.withTrace(call.id, "settled", r.submissionReply(request, reply)))
 	if len(r.state.Configuration.Tenants()) == 0 {
 		r.enqueueCommand(state.CommandSubmitJob, &submit, onOutcome)
 		return
@@ -98,11 +102,13 @@
 		&state.SubmitTenantJob{Submit: submit, Tenant: call.tenant, ConfigVersion: r.state.Configuration.Version, BeyondShare: request.BeyondShare}, onOutcome)
 }
 
-// trackSubmission records that a submission of a job is in the log and not applied, until its
-// command has an outcome.
-func (r *Replica) trackSubmission(id string, next commandReply) commandReply {
+// trackSubmission records that a submission of a job, which will occupy the given memory, is in the log
+// and not applied, until its command has an outcome.
+func (r *Replica) trackSubmission(id string, bytes float64, next commandReply) commandReply {
 	r.submitting[id]++
+	r.submittingBytes += bytes
 	return func(outcome state.Outcome, known bool) {
+		r.submittingBytes -= bytes
 		if r.submitting[id]--; r.submitting[id] == 0 {
 			delete(r.submitting, id)
 		}
--- a/internal/server/replica.go
+++ b/internal/server/replica.go
@@ -105,18 +105,20 @@
 	stateClock clock.Monotonic
 
 	// Commands and the callers waiting for them.
-	pending        map[uint64]pendingEntry // by log index
-	commands       []state.EncodedCommand  // for the next log entry
-	replies        []commandReply          // to the same commands
-	proposedAt     time.Time
-	statusWaiters  map[string][]statusWaiter // by job ID
-	keyWatchers    keyWatchers
-	submitting     map[string]int             // by job ID, proposed and not yet applied
-	cancelWaiters  map[string][]replyFunc     // by job ID
-	backlog        map[state.BacklogKey]int64 // as of backlogAt
-	backlogAt      time.Time
-	floodRefusedAt map[string]time.Time // by tenant, see recordFlood
-	federation     *federation.Settings // nil if federation is disabled
+	pending       map[uint64]pendingEntry // by log index
+	commands      []state.EncodedCommand  // for the next log entry
+	replies       []commandReply          // to the same commands
+	proposedAt    time.Time
+	statusWaiters map[string][]statusWaiter // by job ID
+	keyWatchers   keyWatchers
+	submitting    map[string]int // by job ID, proposed and not yet applied
+	// submittingBytes is the estimated memory of the jobs in submitting.
+	submittingBytes float64
+	cancelWaiters   map[string][]replyFunc     // by job ID
+	backlog         map[state.BacklogKey]int64 // as of backlogAt
+	backlogAt       time.Time
+	floodRefusedAt  map[string]time.Time // by tenant, see recordFlood
+	federation      *federation.Settings // nil if federation is disabled
 
 	// Agents connected to this replica, and their assignments.
 	sessions           map[string]*agentSession // by worker ID
--- a/internal/state/accept_job.go
+++ b/internal/state/accept_job.go
@@ -34,6 +34,7 @@
 	job := s.newJob(c.ID, route, c.Job)
 	job.Transfer = JobTransfer{Peer: c.Peer, OfferID: c.OfferID, Incoming: true, Loan: c.Loan}
 	s.Jobs[job.ID], s.openJobs[job.ID] = job, job
+	s.jobBytes += job.bytes()
 	s.addInstance(job)
 	return Outcome{Code: CodeOK, Text: AnswerAccepted}
 }
--- a/internal/state/collect_garbage.go
+++ b/internal/state/collect_garbage.go
@@ -21,6 +21,7 @@
 			inUse = inUse || instance.hasRuns()
 		}
 		if !inUse {
+			s.jobBytes -= job.bytes()
 			delete(s.Jobs, id)
 			delete(s.JobTenants, id)
 		}
--- a/internal/state/job_progress.go
+++ b/internal/state/job_progress.go
@@ -13,6 +13,7 @@
 	}
 	job.Instances = append(job.Instances, instance)
 	job.NextInstance++
+	s.jobBytes += instanceBytes(job.Steps)
 	s.markReadySteps(job, instance)
 }
 
--- a/internal/state/scheduling_index_test.go
+++ b/internal/state/scheduling_index_test.go
@@ -11,7 +11,7 @@
 // schedulingIndexFault compares the index, as updated by commands, with one recomputed from
 // the tables. It returns a description of the first difference, or an empty string.
 func schedulingIndexFault(s *Store) string {
-	for _, check := range []func(*Store) string{workerPositionFault, usageFault, tenantUseFault, capacityFault, placeableStepsFault} {
+	for _, check := range []func(*Store) string{workerPositionFault, usageFault, tenantUseFault, capacityFault, placeableStepsFault, jobBytesFault} {
 		if fault := check(s); fault != "" {
 			return fault
 		}
@@ -98,6 +98,18 @@
 	return ""
 }
 
+// jobBytesFault compares the estimated memory of the jobs with a recount.
+func jobBytesFault(s *Store) string {
+	recounted := 0.0
+	for _, job := range s.Jobs {
+		recounted += job.bytes()
+	}
+	if recounted != s.JobBytes() {
+		return fmt.Sprintf("jobs occupy %v bytes, recounted %v", s.JobBytes(), recounted)
+	}
+	return ""
+}
+
 // tenantUseFault compares the resource use of tenants with a recount.
 func tenantUseFault(s *Store) string {
 	recounted, byPriority := map[string]TenantUse{}, map[TenantPriority]TenantUse{}
@@ -176,6 +188,7 @@
 		"missing step":   func(s *Store) { delete(s.index.placeableSteps, StepRef{"j", 0, 0}) },
 		"step of no job": func(s *Store) { s.index.placeableSteps[StepRef{"x", 0, 0}] = struct{}{} },
 		"offset":         func(s *Store) { s.Workers["a"].position.cpuOffset = 7 },
+		"job memory":     func(s *Store) { s.jobBytes++ },
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t)
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -92,6 +92,7 @@
 	endedRuns           []EndedRun
 	undoLog             *[]func() // of the innermost open savepoint; nil if none is open
 	index               schedulingIndex
+	jobBytes            float64 // see JobBytes
 }
 
 // New returns an empty state.
@@ -119,7 +120,9 @@
 	s.keyTable = clusterconfig.NewKeyTable(&s.Configuration)
 	s.openJobs, s.periodicJobs = map[string]*Job{}, map[string]*Job{}
 	s.allocationsByWorker = map[string]map[uint64]*Allocation{}
+	s.jobBytes = 0
 	for id, job := range s.Jobs {
+		s.jobBytes += job.bytes()
 		job.tenant = s.JobTenants[id]
 		if !job.ended() {
 			s.openJobs[id] = job
--- a/internal/state/submit_job.go
+++ b/internal/state/submit_job.go
@@ -43,6 +43,7 @@
 		s.recordDemand(route.Name, c.DemandBucket, job.coreMs())
 	}
 	s.Jobs[job.ID], s.openJobs[job.ID] = job, job
+	s.jobBytes += job.bytes()
 	if job.PeriodicInstances > 0 {
 		s.periodicJobs[job.ID] = job
 		s.AdvanceClock(s.Clock, s.WallClock)
