Clients: one budget of memory for all bodies and heads that a process receives

What callers saw: six hundred clients with a body of legal size each, stopped one byte short of its end, took an edge or a gateway to 180 to 254 MB where 96 are allowed, sixty operators' calls to 330 to 396 MB; operators' machines end the process then. Heads of 15 kB in short fields did the same.

Cause: each body and head had a limit, all together had none, and a body that stopped was waited for without end.

Change: httpserver.Budget, a fifth of memoryMb for all listeners of a process. It is charged as bytes are read, not as they are announced: twice the bytes of a body (buffers grow by copying), heads by their decoded form, a fixed amount for a connection and, at gateways, for the connection to a runner and the copy buffers; of a body above 512 kB gateways keep nothing. Handlers reserve what decoding will take. When it is used up, connections that wait for their client are evicted, first those that have held the most for the longest time without progress; one that is handled, or slow but steady, is not. A request that is alone may exceed the budget by 1.6 times. The next bytes of a body must arrive within 15 s, as long as an idle connection is kept.

The promise of each refusal: an edge answers an evicted body with 503 and Retry-After, one that stopped with 408; nothing was passed on, so nothing has been done. A gateway may have passed on a part, so it closes the connection, which promises nothing. An evicted connection stays half open until its client has received the answer.

The event clients.evicted and three gauges show it.

--- a/internal/agent/role.go
+++ b/internal/agent/role.go
@@ -43,7 +43,10 @@
 	if err != nil {
 		return err
 	}
-	httpServer := httpserver.New(loopCtx, listener, httpserver.Options{Handler: router, HeaderTimeout: httpserver.DefaultHeaderTimeout, ResponseTimeout: httpserver.MaxResponseTime, IdleTimeout: time.Minute})
+	httpServer := httpserver.New(loopCtx, listener, httpserver.Options{
+		Handler: router, HeaderTimeout: httpserver.DefaultHeaderTimeout, ResponseTimeout: httpserver.MaxResponseTime, IdleTimeout: time.Minute,
+		Budget: httpserver.NewBudget(a.settings.Limits.MemoryMB),
+	})
 	go httpServer.Serve() // until it is closed
 	go a.discovery.Run(loopCtx)
 	if err := transport.Serve(loopCtx, a.settings.AgentAddress(), a.handleFrame); err != nil {
--- a/internal/api/jobs.go
+++ b/internal/api/jobs.go
@@ -87,8 +87,9 @@
 func (r *jobRequest) writeError(err *statusError) {
 	header := r.client.Response().Header()
 	err.setRetryAfter(header)
+	err.setClose(header)
 	if err.status >= 400 && err.status != http.StatusNotFound && err.status != http.StatusGone {
-		if r.body == nil && r.client.Request().ContentLength > 0 {
+		if r.body == nil && r.client.Request().ContentLength != 0 {
 			header.Set("Connection", "close")
 		}
 	}
@@ -129,9 +130,13 @@
 		// Read one byte more than allowed: if it is there, the body is too large.
 		more, err := io.ReadAll(io.LimitReader(request.Body, limits.bodyBytes+1-int64(len(body))))
 		if err != nil {
-			return nil, badRequest("the body ended early")
+			return nil, bodyError(err)
+		}
+		if body == nil {
+			body = more // without a copy
+		} else {
+			body = append(body, more...)
 		}
-		body = append(body, more...)
 		if int64(len(body)) <= limits.bodyBytes {
 			return body, nil
 		}
@@ -147,6 +152,9 @@
 	if r.kind != rpc.KindSubmitJob {
 		return phaseForward, nil
 	}
+	if err := reserveDecoded(r.client.Request().Context(), r.body); err != nil {
+		return "", err
+	}
 	if err := json.Unmarshal(r.body, &r.job.Job); err != nil {
 		return "", badRequest("the job cannot be read: " + err.Error())
 	}
--- a/internal/api/listeners.go
+++ b/internal/api/listeners.go
@@ -19,9 +19,9 @@
 	maxHeaderBytes = 64 << 10
 	// defaultIdleTimeout is how long an idle client connection stays open.
 	defaultIdleTimeout = 15 * time.Second
-	// clientReceiveBuffer is how many bytes of a client's body may be in transit to a gateway or
+	// gatewayReceiveBuffer is how many bytes of a client's body may be in transit to a gateway or
 	// unread there. It keeps many simultaneous bodies from saturating a narrow link.
-	clientReceiveBuffer = 8 << 10
+	gatewayReceiveBuffer = 8 << 10
 )
 
 // listen opens the HTTP listeners given in the settings and serves on them.
@@ -51,13 +51,14 @@
 	addresses := s.settings.ListenAddresses
 	var httpServers []*httpserver.Server
 	for _, listener := range []struct {
+		kind        listenerKind
 		address     string
 		handler     http.Handler
 		idleTimeout time.Duration
 	}{
-		{addresses.FrontHTTP, clientHandler, defaultIdleTimeout},
-		{addresses.Readiness, readiness, time.Minute},
-		{addresses.Control, operators, defaultIdleTimeout},
+		{clientListener, addresses.FrontHTTP, clientHandler, defaultIdleTimeout},
+		{readinessListener, addresses.Readiness, readiness, time.Minute},
+		{operatorListener, addresses.Control, operators, defaultIdleTimeout},
 	} {
 		if listener.address == "" {
 			continue
@@ -73,9 +74,10 @@
 			IdleTimeout:     listener.idleTimeout,
 			MaxHeaderBytes:  maxHeaderBytes,
 		}
-		if listener.address == addresses.FrontHTTP && s.gateway != nil {
+		s.limitClients(&options, listener.kind)
+		if listener.kind == clientListener && s.gateway != nil {
 			options.ResponseTimeout = 0 // each request has its own time limit
-			options.ReceiveBuffer = clientReceiveBuffer
+			options.ReceiveBuffer = gatewayReceiveBuffer
 			options.Wrap, options.ConnContext, options.HandlerClosesConnections = s.gateway.Listener, gateway.ConnContext, true
 		}
 		httpServer := httpserver.New(ctx, socket, options)
--- a/internal/api/operators.go
+++ b/internal/api/operators.go
@@ -67,6 +67,9 @@
 	if err != nil {
 		return writeStatusError(c, badRequest(protocol.HeaderBasedOn+": missing or no number"))
 	}
+	if err := reserveDecoded(c.Request().Context(), raw); err != nil {
+		return writeStatusError(c, err)
+	}
 	if err := validate(raw); err != nil {
 		return writeStatusError(c, statusOf(err))
 	}
@@ -116,7 +119,7 @@
 	raw, err := io.ReadAll(io.LimitReader(c.Request().Body, maxBytes+1))
 	switch {
 	case err != nil:
-		return nil, badRequest("the body ended early")
+		return nil, bodyError(err)
 	case int64(len(raw)) > maxBytes:
 		return nil, &statusError{status: http.StatusRequestEntityTooLarge, text: "the body is too large"}
 	}
@@ -126,5 +129,6 @@
 // writeStatusError responds to a call of an operator or an application with an error as plain text.
 func writeStatusError(c echo.Context, err *statusError) error {
 	err.setRetryAfter(c.Response().Header())
+	err.setClose(c.Response().Header())
 	return c.String(err.status, err.text)
 }
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -82,6 +82,7 @@
 	shares        *tenantShares
 	newestVersion atomic.Int64  // newest configuration version observed
 	limitsStale   chan struct{} // signals refreshLimits that a newer version was observed
+	clientBudget  *httpserver.Budget
 }
 
 // attemptTimeouts are how long requests to the leader wait, and probeTimeouts how long requests for
@@ -105,6 +106,7 @@
 		bootstraps:    make(chan bootstrapRequest),
 		leaderContact: newLeaderContact(),
 		limitsStale:   make(chan struct{}, 1),
+		clientBudget:  httpserver.NewBudget(env.Settings.Limits.MemoryMB),
 		shares:        newTenantShares(env.ProcessID, env.Settings.QuotaWindow(counter.DefaultWindow), time.Now()),
 	}
 	s.shares.overrun, s.shares.slack = env.Settings.Bounds.QuotaOverrun, env.Settings.Bounds.QuotaSlack
@@ -216,6 +218,7 @@
 		go s.runBootstrap(ctx)
 	}
 	go s.renewMembership(ctx)
+	go s.logEvictions(ctx)
 	if s.settings.HasTallies() {
 		go s.refreshReplicaAddresses(ctx)
 	}
@@ -274,6 +277,13 @@
 		{Name: "tealpond_leader_heard", Value: monitoring.BoolValue(s.leaderContact.reachedWithin(timing.LeaderContactTimeout))},
 		{Name: "tealpond_config_version_heard", Value: float64(s.newestVersion.Load())},
 	}
+	if s.clientBudget != nil {
+		used, limit, evicted := s.clientBudget.Usage()
+		gauges = append(gauges,
+			monitoring.Gauge{Name: "tealpond_client_memory_bytes", Value: float64(used)},
+			monitoring.Gauge{Name: "tealpond_client_memory_limit_bytes", Value: float64(limit)},
+			monitoring.Gauge{Name: "tealpond_clients_evicted", Value: float64(evicted)})
+	}
 	if s.gateway != nil {
 		gauges = append(gauges,
 			monitoring.Gauge{Name: "tealpond_requests_abandoned", Value: float64(s.gateway.AbandonedRequests())})
--- a/internal/api/status.go
+++ b/internal/api/status.go
@@ -30,6 +30,14 @@
 	}
 }
 
+// setClose sets Connection: close if the connection ends with the response, since the rest of the body
+// is not read.
+func (e *statusError) setClose(header http.Header) {
+	if e == errClientMemory || e == errBodyTimeout {
+		header.Set("Connection", "close")
+	}
+}
+
 // badRequest returns the error for an invalid request, found without the leader.
 func badRequest(text string) *statusError {
 	return &statusError{status: http.StatusBadRequest, text: text}
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -8,11 +8,16 @@
 	"sync/atomic"
 )
 
-// maxReplayBytes is the maximum size of a request body kept for a retry, in bytes.
-const maxReplayBytes = 512 << 10
+const (
+	// MaxReplayBytes is the maximum size of a request body kept for a retry, in bytes.
+	MaxReplayBytes = 512 << 10
+	// RequestBytes is the memory for the connection to a runner and for copying a request and its
+	// response, in bytes.
+	RequestBytes = 48 << 10
+)
 
 // requestBody is a client's request body that can be resent to another runner. Up to
-// maxReplayBytes of what was read is buffered.
+// MaxReplayBytes of what was read is buffered.
 //
 // The HTTP transport may still be reading the body for an attempt that already has its
 // response while the next attempt starts. mu guards the client's body, and what any attempt
@@ -59,7 +64,7 @@
 	n, err := b.source.Read(into)
 	switch {
 	case b.truncated:
-	case len(b.buffered)+n > maxReplayBytes:
+	case len(b.buffered)+n > MaxReplayBytes:
 		b.buffered, b.truncated = nil, true
 	default:
 		b.buffered = append(b.buffered, into[:n]...)
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,7 +32,10 @@
 // the shutdown it arrives.
 type conn struct {
 	net.Conn
-	server *Server
+	server  *Server
+	account *account // what the client holds of the server's budget; nil: not counted
+	// evicted is set if reads fail from now on, also within a request.
+	evicted atomic.Bool
 
 	mu        sync.Mutex // guards the fields below
 	idle      bool       // waiting for the first byte of a request
@@ -43,6 +47,8 @@
 	idleDeadlines int
 	deadline      time.Time // last read deadline set by net/http
 	interrupted   bool      // a read that returns no data closes the connection
+	handling      bool      // the head of the current request was received
+	inBody        bool      // the body of the current request is being received
 	peerClosed    bool      // the client sends nothing more, or the connection is broken
 	closed        bool
 }
@@ -50,6 +56,7 @@
 // newConn returns a connection that was just accepted.
 func newConn(raw net.Conn, server *Server) *conn {
 	c := &conn{Conn: raw, server: server}
+	c.account = server.options.Budget.open(server, time.Now(), c.evict)
 	c.markIdle()
 	server.add(c)
 	return c
@@ -89,9 +96,12 @@
 
 // markIdle records that net/http is waiting for a request.
 func (c *conn) markIdle() {
+	now := time.Now()
+	c.account.beginIdle(now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle, c.idleSince, c.idleDeadlines = true, time.Now(), 0
+	c.idle, c.idleSince, c.idleDeadlines = true, now, 0
+	c.handling, c.inBody = false, false
 }
 
 // markActive records that a request is being read or answered.
@@ -107,7 +117,7 @@
 	c.idle = false
 	if c.interrupted {
 		c.interrupted = false
-		_ = c.Conn.SetReadDeadline(c.deadline) // the next read reports a broken connection
+		c.applyReadDeadline() // the next read reports a broken connection
 	}
 }
 
@@ -128,9 +138,66 @@
 	}
 }
 
-// Read implements net.Conn.
+// evict ends the wait for the client, also within a request. Requests that were read completely are
+// still answered. It takes no lock, since it is called by the budget, which is called under mu.
+func (c *conn) evict() {
+	c.evicted.Store(true)
+	_ = c.Conn.SetReadDeadline(expiredDeadline) // fails if already closed
+}
+
+// applyReadDeadline sets the read deadline that is in force now. The caller holds mu.
+func (c *conn) applyReadDeadline() {
+	deadline := c.deadline
+	switch {
+	case c.interrupted:
+		deadline = expiredDeadline
+	case c.inBody:
+		deadline = time.Now().Add(c.server.options.BodyTimeout)
+	}
+	_ = c.setReadDeadline(deadline) // fails if already closed
+}
+
+// setReadDeadline sets a read deadline, unless the connection is evicted.
+func (c *conn) setReadDeadline(deadline time.Time) error {
+	err := c.Conn.SetReadDeadline(deadline)
+	if c.evicted.Load() {
+		_ = c.Conn.SetReadDeadline(expiredDeadline)
+	}
+	return err
+}
+
+// Read implements net.Conn. Within a body, it waits for Options.BodyTimeout at most.
 func (c *conn) Read(into []byte) (int, error) {
+	c.beginRead()
 	n, err := c.Conn.Read(into)
+	if !c.endRead(n, err) && err == nil {
+		// The head of a request is too costly.
+		return 0, os.ErrDeadlineExceeded
+	}
+	return n, err
+}
+
+// beginRead prepares a read.
+func (c *conn) beginRead() {
+	c.account.beginRead(time.Now())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.inBody {
+		c.applyReadDeadline()
+	}
+}
+
+// endRead records the result of a read. It returns false if there is no room for a head that is being
+// received.
+func (c *conn) endRead(n int, err error) bool {
+	now := time.Now()
+	c.account.endRead(n, now)
+	inHead := c.recordRead(n, err)
+	return !inHead || c.account.charge(int64(n)*headBytesPerByte, now)
+}
+
+// recordRead records the result of a read, and reports whether a head is being received.
+func (c *conn) recordRead(n int, err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 {
@@ -139,10 +206,52 @@
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.peerClosed = true
 	}
-	return n, err
+	return n > 0 && !c.handling
+}
+
+// beginHandling records that the head of a request was received, and whether its body is still to come.
+func (c *conn) beginHandling(header http.Header, extraBytes int64, hasBody bool) {
+	c.setPhase(true, hasBody)
+	c.account.reset(headBytes(header)+extraBytes, hasBody)
+}
+
+// endBody records that the body of the request was received completely.
+func (c *conn) endBody() {
+	c.setPhase(true, false)
+	c.account.setEvictable(false)
+}
+
+// endHandling records that the handler has returned. What is left of the body is discarded.
+func (c *conn) endHandling() {
+	c.mu.Lock()
+	inBody := c.inBody
+	c.mu.Unlock()
+	c.account.reset(0, inBody)
+}
+
+// setPhase records whether a request is being handled, and whether its body is being received.
+func (c *conn) setPhase(handling, inBody bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handling = handling
+	if c.inBody != inBody {
+		c.inBody = inBody
+		c.applyReadDeadline()
+	}
+}
+
+// headBytes returns what the head of a request occupies in memory.
+func headBytes(header http.Header) int64 {
+	bytes := int64(0)
+	for name, values := range header {
+		for _, value := range values {
+			bytes += headFieldBytes + 2*int64(len(name)+len(value))
+		}
+	}
+	return bytes
 }
 
-// SetReadDeadline implements net.Conn. While the connection is interrupted the deadline is
+// SetReadDeadline implements net.Conn. While the connection is interrupted or evicted the deadline is
 // only stored.
 func (c *conn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
@@ -157,14 +266,14 @@
 	if c.interrupted {
 		return nil
 	}
-	return c.Conn.SetReadDeadline(deadline)
+	return c.setReadDeadline(deadline)
 }
 
 // Close implements net.Conn. Closing a socket with unread input makes the kernel discard
-// response data that the client has not received yet. This can happen only while the daemon is
-// shutting down, since only then are connections closed on which more requests may arrive. In
-// that case only the sending side is closed at first, and the rest once the client has
-// received everything or after maxLingerTime.
+// response data that the client has not received yet. This can happen while the daemon is
+// shutting down, since then connections are closed on which more requests may arrive, and when a
+// connection is evicted. In these cases only the sending side is closed at first, and the rest once
+// the client has received everything or after maxLingerTime.
 func (c *conn) Close() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -183,7 +292,7 @@
 // closeMayLoseResponse reports whether the client could lose part of its response if the
 // connection were closed now. The caller holds mu.
 func (c *conn) closeMayLoseResponse() bool {
-	return c.server.shuttingDown.Load() && !c.server.closed.Load() && !c.peerClosed && unacknowledgedBytes(c.Conn) > 0
+	return (c.server.shuttingDown.Load() || c.evicted.Load()) && !c.server.closed.Load() && !c.peerClosed && unacknowledgedBytes(c.Conn) > 0
 }
 
 // errNoHalfClose is returned for connections whose two directions cannot be closed separately.
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -25,6 +25,9 @@
 	// MaxResponseTime is the longest time from the head of a request to the end of its response,
 	// except at gateways. It is greater than timing.MaxWatchWait.
 	MaxResponseTime = time.Minute
+	// DefaultBodyTimeout is how long a client may pause within a body. It equals the time that an idle
+	// connection is kept.
+	DefaultBodyTimeout = 15 * time.Second
 )
 
 // ErrShuttingDown is the cancellation cause of the contexts of requests that are still open at the
@@ -45,6 +48,15 @@
 	// that many clients send at once must not fill the daemon's link for long, since messages
 	// of other daemons queue behind it. 0: the system's default.
 	ReceiveBuffer int
+	// BodyTimeout limits the wait for the next bytes of a body; 0: DefaultBodyTimeout.
+	BodyTimeout time.Duration
+	// Budget bounds the memory that clients hold; nil: not bounded. The servers of a process share it.
+	Budget *Budget
+	// MaxHeldBodyBytes is the size of the largest body that the handler keeps in memory; of a larger
+	// one it keeps nothing. 0: it keeps each body.
+	MaxHeldBodyBytes int64
+	// RequestBytes is the memory that the handler needs for a request besides its body, in bytes.
+	RequestBytes int64
 	// Wrap wraps a listener so that its connections are of the type that the handler expects;
 	// nil: not wrapped. The connections must have a method NetConn that returns the wrapped
 	// connection.
@@ -75,6 +87,9 @@
 // New returns a server on a listener; Serve starts it. The contexts of its requests are
 // canceled with ctx.
 func New(ctx context.Context, socket net.Listener, options Options) *Server {
+	if options.BodyTimeout <= 0 {
+		options.BodyTimeout = DefaultBodyTimeout
+	}
 	s := &Server{options: options, conns: map[*conn]bool{}}
 	s.listener = &listener{Listener: socket, server: s}
 	s.base, s.cancelBase = context.WithCancelCause(ctx)
@@ -85,12 +100,21 @@
 		IdleTimeout:       options.IdleTimeout,
 		MaxHeaderBytes:    options.MaxHeaderBytes,
 		BaseContext:       func(net.Listener) context.Context { return s.base },
-		ConnContext:       options.ConnContext,
+		ConnContext:       s.connContext,
 		ConnState:         trackState,
 	}
 	return s
 }
 
+// connContext returns the context for the requests of a connection.
+func (s *Server) connContext(ctx context.Context, raw net.Conn) context.Context {
+	ctx = context.WithValue(ctx, connKey{}, findConn(raw))
+	if s.options.ConnContext != nil {
+		return s.options.ConnContext(ctx, raw)
+	}
+	return ctx
+}
+
 // handler counts the requests being handled. While the daemon is shutting down, each response
 // closes its connection, unless Options.HandlerClosesConnections is set.
 func (s *Server) handler(next http.Handler) http.Handler {
@@ -100,7 +124,13 @@
 		if s.shuttingDown.Load() && !s.options.HandlerClosesConnections {
 			writer.Header().Set("Connection", "close")
 		}
-		next.ServeHTTP(writer, request)
+		c, ok := request.Context().Value(connKey{}).(*conn)
+		if !ok {
+			next.ServeHTTP(writer, request)
+			return
+		}
+		defer c.endHandling()
+		next.ServeHTTP(writer, c.track(request))
 	})
 }
 
@@ -165,5 +195,9 @@
 func (s *Server) remove(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.conns[c] {
+		return
+	}
 	delete(s.conns, c)
+	c.account.close()
 }
