Clients: a listener holds no more connections than its share of the descriptors

What callers saw: 700 clients with a short unfinished body took all descriptors of a process with 600. It then accepted no operator, no readiness check and no other daemon, for as long as they stayed.

Cause: accepting was bounded by maxFds alone, by all listeners and files together.

Change: each listener has a share of maxFds less the 200 that operators keep for files: at an edge clients a quarter, operators a half; at a gateway a third and an eighth, since a client's request needs a connection to a runner as well; readiness a twenty-fifth. The rest is for other daemons and runners. At its limit a listener evicts the connection that has waited for its client longest for what it holds before it accepts another, so that a newcomer is served; requests that are being handled are kept. With maxFds of 4,100 an edge takes 975 connections of clients, a gateway 1,287.

--- a/internal/api/client_limits.go
+++ b/internal/api/client_limits.go
@@ -9,9 +9,14 @@
 
 	"tealpond/internal/gateway"
 	"tealpond/internal/httpserver"
+	"tealpond/internal/settings"
 )
 
 const (
+	// reservedDescriptors is the part of limits.maxFds that is kept for files.
+	reservedDescriptors = 200
+	// minConnections is the least limit of connections of a listener, whatever limits.maxFds says.
+	minConnections = 16
 	// evictionLogInterval is how often evictions of clients are logged.
 	evictionLogInterval = 10 * time.Second
 )
@@ -32,9 +37,28 @@
 	readinessListener
 )
 
+// connectionShares are the fractions of the descriptors for sockets that the listeners of a role may
+// hold. The rest is for streams of other daemons and, at gateways, for connections to runners, of which
+// each request of a client may need one.
+var connectionShares = map[string]map[listenerKind]float64{
+	edgeRole:    {clientListener: 0.25, operatorListener: 0.5, readinessListener: 0.04},
+	gatewayRole: {clientListener: 0.33, operatorListener: 0.12, readinessListener: 0.04},
+}
+
+// maxConnections returns the limit of open connections of a listener; 0 if the settings limit no
+// descriptors.
+func maxConnections(role string, kind listenerKind, limits settings.Limits) int {
+	if limits.MaxFileDescriptors <= 0 {
+		return 0
+	}
+	sockets := limits.MaxFileDescriptors - reservedDescriptors
+	return max(int(connectionShares[role][kind]*float64(sockets)), minConnections)
+}
+
 // limitClients sets the limits of a listener's clients.
 func (s *Server) limitClients(options *httpserver.Options, kind listenerKind) {
 	options.Budget = s.clientBudget
+	options.MaxConnections = maxConnections(s.role, kind, s.settings.Limits)
 	if kind == clientListener && s.gateway != nil {
 		options.MaxHeldBodyBytes, options.RequestBytes = gateway.MaxReplayBytes, gateway.RequestBytes
 	}
--- a/internal/httpserver/budget.go
+++ b/internal/httpserver/budget.go
@@ -216,6 +216,27 @@
 	}
 }
 
+// evictFrom evicts the connection of a server that has waited for the longest time with the most
+// bytes, and reports whether there was one.
+func (b *Budget) evictFrom(server *Server, now time.Time) bool {
+	if b == nil {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var worst *account
+	for a := range b.accounts {
+		if a.server == server && a.mayBeEvicted() && (worst == nil || a.burden(now) > worst.burden(now)) {
+			worst = a
+		}
+	}
+	if worst == nil {
+		return false
+	}
+	b.evict(worst)
+	return true
+}
+
 // candidates returns the accounts other than the requester's that may be evicted, the first one first.
 // The caller holds mu.
 func (b *Budget) candidates(requester *account, now time.Time) []*account {
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -34,6 +34,8 @@
 	net.Conn
 	server  *Server
 	account *account // what the client holds of the server's budget; nil: not counted
+	// hasSlot is set if the connection counts toward Options.MaxConnections.
+	hasSlot bool
 	// evicted is set if reads fail from now on, also within a request.
 	evicted atomic.Bool
 
@@ -53,9 +55,9 @@
 	closed        bool
 }
 
-// newConn returns a connection that was just accepted.
-func newConn(raw net.Conn, server *Server) *conn {
-	c := &conn{Conn: raw, server: server}
+// newConn returns a connection that was just accepted. It returns its slot when it is closed.
+func newConn(raw net.Conn, server *Server, hasSlot bool) *conn {
+	c := &conn{Conn: raw, server: server, hasSlot: hasSlot}
 	c.account = server.options.Budget.open(server, time.Now(), c.evict)
 	c.markIdle()
 	server.add(c)
--- a/internal/httpserver/conn_test.go
+++ b/internal/httpserver/conn_test.go
@@ -33,7 +33,7 @@
 // newRecorded returns an idle connection of a server.
 func newRecorded() (*conn, *recordedConn) {
 	raw := &recordedConn{}
-	return newConn(raw, &Server{conns: map[*conn]bool{}}), raw
+	return newConn(raw, &Server{conns: map[*conn]bool{}}, false), raw
 }
 
 // TestSecondReadDeadlineMarksRequestStart checks that the first deadline after a response is
@@ -106,7 +106,7 @@
 		server := &Server{conns: map[*conn]bool{}}
 		server.shuttingDown.Store(c.shuttingDown)
 		server.closed.Store(c.closed)
-		tracked := newConn(raw, server)
+		tracked := newConn(raw, server, false)
 		tracked.peerClosed = c.peerClosed
 		if got := tracked.closeMayLoseResponse(); got != c.want {
 			t.Errorf("%+v: got %v", c, got)
@@ -119,7 +119,7 @@
 func TestSecondCloseReturnsErrClosed(t *testing.T) {
 	ours, theirs := net.Pipe()
 	defer func() { _ = theirs.Close() }()
-	c := newConn(ours, &Server{conns: map[*conn]bool{}})
+	c := newConn(ours, &Server{conns: map[*conn]bool{}}, false)
 	if err := c.Close(); err != nil {
 		t.Errorf("first close: %v", err)
 	}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -57,6 +57,9 @@
 	MaxHeldBodyBytes int64
 	// RequestBytes is the memory that the handler needs for a request besides its body, in bytes.
 	RequestBytes int64
+	// MaxConnections limits the open connections; 0: not limited. At the limit, a connection that
+	// waits for its client is closed before another is accepted.
+	MaxConnections int
 	// Wrap wraps a listener so that its connections are of the type that the handler expects;
 	// nil: not wrapped. The connections must have a method NetConn that returns the wrapped
 	// connection.
@@ -80,6 +83,10 @@
 	closed       atomic.Bool
 	listener     *listener
 
+	// slots has an element for each connection that counts toward Options.MaxConnections; nil: not
+	// limited.
+	slots chan struct{}
+
 	mu    sync.Mutex // guards conns
 	conns map[*conn]bool
 }
@@ -91,6 +98,9 @@
 		options.BodyTimeout = DefaultBodyTimeout
 	}
 	s := &Server{options: options, conns: map[*conn]bool{}}
+	if options.MaxConnections > 0 {
+		s.slots = make(chan struct{}, options.MaxConnections)
+	}
 	s.listener = &listener{Listener: socket, server: s}
 	s.base, s.cancelBase = context.WithCancelCause(ctx)
 	s.http = &http.Server{
@@ -200,4 +210,7 @@
 	}
 	delete(s.conns, c)
 	c.account.close()
+	if c.hasSlot {
+		<-s.slots
+	}
 }
