Gateway: a body in chunks that exceeds maxBodyBytes is refused with 413

What callers saw: a body with a length above maxBodyBytes got 413, the same one in chunks was passed on to a runner whatever its size.

Cause: only Content-Length was checked, which a body in chunks does not have.

Change: the bytes are counted as they arrive. Beyond the limit of the newest configuration, which is fetched first as for a length, the attempt is broken off, so that no runner has the whole body, and the client gets 413. The runner isn't blamed.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -27,6 +27,8 @@
 		switch e.send() {
 		case outcomeResponded:
 			return phaseRespond
+		case outcomeBodyTooLarge:
+			return e.refuseWith(refusalBodyTooLarge)
 		case outcomeMayHaveRun:
 			e.mayHaveRun = true
 		}
@@ -56,6 +58,9 @@
 	outcomeResponded  outcome = iota
 	outcomeNotRun             // the runner is known not to have run it
 	outcomeMayHaveRun         // it may have run, or may still be running
+	// outcomeBodyTooLarge: the client's body turned out to be too large, so the runner did not get all
+	// of it.
+	outcomeBodyTooLarge
 )
 
 // send makes one attempt and waits for the response headers.
@@ -83,6 +88,9 @@
 		latency -= time.Duration(sentAt.Load())
 	}
 	switch {
+	case err != nil && e.body != nil && e.body.tooLarge.Load():
+		e.proxy.endAttempt(e.runner, resultUnknown, latency)
+		return outcomeBodyTooLarge
 	case err != nil && e.ctx.Err() != nil:
 		e.proxy.endAttempt(e.runner, resultUnknown, latency)
 		if !connected.Load() {
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -28,8 +28,18 @@
 	buffered  []byte
 	truncated bool // more was read than is buffered
 	readErr   error
+	read      int64 // bytes read so far
+	// exceeds reports whether a body of some size is larger than allowed. A body in chunks announces no
+	// size, so it is checked as it arrives.
+	exceeds func(bytes int64) bool
+	// tooLarge is set once the body was found to be too large. It is read without mu, which a read
+	// holds while it waits for the client.
+	tooLarge atomic.Bool
 }
 
+// errBodyTooLarge is the read error of a body that is larger than allowed.
+var errBodyTooLarge = errors.New("body is larger than allowed")
+
 // canReplay reports whether the body can be sent again from its start.
 func (b *requestBody) canReplay() bool {
 	b.mu.Lock()
@@ -62,6 +72,11 @@
 		return 0, b.readErr
 	}
 	n, err := b.source.Read(into)
+	if b.read += int64(n); b.exceeds(b.read) {
+		b.readErr = errBodyTooLarge
+		b.tooLarge.Store(true)
+		return 0, errBodyTooLarge
+	}
 	switch {
 	case b.truncated:
 	case len(b.buffered)+n > MaxReplayBytes:
@@ -81,11 +96,11 @@
 }
 
 // newRequestBody returns the body of a client's request, or nil if it has none.
-func newRequestBody(request *http.Request) *requestBody {
+func newRequestBody(request *http.Request, exceeds func(bytes int64) bool) *requestBody {
 	if request.ContentLength == 0 || request.Body == nil {
 		return nil
 	}
-	return &requestBody{source: request.Body}
+	return &requestBody{source: request.Body, exceeds: exceeds}
 }
 
 // emptyBody is an empty body that prevents the HTTP transport from retrying a request on
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -151,7 +151,7 @@
 		e.ctx, e.cancel = context.WithDeadline(e.request.Context(), e.deadline)
 	}
 	e.service = e.proxy.serviceFor(e.route)
-	e.body = newRequestBody(e.request)
+	e.body = newRequestBody(e.request, e.bodyExceedsLimit)
 	e.proxy.countRequest(e.service)
 	return phaseAttempt
 }
@@ -179,6 +179,16 @@
 	return refusalUnknownKey, ok || e.route.Public
 }
 
+// bodyExceedsLimit reports whether a body of some size is larger than the configuration allows. As in
+// admit, the current configuration is fetched before a request is refused for good.
+func (e *exchange) bodyExceedsLimit(bytes int64) bool {
+	exceeds := func() bool {
+		limit := e.proxy.routing.Load().config.Limits.MaxBodyBytes
+		return limit > 0 && bytes > limit
+	}
+	return exceeds() && (e.proxy.options.Refresh(e.ctx) != nil || exceeds())
+}
+
 // repeatable reports whether the request may run more than once.
 func (e *exchange) repeatable() bool {
 	return e.route.Kind == protocol.KindReadOnly || e.route.Kind == protocol.KindDownload
--- a/internal/gateway/proxy_test.go
+++ b/internal/gateway/proxy_test.go
@@ -157,6 +157,39 @@
 	}
 }
 
+// TestChunkedBodyBeyondTheLimit checks that a body in chunks, which announces no size, is refused once
+// it exceeds the limit of the current configuration, and that no runner receives it whole.
+func TestChunkedBodyBeyondTheLimit(t *testing.T) {
+	whole := make(chan bool, 2)
+	h := newHarness(t, func(w http.ResponseWriter, r *http.Request) {
+		_, err := io.Copy(io.Discard, r.Body)
+		whole <- err == nil
+		succeeding(w, r)
+	})
+	send := func() int {
+		body := struct{ io.Reader }{strings.NewReader(strings.Repeat("x", 1000001))} // of unknown length
+		request, err := http.NewRequest(http.MethodPost, h.front.URL+"/upload/x", body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Host = "h"
+		request.Header.Set(protocol.HeaderAttemptID, "a")
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		return response.StatusCode
+	}
+	if status := send(); status != http.StatusRequestEntityTooLarge || <-whole {
+		t.Errorf("status %d, want 413 and no whole body at the runner", status)
+	}
+	h.config = strings.Replace(testConfigText(2), `"maxBodyBytes":1000000`, `"maxBodyBytes":2000000`, 1)
+	if status := send(); status != http.StatusOK || !<-whole {
+		t.Errorf("after the limit was raised: status %d, want 200 and the whole body at the runner", status)
+	}
+}
+
 // TestTenantKeyIsNotForwarded checks that the runner receives the tenant's name, whatever the
 // client sent, but not its API key.
 func TestTenantKeyIsNotForwarded(t *testing.T) {
