Tracing: a subject that is longer than any ID is not recorded

What callers saw: nothing yet. Cause: the last part of a request's path was kept as the subject before it was checked, and with it, as a part of the same string, the whole path: up to 16 kB for each of 2,048 events, 33 MB on machines of 160 MB.

Change: subjects above 64 bytes are dropped, others copied. Result: TestLongSubjectsAreNotRecorded.

--- a/internal/tracing/ring.go
+++ b/internal/tracing/ring.go
@@ -32,11 +32,17 @@
 // NewRing returns a ring that holds up to capacity events; capacity must be at least 1.
 func NewRing(capacity int) *Ring { return &Ring{events: make([]Event, capacity)} }
 
-// Record adds an event with the current time. It does nothing on a nil ring.
+// maxSubjectBytes is the length of the longest subject that is recorded, in bytes. Subjects come from
+// clients before they are checked.
+const maxSubjectBytes = 64
+
+// Record adds an event with the current time, unless its subject is longer than maxSubjectBytes. It does
+// nothing on a nil ring.
 func (r *Ring) Record(subject, action string, value int64, detail string) {
-	if r == nil {
+	if r == nil || len(subject) > maxSubjectBytes {
 		return
 	}
+	subject = strings.Clone(subject) // it may be a part of a long text, such as a request's path
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.events[r.next] = Event{TimeNs: time.Now().UnixNano(), Subject: subject, Action: action, Value: value, Detail: detail}
--- a/internal/tracing/ring_test.go
+++ b/internal/tracing/ring_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 )
 
@@ -29,3 +30,18 @@
 	var ring *Ring
 	ring.Record("a", "taken", 0, "")
 }
+
+// TestLongSubjectsAreNotRecorded guards against a ring that holds megabytes of the paths that clients
+// send.
+func TestLongSubjectsAreNotRecorded(t *testing.T) {
+	ring := NewRing(4)
+	long := strings.Repeat("x", maxSubjectBytes+1)
+	ring.Record(long, "taken", 0, "")
+	ring.Record(long[1:], "taken", 0, "")
+	if events, _ := ring.History(long); len(events) != 0 {
+		t.Error("the long subject is recorded")
+	}
+	if events, _ := ring.History(long[1:]); len(events) != 1 {
+		t.Error("the longest allowed subject is not recorded")
+	}
+}
