Jobs: runs of a periodic job that fall due within ten minutes count toward its memory

Cause: a job with a run each millisecond, none of them overdue, passed the check, and then grew by 1.5 MB a second for as long as no worker served it.

--- a/internal/server/job_memory.go
+++ b/internal/server/job_memory.go
@@ -16,7 +16,7 @@
 	// leave room for small ones.
 	maxJobShare = 0.5
 	// dueInstancesHorizon is how far ahead the instances of a periodic job count.
-	dueInstancesHorizon = 10 * time.Second
+	dueInstancesHorizon = 10 * time.Minute
 	// jobMemoryRetryAfter is when a client may submit a job again for which there is no memory now.
 	jobMemoryRetryAfter = time.Second
 )
