Gateway: bounds on pipelined requests and idle connections to runners; newcomers may send

What callers saw: 120 clients with nine long reads sent behind each other took all 600 descriptors of a gateway, eight connections to runners for each client; it accepted nobody else. And at its limit of connections a listener evicted the newest client before that had sent its request.

Cause: requests sent ahead of their turn, and idle connections to runners, had a limit for each client and for each runner, none for the process. The only connection that could be evicted at the limit was the one just accepted.

Change: all requests ahead of their turn may hold a twentieth, idle connections to runners a twelfth of the descriptors for sockets; the listeners' shares at gateways are a third, a tenth and a fiftieth. A connection is evicted for another one only after 200 ms without progress.

TestOpenConnections still passes.

--- a/internal/api/client_limits.go
+++ b/internal/api/client_limits.go
@@ -15,7 +15,7 @@
 const (
 	// reservedDescriptors is the part of limits.maxFds that is kept for files.
 	reservedDescriptors = 200
-	// minConnections is the least limit of connections of a listener, whatever limits.maxFds says.
+	// minConnections is the least limit of connections of a kind, whatever limits.maxFds says.
 	minConnections = 16
 	// evictionLogInterval is how often evictions of clients are logged.
 	evictionLogInterval = 10 * time.Second
@@ -28,26 +28,30 @@
 	decodedValueBytes  = 32  // for each other value of a list or an object
 )
 
-// listenerKind is what a listener serves.
-type listenerKind int
+// connectionKind is what connections are for.
+type connectionKind int
 
 const (
-	clientListener listenerKind = iota
+	clientListener connectionKind = iota
 	operatorListener
 	readinessListener
+	earlyRequests         // connections to runners for pipelined requests
+	idleRunnerConnections // connections to runners that wait for the next request
 )
 
-// connectionShares are the fractions of the descriptors for sockets that the listeners of a role may
-// hold. The rest is for streams of other daemons and, at gateways, for connections to runners, of which
-// each request of a client may need one.
-var connectionShares = map[string]map[listenerKind]float64{
-	edgeRole:    {clientListener: 0.25, operatorListener: 0.5, readinessListener: 0.04},
-	gatewayRole: {clientListener: 0.33, operatorListener: 0.12, readinessListener: 0.04},
+// connectionShares are the fractions of the descriptors for sockets that connections of each kind may
+// hold. The rest is for streams of other daemons and, at gateways, for one connection to a runner for
+// each client.
+var connectionShares = map[string]map[connectionKind]float64{
+	edgeRole: {clientListener: 0.25, operatorListener: 0.5, readinessListener: 0.04},
+	gatewayRole: {
+		clientListener: 0.33, operatorListener: 0.1, readinessListener: 0.02, earlyRequests: 0.05, idleRunnerConnections: 0.08,
+	},
 }
 
-// maxConnections returns the limit of open connections of a listener; 0 if the settings limit no
+// maxConnections returns the limit of open connections of a kind; 0 if the settings limit no
 // descriptors.
-func maxConnections(role string, kind listenerKind, limits settings.Limits) int {
+func maxConnections(role string, kind connectionKind, limits settings.Limits) int {
 	if limits.MaxFileDescriptors <= 0 {
 		return 0
 	}
@@ -56,7 +60,7 @@
 }
 
 // limitClients sets the limits of a listener's clients.
-func (s *Server) limitClients(options *httpserver.Options, kind listenerKind) {
+func (s *Server) limitClients(options *httpserver.Options, kind connectionKind) {
 	options.Budget = s.clientBudget
 	options.MaxConnections = maxConnections(s.role, kind, s.settings.Limits)
 	if kind == clientListener && s.gateway != nil {
--- a/internal/api/gateway.go
+++ b/internal/api/gateway.go
@@ -66,6 +66,9 @@
 		MaxRunnerListAge:  maxRunnerListAge(&env.Settings),
 		LeaderOutageGrace: time.Duration(env.Settings.Bounds.InTouchMs) * time.Millisecond,
 		Refresh:           s.refreshConfiguration,
+
+		MaxEarlyRequests:   maxConnections(gatewayRole, earlyRequests, env.Settings.Limits),
+		MaxIdleConnections: maxConnections(gatewayRole, idleRunnerConnections, env.Settings.Limits),
 	})
 	return s, nil
 }
--- a/internal/api/listeners.go
+++ b/internal/api/listeners.go
@@ -51,7 +51,7 @@
 	addresses := s.settings.ListenAddresses
 	var httpServers []*httpserver.Server
 	for _, listener := range []struct {
-		kind        listenerKind
+		kind        connectionKind
 		address     string
 		handler     http.Handler
 		idleTimeout time.Duration
--- a/internal/gateway/pipeline.go
+++ b/internal/gateway/pipeline.go
@@ -136,7 +136,7 @@
 // hasEarlyCapacity reports whether another request may be sent ahead of its turn. The caller
 // holds mu.
 func (c *clientConn) hasEarlyCapacity() bool {
-	return c.early != nil && len(c.early) < maxEarlyRequests && !c.proxy.shuttingDown()
+	return c.early != nil && len(c.early) < maxEarlyRequests && !c.proxy.shuttingDown() && c.proxy.hasEarlyCapacity()
 }
 
 // closesAfterResponse reports whether the connection closes after the response about to be
@@ -197,8 +197,16 @@
 	return route.Kind == protocol.KindReadOnly
 }
 
-// startEarly sends a request ahead of its turn.
+// hasEarlyCapacity reports whether requests sent ahead of their turn hold fewer connections to runners
+// than allowed.
+func (p *Proxy) hasEarlyCapacity() bool {
+	limit := int64(p.options.MaxEarlyRequests)
+	return limit <= 0 || p.early.Load() < limit
+}
+
+// startEarly sends a request ahead of its turn. It counts as early until it was served or abandoned.
 func (c *clientConn) startEarly(request *http.Request) *earlyRequest {
+	c.proxy.early.Add(1)
 	ctx, cancel := context.WithCancel(c.ctx)
 	early := &earlyRequest{exchange: c.proxy.newExchange(nil, request.WithContext(ctx), c), cancel: cancel, done: make(chan struct{})}
 	go func() {
@@ -229,6 +237,7 @@
 
 // serve answers the request when its turn comes.
 func (r *earlyRequest) serve(writer http.ResponseWriter, request *http.Request) {
+	defer r.exchange.proxy.early.Add(-1)
 	defer r.cancel()
 	stop := context.AfterFunc(request.Context(), r.cancel)
 	defer stop()
@@ -239,6 +248,7 @@
 
 // abandon cancels a request whose client connection has closed.
 func (r *earlyRequest) abandon() {
+	defer r.exchange.proxy.early.Add(-1)
 	r.exchange.proxy.abandoned.Add(1)
 	r.cancel()
 	<-r.done
--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -37,6 +37,9 @@
 	// chosen. The limit does not apply for the duration LeaderOutageGrace after a failed query for
 	// changes.
 	MaxRunnerListAge, LeaderOutageGrace time.Duration
+	// MaxEarlyRequests limits the pipelined requests that are sent ahead of their turn at a time, and
+	// MaxIdleConnections the idle connections to runners; 0: unlimited.
+	MaxEarlyRequests, MaxIdleConnections int
 	// Refresh fetches the current configuration and passes it to SetConfig if it is newer. An
 	// error means that the current configuration is unknown.
 	Refresh func(context.Context) error
@@ -63,6 +66,8 @@
 	refusesFrom atomic.Pointer[time.Time]
 	// abandoned counts requests that were sent ahead of their turn and then canceled.
 	abandoned atomic.Int64
+	// early counts requests that were sent ahead of their turn and neither served nor abandoned.
+	early atomic.Int64
 
 	ready     chan struct{} // closed once requests can be served
 	readyOnce sync.Once     // closes ready
@@ -88,6 +93,7 @@
 				return transport.DialWith(ctx, dialer, addr)
 			},
 			IdleConnTimeout:     runnerIdleTimeout,
+			MaxIdleConns:        options.MaxIdleConnections,
 			MaxIdleConnsPerHost: maxIdlePerRunner,
 			DisableCompression:  true,
 			ReadBufferSize:      connectionBufferBytes,
--- a/internal/httpserver/budget.go
+++ b/internal/httpserver/budget.go
@@ -27,6 +27,9 @@
 	// evictedFraction is the fraction of its limit that an exhausted budget frees at once, so that the
 	// connections are not searched for each byte.
 	evictedFraction = 8
+	// minEvictionWait is the time that a connection has to make progress before it is evicted to accept
+	// another one. A client that was just accepted must get to send its request.
+	minEvictionWait = 200 * time.Millisecond
 	// soleRequestFactor multiplies the limit for a request beside which no other could be evicted, so
 	// that one very large request is served while there are no others.
 	soleRequestFactor = 1.6
@@ -217,7 +220,7 @@
 }
 
 // evictFrom evicts the connection of a server that has waited for the longest time with the most
-// bytes, and reports whether there was one.
+// bytes, at least for minEvictionWait, and reports whether there was one.
 func (b *Budget) evictFrom(server *Server, now time.Time) bool {
 	if b == nil {
 		return false
@@ -226,7 +229,7 @@
 	defer b.mu.Unlock()
 	var worst *account
 	for a := range b.accounts {
-		if a.server == server && a.mayBeEvicted() && (worst == nil || a.burden(now) > worst.burden(now)) {
+		if a.server == server && a.mayBeEvicted() && a.lag(now) >= minEvictionWait && (worst == nil || a.burden(now) > worst.burden(now)) {
 			worst = a
 		}
 	}
--- a/internal/misuse/cluster_test.go
+++ b/internal/misuse/cluster_test.go
@@ -55,6 +55,7 @@
 	serviceName  = "svc"
 	jobPath      = "/p/"
 	uploadPath   = "/upload/"
+	readPath     = "/read/"
 	platformHost = 250
 	runnerHost   = 150
 	standinPort  = 18100
@@ -65,6 +66,7 @@
 // makes the configuration as large as a test needs.
 const baseConfiguration = `{"configVersion":1,"routeList":[` +
 	`{"name":"u%s","hostName":"h","pathPrefix":"/upload/","kind":"upload","timeoutMs":60000,"targetMs":500,"targetService":"svc","maxTries":2},` +
+	`{"name":"r","hostName":"h","pathPrefix":"/read/","kind":"read_only","timeoutMs":60000,"targetMs":500,"targetService":"svc","maxTries":2},` +
 	`{"name":"j","hostName":"h","pathPrefix":"/p/","kind":"writing","timeoutMs":60000,"targetMs":500,"targetService":"svc","maxTries":2}],` +
 	`"serviceList":[{"name":"svc"}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144}}`
 
--- a/internal/misuse/misuse_test.go
+++ b/internal/misuse/misuse_test.go
@@ -17,6 +17,8 @@
 	headClients       = 600 // with heads of headBytes
 	headBytes         = 15_000
 	openConnections   = 700
+	pipeliningClients = 120 // of pipelinedReads each
+	pipelinedReads    = 9
 	unreadReads       = 80
 	configBytes       = 2_000_000
 	jobsOfManySteps   = 96
@@ -120,6 +122,20 @@
 	}
 }
 
+// TestPipelinedRequests guards against a gateway whose descriptors are all held by connections to
+// runners, since clients send many long requests behind each other.
+func TestPipelinedRequests(t *testing.T) {
+	d := start(t, gatewayRole, 46, fewDescriptors, 0)
+	openCrowd(t, d.node.ClientAddress(), pipeliningClients, func(number int) client {
+		var requests strings.Builder
+		for i := range pipelinedReads {
+			fmt.Fprintf(&requests, "GET %sx?work=60000 HTTP/1.1\r\nHost: %s\r\nX-Tealpond-Attempt-Id: crowd-%d-%d\r\nX-Tealpond-Time-Left: 60000\r\n\r\n", readPath, routeHost, number, i)
+		}
+		return client{head: requests.String()}
+	})
+	d.checkAfter()
+}
+
 // TestUnreadAnswers guards against a process that runs out of memory under operators that request a large
 // configuration and never read it.
 func TestUnreadAnswers(t *testing.T) {
