--- a/internal/misuse/misuse_test.go
+++ b/internal/misuse/misuse_test.go
@@ -17,6 +17,8 @@
 	headClients       = 600 // with heads of headBytes
 	headBytes         = 15_000
 	openConnections   = 700
+	raisedJobBytes    = 8_000_000
+	raisedUploadBytes = 1_000_000 // more than a gateway keeps for another attempt
 	pipeliningClients = 120 // of pipelinedReads each
 	pipelinedReads    = 9
 	unreadReads       = 80
@@ -202,3 +204,18 @@
 	})
 	d.checkAfter()
 }
+
+// TestLargestRequestsAfterRaise checks the same after a configuration raised the limit of bodies.
+func TestLargestRequestsAfterRaise(t *testing.T) {
+	d := start(t, gatewayRole, 72, manyDescriptors, 0)
+	d.await("a higher limit", func() bool { return d.raiseBodyLimit(raisedUploadBytes) })
+	d.await("an upload of the largest size", func() bool { return d.servesUpload("largest", raisedUploadBytes) })
+	d.checkAfter()
+	d = start(t, edgeRole, 73, manyDescriptors, 0)
+	d.await("a higher limit", func() bool { return d.raiseBodyLimit(raisedJobBytes) })
+	d.await("a job of the largest size", func() bool {
+		status, _ := call(http.MethodPost, d.node.ClientAddress(), jobPath+"00000000000000ab", jobOf(1, raisedJobBytes), http.Header{})
+		return status == http.StatusOK
+	})
+	d.checkAfter()
+}
