--- a/internal/raft/log.go
+++ b/internal/raft/log.go
@@ -5,6 +5,28 @@
 // LastIndex returns the index of the last entry of the log.
 func (n *Node) LastIndex() uint64 { return n.base.Index + uint64(len(n.log)) }
 
+// LogBytes returns the size of the data of all entries that the log holds, in bytes.
+func (n *Node) LogBytes() int { return n.logBytes }
+
+// entriesBytes returns the size of the data of entries, in bytes.
+func entriesBytes(entries []Entry) int {
+	bytes := 0
+	for i := range entries {
+		bytes += len(entries[i].Data)
+	}
+	return bytes
+}
+
+// IndexBeforeLast returns the lowest index after which the entries of the log hold at most maxBytes.
+func (n *Node) IndexBeforeLast(maxBytes int) uint64 {
+	bytes, first := 0, len(n.log)
+	for first > 0 && bytes+len(n.log[first-1].Data) <= maxBytes {
+		first--
+		bytes += len(n.log[first].Data)
+	}
+	return n.base.Index + uint64(first)
+}
+
 // TermAt returns the term of the entry at index, which may also be the last entry of
 // the snapshot that the log follows. It returns false if the entry is compacted or
 // doesn't exist.
@@ -28,6 +50,7 @@
 // appendToLog appends an entry to the log and to the pending writes.
 func (n *Node) appendToLog(entry Entry) {
 	n.log = append(n.log, entry)
+	n.logBytes += len(entry.Data)
 	n.recordConfiguration(entry)
 	n.pending.Entries = append(n.pending.Entries, entry)
 }
@@ -37,6 +60,7 @@
 	if index <= n.commitIndex {
 		panic("raft: log truncation would remove a committed entry")
 	}
+	n.logBytes -= entriesBytes(n.log[index-n.base.Index-1:])
 	n.log = n.log[:index-n.base.Index-1]
 	for len(n.configurations) > 1 && n.latestConfiguration().index >= index {
 		n.configurations = n.configurations[:len(n.configurations)-1]
@@ -95,6 +119,7 @@
 		base = remaining[0]
 		remaining = remaining[1:]
 	}
+	n.logBytes -= entriesBytes(n.log[:index-n.base.Index])
 	n.log = append([]Entry(nil), n.log[index-n.base.Index:]...)
 	n.base = Snapshot{Index: index, Term: term, Voters: base.voters, OutgoingVoters: base.outgoing}
 	n.configurations = append([]configuration{base}, remaining...)
--- a/internal/raft/model_harness_test.go
+++ b/internal/raft/model_harness_test.go
@@ -294,6 +294,9 @@
 		c.handleReady(member, ready)
 		c.apply(member)
 	}
+	if bytes := entriesBytes(member.node.log); bytes != member.node.LogBytes() {
+		panic(fmt.Sprintf("%s: the log has %d bytes, recounted %d", member.id, member.node.LogBytes(), bytes))
+	}
 	isDue := member.node.AppliedIndex() >= member.lastSnapshotIndex+c.profile.snapshotEvery
 	isRequested := member.lastSnapshotIndex == 0 && member.node.AppliedIndex() > member.disk.snapshot.Index
 	if isDue || isRequested {
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -23,6 +23,7 @@
 	// base is the snapshot that the log follows, without its data.
 	base           Snapshot
 	log            []Entry
+	logBytes       int             // see LogBytes
 	configurations []configuration // the one in force at base, then those in the log
 
 	commitIndex, appliedIndex uint64
@@ -78,6 +79,7 @@
 
 		base:           withoutData(snapshot),
 		log:            entries,
+		logBytes:       entriesBytes(entries),
 		configurations: []configuration{configurationOf(snapshot)},
 		commitIndex:    snapshot.Index,
 		appliedIndex:   snapshot.Index,
--- a/internal/raft/snapshot.go
+++ b/internal/raft/snapshot.go
@@ -29,7 +29,7 @@
 	}
 	n.supersedeWrites(1)
 	n.base = withoutData(*received)
-	n.log = nil
+	n.log, n.logBytes = nil, 0
 	n.configurations = []configuration{configurationOf(*received)}
 	// syncedIndex is unchanged: the snapshot isn't on disk before its write is reported
 	// as synced.
--- a/internal/server/loop.go
+++ b/internal/server/loop.go
@@ -152,7 +152,7 @@
 		}
 		r.sendRaftMessages(ctx, write.Ready.MessagesAfterSync)
 		if write.LocalSnapshot != nil {
-			r.node.Compact(write.LocalSnapshot.Index - min(write.LocalSnapshot.Index, snapshotTrailingEntries))
+			r.compactLog(write.LocalSnapshot.Index)
 		}
 	}
 }
--- a/internal/server/snapshot.go
+++ b/internal/server/snapshot.go
@@ -47,10 +47,10 @@
 }
 
 // takeSnapshotIfDue starts a snapshot at log indexes that are the same on all replicas, so that
-// their digests can be compared. The event loop only copies the state: encoding the state of a
+// their digests can be compared, and whenever the log holds too many bytes. The event loop only copies the state: encoding the state of a
 // large cluster takes longer than followers wait for a heartbeat.
 func (r *Replica) takeSnapshotIfDue(ctx context.Context, index uint64) {
-	if index%SnapshotInterval != 0 || r.encodingSnapshot {
+	if r.encodingSnapshot || index%SnapshotInterval != 0 && !r.logTooLarge(index) {
 		return
 	}
 	r.encodingSnapshot = true
@@ -62,6 +62,40 @@
 	}()
 }
 
+const (
+	// maxLogMemoryFraction is the fraction of limits.memoryMb that the entries of the log may occupy
+	// before a snapshot is taken, and trailingLogFraction the part of it that is kept behind a snapshot.
+	maxLogMemoryFraction = 0.05
+	trailingLogFraction  = 0.25
+	// minSnapshotDistance is the least number of entries between two snapshots that are taken because
+	// of the size of the log.
+	minSnapshotDistance = 32
+)
+
+// maxLogBytes returns how many bytes the entries of the log may have before a snapshot is taken; 0 if
+// the settings limit no memory.
+func (r *Replica) maxLogBytes() int {
+	const bytesPerMB = 1 << 20
+	return int(maxLogMemoryFraction * float64(r.settings.Limits.MemoryMB) * bytesPerMB)
+}
+
+// logTooLarge reports whether the log holds so many bytes that a snapshot is due after the entry at
+// index.
+func (r *Replica) logTooLarge(index uint64) bool {
+	limit := r.maxLogBytes()
+	return limit > 0 && r.node.LogBytes() > limit && index >= r.lastSnapshotIndex+minSnapshotDistance
+}
+
+// compactLog drops the entries of the log that a snapshot on disk includes, but for the last ones
+// before it, as far as these are few and small.
+func (r *Replica) compactLog(snapshotIndex uint64) {
+	index := snapshotIndex - min(snapshotIndex, snapshotTrailingEntries)
+	if limit := r.maxLogBytes(); limit > 0 {
+		index = max(index, min(snapshotIndex, r.node.IndexBeforeLast(int(trailingLogFraction*float64(limit)))))
+	}
+	r.node.Compact(index)
+}
+
 // handleSnapshotEncoded has a snapshot written, unless a newer one was received or the node was
 // replaced in the meantime. The previous snapshot remains valid until this one is synced: the
 // storage replaces it atomically.
@@ -73,7 +107,9 @@
 	if encoded.snapshot.Index <= r.lastSnapshotIndex {
 		return
 	}
-	r.recordDigest(ctx, encoded.snapshot.Index, encoded.digest)
+	if encoded.snapshot.Index%SnapshotInterval == 0 {
+		r.recordDigest(ctx, encoded.snapshot.Index, encoded.digest)
+	}
 	r.lastSnapshotIndex, r.latestSnapshot = encoded.snapshot.Index, encoded.snapshot
 	r.writesInFlight++
 	r.writeQueue <- storage.WriteRequest{LocalSnapshot: encoded.snapshot}
--- a/internal/server/snapshot_test.go
+++ b/internal/server/snapshot_test.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -150,3 +152,33 @@
 		}
 	})
 }
+
+// TestLargeLogIsCompacted checks that a snapshot is due as soon as the entries of the log take more than
+// their part of the memory, and that little of the log is kept behind it. It guards against a log that
+// holds thousands of entries of any size.
+func TestLargeLogIsCompacted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newLeader(t)
+		h.replica.settings.Limits.MemoryMB = 1
+		const valueBytes = 4000
+		limit := h.replica.maxLogBytes()
+		for i := range 4 * minSnapshotDistance {
+			put := &state.PutKey{Key: fmt.Sprint("k", i), Value: strings.Repeat("v", valueBytes), HistoryMs: 1}
+			h.replica.enqueueCommand(state.CommandPutKey, put, nil)
+			for range 20 {
+				h.runIteration()
+			}
+			if index := h.replica.node.LastIndex(); h.replica.logTooLarge(index) {
+				break
+			}
+		}
+		index := h.replica.node.LastIndex()
+		if !h.replica.logTooLarge(index) {
+			t.Fatalf("no snapshot is due with a log of %d bytes, limit %d", h.replica.node.LogBytes(), limit)
+		}
+		h.replica.compactLog(index)
+		if kept := h.replica.node.LogBytes(); kept > limit/2 {
+			t.Errorf("%d bytes of the log are kept behind a snapshot, limit %d", kept, limit)
+		}
+	})
+}
