Keys: a put for which there is no memory is not proposed

What callers saw: 1,500 finished puts of 60 kB took a server of 96 MB to 433 MB when they were taken, to 861 MB when they were refused, since the outcome of a refused put is kept as well, under its value.

Cause: the tables were bounded by 100,000 rows each, whatever the rows hold; and the copies of a value on its way into the log were not counted among what clients hold.

Change: the tables count what keys, history and outcomes take (recounted by a random test). The leader proposes a put only if it takes less than an eighth of what is left of a tenth of memoryMb, so that large values leave room for small ones. Otherwise the put gets 504: an earlier leader may have put a copy of it into the log, so that no promise can be made, as with a full table. Calls of applications reserve ten copies of their text from the budget of clients.

--- a/internal/api/client_limits.go
+++ b/internal/api/client_limits.go
@@ -21,9 +21,15 @@
 	evictionLogInterval = 10 * time.Second
 )
 
+// Copies of the text of a JSON body that are made on its way to the leader and into the log: a job or a
+// configuration is decoded and encoded, a value is also held by the command and by the writes to disk.
+const (
+	documentCopies = 2
+	valueCopies    = 10
+)
+
 // Bytes that the decoded form of a JSON body takes, besides copies of its text.
 const (
-	decodedCopies      = 2   // of the text, on its way to the leader
 	decodedObjectBytes = 512 // for each object
 	decodedValueBytes  = 32  // for each other value of a list or an object
 )
@@ -87,11 +93,11 @@
 	return badRequest("the body ended early")
 }
 
-// reserveDecoded reserves memory for the decoded form of a JSON body, and for its copies on the way to
-// the leader, until the request has ended.
-func reserveDecoded(ctx context.Context, raw []byte) *statusError {
+// reserveDecoded reserves memory for the decoded form of a JSON body, and for copies of its text on the
+// way to the leader, until the request has ended.
+func reserveDecoded(ctx context.Context, raw []byte, copies int) *statusError {
 	objects, values := bytes.Count(raw, []byte("{")), bytes.Count(raw, []byte(","))
-	if !httpserver.Reserve(ctx, int64(decodedCopies*len(raw)+decodedObjectBytes*objects+decodedValueBytes*values)) {
+	if !httpserver.Reserve(ctx, int64(copies*len(raw)+decodedObjectBytes*objects+decodedValueBytes*values)) {
 		return errClientMemory
 	}
 	return nil
--- a/internal/api/coordination.go
+++ b/internal/api/coordination.go
@@ -219,6 +219,9 @@
 	if readErr != nil || len(raw) == 0 {
 		return readErr
 	}
+	if err := reserveDecoded(c.Request().Context(), raw, valueCopies); err != nil {
+		return err
+	}
 	if err := json.Unmarshal(raw, body); err != nil {
 		return badRequest("the body can't be read: " + err.Error())
 	}
--- a/internal/api/jobs.go
+++ b/internal/api/jobs.go
@@ -152,7 +152,7 @@
 	if r.kind != rpc.KindSubmitJob {
 		return phaseForward, nil
 	}
-	if err := reserveDecoded(r.client.Request().Context(), r.body); err != nil {
+	if err := reserveDecoded(r.client.Request().Context(), r.body, documentCopies); err != nil {
 		return "", err
 	}
 	if err := json.Unmarshal(r.body, &r.job.Job); err != nil {
--- a/internal/api/operators.go
+++ b/internal/api/operators.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		return writeStatusError(c, badRequest(protocol.HeaderBasedOn+": missing or no number"))
 	}
-	if err := reserveDecoded(c.Request().Context(), raw); err != nil {
+	if err := reserveDecoded(c.Request().Context(), raw, documentCopies); err != nil {
 		return writeStatusError(c, err)
 	}
 	if err := validate(raw); err != nil {
--- a/internal/coordination/key.go
+++ b/internal/coordination/key.go
@@ -32,6 +32,37 @@
 	Compacted int64
 	// Outcomes holds the outcomes of recent puts, by putID.
 	Outcomes map[string]PutOutcome
+
+	bytes int64 // estimated memory of the rows
+}
+
+// rowBytes is the memory of a row besides its texts, in bytes.
+const rowBytes = 128
+
+// Each text counts as often as it is held, also by the encoded snapshot: the value of a key in the row
+// and twice more, in the history only by the snapshot, and in the ID of an outcome.
+func keyBytes(name, value string) int64     { return rowBytes + 3*int64(len(name)+len(value)) }
+func historyBytes(name, value string) int64 { return rowBytes + int64(len(name)+len(value)) }
+func outcomeBytes(id string) int64          { return rowBytes + 2*int64(len(id)) }
+
+// Bytes estimates the memory that the put occupies at most once it is applied, in bytes.
+func (p *Put) Bytes() int64 {
+	return keyBytes(p.Key, p.Value) + historyBytes(p.Key, p.Value) + outcomeBytes(putID(p.Key, p.Value))
+}
+
+// recount computes the estimated memory of the rows from the rows.
+func (g *Group) recount() int64 {
+	bytes := int64(0)
+	for name, value := range g.Keys {
+		bytes += keyBytes(name, value.Value)
+	}
+	for i := range g.History {
+		bytes += historyBytes(g.History[i].Name, g.History[i].Value)
+	}
+	for id := range g.Outcomes {
+		bytes += outcomeBytes(id)
+	}
+	return bytes
 }
 
 // KeyValue is the value of a key and the revision in which it was set.
@@ -116,6 +147,7 @@
 		group.compact(clock, put.HistoryMs)
 	}
 	group.Outcomes[id] = outcome
+	group.bytes += outcomeBytes(id)
 	return outcome.result()
 }
 
@@ -171,6 +203,10 @@
 // add applies a put and returns its revision.
 func (g *Group) add(put Put, clock int64) int64 {
 	g.Revision++
+	if replaced, ok := g.Keys[put.Key]; ok {
+		g.bytes -= keyBytes(put.Key, replaced.Value)
+	}
+	g.bytes += keyBytes(put.Key, put.Value) + historyBytes(put.Key, put.Value)
 	g.Keys[put.Key] = KeyValue{Value: put.Value, Revision: g.Revision}
 	g.History = append(g.History, Event{Name: put.Key, Value: put.Value, Revision: g.Revision, At: clock})
 	return g.Revision
@@ -183,6 +219,7 @@
 	retentionMs := historyRetentionMs(historyMs)
 	expired := 0
 	for expired < len(g.History) && clock-g.History[expired].At > retentionMs {
+		g.bytes -= historyBytes(g.History[expired].Name, g.History[expired].Value)
 		expired++
 	}
 	if expired == 0 {
@@ -199,8 +236,12 @@
 
 // expireOutcomes drops the outcomes older than putOutcomeRetention.
 func (g *Group) expireOutcomes(clock int64) {
-	maps.DeleteFunc(g.Outcomes, func(_ string, outcome PutOutcome) bool {
-		return clock-outcome.At > putOutcomeRetention.Milliseconds()
+	maps.DeleteFunc(g.Outcomes, func(id string, outcome PutOutcome) bool {
+		expired := clock-outcome.At > putOutcomeRetention.Milliseconds()
+		if expired {
+			g.bytes -= outcomeBytes(id)
+		}
+		return expired
 	})
 }
 
@@ -226,4 +267,5 @@
 	if g.Compacted+int64(len(g.History)) != g.Revision {
 		panic("coordination: history of group " + name + " has gaps")
 	}
+	g.bytes = g.recount()
 }
--- a/internal/coordination/key_test.go
+++ b/internal/coordination/key_test.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 )
 
@@ -198,3 +200,33 @@
 		t.Errorf("the clone's next number is %d, %v", n, err)
 	}
 }
+
+// TestBytesMatchRecount checks that the estimated memory of the tables follows each change of them: puts
+// that are taken, refused or repeated, replaced values, and the expiry of history and outcomes.
+func TestBytesMatchRecount(t *testing.T) {
+	random := rand.New(rand.NewPCG(72, 1))
+	tables, clock := New(), int64(1)
+	for range 5000 {
+		clock += random.Int64N(2000)
+		key := fmt.Sprintf("g%d.k%d", random.IntN(3), random.IntN(5))
+		put := Put{Key: key, Value: strings.Repeat("v", random.IntN(40)), Expected: int64(random.IntN(2)) * tables.revisionOf(key), HistoryMs: 5000}
+		before := tables.Bytes()
+		_, _ = tables.Put(put, clock) // refusals are part of the test
+		if grown := tables.Bytes() - before; grown > put.Bytes() {
+			t.Fatalf("a put grew the tables by %d bytes, estimated %d", grown, put.Bytes())
+		}
+		if random.IntN(20) == 0 {
+			tables.Expire(clock)
+		}
+		if random.IntN(50) == 0 {
+			tables = tables.Clone()
+		}
+		recounted := int64(0)
+		for _, group := range tables.Groups {
+			recounted += group.recount()
+		}
+		if recounted != tables.Bytes() {
+			t.Fatalf("%d bytes, recounted %d", tables.Bytes(), recounted)
+		}
+	}
+}
--- a/internal/coordination/tables.go
+++ b/internal/coordination/tables.go
@@ -23,6 +23,19 @@
 	HistoryMs int64 `cbor:"History"`
 }
 
+// Bytes estimates the memory that keys, their history and the outcomes of puts occupy, in bytes. Nil
+// tables are empty.
+func (t *Tables) Bytes() int64 {
+	if t == nil {
+		return 0
+	}
+	bytes := int64(0)
+	for _, group := range t.Groups {
+		bytes += group.bytes
+	}
+	return bytes
+}
+
 // New returns empty tables.
 func New() *Tables {
 	return &Tables{Locks: map[string]Lock{}, Counters: map[string]int64{}, Groups: map[string]*Group{}}
--- a/internal/misuse/misuse_test.go
+++ b/internal/misuse/misuse_test.go
@@ -19,10 +19,12 @@
 	openConnections   = 700
 	raisedJobBytes    = 8_000_000
 	raisedUploadBytes = 1_000_000 // more than a gateway keeps for another attempt
-	pipeliningClients = 120 // of pipelinedReads each
+	pipeliningClients = 120       // of pipelinedReads each
 	pipelinedReads    = 9
 	unreadReads       = 80
 	configBytes       = 2_000_000
+	largePuts         = 1500 // of largeValueBytes each
+	largeValueBytes   = 60_000
 	jobsOfManySteps   = 96
 	stepsOfLargeJob   = 15_000
 	jobsOfManyTasks   = 60
@@ -191,6 +193,30 @@
 	}
 }
 
+// TestLargeValues guards against a process that runs out of memory under many finished puts of values of
+// legal size, taken or refused.
+func TestLargeValues(t *testing.T) {
+	for i, c := range []struct {
+		name     string
+		expected int // revision that the puts expect
+	}{{"taken", 0}, {"refused", 7}} {
+		t.Run(c.name, func(t *testing.T) {
+			d := start(t, edgeRole, byte(80+i), manyDescriptors, 0)
+			openCrowd(t, d.node.ControlAddress(), largePuts, func(number int) client {
+				body := fmt.Sprintf(`{"value":"%d%s","active":%d}`, number, strings.Repeat("v", largeValueBytes), c.expected)
+				request := bodyForm{}.requestOf(number, fmt.Sprintf("/-/Cells.Replace/g.%d", number), body)
+				request.complete = true
+				return request
+			})
+			d.await("a small put", func() bool {
+				status, _ := call(http.MethodPost, d.node.ControlAddress(), "/-/Cells.Replace/small.key", `{"value":"small","active":0}`, http.Header{})
+				return status == http.StatusOK
+			})
+			d.checkAfter()
+		})
+	}
+}
+
 // TestLargestRequests checks that, in calm, one request of the largest legal size is served: a client's
 // body and an operator's configuration.
 func TestLargestRequests(t *testing.T) {
--- a/internal/server/coordination.go
+++ b/internal/server/coordination.go
@@ -56,9 +56,38 @@
 
 // handlePutKey sets a key. A put that will be refused goes through the log too: a copy of
 // the same put may be in flight, and must be refused then as well.
+//
+// A put for which there is no memory is not proposed. As with a full table, an earlier leader may have
+// put a copy of it into the log, so its outcome is unknown.
 func (r *Replica) handlePutKey(request *coordination.Put, _ *transport.Stream, reply replyFunc) {
+	if !r.hasMemoryForPut(request) {
+		reply(responseOutcomeUnknown)
+		return
+	}
 	request.HistoryMs = r.settings.KeyHistory(defaultKeyHistory).Milliseconds()
-	r.enqueueCommand(state.CommandPutKey, (*state.PutKey)(request), outcomeReply(reply))
+	r.puttingBytes += request.Bytes()
+	r.enqueueCommand(state.CommandPutKey, (*state.PutKey)(request), func(outcome state.Outcome, known bool) {
+		r.puttingBytes -= request.Bytes()
+		outcomeReply(reply)(outcome, known)
+	})
+}
+
+const (
+	// keyMemoryFraction is the fraction of limits.memoryMb that keys, their history and the outcomes of
+	// puts may occupy.
+	keyMemoryFraction = 0.1
+	// maxPutShare is the fraction of what is left of it that one put may take, so that large values
+	// leave room for small ones.
+	maxPutShare = 0.125
+)
+
+// hasMemoryForPut reports whether there is memory for a put besides what is kept and what was proposed.
+// Without a limit of memory there always is.
+func (r *Replica) hasMemoryForPut(request *coordination.Put) bool {
+	const bytesPerMB = 1 << 20
+	limit := keyMemoryFraction * float64(r.settings.Limits.MemoryMB) * bytesPerMB
+	left := limit - float64(r.state.Coordination.Bytes()+r.puttingBytes)
+	return limit <= 0 || float64(request.Bytes()) <= left*maxPutShare
 }
 
 // handleReadKey reads a key from the applied state. The leader has applied each put that was
--- a/internal/server/replica.go
+++ b/internal/server/replica.go
@@ -114,6 +114,7 @@
 	submitting    map[string]int // by job ID, proposed and not yet applied
 	// submittingBytes is the estimated memory of the jobs in submitting.
 	submittingBytes float64
+	puttingBytes    int64                      // estimated memory of the puts that are proposed and not yet applied
 	cancelWaiters   map[string][]replyFunc     // by job ID
 	backlog         map[state.BacklogKey]int64 // as of backlogAt
 	backlogAt       time.Time
