Clients: the end of a body counts only for the request that it belongs to

Cause (read in the code, not seen): a read of a body may return after its handler did, when the connection already waits for the next request; that connection could then not be evicted, and its next head was not counted, until the request after it.

Change: the end of a body names the number of its request on the connection, and is recorded under the connection's lock together with the account.

--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -23,19 +23,20 @@
 // trackedBody is the body of a request. It charges the bytes that the handler reads.
 type trackedBody struct {
 	io.ReadCloser
-	conn *conn
-	read int64
+	conn   *conn
+	number int64 // of the request on its connection
+	read   int64
 }
 
 // track returns the request as its handler gets it, and records on its connection that it is handled.
 func (c *conn) track(request *http.Request) *http.Request {
 	hasBody := request.Body != nil && request.Body != http.NoBody
-	c.beginHandling(request.Header, c.server.options.RequestBytes, hasBody)
+	number := c.beginHandling(request.Header, c.server.options.RequestBytes, hasBody)
 	if !hasBody {
 		return request
 	}
 	tracked := *request
-	tracked.Body = &trackedBody{ReadCloser: request.Body, conn: c}
+	tracked.Body = &trackedBody{ReadCloser: request.Body, conn: c, number: number}
 	return &tracked
 }
 
@@ -48,7 +49,7 @@
 	}
 	switch {
 	case errors.Is(err, io.EOF):
-		b.conn.endBody()
+		b.conn.endBody(b.number)
 	case errors.Is(err, os.ErrDeadlineExceeded) && b.conn.account.isEvicted():
 		return n, ErrBodyEvicted
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -49,6 +49,7 @@
 	idleDeadlines int
 	deadline      time.Time // last read deadline set by net/http
 	interrupted   bool      // a read that returns no data closes the connection
+	handled       int64     // number of requests whose head was received
 	handling      bool      // the head of the current request was received
 	inBody        bool      // the body of the current request is being received
 	peerClosed    bool      // the client sends nothing more, or the connection is broken
@@ -212,34 +213,38 @@
 }
 
 // beginHandling records that the head of a request was received, and whether its body is still to come.
-func (c *conn) beginHandling(header http.Header, extraBytes int64, hasBody bool) {
-	c.setPhase(true, hasBody)
+// It returns the number of the request on the connection.
+func (c *conn) beginHandling(header http.Header, extraBytes int64, hasBody bool) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handled++
+	c.handling = true
+	if hasBody {
+		c.inBody = true
+		c.applyReadDeadline()
+	}
 	c.account.reset(headBytes(header)+extraBytes, hasBody)
+	return c.handled
 }
 
-// endBody records that the body of the request was received completely.
-func (c *conn) endBody() {
-	c.setPhase(true, false)
+// endBody records that the body of a request was received completely. It does nothing if the request is
+// not handled any more: a read may return after its handler.
+func (c *conn) endBody(number int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.inBody || c.handled != number {
+		return
+	}
+	c.inBody = false
+	c.applyReadDeadline()
 	c.account.setEvictable(false)
 }
 
 // endHandling records that the handler has returned. What is left of the body is discarded.
 func (c *conn) endHandling() {
-	c.mu.Lock()
-	inBody := c.inBody
-	c.mu.Unlock()
-	c.account.reset(0, inBody)
-}
-
-// setPhase records whether a request is being handled, and whether its body is being received.
-func (c *conn) setPhase(handling, inBody bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.handling = handling
-	if c.inBody != inBody {
-		c.inBody = inBody
-		c.applyReadDeadline()
-	}
+	c.account.reset(0, c.inBody)
 }
 
 // headBytes returns what the head of a request occupies in memory.
