Misuse: the time-out of ordinary requests is 10 s again; long requests that hold all connections

Two corrections. It is 10 s again; that one upload has a time-out of its own.

The fault stays: where more clients wait for long requests than a listener accepts, nobody else is answered until one ends.

--- a/internal/misuse/cluster_test.go
+++ b/internal/misuse/cluster_test.go
@@ -45,8 +45,10 @@
 
 const (
 	readyTimeout   = 30 * time.Second
-	requestTimeout = time.Minute
-	pollInterval   = 50 * time.Millisecond
+	requestTimeout = 10 * time.Second
+	// raisedUploadTimeout is that of the one upload of raisedUploadBytes, which loopback carries slowly.
+	raisedUploadTimeout = time.Minute
+	pollInterval        = 50 * time.Millisecond
 )
 
 // Names and ports of the stand-ins.
@@ -196,7 +198,12 @@
 // call makes one request on a connection of its own and returns the status and the body of the answer;
 // status 0 means that there was none.
 func call(method, address, path, body string, header http.Header) (status int, answer string) {
-	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	return callWithin(requestTimeout, method, address, path, body, header)
+}
+
+// callWithin is call with a time-out of its own.
+func callWithin(timeout time.Duration, method, address, path, body string, header http.Header) (status int, answer string) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
@@ -250,7 +257,7 @@
 func (d *deployment) serves() bool {
 	d.requests++
 	if d.node.Role == gatewayRole {
-		return d.servesUpload(fmt.Sprintf("ordinary-%d", d.requests), 10_000)
+		return d.servesUpload(requestTimeout, fmt.Sprintf("ordinary-%d", d.requests), 10_000)
 	}
 	path := fmt.Sprintf("%s%016x", jobPath, 0xabc000+d.requests)
 	if status, _ := call(http.MethodPost, d.node.ClientAddress(), path, jobOf(1, 0), http.Header{}); status != http.StatusOK {
@@ -262,8 +269,8 @@
 
 // servesUpload reports whether an upload of the given size is answered by a runner that received all of
 // it.
-func (d *deployment) servesUpload(attempt string, bytes int) bool {
-	status, text := call(http.MethodPost, d.node.ClientAddress(), uploadPath+"x?work=1", strings.Repeat("b", bytes), http.Header{protocol.HeaderAttemptID: {attempt}})
+func (d *deployment) servesUpload(timeout time.Duration, attempt string, bytes int) bool {
+	status, text := callWithin(timeout, http.MethodPost, d.node.ClientAddress(), uploadPath+"x?work=1", strings.Repeat("b", bytes), http.Header{protocol.HeaderAttemptID: {attempt}})
 	return status == http.StatusOK && strings.TrimSpace(text) == standin.ExpectedAnswer(attempt, uploadPath+"x", bytes)
 }
 
--- a/internal/misuse/misuse_test.go
+++ b/internal/misuse/misuse_test.go
@@ -21,6 +21,7 @@
 	raisedUploadBytes = 1_000_000 // more than a gateway keeps for another attempt
 	pipeliningClients = 120       // of pipelinedReads each
 	pipelinedReads    = 9
+	longReaders       = 200 // more than the connections that a gateway with fewDescriptors accepts
 	unreadReads       = 80
 	configBytes       = 2_000_000
 	largePuts         = 1500 // of largeValueBytes each
@@ -140,6 +141,16 @@
 	d.checkAfter()
 }
 
+// TestLongRequests guards against a gateway that answers no ordinary client while more clients than it
+// accepts connections wait for long requests.
+func TestLongRequests(t *testing.T) {
+	d := start(t, gatewayRole, 47, fewDescriptors, 0)
+	openCrowd(t, d.node.ClientAddress(), longReaders, func(number int) client {
+		return client{head: fmt.Sprintf("GET %sx?work=60000 HTTP/1.1\r\nHost: %s\r\nX-Tealpond-Attempt-Id: crowd-%d\r\nX-Tealpond-Time-Left: 60000\r\n\r\n", readPath, routeHost, number)}
+	})
+	d.checkAfter()
+}
+
 // TestUnreadAnswers guards against a process that runs out of memory under operators that request a large
 // configuration and never read it.
 func TestUnreadAnswers(t *testing.T) {
@@ -221,7 +232,7 @@
 // body and an operator's configuration.
 func TestLargestRequests(t *testing.T) {
 	d := start(t, gatewayRole, 70, manyDescriptors, operatorBodyBytes)
-	d.await("an upload of the largest size", func() bool { return d.servesUpload("largest", maxBodyBytes) })
+	d.await("an upload of the largest size", func() bool { return d.servesUpload(requestTimeout, "largest", maxBodyBytes) })
 	d.checkAfter()
 	d = start(t, edgeRole, 71, manyDescriptors, operatorBodyBytes)
 	d.await("a job of the largest size", func() bool {
@@ -235,7 +246,7 @@
 func TestLargestRequestsAfterRaise(t *testing.T) {
 	d := start(t, gatewayRole, 72, manyDescriptors, 0)
 	d.await("a higher limit", func() bool { return d.raiseBodyLimit(raisedUploadBytes) })
-	d.await("an upload of the largest size", func() bool { return d.servesUpload("largest", raisedUploadBytes) })
+	d.await("an upload of the largest size", func() bool { return d.servesUpload(raisedUploadTimeout, "largest", raisedUploadBytes) })
 	d.checkAfter()
 	d = start(t, edgeRole, 73, manyDescriptors, 0)
 	d.await("a higher limit", func() bool { return d.raiseBodyLimit(raisedJobBytes) })
