--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Builds what the cases 4 to 8 start beside the project's own program: one program that holds the stand-ins of
+# runners, platform, applications and clients.
+set -eu
+cd "$(dirname "$0")/.."
+go build -trimpath -buildvcs=false -o target/review2/harness2 ./review/_harness2
