--- a/review/_harness2/cluster.go
+++ b/review/_harness2/cluster.go
@@ -63,10 +63,11 @@
 // main plays one case: harness2 CASE RECORD.
 func main() {
 	cases := map[string]func(*casePlay) (broken bool, err error){
-		"tally":   playTally,
-		"extra":   playExtraAnswer,
-		"stuck":   playStuckWorker,
-		"waiting": playWaiting,
+		"tally":      playTally,
+		"extra":      playExtraAnswer,
+		"stuck":      playStuckWorker,
+		"waiting":    playWaiting,
+		"evacuation": playEvacuation,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: harness2 CASE RECORD")
