--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review2/harness2 ] && [ -x target/tealpond ] || exit 2
-exec target/review2/harness2 evacuation "$PWD/review/7/record.txt"
+exec target/review2/harness2 stuck "$PWD/review/7/record.txt"
--- a/review/_harness2/cluster.go
+++ b/review/_harness2/cluster.go
@@ -1,5 +1,6 @@
-// Command harness2 plays the cases 4 to 8 of this review: it starts the project's own program as
-// processes on loopback addresses, with stand-ins of runners, platform and clients, and checks one rule.
+// Command harness2 plays the cases 5 to 7 of this review, and evacuation and waiting, which are no cases now: it
+// starts the project's own program as processes on loopback addresses, with stand-ins of runners, platform and
+// clients, and checks one rule.
 package main
 
 import (
