--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -65,11 +65,16 @@
 
 // send makes one attempt and waits for the response headers.
 func (e *exchange) send() outcome {
-	var connected, written, sent atomic.Bool
-	var sentAt atomic.Int64 // ns since the start of the attempt
+	var written, sent atomic.Bool
+	var conn atomic.Pointer[connUse] // nil: not connected
+	var sentAt atomic.Int64          // ns since the start of the attempt
 	startedAt := time.Now()
 	trace := &httptrace.ClientTrace{
-		GotConn:      func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			if runnerConn, ok := info.Conn.(*runnerConn); ok {
+				conn.Store(runnerConn.use())
+			}
+		},
 		WroteHeaders: func() { written.Store(true) },
 		WroteRequest: func(httptrace.WroteRequestInfo) {
 			sentAt.Store(int64(time.Since(startedAt)))
@@ -93,7 +98,7 @@
 		return outcomeBodyTooLarge
 	case err != nil && e.ctx.Err() != nil:
 		e.proxy.endAttempt(e.runner, resultUnknown, latency)
-		if !connected.Load() {
+		if conn.Load() == nil {
 			return outcomeNotRun
 		}
 		// Once connected, the transport may be writing the request at this moment.
@@ -104,15 +109,31 @@
 			return outcomeNotRun
 		}
 		return outcomeMayHaveRun
-	case response.Header.Get(protocol.HeaderNotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest:
+	}
+	return e.receive(response, conn.Load(), latency, startedAt.Add(time.Duration(sentAt.Load())))
+}
+
+// receive decides what a response means for the request that was sent on a connection at sentAt.
+// Nothing that a response says counts before it is known to be the response to this request.
+func (e *exchange) receive(response *http.Response, conn *connUse, latency time.Duration, sentAt time.Time) outcome {
+	notRun := response.Header.Get(protocol.HeaderNotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest
+	identity := conn.identify(response.Header.Get(protocol.HeaderAttemptID), e.request.Header.Get(protocol.HeaderAttemptID))
+	switch {
+	case identity == responseMatches && notRun:
 		e.discard(response)
 		e.proxy.endAttempt(e.runner, resultRejected, latency)
 		return outcomeNotRun
-	case response.Header.Get(protocol.HeaderAttemptID) != e.request.Header.Get(protocol.HeaderAttemptID):
-		// This is the response to another request. It must not be delivered, and nothing more
-		// may be read from this connection.
+	case identity == responseUnidentified && notRun:
+		// Runners that reject a request need not send its ID. A second copy of such a response could not be
+		// told apart from the next one.
+		conn.close()
+		_ = response.Body.Close()
+		e.proxy.endAttempt(e.runner, resultRejected, latency)
+		return outcomeNotRun
+	case identity != responseMatches:
+		// It must not be delivered, and nothing more may be read from this connection.
+		conn.close()
 		_ = response.Body.Close()
-		e.proxy.transport.CloseIdleConnections()
 		e.proxy.endAttempt(e.runner, resultFailed, latency)
 		return outcomeMayHaveRun
 	}
@@ -120,7 +141,7 @@
 		e.proxy.suspectDraining(e.runner)
 	} else {
 		// A runner that is shutting down closes its connections after each response.
-		e.proxy.recordServing(e.runner, startedAt.Add(time.Duration(sentAt.Load())))
+		e.proxy.recordServing(e.runner, sentAt)
 	}
 	e.response, e.latency = response, latency
 	return outcomeResponded
--- a/internal/gateway/proxy.go
+++ b/internal/gateway/proxy.go
@@ -90,7 +90,11 @@
 		options: options,
 		transport: &http.Transport{
 			DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
-				return transport.DialWith(ctx, dialer, addr)
+				conn, err := transport.DialWith(ctx, dialer, addr)
+				if err != nil {
+					return nil, err
+				}
+				return newRunnerConn(conn), nil
 			},
 			IdleConnTimeout:     runnerIdleTimeout,
 			MaxIdleConns:        options.MaxIdleConnections,
