--- a/internal/server/tallies.go
+++ b/internal/server/tallies.go
@@ -183,7 +183,7 @@
 	}
 	if !r.node.IsVoter(message.From) {
 		r.tallies.learnerContacts[message.From] = time.Now()
-		r.tallies.replica.SetPeers(r.tallyPeers())
+		r.tallies.replica.SetPeers(r.tallyPeers(), r.tallyMembersKnown(), time.Now())
 	}
 	r.peers.inbound[message.From] = stream
 	r.tallies.changed = true
@@ -207,6 +207,19 @@
 	return peers
 }
 
+// tallyMembersKnown reports whether this server knows the cluster. One that has just been founded, or
+// has lost its disk, knows no voters or only some of them until it has received the log, and must not
+// take its own disk for all there are.
+func (r *Replica) tallyMembersKnown() bool {
+	return len(r.node.Voters()) >= r.bootstrap.MinVoters
+}
+
+// servesTallies reports whether this server can answer for tallies: their file is open, and it knows
+// where else their adds are.
+func (r *Replica) servesTallies() bool {
+	return r.tallies.replica != nil && r.node != nil && r.tallyMembersKnown()
+}
+
 // runTallies starts the pending writes and sends the pending messages of the tallies. It returns
 // the time until it must be called again, 0 if there are no tallies.
 func (r *Replica) runTallies(ctx context.Context, now time.Time) time.Duration {
@@ -236,7 +249,7 @@
 	maps.DeleteFunc(r.tallies.learnerContacts, func(id string, lastContact time.Time) bool {
 		return r.node.IsVoter(id) || now.Sub(lastContact) > tallyLearnerTimeout
 	})
-	r.tallies.replica.SetPeers(r.tallyPeers())
+	r.tallies.replica.SetPeers(r.tallyPeers(), r.tallyMembersKnown(), now)
 	r.tallies.replica.DropChangesBefore(now.Add(-tally.RequestTimeout))
 	r.tallies.replica.Tick(now)
 	r.logTallyPeers(now)
@@ -277,8 +290,8 @@
 		reply(responseBadRequest)
 		return
 	}
-	if r.tallies.replica == nil || r.node == nil {
-		reply(responseNotLeader)
+	if !r.servesTallies() {
+		reply(responseNotLeader) // another server is asked
 		return
 	}
 	r.tallies.changed = true
@@ -305,8 +318,8 @@
 		reply(responseBadRequest)
 		return
 	}
-	if r.tallies.replica == nil || r.node == nil {
-		reply(responseNotLeader)
+	if !r.servesTallies() {
+		reply(responseNotLeader) // another server is asked
 		return
 	}
 	total, result := r.tallies.replica.Read(read.Tally, read.After, time.Now())
--- a/internal/simulation/tallies_test.go
+++ b/internal/simulation/tallies_test.go
@@ -333,3 +333,30 @@
 		c.requireNoViolations()
 	})
 }
+
+// TestAddsOfWipedServerSurviveNextLoss: a server that comes back with an empty disk acknowledges adds
+// before it knows the other servers, and loses its disk again at once. The adds must already be on
+// another disk.
+func TestAddsOfWipedServerSurviveNextLoss(t *testing.T) {
+	spec := ClusterSpec{Servers: 3, Edges: 1, Agents: 1, ToleratedLosses: 1, Tallies: true}
+	withCluster(t, spec, func(t *testing.T, c *Cluster) {
+		callers := c.newTallyCallers()
+		time.Sleep(3 * time.Second)
+		for round, victim := range c.Servers() {
+			id := fmt.Sprintf("wiped%011d", round)
+			callers.sent[id] = 1 << (10 + round)
+			c.restartWiped(500*time.Millisecond, victim)
+			c.WaitUntil("the add is acknowledged", 5*time.Second, func() bool { return callers.add(victim, id) })
+			c.restartWiped(500*time.Millisecond, victim)
+			callers.restarted(victim)
+			time.Sleep(5 * time.Second)
+			for _, node := range c.Servers() {
+				if total, ok := callers.total(node); !ok || total&callers.sent[id] == 0 {
+					t.Errorf("LOST: %s returned total %d (%v) without the add of %d that %s acknowledged", node, total, ok, callers.sent[id], victim)
+				}
+			}
+		}
+		callers.requireMerged()
+		c.requireNoViolations()
+	})
+}
--- a/internal/tally/cluster_model_test.go
+++ b/internal/tally/cluster_model_test.go
@@ -15,7 +15,9 @@
 	origin      string
 	fileCount   int
 	diskStalled bool // writes don't complete
-	down        bool
+	// membersKnownAt is when the replica learns who its peers are: at once if it has them on its disk.
+	membersKnownAt time.Time
+	down           bool
 	// acknowledged has the IDs that the replica acknowledged since its last start.
 	acknowledged map[string]bool
 }
@@ -87,13 +89,33 @@
 	}
 	m.down, m.acknowledged = false, map[string]bool{}
 	m.replica = NewReplica(testConfig(m.origin), m.disk, int64(len(m.disk)), c.now)
+	m.membersKnownAt = c.now
+	c.setPeers(i)
+}
+
+// setPeers tells a machine's replica its peers, if it has learnt them.
+func (c *cluster) setPeers(i int) {
+	m := c.machines[i]
+	if m.membersKnownAt.After(c.now) {
+		m.replica.SetPeers(nil, false, c.now)
+		return
+	}
 	var peers []string
 	for j := range c.machines {
 		if j != i {
 			peers = append(peers, memberID(j))
 		}
 	}
-	m.replica.SetPeers(peers)
+	m.replica.SetPeers(peers, true, c.now)
+}
+
+// loseDisk restarts a machine with an empty disk. Its replica learns who its peers are only later.
+func (c *cluster) loseDisk(i int) {
+	m := c.machines[i]
+	m.disk, m.writing = nil, nil
+	c.start(i)
+	m.membersKnownAt = c.now.Add(time.Duration(c.random.Intn(1000)) * time.Millisecond)
+	c.setPeers(i)
 }
 
 // step advances the cluster by 10 ms.
@@ -113,6 +135,7 @@
 		if m.down {
 			continue
 		}
+		c.setPeers(i)
 		m.replica.Tick(c.now)
 		m.replica.DropChangesBefore(c.now.Add(-900 * time.Millisecond))
 		c.crashIf(i, beforeWrite)
@@ -226,6 +249,11 @@
 			return fmt.Errorf("LOST: machine %d has total %d (result %v), want at least %d (acknowledged)",
 				i, total, result, minimum)
 		}
+		for id := range c.acknowledgedIDs {
+			if _, found := set.Find(NewID("t", id)); !found {
+				return fmt.Errorf("LOST: machine %d lacks add %s, which was acknowledged", i, id)
+			}
+		}
 		if !maps.Equal(set.Vector(), first.Vector()) {
 			return fmt.Errorf("vectors of machines 0 and %d differ", i)
 		}
@@ -301,21 +329,32 @@
 	}
 }
 
-// loseDiskAfterAcknowledgement makes a machine lose its disk right after it acknowledged an add,
-// while there are no other faults.
+// loseDiskAfterAcknowledgement makes a machine lose its disk right after it acknowledged an add, twice
+// in a row, while there are no other faults. What it acknowledges between the two losses must be on
+// another disk as well.
 func (c *cluster) loseDiskAfterAcknowledgement() {
-	for i := 0; ; i++ {
-		id, victim := fmt.Sprint("last", i), c.random.Intn(len(c.machines))
-		c.add(victim, id)
-		for range 50 {
-			c.step()
-			if c.machines[victim].acknowledged[id] {
-				c.machines[victim].disk, c.machines[victim].writing = nil, nil
-				c.start(victim)
-				return
-			}
+	victim := c.random.Intn(len(c.machines))
+	for i := 0; !c.addAndLoseDisk(victim, fmt.Sprint("last", i), 50); i++ {
+	}
+	for i := range 5 {
+		if c.addAndLoseDisk(victim, fmt.Sprint("wiped", i), 1+c.random.Intn(40)) {
+			return
+		}
+	}
+}
+
+// addAndLoseDisk makes an add at a machine, which loses its disk as soon as it has acknowledged it. It
+// reports whether the add was acknowledged within a number of steps.
+func (c *cluster) addAndLoseDisk(victim int, id string, steps int) bool {
+	c.add(victim, id)
+	for range steps {
+		c.step()
+		if c.machines[victim].acknowledged[id] {
+			c.loseDisk(victim)
+			return true
 		}
 	}
+	return false
 }
 
 // runWithFaults runs partitions, machines that stop or crash at each point of a write, disks that
--- a/internal/tally/replica.go
+++ b/internal/tally/replica.go
@@ -48,6 +48,7 @@
 	lastSent      uint64              // the highest number of this origin that was sent to it
 	lastContact   time.Time           // zero: never
 	sentAt        time.Time           // when adds of this origin were last sent to it
+	knownSince    time.Time           // when it became a peer
 }
 
 // change is an add that waits to be acknowledged.
@@ -72,6 +73,7 @@
 	lastExchangeAt time.Time
 	startedAt      time.Time
 	caughtUp       bool
+	membersKnown   bool // peers holds all other replicas
 
 	activeComparison *activeComparison // nil: no comparison is in progress
 	replacing        map[Position]bool
@@ -89,11 +91,14 @@
 	return r
 }
 
-// SetPeers sets the other replicas. What is known of those that remain is kept.
-func (r *Replica) SetPeers(ids []string) {
+// SetPeers sets the other replicas. What is known of those that remain is kept. membersKnown reports
+// whether these are all of them: until then an add is acknowledged only if it is on Copies disks that
+// have confirmed it, since the silence of a peer that isn't known says nothing.
+func (r *Replica) SetPeers(ids []string, membersKnown bool, now time.Time) {
+	r.membersKnown = membersKnown
 	for _, id := range ids {
 		if r.peers[id] == nil {
-			r.peers[id] = &peer{vector: peerVector{numbers: Vector{}}, unsentOrigins: map[string]struct{}{}}
+			r.peers[id] = &peer{vector: peerVector{numbers: Vector{}}, unsentOrigins: map[string]struct{}{}, knownSince: now}
 		}
 	}
 	maps.DeleteFunc(r.peers, func(id string, _ *peer) bool { return !slices.Contains(ids, id) })
@@ -283,9 +288,9 @@
 	}
 }
 
-// canAcknowledge reports whether a change may be acknowledged. Responsive peers are waited for,
-// however slow their disks. Unresponsive peers are skipped, but only where too few others
-// remain.
+// canAcknowledge reports whether a change may be acknowledged: it is on Copies disks. Responsive peers
+// are waited for, however slow their disks. Unresponsive peers are skipped, but only where all
+// members are known and too few others remain.
 func (r *Replica) canAcknowledge(change change, now time.Time) bool {
 	if !r.set.Has(change.position) {
 		return false
@@ -304,12 +309,15 @@
 			awaited++
 		}
 	}
-	required := min(r.config.Copies, len(r.peers)+1)
-	return copies >= required || reachable < required && awaited == 0
+	return copies >= r.config.Copies || r.membersKnown && reachable < r.config.Copies && awaited == 0
 }
 
-// isUnresponsive reports whether a peer seems to be unreachable or stopped.
+// isUnresponsive reports whether a peer seems to be unreachable or stopped. One that was never in
+// contact is given PeerTimeout: this replica may have started a moment ago.
 func (r *Replica) isUnresponsive(peer *peer, since, now time.Time) bool {
+	if peer.lastContact.IsZero() {
+		return now.Sub(peer.knownSince) > r.config.PeerTimeout
+	}
 	if now.Sub(peer.lastContact) > r.config.PeerTimeout {
 		return true
 	}
--- a/internal/tally/replica_test.go
+++ b/internal/tally/replica_test.go
@@ -89,6 +89,40 @@
 	}
 }
 
+// TestUnknownMembersAreNoCopies guards against a replica that took its own disk for all there are, as it
+// didn't know its peers yet: it acknowledged adds that were gone when it lost that disk again.
+func TestUnknownMembersAreNoCopies(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		peers        []string
+		membersKnown bool
+		contacts     []string // peers that have confirmed the add
+		wait         time.Duration
+		acknowledged bool
+	}{
+		{"no peers are known", nil, false, nil, 10 * time.Second, false},
+		{"one of the peers is known and silent", []string{"b"}, false, nil, 10 * time.Second, false},
+		{"one of the peers is known and has it", []string{"b"}, false, []string{"b"}, 0, true},
+		{"the peers have not been heard yet", []string{"b", "c"}, true, nil, 800 * time.Millisecond, false},
+		{"one peer has it, the other has not been heard yet", []string{"b", "c"}, true, []string{"b"}, 0, true},
+		{"the peers are silent", []string{"b", "c"}, true, nil, 1300 * time.Millisecond, true},
+	} {
+		replica := NewReplica(testConfig("a"), nil, 0, testStart)
+		replica.SetPeers(c.peers, c.membersKnown, testStart)
+		acknowledged := false
+		replica.Change(testAdd("t", "1", 1), testStart, func(result Result, _ Position) { acknowledged = result == ResultOK })
+		replica.TakeWrites()
+		replica.Written(1, testStart)
+		for _, peer := range c.contacts {
+			replica.Receive(peer, Message{Vector: Vector{"a": 1}, Whole: true, Digest: digestOf(Vector{"a": 1})}, testStart)
+		}
+		replica.Tick(testStart.Add(c.wait))
+		if acknowledged != c.acknowledged {
+			t.Errorf("%s: acknowledged is %v after %v, want %v", c.name, acknowledged, c.wait, c.acknowledged)
+		}
+	}
+}
+
 // TestInjectedDefectsAreDetected checks that a replica that acknowledges too early, and one that
 // counts an ID twice, violate the properties that the other tests check.
 func TestInjectedDefectsAreDetected(t *testing.T) {
@@ -134,7 +168,7 @@
 			t.Errorf("after %v: %d, %v", c.after, total, result)
 		}
 	}
-	replica.SetPeers([]string{"other"})
+	replica.SetPeers([]string{"other"}, true, testStart)
 	if _, result := replica.Read("t", nil, testStart); result != ResultStarting {
 		t.Errorf("right after start: %v, want ResultStarting", result)
 	}
@@ -149,7 +183,7 @@
 	config := testConfig("a")
 	config.MaxBytes = 100
 	replica := NewReplica(config, nil, 0, testStart)
-	replica.SetPeers([]string{"other"})
+	replica.SetPeers([]string{"other"}, true, testStart)
 	var results []Result
 	for _, id := range []string{"1", "2", "1"} {
 		replica.Change(testAdd("t", id, 1), testStart, func(result Result, _ Position) { results = append(results, result) })
