--- a/internal/agent/runner_handlers.go
+++ b/internal/agent/runner_handlers.go
@@ -16,7 +16,7 @@
 	if err := c.Echo().JSONSerializer.Deserialize(c, &heartbeat); err != nil {
 		return c.String(http.StatusBadRequest, "the beat cannot be read")
 	}
-	request := &heartbeatRequest{id: c.Param("id"), heartbeat: heartbeat, status: make(chan int, 1)}
+	request := &heartbeatRequest{id: c.Param("id"), heartbeat: heartbeat.Bounded(), status: make(chan int, 1)}
 	return a.respond(c, event{heartbeat: request}, request.status)
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -145,7 +145,7 @@
 			return e.refuseWith(refusal{http.StatusTooManyRequests, "more requests than agreed", retryAfter})
 		}
 	}
-	if limit := time.Duration(e.route.TimeoutMs) * time.Millisecond; time.Until(e.deadline) > limit {
+	if limit := time.Duration(min(e.route.TimeoutMs, protocol.MaxQuantity)) * time.Millisecond; time.Until(e.deadline) > limit {
 		e.cancel()
 		e.deadline = time.Now().Add(limit)
 		e.ctx, e.cancel = context.WithDeadline(e.request.Context(), e.deadline)
--- a/internal/protocol/job.go
+++ b/internal/protocol/job.go
@@ -1,5 +1,7 @@
 package protocol
 
+import "slices"
+
 // Job is a job as a client submits it.
 type Job struct {
 	_                 struct{} `cbor:",toarray"`
@@ -43,3 +45,35 @@
 	MemoryMB int64    `json:"memMb"`
 	GPUs     int      `json:"gpus"`
 }
+
+// MaxQuantity is the bound of each quantity of a step: thousandths of a core, megabytes, devices or
+// ms. No worker has as much, and none works as long, so that a larger one means the same. Sums and
+// products with the number of tasks that a server can hold stay far below 2^63.
+const MaxQuantity = 1 << 40
+
+// BoundedSteps returns steps whose quantities are MaxQuantity at most. It returns the argument if none
+// is larger, and never changes it.
+func BoundedSteps(steps []Step) []Step {
+	bounded := steps
+	for i := range steps {
+		step := steps[i].bounded()
+		if step.CPUUnits == steps[i].CPUUnits && step.MemoryMB == steps[i].MemoryMB && step.GPUs == steps[i].GPUs &&
+			step.EstimateMs == steps[i].EstimateMs {
+			continue
+		}
+		if &bounded[0] == &steps[0] {
+			bounded = slices.Clone(steps)
+		}
+		bounded[i] = step
+	}
+	return bounded
+}
+
+// bounded returns the step with quantities of MaxQuantity at most.
+func (s Step) bounded() Step {
+	s.CPUUnits = min(s.CPUUnits, MaxQuantity)
+	s.MemoryMB = min(s.MemoryMB, MaxQuantity)
+	s.GPUs = min(s.GPUs, MaxQuantity)
+	s.EstimateMs = min(s.EstimateMs, MaxQuantity)
+	return s
+}
--- a/internal/protocol/request.go
+++ b/internal/protocol/request.go
@@ -34,7 +34,7 @@
 func TimeLeft(request *http.Request, limit time.Duration) time.Duration {
 	header := request.Header.Get(HeaderTimeLeft)
 	if ms, err := strconv.ParseFloat(header, 64); err == nil && ms > 0 {
-		return min(limit, time.Duration(ms*float64(time.Millisecond)))
+		return time.Duration(min(float64(limit), ms*float64(time.Millisecond)))
 	}
 	return limit
 }
--- a/internal/protocol/runner.go
+++ b/internal/protocol/runner.go
@@ -24,6 +24,26 @@
 	Sequence int64 `json:"callSeq"`
 }
 
+// maxWorkerGPUs is the bound of the GPUs of a worker, each of which is a row of the state.
+const maxWorkerGPUs = 1 << 12
+
+// Bounded returns the heartbeat with resources and times of MaxQuantity at most, and no more GPUs than a
+// state can hold. No resource is below 0.
+func (h Heartbeat) Bounded() Heartbeat {
+	h.FreeResources.CPUUnits = between(0, h.FreeResources.CPUUnits, MaxQuantity)
+	h.FreeResources.MemoryMB = between(0, h.FreeResources.MemoryMB, MaxQuantity)
+	h.FreeResources.GPUs = between(0, h.FreeResources.GPUs, maxWorkerGPUs)
+	h.WarmupLeftMs = between(0, h.WarmupLeftMs, MaxQuantity)
+	if h.LeavesInMs != nil {
+		leavesInMs := min(*h.LeavesInMs, MaxQuantity)
+		h.LeavesInMs = &leavesInMs
+	}
+	return h
+}
+
+// between returns the value, or the bound that it exceeds.
+func between[T int | int64](lowest, value, highest T) T { return min(max(value, lowest), highest) }
+
 // StartRequest is the body of a call that starts a run.
 type StartRequest struct {
 	TaskID       string `json:"taskId"`
--- a/internal/server/backlog.go
+++ b/internal/server/backlog.go
@@ -99,7 +99,8 @@
 // addToBacklog adds a job that is proposed to the backlog, until that is measured again.
 func (r *Replica) addToBacklog(call jobCall, job *protocol.Job) {
 	if r.backlog != nil {
-		r.backlog[state.BacklogKey{Service: call.service, Tenant: call.tenant, Priority: call.route.Priority}] += state.EstimatedWork(job)
+		key := state.BacklogKey{Service: call.service, Tenant: call.tenant, Priority: call.route.Priority}
+		r.backlog[key] = int64(queuedWork(r.backlog[key]).plus(state.EstimatedWork(job)))
 	}
 }
 
@@ -117,19 +118,27 @@
 // queuedWork is an amount of work, in millicores times ms.
 type queuedWork int64
 
-// durationAt returns how long the work takes on the given capacity.
+// maxQueuedWork bounds an amount of work so that two of them have a sum.
+const maxQueuedWork = 1 << 61
+
+// plus returns the sum of two amounts of work, of which no more than maxQueuedWork counts.
+func (w queuedWork) plus(work int64) queuedWork {
+	return min(w, maxQueuedWork) + queuedWork(min(work, maxQueuedWork))
+}
+
+// durationAt returns how long the work takes on the given capacity, at most protocol.MaxQuantity ms.
 func (w queuedWork) durationAt(milliCPU int64) time.Duration {
-	return time.Duration(int64(w)/milliCPU) * time.Millisecond
+	return time.Duration(min(int64(w)/milliCPU, protocol.MaxQuantity)) * time.Millisecond
 }
 
 // backlogOf returns the work that is queued for the workers of a call's service, at the given
 // or a more urgent priority.
 func (r *Replica) backlogOf(call jobCall, priority int, scope tenantScope) queuedWork {
-	sum := int64(0)
+	sum := queuedWork(0)
 	for key, work := range r.backlog {
 		if key.Service == call.service && key.Priority <= priority && (scope == anyTenant || key.Tenant == call.tenant) {
-			sum += work
+			sum = sum.plus(work)
 		}
 	}
-	return queuedWork(sum)
+	return sum
 }
--- a/internal/server/job_memory.go
+++ b/internal/server/job_memory.go
@@ -15,8 +15,6 @@
 	// maxJobShare is the fraction of what is left of it that one job may take, so that a few large jobs
 	// leave room for small ones.
 	maxJobShare = 0.5
-	// dueInstancesHorizon is how far ahead the instances of a periodic job count.
-	dueInstancesHorizon = 10 * time.Minute
 	// jobMemoryRetryAfter is when a client may submit a job again for which there is no memory now.
 	jobMemoryRetryAfter = time.Second
 )
@@ -48,5 +46,5 @@
 
 // estimatedJobBytes estimates the memory of a submitted job.
 func (r *Replica) estimatedJobBytes(job *protocol.Job) float64 {
-	return state.EstimatedBytes(job, r.state.WallClock+dueInstancesHorizon.Milliseconds())
+	return state.EstimatedBytes(job, r.state.WallClock)
 }
--- a/internal/server/leader.go
+++ b/internal/server/leader.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"tealpond/internal/protocol"
 	"tealpond/internal/scheduler"
 	"tealpond/internal/state"
 	"tealpond/internal/timing"
@@ -69,9 +70,8 @@
 	if due <= 0 {
 		return 0
 	}
-	wait := time.Duration(due-r.wallClock(now)) * time.Millisecond
-	if wait > 0 {
-		return wait
+	if waitMs := due - r.wallClock(now); waitMs > 0 {
+		return time.Duration(min(waitMs, protocol.MaxQuantity)) * time.Millisecond
 	}
 	// Applying CollectGarbage starts the jobs that are due. Only one such command is proposed at a
 	// time: the jobs stay due until it is applied, and each loop iteration would propose another.
--- a/internal/state/backlog.go
+++ b/internal/state/backlog.go
@@ -34,13 +34,14 @@
 		for i := range instance.Steps {
 			work := taskWork(&job.Steps[i], instance.Steps[i].TasksLeft)
 			if service := s.ServiceForStep(job, i); service != job.Service {
-				backlog[BacklogKey{service, job.Tenant(), job.Priority}] += work
+				key := BacklogKey{service, job.Tenant(), job.Priority}
+				backlog[key] = saturatingAdd(backlog[key], work)
 				continue
 			}
-			remaining += work
+			remaining = saturatingAdd(remaining, work)
 		}
 	}
-	backlog[key] += remaining
+	backlog[key] = saturatingAdd(backlog[key], remaining)
 }
 
 // taskWork returns the estimated work of a number of tasks of a step, in millicores times ms.
@@ -48,7 +49,7 @@
 	if spec.LongRunning {
 		return 0
 	}
-	return int64(count) * spec.CPUUnits * max(spec.EstimateMs, 1)
+	return saturatingMultiply(saturatingMultiply(int64(count), spec.CPUUnits), max(spec.EstimateMs, 1))
 }
 
 // EstimatedWork returns the estimated work of a job that has not been submitted yet, as Backlog
@@ -56,7 +57,7 @@
 func EstimatedWork(submitted *protocol.Job) int64 {
 	work := int64(0)
 	for i := range submitted.Steps {
-		work += taskWork(&submitted.Steps[i], submitted.Steps[i].TaskCount)
+		work = saturatingAdd(work, taskWork(&submitted.Steps[i], submitted.Steps[i].TaskCount))
 	}
 	return work
 }
@@ -68,9 +69,10 @@
 	job := Job{Steps: slices.Clone(submitted.Steps)}
 	for i := range job.Steps {
 		spec := &job.Steps[i]
-		width := int64(spec.TaskCount) * spec.CPUUnits
+		width := saturatingMultiply(int64(spec.TaskCount), spec.CPUUnits)
 		if maxConcurrentMilliCPU > 0 && width > maxConcurrentMilliCPU {
-			spec.EstimateMs *= (width + maxConcurrentMilliCPU - 1) / maxConcurrentMilliCPU
+			waves := (width-1)/maxConcurrentMilliCPU + 1
+			spec.EstimateMs = saturatingMultiply(spec.EstimateMs, waves)
 		}
 	}
 	job.applyRouteSettings(route)
--- a/internal/state/job.go
+++ b/internal/state/job.go
@@ -86,11 +86,19 @@
 // newJob creates a job on a route and gives it the next sequence number.
 func (s *Store) newJob(id string, route *clusterconfig.Route, job protocol.Job) *Job {
 	s.LastJobSequence++
-	j := &Job{ID: id, Sequence: s.LastJobSequence, Route: route.Name, Spec: job.Spec, Steps: job.Steps, CreatedAt: s.Clock}
+	j := &Job{ID: id, Sequence: s.LastJobSequence, Route: route.Name, Spec: job.Spec, Steps: s.stepsOf(&job), CreatedAt: s.Clock}
 	s.applyRoute(j, route)
 	return j
 }
 
+// stepsOf returns the steps of a submitted job as they are kept.
+func (s *Store) stepsOf(job *protocol.Job) []protocol.Step {
+	if s.Format < FormatBoundedJobs {
+		return job.Steps
+	}
+	return protocol.BoundedSteps(job.Steps)
+}
+
 // applyRouteSettings copies the route's scheduling settings to the job, but for the service.
 func (j *Job) applyRouteSettings(route *clusterconfig.Route) {
 	j.Priority, j.MaxAttempts = route.Priority, max(route.MaxAttempts, 1)
@@ -114,15 +122,6 @@
 	return StatusPending
 }
 
-// dueAt returns the wall-clock time at which an instance of a periodic job is due.
-func (j *Job) dueAt(instance int) int64 { return j.FirstRunMs + int64(instance)*j.IntervalMs }
-
-// hasMoreInstances reports whether a periodic job has instances that are not
-// created yet.
-func (j *Job) hasMoreInstances() bool {
-	return j.PeriodicInstances > 0 && j.NextInstance < j.PeriodicInstances
-}
-
 // instance returns the instance with the given number, or nil if it is not created yet.
 func (j *Job) instance(number int) *JobInstance {
 	if number < len(j.Instances) {
@@ -208,9 +207,10 @@
 }
 
 // TargetTurnaroundMs returns the longest time from an instance's creation to its end that
-// meets its route's target.
+// meets its route's target, at most protocol.MaxQuantity.
 func (j *Job) TargetTurnaroundMs() int64 {
-	return int64(j.Stretch*float64(j.CriticalPathMs())) + j.TargetMs
+	stretched := min(j.Stretch*float64(j.CriticalPathMs()), protocol.MaxQuantity)
+	return min(saturatingAdd(int64(stretched), max(j.TargetMs, 0)), protocol.MaxQuantity)
 }
 
 // longestPathMs returns the length of the longest chain of dependent steps; only the
@@ -224,7 +224,7 @@
 			ends[i] = max(ends[i], ends[dependency])
 		}
 		if counts(i) {
-			ends[i] += spec.EstimateMs
+			ends[i] = saturatingAdd(ends[i], spec.EstimateMs)
 		}
 		longest = max(longest, ends[i])
 	}
--- a/internal/state/job_memory.go
+++ b/internal/state/job_memory.go
@@ -1,6 +1,13 @@
 package state
 
-import "tealpond/internal/protocol"
+import (
+	"time"
+
+	"tealpond/internal/protocol"
+)
+
+// DueInstancesHorizon is the time for which memory is set aside for the instances of a periodic job.
+const DueInstancesHorizon = 10 * time.Minute
 
 // Estimated sizes of the parts of an accepted job, in bytes: in the tables, and in the copies that the
 // log and the newest snapshot hold.
@@ -30,32 +37,30 @@
 	return bytes
 }
 
-// bytes estimates the memory of the job with its instances so far.
+// bytes estimates the memory of the job with its instances so far, or with those that may fall due
+// within DueInstancesHorizon if these are more.
 func (j *Job) bytes() float64 {
-	return specBytes(j.Spec, j.Steps) + float64(len(j.Instances))*instanceBytes(j.Steps)
+	instances := max(len(j.Instances), instancesWithinHorizon(j.PeriodicInstances, j.IntervalMs))
+	return specBytes(j.Spec, j.Steps) + float64(instances)*instanceBytes(j.Steps)
 }
 
 // JobBytes estimates the memory that all jobs occupy, in bytes.
 func (s *Store) JobBytes() float64 { return s.jobBytes }
 
-// EstimatedBytes estimates the memory that a job will occupy once it is accepted, in bytes. Of a
-// periodic job the instances count that are due by the wall-clock time dueBy.
-func EstimatedBytes(submitted *protocol.Job, dueBy int64) float64 {
-	instances := int64(1)
-	if submitted.PeriodicInstances > 0 {
-		instances = dueInstances(submitted, dueBy)
-	}
+// EstimatedBytes estimates the memory that a job will occupy once it is accepted at a wall-clock time, in
+// bytes. Of a periodic job the instances count that are due within DueInstancesHorizon, or that will be
+// within such a time if its first one is due later.
+func EstimatedBytes(submitted *protocol.Job, wall int64) float64 {
+	horizon := saturatingAdd(wall, DueInstancesHorizon.Milliseconds())
+	due := dueInstances(submitted.PeriodicInstances, submitted.FirstRunMs, submitted.IntervalMs, horizon)
+	instances := max(due, instancesWithinHorizon(submitted.PeriodicInstances, submitted.IntervalMs))
 	return specBytes(submitted.Spec, submitted.Steps) + float64(instances)*instanceBytes(submitted.Steps)
 }
 
-// dueInstances returns the number of instances of a periodic job that are due by a wall-clock time.
-func dueInstances(submitted *protocol.Job, dueBy int64) int64 {
-	all := int64(submitted.PeriodicInstances)
-	switch {
-	case dueBy < submitted.FirstRunMs:
-		return 0
-	case submitted.IntervalMs == 0:
-		return all
+// instancesWithinHorizon returns the most instances of a job that fall due within DueInstancesHorizon.
+func instancesWithinHorizon(instances int, intervalMs int64) int {
+	if instances <= 0 {
+		return 1 // of a job that isn't periodic
 	}
-	return min((dueBy-submitted.FirstRunMs)/submitted.IntervalMs+1, all)
+	return dueInstances(instances, 0, intervalMs, DueInstancesHorizon.Milliseconds())
 }
--- a/internal/state/job_progress.go
+++ b/internal/state/job_progress.go
@@ -11,9 +11,10 @@
 	for i, step := range job.Steps {
 		instance.Steps[i] = StepState{TasksLeft: step.TaskCount, Tasks: make([]Task, step.TaskCount)}
 	}
+	s.jobBytes -= job.bytes()
 	job.Instances = append(job.Instances, instance)
 	job.NextInstance++
-	s.jobBytes += instanceBytes(job.Steps)
+	s.jobBytes += job.bytes()
 	s.markReadySteps(job, instance)
 }
 
--- a/internal/state/raise_format.go
+++ b/internal/state/raise_format.go
@@ -1,6 +1,10 @@
 package state
 
-import "fmt"
+import (
+	"fmt"
+
+	"tealpond/internal/protocol"
+)
 
 // RaiseFormat puts a newer format of the state into force. The leader proposes it once every server
 // supports that format. Until then commands have the effects that they had in programs of the format
@@ -19,8 +23,19 @@
 	}
 	if c.Version > s.Format {
 		s.Format = c.Version
+		s.boundOpenJobs()
 		s.applyRoutesToOpenJobs()
 		s.rebuildIndex()
 	}
 	return Outcome{Code: CodeOK, Value: int64(s.Format)}
 }
+
+// boundOpenJobs bounds the quantities of jobs that were accepted in an earlier format.
+func (s *Store) boundOpenJobs() {
+	if s.Format < FormatBoundedJobs {
+		return
+	}
+	for _, job := range s.openJobs {
+		job.Steps = protocol.BoundedSteps(job.Steps)
+	}
+}
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -17,8 +17,11 @@
 	// FormatSplitJobs is the first format in which the jobs of a route with a traffic split are
 	// divided among its services.
 	FormatSplitJobs = 9
+	// FormatBoundedJobs is the first format in which the quantities of steps are bounded, and an entry
+	// creates a bounded number of instances of periodic jobs.
+	FormatBoundedJobs = 10
 	// FormatVersion is the newest format that this program supports.
-	FormatVersion = FormatSplitJobs
+	FormatVersion = FormatBoundedJobs
 )
 
 // Limits are the operator settings that commands depend on. They are part of the
@@ -155,36 +158,9 @@
 func (s *Store) AdvanceClock(clock, wall int64) {
 	s.Clock = max(s.Clock, clock)
 	s.WallClock = wall
-	if len(s.periodicJobs) == 0 {
-		return
+	if len(s.periodicJobs) > 0 {
+		s.addDueInstances()
 	}
-	var due []*Job
-	for _, job := range s.periodicJobs {
-		if job.dueAt(job.NextInstance) <= wall {
-			due = append(due, job)
-		}
-	}
-	sortBySequence(due)
-	for _, job := range due {
-		for job.hasMoreInstances() && job.dueAt(job.NextInstance) <= wall {
-			s.addInstance(job)
-		}
-		if !job.hasMoreInstances() {
-			delete(s.periodicJobs, job.ID)
-		}
-	}
-}
-
-// NextDueAt returns the wall-clock time at which the next instance of a periodic job
-// falls due, or 0 if no further instance is due.
-func (s *Store) NextDueAt() int64 {
-	next := int64(0)
-	for _, job := range s.periodicJobs {
-		if due := job.dueAt(job.NextInstance); next == 0 || due < next {
-			next = due
-		}
-	}
-	return next
 }
 
 // RemoteFactor returns the factor by which a task runs longer away from its data than
--- a/internal/state/submit_job.go
+++ b/internal/state/submit_job.go
@@ -1,6 +1,10 @@
 package state
 
-import "tealpond/internal/protocol"
+import (
+	"math"
+
+	"tealpond/internal/protocol"
+)
 
 // SubmitJob accepts a client's job.
 type SubmitJob struct {
@@ -46,7 +50,9 @@
 	s.jobBytes += job.bytes()
 	if job.PeriodicInstances > 0 {
 		s.periodicJobs[job.ID] = job
-		s.AdvanceClock(s.Clock, s.WallClock)
+		if job.isDue(s.WallClock) {
+			s.addDueInstancesOf(job, math.MaxInt) // the leader has estimated their memory
+		}
 	} else {
 		s.addInstance(job)
 	}
