--- a/internal/agent/fixture_test.go
+++ b/internal/agent/fixture_test.go
@@ -83,6 +83,8 @@
 		outcome = f.execute(state.CommandReportCompletions, command)
 	case *state.RegisterWorker:
 		outcome = f.execute(state.CommandRegisterWorker, command)
+	case *state.ReportEligibility:
+		outcome = f.execute(state.CommandReportEligibility, command)
 	case *state.SetEligibility:
 		outcome = f.execute(state.CommandSetEligibility, command)
 	default:
--- a/internal/agent/health.go
+++ b/internal/agent/health.go
@@ -16,7 +16,8 @@
 func (a *Agent) superviseHealth(session *runnerSession) time.Duration {
 	silent := session.silent(a.now)
 	unhealthy := silent || a.now.Sub(session.lastStalledAt) < stalledRunnerExclusion
-	if unhealthy != session.reportedUnhealthy && !session.reportingHealth {
+	// A report without a response may still reach the leader, so a newer one must follow it.
+	if (unhealthy != session.reportedUnhealthy || session.healthUnconfirmed) && !session.reportingHealth {
 		a.reportHealth(session, unhealthy, silent)
 	}
 	switch {
@@ -34,17 +35,41 @@
 func (a *Agent) reportHealth(session *runnerSession, unhealthy, silent bool) {
 	session.reportingHealth = true
 	_ = a.log.Log("level", "warn", "event", "runner.health_changed", "worker", session.id, "unhealthy", unhealthy, "silent", silent)
-	command := &state.SetEligibility{
+	fence := session.fence
+	report := a.newEligibilityReport(session)
+	report.Unhealthy = unhealthy
+	a.reportEligibility(report, healthTimeout, func(response rpc.Response) {
+		session.reportingHealth = false
+		if session.fence == fence {
+			session.reportedUnhealthy = unhealthy
+			session.healthUnconfirmed = response.Code != rpc.CodeOK
+		}
+	})
+}
+
+// newEligibilityReport returns the next report of the runner's session, with the health that was reported
+// last.
+func (a *Agent) newEligibilityReport(session *runnerSession) *state.ReportEligibility {
+	session.eligibilityReports++
+	return &state.ReportEligibility{
 		ID:         session.id,
+		Fence:      session.fence,
+		Number:     session.eligibilityReports,
 		Draining:   session.drainingCommitted,
 		LeavesInMs: a.leavesInMs(session),
-		Unhealthy:  unhealthy,
+		Unhealthy:  session.reportedUnhealthy,
 	}
-	a.requestLeader(rpc.KindSetEligibility, command, healthTimeout, func(response rpc.Response) {
-		session.reportingHealth = false
-		if response.Code == rpc.CodeOK {
-			session.reportedUnhealthy = unhealthy
+}
+
+// reportEligibility sends a report to the leader. A leader of an earlier program, which knows no numbered
+// reports, gets it without its number.
+func (a *Agent) reportEligibility(report *state.ReportEligibility, timeout time.Duration, onResponse func(rpc.Response)) {
+	a.requestLeader(rpc.KindReportEligibility, report, timeout, func(response rpc.Response) {
+		if response.Code == rpc.CodeBadRequest {
+			a.requestLeader(rpc.KindSetEligibility, report.Unnumbered(), timeout, onResponse)
+			return
 		}
+		onResponse(response)
 	})
 }
 
--- a/internal/agent/heartbeats.go
+++ b/internal/agent/heartbeats.go
@@ -7,7 +7,6 @@
 
 	"tealpond/internal/protocol"
 	"tealpond/internal/rpc"
-	"tealpond/internal/state"
 )
 
 // runnerRequestTimeout bounds a start or stop call to the runner, which is on the same machine.
@@ -129,8 +128,9 @@
 	leavesInMs := a.leavesInMs(session)
 	_ = a.log.Log("level", "info", "event", "runner.draining_announced", "worker", session.id,
 		"leaves_in_ms", leavesInMs, "clock_ms", session.heartbeat.ClockMs)
-	command := &state.SetEligibility{ID: session.id, Draining: true, LeavesInMs: leavesInMs, Unhealthy: session.reportedUnhealthy}
-	a.requestLeader(rpc.KindSetEligibility, command, eligibilityTimeout, func(response rpc.Response) {
+	report := a.newEligibilityReport(session)
+	report.Draining, report.LeavesInMs = true, leavesInMs
+	a.reportEligibility(report, eligibilityTimeout, func(response rpc.Response) {
 		if response.Code == rpc.CodeOK {
 			session.drainingCommitted = true
 			status <- http.StatusOK
@@ -153,14 +153,9 @@
 		session.pendingHeartbeats = append(session.pendingHeartbeats, pendingHeartbeat{true, request.status})
 		return
 	}
-	command := &state.SetEligibility{
-		ID:         request.id,
-		Draining:   true,
-		LeavesInMs: a.leavesInMs(session),
-		Leaving:    true,
-		Unhealthy:  session.reportedUnhealthy,
-	}
-	a.requestLeader(rpc.KindSetEligibility, command, eligibilityTimeout, func(response rpc.Response) {
+	report := a.newEligibilityReport(session)
+	report.Draining, report.Leaving = true, true
+	a.reportEligibility(report, eligibilityTimeout, func(response rpc.Response) {
 		if response.Code == rpc.CodeOK || response.Code == rpc.CodeGone {
 			session.drainingCommitted = true
 			request.status <- http.StatusOK
--- a/internal/agent/heartbeats_test.go
+++ b/internal/agent/heartbeats_test.go
@@ -1,11 +1,14 @@
 package agent
 
 import (
+	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"tealpond/internal/protocol"
+	"tealpond/internal/rpc"
 	"tealpond/internal/state"
 )
 
@@ -213,3 +216,73 @@
 		}
 	})
 }
+
+// TestUnansweredHealthReportIsFollowedByANewerOne guards against a report that a runner is silent which got
+// no answer, and reached the leader after the runner was well again: the agent took its report for lost
+// and never corrected it. The first reports get no answer, and are applied late.
+func TestUnansweredHealthReportIsFollowedByANewerOne(t *testing.T) {
+	for unanswered := range 4 {
+		t.Run(fmt.Sprint(unanswered), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, runner := newFixtureWithRunner(t)
+				f.advance(time.Second)
+				var late []*state.ReportEligibility
+				f.agent.callLeader = func(ctx context.Context, kind string, body any) rpc.Response {
+					if report, ok := body.(*state.ReportEligibility); ok && len(late) < unanswered {
+						late = append(late, report)
+						<-ctx.Done()
+						return rpc.Response{Code: rpc.CodeTimeout}
+					}
+					return f.callLeader(ctx, kind, body)
+				}
+				runner.silence(pathKeepAlive)
+				for i := 0; i < 500 && f.session.eligibilityReports == 0; i++ {
+					f.advance(20 * time.Millisecond)
+				}
+				runner.respond(pathKeepAlive, listRunning())
+				f.advance(10 * time.Second)
+				for _, report := range late {
+					f.execute(state.CommandReportEligibility, report)
+				}
+				f.advance(3 * time.Second)
+				if len(late) != unanswered || f.state.Workers["w"].Unhealthy {
+					t.Errorf("after %d late reports: unhealthy is %v, and the runner is well", len(late), f.state.Workers["w"].Unhealthy)
+				}
+			})
+		})
+	}
+}
+
+// TestSignOffOfUnknownSessionDoesNotReportHealth guards against an agent that was restarted and takes a
+// runner's sign-off: it doesn't know the runner's health, and must not report that it is well.
+func TestSignOffOfUnknownSessionDoesNotReportHealth(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1)
+		f.execute(state.CommandReportEligibility, &state.ReportEligibility{ID: "w", Fence: f.session.fence, Number: 1, LeavesInMs: -1, Unhealthy: true})
+		f.agent.session = nil
+		f.agent.handleSignOff(&signOffRequest{id: "w", status: make(chan int, 1)})
+		f.handleEvents()
+		if worker := f.state.Workers["w"]; !worker.Draining || !worker.Unhealthy {
+			t.Errorf("draining %v, unhealthy %v; want both", worker.Draining, worker.Unhealthy)
+		}
+	})
+}
+
+// TestLeaderOfAnEarlierProgramGetsUnnumberedReports checks that a leader that refuses numbered reports gets
+// those that it knows.
+func TestLeaderOfAnEarlierProgramGetsUnnumberedReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1)
+		f.agent.callLeader = func(ctx context.Context, kind string, body any) rpc.Response {
+			if kind == rpc.KindReportEligibility {
+				return rpc.Response{Code: rpc.CodeBadRequest, Text: "unknown ask"}
+			}
+			return f.callLeader(ctx, kind, body)
+		}
+		f.agent.reportHealth(f.session, true, true)
+		f.handleEvents()
+		if !f.state.Workers["w"].Unhealthy || f.session.healthUnconfirmed {
+			t.Errorf("unhealthy %v, unconfirmed %v; want true and false", f.state.Workers["w"].Unhealthy, f.session.healthUnconfirmed)
+		}
+	})
+}
--- a/internal/agent/model_test.go
+++ b/internal/agent/model_test.go
@@ -85,6 +85,8 @@
 			if outcome.Code == 200 && outcome.Text != "" {
 				m.reportedMismatches = append(m.reportedMismatches, outcome.Text)
 			}
+		case *state.ReportEligibility:
+			outcome = m.execute(kind, c)
 		case *state.SetEligibility:
 			outcome = m.execute(kind, c)
 		}
@@ -177,6 +179,36 @@
 	})
 }
 
+// requireHealthy ends the faults of the runners and of the leader, waits until all delayed requests have
+// arrived, and requires that the state takes no runner for unhealthy for good.
+func (m *model) requireHealthy(tasks int) {
+	m.t.Helper()
+	m.locked(func() {
+		m.leaderUnavailable = false
+		for _, w := range m.workers {
+			w.silent = false
+		}
+	})
+	const settleSteps, observedSteps = 1000, 250 // of 20 ms
+	healthy := map[string]bool{}
+	for n := range settleSteps + observedSteps {
+		time.Sleep(20 * time.Millisecond)
+		m.step(tasks, n)
+		m.locked(func() {
+			for _, w := range m.workers {
+				if row := m.state.Workers[w.incarnation]; n >= settleSteps && row != nil && !row.Unhealthy {
+					healthy[w.node] = true
+				}
+			}
+		})
+	}
+	for _, w := range m.workers {
+		if !healthy[w.node] {
+			m.t.Errorf("the runner of %s is well, and the state takes it for unhealthy", w.node)
+		}
+	}
+}
+
 // TestNoTaskRunsTwice runs the model: whatever is lost, delayed or duplicated, no task runs twice,
 // none is started after its completion was acknowledged, no runner discards uncommitted
 // completions, and all tasks complete.
@@ -228,6 +260,7 @@
 					t.Errorf("mismatch reported by the state: %s", f)
 				}
 				t.Logf("%d tasks, %d starts", tasks, m.starts)
+				m.requireHealthy(tasks)
 				stop()
 				time.Sleep(time.Minute)
 			})
--- a/internal/agent/registration.go
+++ b/internal/agent/registration.go
@@ -66,7 +66,7 @@
 func (s *runnerSession) beginFence(fence int64, draining bool, now time.Time) {
 	s.fence, s.listed, s.drainingCommitted = fence, false, draining
 	s.readSequence, s.reportsInFlight = s.committedSequence, 0
-	s.reportedUnhealthy, s.unansweredCalls, s.lastResponseAt = false, 0, now
+	s.reportedUnhealthy, s.healthUnconfirmed, s.unansweredCalls, s.lastResponseAt = false, false, 0, now
 	// Another agent process that had registered this runner before may have
 	// extended its lease as far as this.
 	s.longestRunLeaseUntilMs = max(s.longestRunLeaseUntilMs, s.estimatedClockMs(now)+timing.MaxRunLeaseAhead.Milliseconds())
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -45,9 +45,12 @@
 	unansweredCalls   int // consecutive
 	lastResponseAt    time.Time
 	lastStalledAt     time.Time // when a run was last found stalled
-	reportedUnhealthy bool      // as last confirmed by the leader
+	reportedUnhealthy bool      // as last reported to the leader
+	healthUnconfirmed bool      // the leader has not confirmed that report
 	reportingHealth   bool
-	runtimeSamples    []runtimeSample
+	// eligibilityReports is the number of reports of the session so far.
+	eligibilityReports int64
+	runtimeSamples     []runtimeSample
 
 	// Polls, numbered in the order in which they are sent.
 	lastPoll         uint64
--- a/internal/rpc/golden_test.go
+++ b/internal/rpc/golden_test.go
@@ -88,7 +88,7 @@
 		{"request leader-view", KindLeader}, {"request candidate", KindBootstrap}, {"request join", KindJoin}, {"request membership-claim", KindRenewMembership},
 		{"request submit", KindSubmitJob}, {"request status", KindJobStatus}, {"request cancel", KindCancelJob}, {"request change-configuration", KindPutConfig},
 		{"request read-configuration", KindGetConfig}, {"request register-worker", KindRegisterWorker}, {"request renew-lease", KindRenewLease},
-		{"request report-ends", KindReportCompletions}, {"request set-eligibility", KindSetEligibility}, {"request trace", KindTrace}, {"request tables", KindClusterState},
+		{"request report-ends", KindReportCompletions}, {"request report-eligibility", KindReportEligibility}, {"request set-eligibility", KindSetEligibility}, {"request trace", KindTrace}, {"request tables", KindClusterState},
 		{"request members", KindListMembers}, {"request moves", KindFederationWork}, {"request command", KindPropose}, {"request peer", KindFederationCall},
 		{"request renew-leases", KindLeaseBatch}, {"request batch", KindBatch}, {"request leave", KindReleaseZones}, {"request limits", KindGetLimits},
 		{"request counts", KindExchangeCounts}, {"request sums", KindExchangeSums}, {"request announce-runner", KindAnnounceRunner},
--- a/internal/rpc/request.go
+++ b/internal/rpc/request.go
@@ -75,7 +75,10 @@
 	// KindReportCompletions reports runs that have ended: state.ReportCompletions;
 	// Value is the number up to which they are committed.
 	KindReportCompletions = "ends"
-	// KindSetEligibility sets whether a worker accepts new runs: state.SetEligibility.
+	// KindReportEligibility reports whether a worker accepts new runs: state.ReportEligibility.
+	KindReportEligibility = "eligibility"
+	// KindSetEligibility is KindReportEligibility as agents of earlier programs send it:
+	// state.SetEligibility.
 	KindSetEligibility = "eligible"
 	// KindTrace requests the events of a change that a daemon has recorded: the name of the change
 	// as text, TraceResult.
--- a/internal/server/batches.go
+++ b/internal/server/batches.go
@@ -11,6 +11,7 @@
 	rpc.KindRenewLease:        true,
 	rpc.KindRegisterWorker:    true,
 	rpc.KindReportCompletions: true,
+	rpc.KindReportEligibility: true,
 	rpc.KindSetEligibility:    true,
 	rpc.KindRenewMembership:   true,
 }
--- a/internal/server/requests.go
+++ b/internal/server/requests.go
@@ -58,6 +58,7 @@
 		rpc.KindRegisterWorker:    decoded((*Replica).handleRegisterWorker),
 		rpc.KindRenewLease:        decoded((*Replica).handleRenewLease),
 		rpc.KindReportCompletions: decoded((*Replica).handleReportCompletions),
+		rpc.KindReportEligibility: decoded((*Replica).handleReportEligibility),
 		rpc.KindSetEligibility:    decoded((*Replica).handleSetEligibility),
 		rpc.KindLeaseBatch:        decoded((*Replica).handleLeaseBatch),
 		rpc.KindBatch:             decoded((*Replica).handleBatch),
--- a/internal/server/requests_test.go
+++ b/internal/server/requests_test.go
@@ -46,7 +46,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		h := newLeader(t)
 		for _, kind := range []string{"no such kind", rpc.KindJoin, rpc.KindRenewMembership, rpc.KindReleaseZones, rpc.KindSubmitJob, rpc.KindJobStatus, rpc.KindCancelJob, rpc.KindPutConfig,
-			rpc.KindRegisterWorker, rpc.KindRenewLease, rpc.KindReportCompletions, rpc.KindSetEligibility, rpc.KindLeaseBatch, rpc.KindBatch, rpc.KindBootstrap} {
+			rpc.KindRegisterWorker, rpc.KindRenewLease, rpc.KindReportCompletions, rpc.KindReportEligibility, rpc.KindSetEligibility, rpc.KindLeaseBatch, rpc.KindBatch, rpc.KindBootstrap} {
 			if response := h.call(kind, "not a body"); response.Code != rpc.CodeBadRequest {
 				t.Errorf("%s: %+v", kind, response)
 			}
@@ -221,3 +221,23 @@
 		}
 	})
 }
+
+// TestReportsAreOrderedFromTheFormatThatKnowsThem guards against an old report of a worker's health that
+// undoes a newer one, and checks that replicas of earlier programs get the command that they know.
+func TestReportsAreOrderedFromTheFormatThatKnowsThem(t *testing.T) {
+	for format, wantUnhealthy := range map[int]bool{state.FormatOrderedReports - 1: true, state.FormatOrderedReports: false} {
+		t.Run(fmt.Sprint("format ", format), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newLeader(t)
+				h.configure()
+				fence := h.call(rpc.KindRegisterWorker, state.RegisterWorker{ID: "w", Node: "n", Service: "s", LeavesInMs: -1}).Value
+				h.replica.state.Format = format
+				h.call(rpc.KindReportEligibility, state.ReportEligibility{ID: "w", Fence: fence, Number: 2, LeavesInMs: -1})
+				h.call(rpc.KindReportEligibility, state.ReportEligibility{ID: "w", Fence: fence, Number: 1, LeavesInMs: -1, Unhealthy: true})
+				if unhealthy := h.replica.state.Workers["w"].Unhealthy; unhealthy != wantUnhealthy {
+					t.Errorf("after the old report: unhealthy is %v, want %v", unhealthy, wantUnhealthy)
+				}
+			})
+		})
+	}
+}
--- a/internal/server/workers.go
+++ b/internal/server/workers.go
@@ -27,6 +27,16 @@
 	})
 }
 
+// handleReportEligibility records an agent's report of whether a worker is draining, unhealthy or has
+// signed off.
+func (r *Replica) handleReportEligibility(request *state.ReportEligibility, _ *transport.Stream, reply replyFunc) {
+	if r.state.Format < state.FormatOrderedReports {
+		r.enqueueCommand(state.CommandSetEligibility, request.Unnumbered(), outcomeReply(reply))
+		return
+	}
+	r.enqueueCommand(state.CommandReportEligibility, request, outcomeReply(reply))
+}
+
 // handleSetEligibility records whether a worker is draining, unhealthy or has signed off.
 func (r *Replica) handleSetEligibility(request *state.SetEligibility, _ *transport.Stream, reply replyFunc) {
 	r.enqueueCommand(state.CommandSetEligibility, request, outcomeReply(reply))
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -40,6 +40,7 @@
 	CommandRenewLock            = "relock"
 	CommandReplaceConfiguration = "replace"
 	CommandReportCompletions    = "ends"
+	CommandReportEligibility    = "eligibility"
 	CommandSetEligibility       = "eligible"
 	CommandSetEpoch             = "mint"
 	CommandSetLimits            = "limits"
@@ -74,6 +75,7 @@
 	CommandRenewLock:            func() Command { return &RenewLock{} },
 	CommandReplaceConfiguration: func() Command { return &ReplaceConfiguration{} },
 	CommandReportCompletions:    func() Command { return &ReportCompletions{} },
+	CommandReportEligibility:    func() Command { return &ReportEligibility{} },
 	CommandSetEligibility:       func() Command { return &SetEligibility{} },
 	CommandSetEpoch:             func() Command { return &SetEpoch{} },
 	CommandSetLimits:            func() Command { return &SetLimits{} },
--- a/internal/state/generator_test.go
+++ b/internal/state/generator_test.go
@@ -270,6 +270,18 @@
 			Unhealthy:  g.Intn(4) == 0,
 		}
 	}},
+	state.CommandReportEligibility: {3, func(g *generator) state.Command {
+		worker := g.worker()
+		return &state.ReportEligibility{
+			ID:         worker.ID,
+			Fence:      worker.Fence - int64(g.Intn(8)/7),
+			Number:     g.store.EligibilityReports[worker.ID] + int64(g.Intn(4)-1),
+			Draining:   g.Intn(8) == 0,
+			LeavesInMs: int64(g.Intn(500) - 100),
+			Leaving:    g.Intn(12) == 0,
+			Unhealthy:  g.Intn(4) == 0,
+		}
+	}},
 	state.CommandExpireLeases: {1, func(g *generator) state.Command {
 		a, b := g.worker(), g.worker()
 		return &state.ExpireLeases{Workers: []state.FencedWorker{{ID: a.ID, Fence: a.Fence}, {ID: b.ID, Fence: b.Fence}}}
--- a/internal/state/golden_test.go
+++ b/internal/state/golden_test.go
@@ -38,6 +38,8 @@
 		{Name: "book", Value: &ApplyPlans{Plans: []Plan{{Job: "job", Instance: 1, Step: 2, AllOrNothing: true, Placements: []Placement{{TaskIndex: 3, Copy: 4, Worker: "worker", WorkerVersion: 5}}}}}},
 		{Name: "cancel", Value: &CancelJob{ID: "id"}},
 		{Name: "change", Value: &ChangeConfiguration{BaseVersion: 1, Raw: []byte("text")}},
+		{Name: "eligibility/draining", Value: &ReportEligibility{ID: "id", Fence: 2, Number: 3, Draining: true, LeavesInMs: 1}},
+		{Name: "eligibility/sick", Value: &ReportEligibility{ID: "id", Fence: 2, Number: 3, Leaving: true, Unhealthy: true, LeavesInMs: 1}},
 		{Name: "eligible/draining", Value: &SetEligibility{ID: "id", Draining: true, LeavesInMs: 1}},
 		{Name: "eligible/gone", Value: &SetEligibility{ID: "id", Leaving: true, LeavesInMs: 1}},
 		{Name: "eligible/sick", Value: &SetEligibility{ID: "id", Unhealthy: true, LeavesInMs: 1}},
@@ -174,6 +176,7 @@
 	s.JobTenants = map[string]JobTenant{"job": {Tenant: "tenant", BeyondShare: true}}
 	s.GoneWorkers = map[string]int64{"worker": 53}
 	s.Evacuations = map[string]ZoneEvacuation{"zone": {Revision: 64, Evacuated: true, ChangedAt: 65}}
+	s.EligibilityReports = map[string]int64{"worker": 66}
 	s.Coordination = &coordination.Tables{LastFence: 54, HistoryMs: 55, Counters: map[string]int64{"number": 56},
 		Locks: map[string]coordination.Lock{"lock": {Holder: "holder", Fence: 57, FirstFence: 58, ExpiresAt: 59, AcquiredAt: 60}},
 		Groups: map[string]*coordination.Group{"group.": {Revision: 62, Compacted: 61, Keys: map[string]coordination.KeyValue{"group.key": {Value: "value", Revision: 62}},
@@ -188,8 +191,12 @@
 		}
 	}
 	text := ""
+	reports := s.EligibilityReports
 	for format := FormatUnmarked; format <= FormatVersion; format++ {
-		s.Format = format
+		s.Format, s.EligibilityReports = format, reports
+		if format < FormatOrderedReports {
+			s.EligibilityReports = nil
+		}
 		saved := s.EncodeSnapshot()
 		if format == FormatUnmarked {
 			text += fmt.Sprintf("state %s\n", hex.EncodeToString(saved))
--- a/internal/state/register_worker.go
+++ b/internal/state/register_worker.go
@@ -60,6 +60,7 @@
 	}
 	s.LastID++
 	worker.Fence = int64(s.LastID)
+	delete(s.EligibilityReports, worker.ID) // reports are numbered anew under each fence
 	worker.AgentProcessID, worker.Service, worker.Zone = c.AgentProcessID, c.Service, c.Zone
 	worker.Labels, worker.Capacity = c.Labels, c.Capacity
 	worker.LeaseExpired, worker.Unhealthy = false, false
--- a/internal/state/remove_unused.go
+++ b/internal/state/remove_unused.go
@@ -67,6 +67,7 @@
 	}
 	delete(s.Workers, worker.ID)
 	delete(s.GoneWorkers, worker.ID)
+	delete(s.EligibilityReports, worker.ID)
 }
 
 // removeEarlierConfigurations removes routes, services and quotas that the current
--- a/internal/state/set_eligibility.go
+++ b/internal/state/set_eligibility.go
@@ -1,6 +1,7 @@
 package state
 
-// SetEligibility records whether a worker is eligible for new work.
+// SetEligibility records whether a worker is eligible for new work. Agents of earlier programs send it; it
+// has no number, so it takes effect in whatever order it is applied. See ReportEligibility.
 type SetEligibility struct {
 	_          struct{} `cbor:",toarray"`
 	ID         string
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -36,6 +36,7 @@
 	copied.JobTenants = maps.Clone(s.JobTenants)
 	copied.GoneWorkers = maps.Clone(s.GoneWorkers)
 	copied.Evacuations = maps.Clone(s.Evacuations)
+	copied.EligibilityReports = maps.Clone(s.EligibilityReports)
 	copied.Coordination = s.Coordination.Clone()
 	workers, devices, allocations, jobs := copyRows(s.Workers), copyDevices(s.Devices), copyRows(s.Allocations), copyJobs(s.Jobs)
 	return &Snapshot{&copied, []func(){
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -20,8 +20,10 @@
 	// FormatBoundedJobs is the first format in which the quantities of steps are bounded, and an entry
 	// creates a bounded number of instances of periodic jobs.
 	FormatBoundedJobs = 10
+	// FormatOrderedReports is the first format that knows ReportEligibility.
+	FormatOrderedReports = 11
 	// FormatVersion is the newest format that this program supports.
-	FormatVersion = FormatBoundedJobs
+	FormatVersion = FormatOrderedReports
 )
 
 // Limits are the operator settings that commands depend on. They are part of the
@@ -73,6 +75,8 @@
 	Coordination *coordination.Tables `cbor:"Coordination,omitempty"`
 	// Evacuations has a row for each zone that EvacuateZone was ever applied to.
 	Evacuations map[string]ZoneEvacuation `cbor:"Evacuations,omitempty"`
+	// EligibilityReports holds the number of the newest ReportEligibility of each worker under its fence.
+	EligibilityReports map[string]int64 `cbor:"Reports,omitempty"`
 	// DigestChain covers all entries from DigestChainFrom on, see digest.go. The chain
 	// has not started while DigestChainFrom is 0.
 	DigestChain     uint64 `cbor:"Chain"`
