Evacuations: an order that was read too late is not carried out

Cause: an order names the order in force that it replaces, and the daemon read that when it handled the call, whenever the call was made. Nothing in the protocol numbers these calls.

Change: a daemon notices that its process did not run; for a second afterwards a call may have arrived at the start of the pause. Operators go on after a second.

--- a/internal/api/evacuations.go
+++ b/internal/api/evacuations.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -29,9 +30,12 @@
 	if _, known := s.settings.Zones[zone]; !known && (len(s.settings.Zones) > 0 || !validName(zone)) {
 		return writeStatusError(c, &statusError{status: http.StatusNotFound, text: "no such zone"})
 	}
+	// Operators send an order to another daemon after a second, so one that waited here while the process
+	// was paused may be followed by others that were acknowledged.
+	deadline := s.pauses.EarliestArrival(time.Now()).Add(controlRequestTimeout)
 	ctx, cancel := s.operatorContext(c.Request().Context(), 0)
 	defer cancel()
-	if err := s.commitEvacuation(ctx, zone, evacuated); err != nil {
+	if err := s.commitEvacuation(ctx, zone, evacuated, deadline); err != nil {
 		return writeStatusError(c, statusOf(err))
 	}
 	return c.JSONBlob(http.StatusOK, []byte("{}"))
@@ -39,8 +43,9 @@
 
 // commitEvacuation has an evacuation order for a zone committed. The request names the order in
 // force that it replaces, so that a delayed copy that reaches the leader after a later order has no
-// effect.
-func (s *Server) commitEvacuation(ctx context.Context, zone string, evacuated bool) error {
+// effect. The order in force must be known by the deadline, until which the operator waits: later, an
+// order that the operator gave since may already be in force.
+func (s *Server) commitEvacuation(ctx context.Context, zone string, evacuated bool, deadline time.Time) error {
 	sent := false
 	for range evacuationAttempts {
 		response := s.Call(ctx, rpc.KindZoneEvacuation, zone)
@@ -60,6 +65,9 @@
 		if sent {
 			break // a different order was committed since
 		}
+		if ctx.Err() != nil || !time.Now().Before(deadline) {
+			return errLateOrder
+		}
 		order.Evacuated, sent = evacuated, true
 		response = s.Call(ctx, rpc.KindEvacuateZone, order)
 		if response.Code != rpc.CodePreconditionFailed {
@@ -69,6 +77,11 @@
 	return errConcurrentOrder
 }
 
+// errLateOrder means that an order was not committed, since the operator may no longer wait for it.
+var errLateOrder = &statusError{
+	http.StatusServiceUnavailable, "the order was read too late to be carried out: send it again if it still holds", 1,
+}
+
 // errConcurrentOrder means that another order for the zone was committed at the same time.
 var errConcurrentOrder = &statusError{
 	http.StatusServiceUnavailable, "another order about the zone came meanwhile: send it again if it still holds", 1,
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log"
 
+	"tealpond/internal/clock"
 	"tealpond/internal/counter"
 	"tealpond/internal/daemon"
 	"tealpond/internal/discovery"
@@ -78,6 +79,7 @@
 	// daemon has a replica itself. Tests replace it.
 	leaderAddress func() string
 	leaderContact *leaderContact
+	pauses        *clock.PauseDetector
 	limits        atomic.Pointer[sizeLimits]
 	shares        *tenantShares
 	newestVersion atomic.Int64  // newest configuration version observed
@@ -105,6 +107,7 @@
 		env:           env,
 		bootstraps:    make(chan bootstrapRequest),
 		leaderContact: newLeaderContact(),
+		pauses:        &clock.PauseDetector{},
 		limitsStale:   make(chan struct{}, 1),
 		clientBudget:  httpserver.NewBudget(env.Settings.Limits.MemoryMB),
 		shares:        newTenantShares(env.ProcessID, env.Settings.QuotaWindow(counter.DefaultWindow), time.Now()),
@@ -218,6 +221,7 @@
 		go s.runBootstrap(ctx)
 	}
 	go s.renewMembership(ctx)
+	go s.pauses.Run(ctx)
 	go s.logEvictions(ctx)
 	if s.settings.HasTallies() {
 		go s.refreshReplicaAddresses(ctx)
--- a/internal/api/server_test.go
+++ b/internal/api/server_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-kit/log"
 
+	"tealpond/internal/clock"
 	"tealpond/internal/counter"
 	"tealpond/internal/daemon"
 	"tealpond/internal/rpc"
@@ -19,7 +20,7 @@
 type leaderStub = func(context.Context, rpc.Request) rpc.Response
 
 func newTestServer(leader leaderStub) *Server {
-	return &Server{log: log.NewNopLogger(), env: daemon.Environment{Trace: tracing.NewRing(64)}, leaderContact: newLeaderContact(),
+	return &Server{log: log.NewNopLogger(), env: daemon.Environment{Trace: tracing.NewRing(64)}, leaderContact: newLeaderContact(), pauses: &clock.PauseDetector{},
 		limitsStale: make(chan struct{}, 1), callLeader: leader, leaderAddress: func() string { return "" },
 		shares: newTenantShares("p", counter.DefaultWindow, time.Now()), shutdownCtx: context.Background()}
 }
