--- a/internal/clusterconfig/config.go
+++ b/internal/clusterconfig/config.go
@@ -32,6 +32,10 @@
 	Split []SplitPart `json:"trafficSplit,omitempty"`
 }
 
+// Queue returns the host and the path prefix of the route, by which clients address it. No two routes of a
+// configuration have the same.
+func (r *Route) Queue() string { return strings.ToLower(r.HostName) + " " + r.PathPrefix }
+
 // SplitPart is one service of a traffic split.
 type SplitPart struct {
 	TargetService string  `json:"targetService"`
@@ -158,11 +162,10 @@
 		} else if !serviceNames[route.TargetService] {
 			report("targetService", fmt.Sprintf("%q is not in serviceList", route.TargetService))
 		}
-		key := strings.ToLower(route.HostName) + " " + route.PathPrefix
-		if owner, ok := routeByPrefix[key]; ok {
+		if owner, ok := routeByPrefix[route.Queue()]; ok {
 			report("pathPrefix", fmt.Sprintf("same host and prefix as %q", owner))
 		}
-		routeByPrefix[key] = route.Name
+		routeByPrefix[route.Queue()] = route.Name
 	}
 	return append(problems, tenantProblems(config.tenants)...)
 }
--- a/internal/server/debug_log.go
+++ b/internal/server/debug_log.go
@@ -22,7 +22,7 @@
 				step.ReadyAt-instance.CreatedAt, step.LastAllocatedAt-step.ReadyAt, step.CompletedAt-step.LastAllocatedAt)
 		}
 	}
-	_ = r.log.Log("level", "debug", "event", "job.ended", "job", job.ID, "route", job.Route, "priority", job.Priority, "state", job.Status(),
+	_ = r.log.Log("level", "debug", "event", "job.ended", "job", job.ID, "route", r.state.RouteName(job), "priority", job.Priority, "state", job.Status(),
 		"tenant", job.Tenant(), "beyond_share", job.BeyondShare(), "created_ms", job.CreatedAt,
 		"took_ms", job.EndedAt-job.CreatedAt, "target_ms", job.TargetTurnaroundMs(), "steps", strings.TrimSpace(steps.String()))
 }
--- a/internal/server/federation_work.go
+++ b/internal/server/federation_work.go
@@ -25,14 +25,14 @@
 	for _, job := range store.OpenJobs() {
 		if job.MayBeAtPeer() {
 			transfer := openTransfer(job)
-			transfer.CancelRequested, transfer.Route = job.Transfer.CancelRequested, peerRoutes[job.Route]
+			transfer.CancelRequested, transfer.Route = job.Transfer.CancelRequested, peerRoutes[store.RouteName(job)]
 			transfer.Job = protocol.Job{Spec: job.Spec, Steps: job.Steps}
 			work.OpenTransfers = append(work.OpenTransfers, transfer)
 			continue
 		}
-		if _, federated := peerRoutes[job.Route]; federated && mayBeOffered(job) {
+		if _, federated := peerRoutes[store.RouteName(job)]; federated && mayBeOffered(job) {
 			work.Candidates = append(work.Candidates, federation.Candidate{
-				JobID: job.ID, Route: job.Route, Priority: job.Priority, MilliCPU: largestStepMilliCPU(job), Offers: job.Transfer.OfferCount,
+				JobID: job.ID, Route: store.RouteName(job), Priority: job.Priority, MilliCPU: largestStepMilliCPU(job), Offers: job.Transfer.OfferCount,
 			})
 		}
 	}
@@ -81,7 +81,7 @@
 func federatedServices(store *state.Store, config *federation.Settings) map[string]bool {
 	services := map[string]bool{}
 	for _, federated := range config.Routes {
-		if route := store.Routes[federated.LocalRoute]; route != nil {
+		if route := store.RouteNamed(federated.LocalRoute); route != nil {
 			for _, service := range route.Services() {
 				services[service] = true
 			}
@@ -97,9 +97,9 @@
 
 // addDemand adds the recorded demand on some services, and their capacity.
 func addDemand(work *federation.PendingWork, store *state.Store, services map[string]bool) {
-	for name, route := range store.Routes {
+	for key, route := range store.Routes {
 		if slices.ContainsFunc(route.Services(), func(service string) bool { return services[service] }) {
-			for bucket, demand := range store.Demand[name] {
+			for bucket, demand := range store.Demand[key] {
 				work.Demand[bucket] += demand
 			}
 		}
--- a/internal/server/job_status.go
+++ b/internal/server/job_status.go
@@ -27,7 +27,7 @@
 	}
 	route, id := call.route, call.id
 	if id == "" {
-		reply(rpc.Response{Code: rpc.CodeOK, Text: "count", Value: int64(r.state.PendingJobCount(route.Name))})
+		reply(rpc.Response{Code: rpc.CodeOK, Text: "count", Value: int64(r.state.PendingJobCount(route))})
 		return
 	}
 	if status, ok := r.state.JobStatus(id); ok {
--- a/internal/server/state_tables.go
+++ b/internal/server/state_tables.go
@@ -100,7 +100,7 @@
 	table := newTable("inboxes", "name", "host", "prefix", "service", "priority", "target_ms", "stretch", "max_rounds", "waiting")
 	for _, route := range store.Configuration.Routes {
 		addRow(&table, route.Name, route.HostName, route.PathPrefix, strings.Join(route.Services(), " "), route.Priority,
-			route.TargetMs, route.Stretch, route.MaxAttempts, store.PendingJobCount(route.Name))
+			route.TargetMs, route.Stretch, route.MaxAttempts, store.PendingJobCount(&route))
 	}
 	return table
 }
@@ -108,7 +108,7 @@
 func jobTable(store *state.Store) rpc.Table {
 	table := newTable("jobs", "id", "inbox", "service", "priority", "state", "born_ms", "ended_ms", "steps", "run_times")
 	for _, job := range store.Jobs {
-		addRow(&table, job.ID, job.Route, job.Service, job.Priority, job.Status(), job.CreatedAt, job.EndedAt,
+		addRow(&table, job.ID, store.RouteName(job), job.Service, job.Priority, job.Status(), job.CreatedAt, job.EndedAt,
 			len(job.Steps), job.PeriodicInstances)
 	}
 	return table
@@ -128,7 +128,7 @@
 	table := newTable("moves", "job", "inbox", "peer", "no", "state", "guest", "job_state", "born_ms", "ended_ms")
 	for _, job := range store.Jobs {
 		if job.Transfer.OfferID > 0 {
-			addRow(&table, job.ID, job.Route, job.Transfer.Peer, job.Transfer.OfferID, transferStateNames[job.Transfer.State], job.Transfer.Incoming,
+			addRow(&table, job.ID, store.RouteName(job), job.Transfer.Peer, job.Transfer.OfferID, transferStateNames[job.Transfer.State], job.Transfer.Incoming,
 				job.Status(), job.CreatedAt, job.EndedAt)
 		}
 	}
--- a/internal/state/accept_job.go
+++ b/internal/state/accept_job.go
@@ -27,7 +27,7 @@
 	if c.OfferID <= s.WithdrawnOffers[offerKey(c.Peer, c.ID)] {
 		return Outcome{Code: CodeConflict, Text: AnswerRefused}
 	}
-	route, loan := s.Routes[c.Route], s.Loans[c.Loan]
+	route, loan := s.RouteNamed(c.Route), s.Loans[c.Loan]
 	if route == nil || loan == nil || loan.Peer != c.Peer || s.Clock >= loan.To {
 		return c.refuse(s)
 	}
--- a/internal/state/job.go
+++ b/internal/state/job.go
@@ -13,8 +13,8 @@
 type Job struct {
 	_                 struct{} `cbor:",toarray"`
 	ID                string
-	Sequence          int64 // position in the order of acceptance
-	Route             string
+	Sequence          int64   // position in the order of acceptance
+	Route             string  // key of its route, see Store.routeKey
 	Service           string  // see Store.ServiceForStep
 	Priority          int     // 0 is the highest
 	MaxAttempts       int     // number of failed runs of a task, or of a gang, at which the job fails
@@ -86,7 +86,7 @@
 // newJob creates a job on a route and gives it the next sequence number.
 func (s *Store) newJob(id string, route *clusterconfig.Route, job protocol.Job) *Job {
 	s.LastJobSequence++
-	j := &Job{ID: id, Sequence: s.LastJobSequence, Route: route.Name, Spec: job.Spec, Steps: s.stepsOf(&job), CreatedAt: s.Clock}
+	j := &Job{ID: id, Sequence: s.LastJobSequence, Route: s.routeKey(route), Spec: job.Spec, Steps: s.stepsOf(&job), CreatedAt: s.Clock}
 	s.applyRoute(j, route)
 	return j
 }
--- a/internal/state/job_test.go
+++ b/internal/state/job_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"tealpond/internal/clusterconfig"
 	"tealpond/internal/protocol"
 )
 
@@ -81,16 +82,16 @@
 	for i := range 5 {
 		f.submit(fmt.Sprint("j", i), protocol.Step{TaskCount: 1, CPUUnits: 100, MemoryMB: 1})
 	}
-	if n := f.store.PendingJobCount("a"); n != 5 {
+	if n := f.store.PendingJobCount(&clusterconfig.Route{Name: "a"}); n != 5 {
 		t.Fatalf("%d jobs are pending, want 5", n)
 	}
 	worker := f.addWorker("w", protocol.Resources{CPUUnits: 1000, MemoryMB: 1000})
 	f.applyPlan("j0", 0, false, Placement{Worker: "w", WorkerVersion: worker.Version})
 	f.apply(&CancelJob{ID: "j1"})
-	if n := f.store.PendingJobCount("a"); n != 3 {
+	if n := f.store.PendingJobCount(&clusterconfig.Route{Name: "a"}); n != 3 {
 		t.Errorf("%d jobs are pending after one started and one was canceled, want 3", n)
 	}
-	if n := f.store.PendingJobCount("another"); n != 0 {
+	if n := f.store.PendingJobCount(&clusterconfig.Route{Name: "another"}); n != 0 {
 		t.Errorf("%d jobs are pending on another route, want 0", n)
 	}
 }
--- a/internal/state/raise_format.go
+++ b/internal/state/raise_format.go
@@ -22,8 +22,12 @@
 		panic(fmt.Sprintf("state: cannot apply format %d: this program supports formats up to %d", c.Version, FormatVersion))
 	}
 	if c.Version > s.Format {
+		earlier := s.Format
 		s.Format = c.Version
 		s.boundOpenJobs()
+		if earlier < FormatQueues && s.Format >= FormatQueues {
+			s.keyRoutesByQueue()
+		}
 		s.applyRoutesToOpenJobs()
 		s.rebuildIndex()
 	}
--- a/internal/state/remove_unused.go
+++ b/internal/state/remove_unused.go
@@ -76,7 +76,7 @@
 func (s *Store) removeEarlierConfigurations() {
 	routes, services, tenants := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	for i := range s.Configuration.Routes {
-		routes[s.Configuration.Routes[i].Name] = true
+		routes[s.routeKey(&s.Configuration.Routes[i])] = true
 	}
 	for _, service := range s.Configuration.Services {
 		services[service.Name] = true
--- a/internal/state/replace_configuration.go
+++ b/internal/state/replace_configuration.go
@@ -116,7 +116,7 @@
 	s.updateQuotas(s.Configuration.Tenants())
 	for i := range s.Configuration.Routes {
 		route := s.Configuration.Routes[i]
-		s.Routes[route.Name] = &route
+		s.Routes[s.routeKey(&route)] = &route
 	}
 	for _, service := range s.Configuration.Services {
 		s.Services[service.Name] = service
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -22,8 +22,11 @@
 	FormatBoundedJobs = 10
 	// FormatOrderedReports is the first format that knows ReportEligibility.
 	FormatOrderedReports = 11
+	// FormatQueues is the first format in which routes, jobs and demand are kept by queue, not by the name
+	// of a route.
+	FormatQueues = 12
 	// FormatVersion is the newest format that this program supports.
-	FormatVersion = FormatOrderedReports
+	FormatVersion = FormatQueues
 )
 
 // Limits are the operator settings that commands depend on. They are part of the
@@ -49,7 +52,7 @@
 	Configuration        clusterconfig.Config             `cbor:"Desired"` // version 0: none yet
 	ConfigurationHistory ConfigurationHistory             `cbor:"Taken"`
 	Origin               uint64                           `cbor:"Origin"`   // unused
-	Routes               map[string]*clusterconfig.Route  `cbor:"Lanes"`    // by name; also of earlier configurations
+	Routes               map[string]*clusterconfig.Route  `cbor:"Lanes"`    // by queue, see routeKey; also of earlier configurations
 	Services             map[string]clusterconfig.Service `cbor:"Services"` // by name; also of earlier configurations
 	Workers              map[string]*Worker               `cbor:"Workers"`
 	Devices              map[string]*Device               `cbor:"Devices"`
@@ -198,17 +201,6 @@
 	return job.Status(), true
 }
 
-// PendingJobCount returns the number of open jobs of a route that have status StatusPending.
-func (s *Store) PendingJobCount(route string) int {
-	count := 0
-	for _, job := range s.openJobs {
-		if job.Route == route && job.Status() == StatusPending {
-			count++
-		}
-	}
-	return count
-}
-
 // AllocationsOn returns the allocations on a worker, sorted by ID, oldest first.
 func (s *Store) AllocationsOn(worker string) []*Allocation {
 	allocations := make([]*Allocation, 0, len(s.allocationsByWorker[worker]))
--- a/internal/state/submit_job.go
+++ b/internal/state/submit_job.go
@@ -44,7 +44,7 @@
 	s.setTenant(job, tenant)
 	job.PeriodicInstances, job.FirstRunMs, job.IntervalMs = c.Job.PeriodicInstances, c.Job.FirstRunMs, c.Job.IntervalMs
 	if c.DemandBucket > 0 {
-		s.recordDemand(route.Name, c.DemandBucket, job.coreMs())
+		s.recordDemand(job.Route, c.DemandBucket, job.coreMs())
 	}
 	s.Jobs[job.ID], s.openJobs[job.ID] = job, job
 	s.jobBytes += job.bytes()
