--- a/internal/tally/replica.go
+++ b/internal/tally/replica.go
@@ -21,8 +21,8 @@
 	// ExchangeInterval is the time between two exchanges of vectors with each peer, RepeatInterval
 	// the time after which unconfirmed adds are sent to a peer again.
 	ExchangeInterval, RepeatInterval time.Duration
-	// StartupTimeout is how long after its start a replica refuses reads, unless it has caught up
-	// with some peer.
+	// StartupTimeout is how long a replica refuses reads after it has started and knows its peers, unless
+	// it has caught up with one of them.
 	StartupTimeout time.Duration
 	// MaxBytes bounds the file size, in bytes: beyond it new adds are refused.
 	MaxBytes int64
@@ -71,7 +71,7 @@
 	pendingChanges []change
 	outbox         []Envelope
 	lastExchangeAt time.Time
-	startedAt      time.Time
+	startedAt      time.Time // when it was created, or first knew all other replicas
 	caughtUp       bool
 	membersKnown   bool // peers holds all other replicas
 
@@ -95,6 +95,9 @@
 // whether these are all of them: until then an add is acknowledged only if it is on Copies disks that
 // have confirmed it, since the silence of a peer that isn't known says nothing.
 func (r *Replica) SetPeers(ids []string, membersKnown bool, now time.Time) {
+	if membersKnown && !r.membersKnown {
+		r.startedAt = now // until now it could not ask them for what it lacks
+	}
 	r.membersKnown = membersKnown
 	for _, id := range ids {
 		if r.peers[id] == nil {
--- a/internal/tally/replica_test.go
+++ b/internal/tally/replica_test.go
@@ -177,6 +177,22 @@
 	}
 }
 
+// TestReadsWaitForPeersThatAreKnownLate guards against a replica that lost its disk, learnt of its peers after
+// StartupTimeout, and answered reads before any of them could tell what it lacks.
+func TestReadsWaitForPeersThatAreKnownLate(t *testing.T) {
+	replica := NewReplica(testConfig("a"), nil, 0, testStart)
+	replica.SetPeers(nil, false, testStart)
+	later := testStart.Add(10 * time.Second)
+	replica.SetPeers([]string{"b"}, true, later)
+	if _, result := replica.Read("t", nil, later.Add(time.Second)); result != ResultStarting {
+		t.Errorf("a second after the peers were known: %v, want ResultStarting", result)
+	}
+	replica.SetPeers([]string{"b", "c"}, true, later.Add(time.Second))
+	if _, result := replica.Read("t", nil, later.Add(2*time.Second)); result != ResultOK {
+		t.Errorf("after StartupTimeout without contact: %v, want ResultOK", result)
+	}
+}
+
 // TestFullFileRefusesNewAdds checks that a full file refuses new adds, but neither repeated IDs nor
 // adds from other replicas.
 func TestFullFileRefusesNewAdds(t *testing.T) {
