--- a/internal/state/job.go
+++ b/internal/state/job.go
@@ -209,7 +209,7 @@
 // TargetTurnaroundMs returns the longest time from an instance's creation to its end that
 // meets its route's target, at most protocol.MaxQuantity.
 func (j *Job) TargetTurnaroundMs() int64 {
-	stretched := min(j.Stretch*float64(j.CriticalPathMs()), protocol.MaxQuantity)
+	stretched := min(max(j.Stretch*float64(j.CriticalPathMs()), 0), protocol.MaxQuantity)
 	return min(saturatingAdd(int64(stretched), max(j.TargetMs, 0)), protocol.MaxQuantity)
 }
 
