--- a/internal/state/recorded_log_test.go
+++ b/internal/state/recorded_log_test.go
@@ -20,10 +20,35 @@
 
 // TestRecordedLogsHaveTheSameEffect guards against replicas that diverge in a group with servers of
 // an earlier program, or after an upgrade when they replay the log from different snapshots. It
-// replays logs of random commands, with traffic splits among them, that the last program of format 8
-// (77b0c8c) recorded, and compares the states byte for byte.
+// replays logs of random commands, with traffic splits among them, that the last programs of format 8
+// (77b0c8c) and of format 9 (0cccb41) recorded, and compares the states byte for byte.
 func TestRecordedLogsHaveTheSameEffect(t *testing.T) {
-	file, err := os.Open("testdata/format8.log.gz")
+	t.Run("format 8", func(t *testing.T) {
+		splitJobs := 0
+		for number, log := range readLogs(t, "testdata/format8.log.gz") {
+			splitJobs += jobsWithoutService(replay(t, number, log))
+		}
+		if splitJobs == 0 {
+			t.Error("the logs leave no open job of a route with a traffic split")
+		}
+	})
+	t.Run("format 9", func(t *testing.T) {
+		raised := 0
+		for number, log := range readLogs(t, "testdata/format9.log.gz") {
+			if replay(t, number, log).Format == state.FormatSplitJobs {
+				raised++
+			}
+		}
+		if raised == 0 {
+			t.Error("the logs leave no state of format 9")
+		}
+	})
+}
+
+// readLogs reads the logs of a file.
+func readLogs(t *testing.T, name string) [][]recordedEntry {
+	t.Helper()
+	file, err := os.Open(name)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -36,20 +61,20 @@
 	if err := cbor.NewDecoder(plain).Decode(&logs); err != nil || len(logs) == 0 {
 		t.Fatalf("%d logs: %v", len(logs), err)
 	}
-	splitJobs := 0
-	for number, log := range logs {
-		store := state.New(state.Limits{MaxReplans: 1})
-		for _, entry := range log {
-			store.ApplyEntry(store.AppliedIndex+1, entry.Data)
-			if entry.Digest != 0 && state.SnapshotDigest(store.EncodeSnapshot()) != entry.Digest {
-				t.Fatalf("log %d, entry %d: the state differs from that of the recording program", number, store.AppliedIndex)
-			}
+	return logs
+}
+
+// replay applies a log and compares the states with those of the recording program.
+func replay(t *testing.T, number int, log []recordedEntry) *state.Store {
+	t.Helper()
+	store := state.New(state.Limits{MaxReplans: 1})
+	for _, entry := range log {
+		store.ApplyEntry(store.AppliedIndex+1, entry.Data)
+		if entry.Digest != 0 && state.SnapshotDigest(store.EncodeSnapshot()) != entry.Digest {
+			t.Fatalf("log %d, entry %d: the state differs from that of the recording program", number, store.AppliedIndex)
 		}
-		splitJobs += jobsWithoutService(store)
-	}
-	if splitJobs == 0 {
-		t.Error("the logs leave no open job of a route with a traffic split")
 	}
+	return store
 }
 
 // jobsWithoutService returns the number of open jobs that have no service.
