--- a/internal/simulation/tallies_test.go
+++ b/internal/simulation/tallies_test.go
@@ -299,6 +299,17 @@
 	}
 }
 
+// requireAdd requires that each server returns a total with an add that a victim acknowledged. The
+// amounts of all adds must be different powers of two.
+func (l *tallyCallers) requireAdd(id, victim string) {
+	l.c.T.Helper()
+	for _, node := range l.c.Servers() {
+		if total, ok := l.total(node); !ok || total&l.sent[id] == 0 {
+			l.c.T.Errorf("LOST: %s returned total %d (%v) without the add of %d that %s acknowledged", node, total, ok, l.sent[id], victim)
+		}
+	}
+}
+
 // TestAcknowledgedAddsSurviveServerLoss: messages of a server to the other servers are
 // slow, but not those to its caller. It acknowledges an add and loses its disk
 // immediately afterwards. The add must already be on another disk.
@@ -323,11 +334,7 @@
 			}
 			callers.restarted(victim)
 			time.Sleep(5 * time.Second)
-			for _, node := range c.Servers() {
-				if total, ok := callers.total(node); !ok || total&callers.sent[id] == 0 {
-					t.Errorf("LOST: %s returned total %d (%v) without the add of %d that %s acknowledged", node, total, ok, callers.sent[id], victim)
-				}
-			}
+			callers.requireAdd(id, victim)
 		}
 		callers.requireMerged()
 		c.requireNoViolations()
@@ -350,11 +357,7 @@
 			c.restartWiped(500*time.Millisecond, victim)
 			callers.restarted(victim)
 			time.Sleep(5 * time.Second)
-			for _, node := range c.Servers() {
-				if total, ok := callers.total(node); !ok || total&callers.sent[id] == 0 {
-					t.Errorf("LOST: %s returned total %d (%v) without the add of %d that %s acknowledged", node, total, ok, callers.sent[id], victim)
-				}
-			}
+			callers.requireAdd(id, victim)
 		}
 		callers.requireMerged()
 		c.requireNoViolations()
--- a/internal/state/report_eligibility.go
+++ b/internal/state/report_eligibility.go
@@ -19,23 +19,19 @@
 // health counts only if the report is newer than the newest that was applied under the worker's
 // fence. The outcome is CodeGone if the worker is unknown or dead.
 func (c *ReportEligibility) Apply(s *Store) Outcome {
-	worker := s.Workers[c.ID]
-	if worker == nil || worker.Dead {
-		return Outcome{Code: CodeGone}
-	}
-	worker.Version++
-	if c.Draining || c.Leaving {
-		worker.startDraining(s.Clock, c.LeavesInMs)
+	return s.updateEligibility(c.ID, c.Draining || c.Leaving, c.LeavesInMs, func(worker *Worker) { c.updateHealth(s, worker) })
+}
+
+// updateHealth records the health of a worker if the report is the newest.
+func (c *ReportEligibility) updateHealth(s *Store, worker *Worker) {
+	if c.Fence != worker.Fence || c.Number <= s.EligibilityReports[c.ID] {
+		return
 	}
-	if c.Fence == worker.Fence && c.Number > s.EligibilityReports[c.ID] {
-		if s.EligibilityReports == nil {
-			s.EligibilityReports = map[string]int64{}
-		}
-		s.EligibilityReports[c.ID] = c.Number
-		worker.Unhealthy = c.Unhealthy
+	if s.EligibilityReports == nil {
+		s.EligibilityReports = map[string]int64{}
 	}
-	s.reindexWorker(worker)
-	return Outcome{Code: CodeOK}
+	s.EligibilityReports[c.ID] = c.Number
+	worker.Unhealthy = c.Unhealthy
 }
 
 // Unnumbered returns the command that has the effect of the report in formats before
--- a/internal/state/set_eligibility.go
+++ b/internal/state/set_eligibility.go
@@ -15,15 +15,21 @@
 // before are refused. Draining is never undone. The outcome is CodeGone if the worker is
 // unknown or dead.
 func (c *SetEligibility) Apply(s *Store) Outcome {
-	worker := s.Workers[c.ID]
+	return s.updateEligibility(c.ID, c.Draining || c.Leaving, c.LeavesInMs, func(worker *Worker) { worker.Unhealthy = c.Unhealthy })
+}
+
+// updateEligibility marks a worker as draining if it is, updates its health and increments its version. The
+// outcome is CodeGone if the worker is unknown or dead.
+func (s *Store) updateEligibility(id string, draining bool, leavesInMs int64, updateHealth func(*Worker)) Outcome {
+	worker := s.Workers[id]
 	if worker == nil || worker.Dead {
 		return Outcome{Code: CodeGone}
 	}
 	worker.Version++
-	if c.Draining || c.Leaving {
-		worker.startDraining(s.Clock, c.LeavesInMs)
+	if draining {
+		worker.startDraining(s.Clock, leavesInMs)
 	}
-	worker.Unhealthy = c.Unhealthy
+	updateHealth(worker)
 	s.reindexWorker(worker)
 	return Outcome{Code: CodeOK}
 }
